The whole path, thin, as separate processes

Change: a workspace of five packages: umberglade-wire (typed messages of the caller, engine and platform interfaces; hyper-on-smol server and client; a fixed worker pool), umberglade-router (admission, placement by prefix affinity with bounded load, the prefill -> KV hand-off -> decode pipeline with cancels on every early exit, a follower of the preset in force that never moves back, operators' conditional writes), umberglade-standin (platform table service with conditional writes, rate limits, outages and lost replies; a lagging instance list; prefill/decode engines with slots, prefix cache, KV export/eviction, cancel, lagging load, fencing), and the thin binaries umberglade (serve, dev, standin) and umberctl.

--- /dev/null
+++ b/crates/router/src/events.rs
@@ -0,0 +1,35 @@
+//! Numbers of the log events, catalogued in `docs/events.md`.
+//!
+//! Every routing or placement decision logs one of these as its `event`
+//! field, so an operator can grep a number and find its meaning.
+
+/// A request was admitted (organisation, class, prompt tokens).
+pub const REQUEST_ADMITTED: u32 = 1001;
+/// A request was refused before any work started (reason, retry after).
+pub const REQUEST_REFUSED: u32 = 1002;
+/// A prefill server was chosen (candidates and scores).
+pub const PREFILL_PLACED: u32 = 1003;
+/// A decode server was chosen (candidates and scores).
+pub const DECODE_PLACED: u32 = 1004;
+/// A request finished with a whole answer.
+pub const REQUEST_COMPLETED: u32 = 1005;
+/// The caller went away; cancels were sent to the servers holding it.
+pub const CALLER_GONE: u32 = 1006;
+/// A server failed or refused a step; the request moves on or ends.
+pub const STEP_FAILED: u32 = 1007;
+/// A request ended with a refusal after work had started.
+pub const REQUEST_ABANDONED: u32 = 1008;
+/// A new preset version was taken into force.
+pub const PRESET_APPLIED: u32 = 2001;
+/// A preset row older than the one in force was seen and ignored.
+pub const PRESET_STALE_IGNORED: u32 = 2002;
+/// The platform could not be read; the daemon serves on what it has.
+pub const PLATFORM_UNREACHABLE: u32 = 2003;
+/// The set of backend servers changed (joined, leaving, drained).
+pub const SERVERS_CHANGED: u32 = 2004;
+/// A preset row failed validation and was not applied.
+pub const PRESET_REJECTED: u32 = 2005;
+/// The daemon started serving.
+pub const DAEMON_STARTED: u32 = 3001;
+/// The daemon began a graceful shutdown.
+pub const DAEMON_DRAINING: u32 = 3002;
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,261 @@
+//! The platform stand-in: a transactional table service with conditional
+//! writes, and the lagging list of live and leaving instances.
+//!
+//! It refuses past its rates (429), answers 503 during an injected outage,
+//! can be slowed, and can lose the reply to a write that took effect (it
+//! then holds the connection silent until the caller's timeout).
+
+mod instances;
+mod table;
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use umberglade_wire::ids::RowVersion;
+use umberglade_wire::platform::FaultPlan;
+use umberglade_wire::platform::InstanceEntry;
+use umberglade_wire::platform::PlatformUsage;
+use umberglade_wire::platform::RowWrite;
+use umberglade_wire::reply;
+use umberglade_wire::reply::ReplyBody;
+use umberglade_wire::server::RequestHandler;
+use umberglade_wire::server::read_body;
+
+pub use self::instances::InstanceBoard;
+pub use self::table::RowTable;
+use crate::rate::RateWindow;
+
+/// Writes a second the platform's table service takes ("several hundred").
+pub const DEFAULT_WRITES_PER_SECOND: u32 = 400;
+/// Reads a second it takes ("about two thousand").
+pub const DEFAULT_READS_PER_SECOND: u32 = 2000;
+/// How long a lost reply holds the connection silent.
+const LOST_REPLY_HOLD: Duration = Duration::from_secs(30);
+/// Seconds a refused caller is told to wait.
+const RETRY_AFTER_S: u64 = 1;
+
+/// Settings of the platform stand-in.
+#[derive(Debug, Clone)]
+pub struct PlatformConfig {
+    pub reads_per_second: u32,
+    pub writes_per_second: u32,
+    /// How far the instance list lags behind changes.
+    pub instance_lag: Duration,
+}
+
+impl Default for PlatformConfig {
+    fn default() -> Self {
+        PlatformConfig {
+            reads_per_second: DEFAULT_READS_PER_SECOND,
+            writes_per_second: DEFAULT_WRITES_PER_SECOND,
+            instance_lag: Duration::from_secs(2),
+        }
+    }
+}
+
+/// The stand-in's state. Lock order: `faults`, then `table`, then
+/// `instances`; no call holds two at once today.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    table: Mutex<RowTable>,
+    instances: Mutex<InstanceBoard>,
+    faults: Mutex<FaultPlan>,
+    reads: RateWindow,
+    writes: RateWindow,
+    usage: UsageCounters,
+}
+
+#[derive(Debug, Default)]
+struct UsageCounters {
+    reads: AtomicU64,
+    writes: AtomicU64,
+    refused: AtomicU64,
+    bytes_in: AtomicU64,
+    bytes_out: AtomicU64,
+}
+
+impl PlatformStandin {
+    /// A stand-in with empty tables.
+    pub fn new(config: PlatformConfig) -> Self {
+        PlatformStandin {
+            table: Mutex::new(RowTable::default()),
+            instances: Mutex::new(InstanceBoard::new(config.instance_lag)),
+            faults: Mutex::new(FaultPlan::default()),
+            reads: RateWindow::new(config.reads_per_second),
+            writes: RateWindow::new(config.writes_per_second),
+            usage: UsageCounters::default(),
+        }
+    }
+
+    fn faults(&self) -> FaultPlan {
+        self.faults.lock().expect("faults lock").clone()
+    }
+
+    async fn route(
+        &self,
+        method: &Method,
+        path: &str,
+        query: Option<&str>,
+        body: Bytes,
+    ) -> Response<ReplyBody> {
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let newer_than = query
+            .and_then(|query| query.strip_prefix("newer_than="))
+            .and_then(|version| version.parse().ok());
+        match (method, segments.as_slice()) {
+            (&Method::POST, ["v1", "faults"]) => self.set_faults(&body),
+            (&Method::GET, ["v1", "usage"]) => reply::json(StatusCode::OK, &self.usage()),
+            (method, ["v1", ..]) => self.table_call(method, &segments[1..], newer_than, body).await,
+            _ => not_found(),
+        }
+    }
+
+    async fn table_call(
+        &self,
+        method: &Method,
+        segments: &[&str],
+        newer_than: Option<RowVersion>,
+        body: Bytes,
+    ) -> Response<ReplyBody> {
+        let faults = self.faults();
+        if faults.delay_ms > 0 {
+            smol::Timer::after(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.outage {
+            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let is_write = method == Method::PUT;
+        let admitted = if is_write { self.writes.admit() } else { self.reads.admit() };
+        if !admitted {
+            return self.refuse(StatusCode::TOO_MANY_REQUESTS, "over rate");
+        }
+        let counter = if is_write { &self.usage.writes } else { &self.usage.reads };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let response = match (method, segments) {
+            (&Method::GET, ["rows", table, key]) => self.get_row(table, key, newer_than),
+            (&Method::GET, ["rows", table]) => self.list_rows(table),
+            (&Method::PUT, ["rows", table, key]) => self.put_row(table, key, &body),
+            (&Method::GET, ["instances"]) => self.list_instances(),
+            (&Method::PUT, ["instances", _]) => self.set_instance(&body),
+            _ => not_found(),
+        };
+        if is_write && response.status().is_success() && lose_this_reply(faults.lose_reply_percent)
+        {
+            // The write took effect; the caller never hears of it.
+            smol::Timer::after(LOST_REPLY_HOLD).await;
+        }
+        response
+    }
+
+    fn get_row(
+        &self,
+        table: &str,
+        key: &str,
+        newer_than: Option<RowVersion>,
+    ) -> Response<ReplyBody> {
+        match self.table.lock().expect("table lock").get(table, key) {
+            Some(row) if newer_than.is_some_and(|known| row.version <= known) => {
+                reply::whole(StatusCode::NOT_MODIFIED, "application/json", Bytes::new())
+            }
+            Some(row) => reply::json(StatusCode::OK, &row),
+            None => not_found(),
+        }
+    }
+
+    fn list_rows(&self, table: &str) -> Response<ReplyBody> {
+        let list = self.table.lock().expect("table lock").list(table);
+        reply::json(StatusCode::OK, &list)
+    }
+
+    fn put_row(&self, table: &str, key: &str, body: &[u8]) -> Response<ReplyBody> {
+        let write: RowWrite = match decode(body) {
+            Ok(write) => write,
+            Err(response) => return response,
+        };
+        match self.table.lock().expect("table lock").put(table, key, write) {
+            Ok(row) => reply::json(StatusCode::OK, &row),
+            Err(conflict) => reply::json(StatusCode::CONFLICT, &conflict),
+        }
+    }
+
+    fn list_instances(&self) -> Response<ReplyBody> {
+        let list = self.instances.lock().expect("instances lock").visible();
+        reply::json(StatusCode::OK, &list)
+    }
+
+    fn set_instance(&self, body: &[u8]) -> Response<ReplyBody> {
+        let entry: InstanceEntry = match decode(body) {
+            Ok(entry) => entry,
+            Err(response) => return response,
+        };
+        self.instances.lock().expect("instances lock").set(entry.clone());
+        reply::json(StatusCode::OK, &entry)
+    }
+
+    fn set_faults(&self, body: &[u8]) -> Response<ReplyBody> {
+        let plan: FaultPlan = match decode(body) {
+            Ok(plan) => plan,
+            Err(response) => return response,
+        };
+        *self.faults.lock().expect("faults lock") = plan.clone();
+        tracing::info!(event = 8001, ?plan, "platform faults set");
+        reply::json(StatusCode::OK, &plan)
+    }
+
+    fn usage(&self) -> PlatformUsage {
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        PlatformUsage {
+            reads: load(&self.usage.reads),
+            writes: load(&self.usage.writes),
+            refused: load(&self.usage.refused),
+            bytes_in: load(&self.usage.bytes_in),
+            bytes_out: load(&self.usage.bytes_out),
+        }
+    }
+
+    fn refuse(&self, status: StatusCode, why: &str) -> Response<ReplyBody> {
+        self.usage.refused.fetch_add(1, Ordering::Relaxed);
+        reply::refusal(status, "platform", why, Some(RETRY_AFTER_S))
+    }
+}
+
+impl RequestHandler for PlatformStandin {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
+        let (parts, body) = request.into_parts();
+        let body = match read_body(body).await {
+            Ok(body) => body,
+            Err(message) => {
+                return reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &message, None);
+            }
+        };
+        self.usage.bytes_in.fetch_add(body.len() as u64, Ordering::Relaxed);
+        let response = self.route(&parts.method, parts.uri.path(), parts.uri.query(), body).await;
+        let size = http_body::Body::size_hint(response.body()).exact().unwrap_or(0);
+        self.usage.bytes_out.fetch_add(size, Ordering::Relaxed);
+        response
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Response<ReplyBody>> {
+    serde_json::from_slice(body).map_err(|error| {
+        reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &error.to_string(), None)
+    })
+}
+
+fn not_found() -> Response<ReplyBody> {
+    reply::refusal(StatusCode::NOT_FOUND, "not_found", "no such row or route", None)
+}
+
+fn lose_this_reply(percent: u8) -> bool {
+    percent > 0 && fastrand::u8(0..100) < percent
+}
--- /dev/null
+++ b/crates/umberctl/src/commands.rs
@@ -0,0 +1,193 @@
+//! The subcommands of `umberctl` and what each prints.
+
+use argh::FromArgs;
+use snafu::Snafu;
+use umberglade_router::operator::OperatorActions;
+use umberglade_router::operator::OperatorError;
+use umberglade_router::preset::Preset;
+use umberglade_wire::platform::PRESETS_TABLE;
+
+/// Why a command failed.
+#[derive(Debug, Snafu)]
+pub enum CommandError {
+    #[snafu(display("{source}"))]
+    Operator { source: OperatorError },
+    #[snafu(display("reading {path}: {source}"))]
+    ReadFile { path: String, source: std::io::Error },
+}
+
+impl From<OperatorError> for CommandError {
+    fn from(source: OperatorError) -> Self {
+        CommandError::Operator { source }
+    }
+}
+
+/// The subcommands.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    List(ListArgs),
+    Show(ShowArgs),
+    Put(PutArgs),
+    Check(CheckArgs),
+    Activate(ActivateArgs),
+    Status(StatusArgs),
+    Drain(DrainArgs),
+    Undrain(UndrainArgs),
+    Org(OrgArgs),
+}
+
+/// List presets with their versions.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "list")]
+pub struct ListArgs {}
+
+/// Show one preset as stored.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "show")]
+pub struct ShowArgs {
+    /// preset name
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// Create or edit a preset from a TOML file (checked before it is written).
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "put")]
+pub struct PutArgs {
+    /// preset name
+    #[argh(positional)]
+    pub name: String,
+    /// TOML file
+    #[argh(positional)]
+    pub file: String,
+    /// the version you read (0 for a new preset); the write fails if it moved
+    #[argh(option)]
+    pub expect_version: u64,
+}
+
+/// Check a preset file without writing it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// TOML file
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// Put a preset in force everywhere.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "activate")]
+pub struct ActivateArgs {
+    /// preset name
+    #[argh(positional)]
+    pub name: String,
+    /// the version of the preset in force you saw (from `status`); refused if another shift changed it since
+    #[argh(option)]
+    pub expect_active: u64,
+}
+
+/// Show the preset in force and its version.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {}
+
+/// Send a backend server no new work.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "drain")]
+pub struct DrainArgs {
+    /// backend server id
+    #[argh(positional)]
+    pub server: String,
+}
+
+/// Return a drained backend server to service.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "undrain")]
+pub struct UndrainArgs {
+    /// backend server id
+    #[argh(positional)]
+    pub server: String,
+}
+
+/// Add or replace an organisation and its API keys.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "org")]
+pub struct OrgArgs {
+    /// organisation name
+    #[argh(positional)]
+    pub name: String,
+    /// an API key of its callers (repeatable)
+    #[argh(option)]
+    pub key: Vec<String>,
+}
+
+/// Runs `command` and returns what to print.
+pub async fn run(actions: &OperatorActions, command: Command) -> Result<String, CommandError> {
+    match command {
+        Command::List(_) => {
+            let list = actions
+                .platform
+                .list(PRESETS_TABLE)
+                .await
+                .map_err(|source| OperatorError::Platform { step: "list presets", source })?;
+            let lines: Vec<String> = list
+                .rows
+                .iter()
+                .map(|row| format!("{}\tversion {}", row.key, row.version))
+                .collect();
+            Ok(lines.join("\n"))
+        }
+        Command::Show(args) => {
+            let row = actions
+                .platform
+                .get(PRESETS_TABLE, &args.name)
+                .await
+                .map_err(|source| OperatorError::Platform { step: "read preset", source })?
+                .ok_or(OperatorError::NoSuchPreset { name: args.name.clone() })?;
+            let pretty = serde_json::to_string_pretty(&row.value).unwrap_or_default();
+            Ok(format!("{} version {}\n{pretty}", row.key, row.version))
+        }
+        Command::Put(args) => {
+            let text = read_file(&args.file)?;
+            let row = actions.put_preset(&args.name, &text, args.expect_version).await?;
+            Ok(format!("preset {} written at version {}", args.name, row.version))
+        }
+        Command::Check(args) => {
+            let text = read_file(&args.file)?;
+            Preset::from_toml(&text).map_err(|source| OperatorError::Invalid { source })?;
+            Ok(format!("{}: valid", args.file))
+        }
+        Command::Activate(args) => {
+            let row = actions.activate(&args.name, args.expect_active).await?;
+            Ok(format!(
+                "preset {} in force at version {} (daemons follow within seconds)",
+                args.name, row.version
+            ))
+        }
+        Command::Status(_) => match actions.active().await? {
+            Some((version, active)) => Ok(format!(
+                "in force: {} (preset version {}), active version {version}, activated by {}",
+                active.preset, active.preset_version, active.activated_by
+            )),
+            None => Ok("no preset has been activated".into()),
+        },
+        Command::Drain(args) => {
+            let row = actions.drain(&args.server).await?;
+            Ok(format!("{} drained (drains version {})", args.server, row.version))
+        }
+        Command::Undrain(args) => {
+            let row = actions.undrain(&args.server).await?;
+            Ok(format!("{} back in service (drains version {})", args.server, row.version))
+        }
+        Command::Org(args) => {
+            let row = actions.set_organisation(&args.name, args.key).await?;
+            Ok(format!("organisation {} set (organisations version {})", args.name, row.version))
+        }
+    }
+}
+
+fn read_file(path: &str) -> Result<String, CommandError> {
+    std::fs::read_to_string(path)
+        .map_err(|source| CommandError::ReadFile { path: path.to_owned(), source })
+}
--- /dev/null
+++ b/crates/umberglade/src/main.rs
@@ -0,0 +1,34 @@
+//! `umberglade`: the daemon of an entry instance, a one-process dev setup,
+//! and the stand-ins used by tests. A thin shell over the library crates.
+
+mod cli;
+mod dev;
+mod logging;
+mod serve;
+mod setting;
+mod standin;
+
+use std::process::ExitCode;
+
+use crate::cli::Cli;
+use crate::cli::Command;
+use crate::cli::StandinKind;
+
+fn main() -> ExitCode {
+    let cli: Cli = argh::from_env();
+    let result = match cli.command {
+        Command::Serve(args) => serve::run(args),
+        Command::Dev(args) => dev::run(args),
+        Command::Standin(args) => match args.kind {
+            StandinKind::Platform(args) => standin::platform(args),
+            StandinKind::Engine(args) => standin::engine(args),
+        },
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("umberglade: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/umberglade/src/setting.rs
@@ -0,0 +1,66 @@
+//! Reading one setting from its flag, then its environment variable, then
+//! its default, with an error that names the setting.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use snafu::Snafu;
+
+/// Why the process could not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StartError {
+    /// A setting is missing or does not parse.
+    #[snafu(display("setting --{flag} (or {env}): {problem}"))]
+    Setting { flag: &'static str, env: &'static str, problem: String },
+    /// The listening socket could not be bound.
+    #[snafu(display("binding {addr}: {source}"))]
+    Bind { addr: String, source: std::io::Error },
+}
+
+/// The value of setting `flag`: the flag's value if given, else the
+/// environment variable `env`, else `default`; an error when none is set
+/// or the variable does not parse.
+pub fn resolve<T>(
+    flag: &'static str,
+    env: &'static str,
+    given: Option<T>,
+    default: Option<T>,
+) -> Result<T, StartError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    if let Some(value) = given {
+        return Ok(value);
+    }
+    match std::env::var(env) {
+        Ok(text) => text.parse().map_err(|error: T::Err| StartError::Setting {
+            flag,
+            env,
+            problem: format!("`{text}`: {error}"),
+        }),
+        Err(_) => {
+            default.ok_or_else(|| StartError::Setting { flag, env, problem: "is required".into() })
+        }
+    }
+}
+
+/// Like [`resolve`] for a flag given as text that must parse as `T`.
+pub fn resolve_parsed<T>(
+    flag: &'static str,
+    env: &'static str,
+    given: Option<String>,
+    default: &str,
+) -> Result<T, StartError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    let text = resolve(flag, env, given, Some(default.to_owned()))?;
+    text.parse().map_err(|error: T::Err| StartError::Setting {
+        flag,
+        env,
+        problem: format!("`{text}`: {error}"),
+    })
+}
--- /dev/null
+++ b/crates/umberglade/src/standin.rs
@@ -0,0 +1,107 @@
+//! `umberglade standin ...`: one stand-in of an outside system per process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use umberglade_router::platform::PlatformClient;
+use umberglade_standin::engine::EngineConfig;
+use umberglade_standin::engine::EngineStandin;
+use umberglade_standin::platform::PlatformConfig;
+use umberglade_standin::platform::PlatformStandin;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::platform::InstanceEntry;
+use umberglade_wire::platform::InstanceState;
+use umberglade_wire::pool;
+use umberglade_wire::server;
+
+use crate::cli::EngineArgs;
+use crate::cli::PlatformArgs;
+use crate::logging;
+use crate::serve::wait_for_stop;
+use crate::setting;
+use crate::setting::StartError;
+
+/// Threads of a stand-in's pool.
+const STANDIN_THREADS: usize = 2;
+/// Bound on registering with the platform stand-in.
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs the platform stand-in until stopped.
+pub fn platform(args: PlatformArgs) -> Result<(), StartError> {
+    logging::init(args.log_format.clone())?;
+    let listen: SocketAddr =
+        setting::resolve_parsed("listen", "UMBERGLADE_LISTEN", args.listen, "127.0.0.1:7100")?;
+    let mut config = PlatformConfig::default();
+    if let Some(lag) = args.instance_lag_ms {
+        config.instance_lag = Duration::from_millis(lag);
+    }
+    pool::start(STANDIN_THREADS);
+    pool::block_on(async move {
+        let (listener, local) = bind(listen).await?;
+        pool::spawn(server::serve(listener, Arc::new(PlatformStandin::new(config))));
+        println!("listening on {local}");
+        wait_for_stop().await;
+        Ok(())
+    })
+}
+
+/// Runs an engine stand-in until stopped; on SIGTERM it marks itself
+/// leaving and waits for what it holds to finish (a planned stop).
+pub fn engine(args: EngineArgs) -> Result<(), StartError> {
+    logging::init(args.log_format.clone())?;
+    let listen: SocketAddr =
+        setting::resolve_parsed("listen", "UMBERGLADE_LISTEN", args.listen, "127.0.0.1:0")?;
+    let role: EngineRole = args.role.parse().map_err(|_| StartError::Setting {
+        flag: "role",
+        env: "-",
+        problem: format!("`{}`: must be prefill or decode", args.role),
+    })?;
+    let model = args.model.unwrap_or_else(|| "brief-model".into());
+    let mut config = EngineConfig::new(args.server.clone(), role, model.clone());
+    config.slots = args.slots.unwrap_or(config.slots);
+    config.checks_fence = args.checks_fence.unwrap_or(true);
+    let domain = args.domain.unwrap_or_else(|| "hall-a".into());
+    pool::start(STANDIN_THREADS);
+    pool::block_on(async move {
+        let (listener, local) = bind(listen).await?;
+        let engine = EngineStandin::new(config);
+        pool::spawn(server::serve(listener, Arc::new(engine.clone())));
+        let entry = InstanceEntry {
+            server: args.server,
+            addr: local.to_string(),
+            role,
+            model,
+            domain,
+            state: InstanceState::Live,
+        };
+        if let Some(platform) = &args.register_with {
+            register(platform, &entry).await;
+        }
+        println!("listening on {local}");
+        wait_for_stop().await;
+        if let Some(platform) = &args.register_with {
+            register(platform, &InstanceEntry { state: InstanceState::Leaving, ..entry }).await;
+        }
+        engine.drained().await;
+        Ok(())
+    })
+}
+
+async fn bind(listen: SocketAddr) -> Result<(smol::net::TcpListener, SocketAddr), StartError> {
+    server::bind(listen)
+        .await
+        .map_err(|source| StartError::Bind { addr: listen.to_string(), source })
+}
+
+/// Enters `entry` in the platform stand-in's instance list.
+pub async fn register(platform: &str, entry: &InstanceEntry) {
+    let client = PlatformClient::new(platform, REGISTER_TIMEOUT);
+    let path = format!("/v1/instances/{}", entry.server);
+    if let Err(error) =
+        client.raw::<_, InstanceEntry>("register instance", Method::PUT, &path, Some(entry)).await
+    {
+        tracing::error!(%error, server = %entry.server, "could not register with the platform");
+    }
+}
--- /dev/null
+++ b/crates/umberglade/tests/whole_path.rs
@@ -0,0 +1,166 @@
+//! The whole path as separate processes: a platform stand-in, engine
+//! stand-ins and a daemon, each its own process on loopback, driven by a
+//! plain HTTP client.
+
+mod support;
+
+use std::thread;
+
+use umberglade_router::prompt::chat_shape;
+use umberglade_standin::engine::answer_token;
+use umberglade_wire::caller::ChatMessage;
+
+use support::ORGANISATIONS;
+use support::Site;
+use support::post;
+
+/// The text a caller must receive for `messages` and `max_tokens`.
+fn expected_answer(messages: &[ChatMessage], max_tokens: u32) -> String {
+    let seed = chat_shape(messages).digest;
+    (0..max_tokens).map(|index| answer_token(seed, index)).collect()
+}
+
+fn chat_body(messages: &[ChatMessage], max_tokens: u32, stream: bool) -> String {
+    serde_json::json!({ "model": "brief-model", "messages": messages, "max_tokens": max_tokens, "stream": stream })
+        .to_string()
+}
+
+/// Joins the content deltas of an SSE answer; checks it ends in [DONE].
+fn sse_text(body: &str) -> (String, bool) {
+    let mut text = String::new();
+    let mut done = false;
+    for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let chunk: serde_json::Value = serde_json::from_str(data).expect("a JSON chunk");
+        if let Some(content) = chunk["choices"][0]["delta"]["content"].as_str() {
+            text.push_str(content);
+        }
+    }
+    (text, done)
+}
+
+/// Many callers of two organisations at once, streaming and not: each
+/// gets the whole answer to its own prompt, and nobody else's.
+#[test]
+fn each_caller_gets_its_own_whole_answer() {
+    let site = Site::start(2, 2);
+    let daemon = site.daemon.addr.clone();
+    let callers: Vec<_> = (0..12)
+        .map(|index| {
+            let daemon = daemon.clone();
+            thread::spawn(move || {
+                let (_, key) = ORGANISATIONS[index % 2];
+                let messages = vec![
+                    ChatMessage { role: "system".into(), content: "studio guidelines ".repeat(50) },
+                    ChatMessage {
+                        role: "user".into(),
+                        content: format!("caller {index}: open slots on Friday?"),
+                    },
+                ];
+                let stream = index % 3 != 0;
+                let max_tokens = 5 + index as u32;
+                let answer = post(
+                    &daemon,
+                    "/v1/chat/completions",
+                    key,
+                    &chat_body(&messages, max_tokens, stream),
+                );
+                (answer, expected_answer(&messages, max_tokens), stream)
+            })
+        })
+        .collect();
+    for caller in callers {
+        let (answer, expected, stream) = caller.join().expect("a caller thread");
+        assert_eq!(answer.status, 200, "body: {}", answer.body);
+        if stream {
+            let (text, done) = sse_text(&answer.body);
+            assert!(done, "stream must end in [DONE]: {}", answer.body);
+            assert_eq!(text, expected);
+        } else {
+            let whole: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+            assert_eq!(whole["choices"][0]["message"]["content"], expected.as_str());
+        }
+    }
+}
+
+/// One case of a request the daemon must refuse, and how.
+struct RefusalCase {
+    name: &'static str,
+    path: &'static str,
+    key: &'static str,
+    body: &'static str,
+    status: u16,
+    /// Whether the refusal tells the caller when to come back.
+    retry_after: bool,
+    /// Text the error message must contain.
+    says: &'static str,
+}
+
+/// Bad input gets a clear error, and the daemon keeps serving afterwards.
+#[test]
+fn bad_requests_get_clear_refusals() {
+    let cases = [
+        RefusalCase {
+            name: "unknown key",
+            path: "/v1/chat/completions",
+            key: "nope",
+            body: "{}",
+            status: 401,
+            retry_after: false,
+            says: "API key",
+        },
+        RefusalCase {
+            name: "not JSON",
+            path: "/v1/chat/completions",
+            key: "key-neulanjalki",
+            body: "{",
+            status: 400,
+            retry_after: false,
+            says: "request body",
+        },
+        RefusalCase {
+            name: "no messages",
+            path: "/v1/chat/completions",
+            key: "key-neulanjalki",
+            body: r#"{"model":"brief-model","messages":[]}"#,
+            status: 400,
+            retry_after: false,
+            says: "messages",
+        },
+        RefusalCase {
+            name: "zero max_tokens",
+            path: "/v1/completions",
+            key: "key-glenmorrow",
+            body: r#"{"model":"brief-model","prompt":"x","max_tokens":0}"#,
+            status: 400,
+            retry_after: false,
+            says: "max_tokens",
+        },
+        RefusalCase {
+            name: "unknown model",
+            path: "/v1/completions",
+            key: "key-glenmorrow",
+            body: r#"{"model":"nope","prompt":"x"}"#,
+            status: 503,
+            retry_after: true,
+            says: "not run",
+        },
+    ];
+    let site = Site::start(1, 1);
+    for case in &cases {
+        let answer = post(&site.daemon.addr, case.path, case.key, case.body);
+        assert_eq!(answer.status, case.status, "{}: {}", case.name, answer.body);
+        assert_eq!(answer.retry_after.is_some(), case.retry_after, "{}: Retry-After", case.name);
+        assert!(answer.body.contains(case.says), "{}: {}", case.name, answer.body);
+    }
+    let answer = post(
+        &site.daemon.addr,
+        "/v1/completions",
+        "key-glenmorrow",
+        r#"{"model":"brief-model","prompt":"gate code?","max_tokens":3}"#,
+    );
+    assert_eq!(answer.status, 200, "still serving: {}", answer.body);
+}
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,139 @@
+//! The HTTP client: one connection per exchange, each step under a timeout.
+//!
+//! A fresh connection per exchange is deliberate for now: a pooled
+//! connection that has gone silent for good (a middlebox lost track of it)
+//! would stall every request sent on it, while a new one works.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use snafu::ResultExt;
+
+use crate::error::ConnectSnafu;
+use crate::error::DecodeSnafu;
+use crate::error::HttpSnafu;
+use crate::error::WireError;
+use crate::pool;
+
+/// Where and how long: one exchange's peer address and timeout.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    /// The peer's `host:port`.
+    pub peer: String,
+    /// The bound on connecting plus receiving the response head.
+    pub timeout: Duration,
+}
+
+impl HttpClient {
+    /// A client for `peer` (`"127.0.0.1:7100"`) with `timeout` per exchange.
+    pub fn new(peer: impl Into<String>, timeout: Duration) -> Self {
+        HttpClient { peer: peer.into(), timeout }
+    }
+
+    /// Sends one request and returns the response head with its body still
+    /// unread, for streaming. `step` names the exchange in errors.
+    pub async fn send(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+    ) -> Result<Response<Incoming>, WireError> {
+        let exchange = self.exchange(step, method, path, body);
+        let timeout_ms = self.timeout.as_millis() as u64;
+        let peer = self.peer.clone();
+        exchange
+            .or(async move {
+                smol::Timer::after(Duration::from_millis(timeout_ms)).await;
+                Err(WireError::Timeout { step, peer, timeout_ms })
+            })
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+    ) -> Result<Response<Incoming>, WireError> {
+        let peer = self.peer.as_str();
+        let stream = TcpStream::connect(peer).await.context(ConnectSnafu { step, peer })?;
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) =
+            http1::handshake(FuturesIo::new(stream)).await.context(HttpSnafu { step, peer })?;
+        pool::spawn(async move {
+            let _ = connection.await;
+        });
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, peer)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body.unwrap_or_default()))
+            .expect("a request built from a valid path");
+        sender.send_request(request).await.context(HttpSnafu { step, peer })
+    }
+
+    /// Sends `body` as JSON and decodes a JSON answer of a 2xx status;
+    /// any other status is [`WireError::Status`].
+    pub async fn call<B: Serialize, T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Option<&B>,
+    ) -> Result<T, WireError> {
+        let encoded =
+            body.map(|value| Bytes::from(serde_json::to_vec(value).expect("serialising")));
+        let response = self.send(step, method, path, encoded).await?;
+        let bytes = self.read_whole(step, response).await?;
+        serde_json::from_slice(&bytes).context(DecodeSnafu { step, peer: self.peer.as_str() })
+    }
+
+    /// Reads a whole response; a status outside 2xx becomes
+    /// [`WireError::Status`] with the body and any `Retry-After`.
+    pub async fn read_whole(
+        &self,
+        step: &'static str,
+        response: Response<Incoming>,
+    ) -> Result<Bytes, WireError> {
+        let status = response.status();
+        let retry_after_s = retry_after(&response);
+        let peer = self.peer.as_str();
+        let bytes =
+            response.into_body().collect().await.context(HttpSnafu { step, peer })?.to_bytes();
+        if !status.is_success() {
+            return Err(WireError::Status {
+                step,
+                peer: self.peer.clone(),
+                status: status.as_u16(),
+                retry_after_s,
+                body: String::from_utf8_lossy(&bytes).into_owned(),
+            });
+        }
+        Ok(bytes)
+    }
+}
+
+/// The `Retry-After` header of `response` in whole seconds, if present.
+pub fn retry_after<B>(response: &Response<B>) -> Option<u64> {
+    response
+        .headers()
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+}
--- /dev/null
+++ b/crates/wire/src/platform.rs
@@ -0,0 +1,160 @@
+//! The platform protocol: the table service and the instance list.
+//!
+//! Routes of the platform stand-in (and, in production, of an adapter to
+//! the platform's own service):
+//! - `GET /v1/rows/{table}/{key}` → [`Row`], 404 when absent; with
+//!   `?newer_than=V`, 304 and no body while the row is at V or older
+//! - `PUT /v1/rows/{table}/{key}` [`RowWrite`] → [`Row`], 409 [`WriteConflict`]
+//! - `GET /v1/rows/{table}` → [`RowList`]
+//! - `GET /v1/instances` → [`InstanceList`] (lags behind reality)
+//! - `PUT /v1/instances/{server}` [`InstanceEntry`] → [`InstanceEntry`]
+//! - `POST /v1/faults` [`FaultPlan`] → [`FaultPlan`]
+//!
+//! Over its rate the service answers 429 with `Retry-After`; in an outage,
+//! 503. A lost reply shows as a dropped connection after the write.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::engine::EngineRole;
+use crate::ids::DomainName;
+use crate::ids::ModelName;
+use crate::ids::RowVersion;
+use crate::ids::ServerId;
+
+/// The table holding presets, keyed by preset name.
+pub const PRESETS_TABLE: &str = "presets";
+/// The table every daemon follows: rows [`ACTIVE_KEY`],
+/// [`ORGANISATIONS_KEY`] and [`DRAINS_KEY`].
+pub const CONTROL_TABLE: &str = "control";
+/// The [`ActivePreset`] row: the preset in force, whole.
+pub const ACTIVE_KEY: &str = "active";
+/// The [`OrganisationBook`] row.
+pub const ORGANISATIONS_KEY: &str = "organisations";
+/// The [`DrainBook`] row.
+pub const DRAINS_KEY: &str = "drains";
+
+/// One row with its version.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Row {
+    pub key: String,
+    /// Starts at 1 and grows by one with each accepted write.
+    pub version: RowVersion,
+    pub value: serde_json::Value,
+}
+
+/// A conditional write.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RowWrite {
+    /// The version the writer last read: the write succeeds only if the row
+    /// is still at it. 0 means "the row must not exist yet".
+    pub expect_version: RowVersion,
+    pub value: serde_json::Value,
+}
+
+/// Why a conditional write was refused.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct WriteConflict {
+    /// The row's version now (0 when absent).
+    pub current_version: RowVersion,
+}
+
+/// All rows of a table, sorted by key.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Default)]
+pub struct RowList {
+    pub rows: Vec<Row>,
+}
+
+/// The row that says which preset is in force, carrying the preset whole
+/// so that one conditional write puts it in force everywhere: no daemon can
+/// pair a pointer with a different edit of the preset.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct ActivePreset {
+    /// Name of the preset in force.
+    pub preset: String,
+    /// The version of that preset's row that was activated.
+    pub preset_version: RowVersion,
+    /// Who activated it (operator and shift), for the audit trail.
+    pub activated_by: String,
+    /// The preset's body as stored in the presets table.
+    pub body: serde_json::Value,
+}
+
+/// Every organisation, with its callers' API keys.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct OrganisationBook {
+    pub organisations: std::collections::BTreeMap<crate::ids::OrganisationId, OrganisationEntry>,
+}
+
+/// Backend servers that operators have drained: no new work goes there.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct DrainBook {
+    pub servers: std::collections::BTreeMap<ServerId, DrainOrder>,
+}
+
+/// A backend server as the instance list knows it.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct InstanceEntry {
+    pub server: ServerId,
+    /// `host:port` of the server's HTTP endpoint.
+    pub addr: String,
+    pub role: EngineRole,
+    /// The model it serves; the service name for plain services.
+    pub model: ModelName,
+    pub domain: DomainName,
+    pub state: InstanceState,
+}
+
+/// Whether an instance takes new work.
+#[derive(
+    Debug, Clone, Copy, Serialize, Deserialize, PartialEq, Eq, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum InstanceState {
+    Live,
+    Leaving,
+}
+
+/// The instance list as the platform sees it now (behind reality).
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct InstanceList {
+    pub instances: Vec<InstanceEntry>,
+}
+
+/// Faults to inject into the platform stand-in.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct FaultPlan {
+    /// Answer every table call with 503.
+    pub outage: bool,
+    /// Delay every answer by this many milliseconds.
+    pub delay_ms: u64,
+    /// Percent of writes whose reply is lost after the write took effect.
+    pub lose_reply_percent: u8,
+}
+
+/// An operator's drain of one backend server.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct DrainOrder {
+    pub server: ServerId,
+    pub by: String,
+}
+
+/// An organisation and the API keys its callers present.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct OrganisationEntry {
+    pub api_keys: Vec<String>,
+}
+
+/// What the platform stand-in has served since it started (`GET /v1/usage`).
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct PlatformUsage {
+    pub reads: u64,
+    pub writes: u64,
+    /// Calls refused for rate (429) or outage (503).
+    pub refused: u64,
+    /// Request body bytes received.
+    pub bytes_in: u64,
+    /// Response body bytes sent.
+    pub bytes_out: u64,
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,85 @@
+//! The HTTP server loop: accepts connections and hands each request to a
+//! [`RequestHandler`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::net::TcpListener;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+
+use crate::pool;
+use crate::reply::ReplyBody;
+
+/// How long a connection may take to send its request headers. Guards
+/// against connections that go silent for good: without it such a
+/// connection would hold a task forever.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// The largest request body any of our servers reads, in bytes.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Something that turns one request into one response.
+///
+/// Implemented by the daemon and by each stand-in; generic, so no `dyn`
+/// sits on the request path.
+pub trait RequestHandler: Send + Sync + 'static {
+    /// Answers `request`; `peer` is the caller's address.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<ReplyBody>> + Send;
+}
+
+/// Binds `listen` and returns the listener with its bound address (useful
+/// when `listen` asks for port 0).
+pub async fn bind(listen: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(listen).await?;
+    let local = listener.local_addr()?;
+    Ok((listener, local))
+}
+
+/// Accepts connections on `listener` until the process ends, serving each
+/// on the worker pool with `handler`.
+pub async fn serve<H: RequestHandler>(listener: TcpListener, handler: Arc<H>) {
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                tracing::warn!(event = 9001, %error, "accept failed");
+                smol::Timer::after(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        pool::spawn(async move {
+            let service = service_fn(move |request| {
+                let handler = handler.clone();
+                async move { Ok::<_, std::convert::Infallible>(handler.handle(request, peer).await) }
+            });
+            let _ = http1::Builder::new()
+                .timer(SmolTimer::new())
+                .header_read_timeout(HEADER_READ_TIMEOUT)
+                .serve_connection(FuturesIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Reads a whole request body of at most [`MAX_BODY_BYTES`].
+pub async fn read_body(body: Incoming) -> Result<Bytes, String> {
+    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => Err(format!("reading the request body: {error}")),
+    }
+}
