Load and experiment tool: umberglade load

The NDJSON line reader moved from the router to umberglade-wire so both use it; HttpClient gained send_with for requests with their own headers.

--- a/crates/router/src/pipeline/mod.rs
+++ b/crates/router/src/pipeline/mod.rs
@@ -2,7 +2,6 @@
 //! the answer streamed or whole.
 
 mod cancel;
-mod lines;
 mod relay;
 
 use std::sync::Arc;
@@ -23,10 +22,10 @@
 use umberglade_wire::ids::ModelName;
 use umberglade_wire::ids::OrganisationId;
 use umberglade_wire::ids::RequestId;
+use umberglade_wire::lines::LineReader;
 use umberglade_wire::reply::ReplyBody;
 
 pub use self::cancel::CancelOnDrop;
-pub use self::lines::LineReader;
 use crate::control::ControlSnapshot;
 use crate::control::InFlightGuard;
 use crate::control::ServerSlot;
--- a/crates/router/src/pipeline/relay.rs
+++ b/crates/router/src/pipeline/relay.rs
@@ -16,6 +16,7 @@
 use umberglade_wire::caller::ChunkChoice;
 use umberglade_wire::caller::Usage;
 use umberglade_wire::engine::DecodeEvent;
+use umberglade_wire::lines::LineReader;
 use umberglade_wire::pool;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ChunkSender;
@@ -23,7 +24,6 @@
 
 use super::Admitted;
 use super::DecodeStream;
-use super::LineReader;
 use super::unix_seconds;
 use crate::daemon::Kind;
 use crate::daemon::refuse;
--- a/crates/umberglade/src/cli.rs
+++ b/crates/umberglade/src/cli.rs
@@ -20,6 +20,50 @@
     Serve(ServeArgs),
     Dev(DevArgs),
     Standin(StandinArgs),
+    Load(LoadArgs),
+}
+
+/// Send a bounded open-loop load of lookups and long briefs to a daemon
+/// and report goodput, latency percentiles, refusals and wasted prefill.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "load")]
+pub struct LoadArgs {
+    /// host:port of the daemon
+    #[argh(option)]
+    pub target: String,
+    /// API key to send with (repeatable: one per organisation)
+    #[argh(option)]
+    pub key: Vec<String>,
+    /// model to ask for [default brief-model]
+    #[argh(option, default = "String::from(\"brief-model\")")]
+    pub model: String,
+    /// requests to send [default 200]
+    #[argh(option, default = "200")]
+    pub requests: u32,
+    /// arrivals a second [default 20]
+    #[argh(option, default = "20.0")]
+    pub rate: f64,
+    /// share of long briefs, 0 to 1 [default 0.2]
+    #[argh(option, default = "0.2")]
+    pub long_share: f64,
+    /// prompt tokens of a lookup [default 40]
+    #[argh(option, default = "40")]
+    pub short_prompt_tokens: u32,
+    /// prompt tokens of a brief [default 8000]
+    #[argh(option, default = "8000")]
+    pub long_prompt_tokens: u32,
+    /// tokens of the shared guidelines prefix of a brief [default 4000]
+    #[argh(option, default = "4000")]
+    pub shared_prefix_tokens: u32,
+    /// tokens to generate [default 16]
+    #[argh(option, default = "16")]
+    pub max_tokens: u32,
+    /// engine host:port whose wasted prefill to count (repeatable)
+    #[argh(option)]
+    pub engine: Vec<String>,
+    /// stop sending after this many seconds [default 60]
+    #[argh(option, default = "60")]
+    pub seconds: u64,
 }
 
 /// Run the daemon of one entry instance.
--- a/crates/umberglade/src/main.rs
+++ b/crates/umberglade/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cli;
 mod dev;
+mod load;
 mod logging;
 mod serve;
 mod setting;
@@ -19,6 +20,7 @@
     let result = match cli.command {
         Command::Serve(args) => serve::run(args),
         Command::Dev(args) => dev::run(args),
+        Command::Load(args) => load::run(args),
         Command::Standin(args) => match args.kind {
             StandinKind::Platform(args) => standin::platform(args),
             StandinKind::Engine(args) => standin::engine(args),
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -52,7 +52,19 @@
         path: &str,
         body: Option<Bytes>,
     ) -> Result<Response<Incoming>, WireError> {
-        let exchange = self.exchange(step, method, path, body);
+        let request = Request::builder().method(method).uri(path);
+        self.send_with(step, request, body.unwrap_or_default()).await
+    }
+
+    /// Like [`HttpClient::send`] for a request whose method, path and
+    /// headers the caller has set in `request`.
+    pub async fn send_with(
+        &self,
+        step: &'static str,
+        request: http::request::Builder,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, WireError> {
+        let exchange = self.exchange(step, request, body);
         let timeout_ms = self.timeout.as_millis() as u64;
         let peer = self.peer.clone();
         exchange
@@ -66,9 +78,8 @@
     async fn exchange(
         &self,
         step: &'static str,
-        method: Method,
-        path: &str,
-        body: Option<Bytes>,
+        request: http::request::Builder,
+        body: Bytes,
     ) -> Result<Response<Incoming>, WireError> {
         let peer = self.peer.as_str();
         let stream = TcpStream::connect(peer).await.context(ConnectSnafu { step, peer })?;
@@ -78,12 +89,10 @@
         pool::spawn(async move {
             let _ = connection.await;
         });
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
+        let request = request
             .header(header::HOST, peer)
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body.unwrap_or_default()))
+            .body(Full::new(body))
             .expect("a request built from a valid path");
         sender.send_request(request).await.context(HttpSnafu { step, peer })
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod error;
 pub mod ids;
+pub mod lines;
 pub mod platform;
 pub mod pool;
 pub mod reply;
