Instance list read only when it changed; daemons report when a fence took effect

The control rows were already read with ?newer_than and cost nothing when unchanged; the list was not. Ruled out: the control rows (absent from the bytes when unchanged) and the table's rate (128 reads/s at 32 daemons, far under 2,000).

Change: the instance list carries a generation (changes visible so far); GET /v1/instances?newer_than=G answers 304 with no body while nothing changed, and the follower sends the generation it holds.

--- a/crates/router/src/control/follower.rs
+++ b/crates/router/src/control/follower.rs
@@ -107,6 +107,7 @@
                     "preset in force"
                 );
                 next.fence = row.version;
+                next.fence_applied_at = Some(std::time::SystemTime::now());
                 next.preset_name = active.preset;
                 next.preset = Some(Arc::new(preset));
             }
@@ -168,11 +169,13 @@
     }
 
     async fn follow_instances(&self, next: &mut ControlSnapshot) -> bool {
-        match self.platform.instances().await {
-            Ok(list) => {
+        match self.platform.instances_newer(next.instances_generation).await {
+            Ok(Some(list)) => {
+                next.instances_generation = list.generation;
                 next.servers = merge_servers(&next.servers, list);
                 true
             }
+            Ok(None) => true,
             Err(error) => {
                 self.report_unreachable("instances", &error);
                 false
--- a/crates/router/src/control/snapshot.rs
+++ b/crates/router/src/control/snapshot.rs
@@ -24,6 +24,8 @@
     /// number on every order this daemon sends.
     pub fence: Fence,
     pub preset_name: String,
+    /// When this daemon took `fence` into force.
+    pub fence_applied_at: Option<std::time::SystemTime>,
     /// `None` until a preset has been read.
     pub preset: Option<Arc<Preset>>,
     /// Version of the organisations row this map was read from.
@@ -32,6 +34,8 @@
     pub api_keys: HashMap<String, OrganisationId>,
     pub drains_version: RowVersion,
     pub drained: BTreeSet<ServerId>,
+    /// Generation of the instance list `servers` was read from.
+    pub instances_generation: u64,
     /// Backend servers from the instance list, drained ones included.
     pub servers: Vec<Arc<ServerSlot>>,
     /// When the platform last answered every read of a follow round.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -85,6 +85,8 @@
     pub domain: String,
     pub preset: String,
     pub fence: u64,
+    /// When this daemon took `fence` into force, in ms since the Unix epoch.
+    pub fence_applied_unix_ms: Option<u64>,
     /// Seconds since the platform last answered every read; `None` if never.
     pub platform_sync_age_s: Option<f64>,
     pub in_flight: u32,
@@ -201,6 +203,10 @@
             domain: self.shared.settings.domain.clone(),
             preset: snapshot.preset_name.clone(),
             fence: snapshot.fence,
+            fence_applied_unix_ms: snapshot
+                .fence_applied_at
+                .and_then(|at| at.duration_since(std::time::UNIX_EPOCH).ok())
+                .map(|since| since.as_millis() as u64),
             platform_sync_age_s: snapshot.last_sync.map(|at| at.elapsed().as_secs_f64()),
             in_flight: self.in_flight(),
             draining: self.shared.draining.load(Ordering::Acquire),
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -154,6 +154,21 @@
             .await
     }
 
+    /// The instance list if its generation is above `known`; `None` while
+    /// unchanged, at the cost of a read but no body.
+    pub async fn instances_newer(&self, known: u64) -> Result<Option<InstanceList>, WireError> {
+        let path = format!("/v1/instances?newer_than={known}");
+        let step = "list instances if newer";
+        let response = self.http.send(step, Method::GET, &path, None).await?;
+        if response.status().as_u16() == 304 {
+            return Ok(None);
+        }
+        let bytes = self.http.read_whole(step, response).await?;
+        let list =
+            serde_json::from_slice(&bytes).context(DecodeSnafu { step, peer: self.addr() })?;
+        Ok(Some(list))
+    }
+
     /// Any JSON call on the platform stand-in (faults, usage, registering
     /// instances): `body` goes out, a `T` comes back.
     pub async fn raw<B: Serialize, T: DeserializeOwned>(
--- a/crates/standin/src/platform/instances.rs
+++ b/crates/standin/src/platform/instances.rs
@@ -31,12 +31,14 @@
     /// The list as it is visible now.
     pub fn visible(&self) -> InstanceList {
         let now = Instant::now();
+        let generation =
+            self.history.values().flatten().filter(|(from, _)| *from <= now).count() as u64;
         let instances = self
             .history
             .values()
             .filter_map(|entries| entries.iter().rev().find(|(from, _)| *from <= now))
             .map(|(_, entry)| entry.clone())
             .collect();
-        InstanceList { instances }
+        InstanceList { generation, instances }
     }
 }
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -145,7 +145,7 @@
             (&Method::GET, ["rows", table, key]) => self.get_row(table, key, newer_than),
             (&Method::GET, ["rows", table]) => self.list_rows(table),
             (&Method::PUT, ["rows", table, key]) => self.put_row(table, key, &body),
-            (&Method::GET, ["instances"]) => self.list_instances(),
+            (&Method::GET, ["instances"]) => self.list_instances(newer_than),
             (&Method::PUT, ["instances", _]) => self.set_instance(&body),
             _ => not_found(),
         };
@@ -188,8 +188,11 @@
         }
     }
 
-    fn list_instances(&self) -> Response<ReplyBody> {
+    fn list_instances(&self, newer_than: Option<RowVersion>) -> Response<ReplyBody> {
         let list = self.instances.lock().expect("instances lock").visible();
+        if newer_than.is_some_and(|known| list.generation <= known) {
+            return reply::whole(StatusCode::NOT_MODIFIED, "application/json", Bytes::new());
+        }
         reply::json(StatusCode::OK, &list)
     }
 
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -6,7 +6,8 @@
 //!   `?newer_than=V`, 304 and no body while the row is at V or older
 //! - `PUT /v1/rows/{table}/{key}` [`RowWrite`] → [`Row`], 409 [`WriteConflict`]
 //! - `GET /v1/rows/{table}` → [`RowList`]
-//! - `GET /v1/instances` → [`InstanceList`] (lags behind reality)
+//! - `GET /v1/instances` → [`InstanceList`] (lags behind reality); with
+//!   `?newer_than=G`, 304 while its generation is G or older
 //! - `PUT /v1/instances/{server}` [`InstanceEntry`] → [`InstanceEntry`]
 //! - `POST /v1/faults` [`FaultPlan`] → [`FaultPlan`]
 //!
@@ -119,6 +120,9 @@
 /// The instance list as the platform sees it now (behind reality).
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
 pub struct InstanceList {
+    /// Counts the changes visible so far; grows with each one. A reader
+    /// that sends it back as `?newer_than=` gets 304 while nothing changed.
+    pub generation: u64,
     pub instances: Vec<InstanceEntry>,
 }
 
