--- /dev/null
+++ b/crates/umberglade/tests/invariants.rs
@@ -0,0 +1,219 @@
+//! The brief's "what must always hold", each made to fail on purpose:
+//! callers leaving, operators racing, the platform going down or failing
+//! over to an old copy, servers drained, a daemon stopped.
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_router::operator::OperatorActions;
+use umberglade_router::operator::OperatorError;
+use umberglade_router::platform::PlatformClient;
+use umberglade_wire::engine::EngineStats;
+use umberglade_wire::platform::FaultPlan;
+
+use support::Process;
+use support::Site;
+use support::post;
+use support::status;
+
+fn actions(platform: &str) -> OperatorActions {
+    OperatorActions {
+        platform: PlatformClient::new(platform, Duration::from_secs(2)),
+        actor: "test".into(),
+    }
+}
+
+fn engine_stats(engine: &str) -> EngineStats {
+    let mut response =
+        ureq::get(&format!("http://{engine}/v1/stats")).call().expect("engine stats");
+    serde_json::from_str(&response.body_mut().read_to_string().unwrap()).unwrap()
+}
+
+fn set_faults(platform: &str, plan: &FaultPlan) {
+    ureq::post(&format!("http://{platform}/v1/faults"))
+        .header("Content-Type", "application/json")
+        .send(serde_json::to_string(plan).unwrap())
+        .expect("setting faults");
+}
+
+/// Polls `check` every 20 ms until it holds or `limit` passes.
+fn eventually(limit: Duration, mut check: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    while Instant::now() < deadline {
+        if check() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    check()
+}
+
+const LONG_STREAM: &str = r#"{"model":"brief-model","stream":true,"max_tokens":300,"messages":[{"role":"user","content":"long brief"}]}"#;
+
+/// A client on the phone hangs up while its answer is streaming.
+/// The daemon's write to the caller fails, the relay ends, and the decode
+/// server must be told: its memory for that request is freed at once, not
+/// after the 300 tokens it was asked for (2.4 s of decode).
+#[test]
+fn caller_gone_mid_decode_frees_engine_memory() {
+    let site = Site::start(1, 1);
+    let mut socket = TcpStream::connect(&site.daemon.addr).unwrap();
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-neulanjalki\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{LONG_STREAM}",
+        LONG_STREAM.len()
+    );
+    socket.write_all(request.as_bytes()).unwrap();
+    let mut first = [0u8; 256];
+    let _ = socket.read(&mut first).unwrap();
+    let decode = &site.engines[1].addr;
+    assert_eq!(engine_stats(decode).held_requests, 1, "the request is decoding");
+    drop(socket);
+    let freed = eventually(Duration::from_millis(800), || engine_stats(decode).held_requests == 0);
+    assert!(freed, "decode memory still held after the caller left: {:?}", engine_stats(decode));
+}
+
+/// Two shifts activate a preset at the same moment, both having read the
+/// same version. Exactly one wins; the other is told of the conflict and
+/// nothing of it is written.
+#[test]
+fn operators_racing_get_one_winner_and_one_conflict() {
+    let site = Site::start(1, 1);
+    let racers: Vec<_> = ["peak", "maintenance"]
+        .into_iter()
+        .map(|preset| {
+            let platform = site.platform.addr.clone();
+            thread::spawn(move || {
+                umberglade_wire::pool::block_on(actions(&platform).activate(preset, 1))
+            })
+        })
+        .collect();
+    let results: Vec<_> = racers.into_iter().map(|racer| racer.join().unwrap()).collect();
+    let wins = results.iter().filter(|result| result.is_ok()).count();
+    let conflicts = results
+        .iter()
+        .filter(|result| matches!(result, Err(OperatorError::Conflict { .. })))
+        .count();
+    assert_eq!((wins, conflicts), (1, 1), "{results:?}");
+}
+
+/// The table service fails over to a copy that lost the last changes: it
+/// now says "ordinary at version 1" while daemons hold "peak at version
+/// 2". A daemon must not move back to the older preset.
+#[test]
+fn preset_in_force_never_reverts_when_the_store_goes_back() {
+    let mut site = Site::start(1, 1);
+    umberglade_wire::pool::block_on(actions(&site.platform.addr).activate("peak", 1)).unwrap();
+    assert!(eventually(Duration::from_secs(3), || status(&site.daemon.addr).unwrap()["fence"] == 2));
+    let addr = site.platform.addr.clone();
+    site.platform.stop();
+    site.platform =
+        Process::start(&["standin", "platform", "--listen", &addr, "--instance-lag-ms", "0"]);
+    support::seed(&addr);
+    thread::sleep(Duration::from_millis(800));
+    let now = status(&site.daemon.addr).unwrap();
+    assert_eq!(now["preset"], "peak", "{now}");
+    assert_eq!(now["fence"], 2, "{now}");
+}
+
+/// The platform's table service goes down for a long stretch. Callers
+/// must still be served on the preset in force, and the daemon must say
+/// that its view is getting old.
+#[test]
+fn platform_outage_keeps_serving_on_the_last_preset() {
+    let site = Site::start(1, 1);
+    set_faults(&site.platform.addr, &FaultPlan { outage: true, ..FaultPlan::default() });
+    thread::sleep(Duration::from_millis(700));
+    let answer = post(
+        &site.daemon.addr,
+        "/v1/completions",
+        "key-glenmorrow",
+        r#"{"model":"brief-model","prompt":"gate code?","max_tokens":3}"#,
+    );
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    let now = status(&site.daemon.addr).unwrap();
+    assert!(now["platform_sync_age_s"].as_f64().unwrap() > 0.4, "{now}");
+    assert_eq!(now["preset"], "ordinary");
+}
+
+/// An operator drains a decode server before maintenance. Within a few
+/// follow rounds it must get no new work, although the instance list
+/// still shows it live.
+#[test]
+fn drained_server_gets_no_new_work() {
+    let site = Site::start(1, 2);
+    let drained = &site.engines[1];
+    umberglade_wire::pool::block_on(actions(&site.platform.addr).drain("brief-decode-0")).unwrap();
+    assert!(eventually(Duration::from_secs(2), || {
+        status(&site.daemon.addr).unwrap()["servers"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .any(|server| server["drained"] == true)
+    }));
+    let before = engine_stats(&drained.addr).decodes_done;
+    for _ in 0..6 {
+        let answer = post(
+            &site.daemon.addr,
+            "/v1/completions",
+            "key-glenmorrow",
+            r#"{"model":"brief-model","prompt":"slots?","max_tokens":2}"#,
+        );
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    assert_eq!(engine_stats(&drained.addr).decodes_done, before, "a drained server got new work");
+}
+
+/// A planned stop during maintenance: SIGTERM arrives while a long answer
+/// streams. The balancer's health check fails at once, new work is refused
+/// with Retry-After, the answer in flight ends whole, then the process
+/// exits.
+#[test]
+fn planned_stop_cuts_no_request_in_flight() {
+    let mut site = Site::start(1, 1);
+    let daemon = site.daemon.addr.clone();
+    let streaming = thread::spawn(move || {
+        post(&daemon, "/v1/chat/completions", "key-neulanjalki", LONG_STREAM)
+    });
+    thread::sleep(Duration::from_millis(300));
+    site.daemon.terminate();
+    thread::sleep(Duration::from_millis(100));
+    let health = ureq::get(&format!("http://{}/healthz", site.daemon.addr)).call();
+    assert!(health.is_err(), "health check must fail once the stop began");
+    let refused = post(
+        &site.daemon.addr,
+        "/v1/completions",
+        "key-glenmorrow",
+        r#"{"model":"brief-model","prompt":"x"}"#,
+    );
+    assert_eq!((refused.status, refused.retry_after.is_some()), (503, true));
+    let answer = streaming.join().unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(
+        answer.body.ends_with("data: [DONE]\n\n"),
+        "cut: {}",
+        &answer.body[answer.body.len().saturating_sub(200)..]
+    );
+    assert!(
+        eventually(Duration::from_secs(2), || site.daemon.child.try_wait().unwrap().is_some()),
+        "daemon did not exit"
+    );
+}
+
+/// The table service applies an activation but the reply is lost. The
+/// operator's command must not report failure, nor write twice: it reads
+/// the row back and finds its own write.
+#[test]
+fn lost_reply_on_activation_is_read_back_not_retried() {
+    let site = Site::start(1, 1);
+    set_faults(&site.platform.addr, &FaultPlan { lose_reply_percent: 100, ..FaultPlan::default() });
+    let outcome = umberglade_wire::pool::block_on(actions(&site.platform.addr).activate("peak", 1));
+    set_faults(&site.platform.addr, &FaultPlan::default());
+    let row = outcome.expect("the write took effect and must be reported so");
+    assert_eq!(row.version, 2, "written once");
+}
--- a/crates/umberglade/tests/support/mod.rs
+++ b/crates/umberglade/tests/support/mod.rs
@@ -47,6 +47,12 @@
         Process { child, addr }
     }
 
+    /// Kills the process and waits for it: a crash, or a machine lost.
+    pub fn stop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Sends SIGTERM: a planned stop.
     pub fn terminate(&self) {
         let _ = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
