Plain services run at most once through idempotency records

Cause: the recovered work claimed a record under 'organisation/key', which went unencoded into the path of the table service; the stand-in read two segments, answered 404, and every booking was refused (test at_most_once::a_booking_runs_at_most_once_whatever_the_retries: ran 0, wanted 1). Ruled out: a failing conditional write (the 404 came from the route match, not the table). Change: the client percent-encodes table and key, the stand-in decodes.

--- /dev/null
+++ b/bench/request-slopes.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Separates a daemon's CPU per request from its CPU per relayed token, and
+# measures its memory per request in flight. One daemon, one platform
+# stand-in, 4 prefill and 4 decode stand-ins, all separate processes on
+# loopback. Bounded: three loads of fixed count.
+#
+#   cargo build --release && bash bench/request-slopes.sh
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BIN=target/release/umberglade
+CTL=target/release/umberctl
+PLATFORM=127.0.0.1:${BASE_PORT:-7500}
+TICKS=$(getconf CLK_TCK)
+PIDS=()
+cleanup() { for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done; wait 2>/dev/null || true; }
+trap cleanup EXIT
+start() {
+  local out; out=$(mktemp)
+  UMBERGLADE_LOG=warn "$@" > "$out" 2>/dev/null &
+  PIDS+=($!); LAST_PID=$!
+  for _ in $(seq 100); do grep -q "listening on" "$out" && break; sleep 0.05; done
+  LAST_ADDR=$(sed -n 's/^listening on //p' "$out")
+}
+cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+hwm_kb() { awk '/VmHWM/ {print $2}' "/proc/$1/status"; }
+
+start "$BIN" standin platform --listen "$PLATFORM" --instance-lag-ms 0
+for role in prefill decode; do for i in 1 2 3 4; do
+  start "$BIN" standin engine --server "brief-$role-$i" --role "$role" --register-with "$PLATFORM" --slots 200
+done; done
+"$CTL" --platform "$PLATFORM" put ordinary presets/ordinary.toml --expect-version 0 >/dev/null
+"$CTL" --platform "$PLATFORM" org neulanjalki --key bench-key >/dev/null
+"$CTL" --platform "$PLATFORM" activate ordinary --expect-active 0 >/dev/null
+start "$BIN" serve --listen 127.0.0.1:0 --platform "$PLATFORM" --threads 4
+daemon=$LAST_ADDR; pid=$LAST_PID
+sleep 1.5
+echo "commit $(git rev-parse --short HEAD)"
+# name requests rate max_tokens
+for run in "short 1000 100 8" "long 1000 100 64" "inflight 1500 300 200"; do
+  set -- $run
+  t0=$(cpu_ticks "$pid")
+  "$BIN" load --target "$daemon" --key bench-key --requests "$2" --rate "$3" --long-share 0 \
+    --short-prompt-tokens 40 --max-tokens "$4" --seconds 30 > "/tmp/slopes-$1.txt"
+  t1=$(cpu_ticks "$pid")
+  echo "$1 requests=$2 rate=$3 max_tokens=$4 cpu_us_per_request $(python3 -c "print(round(1e6 * ($t1 - $t0) / $TICKS / $2, 1))") peak_rss_kb $(hwm_kb "$pid")"
+  sed -n 2p "/tmp/slopes-$1.txt"
+done
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -160,6 +160,9 @@
         match (request.method(), path.as_str()) {
             (&Method::POST, "/v1/chat/completions") => self.completion(request, Kind::Chat).await,
             (&Method::POST, "/v1/completions") => self.completion(request, Kind::Text).await,
+            (&Method::POST, path) if path.starts_with("/v1/services/") => {
+                self.service(request).await
+            }
             (&Method::GET, "/healthz") => self.health(),
             (&Method::GET, "/v1/status") => reply::json(StatusCode::OK, &self.status()),
             (&Method::GET, "/metrics") => self.metrics(),
@@ -214,6 +217,40 @@
         }
     }
 
+    async fn service(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let organisation = match self.authenticate(&request) {
+            Ok(organisation) => organisation,
+            Err(refusal) => return refusal,
+        };
+        let path = request.uri().path().to_owned();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let ["v1", "services", service, "call"] = segments.as_slice() else {
+            return reply::refusal(StatusCode::NOT_FOUND, "not_found", "no such route", None);
+        };
+        let service = (*service).to_owned();
+        if self.shared.draining.load(Ordering::Acquire) {
+            return refuse(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "maintenance",
+                "not taking new work",
+                Some(RETRY_AFTER_S),
+            );
+        }
+        let previous = self.shared.in_flight.fetch_add(1, Ordering::AcqRel);
+        let _guard = AdmissionGuard { daemon: self.clone() };
+        let limit =
+            self.shared.control.current().preset.as_ref().map_or(0, |preset| preset.max_in_flight);
+        if previous >= limit {
+            return refuse(
+                StatusCode::TOO_MANY_REQUESTS,
+                "over_capacity",
+                "daemon at its in-flight limit or without a preset",
+                Some(RETRY_AFTER_S),
+            );
+        }
+        self.plain_call(request, organisation, service).await
+    }
+
     async fn completion(&self, request: Request<Incoming>, kind: Kind) -> Response<ReplyBody> {
         let organisation = match self.authenticate(&request) {
             Ok(organisation) => organisation,
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -33,3 +33,7 @@
 pub const DAEMON_STARTED: u32 = 3001;
 /// The daemon began a graceful shutdown.
 pub const DAEMON_DRAINING: u32 = 3002;
+/// A plain-service call was placed (service, server, idempotency key).
+pub const PLAIN_PLACED: u32 = 1009;
+/// A retried non-idempotent call got its recorded answer again.
+pub const PLAIN_REPLAYED: u32 = 1010;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod daemon;
 pub mod events;
+pub mod idempotency;
 pub mod operator;
 pub mod pipeline;
 pub mod placement;
--- a/crates/router/src/pipeline/mod.rs
+++ b/crates/router/src/pipeline/mod.rs
@@ -2,6 +2,7 @@
 //! the answer streamed or whole.
 
 mod cancel;
+mod plain;
 mod relay;
 
 use std::sync::Arc;
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use http::Method;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
@@ -15,6 +18,13 @@
 use umberglade_wire::platform::RowList;
 use umberglade_wire::platform::RowWrite;
 
+/// What stays as it is in a path segment; all else is percent-encoded.
+///
+/// Guards against a key that holds a `/` (an idempotency record's key is
+/// `organisation/key`): unencoded it reads as two segments, the service
+/// answers 404, and no non-idempotent call can ever be claimed.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.').remove(b'~');
+
 /// What a conditional write came to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteOutcome {
@@ -55,7 +65,7 @@
 
     /// The row at `table`/`key`, or `None` when it does not exist.
     pub async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, WireError> {
-        let path = format!("/v1/rows/{table}/{key}");
+        let path = row_path(table, key);
         match self.http.call::<(), Row>("read row", Method::GET, &path, None).await {
             Ok(row) => Ok(Some(row)),
             Err(error) if error.status() == Some(404) => Ok(None),
@@ -71,7 +81,7 @@
         key: &str,
         known: RowVersion,
     ) -> Result<RowRead, WireError> {
-        let path = format!("/v1/rows/{table}/{key}?newer_than={known}");
+        let path = format!("{}?newer_than={known}", row_path(table, key));
         let step = "read row if newer";
         let response = self.http.send(step, Method::GET, &path, None).await?;
         match response.status().as_u16() {
@@ -105,7 +115,7 @@
         expect_version: RowVersion,
         value: &T,
     ) -> Result<WriteOutcome, WireError> {
-        let path = format!("/v1/rows/{table}/{key}");
+        let path = row_path(table, key);
         let value = serde_json::to_value(value).expect("serialising a row");
         let write = RowWrite { expect_version, value };
         match self.http.call::<RowWrite, Row>("write row", Method::PUT, &path, Some(&write)).await {
@@ -181,3 +191,10 @@
         self.http.call(step, method, path, body).await
     }
 }
+
+/// The path of row `table`/`key`, each part percent-encoded.
+fn row_path(table: &str, key: &str) -> String {
+    let table = utf8_percent_encode(table, SEGMENT);
+    let key = utf8_percent_encode(key, SEGMENT);
+    format!("/v1/rows/{table}/{key}")
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod engine;
 pub mod load;
+pub mod plain;
 pub mod platform;
 pub mod rate;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod instances;
 mod table;
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -20,6 +21,7 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
 use umberglade_wire::ids::RowVersion;
 use umberglade_wire::platform::FaultPlan;
@@ -108,7 +110,12 @@
         query: Option<&str>,
         body: Bytes,
     ) -> Response<ReplyBody> {
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let decoded: Vec<Cow<str>> = path
+            .trim_matches('/')
+            .split('/')
+            .map(|segment| percent_decode_str(segment).decode_utf8_lossy())
+            .collect();
+        let segments: Vec<&str> = decoded.iter().map(AsRef::as_ref).collect();
         let newer_than = query
             .and_then(|query| query.strip_prefix("newer_than="))
             .and_then(|version| version.parse().ok());
--- a/crates/umberglade/src/cli.rs
+++ b/crates/umberglade/src/cli.rs
@@ -122,6 +122,31 @@
 pub enum StandinKind {
     Platform(PlatformArgs),
     Engine(EngineArgs),
+    Plain(PlainArgs),
+}
+
+/// A plain service whose calls must not be repeated (booking-desk).
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "plain")]
+pub struct PlainArgs {
+    /// address to listen on [UMBERGLADE_LISTEN, default 127.0.0.1:0]
+    #[argh(option)]
+    pub listen: Option<String>,
+    /// server id in the instance list
+    #[argh(option)]
+    pub server: String,
+    /// service name callers use in /v1/services/NAME/call [default booking-desk]
+    #[argh(option, default = "String::from(\"booking-desk\")")]
+    pub service: String,
+    /// failure domain [default hall-a]
+    #[argh(option, default = "String::from(\"hall-a\")")]
+    pub domain: String,
+    /// host:port of the platform stand-in to enter this server in its instance list
+    #[argh(option)]
+    pub register_with: Option<String>,
+    /// log format: text or json [UMBERGLADE_LOG_FORMAT, default text]
+    #[argh(option)]
+    pub log_format: Option<String>,
 }
 
 /// The platform: table service and instance list.
--- a/crates/umberglade/src/main.rs
+++ b/crates/umberglade/src/main.rs
@@ -24,6 +24,7 @@
         Command::Standin(args) => match args.kind {
             StandinKind::Platform(args) => standin::platform(args),
             StandinKind::Engine(args) => standin::engine(args),
+            StandinKind::Plain(args) => standin::plain(args),
         },
     };
     match result {
--- a/crates/umberglade/src/standin.rs
+++ b/crates/umberglade/src/standin.rs
@@ -8,6 +8,7 @@
 use umberglade_router::platform::PlatformClient;
 use umberglade_standin::engine::EngineConfig;
 use umberglade_standin::engine::EngineStandin;
+use umberglade_standin::plain::PlainStandin;
 use umberglade_standin::platform::PlatformConfig;
 use umberglade_standin::platform::PlatformStandin;
 use umberglade_wire::engine::EngineRole;
@@ -17,6 +18,7 @@
 use umberglade_wire::server;
 
 use crate::cli::EngineArgs;
+use crate::cli::PlainArgs;
 use crate::cli::PlatformArgs;
 use crate::logging;
 use crate::serve::wait_for_stop;
@@ -89,6 +91,32 @@
     })
 }
 
+/// Runs a plain-service stand-in until stopped.
+pub fn plain(args: PlainArgs) -> Result<(), StartError> {
+    logging::init(args.log_format.clone())?;
+    let listen: SocketAddr =
+        setting::resolve_parsed("listen", "UMBERGLADE_LISTEN", args.listen, "127.0.0.1:0")?;
+    pool::start(STANDIN_THREADS);
+    pool::block_on(async move {
+        let (listener, local) = bind(listen).await?;
+        pool::spawn(server::serve(listener, Arc::new(PlainStandin::default())));
+        let entry = InstanceEntry {
+            server: args.server,
+            addr: local.to_string(),
+            role: EngineRole::Plain,
+            model: args.service,
+            domain: args.domain,
+            state: InstanceState::Live,
+        };
+        if let Some(platform) = &args.register_with {
+            register(platform, &entry).await;
+        }
+        println!("listening on {local}");
+        wait_for_stop().await;
+        Ok(())
+    })
+}
+
 async fn bind(listen: SocketAddr) -> Result<(smol::net::TcpListener, SocketAddr), StartError> {
     server::bind(listen)
         .await
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod ids;
 pub mod lines;
+pub mod plain;
 pub mod platform;
 pub mod pool;
 pub mod reply;
