--- /dev/null
+++ b/crates/bench/src/load/caller.rs
@@ -0,0 +1,241 @@
+//! One caller: sends its request, comes back when told to, and times what
+//! it sees.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_lite::FutureExt;
+use http::Method;
+use http::Response;
+use http::header;
+use umberglade_wire::client::HttpClient;
+use umberglade_wire::client::retry_after;
+use umberglade_wire::lines::LineReader;
+
+use super::Arrival;
+use super::LoadTarget;
+use crate::workload::RequestClass;
+use crate::workload::RequestKind;
+use crate::workload::Workload;
+
+/// A word of filler text: 4 bytes, about one token.
+const FILLER_WORD: &str = "lor ";
+/// Callers come back only while this share of their time is left.
+const COME_BACK_SHARE: f64 = 1.0 / 3.0;
+
+/// How a caller's request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum CallResult {
+    /// A whole answer.
+    Whole,
+    /// Refused with 429 or 503, having come back as often as it would.
+    Refused,
+    /// The caller hung up, as the workload wanted.
+    HungUp,
+    /// An answer that broke off.
+    Cut,
+    /// Another status, no answer, or none within the caller's deadline.
+    Failed,
+}
+
+/// What one caller saw.
+#[derive(Debug, Clone)]
+pub struct CallOutcome {
+    /// Index into the workload's classes.
+    pub class: usize,
+    pub result: CallResult,
+    /// The last HTTP status, 0 when none came.
+    pub status: u16,
+    /// The `type` of the error body of a refusal.
+    pub refusal: String,
+    /// The last refusal had no `Retry-After`.
+    pub refused_without_retry_after: bool,
+    /// From the first attempt to the first token, or to the answer.
+    pub ttft: Option<Duration>,
+    /// Mean time between tokens after the first.
+    pub tpot: Option<Duration>,
+}
+
+/// Sends `arrival`, again when refused and told to come back in time.
+pub async fn call(workload: &Workload, target: &LoadTarget, arrival: &Arrival) -> CallOutcome {
+    let class = &workload.class[arrival.class];
+    let started = Instant::now();
+    let patience = arrival.hangs_up_after.unwrap_or(class.deadline());
+    let mut outcome = CallOutcome {
+        class: arrival.class,
+        result: CallResult::Failed,
+        status: 0,
+        refusal: String::new(),
+        refused_without_retry_after: false,
+        ttft: None,
+        tpot: None,
+    };
+    let attempts = attempts(workload, target, arrival, started, &mut outcome);
+    let in_time = attempts
+        .or(async {
+            smol::Timer::after(patience).await;
+            false
+        })
+        .await;
+    if !in_time && arrival.hangs_up_after.is_some() {
+        outcome.result = CallResult::HungUp;
+    } else if !in_time {
+        outcome.result = CallResult::Failed;
+    }
+    outcome
+}
+
+/// Attempts until one is not refused; true once the outcome stands.
+async fn attempts(
+    workload: &Workload,
+    target: &LoadTarget,
+    arrival: &Arrival,
+    started: Instant,
+    outcome: &mut CallOutcome,
+) -> bool {
+    let class = &workload.class[arrival.class];
+    for attempt in 0..=class.retries {
+        let daemons = &target.daemons;
+        let daemon = &daemons[(arrival.number as usize + attempt as usize) % daemons.len()];
+        let sent = send(workload, target, arrival, daemon).await;
+        let Ok(response) = sent else {
+            return true;
+        };
+        outcome.status = response.status().as_u16();
+        if response.status().is_success() {
+            read_answer(class, response, started, outcome).await;
+            return true;
+        }
+        let wait = retry_after(&response);
+        note_refusal(response, wait, outcome).await;
+        let left = class.deadline().saturating_sub(started.elapsed());
+        let Some(wait) = wait.map(Duration::from_secs) else {
+            return true;
+        };
+        if outcome.result != CallResult::Refused || wait > left.mul_f64(COME_BACK_SHARE) {
+            return true;
+        }
+        if attempt < class.retries {
+            smol::Timer::after(wait).await;
+        }
+    }
+    true
+}
+
+async fn note_refusal(
+    response: Response<hyper::body::Incoming>,
+    wait: Option<u64>,
+    outcome: &mut CallOutcome,
+) {
+    let is_promise = matches!(outcome.status, 429 | 503);
+    outcome.result = if is_promise { CallResult::Refused } else { CallResult::Failed };
+    outcome.refused_without_retry_after = is_promise && wait.is_none();
+    let client = HttpClient::new("-", Duration::from_secs(2));
+    if let Err(error) = client.read_whole("refusal", response).await {
+        outcome.refusal = refusal_kind(&error).unwrap_or_default();
+    }
+}
+
+fn refusal_kind(error: &umberglade_wire::WireError) -> Option<String> {
+    let umberglade_wire::WireError::Status { body, .. } = error else {
+        return None;
+    };
+    let body: serde_json::Value = serde_json::from_str(body).ok()?;
+    Some(body["error"]["type"].as_str()?.to_owned())
+}
+
+async fn send(
+    workload: &Workload,
+    target: &LoadTarget,
+    arrival: &Arrival,
+    daemon: &str,
+) -> Result<Response<hyper::body::Incoming>, umberglade_wire::WireError> {
+    let class = &workload.class[arrival.class];
+    let key = &target.keys[arrival.number as usize % target.keys.len()];
+    let client = HttpClient::new(daemon, class.deadline());
+    let plain = workload.plain.as_ref().map(|plain| plain.name.as_str()).unwrap_or_default();
+    let request = http::Request::builder().header(header::AUTHORIZATION, format!("Bearer {key}"));
+    let (request, body) = match class.kind {
+        RequestKind::Completion => (
+            request.method(Method::POST).uri("/v1/chat/completions"),
+            completion_body(&workload.model.name, class, arrival),
+        ),
+        RequestKind::Lookup => {
+            let path = format!("/v1/services/{plain}/lookup/slot-{}", arrival.number);
+            (request.method(Method::GET).uri(path), String::new())
+        }
+        RequestKind::Call => {
+            let path = format!("/v1/services/{plain}/call");
+            let key = format!("{}-{}", class.name, arrival.number);
+            let body = serde_json::json!({ "slot": arrival.number }).to_string();
+            (request.method(Method::POST).uri(path).header("idempotency-key", key), body)
+        }
+    };
+    client.send_with("load call", request, body.into()).await
+}
+
+async fn read_answer(
+    class: &RequestClass,
+    response: Response<hyper::body::Incoming>,
+    started: Instant,
+    outcome: &mut CallOutcome,
+) {
+    if class.kind != RequestKind::Completion {
+        let client = HttpClient::new("-", class.deadline());
+        if client.read_whole("answer", response).await.is_ok() {
+            outcome.result = CallResult::Whole;
+            outcome.ttft = Some(started.elapsed());
+        }
+        return;
+    }
+    outcome.result = CallResult::Cut;
+    let mut reader = LineReader::new(response.into_body());
+    let mut first: Option<Instant> = None;
+    let mut last = started;
+    let mut tokens = 0;
+    while let Ok(Some(line)) = reader.next_line().await {
+        let Some(data) = line.strip_prefix(b"data: ") else {
+            continue;
+        };
+        if data == b"[DONE]" {
+            outcome.result = CallResult::Whole;
+            break;
+        }
+        if data.windows(9).any(|window| window == b"\"content\"") {
+            last = Instant::now();
+            first.get_or_insert(last);
+            tokens += 1;
+        }
+    }
+    if let Some(first) = first {
+        outcome.ttft = Some(first - started);
+        if tokens > 1 {
+            outcome.tpot = Some((last - first) / (tokens - 1));
+        }
+    }
+}
+
+fn completion_body(model: &str, class: &RequestClass, arrival: &Arrival) -> String {
+    let own = arrival.prompt_tokens.saturating_sub(class.prefix_tokens) as usize;
+    let mut messages = Vec::new();
+    if class.prefix_tokens > 0 {
+        let prefix = format!(
+            "guidelines {} {} {}",
+            class.name,
+            arrival.prefix,
+            FILLER_WORD.repeat(class.prefix_tokens as usize)
+        );
+        messages.push(serde_json::json!({ "role": "system", "content": prefix }));
+    }
+    let content = format!("{} {}: {}", class.name, arrival.number, FILLER_WORD.repeat(own));
+    messages.push(serde_json::json!({ "role": "user", "content": content }));
+    serde_json::json!({
+        "model": model,
+        "stream": true,
+        "max_tokens": class.max_tokens.max(1),
+        "priority": class.priority,
+        "messages": messages,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/router/src/admission/pace_meter.rs
@@ -0,0 +1,41 @@
+//! How fast prefill servers read prompts, as measured from their answers.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Assumed until the first answer: nanoseconds per prompt token.
+const FIRST_GUESS_NS: u64 = 20_000;
+/// The weight of one more measurement.
+const WEIGHT: f64 = 0.1;
+
+/// A moving average of nanoseconds per prompt token.
+#[derive(Debug)]
+pub struct PaceMeter {
+    per_token_ns: AtomicU64,
+}
+
+impl Default for PaceMeter {
+    fn default() -> Self {
+        PaceMeter { per_token_ns: AtomicU64::new(FIRST_GUESS_NS) }
+    }
+}
+
+impl PaceMeter {
+    /// Takes in that `tokens` (queued ahead and own) took `elapsed`. Two
+    /// measurements at once may lose one; an average bears that.
+    pub fn observe(&self, tokens: u64, elapsed: Duration) {
+        if tokens == 0 {
+            return;
+        }
+        let measured = elapsed.as_nanos() as f64 / tokens as f64;
+        let before = self.per_token_ns.load(Ordering::Relaxed) as f64;
+        let after = before + (measured - before) * WEIGHT;
+        self.per_token_ns.store(after as u64, Ordering::Relaxed);
+    }
+
+    /// How long `tokens` are predicted to take.
+    pub fn predict(&self, tokens: u64) -> Duration {
+        Duration::from_nanos(self.per_token_ns.load(Ordering::Relaxed).saturating_mul(tokens))
+    }
+}
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -6,11 +6,18 @@
 //! the lock across an await. The follower alone replaces it.
 
 mod follower;
+mod server_counters;
+mod server_pools;
 mod server_slot;
 mod snapshot;
+mod state;
 
 pub use self::follower::ControlFollower;
+pub use self::server_counters::ServerCounters;
+pub use self::server_counters::ServerLoad;
+pub use self::server_pools::ServerPool;
+pub use self::server_pools::ServerPools;
 pub use self::server_slot::InFlightGuard;
 pub use self::server_slot::ServerSlot;
 pub use self::snapshot::ControlSnapshot;
-pub use self::snapshot::ControlState;
+pub use self::state::ControlState;
--- /dev/null
+++ b/crates/router/src/control/server_counters.rs
@@ -0,0 +1,123 @@
+//! What this daemon knows of one server's load and health.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_wire::engine::LoadSample;
+
+/// How long a reported load counts; then only our own count is left, so a
+/// server that was full once is not shunned for want of newer reports.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
+/// How long a server is set aside after a first failure.
+const FIRST_SET_ASIDE: Duration = Duration::from_millis(500);
+/// The longest it is set aside after failures in a row.
+const LONGEST_SET_ASIDE: Duration = Duration::from_secs(8);
+
+/// A server's load: its last report corrected by our own count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ServerLoad {
+    /// Requests held there, as best known.
+    pub running: u32,
+    /// Requests it can hold; 0 while no report has come.
+    pub slots: u32,
+    /// Prompt tokens waiting there to be computed, as best known.
+    pub queued_tokens: u64,
+}
+
+/// The last report, less our own share of it at that moment: what other
+/// daemons have there.
+#[derive(Debug, Clone, Copy)]
+struct OthersLoad {
+    running: u32,
+    slots: u32,
+    queued_tokens: u64,
+    taken: Instant,
+}
+
+#[derive(Debug, Default)]
+struct HealthRecord {
+    failures_in_row: u32,
+    set_aside_until: Option<Instant>,
+}
+
+/// One server's figures. Locks `others` and `health` are held only to copy
+/// a few words; no call holds both.
+#[derive(Debug, Default)]
+pub struct ServerCounters {
+    /// Requests this daemon has in flight there.
+    in_flight: AtomicU32,
+    /// Prompt tokens this daemon has waiting there.
+    queued_tokens: AtomicU64,
+    others: Mutex<Option<OthersLoad>>,
+    health: Mutex<HealthRecord>,
+}
+
+impl ServerCounters {
+    pub(super) fn begin(&self, tokens: u64) {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        self.queued_tokens.fetch_add(tokens, Ordering::AcqRel);
+    }
+
+    pub(super) fn finish(&self, tokens: u64) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.finish_tokens(tokens);
+    }
+
+    pub(super) fn finish_tokens(&self, tokens: u64) {
+        self.queued_tokens.fetch_sub(tokens, Ordering::AcqRel);
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Takes in a report. Our own part is subtracted, since it is counted
+    /// exactly: what is left is the lagging view of the others' part.
+    pub(super) fn observe(&self, sample: LoadSample) {
+        let own_tokens = self.queued_tokens.load(Ordering::Acquire);
+        let others = OthersLoad {
+            running: sample.running.saturating_sub(self.in_flight()),
+            slots: sample.slots,
+            queued_tokens: sample.queued_tokens.saturating_sub(own_tokens),
+            taken: Instant::now(),
+        };
+        *self.others.lock().expect("others lock") = Some(others);
+    }
+
+    pub(super) fn load(&self) -> ServerLoad {
+        let others = *self.others.lock().expect("others lock");
+        let mut load = ServerLoad {
+            running: self.in_flight(),
+            slots: others.map_or(0, |others| others.slots),
+            queued_tokens: self.queued_tokens.load(Ordering::Acquire),
+        };
+        if let Some(others) = others.filter(|others| others.taken.elapsed() < REPORT_LIFE) {
+            load.running += others.running;
+            load.queued_tokens += others.queued_tokens;
+        }
+        load
+    }
+
+    pub(super) fn succeeded(&self) {
+        *self.health.lock().expect("health lock") = HealthRecord::default();
+    }
+
+    /// Guards against a server that is leaving or dead while the instance
+    /// list still shows it live: its refusals and broken connections set
+    /// it aside at once, seconds before the list moves.
+    pub(super) fn failed(&self) {
+        let mut health = self.health.lock().expect("health lock");
+        let doubled = FIRST_SET_ASIDE * 2u32.saturating_pow(health.failures_in_row.min(6));
+        health.failures_in_row += 1;
+        health.set_aside_until = Some(Instant::now() + doubled.min(LONGEST_SET_ASIDE));
+    }
+
+    pub(super) fn is_set_aside(&self) -> bool {
+        let health = self.health.lock().expect("health lock");
+        health.set_aside_until.is_some_and(|until| Instant::now() < until)
+    }
+}
--- a/crates/router/src/control/server_slot.rs
+++ b/crates/router/src/control/server_slot.rs
@@ -1,55 +1,91 @@
 //! One backend server as this daemon tracks it.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 
+use umberglade_wire::engine::LoadSample;
 use umberglade_wire::platform::InstanceEntry;
 
-/// A backend server and this daemon's own count of the work it sent there.
-///
-/// The count corrects the server's load reports, which lag: work this
-/// daemon placed a moment ago is counted at once.
+use super::ServerCounters;
+use super::ServerLoad;
+
+/// A backend server's entry in the instance list, and this daemon's own
+/// figures about it.
 #[derive(Debug)]
 pub struct ServerSlot {
     pub entry: InstanceEntry,
-    /// Requests this daemon has in flight on the server.
-    in_flight: AtomicU32,
+    /// Shared with earlier and later slots of the same server: a guard
+    /// taken before the entry changed gives back to the same count.
+    counters: Arc<ServerCounters>,
 }
 
-/// Takes one unit of a slot's in-flight count and gives it back when
+/// One request's share of a server's in-flight counts, given back when
 /// dropped, on every path out of a step.
 #[derive(Debug)]
 pub struct InFlightGuard {
-    slot: Arc<ServerSlot>,
+    counters: Arc<ServerCounters>,
+    tokens: u64,
+}
+
+impl InFlightGuard {
+    /// The prompt was computed: its tokens no longer wait there.
+    pub fn tokens_done(&mut self) {
+        self.counters.finish_tokens(self.tokens);
+        self.tokens = 0;
+    }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.slot.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.counters.finish(self.tokens);
     }
 }
 
 impl ServerSlot {
     /// A slot for `entry` with nothing in flight.
     pub fn new(entry: InstanceEntry) -> Self {
-        ServerSlot { entry, in_flight: AtomicU32::new(0) }
+        ServerSlot { entry, counters: Arc::new(ServerCounters::default()) }
     }
 
-    /// A slot for `entry` that keeps `previous`'s in-flight count.
+    /// A slot for `entry`, the same server as `previous`.
     pub fn carried(entry: InstanceEntry, previous: &ServerSlot) -> Self {
-        let count = previous.in_flight();
-        ServerSlot { entry, in_flight: AtomicU32::new(count) }
+        ServerSlot { entry, counters: Arc::clone(&previous.counters) }
     }
 
     /// Requests this daemon has in flight on the server now.
     pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Acquire)
+        self.counters.in_flight()
+    }
+
+    /// Counts one more request with `tokens` of prompt to compute in
+    /// flight until the guard drops.
+    pub fn begin(&self, tokens: u64) -> InFlightGuard {
+        self.counters.begin(tokens);
+        InFlightGuard { counters: Arc::clone(&self.counters), tokens }
+    }
+
+    /// Takes in the load a server's answer carried.
+    pub fn observe(&self, sample: LoadSample) {
+        self.counters.observe(sample);
+    }
+
+    /// The server's load as best known now.
+    pub fn load(&self) -> ServerLoad {
+        self.counters.load()
+    }
+
+    /// The server answered: it is well.
+    pub fn succeeded(&self) {
+        self.counters.succeeded();
+    }
+
+    /// The server failed a step or refused one: it gets no new work for a
+    /// while, longer each time in a row.
+    pub fn failed(&self) {
+        self.counters.failed();
     }
 
-    /// Counts one more request in flight until the guard drops.
-    pub fn begin(self: &Arc<Self>) -> InFlightGuard {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        InFlightGuard { slot: Arc::clone(self) }
+    /// True while the server is set aside after failures.
+    pub fn is_set_aside(&self) -> bool {
+        self.counters.is_set_aside()
     }
 }
--- a/crates/router/src/control/snapshot.rs
+++ b/crates/router/src/control/snapshot.rs
@@ -1,19 +1,33 @@
-//! The snapshot of what is in force, and the lock that publishes it.
+//! The snapshot of what is in force, and how rows change it.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::RwLock;
 use std::time::Instant;
+use std::time::SystemTime;
 
+use serde::de::DeserializeOwned;
 use umberglade_wire::engine::EngineRole;
 use umberglade_wire::ids::Fence;
 use umberglade_wire::ids::OrganisationId;
 use umberglade_wire::ids::RowVersion;
 use umberglade_wire::ids::ServerId;
+use umberglade_wire::platform::ACTIVE_KEY;
+use umberglade_wire::platform::ActivePreset;
+use umberglade_wire::platform::DRAINS_KEY;
+use umberglade_wire::platform::DrainBook;
+use umberglade_wire::platform::InstanceList;
 use umberglade_wire::platform::InstanceState;
+use umberglade_wire::platform::ORGANISATIONS_KEY;
+use umberglade_wire::platform::OrganisationBook;
+use umberglade_wire::platform::ROLE_ORDERS_KEY;
+use umberglade_wire::platform::RoleOrderBook;
+use umberglade_wire::platform::Row;
 
+use super::ServerPool;
+use super::ServerPools;
 use super::ServerSlot;
+use crate::events;
 use crate::preset::Preset;
 
 /// Everything a request needs to know about what is in force.
@@ -21,59 +35,190 @@
 pub struct ControlSnapshot {
     /// The version of the `control/active` row in force; 0 before any.
     /// Invariant: only grows over a daemon's life. It is also the fencing
-    /// number on every order this daemon sends.
+    /// number on every request this daemon sends to an engine.
     pub fence: Fence,
     pub preset_name: String,
     /// When this daemon took `fence` into force.
-    pub fence_applied_at: Option<std::time::SystemTime>,
+    pub fence_applied_at: Option<SystemTime>,
     /// `None` until a preset has been read.
     pub preset: Option<Arc<Preset>>,
-    /// Version of the organisations row this map was read from.
+    /// Invariant: only grows, as the two below.
     pub organisations_version: RowVersion,
     /// API key → organisation.
-    pub api_keys: HashMap<String, OrganisationId>,
+    pub api_keys: Arc<HashMap<String, OrganisationId>>,
     pub drains_version: RowVersion,
-    pub drained: BTreeSet<ServerId>,
-    /// Generation of the instance list `servers` was read from.
-    pub instances_generation: u64,
+    pub drained: Arc<BTreeSet<ServerId>>,
+    pub role_orders_version: RowVersion,
+    pub role_orders: Arc<RoleOrderBook>,
     /// Backend servers from the instance list, drained ones included.
-    pub servers: Vec<Arc<ServerSlot>>,
-    /// When the platform last answered every read of a follow round.
-    pub last_sync: Option<Instant>,
+    pub servers: Arc<Vec<Arc<ServerSlot>>>,
+    /// Those of them that take new work.
+    pub pools: Arc<ServerPools>,
+    /// When the platform last answered the table feed and the instance
+    /// feed.
+    pub table_read: Option<Instant>,
+    pub instances_read: Option<Instant>,
 }
 
 impl ControlSnapshot {
     /// Servers of `role` for `model` that take new work: live in the
     /// instance list and not drained by an operator.
-    pub fn candidates(
-        &self,
-        role: EngineRole,
-        model: &str,
-    ) -> smallvec::SmallVec<[Arc<ServerSlot>; 32]> {
-        self.servers
-            .iter()
-            .filter(|slot| slot.entry.role == role && slot.entry.model == model)
-            .filter(|slot| slot.entry.state == InstanceState::Live)
-            .filter(|slot| !self.drained.contains(&slot.entry.server))
-            .cloned()
-            .collect()
+    pub fn candidates(&self, role: EngineRole, model: &str) -> ServerPool {
+        self.pools.get(role, model)
     }
-}
 
-/// The published snapshot. One lock, held only to swap or clone an `Arc`.
-#[derive(Debug, Default)]
-pub struct ControlState {
-    current: RwLock<Arc<ControlSnapshot>>,
-}
+    /// When the platform last answered both feeds; `None` before it has.
+    pub fn last_sync(&self) -> Option<Instant> {
+        Some(self.table_read?.min(self.instances_read?))
+    }
+
+    /// Applies one row of the control table; rows of other keys are not
+    /// ours.
+    ///
+    /// Guards against a revert: a row is applied only when its version is
+    /// above the one in force, so a late or replayed read of an older row
+    /// (a store that failed over, a paused daemon waking) never moves this
+    /// daemon back.
+    pub fn apply_row(&mut self, row: &Row) {
+        match row.key.as_str() {
+            ACTIVE_KEY => self.apply_active(row),
+            ORGANISATIONS_KEY => self.apply_organisations(row),
+            DRAINS_KEY => self.apply_drains(row),
+            ROLE_ORDERS_KEY => self.apply_role_orders(row),
+            _ => {}
+        }
+    }
+
+    fn apply_active(&mut self, row: &Row) {
+        if row.version <= self.fence {
+            tracing::warn!(
+                event = events::PRESET_STALE_IGNORED,
+                version = row.version,
+                fence = self.fence,
+                "older preset row ignored"
+            );
+            return;
+        }
+        let Some(active) = parse_row::<ActivePreset>(row) else {
+            return;
+        };
+        let preset = match Preset::from_json(&active.body) {
+            Ok(preset) => preset,
+            Err(error) => return reject(row, &error.to_string()),
+        };
+        tracing::info!(
+            event = events::PRESET_APPLIED,
+            preset = %active.preset,
+            fence = row.version,
+            activated_by = %active.activated_by,
+            "preset in force"
+        );
+        self.fence = row.version;
+        self.fence_applied_at = Some(SystemTime::now());
+        self.preset_name = active.preset;
+        self.preset = Some(Arc::new(preset));
+    }
+
+    fn apply_organisations(&mut self, row: &Row) {
+        if row.version <= self.organisations_version {
+            return;
+        }
+        let Some(book) = parse_row::<OrganisationBook>(row) else {
+            return;
+        };
+        let mut api_keys = HashMap::new();
+        for (organisation, entry) in book.organisations {
+            for key in entry.api_keys {
+                api_keys.insert(key, organisation.clone());
+            }
+        }
+        self.api_keys = Arc::new(api_keys);
+        self.organisations_version = row.version;
+    }
 
-impl ControlState {
-    /// The snapshot in force now.
-    pub fn current(&self) -> Arc<ControlSnapshot> {
-        self.current.read().expect("control lock").clone()
+    fn apply_drains(&mut self, row: &Row) {
+        if row.version <= self.drains_version {
+            return;
+        }
+        let Some(book) = parse_row::<DrainBook>(row) else {
+            return;
+        };
+        let drained: BTreeSet<ServerId> = book.servers.into_keys().collect();
+        tracing::info!(event = events::SERVERS_CHANGED, ?drained, "drains changed");
+        self.drained = Arc::new(drained);
+        self.drains_version = row.version;
+        self.regroup();
     }
 
-    /// Puts `next` in force.
-    pub fn publish(&self, next: ControlSnapshot) {
-        *self.current.write().expect("control lock") = Arc::new(next);
+    fn apply_role_orders(&mut self, row: &Row) {
+        if row.version <= self.role_orders_version {
+            return;
+        }
+        let Some(book) = parse_row::<RoleOrderBook>(row) else {
+            return;
+        };
+        self.role_orders = Arc::new(book);
+        self.role_orders_version = row.version;
     }
+
+    /// Applies a change of the instance list, or the whole list. Each
+    /// known server keeps its counts.
+    pub fn apply_instances(&mut self, list: InstanceList) {
+        if list.delta && list.instances.is_empty() {
+            return;
+        }
+        let known: HashMap<&str, &Arc<ServerSlot>> =
+            self.servers.iter().map(|slot| (slot.entry.server.as_str(), slot)).collect();
+        let listed: BTreeSet<ServerId> =
+            list.instances.iter().map(|entry| entry.server.clone()).collect();
+        let mut servers: Vec<Arc<ServerSlot>> = Vec::with_capacity(known.len());
+        if list.delta {
+            let unchanged = self.servers.iter().filter(|slot| !listed.contains(&slot.entry.server));
+            servers.extend(unchanged.cloned());
+        }
+        let mut changes: Vec<String> = Vec::new();
+        for entry in list.instances {
+            let previous = known.get(entry.server.as_str());
+            if previous.is_none_or(|slot| slot.entry != entry) {
+                changes.push(format!("{}={}", entry.server, entry.state));
+            }
+            if entry.state == InstanceState::Gone {
+                continue;
+            }
+            servers.push(match previous {
+                Some(slot) => Arc::new(ServerSlot::carried(entry, slot)),
+                None => Arc::new(ServerSlot::new(entry)),
+            });
+        }
+        if !changes.is_empty() || servers.len() != self.servers.len() {
+            tracing::info!(
+                event = events::SERVERS_CHANGED,
+                servers = servers.len(),
+                ?changes,
+                "instance list changed"
+            );
+        }
+        servers.sort_by(|left, right| left.entry.server.cmp(&right.entry.server));
+        self.servers = Arc::new(servers);
+        self.regroup();
+    }
+
+    fn regroup(&mut self) {
+        self.pools = Arc::new(ServerPools::new(&self.servers, &self.drained));
+    }
+}
+
+/// The value of `row`, or `None` with the refusal logged.
+fn parse_row<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    match serde_json::from_value(row.value.clone()) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            reject(row, &error.to_string());
+            None
+        }
+    }
+}
+
+fn reject(row: &Row, message: &str) {
+    tracing::error!(event = events::PRESET_REJECTED, key = %row.key, version = row.version, message, "control row refused");
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -33,7 +33,21 @@
 pub const DAEMON_STARTED: u32 = 3001;
 /// The daemon began a graceful shutdown.
 pub const DAEMON_DRAINING: u32 = 3002;
+/// The daemon's own lease in the members table lapsed or was renewed after.
+pub const MEMBER_LEASE: u32 = 3003;
+/// The set of daemons with a live lease changed.
+pub const MEMBERS_CHANGED: u32 = 3004;
+/// This daemon took or lost the duty of sending role orders.
+pub const DUTY_CHANGED: u32 = 4001;
+/// The holder of the duty sent a server an order.
+pub const ORDER_SENT: u32 = 4002;
+/// An order was not sent: the lease was too old to be sure of the duty.
+pub const ORDER_WITHHELD: u32 = 4003;
 /// A plain-service call was placed (service, server, idempotency key).
 pub const PLAIN_PLACED: u32 = 1009;
 /// A retried non-idempotent call got its recorded answer again.
 pub const PLAIN_REPLAYED: u32 = 1010;
+/// An attempt failed and the request is tried on other servers.
+pub const ATTEMPT_RETRIED: u32 = 1011;
+/// A decode stream broke midway; the answer goes on from another server.
+pub const ANSWER_RESUMED: u32 = 1012;
--- /dev/null
+++ b/crates/router/src/front/mod.rs
@@ -0,0 +1,112 @@
+//! The daemon's HTTP front: callers' completions and service calls, the
+//! balancer's health check, status and metrics.
+
+mod completion;
+mod refusal;
+mod service;
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::PrometheusHandle;
+use umberglade_wire::ids::OrganisationId;
+use umberglade_wire::reply;
+use umberglade_wire::reply::ReplyBody;
+use umberglade_wire::server::RequestHandler;
+
+pub use self::completion::CompletionKind;
+pub(crate) use self::refusal::RETRY_AFTER_S;
+pub(crate) use self::refusal::bad_request;
+pub(crate) use self::refusal::not_found;
+pub(crate) use self::refusal::not_now;
+pub(crate) use self::refusal::refuse;
+use crate::daemon::AdmissionGuard;
+use crate::daemon::Daemon;
+use crate::placement::Placement;
+use crate::preset::Preset;
+
+impl<P: Placement> RequestHandler for Daemon<P> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
+        let path = request.uri().path();
+        let result = match (request.method(), path) {
+            (&Method::POST, "/v1/chat/completions") => {
+                self.completion(request, CompletionKind::Chat).await
+            }
+            (&Method::POST, "/v1/completions") => {
+                self.completion(request, CompletionKind::Text).await
+            }
+            (_, path) if path.starts_with("/v1/services/") => self.service(request).await,
+            (&Method::GET, "/healthz") => Ok(self.health()),
+            (&Method::GET, "/v1/status") => Ok(reply::json(StatusCode::OK, &self.status())),
+            (&Method::GET, "/metrics") => Ok(self.metrics()),
+            _ => Err(not_found()),
+        };
+        result.unwrap_or_else(|refusal| refusal)
+    }
+}
+
+impl<P: Placement> Daemon<P> {
+    fn health(&self) -> Response<ReplyBody> {
+        if self.is_draining() {
+            let body = Bytes::from_static(b"draining\n");
+            return reply::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body);
+        }
+        reply::whole(StatusCode::OK, "text/plain", Bytes::from_static(b"ok\n"))
+    }
+
+    fn metrics(&self) -> Response<ReplyBody> {
+        metrics::gauge!("umberglade_in_flight").set(f64::from(self.in_flight()));
+        metrics::gauge!("umberglade_waiting").set(self.waiting() as f64);
+        let text = self.shared.metrics.as_ref().map(PrometheusHandle::render).unwrap_or_default();
+        reply::whole(StatusCode::OK, "text/plain; version=0.0.4", Bytes::from(text))
+    }
+
+    /// The organisation whose API key the request carries, or a 401.
+    fn authenticate(
+        &self,
+        request: &Request<Incoming>,
+    ) -> Result<OrganisationId, Response<ReplyBody>> {
+        let key = request
+            .headers()
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .unwrap_or_default();
+        let snapshot = self.shared.control.current();
+        // A daemon that has not read the organisations yet knows no key:
+        // it must not tell a proper caller that its key is bad.
+        if snapshot.organisations_version == 0 {
+            return Err(not_now("no_organisations", "organisations not read yet; not run"));
+        }
+        match snapshot.api_keys.get(key) {
+            Some(organisation) => Ok(organisation.clone()),
+            None => {
+                Err(refuse(StatusCode::UNAUTHORIZED, "invalid_api_key", "unknown API key", None))
+            }
+        }
+    }
+
+    /// Admission: refuses honestly, before any work starts, when a stop or
+    /// the preset refuses new work or the daemon is at its in-flight limit.
+    fn admit(&self, preset: &Preset) -> Result<AdmissionGuard<P>, Response<ReplyBody>> {
+        if self.is_draining() || preset.refuse_new_work {
+            return Err(not_now("maintenance", "not taking new work"));
+        }
+        let (before, guard) = self.enter();
+        if before >= preset.max_in_flight {
+            return Err(refuse(
+                StatusCode::TOO_MANY_REQUESTS,
+                "over_capacity",
+                "daemon at its in-flight limit",
+                Some(RETRY_AFTER_S),
+            ));
+        }
+        Ok(guard)
+    }
+}
--- a/crates/router/src/idempotency.rs
+++ b/crates/router/src/idempotency.rs
@@ -6,16 +6,27 @@
 //! call, and records the outcome after. A retry of a finished call gets
 //! the recorded answer; a retry while the outcome is unknown is told so.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde::Deserialize;
 use umberglade_wire::WireError;
 use umberglade_wire::ids::RowVersion;
 use umberglade_wire::plain::IDEMPOTENCY_TABLE;
 use umberglade_wire::plain::IdempotencyRecord;
+use umberglade_wire::pool;
 
 use crate::platform::PlatformClient;
 use crate::platform::WriteOutcome;
 
 /// Claims before giving up on a key that keeps changing under us.
 const CLAIM_ATTEMPTS: usize = 3;
+/// Tries to settle a claim whose outcome the platform never told.
+const SETTLE_ATTEMPTS: u32 = 12;
+/// The pause before the first of them; each next one is longer.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
 
 /// What a claim on a key came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,12 +42,19 @@
 /// The records of one platform table service.
 #[derive(Debug, Clone)]
 pub struct IdempotencyLedger {
-    pub platform: PlatformClient,
-    /// Who claims, written into the record.
-    pub daemon: String,
+    platform: PlatformClient,
+    /// Daemon id and incarnation: no two processes share it.
+    claimant: Arc<str>,
+    next_claim: Arc<AtomicU64>,
 }
 
 impl IdempotencyLedger {
+    /// The ledger of daemon `daemon_id` in its run `incarnation`.
+    pub fn new(platform: PlatformClient, daemon_id: &str, incarnation: u64) -> Self {
+        let claimant = format!("{daemon_id}-{incarnation:x}").into();
+        IdempotencyLedger { platform, claimant, next_claim: Arc::new(AtomicU64::new(0)) }
+    }
+
     /// The record's key for `key` of `organisation`: keys of different
     /// organisations never meet.
     pub fn record_key(organisation: &str, key: &str) -> String {
@@ -47,10 +65,14 @@
     ///
     /// Guards against running twice: the claim is a conditional write on
     /// the version read, so of two daemons racing for one key exactly one
-    /// writes; a lost reply is read back (`put_checked`) before it is
-    /// judged, so a claim that took effect is never claimed again.
+    /// writes. A reply that is lost is read back (`put_checked`), and the
+    /// claim's own number tells our write from another attempt's: without
+    /// it, two retries racing through one daemon wrote the same value, and
+    /// the loser, its conflict lost, took the winner's record for its own
+    /// and ran the call a second time.
     pub async fn claim(&self, record_key: &str) -> Result<Claim, WireError> {
-        let started = IdempotencyRecord::Started { daemon: self.daemon.clone() };
+        let number = self.next_claim.fetch_add(1, Ordering::Relaxed);
+        let started = IdempotencyRecord::Started { claim: format!("{}-{number}", self.claimant) };
         for _ in 0..CLAIM_ATTEMPTS {
             let current = self.platform.get(IDEMPOTENCY_TABLE, record_key).await?;
             let expect_version = match current {
@@ -63,13 +85,19 @@
                     Ok(IdempotencyRecord::NotRun { .. }) => row.version,
                 },
             };
-            match self
+            let written = self
                 .platform
                 .put_checked(IDEMPOTENCY_TABLE, record_key, expect_version, &started)
-                .await?
-            {
-                WriteOutcome::Written(row) => return Ok(Claim::Claimed { version: row.version }),
-                WriteOutcome::Conflict { .. } => continue,
+                .await;
+            match written {
+                Ok(WriteOutcome::Written(row)) => {
+                    return Ok(Claim::Claimed { version: row.version });
+                }
+                Ok(WriteOutcome::Conflict { .. }) => continue,
+                Err(error) => {
+                    self.settle_later(record_key, started);
+                    return Err(error);
+                }
             }
         }
         Ok(Claim::InProgress)
@@ -93,4 +121,50 @@
             }
         }
     }
+
+    /// Frees a key whose claim may have been written though we told the
+    /// caller that nothing ran.
+    ///
+    /// Guards against a key stuck for good: the platform went down between
+    /// our write and its reply, the caller was refused ("not run"), and
+    /// its retry would find a claim that nobody will ever finish.
+    fn settle_later(&self, record_key: &str, started: IdempotencyRecord) {
+        let ledger = self.clone();
+        let record_key = record_key.to_owned();
+        pool::spawn(async move {
+            for attempt in 1..=SETTLE_ATTEMPTS {
+                smol::Timer::after(SETTLE_PAUSE * attempt).await;
+                if ledger.release(&record_key, &started).await.is_ok() {
+                    return;
+                }
+            }
+            tracing::warn!(record_key, "claim not settled; its outcome stays unknown");
+        });
+    }
+
+    /// Marks `record_key` as not run if it still holds our own claim.
+    async fn release(
+        &self,
+        record_key: &str,
+        started: &IdempotencyRecord,
+    ) -> Result<(), WireError> {
+        let row = self.platform.get(IDEMPOTENCY_TABLE, record_key).await?;
+        // With no row yet, the write may still be applied late: a record
+        // at version 1 makes its condition fail.
+        let version = match row {
+            None => 0,
+            Some(row) if holds(&row.value, started) => row.version,
+            Some(_) => return Ok(()),
+        };
+        let not_run = IdempotencyRecord::NotRun { status: 503, body: "not sent".into() };
+        self.platform
+            .put_checked(IDEMPOTENCY_TABLE, record_key, version, &not_run)
+            .await
+            .map(|_| ())
+    }
+}
+
+/// True when `value` is the record `expected`.
+fn holds(value: &serde_json::Value, expected: &IdempotencyRecord) -> bool {
+    IdempotencyRecord::deserialize(value).is_ok_and(|record| record == *expected)
 }
--- a/crates/router/src/operator.rs
+++ b/crates/router/src/operator/mod.rs
@@ -5,8 +5,13 @@
 //! two shifts acting at the same moment get one winner and one
 //! [`OperatorError::Conflict`], never a silent overwrite.
 
+mod snapshot;
+
+use std::time::Duration;
+
 use snafu::Snafu;
 use umberglade_wire::WireError;
+use umberglade_wire::engine::EngineRole;
 use umberglade_wire::ids::RowVersion;
 use umberglade_wire::platform::ACTIVE_KEY;
 use umberglade_wire::platform::ActivePreset;
@@ -14,10 +19,15 @@
 use umberglade_wire::platform::DRAINS_KEY;
 use umberglade_wire::platform::DrainBook;
 use umberglade_wire::platform::DrainOrder;
+use umberglade_wire::platform::MEMBERS_TABLE;
+use umberglade_wire::platform::MemberRecord;
 use umberglade_wire::platform::ORGANISATIONS_KEY;
 use umberglade_wire::platform::OrganisationBook;
 use umberglade_wire::platform::OrganisationEntry;
 use umberglade_wire::platform::PRESETS_TABLE;
+use umberglade_wire::platform::ROLE_ORDERS_KEY;
+use umberglade_wire::platform::RoleOrder;
+use umberglade_wire::platform::RoleOrderBook;
 use umberglade_wire::platform::Row;
 
 use crate::platform::PlatformClient;
@@ -43,11 +53,23 @@
     /// The named preset does not exist.
     #[snafu(display("no preset named `{name}`"))]
     NoSuchPreset { name: String },
+    /// The named snapshot does not exist.
+    #[snafu(display("no snapshot named `{name}`"))]
+    NoSuchSnapshot { name: String },
     /// A row in the table is not of the shape this version expects.
     #[snafu(display("row {what} is malformed: {message}"))]
     Malformed { what: String, message: String },
 }
 
+/// One daemon as its membership row shows it.
+#[derive(Debug, Clone)]
+pub struct MemberLine {
+    pub record: MemberRecord,
+    /// Since its last renewal, by the table service's clock.
+    pub age: Duration,
+    pub is_live: bool,
+}
+
 /// The operators' side of the platform's table.
 #[derive(Debug, Clone)]
 pub struct OperatorActions {
@@ -149,6 +171,34 @@
         .await
     }
 
+    /// Asks for `server` to serve `role`; the holder of the duty orders it.
+    pub async fn want_role(&self, server: &str, role: EngineRole) -> Result<Row, OperatorError> {
+        let order = RoleOrder { role, by: self.actor.clone() };
+        self.update_book::<RoleOrderBook>(ROLE_ORDERS_KEY, |book| {
+            book.servers.insert(server.to_owned(), order.clone());
+        })
+        .await
+    }
+
+    /// Every daemon's membership row, and which leases are live.
+    pub async fn members(&self, lease: Duration) -> Result<Vec<MemberLine>, OperatorError> {
+        let list = self
+            .platform
+            .list(MEMBERS_TABLE)
+            .await
+            .map_err(|source| OperatorError::Platform { step: "list members", source })?;
+        let mut lines = Vec::new();
+        for row in &list.rows {
+            let record = serde_json::from_value(row.value.clone()).map_err(|error| {
+                let what = format!("members/{}", row.key);
+                OperatorError::Malformed { what, message: error.to_string() }
+            })?;
+            let age = Duration::from_millis(list.now_ms.saturating_sub(row.written_ms));
+            lines.push(MemberLine { record, age, is_live: age < lease });
+        }
+        Ok(lines)
+    }
+
     /// Read, change, conditional write; on a conflict, read again. Bounded.
     async fn update_book<T>(
         &self,
--- /dev/null
+++ b/crates/router/src/operator/snapshot.rs
@@ -0,0 +1,111 @@
+//! Snapshots: a copy of what operators have set, kept in the platform's
+//! object store.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use umberglade_wire::WireError;
+use umberglade_wire::platform::CONTROL_TABLE;
+use umberglade_wire::platform::PRESETS_TABLE;
+use umberglade_wire::platform::Row;
+
+use super::OperatorActions;
+use super::OperatorError;
+use super::written;
+
+/// Where snapshots stand in the object store.
+const SNAPSHOT_PREFIX: &str = "snapshots/";
+
+/// What a snapshot holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SnapshotBook {
+    /// Who saved it.
+    pub by: String,
+    pub presets: Vec<Row>,
+    pub control: Vec<Row>,
+}
+
+impl OperatorActions {
+    /// Saves every preset and control row as snapshot `name`; returns how
+    /// many rows it holds.
+    pub async fn save_snapshot(&self, name: &str) -> Result<usize, OperatorError> {
+        let presets = self.rows(PRESETS_TABLE).await?;
+        let control = self.rows(CONTROL_TABLE).await?;
+        let count = presets.len() + control.len();
+        let book = SnapshotBook { by: self.actor.clone(), presets, control };
+        let body = Bytes::from(serde_json::to_vec(&book).expect("serialising a snapshot"));
+        self.platform
+            .put_object(&object_name(name), body)
+            .await
+            .map_err(|source| platform("write snapshot", source))?;
+        Ok(count)
+    }
+
+    /// Names of the snapshots there are.
+    pub async fn list_snapshots(&self) -> Result<Vec<String>, OperatorError> {
+        let list = self
+            .platform
+            .list_objects(SNAPSHOT_PREFIX)
+            .await
+            .map_err(|source| platform("list snapshots", source))?;
+        let short = |name: &String| name.trim_start_matches(SNAPSHOT_PREFIX).to_owned();
+        Ok(list.names.iter().map(short).collect())
+    }
+
+    /// Writes the rows of snapshot `name` back where they differ, each as a
+    /// new version conditional on the one read just before: daemons take
+    /// them as any other change, and a shift that acts meanwhile makes
+    /// this a conflict. Returns how many rows were written.
+    pub async fn restore_snapshot(&self, name: &str) -> Result<usize, OperatorError> {
+        let body = self
+            .platform
+            .get_object(&object_name(name))
+            .await
+            .map_err(|source| platform("read snapshot", source))?
+            .ok_or_else(|| OperatorError::NoSuchSnapshot { name: name.to_owned() })?;
+        let book: SnapshotBook = serde_json::from_slice(&body).map_err(|error| {
+            let what = format!("snapshots/{name}");
+            OperatorError::Malformed { what, message: error.to_string() }
+        })?;
+        let presets = self.restore_table(PRESETS_TABLE, &book.presets).await?;
+        let control = self.restore_table(CONTROL_TABLE, &book.control).await?;
+        Ok(presets + control)
+    }
+
+    async fn restore_table(
+        &self,
+        table: &'static str,
+        rows: &[Row],
+    ) -> Result<usize, OperatorError> {
+        let current = self.rows(table).await?;
+        let mut count = 0;
+        for row in rows {
+            let now = current.iter().find(|now| now.key == row.key);
+            if now.is_some_and(|now| now.value == row.value) {
+                continue;
+            }
+            let version = now.map_or(0, |now| now.version);
+            let outcome = self
+                .platform
+                .put_checked(table, &row.key, version, &row.value)
+                .await
+                .map_err(|source| platform("restore row", source))?;
+            written(outcome, format!("{table}/{}", row.key))?;
+            count += 1;
+        }
+        Ok(count)
+    }
+
+    async fn rows(&self, table: &'static str) -> Result<Vec<Row>, OperatorError> {
+        let list = self.platform.list(table).await;
+        list.map(|list| list.rows).map_err(|source| platform("list rows", source))
+    }
+}
+
+fn object_name(name: &str) -> String {
+    format!("{SNAPSHOT_PREFIX}{name}")
+}
+
+fn platform(step: &'static str, source: WireError) -> OperatorError {
+    OperatorError::Platform { step, source }
+}
--- a/crates/router/src/pipeline/cancel.rs
+++ b/crates/router/src/pipeline/cancel.rs
@@ -4,14 +4,19 @@
 
 use http::Method;
 use smallvec::SmallVec;
+use umberglade_wire::WireError;
 use umberglade_wire::client::HttpClient;
 use umberglade_wire::engine::CancelOrder;
 use umberglade_wire::engine::CancelReply;
 use umberglade_wire::ids::RequestId;
 use umberglade_wire::pool;
 
-/// Bound on one cancel order.
+/// Bound on one cancel order sent after the request's end.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Tries of such a cancel before the engine's own deadline must do.
+const CANCEL_ATTEMPTS: u32 = 3;
+/// Bound on a cancel that a request waits for.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Sends a cancel to every server it names when dropped while armed.
 ///
@@ -35,7 +40,9 @@
 
     /// Names one more server that may hold the request.
     pub fn add(&mut self, addr: &str) {
-        self.servers.push(addr.to_owned());
+        if !self.servers.iter().any(|server| server == addr) {
+            self.servers.push(addr.to_owned());
+        }
     }
 
     /// Forgets `addr`: it has confirmed it holds nothing.
@@ -43,6 +50,24 @@
         self.servers.retain(|server| server != addr);
     }
 
+    /// Cancels at `addr` now; true when it confirmed that it holds nothing
+    /// of the request any more. If not, it stays named and is told again
+    /// at the end.
+    pub async fn confirm(&mut self, addr: &str) -> bool {
+        match cancel(addr, &self.request_id, CONFIRM_TIMEOUT).await {
+            Ok(_) => {
+                self.remove(addr);
+                true
+            }
+            // Nothing listens there: what held the request is gone.
+            Err(error) if error.is_unsent() => {
+                self.remove(addr);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// The answer is whole: send no cancels.
     pub fn disarm(&mut self) {
         self.armed = false;
@@ -51,21 +76,31 @@
 
 impl Drop for CancelOnDrop {
     fn drop(&mut self) {
-        if !self.armed || self.servers.is_empty() {
+        if !self.armed {
             return;
         }
-        let order = CancelOrder { request_id: self.request_id.clone() };
         for addr in self.servers.drain(..) {
-            let order = order.clone();
-            pool::spawn(async move {
-                let client = HttpClient::new(addr, CANCEL_TIMEOUT);
-                let sent = client
-                    .call::<_, CancelReply>("cancel", Method::POST, "/v1/cancel", Some(&order))
-                    .await;
-                if let Err(error) = sent {
-                    tracing::warn!(request_id = %order.request_id, %error, "cancel not delivered");
-                }
-            });
+            let request_id = self.request_id.clone();
+            pool::spawn(async move { cancel_surely(&addr, &request_id).await });
+        }
+    }
+}
+
+async fn cancel_surely(addr: &str, request_id: &RequestId) {
+    for attempt in 1..=CANCEL_ATTEMPTS {
+        match cancel(addr, request_id, CANCEL_TIMEOUT).await {
+            Ok(_) => return,
+            Err(error) if error.is_unsent() => return,
+            Err(error) => tracing::warn!(%request_id, attempt, %error, "cancel not delivered"),
         }
     }
 }
+
+async fn cancel(
+    addr: &str,
+    request_id: &RequestId,
+    timeout: Duration,
+) -> Result<CancelReply, WireError> {
+    let order = CancelOrder { request_id: request_id.clone() };
+    HttpClient::new(addr, timeout).call("cancel", Method::POST, "/v1/cancel", Some(&order)).await
+}
--- /dev/null
+++ b/crates/router/src/pipeline/decode.rs
@@ -0,0 +1,169 @@
+//! The decode step: the KV cache handed to a decode server, its token
+//! stream begun.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use hyper::body::Incoming;
+use umberglade_wire::WireError;
+use umberglade_wire::client::HttpClient;
+use umberglade_wire::engine::DecodeOrder;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::lines::LineReader;
+
+use super::RunFailure;
+use super::prefill::KvExportClaim;
+use super::run::Claimed;
+use super::run::RequestRun;
+use super::run::RoomWaker;
+use super::run::observe_load;
+use crate::control::InFlightGuard;
+use crate::control::ServerSlot;
+use crate::events;
+use crate::placement::Placement;
+
+/// Bound on a decode server's answer head: it fetches the KV cache first.
+const DECODE_START_TIMEOUT: Duration = Duration::from_secs(3);
+/// Decode servers tried at once for one export.
+const DECODE_ATTEMPTS: usize = 3;
+/// An export with less time left than this is not sent to another server.
+const EXPORT_MARGIN: Duration = Duration::from_millis(50);
+const STEP: &str = "decode";
+
+/// A decode stream that has begun, with the counts it holds.
+#[derive(Debug)]
+pub(crate) struct DecodeStream {
+    pub reader: LineReader,
+    pub slot: Arc<ServerSlot>,
+    _guard: InFlightGuard,
+    _waker: RoomWaker,
+}
+
+impl<P: Placement> RequestRun<P> {
+    /// Hands `export` to the claimed decode server, or to another: a full
+    /// server refuses before it fetches, so the finished prefill is kept
+    /// and offered on for as long as its server keeps it.
+    pub async fn decode(
+        &mut self,
+        claimed: Claimed,
+        export: KvExportClaim,
+        resume_from: u32,
+    ) -> Result<DecodeStream, RunFailure> {
+        let mut claimed = claimed;
+        let mut tried = 1;
+        loop {
+            let failure = match self.begin_decode(claimed, &export, resume_from).await {
+                Ok(stream) => return Ok(stream),
+                Err(failure) => failure,
+            };
+            let is_full = matches!(failure, RunFailure::Refused { status: 429 | 503, .. });
+            let time_left = export.kept_until.saturating_duration_since(Instant::now());
+            if !is_full || time_left < EXPORT_MARGIN {
+                return Err(failure);
+            }
+            claimed = match self.next_decode(&export, tried, time_left - EXPORT_MARGIN).await {
+                Some(next) => next,
+                None => return Err(failure),
+            };
+            tried += 1;
+        }
+    }
+
+    /// Another decode server for `export`: at once, or, when all were
+    /// tried, as soon as one has room.
+    async fn next_decode(
+        &mut self,
+        export: &KvExportClaim,
+        tried: usize,
+        patience: Duration,
+    ) -> Option<Claimed> {
+        let pool = self.decode_pool();
+        if tried < DECODE_ATTEMPTS
+            && let Some(claimed) = self.place_decode(&pool, &export.slot)
+        {
+            return Some(claimed);
+        }
+        if !self.daemon.shared.placement.waits_for_room() {
+            return None;
+        }
+        self.forget_passed_over();
+        smol::Timer::after(EXPORT_MARGIN).await;
+        let place = || self.place_decode(&self.decode_pool(), &export.slot);
+        self.room().enter(self.admitted.priority, patience, place).await.ok()
+    }
+
+    fn decode_pool(&self) -> crate::control::ServerPool {
+        let snapshot = self.daemon.shared.control.current();
+        snapshot.candidates(EngineRole::Decode, &self.admitted.model)
+    }
+
+    async fn begin_decode(
+        &mut self,
+        claimed: Claimed,
+        export: &KvExportClaim,
+        resume_from: u32,
+    ) -> Result<DecodeStream, RunFailure> {
+        let Claimed { slot, guard, choice } = claimed;
+        tracing::info!(
+            event = events::DECODE_PLACED,
+            request_id = %self.admitted.request_id,
+            server = %slot.entry.server,
+            domain = %slot.entry.domain,
+            attempt = self.attempt,
+            scores = ?choice.scores,
+            kv_bytes = export.reply.kv_bytes,
+            "decode placed"
+        );
+        let order = self.decode_order(export, resume_from);
+        self.cancel.add(&slot.entry.addr);
+        match send_decode(&slot, &order).await {
+            Ok(response) => {
+                slot.succeeded();
+                self.cancel.remove(&export.slot.entry.addr);
+                let reader = LineReader::new(response.into_body());
+                let waker = RoomWaker(self.room());
+                Ok(DecodeStream { reader, slot, _guard: guard, _waker: waker })
+            }
+            Err(error) => Err(self.step_failed(STEP, &slot, error).await),
+        }
+    }
+
+    fn decode_order(&self, export: &KvExportClaim, resume_from: u32) -> DecodeOrder {
+        let admitted = &self.admitted;
+        DecodeOrder {
+            request_id: admitted.request_id.clone(),
+            organisation: admitted.organisation.clone(),
+            model: admitted.model.clone(),
+            kv_source: export.slot.entry.addr.clone(),
+            kv_handle: export.reply.kv_handle,
+            prompt_tokens: admitted.shape.tokens + resume_from,
+            max_tokens: admitted.max_tokens,
+            answer_seed: admitted.shape.digest,
+            resume_from,
+            priority: admitted.priority,
+            fence: self.fence(),
+            deadline_ms: self.remaining().as_millis() as u64,
+        }
+    }
+}
+
+async fn send_decode(
+    slot: &ServerSlot,
+    order: &DecodeOrder,
+) -> Result<Response<Incoming>, WireError> {
+    let client = HttpClient::new(slot.entry.addr.clone(), DECODE_START_TIMEOUT);
+    let body = Bytes::from(serde_json::to_vec(order).expect("serialising an order"));
+    let response = client.send(STEP, Method::POST, "/v1/decode", Some(body)).await?;
+    observe_load(slot, &response);
+    if response.status().is_success() {
+        return Ok(response);
+    }
+    match client.read_whole(STEP, response).await {
+        Err(error) => Err(error),
+        Ok(_) => unreachable!("read_whole fails for every status outside 2xx"),
+    }
+}
--- a/crates/router/src/pipeline/plain.rs
+++ b/crates/router/src/pipeline/plain.rs
@@ -1,90 +1,73 @@
-//! Calls to plain services (booking-desk, organisation-desk), run at most
-//! once through the idempotency ledger.
+//! Calls to plain services (booking-desk, organisation-desk): actions run
+//! at most once through the idempotency ledger, lookups repeated within
+//! the retry budget.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Method;
-use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use umberglade_wire::WireError;
 use umberglade_wire::client::HttpClient;
 use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::Priority;
 use umberglade_wire::ids::OrganisationId;
+use umberglade_wire::ids::ServerId;
 use umberglade_wire::plain::IdempotencyRecord;
 use umberglade_wire::plain::PlainCall;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
-use umberglade_wire::server::read_body;
 
+use crate::control::ServerSlot;
 use crate::daemon::Daemon;
-use crate::daemon::RETRY_AFTER_S;
-use crate::daemon::refuse;
 use crate::events;
+use crate::front::RETRY_AFTER_S;
+use crate::front::not_now;
+use crate::front::refuse;
 use crate::idempotency::Claim;
 use crate::idempotency::IdempotencyLedger;
 use crate::placement::Placement;
-use crate::platform::PlatformClient;
+use crate::placement::PlacementNeed;
 use crate::prompt::text_shape;
 
-/// The header that names a non-idempotent action.
-pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-/// Bound on one call to a plain service.
-const PLAIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bound on one call that may run only once.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bound on one try of a lookup: the caller is on the phone.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
+/// Servers tried for one call or lookup.
+const MAX_ATTEMPTS: usize = 3;
 /// Statuses by which a plain service promises that it did not run a call.
 const NOT_RUN_STATUSES: [u16; 2] = [429, 503];
-/// Longest idempotency key accepted.
-const MAX_KEY_BYTES: usize = 200;
+
+/// One call that must not run twice.
+pub(crate) struct ServiceCall {
+    pub organisation: OrganisationId,
+    pub service: String,
+    pub idempotency_key: String,
+    pub payload: serde_json::Value,
+}
+
+/// What became of a call at the servers.
+enum CallOutcome {
+    /// A server ran it and answered with this.
+    Answered { status: u16, body: String },
+    /// No server ran it.
+    NotRun { message: String, retry_after_s: u64 },
+    /// A server may have run it.
+    Unknown { message: String },
+}
 
 impl<P: Placement> Daemon<P> {
-    /// `POST /v1/services/{service}/call`: one non-idempotent call.
-    pub(crate) async fn plain_call(
-        &self,
-        request: Request<Incoming>,
-        organisation: OrganisationId,
-        service: String,
-    ) -> Response<ReplyBody> {
-        let key = request
-            .headers()
-            .get(IDEMPOTENCY_KEY)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned);
-        let Some(key) = key.filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES) else {
-            let message = "calls to plain services need an Idempotency-Key header (1 to 200 bytes)";
-            return refuse(StatusCode::BAD_REQUEST, "invalid_request_error", message, None);
-        };
-        let payload = match read_body(request.into_body()).await.and_then(|body| {
-            serde_json::from_slice::<serde_json::Value>(&body)
-                .map_err(|error| format!("request body: {error}"))
-        }) {
-            Ok(payload) => payload,
-            Err(message) => {
-                return refuse(StatusCode::BAD_REQUEST, "invalid_request_error", &message, None);
-            }
-        };
-        let snapshot = self.shared.control.current();
-        let candidates = snapshot.candidates(EngineRole::Plain, &service);
-        let Some(choice) = self.shared.placement.decode(&candidates, &text_shape(&key)) else {
-            let message = format!("no live server for service `{service}`; it was not run");
-            return refuse(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no_server",
-                &message,
-                Some(RETRY_AFTER_S),
-            );
-        };
-        let ledger = IdempotencyLedger {
-            platform: PlatformClient::new(
-                self.shared.settings.platform.clone(),
-                self.shared.settings.platform_timeout,
-            ),
-            daemon: self.shared.settings.daemon_id.clone(),
-        };
-        let record_key = IdempotencyLedger::record_key(&organisation, &key);
-        let version = match ledger.claim(&record_key).await {
+    /// Runs `call` at most once, whatever retries and races come.
+    pub(crate) async fn call_once(&self, call: ServiceCall) -> Response<ReplyBody> {
+        if self.plain_slot(&call.service, &[]).is_none() {
+            return no_server(&call.service);
+        }
+        let record_key = IdempotencyLedger::record_key(&call.organisation, &call.idempotency_key);
+        let version = match self.shared.ledger.claim(&record_key).await {
             Ok(Claim::Claimed { version }) => version,
             Ok(Claim::Replay { status, body }) => return replay(&record_key, status, body),
             Ok(Claim::InProgress) => {
@@ -94,81 +77,162 @@
             Err(error) => {
                 tracing::warn!(event = events::STEP_FAILED, %record_key, %error, "idempotency claim failed");
                 let message = "the idempotency record could not be written; the call was not run";
-                return refuse(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "platform_unavailable",
-                    message,
-                    Some(RETRY_AFTER_S),
-                );
+                return not_now("platform_unavailable", message);
             }
         };
-        let slot = &candidates[choice.index];
-        tracing::info!(event = events::PLAIN_PLACED, %service, server = %slot.entry.server, %record_key, "plain call placed");
-        let _guard = slot.begin();
-        let call = PlainCall { organisation, idempotency_key: key, payload };
-        let client = HttpClient::new(slot.entry.addr.clone(), PLAIN_TIMEOUT);
-        let answer = client
-            .call::<_, serde_json::Value>("plain call", Method::POST, "/v1/call", Some(&call))
-            .await;
-        self.plain_outcome(&ledger, &record_key, version, answer).await
+        let outcome = self.send_call(call, &record_key).await;
+        self.conclude_call(&record_key, version, outcome).await
+    }
+
+    /// Sends the call to a server; to another only when the one before
+    /// promised that it did not run it.
+    async fn send_call(&self, call: ServiceCall, record_key: &str) -> CallOutcome {
+        let ServiceCall { organisation, service, idempotency_key, payload } = call;
+        let body = PlainCall { organisation, idempotency_key, payload };
+        let mut tried: Vec<ServerId> = Vec::new();
+        let mut retry_after_s = RETRY_AFTER_S;
+        self.shared.budget.earn();
+        while let Some(slot) = self.plain_slot(&service, &tried) {
+            tracing::info!(event = events::PLAIN_PLACED, service, server = %slot.entry.server, record_key, "plain call placed");
+            let _guard = slot.begin(0);
+            let client = HttpClient::new(slot.entry.addr.clone(), CALL_TIMEOUT);
+            let sent = client
+                .call::<_, serde_json::Value>("plain call", Method::POST, "/v1/call", Some(&body))
+                .await;
+            match sent {
+                Ok(value) => {
+                    slot.succeeded();
+                    return CallOutcome::Answered { status: 200, body: value.to_string() };
+                }
+                Err(WireError::Status { status, body, .. })
+                    if !NOT_RUN_STATUSES.contains(&status) =>
+                {
+                    return CallOutcome::Answered { status, body };
+                }
+                Err(error) => {
+                    tracing::warn!(event = events::STEP_FAILED, record_key, %error, "plain call failed");
+                    slot.failed();
+                    let is_refused = error.status().is_some();
+                    if !is_refused && !error.is_unsent() {
+                        return CallOutcome::Unknown { message: error.to_string() };
+                    }
+                    if let WireError::Status { retry_after_s: Some(seconds), .. } = error {
+                        retry_after_s = seconds;
+                    }
+                }
+            }
+            tried.push(slot.entry.server.clone());
+            if tried.len() >= MAX_ATTEMPTS || !self.shared.budget.spend() {
+                break;
+            }
+        }
+        let message = format!("no server of `{service}` took the call; it was not run");
+        CallOutcome::NotRun { message, retry_after_s }
     }
 
-    async fn plain_outcome(
+    async fn conclude_call(
         &self,
-        ledger: &IdempotencyLedger,
         record_key: &str,
         version: u64,
-        answer: Result<serde_json::Value, WireError>,
+        outcome: CallOutcome,
     ) -> Response<ReplyBody> {
-        match answer {
-            Ok(value) => {
-                let body = value.to_string();
-                ledger
-                    .finish(
-                        record_key,
-                        version,
-                        &IdempotencyRecord::Done { status: 200, body: body.clone() },
-                    )
-                    .await;
-                reply::whole(StatusCode::OK, "application/json", Bytes::from(body))
-            }
-            // Any other status is the service's own answer: it may have run
-            // (a 500 halfway through), so it is recorded and given again.
-            Err(WireError::Status { status, body, .. }) if !NOT_RUN_STATUSES.contains(&status) => {
+        let ledger = &self.shared.ledger;
+        match outcome {
+            // Any answer that does not promise otherwise may have run the
+            // action (a 500 halfway through): it is recorded and given
+            // again to a retry.
+            CallOutcome::Answered { status, body } => {
                 let record = IdempotencyRecord::Done { status, body: body.clone() };
                 ledger.finish(record_key, version, &record).await;
-                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-                reply::whole(status, "application/json", Bytes::from(body))
+                answered(status, body)
             }
-            Err(WireError::Status { status, body, retry_after_s, .. }) => {
-                ledger
-                    .finish(
-                        record_key,
-                        version,
-                        &IdempotencyRecord::NotRun { status, body: body.clone() },
-                    )
-                    .await;
-                let message = format!("the service refused the call ({status}); it was not run");
+            CallOutcome::NotRun { message, retry_after_s } => {
+                let record = IdempotencyRecord::NotRun { status: 503, body: message.clone() };
+                ledger.finish(record_key, version, &record).await;
+                refuse(StatusCode::SERVICE_UNAVAILABLE, "not_run", &message, Some(retry_after_s))
+            }
+            CallOutcome::Unknown { message } => {
+                let message = format!(
+                    "{message}; the call may have run: do not repeat it under a new key, ask again with the same key"
+                );
                 refuse(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "server_refused",
+                    StatusCode::GATEWAY_TIMEOUT,
+                    "outcome_unknown",
                     &message,
-                    retry_after_s.or(Some(RETRY_AFTER_S)),
+                    Some(RETRY_AFTER_S),
                 )
             }
-            Err(error) => {
-                tracing::warn!(event = events::STEP_FAILED, record_key, %error, "plain call unanswered; outcome unknown");
-                let message = "the service did not answer; the call may have run; do not repeat it under a new key, ask again with the same key";
-                refuse(StatusCode::GATEWAY_TIMEOUT, "outcome_unknown", message, Some(RETRY_AFTER_S))
+        }
+    }
+
+    /// A lookup, which may be repeated: tried on other servers when one
+    /// refuses, fails or does not answer in time.
+    pub(crate) async fn lookup(&self, service: &str, what: &str) -> Response<ReplyBody> {
+        let path = format!("/v1/lookup/{what}");
+        let mut tried: Vec<ServerId> = Vec::new();
+        self.shared.budget.earn();
+        while let Some(slot) = self.plain_slot(service, &tried) {
+            tracing::info!(event = events::PLAIN_PLACED, service, server = %slot.entry.server, "lookup placed");
+            let _guard = slot.begin(0);
+            match send_lookup(&slot, &path).await {
+                Ok(body) => {
+                    slot.succeeded();
+                    return reply::whole(StatusCode::OK, "application/json", body);
+                }
+                Err(error) => {
+                    tracing::warn!(event = events::STEP_FAILED, server = %slot.entry.server, %error, "lookup failed");
+                    slot.failed();
+                }
             }
+            tried.push(slot.entry.server.clone());
+            if tried.len() >= MAX_ATTEMPTS || !self.shared.budget.spend() {
+                break;
+            }
+        }
+        if tried.is_empty() {
+            return no_server(service);
         }
+        let message = format!("no server of `{service}` answered the lookup");
+        refuse(StatusCode::BAD_GATEWAY, "lookup_failed", &message, Some(RETRY_AFTER_S))
     }
+
+    fn plain_slot(&self, service: &str, avoid: &[ServerId]) -> Option<Arc<ServerSlot>> {
+        let snapshot = self.shared.control.current();
+        let preset = snapshot.preset.as_ref()?;
+        let pool = snapshot.candidates(EngineRole::Plain, service);
+        let shape = text_shape("");
+        let need = PlacementNeed {
+            shape: &shape,
+            priority: Priority::Urgent,
+            preset,
+            domain: &self.shared.settings.domain,
+            region: &self.shared.settings.region,
+            avoid,
+        };
+        let choice = self.shared.placement.decode(&pool, &need)?;
+        Some(Arc::clone(&pool[choice.index]))
+    }
+}
+
+async fn send_lookup(slot: &ServerSlot, path: &str) -> Result<Bytes, WireError> {
+    let client = HttpClient::new(slot.entry.addr.clone(), LOOKUP_TIMEOUT);
+    let response = client.send("lookup", Method::GET, path, None).await?;
+    client.read_whole("lookup", response).await
+}
+
+fn no_server(service: &str) -> Response<ReplyBody> {
+    let message = format!("no server of `{service}` takes calls now; the call was not run");
+    not_now("no_server", &message)
+}
+
+fn answered(status: u16, body: String) -> Response<ReplyBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    reply::whole(status, "application/json", Bytes::from(body))
 }
 
 fn replay(record_key: &str, status: u16, body: String) -> Response<ReplyBody> {
     tracing::info!(event = events::PLAIN_REPLAYED, record_key, "recorded answer given to a retry");
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
-    let mut response = reply::whole(status, "application/json", Bytes::from(body));
+    let mut response = answered(status, body);
     response.headers_mut().insert("idempotent-replay", HeaderValue::from_static("true"));
     response
 }
--- /dev/null
+++ b/crates/router/src/pipeline/prefill.rs
@@ -0,0 +1,138 @@
+//! The prefill step: the prompt read on one server, its KV cache exported.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use snafu::ResultExt;
+use umberglade_wire::WireError;
+use umberglade_wire::client::HttpClient;
+use umberglade_wire::engine::PrefillOrder;
+use umberglade_wire::engine::PrefillReply;
+use umberglade_wire::error::DecodeSnafu;
+
+use super::RunFailure;
+use super::run::Claimed;
+use super::run::RequestRun;
+use super::run::observe_load;
+use crate::control::ServerSlot;
+use crate::events;
+use crate::front::RETRY_AFTER_S;
+use crate::placement::Placement;
+
+/// What a prefill may take beyond its prediction before its connection is
+/// taken for dead.
+const PREFILL_SLACK: Duration = Duration::from_millis(1500);
+/// How many times its prediction a prefill may take.
+const PREDICTION_FACTOR: u32 = 3;
+const STEP: &str = "prefill";
+
+/// A finished prefill: whose it is and until when it is kept.
+#[derive(Debug)]
+pub(crate) struct KvExportClaim {
+    pub reply: PrefillReply,
+    pub slot: std::sync::Arc<ServerSlot>,
+    pub kept_until: Instant,
+}
+
+impl<P: Placement> RequestRun<P> {
+    /// Has the prompt (with the first `resume_from` tokens of its answer)
+    /// read on the claimed server.
+    pub async fn prefill(
+        &mut self,
+        claimed: Claimed,
+        resume_from: u32,
+    ) -> Result<KvExportClaim, RunFailure> {
+        let Claimed { slot, guard, choice } = claimed;
+        tracing::info!(
+            event = events::PREFILL_PLACED,
+            request_id = %self.admitted.request_id,
+            server = %slot.entry.server,
+            domain = %slot.entry.domain,
+            attempt = self.attempt,
+            scores = ?choice.scores,
+            "prefill placed"
+        );
+        let order = self.prefill_order(resume_from);
+        let queued = slot.load().queued_tokens;
+        let predicted = self.daemon.shared.pace.predict(queued);
+        let timeout = (predicted * PREDICTION_FACTOR + PREFILL_SLACK).min(self.remaining());
+        self.cancel.add(&slot.entry.addr);
+        let begun = Instant::now();
+        let sent = send_prefill(&slot, &order, timeout).await;
+        drop(guard);
+        self.room().wake_first();
+        match sent {
+            Ok(reply) => {
+                let elapsed = begun.elapsed();
+                self.daemon.shared.pace.observe(queued, elapsed);
+                metrics::histogram!("umberglade_prefill_seconds").record(elapsed.as_secs_f64());
+                slot.succeeded();
+                let keep = Duration::from_millis(self.admitted.preset.prefill_keep_ms);
+                Ok(KvExportClaim { reply, slot, kept_until: Instant::now() + keep })
+            }
+            Err(error) => Err(self.step_failed(STEP, &slot, error).await),
+        }
+    }
+
+    fn prefill_order(&self, resume_from: u32) -> PrefillOrder {
+        let admitted = &self.admitted;
+        PrefillOrder {
+            request_id: admitted.request_id.clone(),
+            organisation: admitted.organisation.clone(),
+            model: admitted.model.clone(),
+            prompt_tokens: admitted.shape.tokens + resume_from,
+            prefix_hash: admitted.shape.prefix_hash,
+            prefix_tokens: admitted.shape.prefix_tokens,
+            priority: admitted.priority,
+            fence: self.fence(),
+            keep_ms: admitted.preset.prefill_keep_ms,
+            deadline_ms: self.remaining().as_millis() as u64,
+            attempt: self.attempt,
+        }
+    }
+
+    /// The fencing number of orders sent now.
+    pub fn fence(&self) -> u64 {
+        self.daemon.shared.control.current().fence
+    }
+
+    /// The failure that `error` of `step` on `slot` means. A server that
+    /// refused holds nothing; one that never answered is told to stop
+    /// before anything else is tried.
+    pub async fn step_failed(
+        &mut self,
+        step: &'static str,
+        slot: &ServerSlot,
+        error: WireError,
+    ) -> RunFailure {
+        let server = slot.entry.server.clone();
+        tracing::warn!(event = events::STEP_FAILED, request_id = %self.admitted.request_id, %server, %error, "step failed");
+        if let WireError::Status { status, retry_after_s, .. } = error {
+            self.cancel.remove(&slot.entry.addr);
+            match status {
+                429 | 503 => self.pass_over(slot),
+                _ => self.give_up_on(slot),
+            }
+            let retry_after_s = retry_after_s.unwrap_or(RETRY_AFTER_S);
+            return RunFailure::Refused { step, server, status, retry_after_s };
+        }
+        self.give_up_on(slot);
+        let stopped = error.is_unsent() || self.cancel.confirm(&slot.entry.addr).await;
+        RunFailure::Unanswered { step, server, stopped }
+    }
+}
+
+async fn send_prefill(
+    slot: &ServerSlot,
+    order: &PrefillOrder,
+    timeout: Duration,
+) -> Result<PrefillReply, WireError> {
+    let client = HttpClient::new(slot.entry.addr.clone(), timeout);
+    let body = Bytes::from(serde_json::to_vec(order).expect("serialising an order"));
+    let response = client.send(STEP, Method::POST, "/v1/prefill", Some(body)).await?;
+    observe_load(slot, &response);
+    let bytes = client.read_whole(STEP, response).await?;
+    serde_json::from_slice(&bytes).context(DecodeSnafu { step: STEP, peer: client.peer.as_str() })
+}
--- a/crates/router/src/pipeline/relay.rs
+++ b/crates/router/src/pipeline/relay.rs
@@ -1,168 +1,108 @@
-//! Relays a decode server's token stream to the caller: as server-sent
-//! events, or gathered into one whole answer.
+//! Gives an answer to its caller: as server-sent events, or gathered into
+//! one whole answer.
 
-use std::time::Duration;
-use std::time::Instant;
+use std::time::SystemTime;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Response;
 use http::StatusCode;
 use umberglade_wire::caller::ChatChoice;
-use umberglade_wire::caller::ChatChunk;
 use umberglade_wire::caller::ChatCompletion;
-use umberglade_wire::caller::ChatDelta;
 use umberglade_wire::caller::ChatMessage;
-use umberglade_wire::caller::ChunkChoice;
 use umberglade_wire::caller::Usage;
-use umberglade_wire::engine::DecodeEvent;
-use umberglade_wire::lines::LineReader;
 use umberglade_wire::pool;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ChunkSender;
 use umberglade_wire::reply::ReplyBody;
 
 use super::Admitted;
-use super::DecodeStream;
-use super::unix_seconds;
-use crate::daemon::Kind;
-use crate::daemon::refuse;
+use super::answer_feed::AnswerFeed;
+use super::answer_feed::FeedStep;
+use super::event_writer::EventWriter;
 use crate::events;
-
-/// Longest silence allowed between two lines of a decode stream. Guards
-/// against a connection that went silent for good: without it the caller
-/// would wait forever; with it the request ends, the decode server gets a
-/// cancel and the caller an error.
-const STALL_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// What the next line of a decode stream brought.
-enum Step {
-    Token(String),
-    Done(u32, String),
-    Broken(String),
-}
-
-async fn next_step(reader: &mut LineReader, admitted: &Admitted, decode_server: &str) -> Step {
-    let line = reader
-        .next_line()
-        .or(async {
-            smol::Timer::after(STALL_TIMEOUT).await;
-            Ok(None)
-        })
-        .await;
-    let line = match line {
-        Ok(Some(line)) => line,
-        Ok(None) => {
-            return Step::Broken(format!("decode stream from {} ended or stalled", decode_server));
-        }
-        Err(error) => {
-            return Step::Broken(format!("decode stream from {}: {error}", decode_server));
-        }
-    };
-    match serde_json::from_slice::<DecodeEvent>(&line) {
-        // Guards against crossed answers: a line for another request is
-        // never passed on, whatever the engine sent.
-        Ok(DecodeEvent::Token { request_id, text, .. }) if request_id == admitted.request_id => {
-            Step::Token(text)
-        }
-        Ok(DecodeEvent::Done { request_id, tokens, finish_reason })
-            if request_id == admitted.request_id =>
-        {
-            Step::Done(tokens, finish_reason)
-        }
-        Ok(DecodeEvent::Failed { message, .. }) => Step::Broken(message),
-        Ok(_) => Step::Broken("decode stream carried another request's answer".into()),
-        Err(error) => Step::Broken(format!("bad decode line: {error}")),
-    }
-}
+use crate::front::CompletionKind;
+use crate::front::RETRY_AFTER_S;
+use crate::front::refuse;
+use crate::placement::Placement;
 
 /// Answers with a server-sent-event stream fed by a task on the pool.
-pub(crate) fn stream_answer<P: Send + Sync + 'static>(
-    admitted: Admitted,
-    stream: DecodeStream<P>,
-) -> Response<ReplyBody> {
+pub(crate) fn stream_answer<P: Placement>(feed: AnswerFeed<P>) -> Response<ReplyBody> {
     let (sender, response) = reply::stream(StatusCode::OK, "text/event-stream");
-    pool::spawn(relay_events(admitted, stream, sender));
+    pool::spawn(async move {
+        let request_id = feed.admitted().request_id.clone();
+        // Guards against engine memory held for a caller who hangs up
+        // while no token is due (a stalled server, a wait for room): no
+        // write fails then, but the body's receiver is gone.
+        let hung_up = async {
+            sender.closed().await;
+            false
+        };
+        if !relay_events(feed, &sender).or(hung_up).await {
+            tracing::info!(event = events::CALLER_GONE, %request_id, "caller gone; cancelling");
+        }
+    });
     response
 }
 
-async fn relay_events<P>(admitted: Admitted, mut stream: DecodeStream<P>, sender: ChunkSender) {
-    let started = Instant::now();
-    let created = unix_seconds();
+/// Relays until the answer ends; false when the caller is gone.
+async fn relay_events<P: Placement>(mut feed: AnswerFeed<P>, sender: &ChunkSender) -> bool {
+    let mut writer = EventWriter::new(feed.admitted(), unix_seconds());
     let mut first = true;
     loop {
-        match next_step(&mut stream.reader, &admitted, &stream.decode_server).await {
-            Step::Token(text) => {
+        match feed.next().await {
+            FeedStep::Token(text) => {
+                writer.token(&text);
+                // One write for all that has arrived: writes and wake-ups
+                // grow with the pace of reads, not with tokens.
+                while let Some(text) = feed.next_arrived() {
+                    writer.token(&text);
+                }
                 if first {
-                    metrics::histogram!("umberglade_ttft_seconds")
-                        .record(started.elapsed().as_secs_f64());
+                    feed.first_token_sent();
+                    first = false;
                 }
-                let role = first.then(|| "assistant".to_owned());
-                first = false;
-                let chunk =
-                    chunk(&admitted, created, ChatDelta { role, content: Some(text) }, None);
-                if !reply::send_chunk(&sender, sse(&chunk)).await {
-                    tracing::info!(event = events::CALLER_GONE, request_id = %admitted.request_id, "caller gone; cancelling");
-                    return;
+                if !reply::send_chunk(sender, writer.take()).await {
+                    return false;
                 }
             }
-            Step::Done(tokens, finish_reason) => {
-                let last = chunk(&admitted, created, ChatDelta::default(), Some(finish_reason));
-                let whole = reply::send_chunk(&sender, sse(&last)).await
-                    && reply::send_chunk(&sender, Bytes::from_static(b"data: [DONE]\n\n")).await;
-                if whole {
-                    stream.cancel.disarm();
-                    completed(&admitted, tokens, started);
+            FeedStep::Done { tokens, finish_reason } => {
+                writer.finish(&finish_reason);
+                let is_sent = reply::send_chunk(sender, writer.take()).await;
+                if is_sent {
+                    feed.delivered(tokens);
                 }
-                return;
+                return is_sent;
             }
-            Step::Broken(message) => {
-                tracing::warn!(event = events::REQUEST_ABANDONED, request_id = %admitted.request_id, %message, "answer cut");
-                let error =
-                    serde_json::json!({ "error": { "message": message, "type": "answer_cut" } });
-                let _ = reply::send_chunk(&sender, Bytes::from(format!("data: {error}\n\n"))).await;
-                return;
+            FeedStep::Cut(message) => {
+                writer.cut(&message);
+                return reply::send_chunk(sender, writer.take()).await;
             }
         }
     }
 }
 
 /// Gathers the whole answer, then answers once.
-pub(crate) async fn whole_answer<P>(
-    admitted: Admitted,
-    mut stream: DecodeStream<P>,
-) -> Response<ReplyBody> {
-    let started = Instant::now();
+pub(crate) async fn whole_answer<P: Placement>(mut feed: AnswerFeed<P>) -> Response<ReplyBody> {
     let mut text = String::new();
     loop {
-        match next_step(&mut stream.reader, &admitted, &stream.decode_server).await {
-            Step::Token(token) => text.push_str(&token),
-            Step::Done(tokens, finish_reason) => {
-                stream.cancel.disarm();
-                completed(&admitted, tokens, started);
-                return whole_reply(&admitted, text, tokens, finish_reason);
+        match feed.next().await {
+            FeedStep::Token(token) => text.push_str(&token),
+            FeedStep::Done { tokens, finish_reason } => {
+                feed.delivered(tokens);
+                return whole_reply(feed.admitted(), text, tokens, finish_reason);
             }
-            Step::Broken(message) => {
-                tracing::warn!(event = events::REQUEST_ABANDONED, request_id = %admitted.request_id, %message, "answer cut");
-                return refuse(StatusCode::BAD_GATEWAY, "answer_cut", &message, None);
+            FeedStep::Cut(message) => {
+                return refuse(
+                    StatusCode::BAD_GATEWAY,
+                    "answer_cut",
+                    &message,
+                    Some(RETRY_AFTER_S),
+                );
             }
         }
     }
 }
 
-fn completed(admitted: &Admitted, tokens: u32, started: Instant) {
-    tracing::info!(
-        event = events::REQUEST_COMPLETED,
-        request_id = %admitted.request_id,
-        organisation = %admitted.organisation,
-        tokens,
-        decode_ms = started.elapsed().as_millis() as u64,
-        "answer whole"
-    );
-    metrics::counter!("umberglade_completed_total", "priority" => admitted.priority.to_string())
-        .increment(1);
-}
-
 fn whole_reply(
     admitted: &Admitted,
     text: String,
@@ -174,7 +114,7 @@
         completion_tokens: tokens,
         total_tokens: admitted.shape.tokens + tokens,
     };
-    if admitted.kind == Kind::Text {
+    if admitted.kind == CompletionKind::Text {
         let body = serde_json::json!({
             "id": admitted.request_id,
             "object": "text_completion",
@@ -200,22 +140,7 @@
     reply::json(StatusCode::OK, &completion)
 }
 
-fn chunk(
-    admitted: &Admitted,
-    created: u64,
-    delta: ChatDelta,
-    finish_reason: Option<String>,
-) -> ChatChunk {
-    ChatChunk {
-        id: admitted.request_id.clone(),
-        object: "chat.completion.chunk".into(),
-        created,
-        model: admitted.model.clone(),
-        choices: vec![ChunkChoice { index: 0, delta, finish_reason }],
-    }
-}
-
-fn sse(chunk: &ChatChunk) -> Bytes {
-    let json = serde_json::to_string(chunk).expect("serialising a chunk");
-    Bytes::from(format!("data: {json}\n\n"))
+/// Seconds since the Unix epoch, for the `created` field of answers.
+fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |since| since.as_secs())
 }
--- /dev/null
+++ b/crates/router/src/pipeline/run.rs
@@ -0,0 +1,256 @@
+//! One request's attempts: room at both servers, prefill, decode; again
+//! elsewhere when a server fails, within the retry budget and the deadline.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::LOAD_HEADER;
+use umberglade_wire::ids::ServerId;
+
+use super::Admitted;
+use super::CancelOnDrop;
+use super::RunFailure;
+use super::decode::DecodeStream;
+use crate::admission::WaitingRoom;
+use crate::control::ControlSnapshot;
+use crate::control::InFlightGuard;
+use crate::control::ServerPool;
+use crate::control::ServerSlot;
+use crate::daemon::AdmissionGuard;
+use crate::daemon::Daemon;
+use crate::events;
+use crate::placement::Choice;
+use crate::placement::Placement;
+use crate::placement::PlacementNeed;
+
+/// Attempts of one request, the first included.
+const MAX_ATTEMPTS: u32 = 4;
+/// The share of a class's first-token target kept for what the prediction
+/// misses: hand-off, first decode step, scheduling.
+const TARGET_MARGIN: f64 = 0.15;
+
+/// A request being worked on. Dropping it cancels what servers still hold.
+pub(crate) struct RequestRun<P> {
+    pub daemon: Daemon<P>,
+    pub admitted: Admitted,
+    pub cancel: CancelOnDrop,
+    pub attempt: u32,
+    deadline: Instant,
+    started: Instant,
+    /// Servers that failed this request.
+    avoid: SmallVec<[ServerId; 4]>,
+    _admission: AdmissionGuard<P>,
+}
+
+/// A server chosen for a step, its in-flight count taken.
+#[derive(Debug)]
+pub(crate) struct Claimed {
+    pub slot: Arc<ServerSlot>,
+    pub guard: InFlightGuard,
+    pub choice: Choice,
+}
+
+/// Both servers of a request.
+#[derive(Debug)]
+pub(crate) struct ClaimedPair {
+    pub prefill: Claimed,
+    pub decode: Claimed,
+}
+
+/// Tells the waiting room that room came free. Declared after the guards
+/// of a struct, it drops after them.
+#[derive(Debug)]
+pub(crate) struct RoomWaker(pub Arc<WaitingRoom>);
+
+impl Drop for RoomWaker {
+    fn drop(&mut self) {
+        self.0.wake_first();
+    }
+}
+
+impl<P: Placement> RequestRun<P> {
+    /// A run of `admitted`, nothing sent yet.
+    pub fn new(daemon: Daemon<P>, admitted: Admitted, admission: AdmissionGuard<P>) -> Self {
+        daemon.shared.budget.earn();
+        let started = Instant::now();
+        RequestRun {
+            cancel: CancelOnDrop::new(admitted.request_id.clone()),
+            deadline: started + Duration::from_millis(admitted.preset.deadline_ms),
+            daemon,
+            admitted,
+            attempt: 0,
+            started,
+            avoid: SmallVec::new(),
+            _admission: admission,
+        }
+    }
+
+    /// Gets a decode stream going at token `resume_from`, trying again
+    /// elsewhere as the budget allows.
+    pub async fn start(&mut self, resume_from: u32) -> Result<DecodeStream, RunFailure> {
+        loop {
+            let failure = match self.try_once(resume_from).await {
+                Ok(stream) => return Ok(stream),
+                Err(failure) => failure,
+            };
+            if !failure.may_retry() || !self.may_try_again() {
+                return Err(failure);
+            }
+            tracing::info!(event = events::ATTEMPT_RETRIED, request_id = %self.admitted.request_id, attempt = self.attempt, %failure, "trying again elsewhere");
+            metrics::counter!("umberglade_retries_total").increment(1);
+        }
+    }
+
+    /// Counts one more attempt, if attempts, time and budget allow it.
+    pub fn may_try_again(&mut self) -> bool {
+        let allowed = self.attempt + 1 < MAX_ATTEMPTS
+            && Instant::now() < self.deadline
+            && self.daemon.shared.budget.spend();
+        if allowed {
+            self.attempt += 1;
+        }
+        allowed
+    }
+
+    async fn try_once(&mut self, resume_from: u32) -> Result<DecodeStream, RunFailure> {
+        if Instant::now() >= self.deadline {
+            let deadline_ms = self.admitted.preset.deadline_ms;
+            return Err(RunFailure::DeadlinePassed { deadline_ms });
+        }
+        let pair = self.claim_pair().await?;
+        let export = self.prefill(pair.prefill, resume_from).await?;
+        self.decode(pair.decode, export, resume_from).await
+    }
+
+    /// Waits for room at a prefill and a decode server and takes it.
+    async fn claim_pair(&self) -> Result<ClaimedPair, RunFailure> {
+        let snapshot = self.daemon.shared.control.current();
+        for role in [EngineRole::Prefill, EngineRole::Decode] {
+            if snapshot.candidates(role, &self.admitted.model).is_empty() {
+                return Err(RunFailure::NoServer { role, model: self.admitted.model.clone() });
+            }
+        }
+        if !self.daemon.shared.placement.waits_for_room() {
+            return self.place_pair().ok_or(RunFailure::NoRoom { retry_after_s: 1 });
+        }
+        self.room()
+            .enter(self.admitted.priority, self.patience(), || self.place_pair())
+            .await
+            .map_err(|refusal| RunFailure::NoRoom { retry_after_s: refusal.retry_after_s })
+    }
+
+    /// Both servers as placed now, or `None` when either has no room. The
+    /// snapshot is read anew: servers may have come while waiting.
+    fn place_pair(&self) -> Option<ClaimedPair> {
+        let snapshot = self.daemon.shared.control.current();
+        let decode_pool = snapshot.candidates(EngineRole::Decode, &self.admitted.model);
+        // Decode first: it is the cheaper question, and when it has no
+        // room the prefill policy must not remember a placement.
+        self.choose_decode(&decode_pool, None)?;
+        let prefill = self.place_prefill(&snapshot)?;
+        let decode = self.place_decode(&decode_pool, &prefill.slot)?;
+        Some(ClaimedPair { prefill, decode })
+    }
+
+    fn place_prefill(&self, snapshot: &ControlSnapshot) -> Option<Claimed> {
+        let pool = snapshot.candidates(EngineRole::Prefill, &self.admitted.model);
+        let settings = &self.daemon.shared.settings;
+        let need = self.need(&settings.domain, &settings.region);
+        let choice = self.daemon.shared.placement.prefill(&pool, &need)?;
+        let slot = Arc::clone(&pool[choice.index]);
+        let guard = slot.begin(u64::from(self.admitted.shape.tokens));
+        Some(Claimed { slot, guard, choice })
+    }
+
+    /// Takes room at a decode server near `prefill`.
+    pub fn place_decode(&self, pool: &ServerPool, prefill: &ServerSlot) -> Option<Claimed> {
+        let choice = self.choose_decode(pool, Some(prefill))?;
+        let slot = Arc::clone(&pool[choice.index]);
+        let guard = slot.begin(0);
+        Some(Claimed { slot, guard, choice })
+    }
+
+    fn choose_decode(&self, pool: &ServerPool, prefill: Option<&ServerSlot>) -> Option<Choice> {
+        let settings = &self.daemon.shared.settings;
+        let (domain, region) = match prefill {
+            Some(prefill) => (&prefill.entry.domain, &prefill.entry.region),
+            None => (&settings.domain, &settings.region),
+        };
+        self.daemon.shared.placement.decode(pool, &self.need(domain, region))
+    }
+
+    fn need<'a>(&'a self, domain: &'a str, region: &'a str) -> PlacementNeed<'a> {
+        PlacementNeed {
+            shape: &self.admitted.shape,
+            priority: self.admitted.priority,
+            preset: &self.admitted.preset,
+            domain,
+            region,
+            avoid: &self.avoid,
+        }
+    }
+
+    /// How long the request may wait for room and still meet its class's
+    /// first-token target. A request whose answer has begun has until its
+    /// deadline: its target is missed already, its answer is still owed.
+    fn patience(&self) -> Duration {
+        if self.attempt > 0 {
+            return self.remaining();
+        }
+        let targets = self.admitted.preset.targets(self.admitted.priority);
+        let target = Duration::from_millis(targets.ttft_ms);
+        let work = self.daemon.shared.pace.predict(u64::from(self.admitted.shape.tokens));
+        target
+            .saturating_sub(target.mul_f64(TARGET_MARGIN))
+            .saturating_sub(work)
+            .saturating_sub(self.started.elapsed())
+            .min(self.remaining())
+    }
+
+    /// Time left until the deadline.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The room this request waits in.
+    pub fn room(&self) -> Arc<WaitingRoom> {
+        self.daemon.room(&self.admitted.model)
+    }
+
+    /// Time since the request was admitted.
+    pub fn age(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Tries no more of `slot` for this request, and none of anyone's for
+    /// a while.
+    pub fn give_up_on(&mut self, slot: &ServerSlot) {
+        slot.failed();
+        self.avoid.push(slot.entry.server.clone());
+    }
+
+    /// Tries `slot` no more for this request: it is full, not ill.
+    pub fn pass_over(&mut self, slot: &ServerSlot) {
+        self.avoid.push(slot.entry.server.clone());
+    }
+
+    /// Forgets which servers were full: they may have room again.
+    pub fn forget_passed_over(&mut self) {
+        self.avoid.clear();
+    }
+}
+
+/// Takes in the load report that rides on an engine's answer.
+pub(crate) fn observe_load<B>(slot: &ServerSlot, response: &http::Response<B>) {
+    let sample = response
+        .headers()
+        .get(LOAD_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    if let Some(sample) = sample {
+        slot.observe(sample);
+    }
+}
--- /dev/null
+++ b/crates/router/src/placement/mod.rs
@@ -0,0 +1,91 @@
+//! Placement: which backend server gets a step of a request.
+//!
+//! [`Placement`] is a small trait so that the policy and the baselines
+//! share the pipeline; the daemon is generic over it, no `dyn`.
+
+mod affinity;
+mod baseline;
+mod prefix_memory;
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+use umberglade_wire::engine::Priority;
+use umberglade_wire::ids::ServerId;
+
+pub use self::affinity::AffinityPlacement;
+pub use self::baseline::LeastLoadedPlacement;
+pub use self::baseline::RoundRobinPlacement;
+pub use self::prefix_memory::PrefixMemory;
+use crate::control::ServerSlot;
+use crate::preset::Preset;
+use crate::prompt::PromptShape;
+
+/// Candidates whose scores a decision logs, best first.
+pub const SCORES_LOGGED: usize = 8;
+
+/// A server and the score the policy gave it (higher is better).
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScoredServer {
+    pub server: ServerId,
+    pub score: f64,
+}
+
+/// What a policy chose, with the best candidates' scores for the log.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// Index into the candidates given.
+    pub index: usize,
+    /// At most [`SCORES_LOGGED`], best first.
+    pub scores: SmallVec<[ScoredServer; SCORES_LOGGED]>,
+}
+
+/// What a request needs of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementNeed<'a> {
+    pub shape: &'a PromptShape,
+    pub priority: Priority,
+    pub preset: &'a Preset,
+    /// The failure domain to be near: the daemon's for prefill, the
+    /// prefill server's for decode.
+    pub domain: &'a str,
+    pub region: &'a str,
+    /// Servers this request has tried already.
+    pub avoid: &'a [ServerId],
+}
+
+impl PlacementNeed<'_> {
+    /// True when `slot` may be tried: not tried before.
+    fn allows(&self, slot: &ServerSlot) -> bool {
+        !self.avoid.contains(&slot.entry.server)
+    }
+}
+
+/// A placement policy.
+pub trait Placement: Send + Sync + 'static {
+    /// Picks a prefill server among `candidates`; `None` when none should
+    /// take the request now.
+    fn prefill(&self, candidates: &[Arc<ServerSlot>], need: &PlacementNeed<'_>) -> Option<Choice>;
+
+    /// Picks a decode server among `candidates`; `None` when none has room.
+    fn decode(&self, candidates: &[Arc<ServerSlot>], need: &PlacementNeed<'_>) -> Option<Choice>;
+
+    /// Whether a request waits at the daemon until both its servers have
+    /// room, so that no prefill is computed without a place to decode.
+    fn waits_for_room(&self) -> bool;
+}
+
+/// The best of `scored` (index, score), or `None` when it is empty.
+fn best_of(candidates: &[Arc<ServerSlot>], mut scored: Vec<(usize, f64)>) -> Option<Choice> {
+    scored.sort_by(|left, right| right.1.total_cmp(&left.1));
+    let index = scored.first()?.0;
+    let scores = scored
+        .iter()
+        .take(SCORES_LOGGED)
+        .map(|(at, score)| ScoredServer {
+            server: candidates[*at].entry.server.clone(),
+            score: *score,
+        })
+        .collect();
+    Some(Choice { index, scores })
+}
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform/client.rs
@@ -1,19 +1,18 @@
-//! A typed client of the platform's table service and instance list.
+//! A typed client of the platform's table service and object store.
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 use percent_encoding::AsciiSet;
 use percent_encoding::NON_ALPHANUMERIC;
 use percent_encoding::utf8_percent_encode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use snafu::ResultExt;
 use umberglade_wire::WireError;
 use umberglade_wire::client::HttpClient;
-use umberglade_wire::error::DecodeSnafu;
 use umberglade_wire::ids::RowVersion;
-use umberglade_wire::platform::InstanceList;
+use umberglade_wire::platform::ObjectList;
 use umberglade_wire::platform::Row;
 use umberglade_wire::platform::RowList;
 use umberglade_wire::platform::RowWrite;
@@ -34,17 +33,6 @@
     Conflict { current_version: RowVersion },
 }
 
-/// What a read of a row that may not have changed found.
-#[derive(Debug, Clone, PartialEq)]
-pub enum RowRead {
-    /// The row is still at the known version.
-    Unchanged,
-    /// The row does not exist.
-    Absent,
-    /// The row has moved on.
-    Changed(Row),
-}
-
 /// The platform's table service at one address.
 #[derive(Debug, Clone)]
 pub struct PlatformClient {
@@ -73,29 +61,6 @@
         }
     }
 
-    /// The row at `table`/`key` if its version is above `known`:
-    /// [`RowRead::Unchanged`] costs the service a read but carries no body.
-    pub async fn get_newer(
-        &self,
-        table: &str,
-        key: &str,
-        known: RowVersion,
-    ) -> Result<RowRead, WireError> {
-        let path = format!("{}?newer_than={known}", row_path(table, key));
-        let step = "read row if newer";
-        let response = self.http.send(step, Method::GET, &path, None).await?;
-        match response.status().as_u16() {
-            304 => Ok(RowRead::Unchanged),
-            404 => Ok(RowRead::Absent),
-            _ => {
-                let bytes = self.http.read_whole(step, response).await?;
-                let row = serde_json::from_slice(&bytes)
-                    .context(DecodeSnafu { step, peer: self.addr() })?;
-                Ok(RowRead::Changed(row))
-            }
-        }
-    }
-
     /// Every row of `table`.
     pub async fn list(&self, table: &str) -> Result<RowList, WireError> {
         let path = format!("/v1/rows/{table}");
@@ -157,26 +122,42 @@
         }
     }
 
-    /// The instance list as the platform sees it now.
-    pub async fn instances(&self) -> Result<InstanceList, WireError> {
-        self.http
-            .call::<(), InstanceList>("list instances", Method::GET, "/v1/instances", None)
-            .await
+    /// Removes the row at `table`/`key` if it is still at `version`; a row
+    /// that has moved on stays.
+    pub async fn remove(
+        &self,
+        table: &str,
+        key: &str,
+        version: RowVersion,
+    ) -> Result<(), WireError> {
+        let path = format!("{}?version={version}", row_path(table, key));
+        let response = self.http.send("remove row", Method::DELETE, &path, None).await?;
+        self.http.read_whole("remove row", response).await.map(|_| ())
     }
 
-    /// The instance list if its generation is above `known`; `None` while
-    /// unchanged, at the cost of a read but no body.
-    pub async fn instances_newer(&self, known: u64) -> Result<Option<InstanceList>, WireError> {
-        let path = format!("/v1/instances?newer_than={known}");
-        let step = "list instances if newer";
-        let response = self.http.send(step, Method::GET, &path, None).await?;
-        if response.status().as_u16() == 304 {
-            return Ok(None);
+    /// Stores `body` as object `name`, replacing what was there.
+    pub async fn put_object(&self, name: &str, body: Bytes) -> Result<(), WireError> {
+        let path = object_path(name);
+        let response = self.http.send("write object", Method::PUT, &path, Some(body)).await?;
+        self.http.read_whole("write object", response).await.map(|_| ())
+    }
+
+    /// Object `name`, or `None` when there is none.
+    pub async fn get_object(&self, name: &str) -> Result<Option<Bytes>, WireError> {
+        let path = object_path(name);
+        let response = self.http.send("read object", Method::GET, &path, None).await?;
+        match self.http.read_whole("read object", response).await {
+            Ok(body) => Ok(Some(body)),
+            Err(error) if error.status() == Some(404) => Ok(None),
+            Err(error) => Err(error),
         }
-        let bytes = self.http.read_whole(step, response).await?;
-        let list =
-            serde_json::from_slice(&bytes).context(DecodeSnafu { step, peer: self.addr() })?;
-        Ok(Some(list))
+    }
+
+    /// Names of objects that begin with `prefix`.
+    pub async fn list_objects(&self, prefix: &str) -> Result<ObjectList, WireError> {
+        let prefix = utf8_percent_encode(prefix, SEGMENT);
+        let path = format!("/v1/objects?prefix={prefix}");
+        self.http.call::<(), ObjectList>("list objects", Method::GET, &path, None).await
     }
 
     /// Any JSON call on the platform stand-in (faults, usage, registering
@@ -192,6 +173,10 @@
     }
 }
 
+fn object_path(name: &str) -> String {
+    format!("/v1/objects/{}", utf8_percent_encode(name, SEGMENT))
+}
+
 /// The path of row `table`/`key`, each part percent-encoded.
 fn row_path(table: &str, key: &str) -> String {
     let table = utf8_percent_encode(table, SEGMENT);
--- a/crates/router/src/preset.rs
+++ b/crates/router/src/preset.rs
@@ -25,7 +25,7 @@
 }
 
 /// One preset: how the daemons admit, classify and place requests.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Preset {
     /// A line for operators: what this preset is for.
@@ -38,6 +38,25 @@
     /// Requests one daemon serves at once; more are refused with
     /// `Retry-After`.
     pub max_in_flight: u32,
+    /// Slots of each server that standard work leaves free for urgent work.
+    #[serde(default = "default_urgent_reserve_slots")]
+    pub urgent_reserve_slots: u32,
+    /// Prompt tokens waiting at a prefill server above which standard work
+    /// waits at the daemon instead.
+    #[serde(default = "default_prefill_queue_tokens")]
+    pub prefill_queue_tokens: u32,
+    /// Milliseconds after its last use that an engine still has a prefix
+    /// in its cache.
+    #[serde(default = "default_prefix_keep_ms")]
+    pub prefix_keep_ms: u64,
+    /// What computing a shared prefix again weighs against waiting: 1 is
+    /// its own time; above, wasted prefill is avoided at the cost of
+    /// latency.
+    #[serde(default = "default_recompute_weight")]
+    pub recompute_weight: f64,
+    /// Milliseconds after which a request is ended wherever it is.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
     /// Milliseconds a prefill server keeps a KV cache for its decode.
     pub prefill_keep_ms: u64,
     /// Maintenance: new requests are refused with `Retry-After`, work in
@@ -48,6 +67,26 @@
     pub standard: ClassTargets,
 }
 
+fn default_urgent_reserve_slots() -> u32 {
+    2
+}
+
+fn default_prefill_queue_tokens() -> u32 {
+    16_000
+}
+
+fn default_prefix_keep_ms() -> u64 {
+    800
+}
+
+fn default_recompute_weight() -> f64 {
+    1.0
+}
+
+fn default_deadline_ms() -> u64 {
+    120_000
+}
+
 /// Why a preset was refused; names the field.
 #[derive(Debug, Snafu, PartialEq, Eq)]
 pub enum PresetError {
@@ -91,6 +130,14 @@
             u64::from(MAX_IN_FLIGHT_CEILING),
         )?;
         in_range("prefill_keep_ms", self.prefill_keep_ms, 50, KEEP_MS_CEILING)?;
+        in_range("urgent_reserve_slots", u64::from(self.urgent_reserve_slots), 0, 1000)?;
+        in_range("prefill_queue_tokens", u64::from(self.prefill_queue_tokens), 1, 100_000_000)?;
+        in_range("prefix_keep_ms", self.prefix_keep_ms, 0, KEEP_MS_CEILING)?;
+        in_range("deadline_ms", self.deadline_ms, 100, 60 * KEEP_MS_CEILING)?;
+        if !(0.0..=100.0).contains(&self.recompute_weight) {
+            let problem = format!("is {}, must be from 0 to 100", self.recompute_weight);
+            return Err(PresetError::Field { field: "recompute_weight", problem });
+        }
         in_range("urgent.ttft_ms", self.urgent.ttft_ms, 1, KEEP_MS_CEILING)?;
         in_range("urgent.tpot_ms", self.urgent.tpot_ms, 1, KEEP_MS_CEILING)?;
         in_range("standard.ttft_ms", self.standard.ttft_ms, 1, 10 * KEEP_MS_CEILING)?;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -6,11 +6,14 @@
 
 use umberglade_wire::ids::DaemonId;
 use umberglade_wire::ids::DomainName;
+use umberglade_wire::ids::RegionName;
 
-/// How long the follower waits between rounds by default. With the row
-/// reads it makes, a change is in force on every daemon within about one
-/// interval plus one read.
-pub const DEFAULT_FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a feed is held open by default while nothing changes. A
+/// change is told at once; the wait bounds how long a dead connection can
+/// go unnoticed, and with it the time until a change is in force.
+pub const DEFAULT_FEED_WAIT: Duration = Duration::from_millis(1500);
+/// How often a daemon renews its lease by default.
+pub const DEFAULT_MEMBER_BEAT: Duration = Duration::from_secs(5);
 /// Default bound on one call to the platform.
 pub const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -25,7 +28,14 @@
     pub daemon_id: DaemonId,
     /// This instance's failure domain.
     pub domain: DomainName,
-    pub follow_interval: Duration,
+    /// This instance's region; empty at a site of one region.
+    pub region: RegionName,
+    /// A new number each start: tells this run from earlier ones under the
+    /// same id.
+    pub incarnation: u64,
+    pub feed_wait: Duration,
+    /// How often the daemon renews its lease in the members table.
+    pub member_beat: Duration,
     pub platform_timeout: Duration,
     /// Worker threads of the pool.
     pub threads: usize,
--- /dev/null
+++ b/crates/router/src/start.rs
@@ -0,0 +1,63 @@
+//! Puts a daemon together and sets it serving: follower, membership, duty
+//! and HTTP front.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use umberglade_wire::pool;
+use umberglade_wire::server;
+
+use crate::control::ControlFollower;
+use crate::control::ControlState;
+use crate::daemon::Daemon;
+use crate::duty::DutyLease;
+use crate::duty::RoleKeeper;
+use crate::events;
+use crate::membership::LEASE_BEATS;
+use crate::membership::MemberBeat;
+use crate::membership::MemberView;
+use crate::placement::Placement;
+use crate::platform::PlatformClient;
+use crate::settings::DaemonSettings;
+
+/// A daemon that serves, and where.
+#[derive(Debug)]
+pub struct StartedDaemon<P> {
+    pub daemon: Daemon<P>,
+    pub local: SocketAddr,
+}
+
+/// Binds, reads what is in force once, and serves on the worker pool. An
+/// error is the socket's.
+pub async fn start<P: Placement>(
+    settings: DaemonSettings,
+    placement: P,
+    metrics: Option<PrometheusHandle>,
+) -> Result<StartedDaemon<P>, io::Error> {
+    let (listener, local) = server::bind(settings.listen).await?;
+    let control = Arc::new(ControlState::default());
+    let lease = settings.member_beat * LEASE_BEATS;
+    let members = Arc::new(MemberView::new(lease));
+    let daemon = Daemon::new(settings.clone(), Arc::clone(&control), members, placement, metrics);
+    let follower = ControlFollower {
+        platform: settings.platform.clone(),
+        state: Arc::clone(&control),
+        feed_wait: settings.feed_wait,
+    };
+    follower.start().await;
+    let platform = PlatformClient::new(settings.platform.clone(), settings.platform_timeout);
+    let beat = MemberBeat::new(daemon.clone(), platform.clone(), local.to_string());
+    pool::spawn(beat.run());
+    let keeper = RoleKeeper {
+        lease: DutyLease::new(platform, settings.daemon_id.clone(), settings.incarnation, lease),
+        control,
+        daemon: settings.daemon_id.clone(),
+        beat: settings.member_beat,
+    };
+    pool::spawn(keeper.run());
+    pool::spawn(server::serve(listener, Arc::new(daemon.clone())));
+    tracing::info!(event = events::DAEMON_STARTED, %local, daemon = %settings.daemon_id, domain = %settings.domain, "daemon serving");
+    Ok(StartedDaemon { daemon, local })
+}
--- /dev/null
+++ b/crates/router/src/status.rs
@@ -0,0 +1,93 @@
+//! What `GET /v1/status` answers: what this daemon has in force.
+
+use std::time::UNIX_EPOCH;
+
+use serde::Serialize;
+
+use crate::control::ControlSnapshot;
+use crate::daemon::Daemon;
+
+/// A daemon's state, for operators and tests.
+#[derive(Debug, Serialize)]
+pub struct DaemonStatus {
+    pub daemon: String,
+    pub domain: String,
+    pub region: String,
+    pub incarnation: u64,
+    pub preset: String,
+    pub fence: u64,
+    /// When this daemon took `fence` into force, in ms since the Unix epoch.
+    pub fence_applied_unix_ms: Option<u64>,
+    /// Seconds since the platform last answered both feeds; `None` if never.
+    pub platform_sync_age_s: Option<f64>,
+    pub in_flight: u32,
+    /// Requests waiting here for room at the backend servers.
+    pub waiting: usize,
+    pub draining: bool,
+    /// Daemons whose lease is live, as last read; 0 before the first read.
+    pub members_live: usize,
+    /// True while this daemon's own lease is live.
+    pub member: bool,
+    pub servers: Vec<ServerStatus>,
+}
+
+/// One backend server in [`DaemonStatus`].
+#[derive(Debug, Serialize)]
+pub struct ServerStatus {
+    pub server: String,
+    pub role: String,
+    pub model: String,
+    pub domain: String,
+    pub state: String,
+    pub drained: bool,
+    /// Set aside for a while after failures.
+    pub set_aside: bool,
+    pub in_flight: u32,
+    /// Requests there from every daemon, as best known.
+    pub running: u32,
+}
+
+impl<P> Daemon<P> {
+    /// What this daemon has in force.
+    pub fn status(&self) -> DaemonStatus {
+        let snapshot = self.shared.control.current();
+        let settings = &self.shared.settings;
+        DaemonStatus {
+            daemon: settings.daemon_id.clone(),
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            incarnation: settings.incarnation,
+            preset: snapshot.preset_name.clone(),
+            fence: snapshot.fence,
+            fence_applied_unix_ms: snapshot
+                .fence_applied_at
+                .and_then(|at| at.duration_since(UNIX_EPOCH).ok())
+                .map(|since| since.as_millis() as u64),
+            platform_sync_age_s: snapshot.last_sync().map(|at| at.elapsed().as_secs_f64()),
+            in_flight: self.in_flight(),
+            waiting: self.waiting(),
+            draining: self.is_draining(),
+            members_live: self.shared.members.live_count(),
+            member: self.shared.members.own_lease_is_live(),
+            servers: server_statuses(&snapshot),
+        }
+    }
+}
+
+fn server_statuses(snapshot: &ControlSnapshot) -> Vec<ServerStatus> {
+    snapshot
+        .servers
+        .iter()
+        .map(|slot| ServerStatus {
+            server: slot.entry.server.clone(),
+            role: slot.entry.role.to_string(),
+            model: slot.entry.model.clone(),
+            domain: slot.entry.domain.clone(),
+            state: slot.entry.state.to_string(),
+            drained: snapshot.drained.contains(&slot.entry.server),
+            set_aside: slot.is_set_aside(),
+            in_flight: slot.in_flight(),
+            running: slot.load().running,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/src/engine/decode.rs
@@ -0,0 +1,155 @@
+//! Decode on an engine stand-in: fetches the KV cache, then streams tokens
+//! at the pace of its batch.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use umberglade_wire::client::HttpClient;
+use umberglade_wire::engine::DecodeEvent;
+use umberglade_wire::engine::DecodeOrder;
+use umberglade_wire::engine::EngineFaults;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::pool;
+use umberglade_wire::reply;
+use umberglade_wire::reply::ChunkSender;
+use umberglade_wire::reply::ReplyBody;
+
+use super::EngineStandin;
+use super::HeldGuard;
+use super::SILENCE;
+
+/// Timeout for fetching a KV cache from a prefill server.
+const KV_FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The text of token `index` of the answer for `seed`: what a test
+/// expects a caller to receive.
+pub fn answer_token(seed: u64, index: u32) -> String {
+    let word =
+        umberglade_wire::digest(&[seed.to_le_bytes(), u64::from(index).to_le_bytes()].concat());
+    format!("w{:04x} ", word & 0xffff)
+}
+
+impl EngineStandin {
+    pub(super) async fn decode(&self, order: DecodeOrder) -> Response<ReplyBody> {
+        let admitted = self.admit(&order.request_id, order.fence, EngineRole::Decode);
+        let (guard, cancelled) = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => return refusal,
+        };
+        let source = HttpClient::new(order.kv_source.clone(), KV_FETCH_TIMEOUT);
+        let path = format!("/v1/kv/{}", order.kv_handle);
+        let fetched = match source.send("fetch kv cache", Method::GET, &path, None).await {
+            Ok(response) => source.read_whole("fetch kv cache", response).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = fetched {
+            return reply::refusal(StatusCode::BAD_GATEWAY, "kv_fetch", &error.to_string(), None);
+        }
+        let (sender, response) = reply::stream(StatusCode::OK, "application/x-ndjson");
+        let engine = self.clone();
+        pool::spawn(async move { engine.generate(order, sender, cancelled, guard).await });
+        response
+    }
+
+    /// Generates until the answer is whole, the request is cancelled, its
+    /// reader is gone or its deadline has passed. The deadline bounds what
+    /// a daemon that froze or was cut off can hold: its socket stays open
+    /// and takes no more lines, so nothing else would end the stream.
+    async fn generate(
+        &self,
+        order: DecodeOrder,
+        sender: ChunkSender,
+        cancelled: Arc<AtomicBool>,
+        _guard: HeldGuard,
+    ) {
+        let deadline = Instant::now() + Duration::from_millis(order.deadline_ms);
+        self.stream_tokens(order, sender, cancelled)
+            .or(async {
+                smol::Timer::at(deadline).await;
+            })
+            .await;
+    }
+
+    async fn stream_tokens(
+        &self,
+        order: DecodeOrder,
+        sender: ChunkSender,
+        cancelled: Arc<AtomicBool>,
+    ) {
+        for index in order.resume_from..order.max_tokens {
+            smol::Timer::after(self.step_time()).await;
+            if cancelled.load(Ordering::Acquire) {
+                return;
+            }
+            let faults = self.faults();
+            let made = index - order.resume_from;
+            if faults.down || is_reached(faults.cut_after_tokens, made) {
+                return;
+            }
+            if is_reached(faults.silent_after_tokens, made) {
+                smol::Timer::after(SILENCE).await;
+            }
+            if !send_token(&sender, &order, index, &faults).await {
+                return;
+            }
+        }
+        let done = DecodeEvent::Done {
+            request_id: order.request_id,
+            tokens: order.max_tokens,
+            finish_reason: "length".into(),
+        };
+        if send_event(&sender, &done).await {
+            self.shared.state.lock().expect("engine state lock").stats.decodes_done += 1;
+        }
+    }
+
+    /// The time of one decode step in the batch as it is now.
+    fn step_time(&self) -> Duration {
+        let running = self.shared.state.lock().expect("engine state lock").held.len() as u32;
+        let config = &self.shared.config;
+        config.decode_per_token + config.decode_per_neighbour * running.saturating_sub(1)
+    }
+}
+
+fn is_reached(limit: u32, made: u32) -> bool {
+    limit > 0 && made >= limit
+}
+
+/// Sends token `index`, with the line faults asked for.
+async fn send_token(
+    sender: &ChunkSender,
+    order: &DecodeOrder,
+    index: u32,
+    faults: &EngineFaults,
+) -> bool {
+    let text = answer_token(order.answer_seed, index);
+    let event = DecodeEvent::Token { request_id: order.request_id.clone(), index, text };
+    if faults.crossed_lines {
+        let other = DecodeEvent::Token {
+            request_id: format!("other-{}", order.request_id),
+            index,
+            text: "SOMEBODY-ELSES ".into(),
+        };
+        if !send_event(sender, &other).await {
+            return false;
+        }
+    }
+    if faults.duplicate_lines && !send_event(sender, &event).await {
+        return false;
+    }
+    send_event(sender, &event).await
+}
+
+async fn send_event(sender: &ChunkSender, event: &DecodeEvent) -> bool {
+    let mut line = serde_json::to_vec(event).expect("serialising an event");
+    line.push(b'\n');
+    reply::send_chunk(sender, Bytes::from(line)).await
+}
--- /dev/null
+++ b/crates/standin/src/engine/orders.rs
@@ -0,0 +1,119 @@
+//! Orders that change what an engine stand-in is: weights, adapters, role.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Response;
+use http::StatusCode;
+use umberglade_wire::engine::EngineOrder;
+use umberglade_wire::engine::EngineReport;
+use umberglade_wire::engine::OrderOperation;
+use umberglade_wire::engine::OrderReply;
+use umberglade_wire::platform::InstanceState;
+use umberglade_wire::pool;
+use umberglade_wire::reply;
+use umberglade_wire::reply::ReplyBody;
+
+use super::EngineStandin;
+use super::SILENCE;
+
+/// Longest a change of role waits for work in hand.
+const FINISH_LIMIT: Duration = Duration::from_secs(30);
+/// How often it looks whether that work is done.
+const FINISH_POLL: Duration = Duration::from_millis(10);
+
+impl EngineStandin {
+    /// Takes `order`, or leaves it unanswered and carries it out late.
+    pub(super) async fn order(&self, order: EngineOrder) -> Response<ReplyBody> {
+        let late = Duration::from_millis(self.faults().late_order_ms);
+        if !late.is_zero() {
+            let engine = self.clone();
+            pool::spawn(async move {
+                smol::Timer::after(late).await;
+                let _ = engine.accept(order);
+            });
+            smol::Timer::after(SILENCE).await;
+            return conflict("late", "the order was left unanswered");
+        }
+        match self.accept(order) {
+            Ok(reply) => reply::json(StatusCode::ACCEPTED, &reply),
+            Err(refusal) => refusal,
+        }
+    }
+
+    /// Checks `order` against fence and sequence as they are now, and
+    /// begins to carry it out.
+    fn accept(&self, order: EngineOrder) -> Result<OrderReply, Response<ReplyBody>> {
+        let mut state = self.shared.state.lock().expect("engine state lock");
+        if self.shared.config.checks_fence && order.fence < state.highest_order_fence {
+            state.stats.fenced_off += 1;
+            return Err(conflict("stale_fence", "an order with a newer fence was seen"));
+        }
+        if order.expected_sequence != state.order_sequence {
+            return Err(conflict("stale_sequence", "other orders came in between"));
+        }
+        if state.busy {
+            return Err(conflict("busy", "an order is being carried out"));
+        }
+        state.highest_order_fence = state.highest_order_fence.max(order.fence);
+        state.order_sequence += 1;
+        state.busy = true;
+        let sequence = state.order_sequence;
+        drop(state);
+        let engine = self.clone();
+        pool::spawn(async move { engine.carry_out(order.operation).await });
+        Ok(OrderReply { sequence })
+    }
+
+    async fn carry_out(&self, operation: OrderOperation) {
+        let config = &self.shared.config;
+        match operation {
+            OrderOperation::LoadModel { model, version } => {
+                smol::Timer::after(config.weight_load).await;
+                let mut state = self.shared.state.lock().expect("engine state lock");
+                state.model = model;
+                state.version = version;
+            }
+            OrderOperation::LoadAdapter { adapter } => {
+                smol::Timer::after(config.weight_load / 10).await;
+                let mut state = self.shared.state.lock().expect("engine state lock");
+                state.adapters.push(adapter);
+            }
+            OrderOperation::SetRole { role } => {
+                self.finish_work().await;
+                smol::Timer::after(config.role_switch).await;
+                self.shared.state.lock().expect("engine state lock").role = role;
+            }
+        }
+        self.shared.state.lock().expect("engine state lock").busy = false;
+        self.register(InstanceState::Live).await;
+    }
+
+    /// Waits until no request is held: a change of role cuts nothing.
+    async fn finish_work(&self) {
+        let limit = Instant::now() + FINISH_LIMIT;
+        while Instant::now() < limit {
+            if self.shared.state.lock().expect("engine state lock").held.is_empty() {
+                return;
+            }
+            smol::Timer::after(FINISH_POLL).await;
+        }
+    }
+
+    pub(super) fn report(&self) -> EngineReport {
+        let state = self.shared.state.lock().expect("engine state lock");
+        EngineReport {
+            server: self.shared.config.server.clone(),
+            role: state.role,
+            model: state.model.clone(),
+            version: state.version,
+            adapters: state.adapters.clone(),
+            busy: state.busy,
+            sequence: state.order_sequence,
+        }
+    }
+}
+
+fn conflict(kind: &str, message: &str) -> Response<ReplyBody> {
+    reply::refusal(StatusCode::CONFLICT, kind, message, None)
+}
--- /dev/null
+++ b/crates/standin/src/engine/prefill.rs
@@ -0,0 +1,204 @@
+//! Prefill on an engine stand-in: prompts computed one at a time in chunks,
+//! urgent ones first, then exported for a decode server to fetch.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::PrefillOrder;
+use umberglade_wire::engine::PrefillReply;
+use umberglade_wire::reply;
+use umberglade_wire::reply::ReplyBody;
+
+use super::EngineShared;
+use super::EngineStandin;
+use super::SILENCE;
+use super::state::KvExport;
+use super::state::PrefillTicket;
+
+/// A place in the prefill queue, given up when dropped: a caller that goes
+/// away mid-prefill never blocks the prompts behind it.
+struct QueuePlace {
+    shared: Arc<EngineShared>,
+    ticket: PrefillTicket,
+    /// Prompt tokens still to compute.
+    remaining: u32,
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.lock().expect("engine state lock");
+        state.prefill_queue.remove(&self.ticket);
+        state.queued_tokens -= u64::from(self.remaining);
+        drop(state);
+        self.shared.prefill_moved.notify(usize::MAX);
+    }
+}
+
+impl QueuePlace {
+    fn is_first(&self) -> bool {
+        let state = self.shared.state.lock().expect("engine state lock");
+        state.prefill_queue.first() == Some(&self.ticket)
+    }
+
+    /// Waits until this prompt is the first in the queue.
+    async fn turn(&self) {
+        while !self.is_first() {
+            let moved = self.shared.prefill_moved.listen();
+            if self.is_first() {
+                return;
+            }
+            moved.await;
+        }
+    }
+
+    /// Counts `tokens` as computed.
+    fn advance(&mut self, tokens: u32) {
+        self.remaining -= tokens;
+        let mut state = self.shared.state.lock().expect("engine state lock");
+        state.queued_tokens -= u64::from(tokens);
+        state.stats.computed_tokens += u64::from(tokens);
+    }
+}
+
+impl EngineStandin {
+    pub(super) async fn prefill(&self, order: PrefillOrder) -> Response<ReplyBody> {
+        if self.faults().silent_prefill {
+            smol::Timer::after(SILENCE).await;
+        }
+        let admitted = self.admit(&order.request_id, order.fence, EngineRole::Prefill);
+        let (_guard, cancelled) = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => return refusal,
+        };
+        let cached_tokens = self.cached_prefix(&order);
+        let computed_tokens = order.prompt_tokens - cached_tokens;
+        if let Err(refusal) = self.compute(&order, computed_tokens, &cancelled).await {
+            return refusal;
+        }
+        let reply = self.export(&order, computed_tokens, cached_tokens);
+        reply::json(StatusCode::OK, &reply)
+    }
+
+    /// Computes `tokens` of the prompt in chunks; the refusal when it was
+    /// cancelled or ran past its deadline, its work counted as wasted.
+    async fn compute(
+        &self,
+        order: &PrefillOrder,
+        tokens: u32,
+        cancelled: &AtomicBool,
+    ) -> Result<(), Response<ReplyBody>> {
+        let deadline = Instant::now() + Duration::from_millis(order.deadline_ms);
+        let mut place = self.enqueue(order, tokens);
+        while place.remaining > 0 {
+            place.turn().await;
+            if cancelled.load(Ordering::Acquire) || Instant::now() >= deadline {
+                let done = tokens - place.remaining;
+                self.shared.state.lock().expect("engine state lock").stats.wasted_tokens +=
+                    u64::from(done);
+                return Err(reply::refusal(
+                    StatusCode::GONE,
+                    "cancelled",
+                    "prefill cancelled or past its deadline",
+                    None,
+                ));
+            }
+            let chunk = place.remaining.min(self.shared.config.prefill_chunk_tokens);
+            smol::Timer::after(self.shared.config.prefill_per_token * chunk).await;
+            place.advance(chunk);
+        }
+        Ok(())
+    }
+
+    fn enqueue(&self, order: &PrefillOrder, tokens: u32) -> QueuePlace {
+        let mut state = self.shared.state.lock().expect("engine state lock");
+        state.next_ticket += 1;
+        let ticket = (order.priority, state.next_ticket);
+        state.prefill_queue.insert(ticket);
+        state.queued_tokens += u64::from(tokens);
+        if order.attempt > 0 {
+            state.stats.repeated_tokens += u64::from(tokens);
+        }
+        drop(state);
+        self.shared.prefill_moved.notify(usize::MAX);
+        QueuePlace { shared: Arc::clone(&self.shared), ticket, remaining: tokens }
+    }
+
+    fn cached_prefix(&self, order: &PrefillOrder) -> u32 {
+        if order.prefix_hash == 0 {
+            return 0;
+        }
+        let mut state = self.shared.state.lock().expect("engine state lock");
+        let cached = state.cache.lookup(order.prefix_hash, Instant::now());
+        let cached = cached.min(order.prompt_tokens);
+        let missing = order.prefix_tokens.saturating_sub(cached);
+        state.stats.prefix_tokens += u64::from(missing);
+        cached
+    }
+
+    fn export(
+        &self,
+        order: &PrefillOrder,
+        computed_tokens: u32,
+        cached_tokens: u32,
+    ) -> PrefillReply {
+        let now = Instant::now();
+        let mut state = self.shared.state.lock().expect("engine state lock");
+        if order.prefix_hash != 0 {
+            state.cache.insert(order.prefix_hash, order.prefix_tokens, now);
+        }
+        state.next_handle += 1;
+        let kv_handle = state.next_handle;
+        let kv_bytes = u64::from(order.prompt_tokens) * self.shared.config.kv_bytes_per_token;
+        let export = KvExport {
+            request_id: order.request_id.clone(),
+            computed_tokens,
+            bytes: kv_bytes,
+            expires: now + Duration::from_millis(order.keep_ms),
+        };
+        state.exports.insert(kv_handle, export);
+        state.stats.prefills_done += 1;
+        PrefillReply {
+            request_id: order.request_id.clone(),
+            kv_handle,
+            computed_tokens,
+            cached_tokens,
+            kv_bytes,
+        }
+    }
+
+    /// Sends an exported KV cache over the server's one link; an export
+    /// can be taken once.
+    pub(super) async fn fetch_kv(&self, handle: &str) -> Response<ReplyBody> {
+        if self.faults().stall_kv {
+            smol::Timer::after(SILENCE).await;
+        }
+        let export = {
+            let mut state = self.shared.state.lock().expect("engine state lock");
+            state.sweep(Instant::now());
+            handle.parse().ok().and_then(|handle| state.exports.remove(&handle))
+        };
+        let Some(export) = export else {
+            return reply::refusal(
+                StatusCode::GONE,
+                "evicted",
+                "no such KV cache (evicted or fetched)",
+                None,
+            );
+        };
+        let rate = self.shared.config.link_bytes_per_second.max(1);
+        let _link = self.shared.link.lock().await;
+        smol::Timer::after(Duration::from_secs_f64(export.bytes as f64 / rate as f64)).await;
+        reply::whole(
+            StatusCode::OK,
+            "application/octet-stream",
+            Bytes::from(vec![0u8; export.bytes as usize]),
+        )
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/prefix_cache.rs
@@ -0,0 +1,130 @@
+//! The prefix cache of an engine stand-in: limited memory, entries gone
+//! under a second after their last use, and the events that tell of it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_wire::engine::CacheChange;
+use umberglade_wire::engine::CacheEvent;
+use umberglade_wire::engine::CacheEventPage;
+
+/// Events kept for readers; older ones are lost.
+const EVENTS_KEPT: usize = 256;
+/// Every so-manieth event never appears: real engines leave gaps.
+const EVENT_GAP: u64 = 16;
+
+#[derive(Debug)]
+struct CachedPrefix {
+    tokens: u32,
+    last_used: Instant,
+}
+
+#[derive(Debug)]
+struct PublishedEvent {
+    visible_from: Instant,
+    event: CacheEvent,
+}
+
+/// Prefixes whose KV cache the engine still has.
+#[derive(Debug)]
+pub struct PrefixCache {
+    keep: Duration,
+    capacity_tokens: u64,
+    event_lag: Duration,
+    prefixes: HashMap<u64, CachedPrefix>,
+    next_sequence: u64,
+    /// Invariant: sequences grow from front to back.
+    events: Vec<PublishedEvent>,
+}
+
+impl PrefixCache {
+    /// An empty cache whose entries live `keep` after their last use.
+    pub fn new(keep: Duration, capacity_tokens: u64, event_lag: Duration) -> Self {
+        PrefixCache {
+            keep,
+            capacity_tokens,
+            event_lag,
+            prefixes: HashMap::new(),
+            next_sequence: 1,
+            events: Vec::new(),
+        }
+    }
+
+    /// Tokens of `prefix_hash` that need no computing now; touches it.
+    pub fn lookup(&mut self, prefix_hash: u64, now: Instant) -> u32 {
+        self.evict_old(now);
+        match self.prefixes.get_mut(&prefix_hash) {
+            Some(prefix) => {
+                prefix.last_used = now;
+                prefix.tokens
+            }
+            None => 0,
+        }
+    }
+
+    /// Keeps `tokens` of `prefix_hash`; the least recently used yield.
+    pub fn insert(&mut self, prefix_hash: u64, tokens: u32, now: Instant) {
+        self.evict_old(now);
+        let known = self.prefixes.insert(prefix_hash, CachedPrefix { tokens, last_used: now });
+        if known.is_none() {
+            self.publish(CacheChange::Added, prefix_hash, now);
+        }
+        while self.held_tokens() > self.capacity_tokens && self.prefixes.len() > 1 {
+            let oldest = self.prefixes.iter().min_by_key(|(_, prefix)| prefix.last_used);
+            let Some(hash) = oldest.map(|(hash, _)| *hash) else {
+                break;
+            };
+            self.remove(hash, now);
+        }
+    }
+
+    /// The events after `since` that are published by now.
+    pub fn events_since(&self, since: u64, now: Instant) -> CacheEventPage {
+        let published: Vec<CacheEvent> = self
+            .events
+            .iter()
+            .take_while(|published| published.visible_from <= now)
+            .filter(|published| published.event.sequence > since)
+            .map(|published| published.event.clone())
+            .collect();
+        let next = published.last().map_or(since, |event| event.sequence);
+        let lost = next - since != published.len() as u64;
+        CacheEventPage { next, lost, events: published }
+    }
+
+    fn held_tokens(&self) -> u64 {
+        self.prefixes.values().map(|prefix| u64::from(prefix.tokens)).sum()
+    }
+
+    fn evict_old(&mut self, now: Instant) {
+        let keep = self.keep;
+        let old: Vec<u64> = self
+            .prefixes
+            .iter()
+            .filter(|(_, prefix)| now.duration_since(prefix.last_used) >= keep)
+            .map(|(hash, _)| *hash)
+            .collect();
+        for hash in old {
+            self.remove(hash, now);
+        }
+    }
+
+    fn remove(&mut self, prefix_hash: u64, now: Instant) {
+        self.prefixes.remove(&prefix_hash);
+        self.publish(CacheChange::Evicted, prefix_hash, now);
+    }
+
+    fn publish(&mut self, change: CacheChange, prefix_hash: u64, now: Instant) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        if sequence.is_multiple_of(EVENT_GAP) {
+            return;
+        }
+        if self.events.len() == EVENTS_KEPT {
+            self.events.remove(0);
+        }
+        let event = CacheEvent { sequence, change, prefix_hash };
+        self.events.push(PublishedEvent { visible_from: now + self.event_lag, event });
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,7 +7,6 @@
 //! faults, never a model.
 
 pub mod engine;
-pub mod load;
 pub mod plain;
 pub mod platform;
 pub mod rate;
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use umberglade_wire::plain::PlainAnswer;
 use umberglade_wire::plain::PlainCall;
+use umberglade_wire::plain::PlainFaults;
 use umberglade_wire::plain::PlainStats;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
@@ -23,9 +24,16 @@
 /// How long one call takes.
 const CALL_TIME: Duration = Duration::from_millis(20);
 
-/// A plain service; every call runs its action.
+/// The path of lookups, which may be repeated.
+const LOOKUP: &str = "/v1/lookup/";
+/// How long a lost answer holds the connection: longer than any timeout.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// A plain service; every call runs its action. Lock order: `faults`, then
+/// `runs`; no call holds both.
 #[derive(Debug, Default)]
 pub struct PlainStandin {
+    faults: Mutex<PlainFaults>,
     /// Idempotency key → times it ran.
     runs: Mutex<HashMap<String, u32>>,
 }
@@ -39,14 +47,53 @@
         }
     }
 
+    fn faults(&self) -> PlainFaults {
+        self.faults.lock().expect("faults lock").clone()
+    }
+
     async fn call(&self, call: PlainCall) -> Response<ReplyBody> {
+        let faults = self.faults();
+        if faults.refuse {
+            return reply::refusal(StatusCode::SERVICE_UNAVAILABLE, "full", "not run", Some(1));
+        }
         smol::Timer::after(CALL_TIME).await;
-        let mut runs = self.runs.lock().expect("runs lock");
-        let count = runs.entry(call.idempotency_key.clone()).or_default();
-        *count += 1;
-        let confirmation = format!("bk-{}-{}", call.organisation, runs.len());
+        let confirmation = self.run(&call);
+        if faults.lose_answers {
+            smol::Timer::after(SILENCE).await;
+        }
+        if faults.fail {
+            let message = "failed halfway through";
+            return reply::refusal(StatusCode::INTERNAL_SERVER_ERROR, "failed", message, None);
+        }
         reply::json(StatusCode::OK, &PlainAnswer { confirmation })
     }
+
+    /// Runs the action and returns its confirmation.
+    fn run(&self, call: &PlainCall) -> String {
+        let mut runs = self.runs.lock().expect("runs lock");
+        *runs.entry(call.idempotency_key.clone()).or_default() += 1;
+        format!("bk-{}-{}", call.organisation, runs.len())
+    }
+
+    async fn lookup(&self, what: &str) -> Response<ReplyBody> {
+        if self.faults().refuse {
+            return reply::refusal(StatusCode::SERVICE_UNAVAILABLE, "full", "not run", Some(1));
+        }
+        smol::Timer::after(CALL_TIME).await;
+        reply::json(StatusCode::OK, &PlainAnswer { confirmation: format!("{what}: free") })
+    }
+
+    fn set_faults(&self, body: &[u8]) -> Response<ReplyBody> {
+        match serde_json::from_slice::<PlainFaults>(body) {
+            Ok(faults) => {
+                *self.faults.lock().expect("faults lock") = faults.clone();
+                reply::json(StatusCode::OK, &faults)
+            }
+            Err(error) => {
+                reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &error.to_string(), None)
+            }
+        }
+    }
 }
 
 impl RequestHandler for PlainStandin {
@@ -58,7 +105,12 @@
                 return reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &message, None);
             }
         };
-        match (&parts.method, parts.uri.path()) {
+        let path = parts.uri.path();
+        match (&parts.method, path) {
+            (&Method::GET, _) if path.starts_with(LOOKUP) => {
+                self.lookup(&path[LOOKUP.len()..]).await
+            }
+            (&Method::POST, "/v1/faults") => self.set_faults(&body),
             (&Method::POST, "/v1/call") => match serde_json::from_slice(&body) {
                 Ok(call) => self.call(call).await,
                 Err(error) => {
--- a/crates/standin/src/platform/instances.rs
+++ b/crates/standin/src/platform/instances.rs
@@ -7,38 +7,56 @@
 use umberglade_wire::ids::ServerId;
 use umberglade_wire::platform::InstanceEntry;
 use umberglade_wire::platform::InstanceList;
+use umberglade_wire::platform::InstanceState;
 
-/// Each server's history of entries, each visible from its time on.
+/// One change and when readers see it.
+#[derive(Debug)]
+struct BoardChange {
+    visible_from: Instant,
+    entry: InstanceEntry,
+}
+
+/// The list: every change in the order it was made. Since the lag is the
+/// same for all, they become visible in that order too.
 #[derive(Debug)]
 pub struct InstanceBoard {
     lag: Duration,
-    /// Per server, (visible from, entry) in the order they were set.
-    history: BTreeMap<ServerId, Vec<(Instant, InstanceEntry)>>,
+    changes: Vec<BoardChange>,
 }
 
 impl InstanceBoard {
     /// A list whose changes show `lag` after they are made.
     pub fn new(lag: Duration) -> Self {
-        InstanceBoard { lag, history: BTreeMap::new() }
+        InstanceBoard { lag, changes: Vec::new() }
     }
 
     /// Records `entry`; readers see it once the lag has passed.
     pub fn set(&mut self, entry: InstanceEntry) {
         let visible_from = Instant::now() + self.lag;
-        self.history.entry(entry.server.clone()).or_default().push((visible_from, entry));
+        self.changes.push(BoardChange { visible_from, entry });
     }
 
-    /// The list as it is visible now.
-    pub fn visible(&self) -> InstanceList {
+    /// How many changes are visible now.
+    pub fn generation(&self) -> u64 {
         let now = Instant::now();
-        let generation =
-            self.history.values().flatten().filter(|(from, _)| *from <= now).count() as u64;
-        let instances = self
-            .history
-            .values()
-            .filter_map(|entries| entries.iter().rev().find(|(from, _)| *from <= now))
-            .map(|(_, entry)| entry.clone())
+        self.changes.partition_point(|change| change.visible_from <= now) as u64
+    }
+
+    /// What changed after generation `after`; the whole list when `after`
+    /// is 0 or beyond what this copy of the list has seen.
+    pub fn visible(&self, after: u64) -> InstanceList {
+        let generation = self.generation();
+        let delta = after > 0 && after <= generation;
+        let from = if delta { after as usize } else { 0 };
+        let mut newest: BTreeMap<&ServerId, &InstanceEntry> = BTreeMap::new();
+        for change in &self.changes[from..generation as usize] {
+            newest.insert(&change.entry.server, &change.entry);
+        }
+        let instances = newest
+            .into_values()
+            .filter(|entry| delta || entry.state != InstanceState::Gone)
+            .cloned()
             .collect();
-        InstanceList { generation, instances }
+        InstanceList { generation, delta, instances }
     }
 }
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,11 +1,14 @@
 //! The platform stand-in: a transactional table service with conditional
-//! writes, and the lagging list of live and leaving instances.
+//! writes and a feed of changes, an object store, and the lagging list of
+//! live and leaving instances.
 //!
 //! It refuses past its rates (429), answers 503 during an injected outage,
-//! can be slowed, and can lose the reply to a write that took effect (it
-//! then holds the connection silent until the caller's timeout).
+//! can be slowed, can fall silent, and can lose the reply to a write that
+//! took effect (it then holds the connection silent until the caller's
+//! timeout).
 
 mod instances;
+mod objects;
 mod table;
 
 use std::borrow::Cow;
@@ -14,8 +17,11 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
+use event_listener::Event;
+use futures_lite::FutureExt;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -23,10 +29,11 @@
 use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
-use umberglade_wire::ids::RowVersion;
 use umberglade_wire::platform::FaultPlan;
 use umberglade_wire::platform::InstanceEntry;
+use umberglade_wire::platform::ObjectList;
 use umberglade_wire::platform::PlatformUsage;
+use umberglade_wire::platform::RowList;
 use umberglade_wire::platform::RowWrite;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
@@ -34,6 +41,7 @@
 use umberglade_wire::server::read_body;
 
 pub use self::instances::InstanceBoard;
+pub use self::objects::ObjectShelf;
 pub use self::table::RowTable;
 use crate::rate::RateWindow;
 
@@ -43,6 +51,11 @@
 pub const DEFAULT_READS_PER_SECOND: u32 = 2000;
 /// How long a lost reply holds the connection silent.
 const LOST_REPLY_HOLD: Duration = Duration::from_secs(30);
+/// Longest a feed is held open while nothing changes.
+const MAX_FEED_WAIT: Duration = Duration::from_secs(30);
+/// How often a held instance feed looks again: the list's lag makes
+/// changes visible by time alone, so no write can wake it.
+const INSTANCE_POLL: Duration = Duration::from_millis(50);
 /// Seconds a refused caller is told to wait.
 const RETRY_AFTER_S: u64 = 1;
 
@@ -66,11 +79,14 @@
 }
 
 /// The stand-in's state. Lock order: `faults`, then `table`, then
-/// `instances`; no call holds two at once today.
+/// `instances`, then `objects`; no call holds two at once.
 #[derive(Debug)]
 pub struct PlatformStandin {
     table: Mutex<RowTable>,
+    /// Notified after each accepted write to `table`.
+    written: Event,
     instances: Mutex<InstanceBoard>,
+    objects: Mutex<ObjectShelf>,
     faults: Mutex<FaultPlan>,
     reads: RateWindow,
     writes: RateWindow,
@@ -91,7 +107,9 @@
     pub fn new(config: PlatformConfig) -> Self {
         PlatformStandin {
             table: Mutex::new(RowTable::default()),
+            written: Event::new(),
             instances: Mutex::new(InstanceBoard::new(config.instance_lag)),
+            objects: Mutex::new(ObjectShelf::default()),
             faults: Mutex::new(FaultPlan::default()),
             reads: RateWindow::new(config.reads_per_second),
             writes: RateWindow::new(config.writes_per_second),
@@ -116,13 +134,11 @@
             .map(|segment| percent_decode_str(segment).decode_utf8_lossy())
             .collect();
         let segments: Vec<&str> = decoded.iter().map(AsRef::as_ref).collect();
-        let newer_than = query
-            .and_then(|query| query.strip_prefix("newer_than="))
-            .and_then(|version| version.parse().ok());
+        let query = CallQuery::parse(query.unwrap_or_default());
         match (method, segments.as_slice()) {
             (&Method::POST, ["v1", "faults"]) => self.set_faults(&body),
             (&Method::GET, ["v1", "usage"]) => reply::json(StatusCode::OK, &self.usage()),
-            (method, ["v1", ..]) => self.table_call(method, &segments[1..], newer_than, body).await,
+            (method, ["v1", ..]) => self.table_call(method, &segments[1..], &query, body).await,
             _ => not_found(),
         }
     }
@@ -131,17 +147,20 @@
         &self,
         method: &Method,
         segments: &[&str],
-        newer_than: Option<RowVersion>,
+        query: &CallQuery,
         body: Bytes,
     ) -> Response<ReplyBody> {
         let faults = self.faults();
+        if faults.silent {
+            smol::Timer::after(LOST_REPLY_HOLD).await;
+        }
         if faults.delay_ms > 0 {
             smol::Timer::after(Duration::from_millis(faults.delay_ms)).await;
         }
         if faults.outage {
             return self.refuse(StatusCode::SERVICE_UNAVAILABLE, "outage");
         }
-        let is_write = method == Method::PUT;
+        let is_write = method != Method::GET;
         let admitted = if is_write { self.writes.admit() } else { self.reads.admit() };
         if !admitted {
             return self.refuse(StatusCode::TOO_MANY_REQUESTS, "over rate");
@@ -149,31 +168,28 @@
         let counter = if is_write { &self.usage.writes } else { &self.usage.reads };
         counter.fetch_add(1, Ordering::Relaxed);
         let response = match (method, segments) {
-            (&Method::GET, ["rows", table, key]) => self.get_row(table, key, newer_than),
+            (&Method::GET, ["rows", table, key]) => self.get_row(table, key),
             (&Method::GET, ["rows", table]) => self.list_rows(table),
             (&Method::PUT, ["rows", table, key]) => self.put_row(table, key, &body),
-            (&Method::GET, ["instances"]) => self.list_instances(newer_than),
+            (&Method::DELETE, ["rows", table, key]) => self.remove_row(table, key, query.version),
+            (&Method::GET, ["feed", table]) => self.feed(table, query).await,
+            (&Method::GET, ["instances"]) => self.list_instances(query).await,
+            (&Method::GET, ["objects"]) => self.list_objects(&query.prefix),
+            (&Method::GET, ["objects", name]) => self.get_object(name),
+            (&Method::PUT, ["objects", name]) => self.put_object(name, body),
+            (&Method::DELETE, ["objects", name]) => self.remove_object(name),
             (&Method::PUT, ["instances", _]) => self.set_instance(&body),
             _ => not_found(),
         };
-        if is_write && response.status().is_success() && lose_this_reply(faults.lose_reply_percent)
-        {
-            // The write took effect; the caller never hears of it.
+        if is_write && lose_this_reply(faults.lose_reply_percent) {
+            // Done or refused as a conflict; the caller never hears of it.
             smol::Timer::after(LOST_REPLY_HOLD).await;
         }
         response
     }
 
-    fn get_row(
-        &self,
-        table: &str,
-        key: &str,
-        newer_than: Option<RowVersion>,
-    ) -> Response<ReplyBody> {
+    fn get_row(&self, table: &str, key: &str) -> Response<ReplyBody> {
         match self.table.lock().expect("table lock").get(table, key) {
-            Some(row) if newer_than.is_some_and(|known| row.version <= known) => {
-                reply::whole(StatusCode::NOT_MODIFIED, "application/json", Bytes::new())
-            }
             Some(row) => reply::json(StatusCode::OK, &row),
             None => not_found(),
         }
@@ -190,19 +206,79 @@
             Err(response) => return response,
         };
         match self.table.lock().expect("table lock").put(table, key, write) {
-            Ok(row) => reply::json(StatusCode::OK, &row),
+            Ok(row) => {
+                self.written.notify(usize::MAX);
+                reply::json(StatusCode::OK, &row)
+            }
             Err(conflict) => reply::json(StatusCode::CONFLICT, &conflict),
         }
     }
 
-    fn list_instances(&self, newer_than: Option<RowVersion>) -> Response<ReplyBody> {
-        let list = self.instances.lock().expect("instances lock").visible();
-        if newer_than.is_some_and(|known| list.generation <= known) {
-            return reply::whole(StatusCode::NOT_MODIFIED, "application/json", Bytes::new());
+    fn remove_row(&self, table: &str, key: &str, version: u64) -> Response<ReplyBody> {
+        match self.table.lock().expect("table lock").remove(table, key, version) {
+            Ok(()) => reply::json(StatusCode::OK, &RowList::default()),
+            Err(conflict) => reply::json(StatusCode::CONFLICT, &conflict),
         }
+    }
+
+    /// Rows of `table` after the generation asked for, held open up to the
+    /// wait asked for while there are none.
+    async fn feed(&self, table: &str, query: &CallQuery) -> Response<ReplyBody> {
+        let deadline = Instant::now() + query.wait();
+        loop {
+            let written = self.written.listen();
+            let page = self.table.lock().expect("table lock").feed(table, query.after);
+            let Some(page) = page else {
+                return reply::refusal(StatusCode::GONE, "history", "unknown generation", None);
+            };
+            if !page.rows.is_empty() || Instant::now() >= deadline || self.faults().outage {
+                return reply::json(StatusCode::OK, &page);
+            }
+            written
+                .or(async {
+                    smol::Timer::at(deadline).await;
+                })
+                .await;
+        }
+    }
+
+    async fn list_instances(&self, query: &CallQuery) -> Response<ReplyBody> {
+        let deadline = Instant::now() + query.wait();
+        loop {
+            let generation = self.instances.lock().expect("instances lock").generation();
+            if generation != query.after || Instant::now() >= deadline {
+                break;
+            }
+            smol::Timer::after(INSTANCE_POLL).await;
+        }
+        let list = self.instances.lock().expect("instances lock").visible(query.after);
         reply::json(StatusCode::OK, &list)
     }
 
+    fn list_objects(&self, prefix: &str) -> Response<ReplyBody> {
+        let list = self.objects.lock().expect("objects lock").list(prefix);
+        reply::json(StatusCode::OK, &list)
+    }
+
+    fn get_object(&self, name: &str) -> Response<ReplyBody> {
+        match self.objects.lock().expect("objects lock").get(name) {
+            Some(body) => reply::whole(StatusCode::OK, "application/octet-stream", body),
+            None => not_found(),
+        }
+    }
+
+    fn put_object(&self, name: &str, body: Bytes) -> Response<ReplyBody> {
+        self.objects.lock().expect("objects lock").put(name, body);
+        reply::json(StatusCode::OK, &ObjectList { names: vec![name.to_owned()] })
+    }
+
+    fn remove_object(&self, name: &str) -> Response<ReplyBody> {
+        match self.objects.lock().expect("objects lock").remove(name) {
+            true => reply::json(StatusCode::OK, &ObjectList::default()),
+            false => not_found(),
+        }
+    }
+
     fn set_instance(&self, body: &[u8]) -> Response<ReplyBody> {
         let entry: InstanceEntry = match decode(body) {
             Ok(entry) => entry,
@@ -256,6 +332,36 @@
     }
 }
 
+/// The query parameters a call may carry.
+#[derive(Debug, Default)]
+struct CallQuery {
+    after: u64,
+    version: u64,
+    wait_ms: u64,
+    prefix: String,
+}
+
+impl CallQuery {
+    /// Parses `a=1&b=2`; unknown or malformed parameters are ignored.
+    fn parse(text: &str) -> CallQuery {
+        let mut query = CallQuery::default();
+        for (name, value) in text.split('&').filter_map(|pair| pair.split_once('=')) {
+            match name {
+                "after" => query.after = value.parse().unwrap_or(0),
+                "version" => query.version = value.parse().unwrap_or(0),
+                "wait_ms" => query.wait_ms = value.parse().unwrap_or(0),
+                "prefix" => query.prefix = percent_decode_str(value).decode_utf8_lossy().into(),
+                _ => {}
+            }
+        }
+        query
+    }
+
+    fn wait(&self) -> Duration {
+        Duration::from_millis(self.wait_ms).min(MAX_FEED_WAIT)
+    }
+}
+
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Response<ReplyBody>> {
     serde_json::from_slice(body).map_err(|error| {
         reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &error.to_string(), None)
--- /dev/null
+++ b/crates/standin/src/platform/objects.rs
@@ -0,0 +1,35 @@
+//! The object store: raw bytes under names.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use umberglade_wire::platform::ObjectList;
+
+/// The stored objects, by name.
+#[derive(Debug, Default)]
+pub struct ObjectShelf {
+    objects: BTreeMap<String, Bytes>,
+}
+
+impl ObjectShelf {
+    /// Stores `body` under `name`, replacing what was there.
+    pub fn put(&mut self, name: &str, body: Bytes) {
+        self.objects.insert(name.to_owned(), body);
+    }
+
+    /// The object under `name`.
+    pub fn get(&self, name: &str) -> Option<Bytes> {
+        self.objects.get(name).cloned()
+    }
+
+    /// Drops the object under `name`; true when there was one.
+    pub fn remove(&mut self, name: &str) -> bool {
+        self.objects.remove(name).is_some()
+    }
+
+    /// Names that begin with `prefix`, sorted.
+    pub fn list(&self, prefix: &str) -> ObjectList {
+        let names = self.objects.keys().filter(|name| name.starts_with(prefix)).cloned().collect();
+        ObjectList { names }
+    }
+}
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -1,46 +1,107 @@
-//! The versioned rows of the table service, with conditional writes.
+//! The versioned rows of the table service, with conditional writes and a
+//! feed of what changed.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
+use umberglade_wire::platform::FeedPage;
 use umberglade_wire::platform::Row;
 use umberglade_wire::platform::RowList;
 use umberglade_wire::platform::RowWrite;
 use umberglade_wire::platform::WriteConflict;
 
+/// A row and the table's generation when it was written.
+#[derive(Debug, Clone)]
+struct StoredRow {
+    generation: u64,
+    row: Row,
+}
+
 /// All tables, keyed by (table, key). One lock guards it all: the stand-in
 /// serves a few hundred writes a second, far below lock contention.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RowTable {
-    rows: BTreeMap<(String, String), Row>,
+    started: Instant,
+    /// Counts writes to any table; only grows while the service runs.
+    generation: u64,
+    rows: BTreeMap<(String, String), StoredRow>,
+}
+
+impl Default for RowTable {
+    fn default() -> Self {
+        RowTable { started: Instant::now(), generation: 0, rows: BTreeMap::new() }
+    }
 }
 
 impl RowTable {
     /// The row at `table`/`key`, if any.
     pub fn get(&self, table: &str, key: &str) -> Option<Row> {
-        self.rows.get(&(table.to_owned(), key.to_owned())).cloned()
+        self.rows.get(&(table.to_owned(), key.to_owned())).map(|stored| stored.row.clone())
     }
 
     /// Every row of `table`, sorted by key.
     pub fn list(&self, table: &str) -> RowList {
+        let rows = self.of_table(table).map(|stored| stored.row.clone()).collect();
+        RowList { now_ms: self.now_ms(), rows }
+    }
+
+    /// The rows of `table` written after generation `after`; `None` when
+    /// this copy of the service never reached `after` (it failed over).
+    pub fn feed(&self, table: &str, after: u64) -> Option<FeedPage> {
+        if after > self.generation {
+            return None;
+        }
         let rows = self
-            .rows
-            .iter()
-            .filter(|((name, _), _)| name == table)
-            .map(|(_, row)| row.clone())
+            .of_table(table)
+            .filter(|stored| stored.generation > after)
+            .map(|stored| stored.row.clone())
             .collect();
-        RowList { rows }
+        Some(FeedPage { generation: self.generation, rows })
     }
 
     /// Applies `write` if the row is still at `write.expect_version`;
     /// returns the new row or the conflict with the current version.
     pub fn put(&mut self, table: &str, key: &str, write: RowWrite) -> Result<Row, WriteConflict> {
         let slot = (table.to_owned(), key.to_owned());
-        let current_version = self.rows.get(&slot).map_or(0, |row| row.version);
+        let current_version = self.rows.get(&slot).map_or(0, |stored| stored.row.version);
         if current_version != write.expect_version {
             return Err(WriteConflict { current_version });
         }
-        let row = Row { key: key.to_owned(), version: current_version + 1, value: write.value };
-        self.rows.insert(slot, row.clone());
+        let row = Row {
+            key: key.to_owned(),
+            version: current_version + 1,
+            written_ms: self.now_ms(),
+            value: write.value,
+        };
+        self.generation += 1;
+        self.rows.insert(slot, StoredRow { generation: self.generation, row: row.clone() });
         Ok(row)
     }
+
+    /// Removes the row if it is still at `version`. Feeds do not tell of
+    /// removals: no table that is followed has any.
+    pub fn remove(&mut self, table: &str, key: &str, version: u64) -> Result<(), WriteConflict> {
+        let slot = (table.to_owned(), key.to_owned());
+        let current_version = self.rows.get(&slot).map_or(0, |stored| stored.row.version);
+        if current_version != version {
+            return Err(WriteConflict { current_version });
+        }
+        self.generation += 1;
+        self.rows.remove(&slot);
+        Ok(())
+    }
+
+    /// The service's steady clock: milliseconds since it started.
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn of_table<'a>(&'a self, table: &str) -> impl Iterator<Item = &'a StoredRow> + use<'a> {
+        let table = table.to_owned();
+        let from = (table.clone(), String::new());
+        self.rows
+            .range(from..)
+            .take_while(move |((name, _), _)| *name == table)
+            .map(|(_, stored)| stored)
+    }
 }
--- a/crates/umberctl/src/commands.rs
+++ b/crates/umberctl/src/commands.rs
@@ -1,10 +1,14 @@
 //! The subcommands of `umberctl` and what each prints.
 
+use std::time::Duration;
+
 use argh::FromArgs;
 use snafu::Snafu;
+use umberglade_router::operator::MemberLine;
 use umberglade_router::operator::OperatorActions;
 use umberglade_router::operator::OperatorError;
 use umberglade_router::preset::Preset;
+use umberglade_wire::engine::EngineRole;
 use umberglade_wire::platform::PRESETS_TABLE;
 
 /// Why a command failed.
@@ -14,6 +18,8 @@
     Operator { source: OperatorError },
     #[snafu(display("reading {path}: {source}"))]
     ReadFile { path: String, source: std::io::Error },
+    #[snafu(display("role `{role}`: must be prefill or decode"))]
+    BadRole { role: String },
 }
 
 impl From<OperatorError> for CommandError {
@@ -35,6 +41,9 @@
     Drain(DrainArgs),
     Undrain(UndrainArgs),
     Org(OrgArgs),
+    Role(RoleArgs),
+    Members(MembersArgs),
+    Snapshot(SnapshotArgs),
 }
 
 /// List presets with their versions.
@@ -122,6 +131,67 @@
     pub key: Vec<String>,
 }
 
+/// Have a backend server serve another role (the holder of the duty orders it).
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "role")]
+pub struct RoleArgs {
+    /// backend server id
+    #[argh(positional)]
+    pub server: String,
+    /// prefill or decode
+    #[argh(positional)]
+    pub role: String,
+}
+
+/// Show every daemon, the fence in force on it and whether its lease is live.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "members")]
+pub struct MembersArgs {
+    /// milliseconds a lease lasts (3 times the daemons' beat) [default 15000]
+    #[argh(option, default = "15000")]
+    pub lease_ms: u64,
+}
+
+/// Keep a copy of every preset and control row in the object store.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "snapshot")]
+pub struct SnapshotArgs {
+    #[argh(subcommand)]
+    pub action: SnapshotAction,
+}
+
+/// What to do with snapshots.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum SnapshotAction {
+    Save(SaveArgs),
+    List(ListSnapshotsArgs),
+    Restore(RestoreArgs),
+}
+
+/// Save one.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "save")]
+pub struct SaveArgs {
+    /// its name
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// List their names.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "list")]
+pub struct ListSnapshotsArgs {}
+
+/// Write one back, as new versions on top of what is in force.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "restore")]
+pub struct RestoreArgs {
+    /// its name
+    #[argh(positional)]
+    pub name: String,
+}
+
 /// Runs `command` and returns what to print.
 pub async fn run(actions: &OperatorActions, command: Command) -> Result<String, CommandError> {
     match command {
@@ -184,9 +254,52 @@
             let row = actions.set_organisation(&args.name, args.key).await?;
             Ok(format!("organisation {} set (organisations version {})", args.name, row.version))
         }
+        Command::Role(args) => {
+            let role = args.role.parse().ok().filter(|role| *role != EngineRole::Plain);
+            let role = role.ok_or(CommandError::BadRole { role: args.role })?;
+            let row = actions.want_role(&args.server, role).await?;
+            Ok(format!("{} is to serve {role} (role orders version {})", args.server, row.version))
+        }
+        Command::Members(args) => {
+            let lines = actions.members(Duration::from_millis(args.lease_ms)).await?;
+            Ok(lines.iter().map(member_line).collect::<Vec<_>>().join("\n"))
+        }
+        Command::Snapshot(args) => snapshot(actions, args.action).await,
+    }
+}
+
+async fn snapshot(
+    actions: &OperatorActions,
+    action: SnapshotAction,
+) -> Result<String, CommandError> {
+    match action {
+        SnapshotAction::Save(args) => {
+            let rows = actions.save_snapshot(&args.name).await?;
+            Ok(format!("snapshot {} saved: {rows} rows", args.name))
+        }
+        SnapshotAction::List(_) => Ok(actions.list_snapshots().await?.join("\n")),
+        SnapshotAction::Restore(args) => {
+            let changed = actions.restore_snapshot(&args.name).await?;
+            Ok(format!("snapshot {} restored: {changed} rows written", args.name))
+        }
     }
 }
 
+fn member_line(line: &MemberLine) -> String {
+    let record = &line.record;
+    format!(
+        "{}\t{}\t{}/{}\tfence {}\t{}\tseen {:.1} s ago{}",
+        record.daemon,
+        record.addr,
+        record.region,
+        record.domain,
+        record.fence,
+        if record.serving { "serving" } else { "stopping" },
+        line.age.as_secs_f64(),
+        if line.is_live { "" } else { "\tLAPSED" },
+    )
+}
+
 fn read_file(path: &str) -> Result<String, CommandError> {
     std::fs::read_to_string(path)
         .map_err(|source| CommandError::ReadFile { path: path.to_owned(), source })
--- /dev/null
+++ b/crates/umberglade/src/cli/mod.rs
@@ -0,0 +1,39 @@
+//! The command line of `umberglade`.
+//!
+//! Every setting is a flag with an environment variable of the same name
+//! in capitals behind `UMBERGLADE_` (`--listen` / `UMBERGLADE_LISTEN`); the
+//! flag wins.
+
+mod bench;
+mod serve;
+mod standin;
+
+use argh::FromArgs;
+
+pub use self::bench::ExperimentArgs;
+pub use self::bench::LoadArgs;
+pub use self::serve::DevArgs;
+pub use self::serve::ServeArgs;
+pub use self::standin::EngineArgs;
+pub use self::standin::PlainArgs;
+pub use self::standin::PlatformArgs;
+pub use self::standin::StandinArgs;
+pub use self::standin::StandinKind;
+
+/// umberglade: a router for separate prefill and decode pools.
+#[derive(FromArgs, Debug)]
+pub struct Cli {
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// The subcommands.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    Serve(ServeArgs),
+    Dev(DevArgs),
+    Standin(StandinArgs),
+    Load(LoadArgs),
+    Experiment(ExperimentArgs),
+}
--- a/crates/umberglade/src/load.rs
+++ b/crates/umberglade/src/load.rs
@@ -1,9 +1,15 @@
-//! `umberglade load`: the load and experiment tool's command line.
+//! `umberglade load`: one load against daemons that already run.
 
-use std::time::Duration;
+use std::fs;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
-use umberglade_standin::load;
-use umberglade_standin::load::LoadPlan;
+use umberglade_bench::experiment::ExperimentRow;
+use umberglade_bench::experiment::PolicyName;
+use umberglade_bench::load;
+use umberglade_bench::load::LoadTarget;
+use umberglade_bench::report;
+use umberglade_bench::workload::Workload;
 use umberglade_wire::pool;
 
 use crate::cli::LoadArgs;
@@ -11,73 +17,40 @@
 
 /// Threads driving the callers.
 const LOAD_THREADS: usize = 4;
-/// The brief's targets: first token within 0.91 s, 48 ms between tokens.
-const URGENT_TTFT: Duration = Duration::from_millis(910);
-const TPOT: Duration = Duration::from_millis(48);
-/// Long briefs may wait a little for their first token.
-const STANDARD_TTFT: Duration = Duration::from_secs(20);
 
-/// Runs the load and prints a table and one JSON line.
+/// Runs the load and prints a line of figures and one line of JSON.
 pub fn run(args: LoadArgs) -> Result<(), StartError> {
-    if args.key.is_empty() {
-        return Err(StartError::Setting {
-            flag: "key",
-            env: "-",
-            problem: "give at least one --key".into(),
-        });
+    require("key", !args.key.is_empty(), "give at least one --key")?;
+    require("target", !args.target.is_empty(), "give at least one --target")?;
+    require("scale", args.scale > 0.0 && args.scale <= 100.0, "must be above 0, at most 100")?;
+    for target in args.target.iter().chain(&args.engine) {
+        let is_loopback =
+            target.parse::<SocketAddr>().is_ok_and(|address| address.ip().is_loopback());
+        require("target", is_loopback, "load goes only to loopback addresses (ip:port)")?;
     }
-    if !(0.0..=1.0).contains(&args.long_share) {
-        return Err(StartError::Setting {
-            flag: "long-share",
-            env: "-",
-            problem: "must be from 0 to 1".into(),
-        });
-    }
-    let plan = LoadPlan {
-        target: args.target,
-        keys: args.key,
-        model: args.model,
-        requests: args.requests,
-        rate: args.rate,
-        long_share: args.long_share,
-        short_prompt_tokens: args.short_prompt_tokens,
-        long_prompt_tokens: args.long_prompt_tokens,
-        shared_prefix_tokens: args.shared_prefix_tokens.min(args.long_prompt_tokens),
-        max_tokens: args.max_tokens.max(1),
-        urgent_ttft: URGENT_TTFT,
-        standard_ttft: STANDARD_TTFT,
-        tpot: TPOT,
-        engines: args.engine,
-        limit: Duration::from_secs(args.seconds),
-    };
+    let workload = Arc::new(read_workload(&args.workload)?);
+    let target = LoadTarget { daemons: args.target, keys: args.key, engines: args.engine };
     pool::start(LOAD_THREADS);
-    let summary = pool::block_on(load::run(plan));
-    println!(
-        "class     sent  whole  refused  failed  good  goodput  ttft_p50  ttft_p95  tpot_p50  tpot_p95"
-    );
-    for class in &summary.classes {
-        println!(
-            "{:<8} {:>5} {:>6} {:>8} {:>7} {:>5} {:>7.1}% {:>7.1}ms {:>7.1}ms {:>7.1}ms {:>7.1}ms",
-            class.class.to_string(),
-            class.sent,
-            class.whole,
-            class.refused,
-            class.failed,
-            class.good,
-            class.goodput_share * 100.0,
-            class.ttft_p50_ms,
-            class.ttft_p95_ms,
-            class.tpot_p50_ms,
-            class.tpot_p95_ms
-        );
-    }
-    println!(
-        "prefill tokens computed {} wasted {}; goodput {:.1}/s over {:.1}s",
-        summary.prefill_computed_tokens,
-        summary.prefill_wasted_tokens,
-        summary.goodput_per_s,
-        summary.elapsed_s
-    );
-    println!("{}", serde_json::to_string(&summary).expect("serialising the summary"));
+    let summary = pool::block_on(load::run(&workload, &Arc::new(target), args.scale, args.seed));
+    let row = ExperimentRow { policy: PolicyName::Affinity, run: 0, summary };
+    println!("{}", report::text_line(&row));
+    println!("{}", serde_json::to_string(&row.summary).expect("serialising the summary"));
     Ok(())
 }
+
+/// Reads and checks the workload file at `path`.
+pub fn read_workload(path: &str) -> Result<Workload, StartError> {
+    let text = fs::read_to_string(path).map_err(|error| bad_workload(path, &error))?;
+    Workload::from_toml(&text).map_err(|error| bad_workload(path, &error))
+}
+
+fn bad_workload(path: &str, error: &dyn std::fmt::Display) -> StartError {
+    StartError::Setting { flag: "workload", env: "-", problem: format!("{path}: {error}") }
+}
+
+fn require(flag: &'static str, holds: bool, problem: &str) -> Result<(), StartError> {
+    if holds {
+        return Ok(());
+    }
+    Err(StartError::Setting { flag, env: "-", problem: problem.to_owned() })
+}
--- a/crates/umberglade/src/logging.rs
+++ b/crates/umberglade/src/logging.rs
@@ -28,3 +28,11 @@
     }
     Ok(())
 }
+
+/// Installs a subscriber for tools: only errors, unless `UMBERGLADE_LOG`
+/// asks for more.
+pub fn init_quiet() {
+    let filter =
+        EnvFilter::try_from_env("UMBERGLADE_LOG").unwrap_or_else(|_| EnvFilter::new("error"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+}
--- a/crates/umberglade/src/main.rs
+++ b/crates/umberglade/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cli;
 mod dev;
+mod experiment;
 mod load;
 mod logging;
 mod serve;
@@ -21,6 +22,7 @@
         Command::Serve(args) => serve::run(args),
         Command::Dev(args) => dev::run(args),
         Command::Load(args) => load::run(args),
+        Command::Experiment(args) => experiment::run(args),
         Command::Standin(args) => match args.kind {
             StandinKind::Platform(args) => standin::platform(args),
             StandinKind::Engine(args) => standin::engine(args),
--- a/crates/umberglade/src/serve.rs
+++ b/crates/umberglade/src/serve.rs
@@ -1,25 +1,25 @@
 //! `umberglade serve`: the daemon of one entry instance.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::StreamExt;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
-use umberglade_router::control::ControlFollower;
-use umberglade_router::control::ControlState;
+use umberglade_bench::experiment::PolicyName;
 use umberglade_router::daemon::DRAIN_LIMIT;
-use umberglade_router::daemon::Daemon;
 use umberglade_router::events;
 use umberglade_router::placement::AffinityPlacement;
+use umberglade_router::placement::LeastLoadedPlacement;
 use umberglade_router::placement::Placement;
 use umberglade_router::placement::RoundRobinPlacement;
-use umberglade_router::platform::PlatformClient;
+use umberglade_router::settings::DEFAULT_FEED_WAIT;
+use umberglade_router::settings::DEFAULT_MEMBER_BEAT;
 use umberglade_router::settings::DEFAULT_PLATFORM_TIMEOUT;
 use umberglade_router::settings::DaemonSettings;
+use umberglade_router::start;
+use umberglade_router::start::StartedDaemon;
 use umberglade_wire::pool;
-use umberglade_wire::server;
 
 use crate::cli::ServeArgs;
 use crate::logging;
@@ -33,24 +33,29 @@
 pub fn run(args: ServeArgs) -> Result<(), StartError> {
     logging::init(args.log_format.clone())?;
     let settings = settings(&args)?;
-    let placement = setting::resolve(
+    let policy = setting::resolve(
         "placement",
         "UMBERGLADE_PLACEMENT",
         args.placement,
-        Some("affinity".into()),
+        Some(PolicyName::Affinity.to_string()),
     )?;
+    let policy: PolicyName = policy.parse().map_err(|_| StartError::Setting {
+        flag: "placement",
+        env: "UMBERGLADE_PLACEMENT",
+        problem: format!("`{policy}`: must be affinity, least-loaded or round-robin"),
+    })?;
     pool::start(settings.threads);
     let metrics = install_metrics();
-    match placement.as_str() {
-        "affinity" => pool::block_on(run_daemon(settings, AffinityPlacement, metrics)),
-        "round-robin" => {
+    match policy {
+        PolicyName::Affinity => {
+            pool::block_on(run_daemon(settings, AffinityPlacement::default(), metrics))
+        }
+        PolicyName::LeastLoaded => {
+            pool::block_on(run_daemon(settings, LeastLoadedPlacement, metrics))
+        }
+        PolicyName::RoundRobin => {
             pool::block_on(run_daemon(settings, RoundRobinPlacement::default(), metrics))
         }
-        other => Err(StartError::Setting {
-            flag: "placement",
-            env: "UMBERGLADE_PLACEMENT",
-            problem: format!("`{other}`: must be affinity or round-robin"),
-        }),
     }
 }
 
@@ -68,24 +73,27 @@
         env: "UMBERGLADE_PLATFORM",
         problem: format!("`{platform}`: {error} (give ip:port)"),
     })?;
-    let follow_ms =
-        setting::resolve("follow-ms", "UMBERGLADE_FOLLOW_MS", args.follow_ms, Some(1000))?;
-    if !(50..=60_000).contains(&follow_ms) {
-        return Err(StartError::Setting {
-            flag: "follow-ms",
-            env: "UMBERGLADE_FOLLOW_MS",
-            problem: format!("{follow_ms} is outside 50..=60000"),
-        });
-    }
-    let threads =
-        setting::resolve("threads", "UMBERGLADE_THREADS", args.threads, Some(DEFAULT_THREADS))?;
-    if !(1..=256).contains(&threads) {
-        return Err(StartError::Setting {
-            flag: "threads",
-            env: "UMBERGLADE_THREADS",
-            problem: format!("{threads} is outside 1..=256"),
-        });
-    }
+    let follow_ms = setting::resolve_within(
+        "follow-ms",
+        "UMBERGLADE_FOLLOW_MS",
+        args.follow_ms,
+        DEFAULT_FEED_WAIT.as_millis() as u64,
+        50..=60_000,
+    )?;
+    let beat_ms = setting::resolve_within(
+        "member-beat-ms",
+        "UMBERGLADE_MEMBER_BEAT_MS",
+        args.member_beat_ms,
+        DEFAULT_MEMBER_BEAT.as_millis() as u64,
+        50..=600_000,
+    )?;
+    let threads = setting::resolve_within(
+        "threads",
+        "UMBERGLADE_THREADS",
+        args.threads,
+        DEFAULT_THREADS,
+        1..=256,
+    )?;
     Ok(DaemonSettings {
         listen,
         platform,
@@ -101,7 +109,15 @@
             args.domain.clone(),
             Some("unknown".into()),
         )?,
-        follow_interval: Duration::from_millis(follow_ms),
+        region: setting::resolve(
+            "region",
+            "UMBERGLADE_REGION",
+            args.region.clone(),
+            Some(String::new()),
+        )?,
+        incarnation: fastrand::u64(..),
+        feed_wait: Duration::from_millis(follow_ms),
+        member_beat: Duration::from_millis(beat_ms),
         platform_timeout: DEFAULT_PLATFORM_TIMEOUT,
         threads,
     })
@@ -118,20 +134,11 @@
     placement: P,
     metrics: Option<PrometheusHandle>,
 ) -> Result<(), StartError> {
-    let (listener, local) = server::bind(settings.listen)
+    let listen = settings.listen.to_string();
+    let started = start::start(settings, placement, metrics)
         .await
-        .map_err(|source| StartError::Bind { addr: settings.listen.to_string(), source })?;
-    let control = Arc::new(ControlState::default());
-    let follower = ControlFollower {
-        platform: PlatformClient::new(settings.platform.clone(), settings.platform_timeout),
-        state: Arc::clone(&control),
-        interval: settings.follow_interval,
-    };
-    follower.follow_once().await;
-    pool::spawn(follower.run());
-    let daemon = Daemon::new(settings.clone(), control, placement, metrics);
-    pool::spawn(server::serve(listener, Arc::new(daemon.clone())));
-    tracing::info!(event = events::DAEMON_STARTED, %local, daemon = %settings.daemon_id, domain = %settings.domain, "daemon serving");
+        .map_err(|source| StartError::Bind { addr: listen, source })?;
+    let StartedDaemon { daemon, local } = started;
     println!("listening on {local}");
     wait_for_stop().await;
     daemon.begin_drain();
--- a/crates/umberglade/src/setting.rs
+++ b/crates/umberglade/src/setting.rs
@@ -2,6 +2,7 @@
 //! its default, with an error that names the setting.
 
 use std::fmt::Display;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use snafu::Snafu;
@@ -16,6 +17,9 @@
     /// The listening socket could not be bound.
     #[snafu(display("binding {addr}: {source}"))]
     Bind { addr: String, source: std::io::Error },
+    /// Something the command needs could not be done.
+    #[snafu(display("{message}"))]
+    Failed { message: String },
 }
 
 /// The value of setting `flag`: the flag's value if given, else the
@@ -46,6 +50,26 @@
     }
 }
 
+/// Like [`resolve`] for a value that must lie in `range`.
+pub fn resolve_within<T>(
+    flag: &'static str,
+    env: &'static str,
+    given: Option<T>,
+    default: T,
+    range: RangeInclusive<T>,
+) -> Result<T, StartError>
+where
+    T: FromStr + Display + PartialOrd,
+    T::Err: Display,
+{
+    let value = resolve(flag, env, given, Some(default))?;
+    if range.contains(&value) {
+        return Ok(value);
+    }
+    let problem = format!("{value} is outside {}..={}", range.start(), range.end());
+    Err(StartError::Setting { flag, env, problem })
+}
+
 /// Like [`resolve`] for a flag given as text that must parse as `T`.
 pub fn resolve_parsed<T>(
     flag: &'static str,
--- a/crates/umberglade/src/standin.rs
+++ b/crates/umberglade/src/standin.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Method;
-use umberglade_router::platform::PlatformClient;
 use umberglade_standin::engine::EngineConfig;
 use umberglade_standin::engine::EngineStandin;
+use umberglade_standin::engine::register;
 use umberglade_standin::plain::PlainStandin;
 use umberglade_standin::platform::PlatformConfig;
 use umberglade_standin::platform::PlatformStandin;
@@ -27,8 +26,6 @@
 
 /// Threads of a stand-in's pool.
 const STANDIN_THREADS: usize = 2;
-/// Bound on registering with the platform stand-in.
-const REGISTER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Runs the platform stand-in until stopped.
 pub fn platform(args: PlatformArgs) -> Result<(), StartError> {
@@ -60,32 +57,25 @@
         env: "-",
         problem: format!("`{}`: must be prefill or decode", args.role),
     })?;
-    let model = args.model.unwrap_or_else(|| "brief-model".into());
-    let mut config = EngineConfig::new(args.server.clone(), role, model.clone());
+    let mut config = EngineConfig::new(args.server, role, args.model);
+    config.domain = args.domain;
+    config.region = args.region;
+    config.register_with = args.register_with;
     config.slots = args.slots.unwrap_or(config.slots);
-    config.checks_fence = args.checks_fence.unwrap_or(true);
-    let domain = args.domain.unwrap_or_else(|| "hall-a".into());
+    config.prefill_per_token =
+        args.prefill_us.map_or(config.prefill_per_token, Duration::from_micros);
+    config.decode_per_token = args.decode_ms.map_or(config.decode_per_token, Duration::from_millis);
+    config.checks_fence = args.checks_fence;
     pool::start(STANDIN_THREADS);
     pool::block_on(async move {
         let (listener, local) = bind(listen).await?;
         let engine = EngineStandin::new(config);
+        engine.listens_on(local);
         pool::spawn(server::serve(listener, Arc::new(engine.clone())));
-        let entry = InstanceEntry {
-            server: args.server,
-            addr: local.to_string(),
-            role,
-            model,
-            domain,
-            state: InstanceState::Live,
-        };
-        if let Some(platform) = &args.register_with {
-            register(platform, &entry).await;
-        }
+        engine.register(InstanceState::Live).await;
         println!("listening on {local}");
         wait_for_stop().await;
-        if let Some(platform) = &args.register_with {
-            register(platform, &InstanceEntry { state: InstanceState::Leaving, ..entry }).await;
-        }
+        engine.register(InstanceState::Leaving).await;
         engine.drained().await;
         Ok(())
     })
@@ -106,6 +96,7 @@
             role: EngineRole::Plain,
             model: args.service,
             domain: args.domain,
+            region: String::new(),
             state: InstanceState::Live,
         };
         if let Some(platform) = &args.register_with {
@@ -122,14 +113,3 @@
         .await
         .map_err(|source| StartError::Bind { addr: listen.to_string(), source })
 }
-
-/// Enters `entry` in the platform stand-in's instance list.
-pub async fn register(platform: &str, entry: &InstanceEntry) {
-    let client = PlatformClient::new(platform, REGISTER_TIMEOUT);
-    let path = format!("/v1/instances/{}", entry.server);
-    if let Err(error) =
-        client.raw::<_, InstanceEntry>("register instance", Method::PUT, &path, Some(entry)).await
-    {
-        tracing::error!(%error, server = %entry.server, "could not register with the platform");
-    }
-}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -16,6 +16,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
@@ -65,30 +66,33 @@
         body: Bytes,
     ) -> Result<Response<Incoming>, WireError> {
         let exchange = self.exchange(step, request, body);
-        let timeout_ms = self.timeout.as_millis() as u64;
-        let peer = self.peer.clone();
-        exchange
-            .or(async move {
-                smol::Timer::after(Duration::from_millis(timeout_ms)).await;
-                Err(WireError::Timeout { step, peer, timeout_ms })
-            })
-            .await
+        within(step, &self.peer, self.timeout, exchange).await
     }
 
-    async fn exchange(
+    /// Opens one connection to the peer, driven on the pool until it closes.
+    pub(crate) async fn connect(
         &self,
         step: &'static str,
-        request: http::request::Builder,
-        body: Bytes,
-    ) -> Result<Response<Incoming>, WireError> {
+    ) -> Result<SendRequest<Full<Bytes>>, WireError> {
         let peer = self.peer.as_str();
         let stream = TcpStream::connect(peer).await.context(ConnectSnafu { step, peer })?;
         let _ = stream.set_nodelay(true);
-        let (mut sender, connection) =
+        let (sender, connection) =
             http1::handshake(FuturesIo::new(stream)).await.context(HttpSnafu { step, peer })?;
         pool::spawn(async move {
             let _ = connection.await;
         });
+        Ok(sender)
+    }
+
+    async fn exchange(
+        &self,
+        step: &'static str,
+        request: http::request::Builder,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, WireError> {
+        let peer = self.peer.as_str();
+        let mut sender = self.connect(step).await?;
         let request = request
             .header(header::HOST, peer)
             .header(header::CONTENT_TYPE, "application/json")
@@ -123,8 +127,8 @@
         let status = response.status();
         let retry_after_s = retry_after(&response);
         let peer = self.peer.as_str();
-        let bytes =
-            response.into_body().collect().await.context(HttpSnafu { step, peer })?.to_bytes();
+        let body = async { response.into_body().collect().await.context(HttpSnafu { step, peer }) };
+        let bytes = within(step, peer, self.timeout, body).await?.to_bytes();
         if !status.is_success() {
             return Err(WireError::Status {
                 step,
@@ -138,6 +142,21 @@
     }
 }
 
+/// `exchange`, or [`WireError::Timeout`] once `timeout` has passed.
+pub(crate) async fn within<T>(
+    step: &'static str,
+    peer: &str,
+    timeout: Duration,
+    exchange: impl Future<Output = Result<T, WireError>>,
+) -> Result<T, WireError> {
+    let expired = async {
+        smol::Timer::after(timeout).await;
+        let timeout_ms = timeout.as_millis() as u64;
+        Err(WireError::Timeout { step, peer: peer.to_owned(), timeout_ms })
+    };
+    exchange.or(expired).await
+}
+
 /// The `Retry-After` header of `response` in whole seconds, if present.
 pub fn retry_after<B>(response: &Response<B>) -> Option<u64> {
     response
