--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -6,10 +6,19 @@
 //! - `GET /v1/kv/{handle}` → the exported KV cache bytes (prefill servers)
 //! - `POST /v1/cancel` [`CancelOrder`] → [`CancelReply`]
 //! - `GET /v1/load` → [`LoadReport`] (lags behind the truth)
+//! - `POST /v1/order` [`EngineOrder`] → [`OrderReply`]
+//! - `GET /v1/report` → [`EngineReport`]
+//! - `GET /v1/cache-events?since=N` → [`CacheEventPage`] (late, with gaps)
 //! - `GET /v1/stats` → [`EngineStats`] (exact, for tests)
+//! - `POST /v1/faults` [`EngineFaults`] → [`EngineFaults`] (stand-ins only)
 //!
 //! Refusals are 503 with `Retry-After`; an old fencing number is 409 on
-//! engines that check fencing.
+//! engines that check fencing. Every answer to a prefill or decode order
+//! carries a [`LoadSample`] in the [`LOAD_HEADER`] header, so a daemon
+//! learns each server's load from the traffic it has anyway.
+
+use std::fmt;
+use std::str::FromStr;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -86,6 +95,11 @@
     pub fence: Fence,
     /// Milliseconds the engine may keep the result if nobody fetches it.
     pub keep_ms: u64,
+    /// Milliseconds after which the engine drops the work by itself.
+    pub deadline_ms: u64,
+    /// 0 for a request's first prefill; above, its prompt was computed
+    /// before and is computed again.
+    pub attempt: u32,
 }
 
 /// A finished prefill: where its KV cache can be fetched.
@@ -116,8 +130,13 @@
     /// Digest of the prompt; a stand-in derives its answer from it, so a
     /// test can tell whose answer a caller got.
     pub answer_seed: u64,
+    /// The 0-based token to begin at: above 0 when the answer goes on from
+    /// another decode server that failed midway.
+    pub resume_from: u32,
     pub priority: Priority,
     pub fence: Fence,
+    /// Milliseconds after which the engine frees the request by itself.
+    pub deadline_ms: u64,
 }
 
 /// One line of a decode stream.
@@ -161,10 +180,130 @@
     pub waiting: u32,
     /// Requests the server can hold at once (decode memory slots).
     pub slots: u32,
+    /// Prompt tokens admitted and not yet computed.
+    pub queued_tokens: u64,
     /// Milliseconds since the engine started, when the figures were taken.
     pub taken_at_ms: u64,
 }
 
+/// The header of a prefill or decode answer that carries a [`LoadSample`].
+pub const LOAD_HEADER: &str = "x-umberglade-load";
+
+/// A server's load as it rides on an answer: `running,slots,queued_tokens`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LoadSample {
+    /// Requests being worked on, from every daemon.
+    pub running: u32,
+    /// Requests the server can hold at once.
+    pub slots: u32,
+    /// Prompt tokens admitted and not yet computed.
+    pub queued_tokens: u64,
+}
+
+impl fmt::Display for LoadSample {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{},{},{}", self.running, self.slots, self.queued_tokens)
+    }
+}
+
+impl FromStr for LoadSample {
+    type Err = std::num::ParseIntError;
+
+    /// Parses `running,slots,queued_tokens`; a missing part fails as empty.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split(',').map(str::trim);
+        Ok(LoadSample {
+            running: parts.next().unwrap_or_default().parse()?,
+            slots: parts.next().unwrap_or_default().parse()?,
+            queued_tokens: parts.next().unwrap_or_default().parse()?,
+        })
+    }
+}
+
+impl From<&LoadReport> for LoadSample {
+    fn from(report: &LoadReport) -> Self {
+        LoadSample {
+            running: report.running + report.waiting,
+            slots: report.slots,
+            queued_tokens: report.queued_tokens,
+        }
+    }
+}
+
+/// What an [`EngineOrder`] asks a server to become.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(tag = "operation", rename_all = "snake_case")]
+pub enum OrderOperation {
+    /// Load a model's weights at a version from the weight store.
+    LoadModel { model: ModelName, version: u32 },
+    /// Load an adapter for the model in place.
+    LoadAdapter { adapter: String },
+    /// Serve the other stage from now on.
+    SetRole { role: EngineRole },
+}
+
+/// An order that changes what a server is, from the holder of the duty.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct EngineOrder {
+    #[serde(flatten)]
+    pub operation: OrderOperation,
+    /// The daemon that holds the duty lease.
+    pub holder: String,
+    /// The fencing number of that lease (its row version).
+    pub fence: Fence,
+    /// The order count the holder last saw; checked when the order is
+    /// carried out, so an order that arrives late is refused even by
+    /// engines that ignore fencing numbers.
+    pub expected_sequence: u64,
+}
+
+/// An accepted order.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct OrderReply {
+    /// Orders accepted since the server started, this one included.
+    pub sequence: u64,
+}
+
+/// What a server is now.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct EngineReport {
+    pub server: ServerId,
+    pub role: EngineRole,
+    pub model: ModelName,
+    pub version: u32,
+    pub adapters: Vec<String>,
+    /// An order is being carried out.
+    pub busy: bool,
+    /// Orders accepted since the server started.
+    pub sequence: u64,
+}
+
+/// Whether a prefix entered or left a server's cache.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheChange {
+    Added,
+    Evicted,
+}
+
+/// One change of a server's prefix cache.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct CacheEvent {
+    pub sequence: u64,
+    pub change: CacheChange,
+    pub prefix_hash: u64,
+}
+
+/// Cache events after the `since` asked for.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct CacheEventPage {
+    /// What to ask `since` next.
+    pub next: u64,
+    /// True when events in between were dropped and never come.
+    pub lost: bool,
+    pub events: Vec<CacheEvent>,
+}
+
 /// Exact figures for tests: what the engine holds right now.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
 pub struct EngineStats {
@@ -179,6 +318,33 @@
     pub computed_tokens: u64,
     /// Prompt tokens computed whose result expired or was cancelled unused.
     pub wasted_tokens: u64,
+    /// Prompt tokens computed by a repeated prefill of the same request.
+    pub repeated_tokens: u64,
+    /// Prompt tokens computed that belong to a shared prefix.
+    pub prefix_tokens: u64,
     /// Orders refused for an old fencing number.
     pub fenced_off: u64,
 }
+
+/// Faults to inject into an engine stand-in.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Refuse every order, as a crashed server's port would.
+    pub down: bool,
+    /// Cut every decode stream after this many tokens; 0 for never.
+    pub cut_after_tokens: u32,
+    /// Fall silent after this many tokens of every decode stream, the
+    /// connection left open; 0 for never.
+    pub silent_after_tokens: u32,
+    /// Hold every prefill order and never answer it.
+    pub silent_prefill: bool,
+    /// Hold every KV transfer and never send it.
+    pub stall_kv: bool,
+    /// Send every token line twice.
+    pub duplicate_lines: bool,
+    /// Send a line of another request's answer before each of its own.
+    pub crossed_lines: bool,
+    /// Leave orders unanswered and carry them out this much later.
+    pub late_order_ms: u64,
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// True when the peer was never reached: nothing can have run there.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, WireError::Connect { .. })
+    }
+
     /// True when the peer never gave an answer: the action may or may not
     /// have taken effect (a lost reply).
     pub fn is_unanswered(&self) -> bool {
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -1,6 +1,6 @@
 //! Type aliases for the identifiers that cross process boundaries.
 
-/// A request's id, unique per daemon run: `"{daemon}-{sequence}"`.
+/// A request's id: `"{daemon}-{incarnation}-{sequence}"`, never used twice.
 pub type RequestId = String;
 /// An organisation's name, as in the organisations table (`"neulanjalki"`).
 pub type OrganisationId = String;
@@ -12,6 +12,8 @@
 pub type DaemonId = String;
 /// A failure domain's name (`"hall-a"`).
 pub type DomainName = String;
+/// A region's name (`"tampere"`); empty at a site of one region.
+pub type RegionName = String;
 /// A handle to a KV cache exported by a prefill server.
 pub type KvHandle = u64;
 /// A fencing number: the version of the preset that an order was made under.
--- /dev/null
+++ b/crates/wire/src/kept.rs
@@ -0,0 +1,86 @@
+//! A client that keeps its connection open between exchanges.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use snafu::ResultExt;
+
+use crate::client::HttpClient;
+use crate::client::within;
+use crate::error::HttpSnafu;
+use crate::error::WireError;
+
+/// A whole answer: its status and body.
+#[derive(Debug, Clone)]
+pub struct KeptReply {
+    pub status: StatusCode,
+    pub body: Bytes,
+}
+
+/// One peer, one connection, one exchange at a time; for reads that are
+/// repeated for as long as the process lives.
+///
+/// Guards against a kept connection that has gone silent for good: each
+/// exchange is bounded by its own timeout, and whatever fails drops the
+/// connection, so the next exchange begins on a fresh one.
+#[derive(Debug)]
+pub struct KeptClient {
+    http: HttpClient,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl KeptClient {
+    /// A client for `peer` (`"127.0.0.1:7100"`), not connected yet.
+    pub fn new(peer: impl Into<String>) -> Self {
+        KeptClient { http: HttpClient::new(peer, Duration::MAX), sender: None }
+    }
+
+    /// The peer's address.
+    pub fn peer(&self) -> &str {
+        &self.http.peer
+    }
+
+    /// Reads `path` whole within `timeout`. `step` names the exchange in
+    /// errors.
+    pub async fn get(
+        &mut self,
+        step: &'static str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<KeptReply, WireError> {
+        let kept = self.sender.take().filter(|sender| !sender.is_closed());
+        let exchange = exchange(&self.http, kept, step, path);
+        let (sender, reply) = within(step, &self.http.peer, timeout, exchange).await?;
+        self.sender = Some(sender);
+        Ok(reply)
+    }
+}
+
+async fn exchange(
+    http: &HttpClient,
+    kept: Option<SendRequest<Full<Bytes>>>,
+    step: &'static str,
+    path: &str,
+) -> Result<(SendRequest<Full<Bytes>>, KeptReply), WireError> {
+    let peer = http.peer.as_str();
+    let mut sender = match kept {
+        Some(sender) => sender,
+        None => http.connect(step).await?,
+    };
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri(path)
+        .header(http::header::HOST, peer)
+        .body(Full::new(Bytes::new()))
+        .expect("a request built from a valid path");
+    let response = sender.send_request(request).await.context(HttpSnafu { step, peer })?;
+    let status = response.status();
+    let body = response.into_body().collect().await.context(HttpSnafu { step, peer })?.to_bytes();
+    Ok((sender, KeptReply { status, body }))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod error;
 pub mod ids;
+pub mod kept;
 pub mod lines;
 pub mod plain;
 pub mod platform;
@@ -24,3 +25,8 @@
 pub fn digest(text: &[u8]) -> u64 {
     xxhash_rust::xxh3::xxh3_64(text)
 }
+
+/// Like [`digest`], mixed with `seed` and without copying `text`.
+pub fn digest_seeded(text: &[u8], seed: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(text, seed)
+}
--- a/crates/wire/src/lines.rs
+++ b/crates/wire/src/lines.rs
@@ -18,13 +18,27 @@
         LineReader { body, buffer: BytesMut::new() }
     }
 
+    /// A whole line that has already arrived, if there is one.
+    pub fn buffered_line(&mut self) -> Option<Bytes> {
+        let at = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let line = self.buffer.split_to(at + 1);
+        Some(line.freeze().slice(..at))
+    }
+
+    /// Puts back a line that was just taken.
+    pub fn put_back(&mut self, line: Bytes) {
+        let rest = self.buffer.split();
+        self.buffer.extend_from_slice(&line);
+        self.buffer.extend_from_slice(b"\n");
+        self.buffer.extend_from_slice(&rest);
+    }
+
     /// The next whole line; `None` at the end of the body (a last line
     /// without a newline is returned first).
     pub async fn next_line(&mut self) -> Result<Option<Bytes>, hyper::Error> {
         loop {
-            if let Some(at) = self.buffer.iter().position(|byte| *byte == b'\n') {
-                let line = self.buffer.split_to(at + 1);
-                return Ok(Some(line.freeze().slice(..at)));
+            if let Some(line) = self.buffered_line() {
+                return Ok(Some(line));
             }
             match self.body.frame().await {
                 Some(frame) => {
--- a/crates/wire/src/plain.rs
+++ b/crates/wire/src/plain.rs
@@ -1,8 +1,12 @@
 //! The plain-service protocol: calls to booking-desk or organisation-desk
 //! style services, some of which must not be repeated.
 //!
-//! - `POST /v1/call` [`PlainCall`] → [`PlainAnswer`]
+//! - `POST /v1/call` [`PlainCall`] → [`PlainAnswer`]; not idempotent
+//! - `GET /v1/lookup/{what}` → [`PlainAnswer`]; safe to repeat
 //! - `GET /v1/stats` → [`PlainStats`]
+//! - `POST /v1/faults` [`PlainFaults`] → [`PlainFaults`] (stand-ins only)
+//!
+//! 429 and 503 promise that a call was not run; no other answer does.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -34,6 +38,18 @@
     pub most_runs_of_one_key: u32,
 }
 
+/// Faults to inject into a plain-service stand-in.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+#[serde(default)]
+pub struct PlainFaults {
+    /// Refuse every call with 503, not run.
+    pub refuse: bool,
+    /// Run every call, then answer 500.
+    pub fail: bool,
+    /// Run every call, then never answer.
+    pub lose_answers: bool,
+}
+
 /// The idempotency record of one non-idempotent action, kept in the
 /// platform's `idempotency` table under `"{organisation}/{key}"`.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
@@ -41,7 +57,10 @@
 pub enum IdempotencyRecord {
     /// A daemon claimed the action and may have sent it; its outcome is
     /// not known until the record moves on.
-    Started { daemon: String },
+    Started {
+        /// Daemon, incarnation and number: no two claims are alike.
+        claim: String,
+    },
     /// The action ran; this is its answer, given again to a retry.
     Done { status: u16, body: String },
     /// The service refused it: it did not run, and may be tried again.
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -2,12 +2,17 @@
 //!
 //! Routes of the platform stand-in (and, in production, of an adapter to
 //! the platform's own service):
-//! - `GET /v1/rows/{table}/{key}` → [`Row`], 404 when absent; with
-//!   `?newer_than=V`, 304 and no body while the row is at V or older
+//! - `GET /v1/rows/{table}/{key}` → [`Row`], 404 when absent
 //! - `PUT /v1/rows/{table}/{key}` [`RowWrite`] → [`Row`], 409 [`WriteConflict`]
+//! - `DELETE /v1/rows/{table}/{key}?version=V`, 409 [`WriteConflict`]
 //! - `GET /v1/rows/{table}` → [`RowList`]
-//! - `GET /v1/instances` → [`InstanceList`] (lags behind reality); with
-//!   `?newer_than=G`, 304 while its generation is G or older
+//! - `GET /v1/feed/{table}?after=G&wait_ms=W` → [`FeedPage`]: rows changed
+//!   after generation G, held open up to W ms while there are none; 410
+//!   when the table's history does not reach G
+//! - `GET /v1/instances?after=G&wait_ms=W` → [`InstanceList`] (lags behind
+//!   reality): the entries changed after G, or all with G = 0 or unknown
+//! - `PUT`, `GET`, `DELETE /v1/objects/{name}` → raw bytes of the object
+//!   store; `GET /v1/objects?prefix=P` → [`ObjectList`]
 //! - `PUT /v1/instances/{server}` [`InstanceEntry`] → [`InstanceEntry`]
 //! - `POST /v1/faults` [`FaultPlan`] → [`FaultPlan`]
 //!
@@ -18,8 +23,10 @@
 use serde::Serialize;
 
 use crate::engine::EngineRole;
+use crate::ids::DaemonId;
 use crate::ids::DomainName;
 use crate::ids::ModelName;
+use crate::ids::RegionName;
 use crate::ids::RowVersion;
 use crate::ids::ServerId;
 
@@ -41,6 +48,10 @@
     pub key: String,
     /// Starts at 1 and grows by one with each accepted write.
     pub version: RowVersion,
+    /// The service's own steady clock when the row was written; compare
+    /// only with a `now_ms` of the same service.
+    #[serde(default)]
+    pub written_ms: u64,
     pub value: serde_json::Value,
 }
 
@@ -63,9 +74,27 @@
 /// All rows of a table, sorted by key.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Default)]
 pub struct RowList {
+    /// The service's steady clock now.
+    #[serde(default)]
+    pub now_ms: u64,
     pub rows: Vec<Row>,
 }
 
+/// The rows of a table that changed after the generation asked for.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Default)]
+pub struct FeedPage {
+    /// What to ask `after` next.
+    pub generation: u64,
+    /// Changed rows, each at its newest version.
+    pub rows: Vec<Row>,
+}
+
+/// Names in the object store under a prefix.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct ObjectList {
+    pub names: Vec<String>,
+}
+
 /// The row that says which preset is in force, carrying the preset whole
 /// so that one conditional write puts it in force everywhere: no daemon can
 /// pair a pointer with a different edit of the preset.
@@ -103,6 +132,9 @@
     /// The model it serves; the service name for plain services.
     pub model: ModelName,
     pub domain: DomainName,
+    /// Empty at a site of one region.
+    #[serde(default)]
+    pub region: RegionName,
     pub state: InstanceState,
 }
 
@@ -115,28 +147,83 @@
 pub enum InstanceState {
     Live,
     Leaving,
+    /// No longer there; only ever in a list of changes.
+    Gone,
 }
 
-/// The instance list as the platform sees it now (behind reality).
+/// The instance list, or what changed in it (behind reality).
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
 pub struct InstanceList {
-    /// Counts the changes visible so far; grows with each one. A reader
-    /// that sends it back as `?newer_than=` gets 304 while nothing changed.
+    /// Counts the changes visible so far; grows with each one. What to ask
+    /// `after` next.
     pub generation: u64,
+    /// True when `instances` holds only what changed; false for the whole.
+    #[serde(default)]
+    pub delta: bool,
     pub instances: Vec<InstanceEntry>,
 }
 
 /// Faults to inject into the platform stand-in.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+#[serde(default)]
 pub struct FaultPlan {
     /// Answer every table call with 503.
     pub outage: bool,
     /// Delay every answer by this many milliseconds.
     pub delay_ms: u64,
-    /// Percent of writes whose reply is lost after the write took effect.
+    /// Read every call and never answer, as a connection gone silent does.
+    pub silent: bool,
+    /// Percent of writes whose reply is lost after the write took effect
+    /// or met a conflict.
     pub lose_reply_percent: u8,
 }
 
+/// The table of [`MemberRecord`]s, keyed by daemon id.
+pub const MEMBERS_TABLE: &str = "members";
+/// The table of the duty lease: one [`DutyRecord`] under [`DUTY_KEY`].
+pub const DUTY_TABLE: &str = "duty";
+/// The one row of [`DUTY_TABLE`].
+pub const DUTY_KEY: &str = "holder";
+/// The [`RoleOrderBook`] row of [`CONTROL_TABLE`].
+pub const ROLE_ORDERS_KEY: &str = "role-orders";
+
+/// A daemon's membership: renewed while it runs, left to lapse when it
+/// dies.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct MemberRecord {
+    pub daemon: DaemonId,
+    pub addr: String,
+    pub domain: DomainName,
+    pub region: RegionName,
+    /// A new number each start, so a restart shows.
+    pub incarnation: u64,
+    /// The fence in force on it when it renewed.
+    pub fence: u64,
+    /// False once it began a graceful stop.
+    pub serving: bool,
+}
+
+/// Who may send orders that change servers; the row's version is the
+/// fencing number of those orders.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct DutyRecord {
+    pub holder: DaemonId,
+    pub incarnation: u64,
+}
+
+/// What operators want servers to be; the holder of the duty sees to it.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct RoleOrderBook {
+    pub servers: std::collections::BTreeMap<ServerId, RoleOrder>,
+}
+
+/// An operator's wish for one server's role.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct RoleOrder {
+    pub role: EngineRole,
+    pub by: String,
+}
+
 /// An operator's drain of one backend server.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
 pub struct DrainOrder {
