Waiting room: a line per class, and hold out for the cached prefix

Ruled out: the engines' slots (urgent work leaves no reserve) and the decode side (70 of 240 slots busy). Change: a line per class, each first trying for itself; long work passed over 32 times may take the urgent reserve instead of being promoted. A daemon's own part of a server's queue is bounded by its share of the preset's bound (live members), which needs no report. Requests near the front go early where their prefix is cached; the first holds out 150 ms for that while servers are busy. Half the target is kept for callers who come back. Recomputing a prefix weighs 10 (was 1).

--- a/crates/bench/src/report/table.rs
+++ b/crates/bench/src/report/table.rs
@@ -11,13 +11,16 @@
 pub fn text_line(row: &ExperimentRow) -> String {
     let run = &row.summary;
     let mut line = format!(
-        "{:<12} {:<12} load {:>4.2}  goodput {:>5.1}%  wasted {:>5.1}% of {} tokens ",
+        "{:<12} {:<12} load {:>4.2}  goodput {:>5.1}%  wasted {:>5.1}% of {} tokens (unused {}, repeated {}, prefix {})",
         run.workload,
         row.policy.to_string(),
         run.scale,
         run.goodput_share * 100.0,
         run.wasted_share * 100.0,
         run.prefill.computed,
+        run.prefill.unused,
+        run.prefill.repeated,
+        run.prefill.prefix,
     );
     for class in &run.classes {
         let _ = write!(
--- a/crates/router/src/admission/mod.rs
+++ b/crates/router/src/admission/mod.rs
@@ -8,4 +8,5 @@
 pub use self::pace_meter::PaceMeter;
 pub use self::retry_budget::RetryBudget;
 pub use self::waiting_room::RoomRefusal;
+pub use self::waiting_room::RoomTurn;
 pub use self::waiting_room::WaitingRoom;
--- a/crates/router/src/control/server_counters.rs
+++ b/crates/router/src/control/server_counters.rs
@@ -75,10 +75,14 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    pub(super) fn own_queued_tokens(&self) -> u64 {
+        self.queued_tokens.load(Ordering::Acquire)
+    }
+
     /// Takes in a report. Our own part is subtracted, since it is counted
     /// exactly: what is left is the lagging view of the others' part.
     pub(super) fn observe(&self, sample: LoadSample) {
-        let own_tokens = self.queued_tokens.load(Ordering::Acquire);
+        let own_tokens = self.own_queued_tokens();
         let others = OthersLoad {
             running: sample.running.saturating_sub(self.in_flight()),
             slots: sample.slots,
@@ -93,7 +97,7 @@
         let mut load = ServerLoad {
             running: self.in_flight(),
             slots: others.map_or(0, |others| others.slots),
-            queued_tokens: self.queued_tokens.load(Ordering::Acquire),
+            queued_tokens: self.own_queued_tokens(),
         };
         if let Some(others) = others.filter(|others| others.taken.elapsed() < REPORT_LIFE) {
             load.running += others.running;
--- a/crates/router/src/control/server_slot.rs
+++ b/crates/router/src/control/server_slot.rs
@@ -56,6 +56,11 @@
         self.counters.in_flight()
     }
 
+    /// Prompt tokens this daemon has waiting on the server now.
+    pub fn queued_tokens(&self) -> u64 {
+        self.counters.own_queued_tokens()
+    }
+
     /// Counts one more request with `tokens` of prompt to compute in
     /// flight until the guard drops.
     pub fn begin(&self, tokens: u64) -> InFlightGuard {
--- a/crates/router/src/pipeline/decode.rs
+++ b/crates/router/src/pipeline/decode.rs
@@ -21,6 +21,7 @@
 use super::run::RequestRun;
 use super::run::RoomWaker;
 use super::run::observe_load;
+use crate::admission::RoomTurn;
 use crate::control::InFlightGuard;
 use crate::control::ServerSlot;
 use crate::events;
@@ -83,7 +84,7 @@
     ) -> Option<Claimed> {
         let pool = self.decode_pool();
         if tried < DECODE_ATTEMPTS
-            && let Some(claimed) = self.place_decode(&pool, &export.slot)
+            && let Some(claimed) = self.place_decode(&pool, &export.slot, RoomTurn::Ordinary)
         {
             return Some(claimed);
         }
@@ -92,7 +93,7 @@
         }
         self.forget_passed_over();
         smol::Timer::after(EXPORT_MARGIN).await;
-        let place = || self.place_decode(&self.decode_pool(), &export.slot);
+        let place = |turn| self.place_decode(&self.decode_pool(), &export.slot, turn);
         self.room().enter(self.admitted.priority, patience, place).await.ok()
     }
 
--- a/crates/router/src/pipeline/plain.rs
+++ b/crates/router/src/pipeline/plain.rs
@@ -208,6 +208,9 @@
             domain: &self.shared.settings.domain,
             region: &self.shared.settings.region,
             avoid,
+            picky: false,
+            reserve: 0,
+            own_queue_tokens: 0,
         };
         let choice = self.shared.placement.decode(&pool, &need)?;
         Some(Arc::clone(&pool[choice.index]))
--- a/crates/router/src/pipeline/run.rs
+++ b/crates/router/src/pipeline/run.rs
@@ -8,12 +8,14 @@
 use smallvec::SmallVec;
 use umberglade_wire::engine::EngineRole;
 use umberglade_wire::engine::LOAD_HEADER;
+use umberglade_wire::engine::Priority;
 use umberglade_wire::ids::ServerId;
 
 use super::Admitted;
 use super::CancelOnDrop;
 use super::RunFailure;
 use super::decode::DecodeStream;
+use crate::admission::RoomTurn;
 use crate::admission::WaitingRoom;
 use crate::control::ControlSnapshot;
 use crate::control::InFlightGuard;
@@ -22,15 +24,18 @@
 use crate::daemon::AdmissionGuard;
 use crate::daemon::Daemon;
 use crate::events;
+use crate::front::RETRY_AFTER_S;
 use crate::placement::Choice;
 use crate::placement::Placement;
 use crate::placement::PlacementNeed;
 
 /// Attempts of one request, the first included.
 const MAX_ATTEMPTS: u32 = 4;
-/// The share of a class's first-token target kept for what the prediction
-/// misses: hand-off, first decode step, scheduling.
-const TARGET_MARGIN: f64 = 0.15;
+/// The share of a class's first-token target that a request may spend
+/// waiting and being read. The rest is for what the prediction misses, and
+/// for callers who come back after a refusal: they count from their first
+/// try. Past saturation a shorter line serves as many, but in time.
+const TARGET_SHARE: f64 = 0.5;
 
 /// A request being worked on. Dropping it cancels what servers still hold.
 pub(crate) struct RequestRun<P> {
@@ -134,31 +139,32 @@
             }
         }
         if !self.daemon.shared.placement.waits_for_room() {
-            return self.place_pair().ok_or(RunFailure::NoRoom { retry_after_s: 1 });
+            let placed = self.place_pair(RoomTurn::Ordinary);
+            return placed.ok_or(RunFailure::NoRoom { retry_after_s: RETRY_AFTER_S });
         }
         self.room()
-            .enter(self.admitted.priority, self.patience(), || self.place_pair())
+            .enter(self.admitted.priority, self.patience(), |turn| self.place_pair(turn))
             .await
             .map_err(|refusal| RunFailure::NoRoom { retry_after_s: refusal.retry_after_s })
     }
 
     /// Both servers as placed now, or `None` when either has no room. The
     /// snapshot is read anew: servers may have come while waiting.
-    fn place_pair(&self) -> Option<ClaimedPair> {
+    fn place_pair(&self, turn: RoomTurn) -> Option<ClaimedPair> {
         let snapshot = self.daemon.shared.control.current();
         let decode_pool = snapshot.candidates(EngineRole::Decode, &self.admitted.model);
         // Decode first: it is the cheaper question, and when it has no
         // room the prefill policy must not remember a placement.
-        self.choose_decode(&decode_pool, None)?;
-        let prefill = self.place_prefill(&snapshot)?;
-        let decode = self.place_decode(&decode_pool, &prefill.slot)?;
+        self.choose_decode(&decode_pool, None, turn)?;
+        let prefill = self.place_prefill(&snapshot, turn)?;
+        let decode = self.place_decode(&decode_pool, &prefill.slot, turn)?;
         Some(ClaimedPair { prefill, decode })
     }
 
-    fn place_prefill(&self, snapshot: &ControlSnapshot) -> Option<Claimed> {
+    fn place_prefill(&self, snapshot: &ControlSnapshot, turn: RoomTurn) -> Option<Claimed> {
         let pool = snapshot.candidates(EngineRole::Prefill, &self.admitted.model);
         let settings = &self.daemon.shared.settings;
-        let need = self.need(&settings.domain, &settings.region);
+        let need = self.need(&settings.domain, &settings.region, turn);
         let choice = self.daemon.shared.placement.prefill(&pool, &need)?;
         let slot = Arc::clone(&pool[choice.index]);
         let guard = slot.begin(u64::from(self.admitted.shape.tokens));
@@ -166,35 +172,53 @@
     }
 
     /// Takes room at a decode server near `prefill`.
-    pub fn place_decode(&self, pool: &ServerPool, prefill: &ServerSlot) -> Option<Claimed> {
-        let choice = self.choose_decode(pool, Some(prefill))?;
+    pub fn place_decode(
+        &self,
+        pool: &ServerPool,
+        prefill: &ServerSlot,
+        turn: RoomTurn,
+    ) -> Option<Claimed> {
+        let choice = self.choose_decode(pool, Some(prefill), turn)?;
         let slot = Arc::clone(&pool[choice.index]);
         let guard = slot.begin(0);
         Some(Claimed { slot, guard, choice })
     }
 
-    fn choose_decode(&self, pool: &ServerPool, prefill: Option<&ServerSlot>) -> Option<Choice> {
+    fn choose_decode(
+        &self,
+        pool: &ServerPool,
+        prefill: Option<&ServerSlot>,
+        turn: RoomTurn,
+    ) -> Option<Choice> {
         let settings = &self.daemon.shared.settings;
         let (domain, region) = match prefill {
             Some(prefill) => (&prefill.entry.domain, &prefill.entry.region),
             None => (&settings.domain, &settings.region),
         };
-        self.daemon.shared.placement.decode(pool, &self.need(domain, region))
+        self.daemon.shared.placement.decode(pool, &self.need(domain, region, turn))
     }
 
-    fn need<'a>(&'a self, domain: &'a str, region: &'a str) -> PlacementNeed<'a> {
+    fn need<'a>(&'a self, domain: &'a str, region: &'a str, turn: RoomTurn) -> PlacementNeed<'a> {
+        let preset = &self.admitted.preset;
+        let leaves_reserve =
+            self.admitted.priority == Priority::Standard && turn != RoomTurn::PassedOver;
+        let daemons = self.daemon.shared.members.live_count().max(1) as u64;
         PlacementNeed {
             shape: &self.admitted.shape,
             priority: self.admitted.priority,
-            preset: &self.admitted.preset,
+            preset,
             domain,
             region,
             avoid: &self.avoid,
+            picky: turn == RoomTurn::Picky,
+            reserve: if leaves_reserve { preset.urgent_reserve_slots } else { 0 },
+            own_queue_tokens: u64::from(preset.prefill_queue_tokens) / daemons,
         }
     }
 
     /// How long the request may wait for room and still meet its class's
-    /// first-token target. A request whose answer has begun has until its
+    /// first-token target: what its prefill should take, the queue before
+    /// it at the server included, is taken off. A request whose answer has begun has until its
     /// deadline: its target is missed already, its answer is still owed.
     fn patience(&self) -> Duration {
         if self.attempt > 0 {
@@ -202,9 +226,13 @@
         }
         let targets = self.admitted.preset.targets(self.admitted.priority);
         let target = Duration::from_millis(targets.ttft_ms);
-        let work = self.daemon.shared.pace.predict(u64::from(self.admitted.shape.tokens));
+        let queue = match self.admitted.priority {
+            Priority::Urgent => 0,
+            Priority::Standard => self.admitted.preset.prefill_queue_tokens,
+        };
+        let work = self.daemon.shared.pace.predict(u64::from(self.admitted.shape.tokens + queue));
         target
-            .saturating_sub(target.mul_f64(TARGET_MARGIN))
+            .mul_f64(TARGET_SHARE)
             .saturating_sub(work)
             .saturating_sub(self.started.elapsed())
             .min(self.remaining())
--- a/crates/router/src/placement/affinity.rs
+++ b/crates/router/src/placement/affinity.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use umberglade_wire::engine::Priority;
 
 use super::Choice;
@@ -14,10 +15,15 @@
 use crate::control::ServerLoad;
 use crate::control::ServerSlot;
 
-/// The share of a prefix assumed cached on the server that its hash ranks
-/// first when this daemon has not used it there lately: other daemons rank
-/// alike and may have.
-const RANKED_FIRST_CACHED: f64 = 0.5;
+/// The share of a prefix assumed missing on the servers its hash ranks
+/// first and second when this daemon has not used it there lately: other
+/// daemons rank alike and may have.
+const RANKED_MISSING: [f64; 2] = [0.2, 0.5];
+/// The most of a prefix that may be missing where a picky request goes.
+const PICKY_MISSING: f64 = 0.2;
+/// A prefill server with less than this share of the queue bound waiting
+/// counts as idle.
+const IDLE_SHARE: f64 = 0.125;
 /// What leaving the failure domain costs, as a share of the prompt.
 const OTHER_DOMAIN_COST: f64 = 0.05;
 /// What leaving the region costs: it is chosen only when nothing else is.
@@ -39,23 +45,25 @@
     fn prefill(&self, candidates: &[Arc<ServerSlot>], need: &PlacementNeed<'_>) -> Option<Choice> {
         let keep = Duration::from_millis(need.preset.prefix_keep_ms);
         let holders = self.memory.holders(need.shape.prefix_hash, keep);
-        let ranked_first = ranked_first(candidates, need);
+        let ranked = ranked_candidates(candidates, need);
         let scored = candidates
             .iter()
             .enumerate()
             .filter(|(_, slot)| need.allows(slot) && !slot.is_set_aside())
             .filter_map(|(at, slot)| {
                 let load = slot.load();
-                if !has_prefill_room(&load, need) {
+                if !has_prefill_room(slot, &load, need) {
                     return None;
                 }
                 let missing = if holders.contains(&slot.entry.server) {
                     0.0
-                } else if ranked_first == Some(at) {
-                    1.0 - RANKED_FIRST_CACHED
                 } else {
-                    1.0
+                    let rank = ranked.iter().position(|candidate| *candidate == at);
+                    rank.map_or(1.0, |rank| RANKED_MISSING[rank])
                 };
+                if need.picky && missing > PICKY_MISSING && !is_idle(&load, need) {
+                    return None;
+                }
                 Some((at, -prefill_cost(slot, &load, need, missing)))
             })
             .collect();
@@ -107,21 +115,23 @@
     queue + own + prefix + away + fastrand::f64() * JITTER_TOKENS
 }
 
-/// Whether `load` leaves room for one more prompt: slots short of the
-/// urgent reserve, and for standard work a queue under the preset's bound.
-fn has_prefill_room(load: &ServerLoad, need: &PlacementNeed<'_>) -> bool {
+/// Whether `slot` should get one more prompt: a slot is free, and for
+/// standard work the queue is under the preset's bound and our own part of
+/// it under our share, which counts without the lag of reports.
+fn has_prefill_room(slot: &ServerSlot, load: &ServerLoad, need: &PlacementNeed<'_>) -> bool {
+    let bound = u64::from(need.preset.prefill_queue_tokens);
     let queue_ok = need.priority == Priority::Urgent
-        || load.queued_tokens < u64::from(need.preset.prefill_queue_tokens);
+        || (load.queued_tokens < bound && slot.queued_tokens() <= need.own_queue_tokens);
     queue_ok && free_slots(load, need) > 0
 }
 
-/// Slots free for this request: standard work leaves the urgent reserve.
+fn is_idle(load: &ServerLoad, need: &PlacementNeed<'_>) -> bool {
+    (load.queued_tokens as f64) < f64::from(need.preset.prefill_queue_tokens) * IDLE_SHARE
+}
+
+/// Slots free for this request beyond the reserve it must leave.
 fn free_slots(load: &ServerLoad, need: &PlacementNeed<'_>) -> u32 {
-    let reserve = match need.priority {
-        Priority::Urgent => 0,
-        Priority::Standard => need.preset.urgent_reserve_slots,
-    };
-    slots_of(load).saturating_sub(load.running + reserve)
+    slots_of(load).saturating_sub(load.running + need.reserve)
 }
 
 fn slots_of(load: &ServerLoad) -> u32 {
@@ -138,19 +148,24 @@
     }
 }
 
-/// The candidate that the prefix's hash ranks first (rendezvous hashing):
-/// every daemon ranks alike without a message, and a server that leaves
-/// moves only its own prefixes.
-fn ranked_first(candidates: &[Arc<ServerSlot>], need: &PlacementNeed<'_>) -> Option<usize> {
+/// The candidates that the prefix's hash ranks first and second
+/// (rendezvous hashing): every daemon ranks alike without a message, and a
+/// server that leaves moves only its own prefixes.
+fn ranked_candidates(
+    candidates: &[Arc<ServerSlot>],
+    need: &PlacementNeed<'_>,
+) -> SmallVec<[usize; 2]> {
     if need.shape.prefix_hash == 0 {
-        return None;
+        return SmallVec::new();
     }
-    candidates
+    let mut weights: Vec<(u64, usize)> = candidates
         .iter()
         .enumerate()
         .filter(|(_, slot)| slot.entry.region == need.region)
-        .max_by_key(|(_, slot)| rendezvous_weight(need.shape.prefix_hash, &slot.entry.server))
-        .map(|(at, _)| at)
+        .map(|(at, slot)| (rendezvous_weight(need.shape.prefix_hash, &slot.entry.server), at))
+        .collect();
+    weights.sort_unstable_by(|left, right| right.cmp(left));
+    weights.into_iter().take(RANKED_MISSING.len()).map(|(_, at)| at).collect()
 }
 
 fn rendezvous_weight(prefix_hash: u64, server: &str) -> u64 {
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -52,6 +52,14 @@
     pub region: &'a str,
     /// Servers this request has tried already.
     pub avoid: &'a [ServerId],
+    /// Whether it should go only where its prefix is cached or a server
+    /// idles.
+    pub picky: bool,
+    /// Slots of each server it must leave free.
+    pub reserve: u32,
+    /// Prompt tokens this daemon itself may have waiting at a prefill
+    /// server: its share of the preset's bound.
+    pub own_queue_tokens: u64,
 }
 
 impl PlacementNeed<'_> {
--- a/crates/router/src/preset.rs
+++ b/crates/router/src/preset.rs
@@ -80,7 +80,7 @@
 }
 
 fn default_recompute_weight() -> f64 {
-    1.0
+    10.0
 }
 
 fn default_deadline_ms() -> u64 {
