--- a/crates/router/src/admission/pace_meter.rs
+++ b/crates/router/src/admission/pace_meter.rs
@@ -6,6 +6,9 @@
 
 /// Assumed until the first answer: nanoseconds per prompt token.
 const FIRST_GUESS_NS: u64 = 20_000;
+/// Prompts shorter than this take mostly what any exchange takes, and tell
+/// nothing of the pace of long ones.
+const LEAST_TOKENS: u64 = 1024;
 /// The weight of one more measurement.
 const WEIGHT: f64 = 0.1;
 
@@ -22,10 +25,11 @@
 }
 
 impl PaceMeter {
-    /// Takes in that `tokens` (queued ahead and own) took `elapsed`. Two
+    /// Takes in that `tokens` (queued ahead and own) took `elapsed`, if
+    /// they are enough to tell. Two
     /// measurements at once may lose one; an average bears that.
     pub fn observe(&self, tokens: u64, elapsed: Duration) {
-        if tokens == 0 {
+        if tokens < LEAST_TOKENS {
             return;
         }
         let measured = elapsed.as_nanos() as f64 / tokens as f64;
--- a/crates/router/src/admission/waiting_room.rs
+++ b/crates/router/src/admission/waiting_room.rs
@@ -17,6 +17,10 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// The span over which the rate of placements is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
+/// Placements remembered at most.
+const PLACEMENTS_KEPT: usize = 4096;
+/// The shortest span that tells a rate.
+const RATE_SPAN: Duration = Duration::from_millis(250);
 /// Placements in the window below which no rate is known.
 const RATE_SAMPLES: usize = 4;
 
@@ -48,6 +52,8 @@
 struct ClassLine {
     /// Invariant: tickets grow from front to back.
     waiters: VecDeque<Waiter>,
+    /// Since when somebody has waited without a break.
+    busy_since: Option<Instant>,
     /// When the latest placements were made, oldest first.
     placements: VecDeque<Instant>,
     /// Placements of the other class since the last of this one.
@@ -55,14 +61,21 @@
 }
 
 impl ClassLine {
-    /// Placements a second over the window; `None` with too few to tell.
+    /// Placements a second while somebody waited all along; `None` before
+    /// that has lasted long enough to tell.
+    ///
+    /// Guards against refusing at a quiet site: there placements are few
+    /// because arrivals are, and their rate says nothing of the room.
     fn rate(&mut self) -> Option<f64> {
         let now = Instant::now();
-        while self.placements.front().is_some_and(|at| now.duration_since(*at) > RATE_WINDOW) {
+        let window_start = now.checked_sub(RATE_WINDOW)?;
+        let since = self.busy_since?.max(window_start);
+        while self.placements.front().is_some_and(|at| *at < since) {
             self.placements.pop_front();
         }
-        (self.placements.len() >= RATE_SAMPLES)
-            .then(|| self.placements.len() as f64 / RATE_WINDOW.as_secs_f64())
+        let span = now.duration_since(since);
+        let can_tell = span >= RATE_SPAN && self.placements.len() >= RATE_SAMPLES;
+        can_tell.then(|| self.placements.len() as f64 / span.as_secs_f64())
     }
 }
 
@@ -111,7 +124,11 @@
 impl Drop for LinePlace<'_> {
     fn drop(&mut self) {
         let mut lines = self.room.lock();
-        lines.of(self.priority).waiters.retain(|waiter| waiter.ticket != self.ticket);
+        let line = lines.of(self.priority);
+        line.waiters.retain(|waiter| waiter.ticket != self.ticket);
+        if line.waiters.is_empty() {
+            line.busy_since = None;
+        }
         lines.wake_firsts();
     }
 }
@@ -190,7 +207,9 @@
         let mut lines = self.lock();
         lines.next_ticket += 1;
         let ticket = lines.next_ticket;
-        lines.of(priority).waiters.push_back(Waiter { ticket, wake: Arc::clone(&wake) });
+        let line = lines.of(priority);
+        line.busy_since.get_or_insert_with(Instant::now);
+        line.waiters.push_back(Waiter { ticket, wake: Arc::clone(&wake) });
         LinePlace { room: self, priority, ticket, wake }
     }
 
@@ -228,6 +247,9 @@
         let mut lines = self.lock();
         let line = lines.of(priority);
         line.placements.push_back(Instant::now());
+        if line.placements.len() > PLACEMENTS_KEPT {
+            line.placements.pop_front();
+        }
         line.passed_over = 0;
         if priority == Priority::Urgent {
             let standard = &mut lines.standard;
--- a/crates/router/src/pipeline/run.rs
+++ b/crates/router/src/pipeline/run.rs
@@ -31,6 +31,8 @@
 
 /// Attempts of one request, the first included.
 const MAX_ATTEMPTS: u32 = 4;
+/// How long an attempt after the first waits for room.
+const RETRY_PATIENCE: Duration = Duration::from_secs(3);
 /// The share of a class's first-token target that a request may spend
 /// waiting and being read. The rest is for what the prediction misses, and
 /// for callers who come back after a refusal: they count from their first
@@ -131,12 +133,18 @@
     }
 
     /// Waits for room at a prefill and a decode server and takes it.
-    async fn claim_pair(&self) -> Result<ClaimedPair, RunFailure> {
+    async fn claim_pair(&mut self) -> Result<ClaimedPair, RunFailure> {
         let snapshot = self.daemon.shared.control.current();
         for role in [EngineRole::Prefill, EngineRole::Decode] {
-            if snapshot.candidates(role, &self.admitted.model).is_empty() {
+            let pool = snapshot.candidates(role, &self.admitted.model);
+            if pool.is_empty() {
                 return Err(RunFailure::NoServer { role, model: self.admitted.model.clone() });
             }
+            // With every server of the role tried, waiting for another
+            // would last until the deadline: they get one more chance.
+            if pool.iter().all(|slot| self.avoid.contains(&slot.entry.server)) {
+                self.avoid.clear();
+            }
         }
         if !self.daemon.shared.placement.waits_for_room() {
             let placed = self.place_pair(RoomTurn::Ordinary);
@@ -218,11 +226,11 @@
 
     /// How long the request may wait for room and still meet its class's
     /// first-token target: what its prefill should take, the queue before
-    /// it at the server included, is taken off. A request whose answer has begun has until its
-    /// deadline: its target is missed already, its answer is still owed.
+    /// it at the server included, is taken off. An attempt after the first
+    /// waits a fixed time: the target may be missed, the answer is owed.
     fn patience(&self) -> Duration {
         if self.attempt > 0 {
-            return self.remaining();
+            return self.remaining().min(RETRY_PATIENCE);
         }
         let targets = self.admitted.preset.targets(self.admitted.priority);
         let target = Duration::from_millis(targets.ttft_ms);
--- /dev/null
+++ b/crates/umberglade/tests/answers.rs
@@ -0,0 +1,152 @@
+//! Each caller gets the whole answer to its own request, whatever the
+//! engines' streams carry and wherever they break.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use umberglade_router::prompt::chat_shape;
+use umberglade_standin::engine::answer_token;
+use umberglade_wire::caller::ChatMessage;
+use umberglade_wire::engine::EngineFaults;
+
+use support::ORGANISATIONS;
+use support::Site;
+use support::engine_faults;
+use support::engine_stats;
+use support::post;
+use support::sse_text;
+
+const MAX_TOKENS: u32 = 40;
+
+fn messages(caller: usize) -> Vec<ChatMessage> {
+    let content = format!("caller {caller}: my own story");
+    vec![ChatMessage { role: "user".into(), content }]
+}
+
+fn expected(caller: usize) -> String {
+    let seed = chat_shape(&messages(caller)).digest;
+    (0..MAX_TOKENS).map(|index| answer_token(seed, index)).collect()
+}
+
+/// Sends as `caller`; the text it got, and whether it was whole.
+fn ask(daemon: &str, caller: usize, stream: bool) -> (String, bool) {
+    let body = serde_json::json!({
+        "model": "brief-model",
+        "messages": messages(caller),
+        "max_tokens": MAX_TOKENS,
+        "stream": stream,
+    });
+    let (_, key) = ORGANISATIONS[caller % 2];
+    let answer = post(daemon, "/v1/chat/completions", key, &body.to_string());
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    if stream {
+        return sse_text(&answer.body);
+    }
+    let whole: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    (whole["choices"][0]["message"]["content"].as_str().unwrap().to_owned(), true)
+}
+
+/// What one decode server does to its streams.
+struct StreamCase {
+    name: &'static str,
+    faults: EngineFaults,
+    /// Its streams can't end by themselves: answers must go on elsewhere.
+    resumes: bool,
+}
+
+/// One of two decode servers sends lines twice, sends another request's
+/// lines in between, breaks its streams off after some tokens, or falls
+/// silent with the connection open. Eight callers of two organisations
+/// ask at once: each must get exactly its own answer, whole.
+#[test]
+fn every_answer_is_whole_and_its_callers_own_whatever_a_stream_carries() {
+    let none = EngineFaults::default();
+    let cases = [
+        StreamCase {
+            name: "lines twice",
+            faults: EngineFaults { duplicate_lines: true, ..none.clone() },
+            resumes: false,
+        },
+        StreamCase {
+            name: "lines crossed",
+            faults: EngineFaults { crossed_lines: true, ..none.clone() },
+            resumes: false,
+        },
+        StreamCase {
+            name: "crossed and twice",
+            faults: EngineFaults { crossed_lines: true, duplicate_lines: true, ..none.clone() },
+            resumes: false,
+        },
+        StreamCase {
+            name: "streams cut",
+            faults: EngineFaults { cut_after_tokens: 7, ..none.clone() },
+            resumes: true,
+        },
+        StreamCase {
+            name: "streams silent",
+            faults: EngineFaults { silent_after_tokens: 7, ..none.clone() },
+            resumes: true,
+        },
+    ];
+    for case in &cases {
+        let site = Site::start(1, 2);
+        engine_faults(&site.decode_engine(1, 0).addr, &case.faults);
+        let callers: Vec<_> = (0..8)
+            .map(|caller| {
+                let daemon = site.daemon.addr.clone();
+                thread::spawn(move || (caller, ask(&daemon, caller, caller % 4 != 0)))
+            })
+            .collect();
+        for handle in callers {
+            let (caller, (text, done)) = handle.join().unwrap();
+            assert!(done, "{}: caller {caller} got no whole answer: {text}", case.name);
+            assert_eq!(text, expected(caller), "{}: caller {caller}", case.name);
+        }
+        if case.resumes {
+            let repeated = engine_stats(&site.engines[0].addr).repeated_tokens;
+            assert!(repeated > 0, "{}: the fault never struck", case.name);
+        }
+    }
+}
+
+/// A decode server's process dies while it streams five answers. Each
+/// answer goes on from the other server at the token that was due: the
+/// callers see a pause, none of them a cut or a token twice.
+#[test]
+fn answers_survive_the_death_of_their_decode_server() {
+    let mut site = Site::start(1, 2);
+    let callers: Vec<_> = (0..6)
+        .map(|caller| {
+            let daemon = site.daemon.addr.clone();
+            thread::spawn(move || (caller, ask(&daemon, caller, true)))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(150));
+    site.engines[1].stop();
+    for handle in callers {
+        let (caller, (text, done)) = handle.join().unwrap();
+        assert!(done, "caller {caller} was cut: {text}");
+        assert_eq!(text, expected(caller), "caller {caller}");
+    }
+}
+
+/// The only decode server breaks every stream and there is no other: the
+/// answer can't be completed. The caller must see that: an error event
+/// and no `[DONE]`, or an honest status when nothing had been sent.
+#[test]
+fn an_answer_that_cannot_be_completed_never_looks_complete() {
+    let site = Site::start(1, 1);
+    let faults = EngineFaults { cut_after_tokens: 5, ..EngineFaults::default() };
+    engine_faults(&site.decode_engine(1, 0).addr, &faults);
+    let body = support::chat(10, MAX_TOKENS);
+    let answer = post(&site.daemon.addr, "/v1/chat/completions", "key-glenmorrow", &body);
+    assert_eq!(answer.status, 200);
+    assert!(!answer.body.contains("[DONE]"), "{}", answer.body);
+    assert!(answer.body.contains("answer_cut"), "{}", answer.body);
+    let whole = body.replace("\"stream\":true", "\"stream\":false");
+    let answer = post(&site.daemon.addr, "/v1/chat/completions", "key-glenmorrow", &whole);
+    assert!(matches!(answer.status, 502 | 503), "{}", answer.body);
+    assert!(answer.retry_after.is_some());
+}
--- a/crates/umberglade/tests/at_most_once.rs
+++ b/crates/umberglade/tests/at_most_once.rs
@@ -6,12 +6,17 @@
 use std::thread;
 use std::time::Duration;
 
+use umberglade_wire::plain::PlainFaults;
 use umberglade_wire::plain::PlainStats;
 use umberglade_wire::platform::FaultPlan;
 
 use support::CallerAnswer;
 use support::Process;
 use support::Site;
+use support::eventually;
+use support::get_json;
+use support::post_json;
+use support::set_faults;
 use support::wait_for_servers;
 
 /// A site with one booking-desk plain service beside the engines.
@@ -50,8 +55,7 @@
 }
 
 fn desk_stats(desk: &str) -> PlainStats {
-    let mut response = ureq::get(&format!("http://{desk}/v1/stats")).call().unwrap();
-    serde_json::from_str(&response.body_mut().read_to_string().unwrap()).unwrap()
+    get_json(desk, "/v1/stats")
 }
 
 /// One case: how a client sends the same booking, and what the platform
@@ -80,6 +84,12 @@
             lose_replies: false,
         },
         RetryCase { name: "retries racing", sequential: 0, concurrent: 4, lose_replies: false },
+        RetryCase {
+            name: "retries racing with lost replies",
+            sequential: 0,
+            concurrent: 6,
+            lose_replies: true,
+        },
         RetryCase {
             name: "lost replies on the record",
             sequential: 2,
@@ -91,10 +101,7 @@
         let (site, desk) = site_with_booking_desk();
         if case.lose_replies {
             let plan = FaultPlan { lose_reply_percent: 100, ..FaultPlan::default() };
-            ureq::post(&format!("http://{}/v1/faults", site.platform.addr))
-                .header("Content-Type", "application/json")
-                .send(serde_json::to_string(&plan).unwrap())
-                .unwrap();
+            set_faults(&site.platform.addr, &plan);
         }
         let key = format!("booking-{}", case.name.replace(' ', "-"));
         let mut answers: Vec<CallerAnswer> =
@@ -139,3 +146,118 @@
     assert!(answer.body.contains("Idempotency-Key"), "{}", answer.body);
     assert_eq!(desk_stats(&desk.addr).executions, 0);
 }
+
+/// What a service does to a call, and what its caller must be told.
+struct ServiceCase {
+    name: &'static str,
+    faults: PlainFaults,
+    status: u16,
+    /// Runs after the first call.
+    runs: u64,
+    /// The status of a retry with the same key once the service is well.
+    retry_status: u16,
+    /// Runs after that retry.
+    runs_after: u64,
+}
+
+/// The booking-desk refuses a call, fails halfway through it, or runs it
+/// and never answers. The client then asks again with the same key. Only
+/// the refused call may run now; the others ran, and must not again.
+#[test]
+fn a_call_the_service_may_have_run_is_never_run_again() {
+    let cases = [
+        ServiceCase {
+            name: "refused",
+            faults: PlainFaults { refuse: true, ..PlainFaults::default() },
+            status: 503,
+            runs: 0,
+            retry_status: 200,
+            runs_after: 1,
+        },
+        ServiceCase {
+            name: "failed halfway",
+            faults: PlainFaults { fail: true, ..PlainFaults::default() },
+            status: 500,
+            runs: 1,
+            retry_status: 500,
+            runs_after: 1,
+        },
+        ServiceCase {
+            name: "answer lost",
+            faults: PlainFaults { lose_answers: true, ..PlainFaults::default() },
+            status: 504,
+            runs: 1,
+            retry_status: 409,
+            runs_after: 1,
+        },
+    ];
+    let (site, desk) = site_with_booking_desk();
+    for case in &cases {
+        let key = format!("key {}/{}", case.name, 1);
+        let before = desk_stats(&desk.addr).executions;
+        post_json(&desk.addr, "/v1/faults", &case.faults);
+        let first = book(&site.daemon.addr, Some(&key));
+        assert_eq!(first.status, case.status, "{}: {}", case.name, first.body);
+        assert_eq!(desk_stats(&desk.addr).executions - before, case.runs, "{}", case.name);
+        post_json(&desk.addr, "/v1/faults", &PlainFaults::default());
+        // The desk is set aside for a while after a failure.
+        let mut retry = book(&site.daemon.addr, Some(&key));
+        eventually(Duration::from_secs(3), || {
+            retry = book(&site.daemon.addr, Some(&key));
+            retry.status != 503
+        });
+        assert_eq!(retry.status, case.retry_status, "{}: {}", case.name, retry.body);
+        let runs = desk_stats(&desk.addr).executions - before;
+        assert_eq!(runs, case.runs_after, "{}: after the retry", case.name);
+    }
+}
+
+/// The table service takes the claim of a booking and goes down before it
+/// answers, so the daemon can't tell whether it holds the key. It refuses:
+/// not run. When the service is back the client tries again with the same
+/// key: the orphaned claim must not stand in its way, and the booking runs
+/// exactly once.
+#[test]
+fn a_claim_orphaned_by_an_outage_does_not_block_the_key() {
+    let (site, desk) = site_with_booking_desk();
+    let platform = site.platform.addr.clone();
+    let lost = FaultPlan { lose_reply_percent: 100, ..FaultPlan::default() };
+    set_faults(&platform, &lost);
+    let daemon = site.daemon.addr.clone();
+    let caller = thread::spawn(move || book(&daemon, Some("orphan")));
+    thread::sleep(Duration::from_millis(500));
+    set_faults(&platform, &FaultPlan { outage: true, ..lost });
+    let refused = caller.join().unwrap();
+    assert_eq!(refused.status, 503, "{}", refused.body);
+    assert!(refused.body.contains("not run"), "{}", refused.body);
+    assert_eq!(desk_stats(&desk.addr).executions, 0);
+    set_faults(&platform, &FaultPlan::default());
+    let mut last = 0;
+    let booked = eventually(Duration::from_secs(8), || {
+        last = book(&site.daemon.addr, Some("orphan")).status;
+        last == 200
+    });
+    assert!(booked, "the key stayed blocked: last answer {last}");
+    assert_eq!(desk_stats(&desk.addr).executions, 1);
+}
+
+/// A lookup may be repeated: when one of two desks is down, every lookup
+/// is still answered, by the other.
+#[test]
+fn lookups_are_answered_by_another_server_when_one_fails() {
+    let (site, desk) = site_with_booking_desk();
+    let args = ["standin", "plain", "--server", "desk-2", "--service", "booking-desk"];
+    let second = Process::start(&[&args[..], &["--register-with", &site.platform.addr]].concat());
+    wait_for_servers(&site.daemon.addr, 4);
+    post_json(&desk.addr, "/v1/faults", &PlainFaults { refuse: true, ..PlainFaults::default() });
+    for slot in 0..20 {
+        let path = format!("/v1/services/booking-desk/lookup/slot-{slot}");
+        let mut response = ureq::get(&format!("http://{}{path}", site.daemon.addr))
+            .header("Authorization", "Bearer key-glenmorrow")
+            .call()
+            .expect("every lookup is answered");
+        let body = response.body_mut().read_to_string().unwrap();
+        assert!(body.contains(&format!("slot-{slot}")), "{body}");
+    }
+    drop(second);
+}
--- /dev/null
+++ b/crates/umberglade/tests/callers_gone.rs
@@ -0,0 +1,144 @@
+//! No engine memory is held for a request whose caller is gone, wherever
+//! the request was when it went, or the daemon with it.
+
+mod support;
+
+use std::time::Duration;
+
+use umberglade_wire::engine::EngineFaults;
+
+use support::Site;
+use support::chat;
+use support::engine_faults;
+use support::engine_stats;
+use support::eventually;
+use support::raw_request;
+
+/// How soon after the end the engines must hold nothing.
+const FREED_WITHIN: Duration = Duration::from_secs(2);
+
+/// One way for a caller to be gone.
+struct GoneCase {
+    name: &'static str,
+    prefill_faults: EngineFaults,
+    decode_faults: EngineFaults,
+    prompt_words: usize,
+    /// Which engine must hold the request before its caller goes.
+    held_at: HeldAt,
+    /// The daemon is killed instead of the caller hanging up.
+    kill_daemon: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum HeldAt {
+    Prefill,
+    Decode,
+}
+
+impl GoneCase {
+    const fn new(name: &'static str, held_at: HeldAt) -> GoneCase {
+        const NONE: EngineFaults = EngineFaults {
+            down: false,
+            cut_after_tokens: 0,
+            silent_after_tokens: 0,
+            silent_prefill: false,
+            stall_kv: false,
+            duplicate_lines: false,
+            crossed_lines: false,
+            late_order_ms: 0,
+        };
+        GoneCase {
+            name,
+            prefill_faults: NONE,
+            decode_faults: NONE,
+            prompt_words: 20,
+            held_at,
+            kill_daemon: false,
+        }
+    }
+}
+
+/// A client hangs up, or the daemon dies, at each stage of a request: while
+/// its long prompt is read (1.2 s), while its KV cache is stuck on its way,
+/// while tokens stream (4 s), while the stream has fallen silent. Nobody
+/// will read the answer, so every engine must hold nothing within seconds.
+#[test]
+fn engines_hold_nothing_once_the_caller_is_gone() {
+    let stalled = EngineFaults { stall_kv: true, ..EngineFaults::default() };
+    let silent = EngineFaults { silent_after_tokens: 3, ..EngineFaults::default() };
+    let cases = [
+        GoneCase { prompt_words: 40_000, ..GoneCase::new("caller, mid-prefill", HeldAt::Prefill) },
+        GoneCase {
+            prefill_faults: stalled.clone(),
+            ..GoneCase::new("caller, mid-transfer", HeldAt::Decode)
+        },
+        GoneCase::new("caller, mid-decode", HeldAt::Decode),
+        GoneCase {
+            decode_faults: silent,
+            ..GoneCase::new("caller, silent stream", HeldAt::Decode)
+        },
+        GoneCase {
+            prompt_words: 40_000,
+            kill_daemon: true,
+            ..GoneCase::new("daemon, mid-prefill", HeldAt::Prefill)
+        },
+        GoneCase {
+            prefill_faults: stalled,
+            kill_daemon: true,
+            ..GoneCase::new("daemon, mid-transfer", HeldAt::Decode)
+        },
+        GoneCase { kill_daemon: true, ..GoneCase::new("daemon, mid-decode", HeldAt::Decode) },
+    ];
+    for case in &cases {
+        let mut site = Site::start(1, 1);
+        let engines: Vec<String> = site.engines.iter().map(|engine| engine.addr.clone()).collect();
+        engine_faults(&engines[0], &case.prefill_faults);
+        engine_faults(&engines[1], &case.decode_faults);
+        let socket = raw_request(&site.daemon.addr, &chat(case.prompt_words, 500));
+        let holder = &engines[if case.held_at == HeldAt::Prefill { 0 } else { 1 }];
+        let held = || engine_stats(holder).held_requests == 1;
+        assert!(eventually(Duration::from_secs(2), held), "{}: never held", case.name);
+        if case.kill_daemon {
+            site.daemon.stop();
+        }
+        drop(socket);
+        let freed = eventually(FREED_WITHIN, || {
+            engines.iter().all(|engine| {
+                let stats = engine_stats(engine);
+                stats.held_requests == 0 && stats.held_exports == 0
+            })
+        });
+        let left: Vec<_> = engines.iter().map(|engine| engine_stats(engine)).collect();
+        assert!(freed, "{}: still held: {left:?}", case.name);
+    }
+}
+
+/// The daemon's machine freezes mid-answer: its sockets stay open, nothing
+/// is ever cancelled. The decode server frees the request on its own when
+/// the deadline the order carried has passed.
+#[test]
+fn a_frozen_daemon_holds_engine_memory_no_longer_than_the_deadline() {
+    let site = Site::start(1, 1);
+    let short = std::fs::read_to_string(format!(
+        "{}/../../presets/ordinary.toml",
+        env!("CARGO_MANIFEST_DIR")
+    ))
+    .unwrap();
+    let short = format!("deadline_ms = 1500\n{short}");
+    let actions = support::actions(&site.platform.addr);
+    support::run(async {
+        actions.put_preset("short", &short, 0).await.unwrap();
+        actions.activate("short", 1).await.unwrap();
+    });
+    let in_force = || support::status(&site.daemon.addr).unwrap()["fence"] == 2;
+    assert!(eventually(Duration::from_secs(3), in_force));
+    let silent = EngineFaults { silent_after_tokens: 3, ..EngineFaults::default() };
+    let decode = &site.decode_engine(1, 0).addr;
+    engine_faults(decode, &silent);
+    let _socket = raw_request(&site.daemon.addr, &chat(20, 500));
+    assert!(eventually(Duration::from_secs(2), || engine_stats(decode).held_requests == 1));
+    site.daemon.freeze();
+    let freed = eventually(Duration::from_secs(4), || engine_stats(decode).held_requests == 0);
+    site.daemon.thaw();
+    assert!(freed, "held past its deadline: {:?}", engine_stats(decode));
+}
--- a/crates/umberglade/tests/invariants.rs
+++ b/crates/umberglade/tests/invariants.rs
@@ -4,80 +4,23 @@
 
 mod support;
 
-use std::io::Read;
-use std::io::Write;
-use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
-use umberglade_router::operator::OperatorActions;
 use umberglade_router::operator::OperatorError;
-use umberglade_router::platform::PlatformClient;
-use umberglade_wire::engine::EngineStats;
 use umberglade_wire::platform::FaultPlan;
 
 use support::Process;
 use support::Site;
+use support::actions;
+use support::engine_stats;
+use support::eventually;
 use support::post;
+use support::set_faults;
 use support::status;
 
-fn actions(platform: &str) -> OperatorActions {
-    OperatorActions {
-        platform: PlatformClient::new(platform, Duration::from_secs(2)),
-        actor: "test".into(),
-    }
-}
-
-fn engine_stats(engine: &str) -> EngineStats {
-    let mut response =
-        ureq::get(&format!("http://{engine}/v1/stats")).call().expect("engine stats");
-    serde_json::from_str(&response.body_mut().read_to_string().unwrap()).unwrap()
-}
-
-fn set_faults(platform: &str, plan: &FaultPlan) {
-    ureq::post(&format!("http://{platform}/v1/faults"))
-        .header("Content-Type", "application/json")
-        .send(serde_json::to_string(plan).unwrap())
-        .expect("setting faults");
-}
-
-/// Polls `check` every 20 ms until it holds or `limit` passes.
-fn eventually(limit: Duration, mut check: impl FnMut() -> bool) -> bool {
-    let deadline = Instant::now() + limit;
-    while Instant::now() < deadline {
-        if check() {
-            return true;
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    check()
-}
-
 const LONG_STREAM: &str = r#"{"model":"brief-model","stream":true,"max_tokens":300,"messages":[{"role":"user","content":"long brief"}]}"#;
 
-/// A client on the phone hangs up while its answer is streaming.
-/// The daemon's write to the caller fails, the relay ends, and the decode
-/// server must be told: its memory for that request is freed at once, not
-/// after the 300 tokens it was asked for (2.4 s of decode).
-#[test]
-fn caller_gone_mid_decode_frees_engine_memory() {
-    let site = Site::start(1, 1);
-    let mut socket = TcpStream::connect(&site.daemon.addr).unwrap();
-    let request = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-neulanjalki\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{LONG_STREAM}",
-        LONG_STREAM.len()
-    );
-    socket.write_all(request.as_bytes()).unwrap();
-    let mut first = [0u8; 256];
-    let _ = socket.read(&mut first).unwrap();
-    let decode = &site.engines[1].addr;
-    assert_eq!(engine_stats(decode).held_requests, 1, "the request is decoding");
-    drop(socket);
-    let freed = eventually(Duration::from_millis(800), || engine_stats(decode).held_requests == 0);
-    assert!(freed, "decode memory still held after the caller left: {:?}", engine_stats(decode));
-}
-
 /// Two shifts activate a preset at the same moment, both having read the
 /// same version. Exactly one wins; the other is told of the conflict and
 /// nothing of it is written.
--- /dev/null
+++ b/crates/umberglade/tests/silent_links.rs
@@ -0,0 +1,110 @@
+//! Open connections go silent for good while new ones work.
+
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::platform::InstanceEntry;
+use umberglade_wire::platform::InstanceState;
+
+use support::CLOSELY;
+use support::Link;
+use support::Process;
+use support::actions;
+use support::eventually;
+use support::post;
+use support::run;
+use support::seed;
+use support::start_daemon;
+use support::start_engine;
+use support::start_platform;
+use support::status;
+
+/// The letter's bound on a change being in force everywhere.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
+
+/// Something between daemon and platform loses track of the daemon's open
+/// feeds: they stay open and carry nothing. An operator then activates
+/// another preset. The daemon must notice by itself, follow on a fresh
+/// connection and have the preset in force within the letter's 4 s.
+#[test]
+fn a_preset_is_in_force_in_time_though_the_feeds_went_silent() {
+    let platform = start_platform("0");
+    seed(&platform.addr);
+    let link = Link::to(&platform.addr);
+    let daemon = start_daemon(&link.addr, "entry-1", &["--follow-ms", "1500"]);
+    assert!(eventually(Duration::from_secs(2), || status(&daemon.addr).unwrap()["fence"] == 1));
+    link.silence_open();
+    let begun = Instant::now();
+    run(actions(&platform.addr).activate("peak", 1)).unwrap();
+    let in_force = eventually(IN_FORCE_WITHIN, || status(&daemon.addr).unwrap()["fence"] == 2);
+    assert!(in_force, "not in force after {:?}", begun.elapsed());
+}
+
+/// Where a link to an engine goes silent.
+struct SilentCase {
+    name: &'static str,
+    role: EngineRole,
+    /// The request has begun to stream when it happens.
+    mid_stream: bool,
+}
+
+/// The daemon's open connection to an engine goes silent: while a prompt
+/// is being read, or in the middle of a stream. The engine itself is well
+/// and takes new connections. The caller must get its whole answer, by a
+/// fresh connection, not wait for the dead one.
+#[test]
+fn a_request_is_answered_though_its_connection_went_silent() {
+    let cases = [
+        SilentCase { name: "mid-prefill", role: EngineRole::Prefill, mid_stream: false },
+        SilentCase { name: "mid-stream", role: EngineRole::Decode, mid_stream: true },
+    ];
+    for case in &cases {
+        let platform = start_platform("0");
+        seed(&platform.addr);
+        let (engines, link) = linked_engines(&platform, case.role);
+        let daemon = start_daemon(&platform.addr, "entry-1", &CLOSELY);
+        support::wait_for_servers(&daemon.addr, engines.len());
+        let addr = daemon.addr.clone();
+        let body = support::chat(if case.mid_stream { 20 } else { 20_000 }, 100);
+        let caller = std::thread::spawn(move || {
+            post(&addr, "/v1/chat/completions", "key-neulanjalki", &body)
+        });
+        std::thread::sleep(Duration::from_millis(300));
+        link.silence_open();
+        let answer = caller.join().unwrap();
+        assert_eq!(answer.status, 200, "{}: {}", case.name, answer.body);
+        assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}: cut", case.name);
+    }
+}
+
+/// One engine of each role by itself, and one more of `role` that is
+/// listed first and reached through the link returned.
+fn linked_engines(platform: &Process, role: EngineRole) -> (Vec<Process>, Link) {
+    let unlisted =
+        Process::start(&["standin", "engine", "--server", "linked", "--role", &role.to_string()]);
+    let link = Link::to(&unlisted.addr);
+    let entry = InstanceEntry {
+        server: "linked".into(),
+        addr: link.addr.clone(),
+        role,
+        model: "brief-model".into(),
+        domain: "unknown".into(),
+        region: String::new(),
+        state: InstanceState::Live,
+    };
+    run(umberglade_standin::engine::register(&platform.addr, &entry));
+    let other = match role {
+        EngineRole::Prefill => "decode",
+        _ => "prefill",
+    };
+    let far = ["--domain", "far-away"];
+    let engines = vec![
+        unlisted,
+        start_engine(&platform.addr, "other-role", other, &far),
+        start_engine(&platform.addr, "second", &role.to_string(), &far),
+    ];
+    (engines, link)
+}
--- a/crates/umberglade/tests/support/mod.rs
+++ b/crates/umberglade/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod link;
+
 use std::io::BufRead;
 use std::io::BufReader;
 use std::process::Child;
@@ -9,8 +11,22 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Instant;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use umberglade_router::operator::OperatorActions;
 use umberglade_router::platform::PlatformClient;
+use umberglade_wire::engine::EngineFaults;
+use umberglade_wire::engine::EngineStats;
+use umberglade_wire::platform::FaultPlan;
+
+#[allow(unused_imports)]
+pub use self::link::Link;
 
 /// The `umberglade` binary under test.
 pub const UMBERGLADE: &str = env!("CARGO_BIN_EXE_umberglade");
@@ -32,13 +48,32 @@
 impl Process {
     /// Starts `umberglade ARGS` and waits for its `listening on` line.
     pub fn start(args: &[&str]) -> Process {
-        let mut child = Command::new(UMBERGLADE)
+        let child = Command::new(UMBERGLADE)
             .args(args)
-            .env("UMBERGLADE_LOG", "warn")
+            .env("UMBERGLADE_LOG", "error")
             .stdout(Stdio::piped())
             .stderr(Stdio::inherit())
             .spawn()
             .expect("starting umberglade");
+        Process::listening(child)
+    }
+
+    /// Like [`Process::start`], with the log from `info` on, as JSON lines,
+    /// in `log`.
+    pub fn start_logged(args: &[&str], log: &std::path::Path) -> Process {
+        let log = std::fs::File::create(log).expect("creating the log file");
+        let child = Command::new(UMBERGLADE)
+            .args(args)
+            .env("UMBERGLADE_LOG", "info")
+            .env("UMBERGLADE_LOG_FORMAT", "json")
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .expect("starting umberglade");
+        Process::listening(child)
+    }
+
+    fn listening(mut child: Child) -> Process {
         let stdout = child.stdout.take().expect("piped stdout");
         let mut line = String::new();
         BufReader::new(stdout).read_line(&mut line).expect("reading the listening line");
@@ -55,16 +90,31 @@
 
     /// Sends SIGTERM: a planned stop.
     pub fn terminate(&self) {
-        let _ = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        self.signal("-TERM");
+    }
+
+    /// Freezes the process: a paused machine.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Wakes it again.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
+        let _ = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
     }
 }
 
 /// A platform stand-in, engines registered with it, presets and
-/// organisations seeded, the ordinary preset active, and one daemon.
+/// organisations seeded, the ordinary preset active, and one daemon. The
+/// daemon stands first so that it is dropped first.
 pub struct Site {
-    pub platform: Process,
-    pub engines: Vec<Process>,
     pub daemon: Process,
+    pub engines: Vec<Process>,
+    pub platform: Process,
 }
 
 /// Organisations of the test site and their keys.
@@ -74,52 +124,162 @@
 impl Site {
     /// Starts a site with `prefill` and `decode` engines of brief-model.
     pub fn start(prefill: usize, decode: usize) -> Site {
-        let platform = Process::start(&[
-            "standin",
-            "platform",
-            "--listen",
-            "127.0.0.1:0",
-            "--instance-lag-ms",
-            "0",
-        ]);
+        Site::start_with(prefill, decode, &[])
+    }
+
+    /// Like [`Site::start`] with more arguments for every engine.
+    pub fn start_with(prefill: usize, decode: usize, engine_args: &[&str]) -> Site {
+        let platform = start_platform("0");
         let mut engines = Vec::new();
         for (role, count) in [("prefill", prefill), ("decode", decode)] {
             for index in 0..count {
                 let server = format!("brief-{role}-{index}");
-                engines.push(Process::start(&[
-                    "standin",
-                    "engine",
-                    "--server",
-                    &server,
-                    "--role",
-                    role,
-                    "--register-with",
-                    &platform.addr,
-                ]));
+                engines.push(start_engine(&platform.addr, &server, role, engine_args));
             }
         }
         seed(&platform.addr);
-        let daemon = Process::start(&[
-            "serve",
-            "--listen",
-            "127.0.0.1:0",
-            "--platform",
-            &platform.addr,
-            "--follow-ms",
-            "200",
-        ]);
+        let daemon = start_daemon(&platform.addr, "entry-1", &CLOSELY);
         wait_for_servers(&daemon.addr, prefill + decode);
         Site { platform, engines, daemon }
     }
+
+    /// The engine `brief-{role}-{index}`, given how many prefill engines
+    /// the site has.
+    pub fn decode_engine(&self, prefill: usize, index: usize) -> &Process {
+        &self.engines[prefill + index]
+    }
 }
 
-/// Seeds presets, organisations, and activates `ordinary`.
-pub fn seed(platform: &str) {
-    let actions = OperatorActions {
+/// A platform whose instance list lags by `lag_ms`.
+pub fn start_platform(lag_ms: &str) -> Process {
+    Process::start(&["standin", "platform", "--listen", "127.0.0.1:0", "--instance-lag-ms", lag_ms])
+}
+
+/// An engine entered in `platform`'s instance list.
+pub fn start_engine(platform: &str, server: &str, role: &str, more: &[&str]) -> Process {
+    let mut args = vec!["standin", "engine", "--server", server, "--role", role];
+    args.extend(["--register-with", platform]);
+    args.extend(more);
+    Process::start(&args)
+}
+
+/// Follow `platform` closely, as most tests' daemons do.
+pub const CLOSELY: [&str; 2] = ["--follow-ms", "200"];
+
+/// A daemon of `platform`.
+pub fn start_daemon(platform: &str, daemon_id: &str, more: &[&str]) -> Process {
+    let mut args = vec!["serve", "--listen", "127.0.0.1:0", "--platform", platform];
+    args.extend(["--daemon-id", daemon_id]);
+    args.extend(more);
+    Process::start(&args)
+}
+
+/// An operator's hands on `platform`.
+pub fn actions(platform: &str) -> OperatorActions {
+    OperatorActions {
         platform: PlatformClient::new(platform, Duration::from_secs(2)),
         actor: "test".into(),
-    };
-    umberglade_wire::pool::block_on(async {
+    }
+}
+
+/// Runs `task` to its end.
+pub fn run<F: Future>(task: F) -> F::Output {
+    umberglade_wire::pool::block_on(task)
+}
+
+/// GETs `path` and parses the JSON answer.
+pub fn get_json<T: DeserializeOwned>(addr: &str, path: &str) -> T {
+    let mut response = ureq::get(&format!("http://{addr}{path}")).call().expect("an answer");
+    let text = response.body_mut().read_to_string().expect("a text body");
+    serde_json::from_str(&text).expect("the JSON expected")
+}
+
+/// POSTs `value` to `path`, expecting success.
+pub fn post_json<T: Serialize>(addr: &str, path: &str, value: &T) {
+    ureq::post(&format!("http://{addr}{path}"))
+        .header("Content-Type", "application/json")
+        .send(serde_json::to_string(value).expect("serialising"))
+        .expect("an answer");
+}
+
+/// What the engine at `addr` holds and has done.
+pub fn engine_stats(addr: &str) -> EngineStats {
+    get_json(addr, "/v1/stats")
+}
+
+/// Injects `faults` into the engine at `addr`.
+pub fn engine_faults(addr: &str, faults: &EngineFaults) {
+    post_json(addr, "/v1/faults", faults);
+}
+
+/// Injects `plan` into the platform at `addr`.
+pub fn set_faults(platform: &str, plan: &FaultPlan) {
+    post_json(platform, "/v1/faults", plan);
+}
+
+/// Polls `check` every 20 ms until it holds or `limit` passes.
+pub fn eventually(limit: Duration, mut check: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    while Instant::now() < deadline {
+        if check() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    check()
+}
+
+/// Sends `body` to the daemon's chat route on a raw socket and returns it,
+/// to be dropped when the caller hangs up.
+pub fn raw_request(daemon: &str, body: &str) -> TcpStream {
+    let mut socket = TcpStream::connect(daemon).expect("connecting to the daemon");
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-neulanjalki\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    socket.write_all(request.as_bytes()).expect("sending the request");
+    socket
+}
+
+/// Waits for the first bytes of an answer.
+pub fn first_bytes(socket: &mut TcpStream) {
+    let mut first = [0u8; 256];
+    assert!(socket.read(&mut first).expect("an answer") > 0);
+}
+
+/// A streamed chat request of `prompt_words` words for `max_tokens` tokens.
+pub fn chat(prompt_words: usize, max_tokens: u32) -> String {
+    serde_json::json!({
+        "model": "brief-model",
+        "stream": true,
+        "max_tokens": max_tokens,
+        "messages": [{ "role": "user", "content": "brief ".repeat(prompt_words) }],
+    })
+    .to_string()
+}
+
+/// Joins the content deltas of an SSE answer, and whether it ends in
+/// `[DONE]`.
+pub fn sse_text(body: &str) -> (String, bool) {
+    let mut text = String::new();
+    let mut done = false;
+    for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let chunk: serde_json::Value = serde_json::from_str(data).expect("a JSON chunk");
+        if let Some(content) = chunk["choices"][0]["delta"]["content"].as_str() {
+            text.push_str(content);
+        }
+    }
+    (text, done)
+}
+
+/// Seeds presets, organisations, and activates `ordinary`.
+pub fn seed(platform: &str) {
+    let actions = actions(platform);
+    run(async {
         for name in ["ordinary", "peak", "maintenance"] {
             let text = std::fs::read_to_string(format!(
                 "{}/../../presets/{name}.toml",
--- a/crates/umberglade/tests/whole_path.rs
+++ b/crates/umberglade/tests/whole_path.rs
@@ -13,6 +13,7 @@
 use support::ORGANISATIONS;
 use support::Site;
 use support::post;
+use support::sse_text;
 
 /// The text a caller must receive for `messages` and `max_tokens`.
 fn expected_answer(messages: &[ChatMessage], max_tokens: u32) -> String {
@@ -25,23 +26,6 @@
         .to_string()
 }
 
-/// Joins the content deltas of an SSE answer; checks it ends in [DONE].
-fn sse_text(body: &str) -> (String, bool) {
-    let mut text = String::new();
-    let mut done = false;
-    for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
-        if data == "[DONE]" {
-            done = true;
-            continue;
-        }
-        let chunk: serde_json::Value = serde_json::from_str(data).expect("a JSON chunk");
-        if let Some(content) = chunk["choices"][0]["delta"]["content"].as_str() {
-            text.push_str(content);
-        }
-    }
-    (text, done)
-}
-
 /// Many callers of two organisations at once, streaming and not: each
 /// gets the whole answer to its own prompt, and nobody else's.
 #[test]
