--- /dev/null
+++ b/crates/router/tests/properties.rs
@@ -0,0 +1,135 @@
+//! Properties that must hold whatever the order of things: one answer put
+//! together from any lines, presets that never revert, retries within
+//! their budget.
+
+use proptest::prelude::*;
+use umberglade_router::admission::RetryBudget;
+use umberglade_router::control::ControlSnapshot;
+use umberglade_router::pipeline::AnswerAssembler;
+use umberglade_router::pipeline::AnswerStep;
+use umberglade_wire::engine::DecodeEvent;
+use umberglade_wire::platform::ACTIVE_KEY;
+use umberglade_wire::platform::ActivePreset;
+use umberglade_wire::platform::Row;
+
+const OWN: &str = "entry-1-a-1";
+
+/// One line of a stream, as an engine may send it in any order.
+#[derive(Debug, Clone)]
+enum Line {
+    Token { own: bool, index: u32 },
+    Done { own: bool, tokens: u32 },
+    Failed { own: bool },
+}
+
+fn line() -> impl Strategy<Value = Line> {
+    prop_oneof![
+        8 => (any::<bool>(), 0u32..12).prop_map(|(own, index)| Line::Token { own, index }),
+        2 => (any::<bool>(), 0u32..12).prop_map(|(own, tokens)| Line::Done { own, tokens }),
+        1 => any::<bool>().prop_map(|own| Line::Failed { own }),
+    ]
+}
+
+fn event(line: &Line) -> DecodeEvent {
+    let id = |own: &bool| if *own { OWN.to_owned() } else { "entry-2-b-1".to_owned() };
+    match line {
+        Line::Token { own, index } => {
+            let owner = if *own { "own" } else { "other" };
+            let text = format!("{owner}{index} ");
+            DecodeEvent::Token { request_id: id(own), index: *index, text }
+        }
+        Line::Done { own, tokens } => DecodeEvent::Done {
+            request_id: id(own),
+            tokens: *tokens,
+            finish_reason: "length".into(),
+        },
+        Line::Failed { own } => {
+            DecodeEvent::Failed { request_id: id(own), message: "failed".into() }
+        }
+    }
+}
+
+/// Feeds `lines`, starting a new stream (at the token due) whenever one
+/// breaks, until the answer is done; the text and whether it was done.
+fn assemble(lines: &[Line]) -> (Vec<String>, Option<u32>) {
+    let mut assembler = AnswerAssembler::new(OWN.to_owned());
+    let mut text = Vec::new();
+    for line in lines {
+        match assembler.accept(event(line)) {
+            AnswerStep::Token(token) => text.push(token),
+            AnswerStep::Done { tokens, .. } => return (text, Some(tokens)),
+            AnswerStep::Ignored | AnswerStep::Broken(_) => {}
+        }
+    }
+    (text, None)
+}
+
+proptest! {
+    /// Engines' lines come crossed with another organisation's, twice,
+    /// late and out of order, over any number of streams. What is passed on
+    /// is always the own answer's tokens 0, 1, 2, … each once, and it is
+    /// called done only when all of them were passed on.
+    #[test]
+    fn an_answer_is_always_its_own_prefix(lines in prop::collection::vec(line(), 0..80)) {
+        let (text, done) = assemble(&lines);
+        for (index, token) in text.iter().enumerate() {
+            prop_assert_eq!(token, &format!("own{index} "));
+        }
+        if let Some(tokens) = done {
+            prop_assert_eq!(tokens as usize, text.len());
+        }
+    }
+
+    /// The rows of the preset in force are read in any order, again and
+    /// again, from copies of the store that lag or went back. The fence a
+    /// daemon holds never falls, and the preset always belongs to it.
+    #[test]
+    fn a_preset_never_reverts(versions in prop::collection::vec(1u64..20, 1..60)) {
+        let mut snapshot = ControlSnapshot::default();
+        let mut highest = 0;
+        for version in versions {
+            snapshot.apply_row(&active_row(version));
+            highest = highest.max(version);
+            prop_assert_eq!(snapshot.fence, highest);
+            prop_assert_eq!(&snapshot.preset_name, &format!("preset-{highest}"));
+        }
+    }
+
+    /// Requests and retries come in any mixture. Retries granted never
+    /// exceed a fifth of the requests beyond what was saved at the start.
+    #[test]
+    fn retries_stay_within_their_budget(calls in prop::collection::vec(any::<bool>(), 0..2000)) {
+        let budget = RetryBudget::default();
+        let mut requests = 0.0;
+        let mut retries = 0.0;
+        for is_request in calls {
+            if is_request {
+                budget.earn();
+                requests += 1.0;
+            } else if budget.spend() {
+                retries += 1.0;
+            }
+            prop_assert!(retries <= 20.0 + requests * 0.2 + 1e-6);
+        }
+    }
+}
+
+fn active_row(version: u64) -> Row {
+    let body = serde_json::json!({
+        "description": "a preset",
+        "default_max_tokens": 8,
+        "urgent_prompt_tokens": 512,
+        "max_in_flight": 10,
+        "prefill_keep_ms": 500,
+        "urgent": { "ttft_ms": 900, "tpot_ms": 48 },
+        "standard": { "ttft_ms": 900, "tpot_ms": 48 },
+    });
+    let active = ActivePreset {
+        preset: format!("preset-{version}"),
+        preset_version: 1,
+        activated_by: "a shift".into(),
+        body,
+    };
+    let value = serde_json::to_value(active).unwrap();
+    Row { key: ACTIVE_KEY.into(), version, written_ms: 0, value }
+}
--- /dev/null
+++ b/crates/router/tests/server_counts.rs
@@ -0,0 +1,106 @@
+//! What a daemon counts at its servers, over changes of the instance list.
+
+use umberglade_router::control::ControlSnapshot;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::LoadSample;
+use umberglade_wire::platform::InstanceEntry;
+use umberglade_wire::platform::InstanceList;
+use umberglade_wire::platform::InstanceState;
+
+fn entry(server: &str, state: InstanceState) -> InstanceEntry {
+    InstanceEntry {
+        server: server.into(),
+        addr: "127.0.0.1:1".into(),
+        role: EngineRole::Decode,
+        model: "m".into(),
+        domain: "hall-a".into(),
+        region: String::new(),
+        state,
+    }
+}
+
+fn list(delta: bool, instances: Vec<InstanceEntry>) -> InstanceList {
+    InstanceList { generation: 1, delta, instances }
+}
+
+/// A server's entry changes (it is leaving) while a request runs there.
+/// The request ends after: the count must fall to zero on the new entry.
+/// It used to stay at one for good, since the new entry had copied it.
+#[test]
+fn a_count_outlives_a_change_of_its_servers_entry() {
+    let mut snapshot = ControlSnapshot::default();
+    snapshot.apply_instances(list(false, vec![entry("d", InstanceState::Live)]));
+    let guard = snapshot.servers[0].begin(100);
+    snapshot.apply_instances(list(true, vec![entry("d", InstanceState::Leaving)]));
+    assert_eq!(snapshot.servers[0].in_flight(), 1);
+    drop(guard);
+    assert_eq!(snapshot.servers[0].in_flight(), 0);
+    assert_eq!(snapshot.servers[0].queued_tokens(), 0);
+}
+
+/// One change of the instance list and the servers that take work after.
+struct ChangeCase {
+    name: &'static str,
+    change: InstanceList,
+    takes_work: &'static [&'static str],
+}
+
+/// Servers leave, go and come through changes of the list; only live ones
+/// take new work, and a whole list replaces what was.
+#[test]
+fn only_live_servers_take_new_work() {
+    let cases = [
+        ChangeCase {
+            name: "whole list",
+            change: list(
+                false,
+                vec![entry("a", InstanceState::Live), entry("b", InstanceState::Live)],
+            ),
+            takes_work: &["a", "b"],
+        },
+        ChangeCase {
+            name: "b leaves",
+            change: list(true, vec![entry("b", InstanceState::Leaving)]),
+            takes_work: &["a"],
+        },
+        ChangeCase { name: "nothing changed", change: list(true, Vec::new()), takes_work: &["a"] },
+        ChangeCase {
+            name: "b gone, c comes",
+            change: list(
+                true,
+                vec![entry("b", InstanceState::Gone), entry("c", InstanceState::Live)],
+            ),
+            takes_work: &["a", "c"],
+        },
+        ChangeCase {
+            name: "whole list again",
+            change: list(false, vec![entry("c", InstanceState::Live)]),
+            takes_work: &["c"],
+        },
+    ];
+    let mut snapshot = ControlSnapshot::default();
+    for case in cases {
+        snapshot.apply_instances(case.change);
+        let pool = snapshot.candidates(EngineRole::Decode, "m");
+        let names: Vec<&str> = pool.iter().map(|slot| slot.entry.server.as_str()).collect();
+        assert_eq!(names, case.takes_work, "{}", case.name);
+    }
+}
+
+/// Reports lag and hold our own requests too. What other daemons have
+/// there is told from our own, and our own is counted without lag.
+#[test]
+fn a_report_is_corrected_by_our_own_count() {
+    let mut snapshot = ControlSnapshot::default();
+    snapshot.apply_instances(list(false, vec![entry("d", InstanceState::Live)]));
+    let slot = &snapshot.servers[0];
+    let guards: Vec<_> = (0..3).map(|_| slot.begin(10)).collect();
+    slot.observe(LoadSample { running: 8, slots: 20, queued_tokens: 50 });
+    assert_eq!(slot.load().running, 8);
+    let more = slot.begin(10);
+    assert_eq!(slot.load().running, 9);
+    assert_eq!(slot.load().queued_tokens, 60);
+    drop(guards);
+    drop(more);
+    assert_eq!(slot.load().running, 5, "what the others have is left");
+}
