Golden session, presets in force on every daemon, servers that go

Change: golden_session (11 steps: answers and numbered events), in_force (storm of 20 changes, platform slow by 700 ms, every reply lost; planned stop, death and drain of a decode server under four callers).

--- /dev/null
+++ b/crates/umberglade/tests/golden_session.rs
@@ -0,0 +1,209 @@
+//! A whole session against a golden file: requests in, answers and log
+//! events out. Set `UPDATE_GOLDEN=1` to write the file anew, and read the
+//! difference before committing it.
+
+mod support;
+
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+
+use support::Process;
+use support::get_json;
+use support::seed;
+use support::start_engine;
+use support::start_platform;
+use support::wait_for_servers;
+
+/// Fields of log events that differ from run to run.
+const UNSTEADY: [&str; 9] = [
+    "timestamp",
+    "level",
+    "target",
+    "scores",
+    "elapsed_ms",
+    "local",
+    "error",
+    "record_key",
+    "message",
+];
+
+/// One request of the session.
+struct SessionStep {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    key: &'static str,
+    idempotency_key: Option<&'static str>,
+    body: &'static str,
+}
+
+const fn step(name: &'static str, path: &'static str, body: &'static str) -> SessionStep {
+    SessionStep { name, method: "POST", path, key: "key-neulanjalki", idempotency_key: None, body }
+}
+
+const CHAT: &str = "/v1/chat/completions";
+const CALL: &str = "/v1/services/booking-desk/call";
+
+fn session() -> Vec<SessionStep> {
+    vec![
+        step(
+            "a streamed brief behind shared guidelines",
+            CHAT,
+            r#"{"model":"brief-model","stream":true,"max_tokens":3,"messages":[{"role":"system","content":"studio guidelines"},{"role":"user","content":"a heron, left forearm"}]}"#,
+        ),
+        step(
+            "the same, whole",
+            CHAT,
+            r#"{"model":"brief-model","max_tokens":3,"messages":[{"role":"system","content":"studio guidelines"},{"role":"user","content":"a heron, left forearm"}]}"#,
+        ),
+        step(
+            "a plain completion, streamed",
+            "/v1/completions",
+            r#"{"model":"brief-model","stream":true,"prompt":"open slots?","max_tokens":2,"priority":"urgent"}"#,
+        ),
+        SessionStep {
+            key: "nobody",
+            ..step("an unknown key", CHAT, r#"{"model":"brief-model","messages":[]}"#)
+        },
+        step("no messages", CHAT, r#"{"model":"brief-model","messages":[]}"#),
+        step("an unknown model", "/v1/completions", r#"{"model":"nope","prompt":"x"}"#),
+        SessionStep {
+            idempotency_key: Some("fri-14"),
+            ..step("a booking", CALL, r#"{"slot":"fri-14:00"}"#)
+        },
+        SessionStep {
+            idempotency_key: Some("fri-14"),
+            ..step("the booking again", CALL, r#"{"slot":"fri-14:00"}"#)
+        },
+        step("a booking without a key", CALL, r#"{"slot":"fri-14:00"}"#),
+        SessionStep {
+            method: "GET",
+            ..step("a lookup", "/v1/services/booking-desk/lookup/fri", "")
+        },
+        step("an unknown route", "/v1/nope", "{}"),
+    ]
+}
+
+fn send(daemon: &str, step: &SessionStep) -> String {
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().http_status_as_error(false).build().into();
+    let mut request = ureq::http::Request::builder()
+        .method(step.method)
+        .uri(format!("http://{daemon}{}", step.path))
+        .header("authorization", format!("Bearer {}", step.key));
+    if let Some(key) = step.idempotency_key {
+        request = request.header("idempotency-key", key);
+    }
+    let mut response = agent.run(request.body(step.body).unwrap()).expect("the daemon answers");
+    let mut text = format!("< {}", response.status().as_u16());
+    for name in ["retry-after", "idempotent-replay", "content-type"] {
+        if let Some(value) = response.headers().get(name) {
+            let _ = write!(text, " {name}: {}", value.to_str().unwrap());
+        }
+    }
+    let body = response.body_mut().read_to_string().unwrap();
+    for line in body.lines().filter(|line| !line.is_empty()) {
+        let _ = write!(text, "\n< {line}");
+    }
+    text
+}
+
+/// Log lines of one step as `event fields`, sorted keys, unsteady fields
+/// left out.
+fn event_line(line: &str) -> Option<String> {
+    let event: serde_json::Map<String, serde_json::Value> = serde_json::from_str(line).ok()?;
+    event.get("event")?;
+    let mut text = format!("! {}", event["event"]);
+    for (name, value) in &event {
+        if name != "event" && !UNSTEADY.contains(&name.as_str()) {
+            let _ = write!(text, " {name}={value}");
+        }
+    }
+    Some(text)
+}
+
+/// Puts steady names in place of request ids and times.
+fn normalise(text: &str) -> String {
+    let mut names: HashMap<String, String> = HashMap::new();
+    let mut out = String::new();
+    let is_word = |c: char| c.is_ascii_alphanumeric() || c == '-';
+    for piece in text.split_inclusive(|c| !is_word(c)) {
+        let word = piece.trim_end_matches(|c| !is_word(c));
+        let rest = &piece[word.len()..];
+        let is_request = word.starts_with("golden-") && word.matches('-').count() == 2;
+        if is_request {
+            let next = format!("request-{}", names.len() + 1);
+            out.push_str(names.entry(word.to_owned()).or_insert(next));
+        } else if word.len() == 10 && word.starts_with("17") && word.parse::<u64>().is_ok() {
+            out.push_str("TIME");
+        } else {
+            out.push_str(word);
+        }
+        out.push_str(rest);
+    }
+    out
+}
+
+/// A day's small session as callers and operators see it: streamed and
+/// whole answers, a booking made once and asked for twice, refusals of all
+/// kinds. What callers get and which numbered events the daemon logs for
+/// each step must be exactly what the golden file says.
+#[test]
+fn a_session_is_what_the_golden_file_says() {
+    let platform = start_platform("0");
+    let _engines = [
+        start_engine(&platform.addr, "prefill-1", "prefill", &[]),
+        start_engine(&platform.addr, "decode-1", "decode", &["--domain", "hall-b"]),
+    ];
+    let _desk = Process::start(&[
+        "standin",
+        "plain",
+        "--server",
+        "desk-1",
+        "--register-with",
+        &platform.addr,
+    ]);
+    seed(&platform.addr);
+    let log = std::env::temp_dir().join(format!("umberglade-golden-{}.log", std::process::id()));
+    let args = ["serve", "--listen", "127.0.0.1:0", "--platform", &platform.addr];
+    let daemon = Process::start_logged(
+        &[&args[..], &["--daemon-id", "golden", "--domain", "hall-a"]].concat(),
+        &log,
+    );
+    wait_for_servers(&daemon.addr, 3);
+    let read_log = || std::fs::read_to_string(&log).unwrap();
+    // The duty and the lease are taken in their own time: let them settle.
+    support::eventually(Duration::from_secs(3), || read_log().contains("3004"));
+    let mut seen = read_log().lines().count();
+    let mut text = String::new();
+    for step in session() {
+        let _ = writeln!(text, "## {}\n> {} {} {}", step.name, step.method, step.path, step.body);
+        let _ = writeln!(text, "{}", send(&daemon.addr, &step));
+        thread::sleep(Duration::from_millis(30));
+        let log = read_log();
+        for line in log.lines().skip(seen).filter_map(event_line) {
+            let _ = writeln!(text, "{line}");
+        }
+        seen = log.lines().count();
+        text.push('\n');
+    }
+    let status: serde_json::Value = get_json(&daemon.addr, "/v1/status");
+    let _ = writeln!(text, "in force: {} at fence {}", status["preset"], status["fence"]);
+    let _ = std::fs::remove_file(&log);
+    compare(&normalise(&text));
+}
+
+fn compare(text: &str) {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/golden/session.txt");
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        std::fs::write(&path, text).unwrap();
+    }
+    let golden = std::fs::read_to_string(&path).expect("tests/golden/session.txt");
+    for (at, (got, want)) in text.lines().zip(golden.lines()).enumerate() {
+        assert_eq!(got, want, "line {} of the session", at + 1);
+    }
+    assert_eq!(text.lines().count(), golden.lines().count(), "length of the session");
+}
--- /dev/null
+++ b/crates/umberglade/tests/in_force.rs
@@ -0,0 +1,181 @@
+//! A preset is in force everywhere within seconds; a leaving server gets
+//! no new work within seconds; none of it cuts a request.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_wire::platform::FaultPlan;
+
+use support::CLOSELY;
+use support::Process;
+use support::Site;
+use support::actions;
+use support::engine_stats;
+use support::eventually;
+use support::post;
+use support::run;
+use support::seed;
+use support::set_faults;
+use support::start_daemon;
+use support::start_engine;
+use support::start_platform;
+use support::status;
+
+/// The letter's bound.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
+
+/// How the platform behaves while operators act.
+struct ChangeCase {
+    name: &'static str,
+    faults: FaultPlan,
+    /// Activations in quick succession.
+    changes: u64,
+}
+
+/// Shifts activate presets, once or many times in a row, while the
+/// platform is well, slow, or losing every reply to a write. Each accepted
+/// activation must be in force on every daemon within 4 s of the last, and
+/// no daemon may ever show an older fence after a newer one.
+#[test]
+fn an_accepted_preset_is_in_force_everywhere_in_time() {
+    let cases = [
+        ChangeCase { name: "platform well", faults: FaultPlan::default(), changes: 1 },
+        ChangeCase { name: "a storm of changes", faults: FaultPlan::default(), changes: 20 },
+        ChangeCase {
+            name: "platform slow",
+            faults: FaultPlan { delay_ms: 700, ..FaultPlan::default() },
+            changes: 1,
+        },
+        ChangeCase {
+            name: "replies lost",
+            faults: FaultPlan { lose_reply_percent: 100, ..FaultPlan::default() },
+            changes: 1,
+        },
+    ];
+    for case in &cases {
+        let platform = start_platform("0");
+        seed(&platform.addr);
+        let daemons: Vec<Process> =
+            (0..3).map(|at| start_daemon(&platform.addr, &format!("entry-{at}"), &[])).collect();
+        set_faults(&platform.addr, &case.faults);
+        let operators = actions(&platform.addr);
+        for version in 1..=case.changes {
+            let preset = if version % 2 == 1 { "peak" } else { "ordinary" };
+            run(operators.activate(preset, version)).expect("accepted");
+        }
+        let accepted = Instant::now();
+        let last = case.changes + 1;
+        let mut highest = vec![0u64; daemons.len()];
+        let everywhere = eventually(IN_FORCE_WITHIN, || {
+            for (daemon, highest) in daemons.iter().zip(&mut highest) {
+                let fence = status(&daemon.addr).unwrap()["fence"].as_u64().unwrap();
+                assert!(fence >= *highest, "{}: went back from {highest} to {fence}", case.name);
+                *highest = fence;
+            }
+            highest.iter().all(|fence| *fence == last)
+        });
+        assert!(everywhere, "{}: {highest:?} after {:?}", case.name, accepted.elapsed());
+    }
+}
+
+/// Asks over and over until told to stop; how many asked, and the bodies
+/// of answers that were not whole.
+fn ask_on(daemon: String, stop: Arc<AtomicBool>) -> (u32, Vec<String>) {
+    let mut asked = 0;
+    let mut broken = Vec::new();
+    while !stop.load(Ordering::Acquire) {
+        asked += 1;
+        let answer = post(&daemon, "/v1/chat/completions", "key-glenmorrow", &support::chat(8, 12));
+        if answer.status != 200 || !answer.body.ends_with("data: [DONE]\n\n") {
+            broken.push(format!("{} {}", answer.status, answer.body));
+        }
+    }
+    (asked, broken)
+}
+
+/// How a decode server goes.
+struct LeaveCase {
+    name: &'static str,
+    leave: fn(&mut Process),
+}
+
+/// A decode server is stopped by plan, or dies, while four callers keep
+/// asking, and the instance list shows it only 3 s later. The planned one
+/// refuses nothing it holds; the dead one answers nothing. No caller may
+/// see a cut or refused request, and within a second no more work may be
+/// sent to the one that went.
+#[test]
+fn a_server_that_goes_costs_no_request() {
+    let cases = [
+        LeaveCase { name: "planned stop", leave: |engine| engine.terminate() },
+        LeaveCase { name: "death", leave: Process::stop },
+    ];
+    for case in &cases {
+        let platform = start_platform("3000");
+        let _prefill = start_engine(&platform.addr, "p", "prefill", &[]);
+        let mut going = start_engine(&platform.addr, "going", "decode", &[]);
+        let staying = start_engine(&platform.addr, "staying", "decode", &[]);
+        seed(&platform.addr);
+        let daemon = start_daemon(&platform.addr, "entry-1", &CLOSELY);
+        support::wait_for_servers(&daemon.addr, 3);
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers: Vec<_> = (0..4)
+            .map(|_| {
+                let (addr, stop) = (daemon.addr.clone(), Arc::clone(&stop));
+                thread::spawn(move || ask_on(addr, stop))
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(500));
+        (case.leave)(&mut going);
+        let mut exited = false;
+        eventually(Duration::from_secs(2), || {
+            exited = going.child.try_wait().unwrap().is_some();
+            exited
+        });
+        assert!(exited, "{}: it never ran out of work to finish", case.name);
+        thread::sleep(Duration::from_millis(700));
+        stop.store(true, Ordering::Release);
+        let mut asked = 0;
+        for caller in callers {
+            let (count, broken) = caller.join().unwrap();
+            asked += count;
+            assert!(broken.is_empty(), "{}: {broken:?}", case.name);
+        }
+        assert!(asked > 20, "{}: only {asked} asked", case.name);
+        assert!(engine_stats(&staying.addr).decodes_done > 0);
+    }
+}
+
+/// An operator drains a decode server for maintenance while callers ask.
+/// The instance list goes on showing it live. Within a second it holds
+/// nothing and gets nothing, and no caller notices.
+#[test]
+fn a_drained_server_runs_empty_and_cuts_nothing() {
+    let site = Site::start(1, 2);
+    let drained = site.decode_engine(1, 0).addr.clone();
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..4)
+        .map(|_| {
+            let (addr, stop) = (site.daemon.addr.clone(), Arc::clone(&stop));
+            thread::spawn(move || ask_on(addr, stop))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    run(actions(&site.platform.addr).drain("brief-decode-0")).unwrap();
+    thread::sleep(Duration::from_secs(1));
+    let done = engine_stats(&drained).decodes_done;
+    thread::sleep(Duration::from_millis(500));
+    let later = engine_stats(&drained);
+    stop.store(true, Ordering::Release);
+    for caller in callers {
+        let (_, broken) = caller.join().unwrap();
+        assert!(broken.is_empty(), "{broken:?}");
+    }
+    assert_eq!((later.held_requests, later.decodes_done), (0, done), "still got work");
+}
