--- a/crates/standin/src/engine/decode.rs
+++ b/crates/standin/src/engine/decode.rs
@@ -97,7 +97,7 @@
             if is_reached(faults.silent_after_tokens, made) {
                 smol::Timer::after(SILENCE).await;
             }
-            if !send_token(&sender, &order, index, &faults).await {
+            if !send_token(&sender, &order, index, &faults).await && !faults.ignores_hangup {
                 return;
             }
         }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -44,6 +44,7 @@
 use umberglade_wire::ids::RequestId;
 use umberglade_wire::platform::InstanceEntry;
 use umberglade_wire::platform::InstanceState;
+use umberglade_wire::pool;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
 use umberglade_wire::server::RequestHandler;
@@ -197,6 +198,24 @@
         Ok(response)
     }
 
+    /// Like [`EngineStandin::route`], but the work goes on when the caller
+    /// of this future goes away.
+    async fn route_detached(
+        &self,
+        method: &Method,
+        path: &str,
+        query: &str,
+        body: Bytes,
+    ) -> Result<Response<ReplyBody>, Response<ReplyBody>> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let engine = self.clone();
+        let (method, path, query) = (method.clone(), path.to_owned(), query.to_owned());
+        pool::spawn(async move {
+            let _ = sender.send(engine.route(&method, &path, &query, body).await).await;
+        });
+        receiver.recv().await.expect("the detached route always answers")
+    }
+
     /// Admits `request_id` if this engine serves `role`, a slot is free and
     /// `fence` is not stale; returns the guard that frees it, or the refusal.
     fn admit(
@@ -299,7 +318,12 @@
             }
         };
         let query = parts.uri.query().unwrap_or_default();
-        let routed = self.route(&parts.method, parts.uri.path(), query, body).await;
+        let (method, path) = (&parts.method, parts.uri.path());
+        let routed = if self.faults().ignores_hangup {
+            self.route_detached(method, path, query, body).await
+        } else {
+            self.route(method, path, query, body).await
+        };
         let mut response = routed.unwrap_or_else(|refusal| refusal);
         let sample = LoadSample::from(&self.load()).to_string();
         if let Ok(value) = HeaderValue::from_str(&sample) {
--- a/crates/umberglade/tests/callers_gone.rs
+++ b/crates/umberglade/tests/callers_gone.rs
@@ -45,6 +45,7 @@
             stall_kv: false,
             duplicate_lines: false,
             crossed_lines: false,
+            ignores_hangup: false,
             late_order_ms: 0,
         };
         GoneCase {
@@ -60,13 +61,24 @@
 
 /// A client hangs up, or the daemon dies, at each stage of a request: while
 /// its long prompt is read (1.2 s), while its KV cache is stuck on its way,
-/// while tokens stream (4 s), while the stream has fallen silent. Nobody
+/// while tokens stream (4 s), while the stream has fallen silent; at engines
+/// that end work with its connection and at those that ignore it. Nobody
 /// will read the answer, so every engine must hold nothing within seconds.
 #[test]
 fn engines_hold_nothing_once_the_caller_is_gone() {
     let stalled = EngineFaults { stall_kv: true, ..EngineFaults::default() };
     let silent = EngineFaults { silent_after_tokens: 3, ..EngineFaults::default() };
+    let deaf = EngineFaults { ignores_hangup: true, ..EngineFaults::default() };
     let cases = [
+        GoneCase {
+            prompt_words: 200_000,
+            prefill_faults: deaf.clone(),
+            ..GoneCase::new("caller, mid-prefill, engine ignores it", HeldAt::Prefill)
+        },
+        GoneCase {
+            decode_faults: deaf,
+            ..GoneCase::new("caller, mid-decode, engine ignores it", HeldAt::Decode)
+        },
         GoneCase { prompt_words: 40_000, ..GoneCase::new("caller, mid-prefill", HeldAt::Prefill) },
         GoneCase {
             prefill_faults: stalled.clone(),
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -345,6 +345,9 @@
     pub duplicate_lines: bool,
     /// Send a line of another request's answer before each of its own.
     pub crossed_lines: bool,
+    /// Go on with the work when the connection it came by closes, as some
+    /// engines do: only a cancel or the deadline ends it.
+    pub ignores_hangup: bool,
     /// Leave orders unanswered and carry them out this much later.
     pub late_order_ms: u64,
 }
