--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -13,11 +13,9 @@
 CTL=target/release/umberctl
 BASE_PORT=${BASE_PORT:-7300}
 PLATFORM=127.0.0.1:$BASE_PORT
-DAEMON_COUNTS=${DAEMON_COUNTS:-"1 4 16 32"}
-IDLE_SECONDS=${IDLE_SECONDS:-10}
+DAEMON_COUNTS=${DAEMON_COUNTS:-"1 4 16 32 64"}
+IDLE_SECONDS=${IDLE_SECONDS:-30}
 FAKE_SERVERS=${FAKE_SERVERS:-800}
-LOAD_REQUESTS=${LOAD_REQUESTS:-2000}
-LOAD_RATE=${LOAD_RATE:-200}
 TICKS=$(getconf CLK_TCK)
 PIDS=()
 
@@ -41,11 +39,9 @@
 fence_of() { curl -s "http://$1/v1/status" | field fence; }
 
 start "$BIN" standin platform --listen "$PLATFORM" --instance-lag-ms 0
-ENGINES=()
 for role in prefill decode; do
   for i in 1 2 3 4; do
     start "$BIN" standin engine --server "brief-$role-$i" --role "$role" --register-with "$PLATFORM"
-    ENGINES+=("$LAST_ADDR")
   done
 done
 "$CTL" --platform "$PLATFORM" --actor bench put ordinary presets/ordinary.toml --expect-version 0 >/dev/null
@@ -69,9 +65,11 @@
   u0=$(usage); t0=$(cpu_ticks "${DAEMON_PIDS[0]}")
   sleep "$IDLE_SECONDS"
   u1=$(usage); t1=$(cpu_ticks "${DAEMON_PIDS[0]}")
+  writes=$(( $(echo "$u1" | field writes) - $(echo "$u0" | field writes) ))
   reads=$(( $(echo "$u1" | field reads) - $(echo "$u0" | field reads) ))
   bytes=$(( $(echo "$u1" | field bytes_out) - $(echo "$u0" | field bytes_out) ))
   echo "daemons=$count platform_reads_per_s $(python3 -c "print(round($reads / $IDLE_SECONDS, 1))")"
+  echo "daemons=$count platform_writes_per_s $(python3 -c "print(round($writes / $IDLE_SECONDS, 2))")"
   echo "daemons=$count control_bytes_per_s_per_daemon $(python3 -c "print(round($bytes / $IDLE_SECONDS / $count, 1))")"
   echo "daemons=$count idle_cpu_percent_one_daemon $(python3 -c "print(round(100 * ($t1 - $t0) / $TICKS / $IDLE_SECONDS, 2))")"
   echo "daemons=$count rss_kb_one_daemon $(rss_kb "${DAEMON_PIDS[0]}")"
@@ -98,13 +96,11 @@
 daemon=$LAST_ADDR; daemon_pid=$LAST_PID; port=$((port + 1))
 sleep 1.5
 rss0=$(rss_kb "$daemon_pid"); t0=$(cpu_ticks "$daemon_pid")
-engine_flags=(); for engine in "${ENGINES[@]}"; do engine_flags+=(--engine "$engine"); done
-"$BIN" load --target "$daemon" --key bench-key --requests "$LOAD_REQUESTS" --rate "$LOAD_RATE" \
-  --long-share 0.1 --long-prompt-tokens 4000 --shared-prefix-tokens 2000 --max-tokens 8 --seconds 60 \
-  "${engine_flags[@]}" > /tmp/capacity-load.txt
+"$BIN" load --target "$daemon" --key bench-key --workload bench/workloads/slope-short.toml --scale 2 > /tmp/capacity-load.txt
 t1=$(cpu_ticks "$daemon_pid"); rss1=$(rss_kb "$daemon_pid")
-echo "load_summary $(tail -1 /tmp/capacity-load.txt)"
-echo "cpu_us_per_request $(python3 -c "print(round(1e6 * ($t1 - $t0) / $TICKS / $LOAD_REQUESTS, 1))")"
+echo "load $(head -1 /tmp/capacity-load.txt)"
+sent=$(tail -1 /tmp/capacity-load.txt | python3 -c "import json,sys; print(json.load(sys.stdin)['classes'][0]['owed'])")
+echo "cpu_us_per_request $(python3 -c "print(round(1e6 * ($t1 - $t0) / $TICKS / $sent, 1))")"
 echo "rss_kb_before_load $rss0"
 echo "rss_kb_after_load $rss1"
 
--- a/bench/request-slopes.sh
+++ b/bench/request-slopes.sh
@@ -2,7 +2,7 @@
 # Separates a daemon's CPU per request from its CPU per relayed token, and
 # measures its memory per request in flight. One daemon, one platform
 # stand-in, 4 prefill and 4 decode stand-ins, all separate processes on
-# loopback. Bounded: three loads of fixed count.
+# loopback. Bounded: three loads of fixed length.
 #
 #   cargo build --release && bash bench/request-slopes.sh
 set -euo pipefail
@@ -26,7 +26,7 @@
 
 start "$BIN" standin platform --listen "$PLATFORM" --instance-lag-ms 0
 for role in prefill decode; do for i in 1 2 3 4; do
-  start "$BIN" standin engine --server "brief-$role-$i" --role "$role" --register-with "$PLATFORM" --slots 200
+  start "$BIN" standin engine --server "brief-$role-$i" --role "$role" --register-with "$PLATFORM" --slots 200 --decode-ms 4
 done; done
 "$CTL" --platform "$PLATFORM" put ordinary presets/ordinary.toml --expect-version 0 >/dev/null
 "$CTL" --platform "$PLATFORM" org neulanjalki --key bench-key >/dev/null
@@ -35,13 +35,19 @@
 daemon=$LAST_ADDR; pid=$LAST_PID
 sleep 1.5
 echo "commit $(git rev-parse --short HEAD)"
-# name requests rate max_tokens
-for run in "short 1000 100 8" "long 1000 100 64" "inflight 1500 300 200"; do
+# name workload scale (arrivals a second = 100 x scale, for 10 s)
+for run in "short slope-short 1" "long slope-long 0.5" "inflight slope-long 1.5"; do
   set -- $run
   t0=$(cpu_ticks "$pid")
-  "$BIN" load --target "$daemon" --key bench-key --requests "$2" --rate "$3" --long-share 0 \
-    --short-prompt-tokens 40 --max-tokens "$4" --seconds 30 > "/tmp/slopes-$1.txt"
+  "$BIN" load --target "$daemon" --key bench-key --workload "bench/workloads/$2.toml" --scale "$3" > "/tmp/slopes-$1.txt"
   t1=$(cpu_ticks "$pid")
-  echo "$1 requests=$2 rate=$3 max_tokens=$4 cpu_us_per_request $(python3 -c "print(round(1e6 * ($t1 - $t0) / $TICKS / $2, 1))") peak_rss_kb $(hwm_kb "$pid")"
-  sed -n 2p "/tmp/slopes-$1.txt"
+  python3 - "$1" "$t0" "$t1" "$TICKS" "$(hwm_kb "$pid")" "/tmp/slopes-$1.txt" <<'PY'
+import json, sys
+name, t0, t1, ticks, hwm, path = sys.argv[1:]
+run = json.loads(open(path).read().splitlines()[-1])
+c = run["classes"][0]
+cpu = 1e6 * (int(t1) - int(t0)) / int(ticks)
+print(f'{name} owed={c["owed"]} whole={c["whole"]} refused={c["refused"]} failed={c["failed"]} '
+      f'cpu_us_per_whole={cpu / max(c["whole"], 1):.1f} peak_rss_kb={hwm} ttft_p95_ms={c["ttft_p95_ms"]}')
+PY
 done
--- /dev/null
+++ b/crates/bench/src/latency.rs
@@ -0,0 +1,212 @@
+//! What the router adds: the same requests straight to the engines and
+//! through a daemon, in turn, in one run.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Method;
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
+use umberglade_router::operator::OperatorError;
+use umberglade_router::placement::AffinityPlacement;
+use umberglade_standin::engine::EngineConfig;
+use umberglade_wire::WireError;
+use umberglade_wire::client::HttpClient;
+use umberglade_wire::engine::DecodeOrder;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::PrefillOrder;
+use umberglade_wire::engine::PrefillReply;
+use umberglade_wire::engine::Priority;
+use umberglade_wire::lines::LineReader;
+
+use crate::site::LocalSite;
+
+const KEY: &str = "latency-key";
+const MODEL: &str = "brief-model";
+/// The prompt: 40 words, about 40 tokens.
+const PROMPT: &str = "lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor \
+lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor lor ";
+const TOKENS: u32 = 8;
+const TIMEOUT: Duration = Duration::from_secs(5);
+const PRESET: &str = include_str!("../../../presets/ordinary.toml");
+
+/// Why the measurement could not be made.
+#[derive(Debug, Snafu)]
+pub enum LatencyError {
+    #[snafu(display("starting the site: {source}"))]
+    Site { source: std::io::Error },
+    #[snafu(display("seeding the site: {source}"))]
+    Seed { source: OperatorError },
+    #[snafu(display("{source}"))]
+    Exchange { source: WireError },
+    #[snafu(display("reading an answer: {source}"))]
+    Body { source: hyper::Error },
+}
+
+/// Times of one way to the engines, milliseconds.
+#[derive(Debug, Clone, Serialize)]
+pub struct WayTimes {
+    pub first_token_p50: f64,
+    pub first_token_p95: f64,
+    pub whole_p50: f64,
+    pub whole_p95: f64,
+}
+
+/// Both ways in one run.
+#[derive(Debug, Clone, Serialize)]
+pub struct LatencyReport {
+    pub requests: u32,
+    pub direct: WayTimes,
+    pub routed: WayTimes,
+    /// Routed over direct, at the median.
+    pub first_token_ratio: f64,
+    pub whole_ratio: f64,
+}
+
+/// One request's times.
+struct RequestTimes {
+    first_token: Duration,
+    whole: Duration,
+}
+
+/// Sends `requests` each way, in turn.
+pub async fn measure(requests: u32) -> Result<LatencyReport, LatencyError> {
+    let mut site = LocalSite::start(Duration::ZERO).await.context(SiteSnafu)?;
+    for role in [EngineRole::Prefill, EngineRole::Decode] {
+        let config = EngineConfig::new(role.to_string(), role, MODEL);
+        site.add_engine(config).await.context(SiteSnafu)?;
+    }
+    site.seed(&[("ordinary", PRESET)], &[("north", KEY)]).await.context(SeedSnafu)?;
+    let settings = site.daemon_settings("latency", "hall-a");
+    let started =
+        site.add_daemon(settings, AffinityPlacement::default()).await.context(SiteSnafu)?;
+    let engines = site.engine_addrs();
+    let daemon = started.local.to_string();
+    let mut direct = WayHistograms::new();
+    let mut routed = WayHistograms::new();
+    for number in 0..requests {
+        direct.record(&send_direct(&engines, number).await?);
+        routed.record(&send_routed(&daemon, number).await?);
+    }
+    let (direct, routed) = (direct.times(), routed.times());
+    Ok(LatencyReport {
+        requests,
+        first_token_ratio: routed.first_token_p50 / direct.first_token_p50,
+        whole_ratio: routed.whole_p50 / direct.whole_p50,
+        direct,
+        routed,
+    })
+}
+
+async fn send_direct(engines: &[String], number: u32) -> Result<RequestTimes, LatencyError> {
+    let begun = Instant::now();
+    let request_id = format!("direct-{number}");
+    let order = PrefillOrder {
+        request_id: request_id.clone(),
+        organisation: "north".into(),
+        model: MODEL.into(),
+        prompt_tokens: (PROMPT.len() / 4) as u32,
+        prefix_hash: 0,
+        prefix_tokens: 0,
+        priority: Priority::Urgent,
+        fence: 1,
+        keep_ms: 1000,
+        deadline_ms: 5000,
+        attempt: 0,
+    };
+    let prefill = HttpClient::new(engines[0].clone(), TIMEOUT);
+    let reply: PrefillReply = prefill
+        .call("prefill", Method::POST, "/v1/prefill", Some(&order))
+        .await
+        .context(ExchangeSnafu)?;
+    let order = DecodeOrder {
+        request_id,
+        organisation: "north".into(),
+        model: MODEL.into(),
+        kv_source: engines[0].clone(),
+        kv_handle: reply.kv_handle,
+        prompt_tokens: order.prompt_tokens,
+        max_tokens: TOKENS,
+        answer_seed: 1,
+        resume_from: 0,
+        priority: Priority::Urgent,
+        fence: 1,
+        deadline_ms: 5000,
+    };
+    let body = Bytes::from(serde_json::to_vec(&order).expect("serialising an order"));
+    let decode = HttpClient::new(engines[1].clone(), TIMEOUT);
+    let response = decode
+        .send("decode", Method::POST, "/v1/decode", Some(body))
+        .await
+        .context(ExchangeSnafu)?;
+    read_lines(LineReader::new(response.into_body()), begun, b"{").await
+}
+
+async fn send_routed(daemon: &str, number: u32) -> Result<RequestTimes, LatencyError> {
+    let begun = Instant::now();
+    let body = serde_json::json!({
+        "model": MODEL,
+        "stream": true,
+        "max_tokens": TOKENS,
+        "messages": [{ "role": "user", "content": format!("{number} {PROMPT}") }],
+    });
+    let request = http::Request::builder()
+        .method(Method::POST)
+        .uri("/v1/chat/completions")
+        .header(http::header::AUTHORIZATION, format!("Bearer {KEY}"));
+    let client = HttpClient::new(daemon, TIMEOUT);
+    let response = client
+        .send_with("routed", request, body.to_string().into())
+        .await
+        .context(ExchangeSnafu)?;
+    read_lines(LineReader::new(response.into_body()), begun, b"data: ").await
+}
+
+/// Reads to the end; the first line that begins with `mark` is the first
+/// token.
+async fn read_lines(
+    mut reader: LineReader,
+    begun: Instant,
+    mark: &[u8],
+) -> Result<RequestTimes, LatencyError> {
+    let mut first_token = None;
+    while let Some(line) = reader.next_line().await.context(BodySnafu)? {
+        if line.starts_with(mark) {
+            first_token.get_or_insert_with(|| begun.elapsed());
+        }
+    }
+    let whole = begun.elapsed();
+    Ok(RequestTimes { first_token: first_token.unwrap_or(whole), whole })
+}
+
+struct WayHistograms {
+    first_token: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+impl WayHistograms {
+    fn new() -> Self {
+        let new = || Histogram::new(3).expect("valid histogram figures");
+        WayHistograms { first_token: new(), whole: new() }
+    }
+
+    fn record(&mut self, times: &RequestTimes) {
+        let _ = self.first_token.record(times.first_token.as_micros() as u64);
+        let _ = self.whole.record(times.whole.as_micros() as u64);
+    }
+
+    fn times(&self) -> WayTimes {
+        let at = |histogram: &Histogram<u64>, quantile| {
+            histogram.value_at_quantile(quantile) as f64 / 1000.0
+        };
+        WayTimes {
+            first_token_p50: at(&self.first_token, 0.5),
+            first_token_p95: at(&self.first_token, 0.95),
+            whole_p50: at(&self.whole, 0.5),
+            whole_p95: at(&self.whole, 0.95),
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 //! writes what came out as CSV, SVG and text.
 
 pub mod experiment;
+pub mod latency;
 pub mod load;
 pub mod report;
 pub mod site;
--- a/crates/umberglade/src/cli/bench.rs
+++ b/crates/umberglade/src/cli/bench.rs
@@ -52,3 +52,13 @@
     #[argh(option)]
     pub scale: Option<f64>,
 }
+
+/// Measure what the router adds: the same requests straight to engine
+/// stand-ins and through a daemon, in turn, in one process.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "latency")]
+pub struct LatencyArgs {
+    /// requests each way [default 300]
+    #[argh(option, default = "300")]
+    pub requests: u32,
+}
--- a/crates/umberglade/src/cli/mod.rs
+++ b/crates/umberglade/src/cli/mod.rs
@@ -11,6 +11,7 @@
 use argh::FromArgs;
 
 pub use self::bench::ExperimentArgs;
+pub use self::bench::LatencyArgs;
 pub use self::bench::LoadArgs;
 pub use self::serve::DevArgs;
 pub use self::serve::ServeArgs;
@@ -36,4 +37,5 @@
     Standin(StandinArgs),
     Load(LoadArgs),
     Experiment(ExperimentArgs),
+    Latency(LatencyArgs),
 }
--- /dev/null
+++ b/crates/umberglade/src/latency.rs
@@ -0,0 +1,36 @@
+//! `umberglade latency`: what the router adds to a request.
+
+use umberglade_bench::latency;
+use umberglade_bench::latency::WayTimes;
+use umberglade_wire::pool;
+
+use crate::cli::LatencyArgs;
+use crate::logging;
+use crate::setting::StartError;
+
+/// Threads shared by caller, daemon and stand-ins.
+const LATENCY_THREADS: usize = 4;
+/// Most requests of one run.
+const MAX_REQUESTS: u32 = 10_000;
+
+/// Measures and prints both ways and their ratio.
+pub fn run(args: LatencyArgs) -> Result<(), StartError> {
+    logging::init_quiet();
+    pool::start(LATENCY_THREADS);
+    let report = pool::block_on(latency::measure(args.requests.clamp(1, MAX_REQUESTS)))
+        .map_err(|error| StartError::Failed { message: error.to_string() })?;
+    print_way("direct", &report.direct);
+    print_way("routed", &report.routed);
+    println!(
+        "ratio   first token {:.3}  whole answer {:.3}  ({} requests each way)",
+        report.first_token_ratio, report.whole_ratio, report.requests
+    );
+    Ok(())
+}
+
+fn print_way(name: &str, times: &WayTimes) {
+    println!(
+        "{name:<7} first token p50 {:.2} ms p95 {:.2} ms  whole answer p50 {:.2} ms p95 {:.2} ms",
+        times.first_token_p50, times.first_token_p95, times.whole_p50, times.whole_p95
+    );
+}
--- a/crates/umberglade/src/main.rs
+++ b/crates/umberglade/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod dev;
 mod experiment;
+mod latency;
 mod load;
 mod logging;
 mod serve;
@@ -23,6 +24,7 @@
         Command::Dev(args) => dev::run(args),
         Command::Load(args) => load::run(args),
         Command::Experiment(args) => experiment::run(args),
+        Command::Latency(args) => latency::run(args),
         Command::Standin(args) => match args.kind {
             StandinKind::Platform(args) => standin::platform(args),
             StandinKind::Engine(args) => standin::engine(args),
--- a/crates/umberglade/tests/silent_links.rs
+++ b/crates/umberglade/tests/silent_links.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::mpsc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -43,6 +44,9 @@
     assert!(in_force, "not in force after {:?}", begun.elapsed());
 }
 
+/// A dead connection must not hold a request nearly this long.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(15);
+
 /// Where a link to an engine goes silent.
 struct SilentCase {
     name: &'static str,
@@ -69,19 +73,23 @@
         support::wait_for_servers(&daemon.addr, engines.len());
         let addr = daemon.addr.clone();
         let body = support::chat(if case.mid_stream { 20 } else { 20_000 }, 100);
-        let caller = std::thread::spawn(move || {
-            post(&addr, "/v1/chat/completions", "key-neulanjalki", &body)
+        let (sender, answers) = mpsc::channel();
+        std::thread::spawn(move || {
+            let answer = post(&addr, "/v1/chat/completions", "key-neulanjalki", &body);
+            let _ = sender.send(answer);
         });
         std::thread::sleep(Duration::from_millis(300));
         link.silence_open();
-        let answer = caller.join().unwrap();
+        let answer = answers
+            .recv_timeout(ANSWERED_WITHIN)
+            .unwrap_or_else(|_| panic!("{}: waits for the dead connection", case.name));
         assert_eq!(answer.status, 200, "{}: {}", case.name, answer.body);
         assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}: cut", case.name);
     }
 }
 
-/// One engine of each role by itself, and one more of `role` that is
-/// listed first and reached through the link returned.
+/// One engine of each role by itself, and one more of `role`, nearer and so
+/// chosen first, that is reached through the link returned.
 fn linked_engines(platform: &Process, role: EngineRole) -> (Vec<Process>, Link) {
     let unlisted =
         Process::start(&["standin", "engine", "--server", "linked", "--role", &role.to_string()]);
@@ -103,7 +111,7 @@
     let far = ["--domain", "far-away"];
     let engines = vec![
         unlisted,
-        start_engine(&platform.addr, "other-role", other, &far),
+        start_engine(&platform.addr, "other-role", other, &["--domain", "unknown"]),
         start_engine(&platform.addr, "second", &role.to_string(), &far),
     ];
     (engines, link)
--- a/crates/umberglade/tests/support/link.rs
+++ b/crates/umberglade/tests/support/link.rs
@@ -16,6 +16,9 @@
 /// How often a forwarder looks whether its connection went silent.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// How long a silenced connection is held open: longer than any test.
+const SILENCE: Duration = Duration::from_secs(600);
+
 #[derive(Default)]
 struct LinkState {
     /// New connections are closed at once.
@@ -89,7 +92,7 @@
     loop {
         if is_silent() {
             // Held open, never used again.
-            thread::sleep(Duration::from_secs(60));
+            thread::sleep(SILENCE);
             return;
         }
         match from.read(&mut buffer) {
