--- a/crates/router/tests/waiting_room.rs
+++ b/crates/router/tests/waiting_room.rs
@@ -30,7 +30,7 @@
 }
 
 /// At a quiet site requests come one by one and each finds room at once.
-/// A newcomer who meets one other for a moment must not be refused for
+/// Newcomers who meet others for a moment must not be refused for
 /// "a low rate": the rate was low because arrivals were.
 #[test]
 fn a_quiet_site_refuses_nobody() {
@@ -41,14 +41,14 @@
             smol::Timer::after(Duration::from_millis(50)).await;
         }
         let seats = Arc::new(Seats(AtomicU32::new(0)));
-        let entered: Vec<_> = (0..2)
+        let entered: Vec<_> = (0..5)
             .map(|_| {
                 let (room, seats) = (Arc::clone(&room), Arc::clone(&seats));
                 spawn(async move { room.enter(Priority::Urgent, PATIENCE, |_| seats.take()).await })
             })
             .collect();
         smol::Timer::after(Duration::from_millis(30)).await;
-        seats.0.store(2, Ordering::Release);
+        seats.0.store(5, Ordering::Release);
         room.wake_first();
         for task in entered {
             assert!(task.await.is_ok());
