--- a/crates/router/src/duty/keeper.rs
+++ b/crates/router/src/duty/keeper.rs
@@ -1,5 +1,5 @@
 //! The keeper: while this daemon holds the duty, it sees to it that
-//! servers have the roles operators want.
+//! servers have the roles operators want and old records go.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use umberglade_wire::platform::InstanceState;
 
 use super::DutyLease;
+use super::RecordSweeper;
 use crate::control::ControlState;
 use crate::control::ServerSlot;
 use crate::events;
@@ -26,32 +27,33 @@
 
 /// Holds or contends for the duty and acts on it.
 #[derive(Debug)]
-pub struct RoleKeeper {
+pub struct DutyKeeper {
     pub lease: DutyLease,
+    pub sweeper: RecordSweeper,
     pub control: Arc<ControlState>,
     pub daemon: String,
     /// How often the holder renews and acts.
     pub beat: Duration,
 }
 
-impl RoleKeeper {
+impl DutyKeeper {
     /// Keeps until the process ends.
     pub async fn run(mut self) {
         loop {
             if let Err(error) = self.lease.contend().await {
                 tracing::warn!(event = events::PLATFORM_UNREACHABLE, what = "duty", %error, "duty not renewed");
             }
-            self.round().await;
+            if self.lease.is_held() {
+                self.order_roles().await;
+                self.sweeper.round().await;
+            }
             let beats = if self.lease.is_held() { 1 } else { BEATS_PER_LOOK };
             smol::Timer::after(self.beat * beats).await;
         }
     }
 
     /// Orders each server whose role is not the one wanted.
-    async fn round(&self) {
-        if !self.lease.is_held() {
-            return;
-        }
+    async fn order_roles(&self) {
         let snapshot = self.control.current();
         for slot in snapshot.servers.iter() {
             let Some(wanted) = snapshot.role_orders.servers.get(&slot.entry.server) else {
--- a/crates/router/src/duty/mod.rs
+++ b/crates/router/src/duty/mod.rs
@@ -1,4 +1,5 @@
-//! The duty: one daemon at a time may order backend servers about.
+//! The duty: one daemon at a time may order backend servers about and
+//! clears away what the fleet leaves behind in the table.
 //!
 //! Who holds it stands in one row of the platform's table service; the
 //! row's version is the fencing number of every order. There is no
@@ -7,6 +8,8 @@
 
 mod keeper;
 mod lease;
+mod sweeper;
 
-pub use self::keeper::RoleKeeper;
+pub use self::keeper::DutyKeeper;
 pub use self::lease::DutyLease;
+pub use self::sweeper::RecordSweeper;
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -19,6 +19,14 @@
 pub const STEP_FAILED: u32 = 1007;
 /// A request ended with a refusal after work had started.
 pub const REQUEST_ABANDONED: u32 = 1008;
+/// A plain-service call was placed (service, server, idempotency key).
+pub const PLAIN_PLACED: u32 = 1009;
+/// A retried non-idempotent call got its recorded answer again.
+pub const PLAIN_REPLAYED: u32 = 1010;
+/// An attempt failed and the request is tried on other servers.
+pub const ATTEMPT_RETRIED: u32 = 1011;
+/// A decode stream broke midway; the answer goes on from another server.
+pub const ANSWER_RESUMED: u32 = 1012;
 /// A new preset version was taken into force.
 pub const PRESET_APPLIED: u32 = 2001;
 /// A preset row older than the one in force was seen and ignored.
@@ -43,11 +51,5 @@
 pub const ORDER_SENT: u32 = 4002;
 /// An order was not sent: the lease was too old to be sure of the duty.
 pub const ORDER_WITHHELD: u32 = 4003;
-/// A plain-service call was placed (service, server, idempotency key).
-pub const PLAIN_PLACED: u32 = 1009;
-/// A retried non-idempotent call got its recorded answer again.
-pub const PLAIN_REPLAYED: u32 = 1010;
-/// An attempt failed and the request is tried on other servers.
-pub const ATTEMPT_RETRIED: u32 = 1011;
-/// A decode stream broke midway; the answer goes on from another server.
-pub const ANSWER_RESUMED: u32 = 1012;
+/// Idempotency records past their retention were removed.
+pub const RECORDS_SWEPT: u32 = 4004;
--- a/crates/router/src/platform/client.rs
+++ b/crates/router/src/platform/client.rs
@@ -15,6 +15,7 @@
 use umberglade_wire::platform::ObjectList;
 use umberglade_wire::platform::Row;
 use umberglade_wire::platform::RowList;
+use umberglade_wire::platform::RowRemovals;
 use umberglade_wire::platform::RowWrite;
 
 /// What stays as it is in a path segment; all else is percent-encoded.
@@ -67,6 +68,26 @@
         self.http.call::<(), RowList>("list rows", Method::GET, &path, None).await
     }
 
+    /// At most `limit` rows of `table` from key `from` on.
+    pub async fn list_from(
+        &self,
+        table: &str,
+        from: &str,
+        limit: usize,
+    ) -> Result<RowList, WireError> {
+        let from = utf8_percent_encode(from, SEGMENT);
+        let path = format!("/v1/rows/{table}?from={from}&limit={limit}");
+        self.http.call::<(), RowList>("list rows", Method::GET, &path, None).await
+    }
+
+    /// Removes every row of `removals` in one transaction, or none when one
+    /// has moved on.
+    pub async fn remove_all(&self, table: &str, removals: &RowRemovals) -> Result<(), WireError> {
+        let path = format!("/v1/rows/{table}/remove");
+        let sent = self.http.call::<_, RowList>("remove rows", Method::POST, &path, Some(removals));
+        sent.await.map(|_| ())
+    }
+
     /// Writes `value` to `table`/`key` if the row is still at
     /// `expect_version` (0: must not exist).
     ///
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -14,6 +14,8 @@
 pub const DEFAULT_FEED_WAIT: Duration = Duration::from_millis(1500);
 /// How often a daemon renews its lease by default.
 pub const DEFAULT_MEMBER_BEAT: Duration = Duration::from_secs(5);
+/// How long idempotency records are kept by default.
+pub const DEFAULT_RECORD_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 /// Default bound on one call to the platform.
 pub const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -36,6 +38,8 @@
     pub feed_wait: Duration,
     /// How often the daemon renews its lease in the members table.
     pub member_beat: Duration,
+    /// How long idempotency records are kept.
+    pub record_retention: Duration,
     pub platform_timeout: Duration,
     /// Worker threads of the pool.
     pub threads: usize,
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -12,8 +12,9 @@
 use crate::control::ControlFollower;
 use crate::control::ControlState;
 use crate::daemon::Daemon;
+use crate::duty::DutyKeeper;
 use crate::duty::DutyLease;
-use crate::duty::RoleKeeper;
+use crate::duty::RecordSweeper;
 use crate::events;
 use crate::membership::LEASE_BEATS;
 use crate::membership::MemberBeat;
@@ -50,7 +51,8 @@
     let platform = PlatformClient::new(settings.platform.clone(), settings.platform_timeout);
     let beat = MemberBeat::new(daemon.clone(), platform.clone(), local.to_string());
     pool::spawn(beat.run());
-    let keeper = RoleKeeper {
+    let keeper = DutyKeeper {
+        sweeper: RecordSweeper::new(platform.clone(), settings.record_retention),
         lease: DutyLease::new(platform, settings.daemon_id.clone(), settings.incarnation, lease),
         control,
         daemon: settings.daemon_id.clone(),
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -31,7 +31,6 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
 use umberglade_wire::client::HttpClient;
 use umberglade_wire::engine::CancelOrder;
 use umberglade_wire::engine::CancelReply;
@@ -48,7 +47,8 @@
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
 use umberglade_wire::server::RequestHandler;
-use umberglade_wire::server::read_body;
+use umberglade_wire::server::parse_or_refuse;
+use umberglade_wire::server::read_body_or_refuse;
 
 pub use self::config::DEFAULT_SLOTS;
 pub use self::config::EngineConfig;
@@ -175,12 +175,12 @@
     ) -> Result<Response<ReplyBody>, Response<ReplyBody>> {
         let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
         let response = match (method, segments.as_slice()) {
-            (&Method::POST, ["v1", "prefill"]) => self.prefill(decode(&body)?).await,
-            (&Method::POST, ["v1", "decode"]) => self.decode(decode(&body)?).await,
-            (&Method::POST, ["v1", "cancel"]) => self.cancel(decode(&body)?),
-            (&Method::POST, ["v1", "order"]) => self.order(decode(&body)?).await,
+            (&Method::POST, ["v1", "prefill"]) => self.prefill(parse_or_refuse(&body)?).await,
+            (&Method::POST, ["v1", "decode"]) => self.decode(parse_or_refuse(&body)?).await,
+            (&Method::POST, ["v1", "cancel"]) => self.cancel(parse_or_refuse(&body)?),
+            (&Method::POST, ["v1", "order"]) => self.order(parse_or_refuse(&body)?).await,
             (&Method::POST, ["v1", "faults"]) => {
-                let faults: EngineFaults = decode(&body)?;
+                let faults: EngineFaults = parse_or_refuse(&body)?;
                 self.set_faults(faults.clone());
                 reply::json(StatusCode::OK, &faults)
             }
@@ -311,11 +311,9 @@
 impl RequestHandler for EngineStandin {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
         let (parts, body) = request.into_parts();
-        let body = match read_body(body).await {
+        let body = match read_body_or_refuse(body).await {
             Ok(body) => body,
-            Err(message) => {
-                return reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &message, None);
-            }
+            Err(refusal) => return refusal,
         };
         let query = parts.uri.query().unwrap_or_default();
         let (method, path) = (&parts.method, parts.uri.path());
@@ -343,9 +341,3 @@
         tracing::error!(%error, server = %entry.server, "could not register with the platform");
     }
 }
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Response<ReplyBody>> {
-    serde_json::from_slice(body).map_err(|error| {
-        reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &error.to_string(), None)
-    })
-}
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -19,7 +19,8 @@
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
 use umberglade_wire::server::RequestHandler;
-use umberglade_wire::server::read_body;
+use umberglade_wire::server::parse_or_refuse;
+use umberglade_wire::server::read_body_or_refuse;
 
 /// How long one call takes.
 const CALL_TIME: Duration = Duration::from_millis(20);
@@ -84,14 +85,12 @@
     }
 
     fn set_faults(&self, body: &[u8]) -> Response<ReplyBody> {
-        match serde_json::from_slice::<PlainFaults>(body) {
+        match parse_or_refuse::<PlainFaults>(body) {
             Ok(faults) => {
                 *self.faults.lock().expect("faults lock") = faults.clone();
                 reply::json(StatusCode::OK, &faults)
             }
-            Err(error) => {
-                reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &error.to_string(), None)
-            }
+            Err(refusal) => refusal,
         }
     }
 }
@@ -99,11 +98,9 @@
 impl RequestHandler for PlainStandin {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
         let (parts, body) = request.into_parts();
-        let body = match read_body(body).await {
+        let body = match read_body_or_refuse(body).await {
             Ok(body) => body,
-            Err(message) => {
-                return reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &message, None);
-            }
+            Err(refusal) => return refusal,
         };
         let path = parts.uri.path();
         match (&parts.method, path) {
@@ -111,11 +108,9 @@
                 self.lookup(&path[LOOKUP.len()..]).await
             }
             (&Method::POST, "/v1/faults") => self.set_faults(&body),
-            (&Method::POST, "/v1/call") => match serde_json::from_slice(&body) {
+            (&Method::POST, "/v1/call") => match parse_or_refuse(&body) {
                 Ok(call) => self.call(call).await,
-                Err(error) => {
-                    reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &error.to_string(), None)
-                }
+                Err(refusal) => refusal,
             },
             (&Method::GET, "/v1/stats") => reply::json(StatusCode::OK, &self.stats()),
             _ => reply::refusal(StatusCode::NOT_FOUND, "not_found", "no such route", None),
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -28,17 +28,19 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
-use serde::de::DeserializeOwned;
 use umberglade_wire::platform::FaultPlan;
 use umberglade_wire::platform::InstanceEntry;
 use umberglade_wire::platform::ObjectList;
 use umberglade_wire::platform::PlatformUsage;
 use umberglade_wire::platform::RowList;
+use umberglade_wire::platform::RowRemoval;
+use umberglade_wire::platform::RowRemovals;
 use umberglade_wire::platform::RowWrite;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
 use umberglade_wire::server::RequestHandler;
-use umberglade_wire::server::read_body;
+use umberglade_wire::server::parse_or_refuse;
+use umberglade_wire::server::read_body_or_refuse;
 
 pub use self::instances::InstanceBoard;
 pub use self::objects::ObjectShelf;
@@ -169,9 +171,18 @@
         counter.fetch_add(1, Ordering::Relaxed);
         let response = match (method, segments) {
             (&Method::GET, ["rows", table, key]) => self.get_row(table, key),
-            (&Method::GET, ["rows", table]) => self.list_rows(table),
+            (&Method::GET, ["rows", table]) => self.list_rows(table, query),
+            (&Method::POST, ["rows", table, "remove"]) => {
+                match parse_or_refuse::<RowRemovals>(&body) {
+                    Ok(removals) => self.remove_rows(table, &removals.rows),
+                    Err(refusal) => refusal,
+                }
+            }
             (&Method::PUT, ["rows", table, key]) => self.put_row(table, key, &body),
-            (&Method::DELETE, ["rows", table, key]) => self.remove_row(table, key, query.version),
+            (&Method::DELETE, ["rows", table, key]) => {
+                let removal = RowRemoval { key: (*key).to_owned(), version: query.version };
+                self.remove_rows(table, &[removal])
+            }
             (&Method::GET, ["feed", table]) => self.feed(table, query).await,
             (&Method::GET, ["instances"]) => self.list_instances(query).await,
             (&Method::GET, ["objects"]) => self.list_objects(&query.prefix),
@@ -195,13 +206,14 @@
         }
     }
 
-    fn list_rows(&self, table: &str) -> Response<ReplyBody> {
-        let list = self.table.lock().expect("table lock").list(table);
+    fn list_rows(&self, table: &str, query: &CallQuery) -> Response<ReplyBody> {
+        let limit = query.limit.unwrap_or(usize::MAX);
+        let list = self.table.lock().expect("table lock").list(table, &query.from, limit);
         reply::json(StatusCode::OK, &list)
     }
 
     fn put_row(&self, table: &str, key: &str, body: &[u8]) -> Response<ReplyBody> {
-        let write: RowWrite = match decode(body) {
+        let write: RowWrite = match parse_or_refuse(body) {
             Ok(write) => write,
             Err(response) => return response,
         };
@@ -214,8 +226,8 @@
         }
     }
 
-    fn remove_row(&self, table: &str, key: &str, version: u64) -> Response<ReplyBody> {
-        match self.table.lock().expect("table lock").remove(table, key, version) {
+    fn remove_rows(&self, table: &str, removals: &[RowRemoval]) -> Response<ReplyBody> {
+        match self.table.lock().expect("table lock").remove(table, removals) {
             Ok(()) => reply::json(StatusCode::OK, &RowList::default()),
             Err(conflict) => reply::json(StatusCode::CONFLICT, &conflict),
         }
@@ -280,7 +292,7 @@
     }
 
     fn set_instance(&self, body: &[u8]) -> Response<ReplyBody> {
-        let entry: InstanceEntry = match decode(body) {
+        let entry: InstanceEntry = match parse_or_refuse(body) {
             Ok(entry) => entry,
             Err(response) => return response,
         };
@@ -289,7 +301,7 @@
     }
 
     fn set_faults(&self, body: &[u8]) -> Response<ReplyBody> {
-        let plan: FaultPlan = match decode(body) {
+        let plan: FaultPlan = match parse_or_refuse(body) {
             Ok(plan) => plan,
             Err(response) => return response,
         };
@@ -318,11 +330,9 @@
 impl RequestHandler for PlatformStandin {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
         let (parts, body) = request.into_parts();
-        let body = match read_body(body).await {
+        let body = match read_body_or_refuse(body).await {
             Ok(body) => body,
-            Err(message) => {
-                return reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &message, None);
-            }
+            Err(refusal) => return refusal,
         };
         self.usage.bytes_in.fetch_add(body.len() as u64, Ordering::Relaxed);
         let response = self.route(&parts.method, parts.uri.path(), parts.uri.query(), body).await;
@@ -337,6 +347,8 @@
 struct CallQuery {
     after: u64,
     version: u64,
+    from: String,
+    limit: Option<usize>,
     wait_ms: u64,
     prefix: String,
 }
@@ -349,6 +361,8 @@
             match name {
                 "after" => query.after = value.parse().unwrap_or(0),
                 "version" => query.version = value.parse().unwrap_or(0),
+                "from" => query.from = percent_decode_str(value).decode_utf8_lossy().into(),
+                "limit" => query.limit = value.parse().ok(),
                 "wait_ms" => query.wait_ms = value.parse().unwrap_or(0),
                 "prefix" => query.prefix = percent_decode_str(value).decode_utf8_lossy().into(),
                 _ => {}
@@ -362,12 +376,6 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Response<ReplyBody>> {
-    serde_json::from_slice(body).map_err(|error| {
-        reply::refusal(StatusCode::BAD_REQUEST, "bad_request", &error.to_string(), None)
-    })
-}
-
 fn not_found() -> Response<ReplyBody> {
     reply::refusal(StatusCode::NOT_FOUND, "not_found", "no such row or route", None)
 }
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -7,6 +7,7 @@
 use umberglade_wire::platform::FeedPage;
 use umberglade_wire::platform::Row;
 use umberglade_wire::platform::RowList;
+use umberglade_wire::platform::RowRemoval;
 use umberglade_wire::platform::RowWrite;
 use umberglade_wire::platform::WriteConflict;
 
@@ -39,9 +40,11 @@
         self.rows.get(&(table.to_owned(), key.to_owned())).map(|stored| stored.row.clone())
     }
 
-    /// Every row of `table`, sorted by key.
-    pub fn list(&self, table: &str) -> RowList {
-        let rows = self.of_table(table).map(|stored| stored.row.clone()).collect();
+    /// The rows of `table` from key `from` on, at most `limit`, sorted by
+    /// key.
+    pub fn list(&self, table: &str, from: &str, limit: usize) -> RowList {
+        let rows =
+            self.of_table(table, from).take(limit).map(|stored| stored.row.clone()).collect();
         RowList { now_ms: self.now_ms(), rows }
     }
 
@@ -52,7 +55,7 @@
             return None;
         }
         let rows = self
-            .of_table(table)
+            .of_table(table, "")
             .filter(|stored| stored.generation > after)
             .map(|stored| stored.row.clone())
             .collect();
@@ -78,16 +81,20 @@
         Ok(row)
     }
 
-    /// Removes the row if it is still at `version`. Feeds do not tell of
-    /// removals: no table that is followed has any.
-    pub fn remove(&mut self, table: &str, key: &str, version: u64) -> Result<(), WriteConflict> {
-        let slot = (table.to_owned(), key.to_owned());
-        let current_version = self.rows.get(&slot).map_or(0, |stored| stored.row.version);
-        if current_version != version {
-            return Err(WriteConflict { current_version });
+    /// Removes every row of `removals` if each is still at its version, or
+    /// none. Feeds do not tell of removals: no table that is followed has
+    /// any.
+    pub fn remove(&mut self, table: &str, removals: &[RowRemoval]) -> Result<(), WriteConflict> {
+        for removal in removals {
+            let current_version = self.get(table, &removal.key).map_or(0, |row| row.version);
+            if current_version != removal.version {
+                return Err(WriteConflict { current_version });
+            }
         }
         self.generation += 1;
-        self.rows.remove(&slot);
+        for removal in removals {
+            self.rows.remove(&(table.to_owned(), removal.key.clone()));
+        }
         Ok(())
     }
 
@@ -96,9 +103,13 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    fn of_table<'a>(&'a self, table: &str) -> impl Iterator<Item = &'a StoredRow> + use<'a> {
+    fn of_table<'a>(
+        &'a self,
+        table: &str,
+        from: &str,
+    ) -> impl Iterator<Item = &'a StoredRow> + use<'a> {
         let table = table.to_owned();
-        let from = (table.clone(), String::new());
+        let from = (table.clone(), from.to_owned());
         self.rows
             .range(from..)
             .take_while(move |((name, _), _)| *name == table)
--- a/crates/umberglade/src/cli/serve.rs
+++ b/crates/umberglade/src/cli/serve.rs
@@ -27,6 +27,9 @@
     /// milliseconds between renewals of the daemon's lease [UMBERGLADE_MEMBER_BEAT_MS, default 5000]
     #[argh(option)]
     pub member_beat_ms: Option<u64>,
+    /// seconds an idempotency record is kept [UMBERGLADE_RECORD_RETENTION_S, default 86400]
+    #[argh(option)]
+    pub record_retention_s: Option<u64>,
     /// worker threads [UMBERGLADE_THREADS, default 4]
     #[argh(option)]
     pub threads: Option<usize>,
--- a/crates/umberglade/src/serve.rs
+++ b/crates/umberglade/src/serve.rs
@@ -16,6 +16,7 @@
 use umberglade_router::settings::DEFAULT_FEED_WAIT;
 use umberglade_router::settings::DEFAULT_MEMBER_BEAT;
 use umberglade_router::settings::DEFAULT_PLATFORM_TIMEOUT;
+use umberglade_router::settings::DEFAULT_RECORD_RETENTION;
 use umberglade_router::settings::DaemonSettings;
 use umberglade_router::start;
 use umberglade_router::start::StartedDaemon;
@@ -87,6 +88,13 @@
         DEFAULT_MEMBER_BEAT.as_millis() as u64,
         50..=600_000,
     )?;
+    let retention_s = setting::resolve_within(
+        "record-retention-s",
+        "UMBERGLADE_RECORD_RETENTION_S",
+        args.record_retention_s,
+        DEFAULT_RECORD_RETENTION.as_secs(),
+        1..=31_536_000,
+    )?;
     let threads = setting::resolve_within(
         "threads",
         "UMBERGLADE_THREADS",
@@ -118,6 +126,7 @@
         incarnation: fastrand::u64(..),
         feed_wait: Duration::from_millis(follow_ms),
         member_beat: Duration::from_millis(beat_ms),
+        record_retention: Duration::from_secs(retention_s),
         platform_timeout: DEFAULT_PLATFORM_TIMEOUT,
         threads,
     })
--- a/crates/umberglade/tests/at_most_once.rs
+++ b/crates/umberglade/tests/at_most_once.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use umberglade_wire::plain::IDEMPOTENCY_TABLE;
 use umberglade_wire::plain::PlainFaults;
 use umberglade_wire::plain::PlainStats;
 use umberglade_wire::platform::FaultPlan;
@@ -261,3 +262,31 @@
     }
     drop(second);
 }
+
+/// Records of bookings pile up in the table, hundreds of them. The daemon
+/// that holds the duty clears away those past their retention, and leaves
+/// the newer ones: a retry of a recent booking still gets its answer.
+#[test]
+fn records_past_their_retention_are_cleared_away() {
+    let platform = support::start_platform("0");
+    let desk = ["standin", "plain", "--server", "desk-1", "--register-with", &platform.addr];
+    let desk = Process::start(&desk);
+    support::seed(&platform.addr);
+    let args = ["--member-beat-ms", "200", "--record-retention-s", "2", "--follow-ms", "200"];
+    let daemon = support::start_daemon(&platform.addr, "entry-1", &args);
+    wait_for_servers(&daemon.addr, 1);
+    let records = || {
+        let list = support::run(support::actions(&platform.addr).platform.list(IDEMPOTENCY_TABLE));
+        list.unwrap().rows.len()
+    };
+    for number in 0..130 {
+        assert_eq!(book(&daemon.addr, Some(&format!("old-{number}"))).status, 200);
+    }
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(book(&daemon.addr, Some("new")).status, 200);
+    let new_only = || records() == 1;
+    assert!(eventually(Duration::from_secs(4), new_only), "{} records left", records());
+    let before = desk_stats(&desk.addr).executions;
+    assert_eq!(book(&daemon.addr, Some("new")).status, 200);
+    assert_eq!(desk_stats(&desk.addr).executions, before, "a recent booking ran again");
+}
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -5,7 +5,10 @@
 //! - `GET /v1/rows/{table}/{key}` → [`Row`], 404 when absent
 //! - `PUT /v1/rows/{table}/{key}` [`RowWrite`] → [`Row`], 409 [`WriteConflict`]
 //! - `DELETE /v1/rows/{table}/{key}?version=V`, 409 [`WriteConflict`]
-//! - `GET /v1/rows/{table}` → [`RowList`]
+//! - `GET /v1/rows/{table}?from=K&limit=N` → [`RowList`]: rows whose key
+//!   is K or after it, at most N (all by default)
+//! - `POST /v1/rows/{table}/remove` [`RowRemovals`] → [`RowList`] (empty):
+//!   all removed or none, 409 [`WriteConflict`]
 //! - `GET /v1/feed/{table}?after=G&wait_ms=W` → [`FeedPage`]: rows changed
 //!   after generation G, held open up to W ms while there are none; 410
 //!   when the table's history does not reach G
@@ -71,7 +74,20 @@
     pub current_version: RowVersion,
 }
 
-/// All rows of a table, sorted by key.
+/// One row to remove, if it is still at `version`.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
+pub struct RowRemoval {
+    pub key: String,
+    pub version: RowVersion,
+}
+
+/// Rows to remove in one transaction.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct RowRemovals {
+    pub rows: Vec<RowRemoval>,
+}
+
+/// Rows of a table, sorted by key.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Default)]
 pub struct RowList {
     /// The service's steady clock now.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -8,16 +8,19 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use serde::de::DeserializeOwned;
 use smol::net::TcpListener;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
 use crate::pool;
+use crate::reply;
 use crate::reply::ReplyBody;
 
 /// How long a connection may take to send its request headers. Guards
@@ -83,3 +86,17 @@
         Err(error) => Err(format!("reading the request body: {error}")),
     }
 }
+
+/// Like [`read_body`] for a stand-in: the error is the 400 to answer.
+pub async fn read_body_or_refuse(body: Incoming) -> Result<Bytes, Response<ReplyBody>> {
+    read_body(body).await.map_err(|message| bad_request(&message))
+}
+
+/// The JSON value in `body`; the error is the 400 to answer.
+pub fn parse_or_refuse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Response<ReplyBody>> {
+    serde_json::from_slice(body).map_err(|error| bad_request(&error.to_string()))
+}
+
+fn bad_request(message: &str) -> Response<ReplyBody> {
+    reply::refusal(StatusCode::BAD_REQUEST, "bad_request", message, None)
+}
