Longer pauses in an outage, finished prefills first; large files split

Cause: worked out for docs/CAPACITY.md, 340 daemons with two feeds each, retrying every 0.4 s, ask a platform that is down about 1,700 times a second, nearly all it takes when well. And a finished prefill whose decode server was full stood behind prompts not read yet. Change: pauses double from 0.2 to 1.6 s (about 450 a second); a finished prefill waits in the urgent line and may take the reserve. waiting_room.rs, run.rs, umberctl commands.rs and the platform stand-in are split; behaviour as before.

--- a/crates/router/src/admission/mod.rs
+++ b/crates/router/src/admission/mod.rs
@@ -1,6 +1,7 @@
 //! What bounds the work a daemon takes on: the waiting room, the retry
 //! budget and the pace it predicts by.
 
+mod class_line;
 mod pace_meter;
 mod retry_budget;
 mod waiting_room;
--- a/crates/router/src/admission/waiting_room.rs
+++ b/crates/router/src/admission/waiting_room.rs
@@ -1,7 +1,6 @@
 //! The waiting room: requests wait at the daemon, not at the engines,
 //! until their servers have room; urgent ones first, none starved.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,21 +11,14 @@
 use futures_lite::FutureExt;
 use umberglade_wire::engine::Priority;
 
+use super::class_line::EARLY_TRIERS;
+use super::class_line::RoomLines;
+use super::class_line::Waiter;
+
 /// How often the first in line looks again by itself: other daemons free
 /// room too, which no event of ours tells.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
-/// The span over which the rate of placements is measured.
-const RATE_WINDOW: Duration = Duration::from_secs(2);
-/// Placements remembered at most.
-const PLACEMENTS_KEPT: usize = 4096;
-/// The shortest span that tells a rate.
-const RATE_SPAN: Duration = Duration::from_millis(250);
-/// Placements in the window below which no rate is known.
-const RATE_SAMPLES: usize = 4;
 
-/// Waiters of the standard line, from the front, who may try before their
-/// turn where their prefix is cached.
-const EARLY_TRIERS: usize = 32;
 /// How long the first in line holds out for a server that has its prefix,
 /// while servers are busy.
 const HOLD_OUT: Duration = Duration::from_millis(150);
@@ -41,68 +33,6 @@
     pub retry_after_s: u64,
 }
 
-#[derive(Debug)]
-struct Waiter {
-    ticket: u64,
-    wake: Arc<Event>,
-}
-
-/// The line of one class, first come first served.
-#[derive(Debug, Default)]
-struct ClassLine {
-    /// Invariant: tickets grow from front to back.
-    waiters: VecDeque<Waiter>,
-    /// Since when somebody has waited without a break.
-    busy_since: Option<Instant>,
-    /// When the latest placements were made, oldest first.
-    placements: VecDeque<Instant>,
-    /// Placements of the other class since the last of this one.
-    passed_over: u32,
-}
-
-impl ClassLine {
-    /// Placements a second while somebody waited all along; `None` before
-    /// that has lasted long enough to tell.
-    ///
-    /// Guards against refusing at a quiet site: there placements are few
-    /// because arrivals are, and their rate says nothing of the room.
-    fn rate(&mut self) -> Option<f64> {
-        let now = Instant::now();
-        let window_start = now.checked_sub(RATE_WINDOW)?;
-        let since = self.busy_since?.max(window_start);
-        while self.placements.front().is_some_and(|at| *at < since) {
-            self.placements.pop_front();
-        }
-        let span = now.duration_since(since);
-        let can_tell = span >= RATE_SPAN && self.placements.len() >= RATE_SAMPLES;
-        can_tell.then(|| self.placements.len() as f64 / span.as_secs_f64())
-    }
-}
-
-#[derive(Debug, Default)]
-struct RoomLines {
-    next_ticket: u64,
-    urgent: ClassLine,
-    standard: ClassLine,
-}
-
-impl RoomLines {
-    fn of(&mut self, priority: Priority) -> &mut ClassLine {
-        match priority {
-            Priority::Urgent => &mut self.urgent,
-            Priority::Standard => &mut self.standard,
-        }
-    }
-
-    /// Wakes those who may try, the urgent one first.
-    fn wake_firsts(&self) {
-        let urgent = self.urgent.waiters.iter().take(1);
-        for waiter in urgent.chain(self.standard.waiters.iter().take(EARLY_TRIERS)) {
-            waiter.wake.notify(1);
-        }
-    }
-}
-
 /// The requests for one model that wait, a line for each class. The first
 /// of each line tries for itself, so a long prompt that finds no room
 /// never holds up a lookup that would. One lock, never held across an
@@ -124,11 +54,7 @@
 impl Drop for LinePlace<'_> {
     fn drop(&mut self) {
         let mut lines = self.room.lock();
-        let line = lines.of(self.priority);
-        line.waiters.retain(|waiter| waiter.ticket != self.ticket);
-        if line.waiters.is_empty() {
-            line.busy_since = None;
-        }
+        lines.of(self.priority).leave(self.ticket);
         lines.wake_firsts();
     }
 }
@@ -207,9 +133,7 @@
         let mut lines = self.lock();
         lines.next_ticket += 1;
         let ticket = lines.next_ticket;
-        let line = lines.of(priority);
-        line.busy_since.get_or_insert_with(Instant::now);
-        line.waiters.push_back(Waiter { ticket, wake: Arc::clone(&wake) });
+        lines.of(priority).join(Waiter { ticket, wake: Arc::clone(&wake) });
         LinePlace { room: self, priority, ticket, wake }
     }
 
@@ -245,12 +169,7 @@
 
     fn note_placement(&self, priority: Priority) {
         let mut lines = self.lock();
-        let line = lines.of(priority);
-        line.placements.push_back(Instant::now());
-        if line.placements.len() > PLACEMENTS_KEPT {
-            line.placements.pop_front();
-        }
-        line.passed_over = 0;
+        lines.of(priority).note_placement();
         if priority == Priority::Urgent {
             let standard = &mut lines.standard;
             // Only work that waits is passed over.
--- a/crates/router/src/control/follower.rs
+++ b/crates/router/src/control/follower.rs
@@ -13,10 +13,13 @@
 use crate::platform::InstanceFeed;
 use crate::platform::TableFeed;
 
-/// Pause after a failed read, before jitter: long enough not to burden a
-/// platform that is struggling, short enough that a change is still in
-/// force within seconds of its return.
-const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a first failed read, before jitter; doubled for each next.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// The longest pause, before jitter: 340 daemons with two feeds each then
+/// ask a platform that is down about 450 times a second, a quarter of what
+/// it takes when well, and a change is still in force within seconds of
+/// its return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1600);
 
 /// Keeps a [`ControlState`] in step with the platform.
 #[derive(Debug, Clone)]
@@ -38,45 +41,72 @@
         self.follow_instances(&mut instances, Duration::ZERO).await;
         let follower = self.clone();
         pool::spawn(async move {
+            let mut failures = FailureRun::default();
             loop {
-                follower.follow_table(&mut table, follower.feed_wait).await;
+                let read = follower.follow_table(&mut table, follower.feed_wait).await;
+                failures.pause_after(read).await;
             }
         });
         pool::spawn(async move {
+            let mut failures = FailureRun::default();
             loop {
-                self.follow_instances(&mut instances, self.feed_wait).await;
+                let read = self.follow_instances(&mut instances, self.feed_wait).await;
+                failures.pause_after(read).await;
             }
         });
     }
 
-    /// One read of the control table's feed.
-    async fn follow_table(&self, feed: &mut TableFeed, wait: Duration) {
-        match feed.next(wait).await {
-            Ok(page) => self.state.update(|snapshot| {
-                for row in &page.rows {
-                    snapshot.apply_row(row);
-                }
-                snapshot.table_read = Some(Instant::now());
-            }),
-            Err(error) => pause("control table", &error).await,
-        }
+    /// One read of the control table's feed; false when it failed.
+    async fn follow_table(&self, feed: &mut TableFeed, wait: Duration) -> bool {
+        let page = match feed.next(wait).await {
+            Ok(page) => page,
+            Err(error) => return report_failure("control table", &error),
+        };
+        self.state.update(|snapshot| {
+            for row in &page.rows {
+                snapshot.apply_row(row);
+            }
+            snapshot.table_read = Some(Instant::now());
+        });
+        true
     }
 
-    /// One read of the instance list's feed.
-    async fn follow_instances(&self, feed: &mut InstanceFeed, wait: Duration) {
-        match feed.next(wait).await {
-            Ok(list) => self.state.update(|snapshot| {
-                snapshot.apply_instances(list);
-                snapshot.instances_read = Some(Instant::now());
-            }),
-            Err(error) => pause("instance list", &error).await,
-        }
+    /// One read of the instance list's feed; false when it failed.
+    async fn follow_instances(&self, feed: &mut InstanceFeed, wait: Duration) -> bool {
+        let list = match feed.next(wait).await {
+            Ok(list) => list,
+            Err(error) => return report_failure("instance list", &error),
+        };
+        self.state.update(|snapshot| {
+            snapshot.apply_instances(list);
+            snapshot.instances_read = Some(Instant::now());
+        });
+        true
     }
 }
 
-/// Logs a failed read and waits, jittered so that daemons do not come back
-/// to the platform all at once.
-async fn pause(what: &str, error: &WireError) {
+/// Logs a failed read; always false.
+fn report_failure(what: &str, error: &WireError) -> bool {
     tracing::warn!(event = events::PLATFORM_UNREACHABLE, what, %error, "serving on what is in force");
-    smol::Timer::after(FAILURE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+    false
+}
+
+/// Failed reads in a row, and the pause they call for.
+#[derive(Debug, Default)]
+struct FailureRun {
+    failures: u32,
+}
+
+impl FailureRun {
+    /// Waits after a failed read, longer each time in a row and jittered,
+    /// so that daemons do not come back to the platform all at once.
+    async fn pause_after(&mut self, succeeded: bool) {
+        if succeeded {
+            self.failures = 0;
+            return;
+        }
+        let pause = (FIRST_PAUSE * 2u32.saturating_pow(self.failures)).min(LONGEST_PAUSE);
+        self.failures = (self.failures + 1).min(8);
+        smol::Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
+    }
 }
--- /dev/null
+++ b/crates/router/src/pipeline/claim.rs
@@ -0,0 +1,170 @@
+//! Claiming room at both servers of a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::Priority;
+
+use super::RunFailure;
+use super::run::RequestRun;
+use crate::admission::RoomTurn;
+use crate::admission::WaitingRoom;
+use crate::control::ControlSnapshot;
+use crate::control::InFlightGuard;
+use crate::control::ServerPool;
+use crate::control::ServerSlot;
+use crate::front::RETRY_AFTER_S;
+use crate::placement::Choice;
+use crate::placement::Placement;
+use crate::placement::PlacementNeed;
+
+/// How long an attempt after the first waits for room.
+const RETRY_PATIENCE: Duration = Duration::from_secs(3);
+/// The share of a class's first-token target that a request may spend
+/// waiting and being read. The rest is for what the prediction misses, and
+/// for callers who come back after a refusal: they count from their first
+/// try. Past saturation a shorter line serves as many, but in time.
+const TARGET_SHARE: f64 = 0.5;
+
+/// A server chosen for a step, its in-flight count taken.
+#[derive(Debug)]
+pub(crate) struct Claimed {
+    pub slot: Arc<ServerSlot>,
+    pub guard: InFlightGuard,
+    pub choice: Choice,
+}
+
+/// Both servers of a request.
+#[derive(Debug)]
+pub(crate) struct ClaimedPair {
+    pub prefill: Claimed,
+    pub decode: Claimed,
+}
+
+/// Tells the waiting room that room came free. Declared after the guards
+/// of a struct, it drops after them.
+#[derive(Debug)]
+pub(crate) struct RoomWaker(pub Arc<WaitingRoom>);
+
+impl Drop for RoomWaker {
+    fn drop(&mut self) {
+        self.0.wake_first();
+    }
+}
+
+impl<P: Placement> RequestRun<P> {
+    /// Waits for room at a prefill and a decode server and takes it.
+    pub async fn claim_pair(&mut self) -> Result<ClaimedPair, RunFailure> {
+        let snapshot = self.daemon.shared.control.current();
+        for role in [EngineRole::Prefill, EngineRole::Decode] {
+            let pool = snapshot.candidates(role, &self.admitted.model);
+            if pool.is_empty() {
+                return Err(RunFailure::NoServer { role, model: self.admitted.model.clone() });
+            }
+            // With every server of the role tried, waiting for another
+            // would last until the deadline: they get one more chance.
+            if pool.iter().all(|slot| self.avoid.contains(&slot.entry.server)) {
+                self.avoid.clear();
+            }
+        }
+        if !self.daemon.shared.placement.waits_for_room() {
+            let placed = self.place_pair(RoomTurn::Ordinary);
+            return placed.ok_or(RunFailure::NoRoom { retry_after_s: RETRY_AFTER_S });
+        }
+        self.room()
+            .enter(self.admitted.priority, self.patience(), |turn| self.place_pair(turn))
+            .await
+            .map_err(|refusal| RunFailure::NoRoom { retry_after_s: refusal.retry_after_s })
+    }
+
+    /// Both servers as placed now, or `None` when either has no room. The
+    /// snapshot is read anew: servers may have come while waiting.
+    fn place_pair(&self, turn: RoomTurn) -> Option<ClaimedPair> {
+        let snapshot = self.daemon.shared.control.current();
+        let decode_pool = snapshot.candidates(EngineRole::Decode, &self.admitted.model);
+        // Decode first: it is the cheaper question, and when it has no
+        // room the prefill policy must not remember a placement.
+        self.choose_decode(&decode_pool, None, turn)?;
+        let prefill = self.place_prefill(&snapshot, turn)?;
+        let decode = self.place_decode(&decode_pool, &prefill.slot, turn)?;
+        Some(ClaimedPair { prefill, decode })
+    }
+
+    fn place_prefill(&self, snapshot: &ControlSnapshot, turn: RoomTurn) -> Option<Claimed> {
+        let pool = snapshot.candidates(EngineRole::Prefill, &self.admitted.model);
+        let settings = &self.daemon.shared.settings;
+        let need = self.need(&settings.domain, &settings.region, turn);
+        let choice = self.daemon.shared.placement.prefill(&pool, &need)?;
+        let slot = Arc::clone(&pool[choice.index]);
+        let guard = slot.begin(u64::from(self.admitted.shape.tokens));
+        Some(Claimed { slot, guard, choice })
+    }
+
+    /// Takes room at a decode server near `prefill`.
+    pub fn place_decode(
+        &self,
+        pool: &ServerPool,
+        prefill: &ServerSlot,
+        turn: RoomTurn,
+    ) -> Option<Claimed> {
+        let choice = self.choose_decode(pool, Some(prefill), turn)?;
+        let slot = Arc::clone(&pool[choice.index]);
+        let guard = slot.begin(0);
+        Some(Claimed { slot, guard, choice })
+    }
+
+    fn choose_decode(
+        &self,
+        pool: &ServerPool,
+        prefill: Option<&ServerSlot>,
+        turn: RoomTurn,
+    ) -> Option<Choice> {
+        let settings = &self.daemon.shared.settings;
+        let (domain, region) = match prefill {
+            Some(prefill) => (&prefill.entry.domain, &prefill.entry.region),
+            None => (&settings.domain, &settings.region),
+        };
+        self.daemon.shared.placement.decode(pool, &self.need(domain, region, turn))
+    }
+
+    fn need<'a>(&'a self, domain: &'a str, region: &'a str, turn: RoomTurn) -> PlacementNeed<'a> {
+        let preset = &self.admitted.preset;
+        let leaves_reserve =
+            self.admitted.priority == Priority::Standard && turn != RoomTurn::PassedOver;
+        let daemons = self.daemon.shared.members.live_count().max(1) as u64;
+        PlacementNeed {
+            shape: &self.admitted.shape,
+            priority: self.admitted.priority,
+            preset,
+            domain,
+            region,
+            avoid: &self.avoid,
+            picky: turn == RoomTurn::Picky,
+            reserve: if leaves_reserve { preset.urgent_reserve_slots } else { 0 },
+            own_queue_tokens: u64::from(preset.prefill_queue_tokens) / daemons,
+        }
+    }
+
+    /// How long the request may wait for room and still meet its class's
+    /// first-token target: what its prefill should take, the queue before
+    /// it at the server included, is taken off. An attempt after the first
+    /// waits a fixed time: the target may be missed, the answer is owed.
+    fn patience(&self) -> Duration {
+        if self.attempt > 0 {
+            return self.remaining().min(RETRY_PATIENCE);
+        }
+        let targets = self.admitted.preset.targets(self.admitted.priority);
+        let target = Duration::from_millis(targets.ttft_ms);
+        let queue = match self.admitted.priority {
+            Priority::Urgent => 0,
+            Priority::Standard => self.admitted.preset.prefill_queue_tokens,
+        };
+        let work = self.daemon.shared.pace.predict(u64::from(self.admitted.shape.tokens + queue));
+        target
+            .mul_f64(TARGET_SHARE)
+            .saturating_sub(work)
+            .saturating_sub(self.age())
+            .min(self.remaining())
+    }
+}
--- a/crates/router/src/pipeline/decode.rs
+++ b/crates/router/src/pipeline/decode.rs
@@ -13,16 +13,18 @@
 use umberglade_wire::client::HttpClient;
 use umberglade_wire::engine::DecodeOrder;
 use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::Priority;
 use umberglade_wire::lines::LineReader;
 
 use super::RunFailure;
+use super::claim::Claimed;
+use super::claim::RoomWaker;
 use super::prefill::KvExportClaim;
-use super::run::Claimed;
 use super::run::RequestRun;
-use super::run::RoomWaker;
 use super::run::observe_load;
 use crate::admission::RoomTurn;
 use crate::control::InFlightGuard;
+use crate::control::ServerPool;
 use crate::control::ServerSlot;
 use crate::events;
 use crate::placement::Placement;
@@ -93,11 +95,13 @@
         }
         self.forget_passed_over();
         smol::Timer::after(EXPORT_MARGIN).await;
-        let place = |turn| self.place_decode(&self.decode_pool(), &export.slot, turn);
-        self.room().enter(self.admitted.priority, patience, place).await.ok()
+        // Ahead of all whose prompt is not read yet, and into the reserve:
+        // what is computed must not be thrown away for want of a slot.
+        let place = |_| self.place_decode(&self.decode_pool(), &export.slot, RoomTurn::PassedOver);
+        self.room().enter(Priority::Urgent, patience, place).await.ok()
     }
 
-    fn decode_pool(&self) -> crate::control::ServerPool {
+    fn decode_pool(&self) -> ServerPool {
         let snapshot = self.daemon.shared.control.current();
         snapshot.candidates(EngineRole::Decode, &self.admitted.model)
     }
--- a/crates/router/src/pipeline/mod.rs
+++ b/crates/router/src/pipeline/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod answer_feed;
 mod cancel;
+mod claim;
 mod decode;
 mod event_writer;
 mod failure;
--- a/crates/router/src/pipeline/prefill.rs
+++ b/crates/router/src/pipeline/prefill.rs
@@ -13,7 +13,7 @@
 use umberglade_wire::error::DecodeSnafu;
 
 use super::RunFailure;
-use super::run::Claimed;
+use super::claim::Claimed;
 use super::run::RequestRun;
 use super::run::observe_load;
 use crate::control::ServerSlot;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -9,6 +9,7 @@
 
 mod instances;
 mod objects;
+mod query;
 mod table;
 
 use std::borrow::Cow;
@@ -44,6 +45,7 @@
 
 pub use self::instances::InstanceBoard;
 pub use self::objects::ObjectShelf;
+use self::query::CallQuery;
 pub use self::table::RowTable;
 use crate::rate::RateWindow;
 
@@ -53,8 +55,6 @@
 pub const DEFAULT_READS_PER_SECOND: u32 = 2000;
 /// How long a lost reply holds the connection silent.
 const LOST_REPLY_HOLD: Duration = Duration::from_secs(30);
-/// Longest a feed is held open while nothing changes.
-const MAX_FEED_WAIT: Duration = Duration::from_secs(30);
 /// How often a held instance feed looks again: the list's lag makes
 /// changes visible by time alone, so no write can wake it.
 const INSTANCE_POLL: Duration = Duration::from_millis(50);
@@ -342,40 +342,6 @@
     }
 }
 
-/// The query parameters a call may carry.
-#[derive(Debug, Default)]
-struct CallQuery {
-    after: u64,
-    version: u64,
-    from: String,
-    limit: Option<usize>,
-    wait_ms: u64,
-    prefix: String,
-}
-
-impl CallQuery {
-    /// Parses `a=1&b=2`; unknown or malformed parameters are ignored.
-    fn parse(text: &str) -> CallQuery {
-        let mut query = CallQuery::default();
-        for (name, value) in text.split('&').filter_map(|pair| pair.split_once('=')) {
-            match name {
-                "after" => query.after = value.parse().unwrap_or(0),
-                "version" => query.version = value.parse().unwrap_or(0),
-                "from" => query.from = percent_decode_str(value).decode_utf8_lossy().into(),
-                "limit" => query.limit = value.parse().ok(),
-                "wait_ms" => query.wait_ms = value.parse().unwrap_or(0),
-                "prefix" => query.prefix = percent_decode_str(value).decode_utf8_lossy().into(),
-                _ => {}
-            }
-        }
-        query
-    }
-
-    fn wait(&self) -> Duration {
-        Duration::from_millis(self.wait_ms).min(MAX_FEED_WAIT)
-    }
-}
-
 fn not_found() -> Response<ReplyBody> {
     reply::refusal(StatusCode::NOT_FOUND, "not_found", "no such row or route", None)
 }
--- a/crates/umberctl/src/main.rs
+++ b/crates/umberctl/src/main.rs
@@ -1,6 +1,7 @@
 //! `umberctl`: the operators' command line. It talks to the platform's
 //! table service, the source of truth, never to a daemon.
 
+mod args;
 mod commands;
 
 use std::process::ExitCode;
@@ -23,7 +24,7 @@
     #[argh(option)]
     pub actor: Option<String>,
     #[argh(subcommand)]
-    pub command: commands::Command,
+    pub command: args::Command,
 }
 
 fn main() -> ExitCode {
