--- a/crates/umberglade/tests/silent_links.rs
+++ b/crates/umberglade/tests/silent_links.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::mpsc;
 use std::time::Duration;
 use std::time::Instant;
@@ -116,3 +119,47 @@
     ];
     (engines, link)
 }
+
+/// What a caller sent before its connection went silent.
+struct CallerCase {
+    name: &'static str,
+    sent: &'static str,
+    /// What the daemon answers before it closes; empty for nothing.
+    answer: &'static str,
+}
+
+/// Callers' connections go silent while they send: in the headers, or in
+/// the body. Neither may hold the daemon for good: it closes them, the
+/// second with an honest refusal, and a stop need not wait for them.
+#[test]
+fn a_caller_that_falls_silent_while_sending_is_let_go() {
+    let cases = [
+        CallerCase {
+            name: "in the headers",
+            sent: "POST /v1/completions HTTP/1.1\r\nHost: x\r\n",
+            answer: "",
+        },
+        CallerCase {
+            name: "in the body",
+            sent: "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-neulanjalki\r\nContent-Length: 100\r\n\r\n{\"model\":",
+            answer: "HTTP/1.1 400",
+        },
+    ];
+    let site = support::Site::start(1, 1);
+    let sockets: Vec<TcpStream> = cases
+        .iter()
+        .map(|case| {
+            let mut socket = TcpStream::connect(&site.daemon.addr).unwrap();
+            socket.write_all(case.sent.as_bytes()).unwrap();
+            socket.set_read_timeout(Some(ANSWERED_WITHIN)).unwrap();
+            socket
+        })
+        .collect();
+    for (case, mut socket) in cases.iter().zip(sockets) {
+        let mut answer = String::new();
+        let closed = socket.read_to_string(&mut answer);
+        assert!(closed.is_ok(), "{}: still open: {closed:?}", case.name);
+        assert!(answer.starts_with(case.answer), "{}: {answer}", case.name);
+    }
+    assert_eq!(status(&site.daemon.addr).unwrap()["in_flight"], 0);
+}
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -27,6 +28,9 @@
 /// against connections that go silent for good: without it such a
 /// connection would hold a task forever.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a whole request body may take to arrive: the same guard for a
+/// connection that went silent after its headers.
+const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest request body any of our servers reads, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -79,12 +83,20 @@
     }
 }
 
-/// Reads a whole request body of at most [`MAX_BODY_BYTES`].
+/// Reads a whole request body of at most [`MAX_BODY_BYTES`], within
+/// [`BODY_READ_TIMEOUT`].
 pub async fn read_body(body: Incoming) -> Result<Bytes, String> {
-    match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) => Err(format!("reading the request body: {error}")),
-    }
+    let read = async {
+        match Limited::new(body, MAX_BODY_BYTES).collect().await {
+            Ok(collected) => Ok(collected.to_bytes()),
+            Err(error) => Err(format!("reading the request body: {error}")),
+        }
+    };
+    let late = async {
+        smol::Timer::after(BODY_READ_TIMEOUT).await;
+        Err(format!("the request body did not arrive within {BODY_READ_TIMEOUT:?}"))
+    };
+    read.or(late).await
 }
 
 /// Like [`read_body`] for a stand-in: the error is the 400 to answer.
