Placement decisions as tables of cases

Cause: the policy was measured as a whole, its single decisions untested. Change: tables for prefill and decode, the shared prefix's way back.

--- /dev/null
+++ b/crates/router/tests/placement.rs
@@ -0,0 +1,191 @@
+//! The placement policy's decisions, one table of situations each for
+//! prefill and decode.
+
+use std::sync::Arc;
+
+use umberglade_router::control::ServerSlot;
+use umberglade_router::placement::AffinityPlacement;
+use umberglade_router::placement::Placement;
+use umberglade_router::placement::PlacementNeed;
+use umberglade_router::preset::Preset;
+use umberglade_router::prompt::PromptShape;
+use umberglade_wire::engine::EngineRole;
+use umberglade_wire::engine::LoadSample;
+use umberglade_wire::engine::Priority;
+use umberglade_wire::platform::InstanceEntry;
+use umberglade_wire::platform::InstanceState;
+
+/// A candidate: where it is and what it last reported.
+#[derive(Clone, Copy)]
+struct Candidate {
+    domain: &'static str,
+    region: &'static str,
+    running: u32,
+    queued_tokens: u64,
+    failed: bool,
+}
+
+const IDLE: Candidate =
+    Candidate { domain: "hall-a", region: "north", running: 0, queued_tokens: 0, failed: false };
+
+fn slots(candidates: &[Candidate]) -> Vec<Arc<ServerSlot>> {
+    candidates
+        .iter()
+        .enumerate()
+        .map(|(index, candidate)| {
+            let slot = ServerSlot::new(InstanceEntry {
+                server: format!("s{index}"),
+                addr: "127.0.0.1:1".into(),
+                role: EngineRole::Decode,
+                model: "m".into(),
+                domain: candidate.domain.into(),
+                region: candidate.region.into(),
+                state: InstanceState::Live,
+            });
+            slot.observe(LoadSample {
+                running: candidate.running,
+                slots: 20,
+                queued_tokens: candidate.queued_tokens,
+            });
+            if candidate.failed {
+                slot.failed();
+            }
+            Arc::new(slot)
+        })
+        .collect()
+}
+
+fn preset() -> Preset {
+    Preset::from_toml(include_str!("../../../presets/ordinary.toml")).unwrap()
+}
+
+/// One situation and the server that must be chosen; `None` to wait.
+struct PlacementCase {
+    name: &'static str,
+    candidates: Vec<Candidate>,
+    priority: Priority,
+    avoid: &'static [&'static str],
+    reserve: u32,
+    chosen: Option<usize>,
+}
+
+fn case(name: &'static str, candidates: Vec<Candidate>, chosen: Option<usize>) -> PlacementCase {
+    let priority = Priority::Standard;
+    PlacementCase { name, candidates, priority, avoid: &[], reserve: 2, chosen }
+}
+
+fn check(cases: Vec<PlacementCase>, is_prefill: bool) {
+    let preset = preset();
+    let shape = PromptShape { tokens: 4000, prefix_hash: 0, prefix_tokens: 0, digest: 1 };
+    for case in cases {
+        let slots = slots(&case.candidates);
+        let avoid: Vec<String> = case.avoid.iter().map(|name| (*name).to_owned()).collect();
+        let need = PlacementNeed {
+            shape: &shape,
+            priority: case.priority,
+            preset: &preset,
+            domain: "hall-a",
+            region: "north",
+            avoid: &avoid,
+            picky: false,
+            reserve: case.reserve,
+            own_queue_tokens: 16_000,
+        };
+        let policy = AffinityPlacement::default();
+        let choice =
+            if is_prefill { policy.prefill(&slots, &need) } else { policy.decode(&slots, &need) };
+        assert_eq!(choice.map(|choice| choice.index), case.chosen, "{}", case.name);
+    }
+}
+
+#[test]
+fn decode_goes_where_there_is_room_nearby() {
+    let far = Candidate { domain: "hall-b", ..IDLE };
+    let other_region = Candidate { region: "south", ..IDLE };
+    let running = |running| Candidate { running, ..IDLE };
+    check(
+        vec![
+            case("the emptier", vec![running(15), running(5)], Some(1)),
+            case("the nearer of two alike", vec![far, IDLE], Some(1)),
+            case("a far one when the near is full", vec![running(18), far], Some(1)),
+            case("its own region, though fuller", vec![other_region, running(17)], Some(1)),
+            case("another region at last", vec![other_region, running(20)], Some(0)),
+            case("none: only the reserve is left", vec![running(18), running(19)], None),
+            PlacementCase {
+                priority: Priority::Urgent,
+                reserve: 0,
+                ..case("urgent work takes the reserve", vec![running(20), running(19)], Some(1))
+            },
+            case(
+                "not one set aside",
+                vec![Candidate { failed: true, ..IDLE }, running(9)],
+                Some(1),
+            ),
+            PlacementCase {
+                avoid: &["s0"],
+                ..case("not one tried before", vec![IDLE, running(9)], Some(1))
+            },
+            case("nowhere to go", vec![], None),
+        ],
+        false,
+    );
+}
+
+#[test]
+fn prefill_goes_where_the_prompt_is_read_soonest() {
+    let queued = |queued_tokens| Candidate { queued_tokens, ..IDLE };
+    check(
+        vec![
+            case("the shorter queue", vec![queued(9000), queued(2000)], Some(1)),
+            case("none: every queue at its bound", vec![queued(16_000), queued(20_000)], None),
+            PlacementCase {
+                priority: Priority::Urgent,
+                reserve: 0,
+                ..case("urgent work overtakes", vec![queued(50_000), queued(20_000)], Some(1))
+            },
+            case(
+                "a near one before a far one alike",
+                vec![Candidate { domain: "hall-b", ..IDLE }, IDLE],
+                Some(1),
+            ),
+            case(
+                "a far one before a long queue",
+                vec![queued(9000), Candidate { domain: "hall-b", ..IDLE }],
+                Some(1),
+            ),
+        ],
+        true,
+    );
+}
+
+/// Briefs behind the same guidelines come one after the other. They must
+/// go back to the server that has the guidelines cached, also when it has
+/// some queue, and elsewhere once its queue is at the bound.
+#[test]
+fn a_shared_prefix_returns_to_the_server_that_has_it() {
+    let preset = preset();
+    let shape = PromptShape { tokens: 4000, prefix_hash: 99, prefix_tokens: 1800, digest: 1 };
+    let need = PlacementNeed {
+        shape: &shape,
+        priority: Priority::Standard,
+        preset: &preset,
+        domain: "hall-a",
+        region: "north",
+        avoid: &[],
+        picky: false,
+        reserve: 2,
+        own_queue_tokens: 16_000,
+    };
+    let policy = AffinityPlacement::default();
+    let slots = slots(&[IDLE; 6]);
+    let first = policy.prefill(&slots, &need).unwrap().index;
+    let _waiting = slots[first].begin(6000);
+    for _ in 0..10 {
+        assert_eq!(policy.prefill(&slots, &need).unwrap().index, first);
+    }
+    slots[first].observe(LoadSample { running: 9, slots: 20, queued_tokens: 20_000 });
+    assert_ne!(policy.prefill(&slots, &need).unwrap().index, first);
+    let picky = PlacementNeed { picky: true, ..need };
+    let choice = policy.prefill(&slots, &picky).map(|choice| choice.index);
+    assert!(choice.is_some_and(|index| index != first), "an idle server will do: {choice:?}");
+}
