A stalled transfer is the prefill server's; a fenced-off daemon says so

Cause, found reading the decode step as a newcomer: a decode server that answered 502 (KV cache not to be had) was itself set aside, so one prefill server with a stalled link set one decode server after another aside. And a daemon cut off alone from the platform got 409 from every engine once another had acted under a newer preset: it tried engine after engine, set each aside and kept its health check green; the split test did not see it, as it asked the cut side first. Change: 502 is blamed on the prefill server; 409 stale_fence ends the request at once (503 fenced_off) and fails the health check until the daemon has caught up (event 3005). The split test asks the cut side again.

--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -9,33 +9,15 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-BIN=target/release/umberglade
-CTL=target/release/umberctl
+source bench/lib.sh
 BASE_PORT=${BASE_PORT:-7300}
 PLATFORM=127.0.0.1:$BASE_PORT
 DAEMON_COUNTS=${DAEMON_COUNTS:-"1 4 16 32 64"}
 IDLE_SECONDS=${IDLE_SECONDS:-30}
 FAKE_SERVERS=${FAKE_SERVERS:-800}
-TICKS=$(getconf CLK_TCK)
-PIDS=()
 
-cleanup() { for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done; wait 2>/dev/null || true; }
-trap cleanup EXIT
-
-# Starts "$@" in the background, waits for its "listening on" line.
-start() {
-  local out; out=$(mktemp)
-  UMBERGLADE_LOG=warn "$@" > "$out" 2>/dev/null &
-  PIDS+=($!)
-  for _ in $(seq 100); do grep -q "listening on" "$out" && break; sleep 0.05; done
-  LAST_PID=$!
-  LAST_ADDR=$(sed -n 's/^listening on //p' "$out")
-}
-
-cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 # Bytes that crossed loopback, headers and both directions counted once.
 wire_bytes() { cat /sys/class/net/lo/statistics/tx_bytes; }
-rss_kb() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
 usage() { curl -s "http://$PLATFORM/v1/usage"; }
 field() { python3 -c "import json,sys; print(json.load(sys.stdin)[sys.argv[1]])" "$1"; }
 fence_of() { curl -s "http://$1/v1/status" | field fence; }
--- a/bench/request-slopes.sh
+++ b/bench/request-slopes.sh
@@ -7,23 +7,8 @@
 #   cargo build --release && bash bench/request-slopes.sh
 set -euo pipefail
 cd "$(dirname "$0")/.."
-BIN=target/release/umberglade
-CTL=target/release/umberctl
+source bench/lib.sh
 PLATFORM=127.0.0.1:${BASE_PORT:-7500}
-TICKS=$(getconf CLK_TCK)
-PIDS=()
-cleanup() { for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done; wait 2>/dev/null || true; }
-trap cleanup EXIT
-start() {
-  local out; out=$(mktemp)
-  UMBERGLADE_LOG=warn "$@" > "$out" 2>/dev/null &
-  PIDS+=($!); LAST_PID=$!
-  for _ in $(seq 100); do grep -q "listening on" "$out" && break; sleep 0.05; done
-  LAST_ADDR=$(sed -n 's/^listening on //p' "$out")
-}
-cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
-hwm_kb() { awk '/VmHWM/ {print $2}' "/proc/$1/status"; }
-
 start "$BIN" standin platform --listen "$PLATFORM" --instance-lag-ms 0
 for role in prefill decode; do for i in 1 2 3 4; do
   start "$BIN" standin engine --server "brief-$role-$i" --role "$role" --register-with "$PLATFORM" --slots 200 --decode-ms 4
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use umberglade_wire::ids::Fence;
 use umberglade_wire::ids::ModelName;
 use umberglade_wire::ids::RequestId;
 
@@ -55,6 +56,9 @@
     /// Requests admitted and not yet answered in full.
     in_flight: AtomicU32,
     next_sequence: AtomicU64,
+    /// The fence this daemon held when an engine refused it as old; 0 for
+    /// never.
+    fenced_off_at: AtomicU64,
     /// Set when a graceful stop begins; new work is refused from then on.
     draining: AtomicBool,
 }
@@ -95,6 +99,7 @@
             rooms: Mutex::new(HashMap::new()),
             in_flight: AtomicU32::new(0),
             next_sequence: AtomicU64::new(0),
+            fenced_off_at: AtomicU64::new(0),
             draining: AtomicBool::new(false),
         };
         Daemon { shared: Arc::new(shared) }
@@ -111,6 +116,24 @@
         );
     }
 
+    /// An engine refused `fence`, ours, as old: another preset is in force.
+    ///
+    /// Guards against serving on under a preset that is no longer in force
+    /// when this daemon alone is cut off from the platform: its health
+    /// check fails, and callers go to daemons that have the newer one,
+    /// until it has caught up.
+    pub(crate) fn fenced_off(&self, fence: Fence) {
+        if self.shared.fenced_off_at.swap(fence, Ordering::AcqRel) != fence {
+            tracing::error!(event = events::DAEMON_FENCED_OFF, fence, "a newer preset is in force");
+        }
+    }
+
+    /// True while this daemon is known to hold an old preset.
+    pub fn is_fenced_off(&self) -> bool {
+        let at = self.shared.fenced_off_at.load(Ordering::Acquire);
+        at > 0 && self.shared.control.current().fence <= at
+    }
+
     /// True once a graceful stop has begun.
     pub fn is_draining(&self) -> bool {
         self.shared.draining.load(Ordering::Acquire)
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -45,6 +45,8 @@
 pub const MEMBER_LEASE: u32 = 3003;
 /// The set of daemons with a live lease changed.
 pub const MEMBERS_CHANGED: u32 = 3004;
+/// An engine refused this daemon's fence as old: a newer preset is in force.
+pub const DAEMON_FENCED_OFF: u32 = 3005;
 /// This daemon took or lost the duty of sending role orders.
 pub const DUTY_CHANGED: u32 = 4001;
 /// The holder of the duty sent a server an order.
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -57,6 +57,10 @@
             let body = Bytes::from_static(b"draining\n");
             return reply::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body);
         }
+        if self.is_fenced_off() {
+            let body = Bytes::from_static(b"behind the preset in force\n");
+            return reply::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body);
+        }
         reply::whole(StatusCode::OK, "text/plain", Bytes::from_static(b"ok\n"))
     }
 
--- a/crates/router/src/pipeline/decode.rs
+++ b/crates/router/src/pipeline/decode.rs
@@ -27,6 +27,7 @@
 use crate::control::ServerPool;
 use crate::control::ServerSlot;
 use crate::events;
+use crate::front::RETRY_AFTER_S;
 use crate::placement::Placement;
 
 /// Bound on a decode server's answer head: it fetches the KV cache first.
@@ -35,6 +36,9 @@
 const DECODE_ATTEMPTS: usize = 3;
 /// An export with less time left than this is not sent to another server.
 const EXPORT_MARGIN: Duration = Duration::from_millis(50);
+/// The status by which a decode server says that it could not fetch the
+/// KV cache.
+const KV_FETCH_FAILED: u16 = 502;
 const STEP: &str = "decode";
 
 /// A decode stream that has begun, with the counts it holds.
@@ -133,6 +137,22 @@
                 let waker = RoomWaker(self.room());
                 Ok(DecodeStream { reader, slot, _guard: guard, _waker: waker })
             }
+            // The decode server is well: the export could not be had from
+            // the prefill server. Blaming the former set one decode server
+            // after another aside for a single stalled link.
+            Err(error) if error.status() == Some(KV_FETCH_FAILED) => {
+                self.cancel.remove(&slot.entry.addr);
+                self.give_up_on(&export.slot);
+                let server = export.slot.entry.server.clone();
+                tracing::warn!(event = events::STEP_FAILED, request_id = %self.admitted.request_id, %server, %error, "KV cache not handed over");
+                let retry_after_s = RETRY_AFTER_S;
+                Err(RunFailure::Refused {
+                    step: STEP,
+                    server,
+                    status: KV_FETCH_FAILED,
+                    retry_after_s,
+                })
+            }
             Err(error) => Err(self.step_failed(STEP, &slot, error).await),
         }
     }
--- a/crates/router/src/pipeline/failure.rs
+++ b/crates/router/src/pipeline/failure.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use snafu::Snafu;
 use umberglade_wire::engine::EngineRole;
+use umberglade_wire::ids::Fence;
 use umberglade_wire::ids::ModelName;
 use umberglade_wire::ids::ServerId;
 use umberglade_wire::reply::ReplyBody;
@@ -28,6 +29,9 @@
     /// holds nothing of the request.
     #[snafu(display("{step}: {server} did not answer"))]
     Unanswered { step: &'static str, server: ServerId, stopped: bool },
+    /// A server has seen a newer preset than this daemon holds.
+    #[snafu(display("this daemon's preset (fence {fence}) is no longer in force; it was not run"))]
+    FencedOff { fence: Fence },
     /// The preset's deadline passed.
     #[snafu(display("deadline of {deadline_ms} ms passed; the request was stopped"))]
     DeadlinePassed { deadline_ms: u64 },
@@ -63,6 +67,7 @@
                 &format!("{message}; whether it ran is not known"),
                 Some(RETRY_AFTER_S),
             ),
+            RunFailure::FencedOff { .. } => not_now("fenced_off", &message),
             RunFailure::DeadlinePassed { .. } => {
                 refuse(StatusCode::GATEWAY_TIMEOUT, "deadline", &message, Some(RETRY_AFTER_S))
             }
--- a/crates/router/src/pipeline/prefill.rs
+++ b/crates/router/src/pipeline/prefill.rs
@@ -26,6 +26,8 @@
 const PREFILL_SLACK: Duration = Duration::from_millis(1500);
 /// How many times its prediction a prefill may take.
 const PREDICTION_FACTOR: u32 = 3;
+/// The type of an engine's refusal of an old fencing number.
+const STALE_FENCE: &str = "\"stale_fence\"";
 const STEP: &str = "prefill";
 
 /// A finished prefill: whose it is and until when it is kept.
@@ -109,8 +111,13 @@
     ) -> RunFailure {
         let server = slot.entry.server.clone();
         tracing::warn!(event = events::STEP_FAILED, request_id = %self.admitted.request_id, %server, %error, "step failed");
-        if let WireError::Status { status, retry_after_s, .. } = error {
+        if let WireError::Status { status, retry_after_s, body, .. } = error {
             self.cancel.remove(&slot.entry.addr);
+            if status == 409 && body.contains(STALE_FENCE) {
+                let fence = self.fence();
+                self.daemon.fenced_off(fence);
+                return RunFailure::FencedOff { fence };
+            }
             match status {
                 429 | 503 => self.pass_over(slot),
                 _ => self.give_up_on(slot),
--- a/crates/umberglade/tests/answers.rs
+++ b/crates/umberglade/tests/answers.rs
@@ -150,3 +150,35 @@
     assert!(matches!(answer.status, 502 | 503), "{}", answer.body);
     assert!(answer.retry_after.is_some());
 }
+
+/// One of two prefill servers sends no KV cache: its link is stalled. Only
+/// that server may be set aside for it. (Each decode server that could not
+/// fetch used to be set aside in its place, until none was left.)
+#[test]
+fn a_stalled_transfer_is_blamed_on_the_prefill_server() {
+    let site = Site::start(2, 2);
+    let stalled = EngineFaults { stall_kv: true, ..EngineFaults::default() };
+    engine_faults(&site.engines[0].addr, &stalled);
+    let callers: Vec<_> = (0..4)
+        .map(|caller| {
+            let daemon = site.daemon.addr.clone();
+            thread::spawn(move || (caller, ask(&daemon, caller, true)))
+        })
+        .collect();
+    let mut blamed = std::collections::BTreeSet::new();
+    while callers.iter().any(|caller| !caller.is_finished()) {
+        let now = support::status(&site.daemon.addr).unwrap();
+        for server in now["servers"].as_array().unwrap() {
+            if server["set_aside"] == true {
+                blamed.insert(server["server"].as_str().unwrap().to_owned());
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    for handle in callers {
+        let (caller, (text, done)) = handle.join().unwrap();
+        assert!(done, "caller {caller} was cut");
+        assert_eq!(text, expected(caller));
+    }
+    assert_eq!(blamed.into_iter().collect::<Vec<_>>(), ["brief-prefill-0"]);
+}
--- a/crates/umberglade/tests/membership.rs
+++ b/crates/umberglade/tests/membership.rs
@@ -75,9 +75,10 @@
 
 /// A failure domain, or a whole region, loses the platform for a while;
 /// its daemons still reach their engines. An operator activates another
-/// preset meanwhile. Both sides must go on serving; the cut side must know
-/// that its lease lapsed and keep the preset it had; once healed it must
-/// have the new preset in force within the letter's 4 s and keep it.
+/// preset meanwhile. The cut side knows that its lease lapsed and keeps the
+/// preset it had; it serves until the other side has acted under the new
+/// one, then refuses and fails its health check. Once healed it has the new
+/// preset in force within the letter's 4 s and serves again.
 #[test]
 fn daemons_cut_off_from_the_platform_serve_on_and_catch_up() {
     let cases = [
@@ -109,11 +110,22 @@
         let fence_of = |daemon: &Process| status(&daemon.addr).unwrap()["fence"].clone();
         let on_kept = || kept.iter().all(|daemon| fence_of(daemon) == 2);
         assert!(eventually(Duration::from_secs(4), on_kept), "{}: kept side", case.name);
+        let ask = |daemon: &Process| {
+            post(&daemon.addr, "/v1/chat/completions", "key-neulanjalki", &support::chat(10, 3))
+        };
         for daemon in cut.iter().chain(&kept) {
-            let body = support::chat(10, 3);
-            let answer = post(&daemon.addr, "/v1/chat/completions", "key-neulanjalki", &body);
+            let answer = ask(daemon);
             assert_eq!(answer.status, 200, "{}: {}", case.name, answer.body);
         }
+        // The kept side has acted under the new preset: the engines, which
+        // check fences, hold the cut side off from now on.
+        for daemon in &cut {
+            let answer = ask(daemon);
+            assert_eq!(answer.status, 503, "{}: {}", case.name, answer.body);
+            assert!(answer.retry_after.is_some());
+            let health = ureq::get(&format!("http://{}/healthz", daemon.addr)).call();
+            assert!(health.is_err(), "{}: the balancer still sends callers", case.name);
+        }
         for daemon in &cut {
             assert_eq!(fence_of(daemon), 1, "{}: how did it hear?", case.name);
             assert!(!is_member(&daemon.addr), "{}: believes a lapsed lease", case.name);
@@ -122,6 +134,9 @@
         let caught_up = || cut.iter().all(|daemon| fence_of(daemon) == 2);
         assert!(eventually(Duration::from_secs(4), caught_up), "{}: not in force", case.name);
         assert!(eventually(Duration::from_secs(4), || live_members(&platform.addr) == all));
+        for daemon in &cut {
+            assert_eq!(ask(daemon).status, 200, "{}: healed", case.name);
+        }
     }
 }
 
