--- a/crates/router/src/control/server_counters.rs
+++ b/crates/router/src/control/server_counters.rs
@@ -12,6 +12,8 @@
 /// How long a reported load counts; then only our own count is left, so a
 /// server that was full once is not shunned for want of newer reports.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
+/// How long reported waiting tokens take to fade to nothing.
+const QUEUE_LIFE: Duration = Duration::from_millis(500);
 /// How long a server is set aside after a first failure.
 const FIRST_SET_ASIDE: Duration = Duration::from_millis(500);
 /// The longest it is set aside after failures in a row.
@@ -99,9 +101,12 @@
             slots: others.map_or(0, |others| others.slots),
             queued_tokens: self.own_queued_tokens(),
         };
-        if let Some(others) = others.filter(|others| others.taken.elapsed() < REPORT_LIFE) {
-            load.running += others.running;
-            load.queued_tokens += others.queued_tokens;
+        if let Some(others) = others {
+            let age = others.taken.elapsed();
+            if age < REPORT_LIFE {
+                load.running += others.running;
+            }
+            load.queued_tokens += faded(others.queued_tokens, age);
         }
         load
     }
@@ -125,3 +130,14 @@
         health.set_aside_until.is_some_and(|until| Instant::now() < until)
     }
 }
+
+/// What is left of `tokens` reported `age` ago: a server reads what waits
+/// there within a fraction of a second.
+///
+/// Guards against a server left idle: reports ride on answers, a server
+/// taken for full gets no requests and so sends no newer report, and an
+/// old one would keep it empty for its whole life.
+fn faded(tokens: u64, age: Duration) -> u64 {
+    let left = 1.0 - age.as_secs_f64() / QUEUE_LIFE.as_secs_f64();
+    (tokens as f64 * left.max(0.0)).ceil() as u64
+}
