--- a/crates/router/src/pipeline/answer_feed.rs
+++ b/crates/router/src/pipeline/answer_feed.rs
@@ -8,6 +8,7 @@
 use futures_lite::StreamExt;
 use smol::Timer;
 use umberglade_wire::engine::DecodeEvent;
+use umberglade_wire::engine::Priority;
 
 use super::Admitted;
 use super::AnswerAssembler;
@@ -22,9 +23,12 @@
 /// against a connection that went silent for good: without it the caller
 /// would wait forever; with it the answer goes on from another server.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same for urgent work: its callers wait two seconds in all, and at
+/// the 48 ms a token may take, ten in a row are missing.
+const URGENT_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often the silence is looked at. One timer serves a whole answer: a
 /// timer for each line costs more than reading the line.
-const STALL_LOOK: Duration = Duration::from_millis(500);
+const STALL_LOOK: Duration = Duration::from_millis(250);
 
 /// What the answer brings next.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -126,8 +130,12 @@
         let server = &self.stream.slot.entry.server;
         let clock = &mut self.stall_clock;
         let last_line = self.last_line;
+        let limit = match self.run.admitted.priority {
+            Priority::Urgent => URGENT_STALL_TIMEOUT,
+            Priority::Standard => STALL_TIMEOUT,
+        };
         let stalled = async {
-            while last_line.elapsed() < STALL_TIMEOUT {
+            while last_line.elapsed() < limit {
                 clock.next().await;
             }
             Ok(None)
