The stalled-transfer test no longer depends on chance

Change: rounds of four callers until a server was set aside, 20 at most; the assertion is as it was.

--- a/crates/umberglade/tests/answers.rs
+++ b/crates/umberglade/tests/answers.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
 use support::sse_text;
 
 const MAX_TOKENS: u32 = 40;
+/// Rounds of four callers, each of whom picks one of two servers by chance.
+const MOST_ROUNDS: usize = 20;
 
 fn messages(caller: usize) -> Vec<ChatMessage> {
     let content = format!("caller {caller}: my own story");
@@ -159,13 +162,28 @@
     let site = Site::start(2, 2);
     let stalled = EngineFaults { stall_kv: true, ..EngineFaults::default() };
     engine_faults(&site.engines[0].addr, &stalled);
+    let mut blamed = BTreeSet::new();
+    // Which server a short prompt goes to is left to chance: ask until the
+    // stalled one has had its turn.
+    for _ in 0..MOST_ROUNDS {
+        blamed.append(&mut ask_and_watch(&site));
+        if !blamed.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(blamed.into_iter().collect::<Vec<_>>(), ["brief-prefill-0"]);
+}
+
+/// Four callers ask at once and must get their answers; the servers seen
+/// set aside meanwhile.
+fn ask_and_watch(site: &Site) -> BTreeSet<String> {
     let callers: Vec<_> = (0..4)
         .map(|caller| {
             let daemon = site.daemon.addr.clone();
             thread::spawn(move || (caller, ask(&daemon, caller, true)))
         })
         .collect();
-    let mut blamed = std::collections::BTreeSet::new();
+    let mut blamed = BTreeSet::new();
     while callers.iter().any(|caller| !caller.is_finished()) {
         let now = support::status(&site.daemon.addr).unwrap();
         for server in now["servers"].as_array().unwrap() {
@@ -180,5 +198,5 @@
         assert!(done, "caller {caller} was cut");
         assert_eq!(text, expected(caller));
     }
-    assert_eq!(blamed.into_iter().collect::<Vec<_>>(), ["brief-prefill-0"]);
+    blamed
 }
