One filter for usable candidates; unused platform calls go

Cause: the policy filtered candidates in two places alike, and PlatformClient kept raw() and addr(), called by nobody since the feeds and the stand-ins' own register(). Change: usable() serves prefill and decode; the two calls are removed.

--- a/crates/router/src/placement/affinity.rs
+++ b/crates/router/src/placement/affinity.rs
@@ -46,10 +46,7 @@
         let keep = Duration::from_millis(need.preset.prefix_keep_ms);
         let holders = self.memory.holders(need.shape.prefix_hash, keep);
         let ranked = ranked_candidates(candidates, need);
-        let scored = candidates
-            .iter()
-            .enumerate()
-            .filter(|(_, slot)| need.allows(slot) && !slot.is_set_aside())
+        let scored = usable(candidates, need)
             .filter_map(|(at, slot)| {
                 let load = slot.load();
                 if !has_prefill_room(slot, &load, need) {
@@ -76,10 +73,7 @@
     }
 
     fn decode(&self, candidates: &[Arc<ServerSlot>], need: &PlacementNeed<'_>) -> Option<Choice> {
-        let scored = candidates
-            .iter()
-            .enumerate()
-            .filter(|(_, slot)| need.allows(slot) && !slot.is_set_aside())
+        let scored = usable(candidates, need)
             .filter_map(|(at, slot)| {
                 let load = slot.load();
                 let room = free_slots(&load, need);
@@ -98,6 +92,14 @@
     }
 }
 
+/// Candidates that may be tried and are well, with their indices.
+fn usable<'a>(
+    candidates: &'a [Arc<ServerSlot>],
+    need: &'a PlacementNeed<'_>,
+) -> impl Iterator<Item = (usize, &'a Arc<ServerSlot>)> {
+    candidates.iter().enumerate().filter(|(_, slot)| need.allows(slot) && !slot.is_set_aside())
+}
+
 /// Predicted tokens of work until the prompt is read on `slot`. An urgent
 /// prompt overtakes what waits there, so for it the queue counts little.
 fn prefill_cost(
--- a/crates/router/src/platform/client.rs
+++ b/crates/router/src/platform/client.rs
@@ -8,7 +8,6 @@
 use percent_encoding::NON_ALPHANUMERIC;
 use percent_encoding::utf8_percent_encode;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use umberglade_wire::WireError;
 use umberglade_wire::client::HttpClient;
 use umberglade_wire::ids::RowVersion;
@@ -47,11 +46,6 @@
         PlatformClient { http: HttpClient::new(addr, timeout) }
     }
 
-    /// The service's address.
-    pub fn addr(&self) -> &str {
-        &self.http.peer
-    }
-
     /// The row at `table`/`key`, or `None` when it does not exist.
     pub async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, WireError> {
         let path = row_path(table, key);
@@ -180,18 +174,6 @@
         let path = format!("/v1/objects?prefix={prefix}");
         self.http.call::<(), ObjectList>("list objects", Method::GET, &path, None).await
     }
-
-    /// Any JSON call on the platform stand-in (faults, usage, registering
-    /// instances): `body` goes out, a `T` comes back.
-    pub async fn raw<B: Serialize, T: DeserializeOwned>(
-        &self,
-        step: &'static str,
-        method: Method,
-        path: &str,
-        body: Option<&B>,
-    ) -> Result<T, WireError> {
-        self.http.call(step, method, path, body).await
-    }
 }
 
 fn object_path(name: &str) -> String {
