A leaving engine stand-in refuses new work

Cause of the red test a_server_that_goes_costs_no_request: on SIGTERM the engine stand-in waited for a moment without work but went on taking new work, and the daemon, whose list of instances lags by 3 s there, went on sending it. Beside load no such moment came within 2 s. Ruled out: the daemon (it does not learn of the leaving in time by the test's own set-up).

Change: a planned stop refuses new work first, as the daemon's retry allows for. New contract test a_leaving_engine_takes_no_new_work; it fails without the guard.

--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -144,9 +144,14 @@
         register(platform, &entry).await;
     }
 
-    /// Waits until the engine holds no request (a planned stop cuts
-    /// nothing in flight).
-    pub async fn drained(&self) {
+    /// Refuses new work from now on, and waits until the engine holds no
+    /// request: a planned stop cuts nothing in flight.
+    ///
+    /// Guards against a stop that never ends, or cuts a request: under load
+    /// there is seldom a moment without work, and a request may come between
+    /// such a moment and the end of the process.
+    pub async fn run_empty(&self) {
+        self.shared.state.lock().expect("engine state lock").leaving = true;
         while !self.shared.state.lock().expect("engine state lock").held.is_empty() {
             smol::Timer::after(Duration::from_millis(20)).await;
         }
@@ -241,7 +246,8 @@
             ));
         }
         state.highest_fence = state.highest_fence.max(fence);
-        if state.busy || state.faults.down || state.held.len() as u32 >= self.shared.config.slots {
+        let is_full = state.held.len() as u32 >= self.shared.config.slots;
+        if state.busy || state.leaving || state.faults.down || is_full {
             return Err(reply::refusal(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "engine_full",
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -62,6 +62,8 @@
     pub adapters: Vec<String>,
     /// An order is being carried out: new work is refused meanwhile.
     pub busy: bool,
+    /// A planned stop has begun: new work is refused for good.
+    pub leaving: bool,
     /// Orders accepted since the start.
     pub order_sequence: u64,
     pub faults: EngineFaults,
@@ -90,6 +92,7 @@
             version: 1,
             adapters: Vec::new(),
             busy: false,
+            leaving: false,
             order_sequence: 0,
             faults: EngineFaults::default(),
             stats: EngineStats::default(),
--- a/crates/standin/tests/contracts.rs
+++ b/crates/standin/tests/contracts.rs
@@ -188,6 +188,24 @@
     });
 }
 
+/// A server is stopped by plan while callers keep asking. It must refuse
+/// what comes from then on, or it never runs empty: under load a caller's
+/// next request arrives before the last one has ended.
+#[test]
+fn a_leaving_engine_takes_no_new_work() {
+    pool::block_on(async {
+        let engine = EngineStandin::new(EngineConfig::new("p", EngineRole::Prefill, "m"));
+        let addr = serve(engine.clone()).await;
+        check(&addr, vec![case("before", POST, "/v1/prefill", PREFILL, 200, "")]).await;
+        engine.run_empty().await;
+        let cases = vec![
+            case("refused", POST, "/v1/prefill", PREFILL, 503, "engine_full"),
+            case("holds nothing", GET, "/v1/stats", "", 200, r#""held_requests":0"#),
+        ];
+        check(&addr, cases).await;
+    });
+}
+
 /// A decode server told to fetch a KV cache that is not there says so and
 /// holds nothing.
 #[test]
--- a/crates/umberglade/src/standin.rs
+++ b/crates/umberglade/src/standin.rs
@@ -76,7 +76,7 @@
         println!("listening on {local}");
         wait_for_stop().await;
         engine.register(InstanceState::Leaving).await;
-        engine.drained().await;
+        engine.run_empty().await;
         Ok(())
     })
 }
