--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -12,6 +12,7 @@
 use super::server_digest;
 use crate::model::ServerEntry;
 use crate::model::ServerKey;
+use crate::model::ServerStage;
 use crate::model::ServiceName;
 use crate::model::StoreVersion;
 
@@ -23,6 +24,11 @@
 /// read waits.
 const UNREAD_AFTER: Duration = Duration::from_millis(2500);
 
+/// How long an engine that was told to change its stage gets no work unless
+/// its registration shows the change: it lets its work end, is away for some
+/// 6 s, and registers within a heartbeat.
+const CHANGE_TIME: Duration = Duration::from_secs(12);
+
 /// What a row changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FleetChange {
@@ -41,6 +47,9 @@
     /// service.
     services: HashMap<ServiceName, Vec<ServerKey>>,
     pub peers: PeerLoads,
+    /// Engines that this gateway has told to change their stage, and until
+    /// when they count as changing at most.
+    changing: HashMap<ServerKey, (ServerStage, Instant)>,
     /// Removed rows' versions, so that a late older row brings none back.
     removed: HashMap<ServerKey, StoreVersion>,
     grace_until: Option<Instant>,
@@ -150,6 +159,7 @@
     /// Drops servers whose grace has passed; call about once a second.
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.forget_old(now);
+        self.changing.retain(|_, (_, until)| now < *until);
         let may_have_lapsed = self.lapse_until(now).is_some();
         let gone: Vec<(ServerKey, StoreVersion)> = self
             .servers
@@ -169,7 +179,31 @@
         let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
         keys.iter()
             .filter_map(|key| self.servers.get(key))
-            .filter(move |belief| belief.is_open(now))
+            .filter(move |belief| belief.is_open(now) && !self.is_changing(belief, now))
+    }
+
+    /// An engine was told to change to `stage`: until it has, it refuses work.
+    pub fn begin_change(&mut self, key: &str, stage: ServerStage, now: Instant) {
+        self.changing.insert(key.into(), (stage, now + CHANGE_TIME));
+    }
+
+    /// Engines that we have told to change, for a report to the peers.
+    pub fn own_changing(&self, now: Instant) -> Vec<u64> {
+        self.servers
+            .values()
+            .filter(|belief| self.is_own_change(belief, now))
+            .map(|belief| belief.digest)
+            .collect()
+    }
+
+    fn is_own_change(&self, belief: &ServerBelief, now: Instant) -> bool {
+        self.changing
+            .get(&belief.entry.server)
+            .is_some_and(|(stage, until)| belief.entry.stage != *stage && now < *until)
+    }
+
+    fn is_changing(&self, belief: &ServerBelief, now: Instant) -> bool {
+        self.is_own_change(belief, now) || self.peers.is_changing(belief.digest, now)
     }
 
     /// One server.
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -115,6 +115,8 @@
     pub lines: HashMap<u64, LineNews>,
     /// For how long the peer has read the servers' table without an outage.
     pub store_calm: Duration,
+    /// Engines that the peer has told to change their stage, by digest.
+    pub changing: SmallVec<[u64; 4]>,
     /// The configuration in force at the peer; 0 while it knows none.
     pub config: ConfigVersion,
 }
@@ -203,6 +205,22 @@
         self.fresh(now).any(|report| report.news.store_calm >= span)
     }
 
+    /// True when some peer has told the engine with `digest` to change.
+    pub fn is_changing(&self, digest: u64, now: Instant) -> bool {
+        self.fresh(now).any(|report| report.news.changing.contains(&digest))
+    }
+
+    /// True when this gateway, with digest `own`, is the one to act for all:
+    /// of those that have read the store for `calm` it has the least digest.
+    /// More than one may think so; who acts must claim the duty first.
+    pub fn is_first(&self, own: u64, calm: Duration, now: Instant) -> bool {
+        self.reports
+            .iter()
+            .filter(|(_, report)| now.saturating_duration_since(report.heard_at) < REPORT_LIFE)
+            .filter(|(_, report)| report.news.store_calm >= calm)
+            .all(|(peer, _)| own < server_digest(peer))
+    }
+
     /// Peers that a fresh report has come from.
     pub fn heard(&self, now: Instant) -> usize {
         self.fresh(now).count()
--- /dev/null
+++ b/crates/gateway/src/belief/stage_watch.rs
@@ -0,0 +1,172 @@
+//! When engines should change from reading prompts to generating, or back.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+
+use super::Fleet;
+use crate::model::DomainKey;
+use crate::model::ServerKey;
+use crate::model::ServerStage;
+
+/// Engines at work are averaged over about this long: a burst shows after a
+/// second, a single prompt does not.
+const AVERAGE_TIME: Duration = Duration::from_millis(1500);
+/// Requests must have waited for room this long without a pause: shorter
+/// waits end by themselves before an engine has changed (some 6 s).
+const WAITING_TIME: Duration = Duration::from_millis(600);
+/// Prompt readers are kept at this share of their time: a prompt then waits
+/// for another one's reading time on the mean.
+const PREFILL_SHARE: f64 = 0.65;
+/// The least part of a service's engines that reads prompts, and the least
+/// number: a failure domain may fail.
+const LEAST_PART: f64 = 0.12;
+const LEAST_PREFILL: usize = 3;
+/// Prompt readers busier than this for [`OVERLOAD_TIME`] are too few.
+const OVERLOAD_SHARE: f64 = 0.9;
+const OVERLOAD_TIME: Duration = Duration::from_secs(3);
+/// Nothing is changed again for this long: engines change in some 6 s, and
+/// what that does shows in the next burst.
+const REST_TIME: Duration = Duration::from_secs(15);
+
+/// One look at a service's engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StageLook {
+    pub prefill: usize,
+    /// Prompt readers that have any work.
+    pub prefill_busy: usize,
+    pub decode: usize,
+    /// Requests that wait for room, here and at other gateways.
+    pub waiting: usize,
+}
+
+/// How many engines should change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StageChange {
+    pub to: ServerStage,
+    pub count: usize,
+}
+
+/// Watches one service's pools.
+///
+/// Engines that generate are full in bursts while those that read prompts
+/// idle for much of their time: with a third of 60 engines reading, they
+/// worked for 0.45 of it while 100 requests waited. Seven of them changed
+/// give 18% more room.
+#[derive(Debug, Default)]
+pub struct StageWatch {
+    /// Prompt readers at work, averaged.
+    busy: f64,
+    looked_at: Option<Instant>,
+    waiting_since: Option<Instant>,
+    overloaded_since: Option<Instant>,
+    rest_until: Option<Instant>,
+}
+
+impl StageWatch {
+    /// Takes in a look, and says what should change.
+    pub fn look(&mut self, look: StageLook, now: Instant) -> Option<StageChange> {
+        self.average(look, now);
+        let is_overloaded = self.busy > OVERLOAD_SHARE * look.prefill as f64;
+        keep_since(&mut self.waiting_since, look.waiting > 0, now);
+        keep_since(&mut self.overloaded_since, is_overloaded && look.waiting == 0, now);
+        if self.rest_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        if has_lasted(self.waiting_since, WAITING_TIME, now) {
+            let needed = (self.busy / PREFILL_SHARE).ceil() as usize;
+            let count = look.prefill.saturating_sub(needed.max(least_prefill(look)));
+            return (count > 0).then_some(StageChange { to: ServerStage::Decode, count });
+        }
+        if has_lasted(self.overloaded_since, OVERLOAD_TIME, now) {
+            let count = (look.prefill / 5 + 1).min(look.decode / 4);
+            return (count > 0).then_some(StageChange { to: ServerStage::Prefill, count });
+        }
+        None
+    }
+
+    /// A change has been ordered, by this gateway or another.
+    pub fn rest(&mut self, now: Instant) {
+        self.rest_until = Some(now + REST_TIME);
+    }
+
+    fn average(&mut self, look: StageLook, now: Instant) {
+        let gap = self.looked_at.map_or(AVERAGE_TIME, |at| now.saturating_duration_since(at));
+        let weight = (gap.as_secs_f64() / AVERAGE_TIME.as_secs_f64()).min(1.0);
+        self.busy += (look.prefill_busy as f64 - self.busy) * weight;
+        self.looked_at = Some(now);
+    }
+}
+
+fn least_prefill(look: StageLook) -> usize {
+    let part = LEAST_PART * (look.prefill + look.decode) as f64;
+    LEAST_PREFILL.max(part.ceil() as usize)
+}
+
+fn keep_since(since: &mut Option<Instant>, holds: bool, now: Instant) {
+    *since = holds.then(|| since.unwrap_or(now));
+}
+
+fn has_lasted(since: Option<Instant>, time: Duration, now: Instant) -> bool {
+    since.is_some_and(|since| now.saturating_duration_since(since) >= time)
+}
+
+/// A look at the engines of `service`, for which `waiting` requests wait.
+pub fn stage_look(fleet: &Fleet, service: &str, waiting: usize, now: Instant) -> StageLook {
+    let mut look = StageLook { prefill: 0, prefill_busy: 0, decode: 0, waiting };
+    for belief in fleet.open_servers(service, now) {
+        match belief.entry.stage {
+            ServerStage::Plain => {}
+            ServerStage::Decode => look.decode += 1,
+            ServerStage::Prefill => {
+                look.prefill += 1;
+                look.prefill_busy += usize::from(fleet.load(belief, now).running > 0);
+            }
+        }
+    }
+    look
+}
+
+/// The engines of `service` to change: the idlest, one by one from the
+/// failure domain that has most of them left, so that no domain loses all.
+pub fn stage_choice(
+    fleet: &Fleet,
+    service: &str,
+    change: StageChange,
+    now: Instant,
+) -> Vec<ServerKey> {
+    let from = match change.to {
+        ServerStage::Decode => ServerStage::Prefill,
+        _ => ServerStage::Decode,
+    };
+    let mut left: Vec<(u32, DomainKey, ServerKey)> = fleet
+        .open_servers(service, now)
+        .filter(|belief| belief.entry.stage == from)
+        .filter(|belief| !belief.health.is_aside(now))
+        .map(|belief| {
+            let running = fleet.load(belief, now).running;
+            (running, belief.entry.domain.clone(), belief.entry.server.clone())
+        })
+        .collect();
+    left.sort();
+    let mut chosen = Vec::new();
+    while chosen.len() < change.count && !left.is_empty() {
+        let domain = fullest_domain(&left);
+        let at = left.iter().position(|(_, of, _)| *of == domain).expect("a domain of the list");
+        chosen.push(left.remove(at).2);
+    }
+    chosen
+}
+
+fn fullest_domain(left: &[(u32, DomainKey, ServerKey)]) -> DomainKey {
+    let mut counts: SmallVec<[(&DomainKey, usize); 8]> = SmallVec::new();
+    for (_, domain, _) in left {
+        match counts.iter_mut().find(|(known, _)| *known == domain) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((domain, 1)),
+        }
+    }
+    let most = counts.iter().max_by_key(|(_, count)| *count).expect("a list that is not empty");
+    most.0.clone()
+}
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -5,12 +5,14 @@
 use snafu::Snafu;
 
 use crate::model::CallHead;
+use crate::model::EngineReport;
 use crate::model::OnwardOrder;
 use crate::model::PrefillResult;
 use crate::model::ReplyHead;
 use crate::model::RouteTable;
 use crate::model::RowBatch;
 use crate::model::ServerEntry;
+use crate::model::StageOrder;
 use crate::model::StoreTable;
 use crate::model::StoreVersion;
 
@@ -30,6 +32,8 @@
 pub trait PlatformCodec: Send + Sync + 'static {
     /// Where the balancer asks whether this instance takes callers.
     const READY_PATH: &'static str;
+    /// The header by which a request is for one server alone.
+    const ONLY_FOR: &'static str;
 
     /// Decodes a caller's request head.
     fn call_head(headers: &HeaderMap) -> CallHead;
@@ -66,6 +70,28 @@
     /// it held.
     fn put_call(table: StoreTable, key: &str, value: &[u8]) -> (String, Bytes);
 
+    /// The path (`POST`) and body that write one row if it still has version
+    /// `known`; 0 where there must be none.
+    fn claim_call(
+        table: StoreTable,
+        key: &str,
+        value: &[u8],
+        known: StoreVersion,
+    ) -> (String, Bytes);
+
+    /// Decodes the answer to a write that was done: the store's version by
+    /// then.
+    fn written_version(body: &[u8]) -> Result<StoreVersion, CodecError>;
+
+    /// The path (`GET`) on which an engine tells of itself.
+    const REPORT_PATH: &'static str;
+
+    /// Decodes an engine's answer there.
+    fn engine_report(body: &[u8]) -> Result<EngineReport, CodecError>;
+
+    /// The path (`POST`) and body of an order to an engine.
+    fn order_call(order: &StageOrder) -> (String, Bytes);
+
     /// Decodes a row of [`StoreTable::Configuration`]; `None` when the row
     /// holds something else.
     fn route_table(key: &str, value: &[u8]) -> Result<Option<RouteTable>, CodecError>;
--- /dev/null
+++ b/crates/gateway/src/duty/keeper.rs
@@ -0,0 +1,150 @@
+//! Watches the pools and, where this gateway is the one to act, changes them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::claim::DutyRow;
+use super::claim::LEASE_TIME;
+use super::claim::may_claim;
+use super::order::OrderTarget;
+use super::order::give_order;
+use crate::belief::StageChange;
+use crate::belief::StageWatch;
+use crate::belief::stage_choice;
+use crate::belief::stage_look;
+use crate::codec::PlatformCodec;
+use crate::events;
+use crate::model::ServiceName;
+use crate::model::StoreTable;
+use crate::model::StoreVersion;
+use crate::state::GatewayState;
+use crate::store::FollowError;
+use crate::store::StoreClient;
+use crate::timing::waking_clock;
+
+/// Between two looks at the pools.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// How long a gateway must have read the store to act for all.
+const CALM_TIME: Duration = Duration::from_secs(2);
+/// Orders go out within this of the claim's sending, by a clock that also
+/// counts the time in which the instance was suspended.
+const ORDER_TIME: Duration = Duration::from_secs(2);
+/// The row of the duty.
+const STAGES_KEY: &str = "stages";
+
+/// Keeps the pools in shape, for good.
+pub async fn keep_stages<C: PlatformCodec>(state: Arc<GatewayState>) {
+    let mut client = StoreClient::<C>::new(state.settings.store);
+    let mut watches: HashMap<ServiceName, StageWatch> = HashMap::new();
+    loop {
+        smol::Timer::after(LOOK_EVERY).await;
+        let Some(table) = state.table() else { continue };
+        let with_engines = table.services.iter().filter(|(_, spec)| spec.engine.is_some());
+        for (service, _) in with_engines {
+            let watch = watches.entry(service.clone()).or_default();
+            let now = Instant::now();
+            let Some(change) = look(&state, service, watch, now) else { continue };
+            if !is_ours(&state, now) {
+                continue;
+            }
+            watch.rest(now);
+            act::<C>(&state, &mut client, service, change).await;
+        }
+    }
+}
+
+fn look(
+    state: &GatewayState,
+    service: &ServiceName,
+    watch: &mut StageWatch,
+    now: Instant,
+) -> Option<StageChange> {
+    let own = state.with_line(service, |line| line.len());
+    let waiting = own + state.other_lines(service).waiting as usize;
+    let look = stage_look(&state.fleet(), service, waiting, now);
+    watch.look(look, now)
+}
+
+fn is_ours(state: &GatewayState, now: Instant) -> bool {
+    let fleet = state.fleet();
+    fleet.store_calm(now) >= CALM_TIME && fleet.peers.is_first(state.digest, CALM_TIME, now)
+}
+
+async fn act<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    client: &mut StoreClient<C>,
+    service: &ServiceName,
+    change: StageChange,
+) {
+    let begun = waking_clock();
+    let fence = match claim(state, client).await {
+        Ok(Some(fence)) => fence,
+        Ok(None) => {
+            log_claim(service, change, "held by another");
+            return;
+        }
+        Err(error) => {
+            log_claim(service, change, &error.to_string());
+            return;
+        }
+    };
+    log_claim(service, change, "claimed");
+    let chosen = stage_choice(&state.fleet(), service, change, Instant::now());
+    for server in chosen {
+        let target = {
+            let fleet = state.fleet();
+            let Some(belief) = fleet.server(&server) else { continue };
+            OrderTarget { server: server.clone(), address: belief.entry.address }
+        };
+        let may_still = || waking_clock().saturating_sub(begun) < ORDER_TIME;
+        let given = give_order::<C>(state, &target, change.to, fence, may_still).await;
+        if given.is_ok() {
+            state.fleet().begin_change(&server, change.to, Instant::now());
+            state.work_changed.notify(1);
+        }
+        metrics::counter!("umberglade_orders_total").increment(1);
+        tracing::info!(
+            event = events::ENGINE_ORDERED,
+            %server,
+            peer = %target.address,
+            stage = %change.to,
+            fence,
+            outcome = given.err().map_or("accepted".to_owned(), |error| error.to_string()),
+            "engine told to change its stage"
+        );
+    }
+}
+
+/// Claims the duty; its fencing number, or `None` when another has it.
+///
+/// A claim whose answer is lost is not used: it only keeps others away until
+/// it ends.
+async fn claim<C: PlatformCodec>(
+    state: &GatewayState,
+    client: &mut StoreClient<C>,
+) -> Result<Option<StoreVersion>, FollowError> {
+    let batch = client.look(StoreTable::Duties).await?;
+    let row = batch.rows.iter().find(|row| row.key == STAGES_KEY);
+    let known = row.and_then(|row| postcard::from_bytes::<DutyRow>(row.value.as_deref()?).ok());
+    if !may_claim(known.as_ref(), batch.store_time) {
+        return Ok(None);
+    }
+    let until = batch.store_time + LEASE_TIME;
+    let claimed = DutyRow { holder: state.settings.instance.clone(), until };
+    let value = postcard::to_allocvec(&claimed).expect("encoding plain fields");
+    let version = row.map_or(0, |row| row.version);
+    client.claim(StoreTable::Duties, STAGES_KEY, &value, version).await
+}
+
+fn log_claim(service: &ServiceName, change: StageChange, outcome: &str) {
+    tracing::info!(
+        event = events::DUTY_CLAIMED,
+        %service,
+        stage = %change.to,
+        count = change.count,
+        outcome,
+        "engines should change their stage"
+    );
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -46,6 +46,10 @@
 pub const SERVER_ASIDE: u32 = 6009;
 /// Another gateway has a newer configuration in force than this one.
 pub const CONFIG_HEARD: u32 = 6010;
+/// Engines should change their stage, and whether this gateway may say so.
+pub const DUTY_CLAIMED: u32 = 6011;
+/// An engine was told to change its stage.
+pub const ENGINE_ORDERED: u32 = 6012;
 /// The process serves.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful stop begins.
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -194,6 +194,7 @@
     let fleet = state.fleet();
     let Some(belief) = fleet.server(decode) else { return };
     let load = fleet.load(belief, now);
+    let shape = call.prompt_shape();
     let prefill_tokens = prefill
         .and_then(|server| fleet.server(server))
         .map_or(0, |belief| fleet.load(belief, now).prompt_tokens);
@@ -213,6 +214,9 @@
         output_tokens = load.output_tokens,
         made_tokens = load.made_tokens,
         prefill_tokens,
+        own_prompt = shape.prompt_tokens,
+        own_output = shape.expected_output(),
+        own_limit = shape.output_limit,
         failure_share = belief.health.failure_share(now),
         cost,
         attempt,
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -9,6 +9,7 @@
 mod reply_head;
 mod route_table;
 mod server_entry;
+mod stage_order;
 mod store_row;
 
 pub use self::call_head::CallHead;
@@ -29,6 +30,8 @@
 pub use self::route_table::ServiceSpec;
 pub use self::server_entry::ServerEntry;
 pub use self::server_entry::ServerStage;
+pub use self::stage_order::EngineReport;
+pub use self::stage_order::StageOrder;
 pub use self::store_row::RowBatch;
 pub use self::store_row::StoreRow;
 pub use self::store_row::StoreTable;
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -1,5 +1,7 @@
 //! Rows of the platform's store, as the gateway reads them.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use strum::Display;
 
@@ -15,6 +17,8 @@
     Servers,
     /// The gateways themselves.
     Members,
+    /// Who may do what only one gateway may do at a time.
+    Duties,
 }
 
 /// One row, or the news that it is gone.
@@ -32,6 +36,8 @@
     pub rows: Vec<StoreRow>,
     /// Everything up to this version is in the answer.
     pub version: StoreVersion,
+    /// The store's steady clock, when it answered.
+    pub store_time: Duration,
     /// True when a listing goes on after its last key.
     pub has_more: bool,
 }
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -27,6 +27,8 @@
     /// Milliseconds for which this gateway has read the servers' table
     /// without an outage.
     pub store_calm_ms: u64,
+    /// Engines that this gateway has told to change their stage.
+    pub changing: Vec<u64>,
     /// The configuration in force here; 0 while none is known.
     pub config: ConfigVersion,
 }
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -46,6 +46,7 @@
     // One statement a lock: a guard lives to the end of its statement.
     let loads = state.fleet().own_loads();
     let aside = state.fleet().own_aside(now);
+    let changing = state.fleet().own_changing(now);
     let store_calm = state.fleet().store_calm(now);
     let report = LoadReport {
         peer: state.settings.instance.clone(),
@@ -56,6 +57,7 @@
         retries: state.own_retries(),
         aside,
         lines: state.own_lines(now),
+        changing,
         config: state.config_version(),
     };
     let datagram = postcard::to_allocvec(&report).expect("encoding plain numbers and text");
@@ -91,6 +93,7 @@
         aside: report.aside.into(),
         lines: report.lines.into_iter().collect(),
         store_calm: Duration::from_millis(report.store_calm_ms),
+        changing: report.changing.into(),
         config: report.config,
     };
     let now = Instant::now();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -14,6 +14,7 @@
 use umberglade_wire::pool;
 
 use crate::codec::PlatformCodec;
+use crate::duty::keep_stages;
 use crate::events;
 use crate::ingress;
 use crate::model::GatewaySettings;
@@ -78,6 +79,7 @@
     pool::spawn(register::<C>(Arc::clone(&state)));
     pool::spawn(peers::send_reports(Arc::clone(&state), book, socket.clone()));
     pool::spawn(peers::hear_reports(Arc::clone(&state), socket));
+    pool::spawn(keep_stages::<C>(Arc::clone(&state)));
     pool::spawn(tick(Arc::clone(&state)));
     pool::spawn(ingress::serve_front::<C>(front, Arc::clone(&state)));
     let ready_state = Arc::clone(&state);
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::Method;
+use http::StatusCode;
 use snafu::ResultExt;
 use umberglade_wire::kept::KeptClient;
 use umberglade_wire::kept::KeptReply;
@@ -87,6 +88,34 @@
         check_status(&reply)
     }
 
+    /// Writes one row of our own if it still has version `known`; the version
+    /// by then, or `None` when another has written it.
+    pub async fn claim(
+        &mut self,
+        table: StoreTable,
+        key: &str,
+        value: &[u8],
+        known: StoreVersion,
+    ) -> Result<Option<StoreVersion>, FollowError> {
+        let (path, body) = C::claim_call(table, key, value, known);
+        metrics::counter!("umberglade_store_calls_total", "call" => "claim").increment(1);
+        let reply = self
+            .kept
+            .call("store claim", Method::POST, &path, body, CALL_TIMEOUT)
+            .await
+            .context(ExchangeSnafu)?;
+        if reply.status == StatusCode::PRECONDITION_FAILED {
+            return Ok(None);
+        }
+        check_status(&reply)?;
+        C::written_version(&reply.body).context(DecodeSnafu).map(Some)
+    }
+
+    /// The rows of `table` as of one moment; for tables of a few rows.
+    pub async fn look(&mut self, table: StoreTable) -> Result<RowBatch, FollowError> {
+        self.read("store look", &C::list_path(table, None), CALL_TIMEOUT).await
+    }
+
     async fn read(
         &mut self,
         step: &'static str,
