Callers who come back are late, and stand behind those on time

Its target counts from its first try, so it is late in any case, yet it went before newer callers who could still be on time.

Change: each route's usual patience is made out by a majority vote over the patience stated; what a request states less, its caller has been trying for. Tests as a table.

--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -12,6 +12,7 @@
 mod server_belief;
 mod server_health;
 mod stage_watch;
+mod usual_patience;
 mod waiting_line;
 
 pub use self::config_watch::ConfigWatch;
@@ -44,6 +45,7 @@
 pub use self::stage_watch::StageWatch;
 pub use self::stage_watch::stage_choice;
 pub use self::stage_watch::stage_look;
+pub use self::usual_patience::UsualPatience;
 pub use self::waiting_line::LineNews;
 pub use self::waiting_line::LineRefusal;
 pub use self::waiting_line::OtherLines;
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -35,6 +35,8 @@
     /// The configuration by which it was routed.
     pub config: ConfigVersion,
     pub arrived: Instant,
+    /// How long its caller has been trying with earlier requests.
+    pub tried_for: Duration,
     /// When the caller, or the operator's bound, ends it.
     pub deadline: Instant,
 }
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -147,9 +147,14 @@
 }
 
 /// Until when an answer begun is still on time.
+///
+/// The target counts from the caller's first try. Guards against callers who
+/// come back after a refusal, late in any case, taking room from those who
+/// could still be on time.
 fn on_time_until(call: &Call) -> Instant {
     let target = call.route.target_latency.unwrap_or(LEAST_GIVE_UP);
-    call.arrived + target.saturating_sub(FIRST_EVENT_TIME)
+    let left = target.saturating_sub(FIRST_EVENT_TIME);
+    call.arrived + left.saturating_sub(call.tried_for)
 }
 
 /// When waiting ends: so that the first event still comes before the caller
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -59,7 +59,8 @@
 ) -> Result<ReadEnd, CallAborted> {
     let arrived = Instant::now();
     let head = C::call_head(request.headers());
-    let request_id = head.request_id.as_deref().unwrap_or("-");
+    let request_id = head.request_id.clone();
+    let request_id = request_id.as_deref().unwrap_or("-");
     by_deadline(arrived + START_WAIT, state.known()).await;
     let Some(table) = state.table() else {
         return Ok(refused(request_id, Refusal::NoConfiguration, Some(NO_CONFIGURATION_RETRY), 0));
@@ -79,7 +80,8 @@
     let draw = umberglade_wire::digest(request_id.as_bytes());
     let service = route.service(draw).clone();
     let spec = spec_of(&table, &service);
-    let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+    let head_patience = head.patience;
+    let patience = head_patience.unwrap_or(DEFAULT_PATIENCE);
     let allowed = route.timeout.map_or(patience, |timeout| timeout.min(patience));
     Ok(ReadEnd::Call(Arc::new(Call {
         method: parts.method,
@@ -92,6 +94,7 @@
         spec,
         config: table.version,
         arrived,
+        tried_for: state.tried_for(&route.name, head_patience),
         deadline: arrived + allowed,
     })))
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
 use crate::belief::RetryCount;
 use crate::belief::RetryUse;
 use crate::belief::ServerOutcome;
+use crate::belief::UsualPatience;
 use crate::belief::WaitingLine;
 use crate::belief::server_digest;
 use crate::events;
@@ -60,6 +61,8 @@
     fleet: Mutex<Fleet>,
     retries: Mutex<RetryAllowance>,
     lines: Mutex<HashMap<ServiceName, WaitingLine>>,
+    /// By the route's name.
+    patience: Mutex<HashMap<String, UsualPatience>>,
     /// Gateways registered in the store, this one included; at least 1.
     members: AtomicUsize,
     in_flight: AtomicU32,
@@ -103,6 +106,7 @@
             fleet: Mutex::default(),
             retries: Mutex::new(retries),
             lines: Mutex::default(),
+            patience: Mutex::default(),
             members: AtomicUsize::new(FIRST_MEMBERS),
             in_flight: AtomicU32::new(0),
         })
@@ -165,6 +169,17 @@
         change(lines.entry(service.clone()).or_default())
     }
 
+    /// How long a caller of `route` that will wait for `patience` has been
+    /// trying already.
+    pub fn tried_for(&self, route: &str, patience: Option<Duration>) -> Duration {
+        let Some(patience) = patience else { return Duration::ZERO };
+        let mut usual = self.patience.lock().expect("patience lock");
+        match usual.get_mut(route) {
+            Some(known) => known.note(patience),
+            None => usual.entry(route.to_owned()).or_default().note(patience),
+        }
+    }
+
     /// Counts a caller's request towards the retry allowance.
     pub fn note_request(&self, service: &ServiceName) {
         self.retries.lock().expect("retries lock").note_request(service, Instant::now());
--- a/crates/gateway/tests/waiting_line.rs
+++ b/crates/gateway/tests/waiting_line.rs
@@ -5,6 +5,7 @@
 
 use umberglade_gateway::belief::OtherLines;
 use umberglade_gateway::belief::Ticket;
+use umberglade_gateway::belief::UsualPatience;
 use umberglade_gateway::belief::WaitingLine;
 
 const TARGET: Duration = Duration::from_millis(600);
@@ -156,3 +157,50 @@
         assert_eq!(joined.is_err(), case.is_refused, "{}: {joined:?}", case.name);
     }
 }
+
+/// Callers who were refused come back with less patience than they began
+/// with. They are late in any case, and must not be taken for new ones, who
+/// would wait behind them and be late too.
+#[test]
+fn a_returning_caller_is_told_by_its_patience() {
+    struct PatienceCase {
+        name: &'static str,
+        /// Patience stated, in milliseconds, in order.
+        stated: &'static [u64],
+        /// How long the last of them has been trying.
+        tried_ms: u64,
+    }
+    let cases = [
+        PatienceCase { name: "first of all", stated: &[14_000], tried_ms: 0 },
+        PatienceCase { name: "a new caller", stated: &[14_000, 14_000, 14_000], tried_ms: 0 },
+        PatienceCase { name: "came back", stated: &[14_000, 14_000, 9_300], tried_ms: 4_700 },
+        PatienceCase {
+            name: "new among many that came back",
+            stated: &[14_000, 14_000, 9_300, 14_000, 8_100, 9_900, 14_000],
+            tried_ms: 0,
+        },
+        PatienceCase {
+            name: "the first to be seen had come back",
+            stated: &[9_300, 14_000, 14_000, 14_000, 9_000],
+            tried_ms: 5_000,
+        },
+        PatienceCase {
+            name: "callers have become more patient",
+            stated: &[5_000, 20_000, 20_000, 20_000],
+            tried_ms: 0,
+        },
+        PatienceCase {
+            name: "one odd caller",
+            stated: &[5_000, 5_000, 60_000, 5_000],
+            tried_ms: 0,
+        },
+    ];
+    for case in cases {
+        let mut usual = UsualPatience::default();
+        let mut tried = Duration::ZERO;
+        for stated in case.stated {
+            tried = usual.note(Duration::from_millis(*stated));
+        }
+        assert_eq!(tried, Duration::from_millis(case.tried_ms), "{}", case.name);
+    }
+}
