Waits are predicted by the true pace; who came back goes first among the late

The pace was the mean of inverse gaps, so two departures a millisecond apart counted as a thousand a second. Callers were let in, held for 3 s, told to come back after the predicted 0.3 to 2 s, into the same burst, and refused for good.

Change, three parts of one module: the pace weighs each departure the same (belief::DeparturePace); a newcomer is judged by those who go before it, those on time, and by all only if it would be late; late ones go in the order in which their callers first tried, and Retry-After counts what is left of the pace beside new callers (3.5 s at most).

--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -3,6 +3,7 @@
 //! be tested as a table.
 
 mod config_watch;
+mod departure_pace;
 mod fleet;
 mod in_force;
 mod output_guess;
@@ -17,6 +18,7 @@
 mod waiting_line;
 
 pub use self::config_watch::ConfigWatch;
+pub use self::departure_pace::DeparturePace;
 pub use self::fleet::Fleet;
 pub use self::fleet::FleetChange;
 pub use self::in_force::InForce;
@@ -48,6 +50,7 @@
 pub use self::stage_watch::stage_choice;
 pub use self::stage_watch::stage_look;
 pub use self::usual_patience::UsualPatience;
+pub use self::waiting_line::LineAsker;
 pub use self::waiting_line::LineNews;
 pub use self::waiting_line::LineRefusal;
 pub use self::waiting_line::OtherLines;
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -195,7 +195,9 @@
         let lines = self.fresh(now).filter_map(|report| report.news.lines.get(&digest));
         lines.fold(OtherLines::default(), |sum, line| OtherLines {
             waiting: sum.waiting + line.waiting,
+            on_time: sum.on_time + line.on_time,
             pace: sum.pace + f64::from(line.pace_milli) / 1000.0,
+            arrivals: sum.arrivals + f64::from(line.arrivals_milli) / 1000.0,
         })
     }
 
--- a/crates/gateway/src/belief/waiting_line.rs
+++ b/crates/gateway/src/belief/waiting_line.rs
@@ -7,21 +7,27 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::DeparturePace;
+
 /// A place in the line.
 pub type Ticket = u64;
 
-/// The pace of departures is averaged over about this long.
-const PACE_TIME: Duration = Duration::from_secs(2);
 /// Departures needed before the pace is believed.
 const LEAST_DEPARTURES: u32 = 4;
 /// A pace not worth telling: less than a request in ten seconds.
 const LEAST_PACE_MILLI: u32 = 100;
 /// The least time told to a refused caller.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// The longest: a burst lasts some four seconds, and a caller of a stream that
+/// has waited in vain has some ten left, of which it gives a third.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(3500);
+/// The least part of the pace that is taken to be left beside new callers.
+const LEAST_SPARE: f64 = 0.1;
 
 #[derive(Debug, Clone, Copy)]
 struct Waiter {
-    joined: Instant,
+    /// When its caller first tried.
+    tried_at: Instant,
     /// Until then an answer begun now is still on time.
     on_time_until: Instant,
 }
@@ -30,20 +36,37 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LineNews {
     pub waiting: u32,
+    /// Those of them that can still be on time.
+    pub on_time: u32,
     /// How long the first in line has waited.
     pub first_age_ms: u32,
     /// True when it can no longer be on time.
     pub is_first_late: bool,
     /// Requests placed in a thousand seconds.
     pub pace_milli: u32,
+    /// New requests in a thousand seconds.
+    pub arrivals_milli: u32,
 }
 
 /// The lines at all other gateways together.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OtherLines {
     pub waiting: u32,
+    /// Those of them that can still be on time.
+    pub on_time: u32,
     /// Requests placed a second.
     pub pace: f64,
+    /// New requests a second.
+    pub arrivals: f64,
+}
+
+/// Who asks for a place in line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LineAsker {
+    /// Until then an answer begun is still on time.
+    pub on_time_until: Instant,
+    /// How long its caller has been trying with earlier requests.
+    pub tried_for: Duration,
 }
 
 impl LineNews {
@@ -66,17 +89,17 @@
 /// The requests of one service that wait for room.
 ///
 /// Those that can still be on time go first, the first come before the
-/// others; those already late share what is left. In a burst that
+/// others; those already late share what is left, in the order in which their
+/// callers first tried: one that was refused once does not come back again. In a burst that
 /// outlasts the target, first-come-first-served would make every answer
 /// late; this way the late ones stay late and the others don't become so.
 #[derive(Debug, Default)]
 pub struct WaitingLine {
     waiters: BTreeMap<Ticket, Waiter>,
     next_ticket: Ticket,
-    /// Departures a second, averaged.
-    pace: f64,
-    departures: u32,
-    departed_at: Option<Instant>,
+    pace: DeparturePace,
+    /// New requests, whether they had to wait or not.
+    arrivals: DeparturePace,
 }
 
 impl WaitingLine {
@@ -89,18 +112,22 @@
     /// 1,112 asked, with half of the engines' places free).
     pub fn join(
         &mut self,
-        on_time_until: Instant,
+        asker: LineAsker,
         patience: Duration,
         others: OtherLines,
         now: Instant,
     ) -> Result<Ticket, LineRefusal> {
-        let predicted = self.predicted_wait(others, now);
+        let LineAsker { on_time_until, tried_for } = asker;
+        if tried_for.is_zero() {
+            self.arrivals.note(now);
+        }
+        let predicted = self.newcomer_wait(on_time_until, others, now);
         if predicted > patience {
-            let retry_after = (predicted - patience / 2).max(LEAST_RETRY_AFTER);
-            return Err(LineRefusal { predicted, retry_after });
+            return Err(LineRefusal { predicted, retry_after: self.retry_after(others, now) });
         }
         self.next_ticket += 1;
-        self.waiters.insert(self.next_ticket, Waiter { joined: now, on_time_until });
+        let tried_at = now.checked_sub(tried_for).unwrap_or(now);
+        self.waiters.insert(self.next_ticket, Waiter { tried_at, on_time_until });
         Ok(self.next_ticket)
     }
 
@@ -112,36 +139,61 @@
     /// What the other gateways are told; `None` when nobody waits, and none
     /// has been placed for long.
     pub fn news(&self, now: Instant) -> Option<LineNews> {
-        let pace_milli = (self.pace_now(now) * 1000.0) as u32;
+        let pace_milli = (self.pace.per_second(now) * 1000.0) as u32;
+        let arrivals_milli = (self.arrivals.per_second(now) * 1000.0) as u32;
         let Some((_, first)) = self.first(now) else {
-            let idle = LineNews { waiting: 0, first_age_ms: 0, is_first_late: true, pace_milli };
+            let idle = LineNews {
+                waiting: 0,
+                on_time: 0,
+                first_age_ms: 0,
+                is_first_late: true,
+                pace_milli,
+                arrivals_milli,
+            };
             return (pace_milli > LEAST_PACE_MILLI).then_some(idle);
         };
-        let age = now.saturating_duration_since(first.joined);
+        let age = now.saturating_duration_since(first.tried_at);
         Some(LineNews {
             waiting: self.waiters.len() as u32,
+            on_time: self.on_time(now) as u32,
             first_age_ms: age.as_millis().min(u128::from(u32::MAX)) as u32,
             is_first_late: now >= first.on_time_until,
             pace_milli,
+            arrivals_milli,
         })
     }
 
     fn first(&self, now: Instant) -> Option<(Ticket, Waiter)> {
         let on_time = self.waiters.iter().find(|(_, waiter)| now < waiter.on_time_until);
-        let first = on_time.or_else(|| self.waiters.iter().next());
+        let oldest = || self.waiters.iter().min_by_key(|(_, waiter)| waiter.tried_at);
+        let first = on_time.or_else(oldest);
         first.map(|(ticket, waiter)| (*ticket, *waiter))
     }
 
     /// Leaves the line; `placed` when room was found.
     pub fn leave(&mut self, ticket: Ticket, placed: bool, now: Instant) {
         if self.waiters.remove(&ticket).is_some() && placed {
-            self.note_departure(now);
+            self.pace.note(now);
         }
     }
 
-    /// When a caller refused for lack of room should come back.
+    /// When a caller refused for lack of room should come back: once those who
+    /// wait have been placed, by what is left beside new callers, who go
+    /// before late ones.
+    ///
+    /// Guards against callers who come back into the same burst, are refused a
+    /// second time and then stay away: by the pace alone they were told 0.3 to
+    /// 2 s in bursts of four.
     pub fn retry_after(&self, others: OtherLines, now: Instant) -> Duration {
-        self.predicted_wait(others, now).max(LEAST_RETRY_AFTER)
+        let pace = self.pace.per_second(now) + others.pace;
+        let arrivals = self.arrivals.per_second(now) + others.arrivals;
+        let waiting = self.waiters.len() as f64 + f64::from(others.waiting);
+        let spare = (pace - arrivals).max(pace * LEAST_SPARE);
+        if waiting == 0.0 || spare <= 0.0 {
+            return LEAST_RETRY_AFTER;
+        }
+        let wait = Duration::from_secs_f64((waiting / spare).min(60.0));
+        wait.clamp(LEAST_RETRY_AFTER, LONGEST_RETRY_AFTER)
     }
 
     /// Requests waiting.
@@ -154,34 +206,34 @@
         self.waiters.is_empty()
     }
 
-    fn predicted_wait(&self, others: OtherLines, now: Instant) -> Duration {
-        let pace = self.pace_now(now) + others.pace;
-        let is_known = self.departures >= LEAST_DEPARTURES || others.pace > 0.0;
-        let waiting = self.waiters.len() as f64 + f64::from(others.waiting);
-        if waiting == 0.0 || !is_known || pace <= 0.0 {
-            return Duration::ZERO;
+    /// Waiters that can still be on time.
+    fn on_time(&self, now: Instant) -> usize {
+        self.waiters.values().filter(|waiter| now < waiter.on_time_until).count()
+    }
+
+    /// How long a newcomer would wait. One that can be on time stands behind
+    /// those who can be, too; if they are too many it will be late, and stand
+    /// behind all.
+    fn newcomer_wait(&self, on_time_until: Instant, others: OtherLines, now: Instant) -> Duration {
+        let on_time = self.on_time(now) + others.on_time as usize;
+        let among_on_time = self.time_for(on_time, others, now);
+        if now + among_on_time < on_time_until {
+            return among_on_time;
         }
-        Duration::from_secs_f64((waiting / pace).min(60.0))
+        self.predicted_wait(others, now)
     }
 
-    /// The pace, falling while nobody departs.
-    fn pace_now(&self, now: Instant) -> f64 {
-        let Some(at) = self.departed_at else { return 0.0 };
-        let quiet = now.saturating_duration_since(at).as_secs_f64();
-        self.pace.min(1.0 / quiet.max(0.001))
+    fn predicted_wait(&self, others: OtherLines, now: Instant) -> Duration {
+        self.time_for(self.waiters.len() + others.waiting as usize, others, now)
     }
 
-    fn note_departure(&mut self, now: Instant) {
-        if let Some(at) = self.departed_at {
-            let gap = now.saturating_duration_since(at).as_secs_f64().max(0.001);
-            // The first gap stands for the average: begun at zero, it would
-            // tell too long a wait, and refuse too many, after each start.
-            let is_first = self.departures < 2;
-            let weight =
-                if is_first { 1.0 } else { (gap / PACE_TIME.as_secs_f64()).clamp(0.05, 1.0) };
-            self.pace += (1.0 / gap - self.pace) * weight;
+    /// How long `count` requests take to be placed.
+    fn time_for(&self, count: usize, others: OtherLines, now: Instant) -> Duration {
+        let pace = self.pace.per_second(now) + others.pace;
+        let is_known = self.pace.count() >= LEAST_DEPARTURES || others.pace > 0.0;
+        if count == 0 || !is_known || pace <= 0.0 {
+            return Duration::ZERO;
         }
-        self.departed_at = Some(now);
-        self.departures = self.departures.saturating_add(1);
+        Duration::from_secs_f64((count as f64 / pace).min(60.0))
     }
 }
