No stream begins that can't end before its deadline

Cause: callers who come back have some seven seconds left and wait for three.

Change: the time an answer takes is learned with its length, and waiting ends so early that the whole answer fits. Test: the_time_an_answer_takes_is_known.

--- a/crates/gateway/src/belief/output_guess.rs
+++ b/crates/gateway/src/belief/output_guess.rs
@@ -1,6 +1,8 @@
 //! How long an answer will be, from the caller's estimate and from answers
 //! of the same service so far.
 
+use std::time::Duration;
+
 /// Answers needed before their length is believed.
 const LEAST_ANSWERS: u32 = 6;
 /// The weight of one answer in the average, once there are enough.
@@ -22,16 +24,30 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OutputGuess {
     ln_mean: f64,
+    /// Seconds a token takes, from the first event on.
+    token_s: f64,
     answers: u32,
 }
 
 impl OutputGuess {
-    /// Takes in the length of a whole answer, in tokens.
-    pub fn note(&mut self, tokens: u32) {
+    /// Takes in the length of a whole answer, in tokens, and how long it took
+    /// from its first event on.
+    pub fn note(&mut self, tokens: u32, took: Duration) {
         let ln = f64::from(tokens.max(1)).ln();
         self.answers = self.answers.saturating_add(1);
         let weight = WEIGHT.max(1.0 / f64::from(self.answers));
         self.ln_mean += (ln - self.ln_mean) * weight;
+        let token_s = took.as_secs_f64() / f64::from(tokens.max(1));
+        self.token_s += (token_s - self.token_s) * weight;
+    }
+
+    /// How long an answer of `tokens` takes from its first event on; zero
+    /// while too little is known.
+    pub fn run_time(&self, tokens: u32) -> Duration {
+        if self.answers < LEAST_ANSWERS {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(self.token_s * f64::from(tokens))
     }
 
     /// The tokens expected of an answer that its caller takes to have
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -11,6 +11,7 @@
 use super::Refusal;
 use super::refuse::refuse_call;
 use crate::belief::EnginePlace;
+use crate::belief::LineAsker;
 use crate::belief::LoadShare;
 use crate::belief::OtherLines;
 use crate::belief::PlaceNeed;
@@ -71,12 +72,13 @@
     shape: &PromptShape,
 ) -> Result<Placed, Response<GatewayBody>> {
     let now = Instant::now();
-    let on_time_until = on_time_until(call);
-    let give_up = give_up_at(call);
+    let asker = LineAsker { on_time_until: on_time_until(call), tried_for: call.tried_for };
+    let run_time =
+        state.with_outputs(&call.service, |outputs| outputs.run_time(shape.expected_output()));
+    let give_up = give_up_at(call, run_time);
     let patience = give_up.saturating_duration_since(now);
     let others = state.other_lines(&call.service);
-    let joined =
-        state.with_line(&call.service, |line| line.join(on_time_until, patience, others, now));
+    let joined = state.with_line(&call.service, |line| line.join(asker, patience, others, now));
     let ticket = joined.map_err(|refusal| {
         log_no_room(state, call, others, refusal.predicted);
         refuse_call(call, Refusal::NoRoom, Some(refusal.retry_after), 0)
@@ -158,12 +160,17 @@
 }
 
 /// When waiting ends: so that the first event still comes before the caller
-/// gives up on it, or the deadline passes.
-fn give_up_at(call: &Call) -> Instant {
+/// gives up on it, and the whole answer, which takes `run_time` from then on,
+/// before the deadline.
+///
+/// Guards against answers cut at their deadline: a caller that comes back
+/// after a refusal has little time left, and engines worked for seconds on
+/// what nobody got.
+fn give_up_at(call: &Call, run_time: Duration) -> Instant {
     let target = call.route.target_latency.unwrap_or_default();
     let gap = call.route.target_gap.unwrap_or_default();
     let caller = LEAST_GIVE_UP.max(target * 4).max(gap * 8);
-    (call.arrived + caller).min(call.deadline) - FIRST_EVENT_TIME * 2
+    (call.arrived + caller).min(call.deadline - run_time) - FIRST_EVENT_TIME * 2
 }
 
 fn try_place(
--- a/crates/gateway/tests/output_guess.rs
+++ b/crates/gateway/tests/output_guess.rs
@@ -1,7 +1,11 @@
 //! How long an answer is expected to be.
 
+use std::time::Duration;
+
 use umberglade_gateway::belief::OutputGuess;
 
+const TOOK: Duration = Duration::from_secs(3);
+
 /// Answers so far, each this long, and what is then expected.
 struct GuessCase {
     name: &'static str,
@@ -35,7 +39,7 @@
     for case in cases {
         let mut guess = OutputGuess::default();
         for _ in 0..case.answers {
-            guess.note(case.length);
+            guess.note(case.length, TOOK);
         }
         let expected = guess.expect(case.estimate);
         let near = |left: u32, right: u32| left.abs_diff(right) <= 2;
@@ -52,8 +56,19 @@
 #[test]
 fn the_usual_length_follows_the_answers() {
     let mut guess = OutputGuess::default();
-    (0..100).for_each(|_| guess.note(1000));
-    (0..60).for_each(|_| guess.note(2000));
+    (0..100).for_each(|_| guess.note(1000, TOOK));
+    (0..60).for_each(|_| guess.note(2000, TOOK));
     let expected = guess.expect(None).unwrap();
     assert!((1950..2200).contains(&expected), "{expected}");
 }
+
+/// A caller that came back has seven seconds left and waits for three of
+/// them. Its answer takes five: it must be refused before, not cut then.
+#[test]
+fn the_time_an_answer_takes_is_known() {
+    let mut guess = OutputGuess::default();
+    assert_eq!(guess.run_time(4000), Duration::ZERO, "nothing known");
+    (0..20).for_each(|_| guess.note(3000, TOOK));
+    let time = guess.run_time(4000).as_secs_f64();
+    assert!((3.9..4.1).contains(&time), "{time}");
+}
