--- /dev/null
+++ b/crates/gateway/src/demand.rs
@@ -0,0 +1,67 @@
+//! What callers ask of each service: who waits, how long answers get, how
+//! long callers wait.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::belief::LineNews;
+use crate::belief::OutputGuess;
+use crate::belief::UsualPatience;
+use crate::belief::WaitingLine;
+use crate::belief::server_digest;
+use crate::model::ServiceName;
+
+/// Callers' demand as this gateway sees it.
+///
+/// Lock order: none is ever held together with another.
+#[derive(Debug, Default)]
+pub struct CallerDemand {
+    lines: Mutex<HashMap<ServiceName, WaitingLine>>,
+    outputs: Mutex<HashMap<ServiceName, OutputGuess>>,
+    /// By the route's name.
+    patience: Mutex<HashMap<String, UsualPatience>>,
+}
+
+impl CallerDemand {
+    /// Runs `change` on the waiting line of `service`.
+    pub fn with_line<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut WaitingLine) -> T,
+    ) -> T {
+        let mut lines = self.lines.lock().expect("lines lock");
+        change(lines.entry(service.clone()).or_default())
+    }
+
+    /// This gateway's waiting lines, by service.
+    pub fn own_lines(&self, now: Instant) -> Vec<(u64, LineNews)> {
+        let lines = self.lines.lock().expect("lines lock");
+        lines
+            .iter()
+            .filter_map(|(service, line)| Some((server_digest(service), line.news(now)?)))
+            .collect()
+    }
+
+    /// Runs `change` on what is known of the answers of `service`.
+    pub fn with_outputs<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut OutputGuess) -> T,
+    ) -> T {
+        let mut outputs = self.outputs.lock().expect("outputs lock");
+        change(outputs.entry(service.clone()).or_default())
+    }
+
+    /// How long a caller of `route` that will wait for `patience` has been
+    /// trying already.
+    pub fn tried_for(&self, route: &str, patience: Option<Duration>) -> Duration {
+        let Some(patience) = patience else { return Duration::ZERO };
+        let mut usual = self.patience.lock().expect("patience lock");
+        match usual.get_mut(route) {
+            Some(known) => known.note(patience),
+            None => usual.entry(route.to_owned()).or_default().note(patience),
+        }
+    }
+}
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -61,7 +61,7 @@
     watch: &mut StageWatch,
     now: Instant,
 ) -> Option<StageChange> {
-    let own = state.with_line(service, |line| line.len());
+    let own = state.demand.with_line(service, |line| line.len());
     let waiting = own + state.other_lines(service).waiting as usize;
     let look = stage_look(&state.fleet(), service, waiting, now);
     watch.look(look, now)
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -217,7 +217,7 @@
     fn end_well(&self, stream: OpenStream) {
         let made = self.relayed as u32 * self.call.engine_spec().tokens_per_event;
         let took = self.call.arrived.elapsed().saturating_sub(self.first_event);
-        self.state.with_outputs(&self.call.service, |outputs| outputs.note(made, took));
+        self.state.demand.with_outputs(&self.call.service, |outputs| outputs.note(made, took));
         self.state.note_outcome(&stream.target.server, ServerOutcome::Fine);
         if let Some(connection) = stream.connection {
             let server = &stream.target.server;
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -58,6 +58,7 @@
     fn drop(&mut self) {
         let now = Instant::now();
         self.state
+            .demand
             .with_line(&self.call.service, |line| line.leave(self.ticket, self.is_placed, now));
         self.state.room.notify(usize::MAX);
     }
@@ -73,12 +74,14 @@
 ) -> Result<Placed, Response<GatewayBody>> {
     let now = Instant::now();
     let asker = LineAsker { on_time_until: on_time_until(call), tried_for: call.tried_for };
-    let run_time =
-        state.with_outputs(&call.service, |outputs| outputs.run_time(shape.expected_output()));
+    let run_time = state
+        .demand
+        .with_outputs(&call.service, |outputs| outputs.run_time(shape.expected_output()));
     let give_up = give_up_at(call, run_time);
     let patience = give_up.saturating_duration_since(now);
     let others = state.other_lines(&call.service);
-    let joined = state.with_line(&call.service, |line| line.join(asker, patience, others, now));
+    let joined =
+        state.demand.with_line(&call.service, |line| line.join(asker, patience, others, now));
     let ticket = joined.map_err(|refusal| {
         log_no_room(state, call, others, refusal.predicted);
         refuse_call(call, Refusal::NoRoom, Some(refusal.retry_after), 0)
@@ -88,7 +91,7 @@
     loop {
         let woken = state.room.listen();
         let now = Instant::now();
-        let is_first = state.with_line(&call.service, |line| line.is_first(ticket, now));
+        let is_first = state.demand.with_line(&call.service, |line| line.is_first(ticket, now));
         if is_first {
             match try_place(state, call, spec, shape) {
                 Ok(placed) => {
@@ -118,12 +121,12 @@
 /// When the lines ahead should have passed.
 pub(super) fn room_after(state: &GatewayState, call: &Call) -> Duration {
     let others = state.other_lines(&call.service);
-    state.with_line(&call.service, |line| line.retry_after(others, Instant::now()))
+    state.demand.with_line(&call.service, |line| line.retry_after(others, Instant::now()))
 }
 
 /// Logs what decided that a request finds no room.
 fn log_no_room(state: &GatewayState, call: &Call, others: OtherLines, predicted: Duration) {
-    let waiting = state.with_line(&call.service, |line| line.len());
+    let waiting = state.demand.with_line(&call.service, |line| line.len());
     let now = Instant::now();
     let fleet = state.fleet();
     let (mut servers, mut running) = (0, 0);
@@ -181,7 +184,7 @@
 ) -> Result<Placed, PlaceRefusal> {
     let EnginePlace { decode, prefill, cost } = {
         let now = Instant::now();
-        let line = state.with_line(&call.service, |line| line.news(now));
+        let line = state.demand.with_line(&call.service, |line| line.news(now));
         let fleet = state.fleet();
         let service = server_digest(&call.service);
         let ahead = line.map_or(0, |line| fleet.peers.waiting_before(service, &line, now));
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -82,7 +82,7 @@
     let spec = spec_of(&table, &service);
     if let Some(prompt) = &mut head.prompt {
         prompt.output_estimate =
-            state.with_outputs(&service, |outputs| outputs.expect(prompt.output_estimate));
+            state.demand.with_outputs(&service, |outputs| outputs.expect(prompt.output_estimate));
     }
     let head_patience = head.patience;
     let patience = head_patience.unwrap_or(DEFAULT_PATIENCE);
@@ -98,7 +98,7 @@
         spec,
         config: table.version,
         arrived,
-        tried_for: state.tried_for(&route.name, head_patience),
+        tried_for: state.demand.tried_for(&route.name, head_patience),
         deadline: arrived + allowed,
     })))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod belief;
 pub mod codec;
+pub mod demand;
 pub mod duty;
 pub mod events;
 pub mod forward;
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -56,7 +56,7 @@
         store_calm_ms: store_calm.as_millis() as u64,
         retries: state.own_retries(),
         aside,
-        lines: state.own_lines(now),
+        lines: state.demand.own_lines(now),
         changing,
         config: state.config_version(),
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,5 @@
 //! What all requests of a gateway share.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,16 +17,13 @@
 use crate::belief::Fleet;
 use crate::belief::FleetChange;
 use crate::belief::InForce;
-use crate::belief::LineNews;
 use crate::belief::OtherLines;
-use crate::belief::OutputGuess;
 use crate::belief::RetryAllowance;
 use crate::belief::RetryCount;
 use crate::belief::RetryUse;
 use crate::belief::ServerOutcome;
-use crate::belief::UsualPatience;
-use crate::belief::WaitingLine;
 use crate::belief::server_digest;
+use crate::demand::CallerDemand;
 use crate::events;
 use crate::model::ConfigVersion;
 use crate::model::GatewaySettings;
@@ -50,6 +46,7 @@
     pub metrics: Option<PrometheusHandle>,
     pub pool: ConnectionPool,
     pub stop: StopSwitch,
+    pub demand: CallerDemand,
     /// Notified when streams begin, end or wait, which the other gateways
     /// are told at once.
     pub work_changed: Event,
@@ -61,10 +58,6 @@
     config_watch: Mutex<ConfigWatch>,
     fleet: Mutex<Fleet>,
     retries: Mutex<RetryAllowance>,
-    lines: Mutex<HashMap<ServiceName, WaitingLine>>,
-    outputs: Mutex<HashMap<ServiceName, OutputGuess>>,
-    /// By the route's name.
-    patience: Mutex<HashMap<String, UsualPatience>>,
     /// Gateways registered in the store, this one included; at least 1.
     members: AtomicUsize,
     in_flight: AtomicU32,
@@ -100,6 +93,7 @@
             metrics,
             pool: ConnectionPool::default(),
             stop: StopSwitch::default(),
+            demand: CallerDemand::default(),
             work_changed: Event::new(),
             config_due: Event::new(),
             room: Event::new(),
@@ -107,9 +101,6 @@
             config_watch: Mutex::default(),
             fleet: Mutex::default(),
             retries: Mutex::new(retries),
-            lines: Mutex::default(),
-            outputs: Mutex::default(),
-            patience: Mutex::default(),
             members: AtomicUsize::new(FIRST_MEMBERS),
             in_flight: AtomicU32::new(0),
         })
@@ -162,37 +153,6 @@
         self.fleet.lock().expect("fleet lock")
     }
 
-    /// Runs `change` on the waiting line of `service`.
-    pub fn with_line<T>(
-        &self,
-        service: &ServiceName,
-        change: impl FnOnce(&mut WaitingLine) -> T,
-    ) -> T {
-        let mut lines = self.lines.lock().expect("lines lock");
-        change(lines.entry(service.clone()).or_default())
-    }
-
-    /// Runs `change` on what is known of the answers of `service`.
-    pub fn with_outputs<T>(
-        &self,
-        service: &ServiceName,
-        change: impl FnOnce(&mut OutputGuess) -> T,
-    ) -> T {
-        let mut outputs = self.outputs.lock().expect("outputs lock");
-        change(outputs.entry(service.clone()).or_default())
-    }
-
-    /// How long a caller of `route` that will wait for `patience` has been
-    /// trying already.
-    pub fn tried_for(&self, route: &str, patience: Option<Duration>) -> Duration {
-        let Some(patience) = patience else { return Duration::ZERO };
-        let mut usual = self.patience.lock().expect("patience lock");
-        match usual.get_mut(route) {
-            Some(known) => known.note(patience),
-            None => usual.entry(route.to_owned()).or_default().note(patience),
-        }
-    }
-
     /// Counts a caller's request towards the retry allowance.
     pub fn note_request(&self, service: &ServiceName) {
         self.retries.lock().expect("retries lock").note_request(service, Instant::now());
@@ -258,15 +218,6 @@
         self.fleet().peers.other_lines(server_digest(service), Instant::now())
     }
 
-    /// This gateway's waiting lines, by service.
-    pub fn own_lines(&self, now: Instant) -> Vec<(u64, LineNews)> {
-        let lines = self.lines.lock().expect("lines lock");
-        lines
-            .iter()
-            .filter_map(|(service, line)| Some((server_digest(service), line.news(now)?)))
-            .collect()
-    }
-
     /// Gateways registered, this one included.
     pub fn members(&self) -> usize {
         self.members.load(Ordering::Relaxed).max(1)
