Ages of what is read grow while it can't be; removed servers are forgotten

Found by reading: umberglade_store_age_ms was set only after a successful read, so it stayed near zero in an outage, for which docs/OPERATIONS.md sets an alarm; and a fleet remembered every server ever removed. The age is set after failed reads too; removed servers are remembered for a minute, longer than the store's history (cases in tests/fleet.rs).

--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -29,6 +29,10 @@
 /// 6 s, and registers within a heartbeat.
 const CHANGE_TIME: Duration = Duration::from_secs(12);
 
+/// How long a removed server is remembered: older rows of it may come late
+/// for as long as the store keeps its history, some 20 s.
+const REMOVED_TIME: Duration = Duration::from_secs(60);
+
 /// What a row changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FleetChange {
@@ -50,8 +54,9 @@
     /// Engines that this gateway has told to change their stage, and until
     /// when they count as changing at most.
     changing: HashMap<ServerKey, (ServerStage, Instant)>,
-    /// Removed rows' versions, so that a late older row brings none back.
-    removed: HashMap<ServerKey, StoreVersion>,
+    /// Removed rows' versions, and when they were removed, so that a late older
+    /// row brings none back.
+    removed: HashMap<ServerKey, (StoreVersion, Instant)>,
     grace_until: Option<Instant>,
     /// Since when the table has been read without an outage.
     calm_since: Option<Instant>,
@@ -96,7 +101,7 @@
 
     /// Takes in a server's row.
     pub fn upsert(&mut self, entry: ServerEntry, version: StoreVersion) -> Option<FleetChange> {
-        if self.removed.get(&entry.server).is_some_and(|at| *at >= version) {
+        if self.removed.get(&entry.server).is_some_and(|(at, _)| *at >= version) {
             return None;
         }
         let key = entry.server.clone();
@@ -136,7 +141,7 @@
             belief.gone_at.get_or_insert(until);
             return Some(FleetChange::Lapsed(belief.entry.server.clone()));
         }
-        self.forget(key, version)
+        self.forget(key, version, now)
     }
 
     /// Takes in a whole listing as of `version`: what it lacks is removed.
@@ -167,7 +172,8 @@
             .filter(|belief| belief.gone_at.is_some_and(|at| at <= now || !may_have_lapsed))
             .map(|belief| (belief.entry.server.clone(), belief.version))
             .collect();
-        gone.iter().filter_map(|(key, version)| self.forget(key, *version)).collect()
+        self.removed.retain(|_, (_, at)| now.saturating_duration_since(*at) < REMOVED_TIME);
+        gone.iter().filter_map(|(key, version)| self.forget(key, *version, now)).collect()
     }
 
     /// The servers of `service` that may get new work.
@@ -280,12 +286,12 @@
         self.servers.is_empty()
     }
 
-    fn forget(&mut self, key: &str, version: StoreVersion) -> Option<FleetChange> {
+    fn forget(&mut self, key: &str, version: StoreVersion, now: Instant) -> Option<FleetChange> {
         let belief = self.servers.remove(key)?;
         if let Some(keys) = self.services.get_mut(&belief.entry.service) {
             keys.retain(|listed| listed != &belief.entry.server);
         }
-        self.removed.insert(belief.entry.server.clone(), version);
+        self.removed.insert(belief.entry.server.clone(), (version, now));
         Some(FleetChange::Removed(belief.entry.server))
     }
 }
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -89,6 +89,7 @@
                         self.log_lost(&error, position, read_at);
                     }
                     failures += 1;
+                    self.mark_age(read_at);
                     metrics::counter!("umberglade_store_failures_total").increment(1);
                     smol::Timer::after(pause(failures)).await;
                     // After an outage the whole table is read: the feed
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -56,6 +56,16 @@
             open: &[],
         },
         Case { name: "removed", steps: &[Ready("a", 1), Removed("a", 2)], open: &[] },
+        Case {
+            name: "removed servers are remembered longer than the store's history",
+            steps: &[Ready("a", 1), Removed("a", 3), Wait(50_000), Ready("a", 2)],
+            open: &[],
+        },
+        Case {
+            name: "and forgotten in the end",
+            steps: &[Ready("a", 1), Removed("a", 3), Wait(61_000), Ready("a", 2)],
+            open: &["a"],
+        },
         Case {
             name: "a late row does not bring a removed server back",
             steps: &[Ready("a", 1), Removed("a", 5), Ready("a", 3)],
