--- a/crates/gateway/src/belief/stage_watch.rs
+++ b/crates/gateway/src/belief/stage_watch.rs
@@ -86,7 +86,7 @@
         None
     }
 
-    /// A change has been ordered, by this gateway or another.
+    /// This gateway acts on a change: none is asked for again for a while.
     pub fn rest(&mut self, now: Instant) {
         self.rest_until = Some(now + REST_TIME);
     }
