A stop waits until answers are written out

Cause, traced in the code and shown by a test: a request counts as in flight until its last event is handed to the connection's body (up to 16 wait there); the stop then ended the process before the connection had written them. Ruled out: the grace (2.9 s were left), the server (it ended well).

Change: a stop also waits for callers' connections, which close once they have written everything; the last answers of connections that came too late to be waited for get 100 ms.

Test: a_stop_waits_until_answers_are_written_out (gateway_process). With the old condition it is cut after 4,227,210 of 16 million bytes; it passes now.

--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -74,6 +74,8 @@
     // A connection that comes later than that is not closed while idle: its
     // first request may be on its way, and the answer to it closes it.
     let is_late = state.stop.has_lasted(CLOSE_TIME);
+    // Late ones may stay idle, and a stop does not wait for them.
+    let _open = (!is_late).then(|| state.enter_connection());
     let closing = async {
         if is_late {
             std::future::pending::<()>().await;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -22,6 +22,7 @@
 use crate::peers;
 use crate::peers::PeerBook;
 use crate::state::GatewayState;
+use crate::stop::FLUSH_TIME;
 use crate::stop::GRACE_MARGIN;
 use crate::stop::LEAST_STOP;
 use crate::store::ConfigSink;
@@ -107,9 +108,11 @@
     tracing::info!(event = events::STOP_BEGUN, in_flight = state.in_flight(), "stop begun");
     let latest = begun + state.settings.stop_grace.saturating_sub(GRACE_MARGIN);
     smol::Timer::at((begun + LEAST_STOP).min(latest)).await;
-    while state.in_flight() > 0 && Instant::now() < latest {
+    while state.is_busy() && Instant::now() < latest {
         smol::Timer::after(Duration::from_millis(20)).await;
     }
+    // The answers of connections that came too late to be counted.
+    smol::Timer::at((Instant::now() + FLUSH_TIME).min(latest)).await;
     tracing::info!(
         event = events::GATEWAY_STOPPED,
         in_flight = state.in_flight(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -61,6 +61,8 @@
     /// Gateways registered in the store, this one included; at least 1.
     members: AtomicUsize,
     in_flight: AtomicU32,
+    /// Callers' connections that a stop closes.
+    connections: AtomicU32,
 }
 
 /// Counts one request in flight until dropped.
@@ -75,6 +77,18 @@
     }
 }
 
+/// Counts one caller's connection until dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    state: Arc<GatewayState>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.state.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Assumed until the members table is read: cautious for most sites.
 const FIRST_MEMBERS: usize = 8;
 
@@ -103,6 +117,7 @@
             retries: Mutex::new(retries),
             members: AtomicUsize::new(FIRST_MEMBERS),
             in_flight: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
         })
     }
 
@@ -261,6 +276,21 @@
         InFlightGuard { state: Arc::clone(self) }
     }
 
+    /// Counts a caller's connection until the guard is dropped.
+    pub fn enter_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.connections.fetch_add(1, Ordering::AcqRel);
+        ConnectionGuard { state: Arc::clone(self) }
+    }
+
+    /// True while a request is in flight, or an answer is not written out yet.
+    ///
+    /// Guards against answers cut by the end of a stop: a request counts until
+    /// its last event is handed over, and the connection writes it after that.
+    /// A caller that reads slowly, or a busy instance, lost the last events.
+    pub fn is_busy(&self) -> bool {
+        self.in_flight() > 0 || self.connections.load(Ordering::Acquire) > 0
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Acquire)
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -20,6 +20,9 @@
 /// its server at work: where the balancer has too few other instances it
 /// sends callers until the process ends.
 pub const LAST_CALL: Duration = Duration::from_millis(1000);
+/// How long the last answers of connections that are not waited for may take
+/// to be written out; some hundred times what it takes on an idle instance.
+pub const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Left of the grace when the process ends in any case.
 pub const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -3,6 +3,9 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -14,7 +17,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use umberglade_platform_standin::ServerOptions;
 use umberglade_platform_standin::Site;
+use umberglade_platform_standin::USUAL_SERVERS;
 use umberglade_wire::pool;
 
 /// Longer than anything here takes: tells a hang from an answer.
@@ -113,10 +118,15 @@
 
 /// A site served by a thread of this process; its store's address.
 fn start_site() -> String {
+    start_site_of(ServerOptions::default())
+}
+
+/// Like [`start_site`], with servers set up by `options`.
+fn start_site_of(options: ServerOptions) -> String {
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || {
         pool::block_on(async move {
-            let site = Site::start().await;
+            let site = Site::start_with(&USUAL_SERVERS, options).await;
             sender.send(site.store_address.to_string()).expect("a waiting test");
             std::future::pending::<()>().await;
         });
@@ -222,3 +232,29 @@
         .expect("running umberglade");
     (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
+
+/// A caller reads its stream slowly while the instance is stopped by plan. The
+/// server has sent all of it and the gateway has handed the last event over,
+/// but the connection has not written it out when the stop's least time is
+/// over. The caller must still get the whole answer.
+#[test]
+fn a_stop_waits_until_answers_are_written_out() {
+    const EVENT_BYTES: usize = 2_000_000;
+    let options = ServerOptions { padding: EVENT_BYTES, ..ServerOptions::default() };
+    let store = start_site_of(options);
+    let gateway = Gateway::start("slow-reader", &store, "400");
+    thread::sleep(Duration::from_millis(500));
+    let mut caller = TcpStream::connect(&gateway.front).expect("a connection");
+    caller.set_read_timeout(Some(HANG)).expect("a timeout");
+    let request = "POST /stream/x HTTP/1.1\r\nhost: site.example\r\nx-request-id: slow\r\n\
+                   x-timeout-ms: 20000\r\nx-token-usage: 1000,400\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request.as_bytes()).expect("sending the request");
+    thread::sleep(Duration::from_millis(500));
+    gateway.signal("-TERM");
+    // Longer than the least time of a stop, shorter than its grace.
+    thread::sleep(Duration::from_millis(4500));
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).expect("an answer until the connection closes");
+    assert!(answer.ends_with(b"0\r\n\r\n"), "cut after {} bytes", answer.len());
+    assert!(answer.len() > 8 * EVENT_BYTES, "only {} bytes", answer.len());
+}
