Rejected first prompts count against the retry bound

Change: a rejected first prompt is counted, and 0.75 of the bound is used (0.7 fails the test's floor on how much is used). Test: rejected_first_sends_count_against_the_bound.

--- a/crates/gateway/src/belief/retry_allowance.rs
+++ b/crates/gateway/src/belief/retry_allowance.rs
@@ -15,8 +15,9 @@
 
 /// The part of the bound that is used. The rest covers what other gateways
 /// send between two of their reports, and that a window here and one of a
-/// server begin at different moments.
-const USED_PART: f64 = 0.8;
+/// server begin at different moments. With 0.8, 80 gateways whose servers
+/// crashed in a burst once made 436 repeats where 426 were allowed.
+const USED_PART: f64 = 0.75;
 /// How old the others' counts may be, in reports: one may be lost.
 const LAG_REPORTS: u32 = 2;
 /// Counts are kept in this many parts of a window.
@@ -97,6 +98,15 @@
         self.bucket(service, now).requests += 1;
     }
 
+    /// Counts an arrival at `service` that no allowance was asked for: a prompt
+    /// sent for the first time, to a server that rejected it.
+    ///
+    /// Guards against a bound that is exceeded unseen: when servers come back
+    /// under new ids, each prompt sent to an old one is rejected and counts.
+    pub fn note_repeat(&mut self, service: &ServiceName, now: Instant) {
+        self.bucket(service, now).repeats += 1;
+    }
+
     /// True when one repeated send may be made; it is then counted.
     /// `members` is how many gateways there are, this one included.
     /// `use_for` says how much must be left for others.
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -54,20 +54,27 @@
         Err(refusal) => return refusal,
     };
     let cache = match placed.prefill {
-        Some(hold) => prefill_step::prefill::<C>(
-            state,
-            &call,
-            hold,
-            shape.prompt_tokens,
-            call.head.resume_after,
-        )
-        .await
-        .ok(),
+        Some(hold) => read_first::<C>(state, &call, hold, shape.prompt_tokens).await,
         None => None,
     };
     open_somewhere::<C>(state, call, placed.decode, cache).await
 }
 
+/// Has the prompt read for the first time; `None` when that failed and the
+/// decode server is to read it.
+async fn read_first<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    hold: WorkHold,
+    tokens: u32,
+) -> Option<CacheGuard<C>> {
+    let read = prefill_step::prefill::<C>(state, call, hold, tokens, call.head.resume_after).await;
+    if matches!(read, Err(SendFailure::NotRun)) {
+        state.note_repeat(&call.service);
+    }
+    read.ok()
+}
+
 /// Opens the stream at the server of `hold`, or at another where that is
 /// allowed, and relays it.
 async fn open_somewhere<C: PlatformCodec>(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -173,6 +173,12 @@
         self.retries.lock().expect("retries lock").note_request(service, Instant::now());
     }
 
+    /// Counts a send that a server of `service` rejected and that no allowance
+    /// was asked for.
+    pub fn note_repeat(&self, service: &ServiceName) {
+        self.retries.lock().expect("retries lock").note_repeat(service, Instant::now());
+    }
+
     /// True when one repeated send to `service` may be made.
     pub fn spend_retry(&self, service: &ServiceName, use_for: RetryUse) -> bool {
         let now = Instant::now();
--- a/crates/gateway/tests/retries.rs
+++ b/crates/gateway/tests/retries.rs
@@ -204,3 +204,28 @@
         prop_assert!(gateways.worst_share() <= 1.0);
     }
 }
+
+/// Servers crash and come back under new ids at their old addresses. Prompts
+/// sent to the old ids are rejected, and each such arrival counts against the
+/// bound: repeats that are asked for must leave room for them.
+#[test]
+fn rejected_first_sends_count_against_the_bound() {
+    let begun = Instant::now();
+    let now = begun + WINDOW * 2;
+    let service: ServiceName = "svc".into();
+    let allowed_after = |rejected: u32| {
+        let mut allowance = RetryAllowance::new(RATIO, SLACK, WINDOW, begun);
+        (0..100).for_each(|_| allowance.note_request(&service, now));
+        (0..rejected).for_each(|_| allowance.note_repeat(&service, now));
+        // Further apart than reports may be old, all within one window.
+        let spend = |at: u32| {
+            let later = now + Duration::from_millis(120) * (at + 1);
+            allowance.spend(&service, 1, HeardRetries::default(), RetryUse::Needed, later)
+        };
+        (0..75).map(spend).filter(|is_allowed| *is_allowed).count() as u32
+    };
+    let freely = allowed_after(0);
+    assert!(freely > 20, "{freely} allowed");
+    assert_eq!(allowed_after(10) + 10, freely);
+    assert_eq!(allowed_after(100), 0);
+}
