Sums over other gateways' reports are kept, one look-up a server

Cause: place_engine asked for the load and the count of gateways that pass a server over for each pair of a decode and a prefill server, and each answer summed over all peers' reports: some 700,000 look-ups a placement at 79 gateways and 140 engines, again every 40 ms, on an eighth of a core. Callers waited for the gateway's own processor.

Change: PeerSums holds whole-number sums by server and service, changed as reports come and lapse (PeerLoads subtracts what has lapsed since the last report, so reads are exact at any moment); a placement looks each server up once (Candidate); the best reader is found once a failure domain (DomainReaders). A property test compares the sums with a plain sum over all reports after any sequence; a test counts look-ups a placement.

--- /dev/null
+++ b/crates/gateway/benches/decision.rs
@@ -0,0 +1,108 @@
+//! What one decision of a gateway costs, by the size of a site: choosing
+//! engines, choosing a plain server, and taking in another gateway's report.
+
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use umberglade_gateway::belief::Fleet;
+use umberglade_gateway::belief::LoadShare;
+use umberglade_gateway::belief::PeerNews;
+use umberglade_gateway::belief::PlaceNeed;
+use umberglade_gateway::belief::place_engine;
+use umberglade_gateway::belief::place_plain;
+use umberglade_gateway::belief::server_digest;
+use umberglade_gateway::model::DomainKey;
+use umberglade_gateway::model::EngineSpec;
+use umberglade_gateway::model::PromptShape;
+use umberglade_gateway::model::ServerEntry;
+use umberglade_gateway::model::ServerStage;
+
+/// A small site, a large one, and the target size; the last as if all
+/// servers were of one model, which bounds a decision from above.
+const SIZES: [(usize, usize); 3] = [(6, 18), (79, 140), (340, 890)];
+/// Failure domains of each size.
+const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+/// One engine in this many reads prompts.
+const READER_EVERY: usize = 3;
+/// Servers at which one gateway has work.
+const BUSY_SERVERS: usize = 4;
+
+const SHAPE: PromptShape =
+    PromptShape { prompt_tokens: 5000, output_limit: 4000, output_estimate: Some(3500) };
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 64,
+        kv_tokens: 200_000,
+        handle_ttl: Duration::from_millis(500),
+        tokens_per_event: 8,
+    }
+}
+
+fn entry(service: &str, at: usize, stage: ServerStage) -> ServerEntry {
+    ServerEntry {
+        server: format!("{service}-{at}").into(),
+        service: service.into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: DOMAINS[at % DOMAINS.len()].into(),
+        slots: 64,
+        stage,
+        is_leaving: false,
+    }
+}
+
+fn news(servers: usize, peer: usize, round: usize) -> PeerNews {
+    let load = LoadShare::of_stream(&SHAPE);
+    let at = |index: usize| (peer * 7 + index * 31 + round) % servers;
+    let loads =
+        (0..BUSY_SERVERS).map(|index| (server_digest(&format!("engine-{}", at(index))), load));
+    PeerNews { loads: loads.collect(), ..PeerNews::default() }
+}
+
+/// A site of which every gateway has been heard.
+fn site(gateways: usize, servers: usize, now: Instant) -> Fleet {
+    let mut fleet = Fleet::default();
+    for at in 0..servers {
+        let is_reader = at % READER_EVERY == 0;
+        let stage = if is_reader { ServerStage::Prefill } else { ServerStage::Decode };
+        fleet.upsert(entry("engine", at, stage), at as u64 + 1);
+        fleet.upsert(entry("plain", at, ServerStage::Plain), (servers + at) as u64 + 1);
+    }
+    for peer in 1..gateways {
+        fleet.peers.note(&format!("gw-{peer}"), 1, 1, news(servers, peer, 0), now);
+    }
+    fleet
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let now = Instant::now();
+    let domain: DomainKey = DOMAINS[0].into();
+    for (gateways, servers) in SIZES {
+        let mut group = criterion.benchmark_group(format!("{gateways} gateways {servers} servers"));
+        let mut fleet = site(gateways, servers, now);
+        let gateway = server_digest("gw-0");
+        let need = |service| PlaceNeed { service, gateway, domain: &domain, tried: &[], now };
+        group.bench_function("place_engine", |bench| {
+            bench.iter(|| place_engine(black_box(&fleet), &spec(), &SHAPE, 0, &need("engine")));
+        });
+        group.bench_function("place_plain", |bench| {
+            bench.iter(|| place_plain(black_box(&fleet), &need("plain")));
+        });
+        let reports: Vec<PeerNews> = (0..64).map(|round| news(servers, 1, round)).collect();
+        let mut sequence = 1;
+        group.bench_function("take_report", |bench| {
+            bench.iter(|| {
+                sequence += 1;
+                let news = reports[sequence as usize % reports.len()].clone();
+                fleet.peers.note("gw-1", 1, sequence, news, now)
+            });
+        });
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -1,14 +1,17 @@
 //! The backend servers, as far as the store and our own requests tell.
 
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
+
 use super::LoadShare;
 use super::PeerLoads;
 use super::ServerBelief;
 use super::ServerHealth;
 use super::ServerOutcome;
+use super::ServerSum;
 use super::server_digest;
 use crate::model::ServerEntry;
 use crate::model::ServerKey;
@@ -46,17 +49,17 @@
 /// All known servers and the load on them.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    servers: HashMap<ServerKey, ServerBelief>,
+    servers: FxHashMap<ServerKey, ServerBelief>,
     /// Invariant: each id in `servers` stands here once, under its entry's
     /// service.
-    services: HashMap<ServiceName, Vec<ServerKey>>,
+    services: FxHashMap<ServiceName, Vec<ServerKey>>,
     pub peers: PeerLoads,
     /// Engines that this gateway has told to change their stage, and until
     /// when they count as changing at most.
-    changing: HashMap<ServerKey, (ServerStage, Instant)>,
+    changing: FxHashMap<ServerKey, (ServerStage, Instant)>,
     /// Removed rows' versions, and when they were removed, so that a late older
     /// row brings none back.
-    removed: HashMap<ServerKey, (StoreVersion, Instant)>,
+    removed: FxHashMap<ServerKey, (StoreVersion, Instant)>,
     grace_until: Option<Instant>,
     /// Since when the table has been read without an outage.
     calm_since: Option<Instant>,
@@ -151,7 +154,7 @@
         version: StoreVersion,
         now: Instant,
     ) -> Vec<FleetChange> {
-        let listed: std::collections::HashSet<ServerKey> =
+        let listed: FxHashSet<ServerKey> =
             entries.iter().map(|(entry, _)| entry.server.clone()).collect();
         let missing: Vec<ServerKey> =
             self.servers.keys().filter(|key| !listed.contains(*key)).cloned().collect();
@@ -176,16 +179,19 @@
         gone.iter().filter_map(|(key, version)| self.forget(key, *version, now)).collect()
     }
 
-    /// The servers of `service` that may get new work.
+    /// The servers of `service` that may get new work, each with what the
+    /// other gateways tell of it.
     pub fn open_servers<'a>(
         &'a self,
         service: &str,
         now: Instant,
-    ) -> impl Iterator<Item = &'a ServerBelief> {
+    ) -> impl Iterator<Item = (&'a ServerBelief, ServerSum)> {
         let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
         keys.iter()
             .filter_map(|key| self.servers.get(key))
-            .filter(move |belief| belief.is_open(now) && !self.is_changing(belief, now))
+            .filter(move |belief| belief.is_open(now) && !self.is_own_change(belief, now))
+            .map(move |belief| (belief, self.peers.server(belief.digest, now)))
+            .filter(|(_, others)| others.changing == 0)
     }
 
     /// An engine was told to change to `stage`: until it has, it refuses work.
@@ -203,13 +209,11 @@
     }
 
     fn is_own_change(&self, belief: &ServerBelief, now: Instant) -> bool {
-        self.changing
-            .get(&belief.entry.server)
-            .is_some_and(|(stage, until)| belief.entry.stage != *stage && now < *until)
-    }
-
-    fn is_changing(&self, belief: &ServerBelief, now: Instant) -> bool {
-        self.is_own_change(belief, now) || self.peers.is_changing(belief.digest, now)
+        !self.changing.is_empty()
+            && self
+                .changing
+                .get(&belief.entry.server)
+                .is_some_and(|(stage, until)| belief.entry.stage != *stage && now < *until)
     }
 
     /// One server.
@@ -219,7 +223,7 @@
 
     /// Work at a server, ours and the other gateways'.
     pub fn load(&self, belief: &ServerBelief, now: Instant) -> LoadShare {
-        belief.own.plus(self.peers.load(belief.digest, now))
+        belief.own.plus(self.peers.server(belief.digest, now).load)
     }
 
     /// Our own work at each server that has any, for a report to the peers.
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -1,19 +1,19 @@
-//! How much work the other gateways have at each server.
+//! What the other gateways tell: their newest reports, and sums over them.
 
-use std::collections::HashMap;
+use std::cell::Cell;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-use serde::Serialize;
-use smallvec::SmallVec;
+use rustc_hash::FxHashMap;
 
 use super::HeardRetries;
 use super::LineNews;
 use super::OtherLines;
-use super::RetryCount;
-use crate::model::ConfigVersion;
-use crate::model::PromptShape;
+use super::PeerNews;
+use super::PeerSums;
+use super::ServerSum;
+use super::ServiceSum;
 
 /// How long a peer's report counts: a dozen reports at the pace of a small
 /// site, and two at the slowest of one each 250 ms, so that a lost datagram
@@ -23,116 +23,49 @@
 /// After this long without a report a peer no longer counts as live.
 const PEER_LIFE: Duration = Duration::from_secs(5);
 
-/// Work at one server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadShare {
-    /// Requests sent and not yet answered in full.
-    pub running: u32,
-    /// Tokens of their prompts.
-    pub prompt_tokens: u32,
-    /// Tokens they are expected to generate, those already made included.
-    pub output_tokens: u32,
-    /// Tokens already generated.
-    pub made_tokens: u32,
-}
-
-impl LoadShare {
-    /// One stream of `shape` that begins.
-    pub fn of_stream(shape: &PromptShape) -> LoadShare {
-        LoadShare {
-            running: 1,
-            prompt_tokens: shape.prompt_tokens,
-            output_tokens: shape.expected_output(),
-            made_tokens: 0,
-        }
-    }
-
-    /// One prompt to be read.
-    pub fn of_prompt(prompt_tokens: u32) -> LoadShare {
-        LoadShare { running: 1, prompt_tokens, ..LoadShare::default() }
-    }
-
-    /// One call to a plain service.
-    pub fn of_call() -> LoadShare {
-        LoadShare { running: 1, ..LoadShare::default() }
-    }
-
-    /// The sum of both.
-    pub fn plus(self, other: LoadShare) -> LoadShare {
-        LoadShare {
-            running: self.running + other.running,
-            prompt_tokens: self.prompt_tokens + other.prompt_tokens,
-            output_tokens: self.output_tokens + other.output_tokens,
-            made_tokens: self.made_tokens + other.made_tokens,
-        }
-    }
-
-    /// What is left when `other`, counted in before, ends.
-    pub fn minus(self, other: LoadShare) -> LoadShare {
-        LoadShare {
-            running: self.running.saturating_sub(other.running),
-            prompt_tokens: self.prompt_tokens.saturating_sub(other.prompt_tokens),
-            output_tokens: self.output_tokens.saturating_sub(other.output_tokens),
-            made_tokens: self.made_tokens.saturating_sub(other.made_tokens),
-        }
-    }
+/// A gateway's name as its digest.
+type PeerDigest = u64;
 
-    /// The most tokens of KV cache that this work is expected to hold at any
-    /// later moment.
-    ///
-    /// Requests that began together all hold their whole answers in the end.
-    /// Requests at all stages free more, as the first of them end, than the
-    /// others still add, since a prompt is longer than its answer: they hold
-    /// the most now. In between, the part still to be generated counts by
-    /// how far together they are.
-    pub fn peak_tokens(&self) -> f64 {
-        let output = f64::from(self.output_tokens);
-        let left = f64::from(self.output_tokens.saturating_sub(self.made_tokens));
-        let held = f64::from(self.prompt_tokens) + f64::from(self.made_tokens);
-        if output <= 0.0 {
-            return held;
-        }
-        let together = (2.0 * left / output - 1.0).clamp(0.0, 1.0);
-        held + left * together
-    }
-}
-
-/// A server's id as it stands in load reports: 8 bytes instead of about 12.
-pub fn server_digest(server: &str) -> u64 {
-    umberglade_wire::digest(server.as_bytes())
-}
-
-/// What one report says.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PeerNews {
-    /// Work at each server that has any, by the server's digest.
-    pub loads: HashMap<u64, LoadShare>,
-    /// Requests and repeats, by the service's digest.
-    pub retries: HashMap<u64, RetryCount>,
-    /// Servers the peer passes over, by digest.
-    pub aside: SmallVec<[u64; 4]>,
-    /// Requests that wait for engines' room, by the service's digest.
-    pub lines: HashMap<u64, LineNews>,
-    /// For how long the peer has read the servers' table without an outage.
-    pub store_calm: Duration,
-    /// Engines that the peer has told to change their stage, by digest.
-    pub changing: SmallVec<[u64; 4]>,
-    /// The configuration in force at the peer; 0 while it knows none.
-    pub config: ConfigVersion,
+/// A name's digest, as it stands in load reports: 8 bytes instead of about 12.
+pub fn server_digest(name: &str) -> u64 {
+    umberglade_wire::digest(name.as_bytes())
 }
 
 #[derive(Debug)]
 struct PeerReport {
     incarnation: u64,
     sequence: u64,
+    /// Which report this was of all heard.
+    serial: u64,
     heard_at: Instant,
+    /// True while it is part of the sums.
+    is_counted: bool,
     news: PeerNews,
 }
 
+/// A report as it was heard.
+#[derive(Debug, Clone, Copy)]
+struct HeardReport {
+    peer: PeerDigest,
+    serial: u64,
+    heard_at: Instant,
+}
+
 /// The newest report of each peer.
+///
+/// Reports count for [`REPORT_LIFE`]. Those that have lapsed are taken out of
+/// the sums when the next report comes or at the next tick; until then a look
+/// at the sums subtracts them, so that what is read is exact at any moment.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
-    reports: HashMap<String, PeerReport>,
+    reports: FxHashMap<PeerDigest, PeerReport>,
+    sums: PeerSums,
+    /// Invariant: all reports in the sums, oldest first; some entries stand
+    /// for reports that newer ones have replaced.
+    by_age: VecDeque<HeardReport>,
+    heard: u64,
+    /// Looks at a server's sum so far.
+    server_looks: Cell<u64>,
 }
 
 impl PeerLoads {
@@ -148,43 +81,57 @@
         news: PeerNews,
         now: Instant,
     ) -> bool {
-        if let Some(known) = self.reports.get(peer)
+        let peer = server_digest(peer);
+        if let Some(known) = self.reports.get(&peer)
             && known.incarnation == incarnation
             && known.sequence >= sequence
         {
             return false;
         }
-        let report = PeerReport { incarnation, sequence, heard_at: now, news };
-        self.reports.insert(peer.to_owned(), report);
+        self.settle(now);
+        self.heard += 1;
+        let serial = self.heard;
+        self.sums.add(&news);
+        self.by_age.push_back(HeardReport { peer, serial, heard_at: now });
+        let report =
+            PeerReport { incarnation, sequence, serial, heard_at: now, is_counted: true, news };
+        let replaced = self.reports.insert(peer, report);
+        if let Some(replaced) = replaced.filter(|replaced| replaced.is_counted) {
+            self.sums.remove(&replaced.news);
+        }
         true
     }
 
     /// What live reports say of the server with `digest`.
-    pub fn load(&self, digest: u64, now: Instant) -> LoadShare {
-        self.fresh(now)
-            .filter_map(|report| report.news.loads.get(&digest))
-            .fold(LoadShare::default(), |sum, load| sum.plus(*load))
+    pub fn server(&self, digest: u64, now: Instant) -> ServerSum {
+        self.server_looks.set(self.server_looks.get() + 1);
+        let mut sum = self.sums.server(digest);
+        self.lapsed(now).for_each(|report| sum.remove(&report.news, digest));
+        sum
+    }
+
+    /// How often [`server`](Self::server) was asked, by which tests bound the
+    /// cost of a decision.
+    pub fn server_looks(&self) -> u64 {
+        self.server_looks.get()
     }
 
     /// What live reports say of repeats to the service with `digest`.
     pub fn retries(&self, digest: u64, now: Instant) -> HeardRetries {
-        self.fresh(now).fold(HeardRetries::default(), |mut sum, report| {
-            let count = report.news.retries.get(&digest).copied().unwrap_or_default();
-            sum.gateways += 1;
-            sum.count.requests += count.requests;
-            sum.count.repeats += count.repeats;
-            sum
-        })
+        HeardRetries { gateways: self.heard(now), count: self.service(digest, now).retries() }
     }
 
     /// How many requests for the service with `digest` wait at gateways whose
     /// line goes before `own`.
     pub fn waiting_before(&self, digest: u64, own: &LineNews, now: Instant) -> usize {
+        if self.other_lines(digest, now).waiting == 0 {
+            return 0;
+        }
         self.fresh(now)
             .filter_map(|report| {
-                let mut line = *report.news.lines.get(&digest)?;
+                let mut line = report.news.line(digest)?;
                 let heard = now.saturating_duration_since(report.heard_at);
-                line.first_age_ms += heard.as_millis() as u32;
+                line.first_age_ms = line.first_age_ms.saturating_add(heard.as_millis() as u32);
                 (line.waiting > 0 && line.goes_before(own)).then_some(line.waiting as usize)
             })
             .sum()
@@ -192,13 +139,7 @@
 
     /// The lines for the service with `digest` at live peers, together.
     pub fn other_lines(&self, digest: u64, now: Instant) -> OtherLines {
-        let lines = self.fresh(now).filter_map(|report| report.news.lines.get(&digest));
-        lines.fold(OtherLines::default(), |sum, line| OtherLines {
-            waiting: sum.waiting + line.waiting,
-            on_time: sum.on_time + line.on_time,
-            pace: sum.pace + f64::from(line.pace_milli) / 1000.0,
-            arrivals: sum.arrivals + f64::from(line.arrivals_milli) / 1000.0,
-        })
+        self.service(digest, now).lines()
     }
 
     /// True when some live peer has read the store without an outage for the
@@ -207,11 +148,6 @@
         self.fresh(now).any(|report| report.news.store_calm >= span)
     }
 
-    /// True when some peer has told the engine with `digest` to change.
-    pub fn is_changing(&self, digest: u64, now: Instant) -> bool {
-        self.fresh(now).any(|report| report.news.changing.contains(&digest))
-    }
-
     /// True when this gateway, with digest `own`, is the one to act for all:
     /// of those that have read the store for `calm` it has the least digest.
     /// More than one may think so; who acts must claim the duty first.
@@ -220,7 +156,7 @@
             .iter()
             .filter(|(_, report)| now.saturating_duration_since(report.heard_at) < REPORT_LIFE)
             .filter(|(_, report)| report.news.store_calm >= calm)
-            .all(|(peer, _)| own < server_digest(peer))
+            .all(|(peer, _)| own < *peer)
     }
 
     /// Peers that a fresh report has come from.
@@ -228,17 +164,6 @@
         self.fresh(now).count()
     }
 
-    /// How many live reports pass over the server with `digest`.
-    pub fn aside_count(&self, digest: u64, now: Instant) -> usize {
-        self.fresh(now).filter(|report| report.news.aside.contains(&digest)).count()
-    }
-
-    fn fresh(&self, now: Instant) -> impl Iterator<Item = &PeerReport> {
-        self.reports
-            .values()
-            .filter(move |report| now.saturating_duration_since(report.heard_at) < REPORT_LIFE)
-    }
-
     /// Peers heard of lately.
     pub fn live_peers(&self, now: Instant) -> usize {
         self.reports
@@ -249,6 +174,45 @@
 
     /// Forgets reports of peers that no longer count.
     pub fn forget_old(&mut self, now: Instant) {
+        self.settle(now);
         self.reports.retain(|_, report| now.saturating_duration_since(report.heard_at) < PEER_LIFE);
     }
+
+    fn service(&self, digest: u64, now: Instant) -> ServiceSum {
+        let mut sum = self.sums.service(digest);
+        self.lapsed(now).for_each(|report| sum.remove(&report.news, digest));
+        sum
+    }
+
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = &PeerReport> {
+        self.reports
+            .values()
+            .filter(move |report| now.saturating_duration_since(report.heard_at) < REPORT_LIFE)
+    }
+
+    /// Reports that have lapsed and are still part of the sums.
+    fn lapsed(&self, now: Instant) -> impl Iterator<Item = &PeerReport> {
+        self.by_age
+            .iter()
+            .take_while(move |heard| has_lapsed(heard, now))
+            .filter_map(|heard| {
+                self.reports.get(&heard.peer).filter(|of| of.serial == heard.serial)
+            })
+            .filter(|report| report.is_counted)
+    }
+
+    /// Takes lapsed reports out of the sums.
+    fn settle(&mut self, now: Instant) {
+        while let Some(heard) = self.by_age.pop_front_if(|heard| has_lapsed(heard, now)) {
+            let Some(report) = self.reports.get_mut(&heard.peer) else { continue };
+            if report.serial == heard.serial && report.is_counted {
+                report.is_counted = false;
+                self.sums.remove(&report.news);
+            }
+        }
+    }
+}
+
+fn has_lapsed(heard: &HeardReport, now: Instant) -> bool {
+    now.saturating_duration_since(heard.heard_at) >= REPORT_LIFE
 }
--- a/crates/gateway/src/belief/placement.rs
+++ b/crates/gateway/src/belief/placement.rs
@@ -7,6 +7,7 @@
 use super::Fleet;
 use super::LoadShare;
 use super::ServerBelief;
+use super::ServerSum;
 use crate::model::DomainKey;
 use crate::model::EngineSpec;
 use crate::model::PromptShape;
@@ -22,7 +23,7 @@
 /// What each gateway that passes a server over weighs, up to three of them.
 const PEER_ASIDE_WEIGHT: f64 = 0.7;
 /// This many other gateways that pass a server over are believed outright.
-const PEERS_TO_BELIEVE: usize = 2;
+const PEERS_TO_BELIEVE: u32 = 2;
 /// What another failure domain weighs for plain calls, in shares of a full
 /// server: two more hops of under two milliseconds, against queueing.
 const AWAY_WEIGHT: f64 = 0.3;
@@ -80,15 +81,62 @@
     pub cost: f64,
 }
 
+/// A server that may take the request, with what the other gateways tell of
+/// it: looked up once, however many costs are weighed.
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    belief: &'a ServerBelief,
+    others: ServerSum,
+    /// What its failures weigh, ours and those that others saw, in shares of
+    /// a full server.
+    failure_cost: f64,
+}
+
+impl Candidate<'_> {
+    /// Work there, ours and the other gateways'.
+    fn load(&self) -> LoadShare {
+        self.belief.own.plus(self.others.load)
+    }
+
+    /// True when we pass the server over, or enough of the other gateways do
+    /// that it is hardly their paths.
+    fn is_aside(&self, now: Instant) -> bool {
+        self.belief.health.is_aside(now) || self.others.aside >= PEERS_TO_BELIEVE
+    }
+
+    /// How full the engine would be with a stream of `shape`, from 0 to 1;
+    /// `None` when it has no room for it.
+    fn room(&self, spec: &EngineSpec, shape: &PromptShape) -> Option<f64> {
+        let load = self.load();
+        let slots = if spec.slots > 0 { spec.slots } else { self.belief.entry.slots };
+        let with_it = load.plus(LoadShare::of_stream(shape));
+        let by_slots = f64::from(with_it.running) / f64::from(slots.max(1));
+        let by_memory = with_it.peak_tokens() / given_out(spec);
+        let is_alone = load.running == 0;
+        let filled = by_slots.max(if is_alone { by_memory.min(1.0) } else { by_memory });
+        (filled <= 1.0).then_some(filled)
+    }
+
+    /// Milliseconds that a prompt waits there for those before it, with what
+    /// failures weigh.
+    fn reading_cost(&self) -> f64 {
+        let queued = f64::from(self.load().prompt_tokens) / PREFILL_TOKENS_PER_MS;
+        queued + self.failure_cost * FULL_MS
+    }
+}
+
+type Candidates<'a> = SmallVec<[Candidate<'a>; 32]>;
+
 /// The server for a call to a plain service: the least loaded, weighed with
 /// how it has fared and how far it is.
 pub fn place_plain(fleet: &Fleet, need: &PlaceNeed<'_>) -> Result<PlainPlace, PlaceRefusal> {
-    let cost = |belief: &ServerBelief| {
-        let running = f64::from(fleet.load(belief, need.now).running);
-        let filled = (running + 1.0) / f64::from(belief.entry.slots.max(1));
-        filled + failure_cost(fleet, belief, need.now) + away(belief, need.domain) * AWAY_WEIGHT
+    let cost = |candidate: &Candidate<'_>| {
+        let entry = &candidate.belief.entry;
+        let filled = f64::from(candidate.load().running + 1) / f64::from(entry.slots.max(1));
+        let distance = if entry.domain == *need.domain { 0.0 } else { AWAY_WEIGHT };
+        filled + candidate.failure_cost + distance
     };
-    let (server, cost) = cheapest(candidates(fleet, need, |_| true), cost)?;
+    let (server, cost) = cheapest(&candidates(fleet, need, |_| true), cost)?;
     Ok(PlainPlace { server, cost })
 }
 
@@ -105,34 +153,33 @@
     ahead: usize,
     need: &PlaceNeed<'_>,
 ) -> Result<EnginePlace, PlaceRefusal> {
-    let decodes = candidates(fleet, need, |stage| stage != ServerStage::Prefill);
+    let engines = open_candidates(fleet, need, |_| true);
+    let decodes = well_or_all(&engines, need.now, |stage| stage != ServerStage::Prefill);
     if decodes.is_empty() {
         return Err(PlaceRefusal::NoServer);
     }
-    let prefills = candidates(fleet, need, |stage| stage == ServerStage::Prefill);
     let prompt_ms = f64::from(shape.prompt_tokens) / PREFILL_TOKENS_PER_MS;
+    let reading_cost =
+        |reader: &Candidate<'_>| reader.reading_cost() + dislike(need, reader.belief) * prompt_ms;
+    let readers = well_or_all(&engines, need.now, |stage| stage == ServerStage::Prefill);
+    let readers = DomainReaders::new(&readers, reading_cost);
     let stream_fill = LoadShare::of_stream(shape).peak_tokens() / given_out(spec);
-    let mut places: SmallVec<[EnginePlace; 32]> = SmallVec::new();
-    for decode in decodes {
-        let Some(fill) = room(fleet, spec, shape, decode, need.now) else { continue };
-        let fill = fill + dislike(need, decode) * stream_fill;
-        let decode_ms = (fill + failure_cost(fleet, decode, need.now)) * FULL_MS;
-        let prefill = prefills
-            .iter()
-            .map(|prefill| {
-                let cost = prefill_cost(fleet, prefill, &decode.entry.domain, need.now);
-                (*prefill, cost + dislike(need, prefill) * prompt_ms)
-            })
-            .min_by(|left, right| left.1.total_cmp(&right.1));
-        let cost = decode_ms + prefill.map_or(0.0, |(_, cost)| cost);
-        places.push(EnginePlace {
-            decode: decode.entry.server.clone(),
-            prefill: prefill.map(|(prefill, _)| prefill.entry.server.clone()),
-            cost,
-        });
+    let mut places: SmallVec<[(f64, usize); 32]> = SmallVec::new();
+    for (at, decode) in decodes.iter().enumerate() {
+        let Some(fill) = decode.room(spec, shape) else { continue };
+        let fill = fill + dislike(need, decode.belief) * stream_fill;
+        let decode_cost = (fill + decode.failure_cost) * FULL_MS;
+        let reader_cost = readers.near(&decode.belief.entry.domain).map_or(0.0, |(_, cost)| cost);
+        places.push((decode_cost + reader_cost, at));
+    }
+    if ahead >= places.len() {
+        return Err(PlaceRefusal::NoRoom);
     }
-    places.sort_unstable_by(|left, right| left.cost.total_cmp(&right.cost));
-    if ahead < places.len() { Ok(places.swap_remove(ahead)) } else { Err(PlaceRefusal::NoRoom) }
+    let by_cost = |left: &(f64, usize), right: &(f64, usize)| left.0.total_cmp(&right.0);
+    let (_, &mut (cost, at), _) = places.select_nth_unstable_by(ahead, by_cost);
+    let decode = &decodes[at].belief.entry;
+    let prefill = readers.near(&decode.domain).map(|(server, _)| server.clone());
+    Ok(EnginePlace { decode: decode.server.clone(), prefill, cost })
 }
 
 /// A decode server for a stream that must go on elsewhere; one without
@@ -144,11 +191,10 @@
     need: &PlaceNeed<'_>,
 ) -> Result<ServerKey, PlaceRefusal> {
     let decodes = candidates(fleet, need, |stage| stage != ServerStage::Prefill);
-    let cost = |belief: &ServerBelief| {
-        let full = room(fleet, spec, shape, belief, need.now);
-        full.unwrap_or(2.0) + failure_cost(fleet, belief, need.now)
+    let cost = |candidate: &Candidate<'_>| {
+        candidate.room(spec, shape).unwrap_or(2.0) + candidate.failure_cost
     };
-    cheapest(decodes, cost).map(|(server, _)| server)
+    cheapest(&decodes, cost).map(|(server, _)| server)
 }
 
 /// A prefill server near `domain`.
@@ -158,8 +204,47 @@
     need: &PlaceNeed<'_>,
 ) -> Result<ServerKey, PlaceRefusal> {
     let prefills = candidates(fleet, need, |stage| stage == ServerStage::Prefill);
-    let cost = |belief: &ServerBelief| prefill_cost(fleet, belief, domain, need.now);
-    cheapest(prefills, cost).map(|(server, _)| server)
+    let cost = |candidate: &Candidate<'_>| {
+        candidate.reading_cost() + transfer_cost(&candidate.belief.entry.domain, domain)
+    };
+    cheapest(&prefills, cost).map(|(server, _)| server)
+}
+
+/// The cheapest prefill server of each failure domain, found once a decision:
+/// once for each pair of engines grows with the square of a site.
+#[derive(Debug)]
+struct DomainReaders<'a> {
+    cheapest: SmallVec<[(&'a ServerBelief, f64); 8]>,
+}
+
+impl<'a> DomainReaders<'a> {
+    fn new(readers: &[Candidate<'a>], cost: impl Fn(&Candidate<'_>) -> f64) -> Self {
+        let mut cheapest: SmallVec<[(&ServerBelief, f64); 8]> = SmallVec::new();
+        for reader in readers {
+            let belief = reader.belief;
+            let cost = cost(reader);
+            let same =
+                |known: &&mut (&ServerBelief, f64)| known.0.entry.domain == belief.entry.domain;
+            match cheapest.iter_mut().find(same) {
+                Some(known) if cost < known.1 => *known = (belief, cost),
+                Some(_) => {}
+                None => cheapest.push((belief, cost)),
+            }
+        }
+        DomainReaders { cheapest }
+    }
+
+    /// The cheapest for a decode server in `domain`, and its cost with the
+    /// transfer's.
+    fn near(&self, domain: &DomainKey) -> Option<(&'a ServerKey, f64)> {
+        self.cheapest
+            .iter()
+            .map(|(reader, cost)| {
+                let entry = &reader.entry;
+                (&entry.server, cost + transfer_cost(&entry.domain, domain))
+            })
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+    }
 }
 
 /// The servers that may take the request: not tried yet and not set aside;
@@ -169,41 +254,57 @@
     fleet: &'a Fleet,
     need: &PlaceNeed<'_>,
     suits: impl Fn(ServerStage) -> bool,
-) -> SmallVec<[&'a ServerBelief; 32]> {
-    let open: SmallVec<[&ServerBelief; 32]> = fleet
+) -> Candidates<'a> {
+    well_or_all(&open_candidates(fleet, need, suits), need.now, |_| true)
+}
+
+fn open_candidates<'a>(
+    fleet: &'a Fleet,
+    need: &PlaceNeed<'_>,
+    suits: impl Fn(ServerStage) -> bool,
+) -> Candidates<'a> {
+    fleet
         .open_servers(need.service, need.now)
-        .filter(|belief| suits(belief.entry.stage))
-        .filter(|belief| !need.tried.contains(&belief.entry.server))
-        .collect();
-    let well: SmallVec<[&ServerBelief; 32]> =
-        open.iter().copied().filter(|belief| !is_aside(fleet, belief, need.now)).collect();
-    if well.is_empty() { open } else { well }
+        .filter(|(belief, _)| suits(belief.entry.stage))
+        .filter(|(belief, _)| !need.tried.contains(&belief.entry.server))
+        .map(|(belief, others)| Candidate {
+            belief,
+            others,
+            failure_cost: failure_cost(belief, others, need.now),
+        })
+        .collect()
 }
 
-/// True when we pass the server over, or enough of the other gateways do
-/// that it is hardly their paths.
-fn is_aside(fleet: &Fleet, belief: &ServerBelief, now: Instant) -> bool {
-    belief.health.is_aside(now) || fleet.peers.aside_count(belief.digest, now) >= PEERS_TO_BELIEVE
+/// Those of a suitable stage that are not set aside, or all of that stage if
+/// there are no others.
+fn well_or_all<'a>(
+    open: &[Candidate<'a>],
+    now: Instant,
+    suits: impl Fn(ServerStage) -> bool,
+) -> Candidates<'a> {
+    let suitable = || open.iter().filter(|candidate| suits(candidate.belief.entry.stage));
+    let well: Candidates<'a> = suitable().filter(|one| !one.is_aside(now)).copied().collect();
+    if well.is_empty() { suitable().copied().collect() } else { well }
 }
 
 fn cheapest(
-    candidates: SmallVec<[&ServerBelief; 32]>,
-    cost: impl Fn(&ServerBelief) -> f64,
+    candidates: &[Candidate<'_>],
+    cost: impl Fn(&Candidate<'_>) -> f64,
 ) -> Result<(ServerKey, f64), PlaceRefusal> {
     candidates
-        .into_iter()
-        .map(|belief| (belief, cost(belief) + fastrand::f64() * 0.01))
+        .iter()
+        .map(|candidate| (candidate, cost(candidate) + fastrand::f64() * 0.01))
         .min_by(|left, right| left.1.total_cmp(&right.1))
-        .map(|(belief, cost)| (belief.entry.server.clone(), cost))
+        .map(|(candidate, cost)| (candidate.belief.entry.server.clone(), cost))
         .ok_or(PlaceRefusal::NoServer)
 }
 
 /// What our own failures there weigh, and those of the other gateways: a
 /// server that one of them passes over is likely down for all, though only
 /// this one's path may be.
-fn failure_cost(fleet: &Fleet, belief: &ServerBelief, now: Instant) -> f64 {
-    let peers = fleet.peers.aside_count(belief.digest, now) as f64;
-    belief.health.failure_share(now) * FAILURE_WEIGHT + peers.min(3.0) * PEER_ASIDE_WEIGHT
+fn failure_cost(belief: &ServerBelief, others: ServerSum, now: Instant) -> f64 {
+    let peers = f64::from(others.aside.min(3));
+    belief.health.failure_share(now) * FAILURE_WEIGHT + peers * PEER_ASIDE_WEIGHT
 }
 
 /// How much this gateway dislikes a server among equal ones, from 0 to 1: a
@@ -219,42 +320,12 @@
     (mixed >> 32) as f64 / f64::from(u32::MAX)
 }
 
-fn away(belief: &ServerBelief, domain: &DomainKey) -> f64 {
-    if belief.entry.domain == *domain { 0.0 } else { 1.0 }
-}
-
-fn prefill_cost(
-    fleet: &Fleet,
-    belief: &ServerBelief,
-    decode_domain: &DomainKey,
-    now: Instant,
-) -> f64 {
-    let queued = f64::from(fleet.load(belief, now).prompt_tokens) / PREFILL_TOKENS_PER_MS;
-    queued
-        + away(belief, decode_domain) * AWAY_TRANSFER_MS
-        + failure_cost(fleet, belief, now) * FULL_MS
+/// What a transfer between two failure domains weighs, in milliseconds.
+fn transfer_cost(from: &DomainKey, to: &DomainKey) -> f64 {
+    if from == to { 0.0 } else { AWAY_TRANSFER_MS }
 }
 
 /// The tokens of an engine's memory that are given out.
 fn given_out(spec: &EngineSpec) -> f64 {
     f64::from(spec.kv_tokens.max(1)) * MEMORY_PART
 }
-
-/// How full the engine would be with the request, from 0 to 1; `None` when
-/// it has no room for it.
-fn room(
-    fleet: &Fleet,
-    spec: &EngineSpec,
-    shape: &PromptShape,
-    belief: &ServerBelief,
-    now: Instant,
-) -> Option<f64> {
-    let load = fleet.load(belief, now);
-    let slots = if spec.slots > 0 { spec.slots } else { belief.entry.slots };
-    let with_it = load.plus(LoadShare::of_stream(shape));
-    let by_slots = f64::from(with_it.running) / f64::from(slots.max(1));
-    let by_memory = with_it.peak_tokens() / given_out(spec);
-    let is_alone = load.running == 0;
-    let filled = by_slots.max(if is_alone { by_memory.min(1.0) } else { by_memory });
-    (filled <= 1.0).then_some(filled)
-}
--- a/crates/gateway/src/belief/server_health.rs
+++ b/crates/gateway/src/belief/server_health.rs
@@ -99,7 +99,7 @@
 
     /// The share of sends that failed lately, fading without news.
     pub fn failure_share(&self, now: Instant) -> f64 {
-        let Some(at) = self.updated_at else { return 0.0 };
+        let Some(at) = self.updated_at.filter(|_| self.failure_share > 0.0) else { return 0.0 };
         let age = now.saturating_duration_since(at).as_secs_f64();
         self.failure_share * 0.5f64.powf(age / HALF_LIFE.as_secs_f64())
     }
--- a/crates/gateway/src/belief/stage_watch.rs
+++ b/crates/gateway/src/belief/stage_watch.rs
@@ -115,13 +115,13 @@
 /// A look at the engines of `service`, for which `waiting` requests wait.
 pub fn stage_look(fleet: &Fleet, service: &str, waiting: usize, now: Instant) -> StageLook {
     let mut look = StageLook { prefill: 0, prefill_busy: 0, decode: 0, waiting };
-    for belief in fleet.open_servers(service, now) {
+    for (belief, others) in fleet.open_servers(service, now) {
         match belief.entry.stage {
             ServerStage::Plain => {}
             ServerStage::Decode => look.decode += 1,
             ServerStage::Prefill => {
                 look.prefill += 1;
-                look.prefill_busy += usize::from(fleet.load(belief, now).running > 0);
+                look.prefill_busy += usize::from(belief.own.plus(others.load).running > 0);
             }
         }
     }
@@ -142,10 +142,10 @@
     };
     let mut left: Vec<(u32, DomainKey, ServerKey)> = fleet
         .open_servers(service, now)
-        .filter(|belief| belief.entry.stage == from)
-        .filter(|belief| !belief.health.is_aside(now))
-        .map(|belief| {
-            let running = fleet.load(belief, now).running;
+        .filter(|(belief, _)| belief.entry.stage == from)
+        .filter(|(belief, _)| !belief.health.is_aside(now))
+        .map(|(belief, others)| {
+            let running = belief.own.plus(others.load).running;
             (running, belief.entry.domain.clone(), belief.entry.server.clone())
         })
         .collect();
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -130,9 +130,9 @@
     let now = Instant::now();
     let fleet = state.fleet();
     let (mut servers, mut running) = (0, 0);
-    for belief in fleet.open_servers(&call.service, now) {
+    for (belief, others) in fleet.open_servers(&call.service, now) {
         servers += 1;
-        running += fleet.load(belief, now).running;
+        running += belief.own.plus(others.load).running;
     }
     tracing::info!(
         event = events::NO_ROOM,
@@ -144,7 +144,7 @@
         waiting,
         waiting_elsewhere = others.waiting,
         pace_elsewhere = others.pace,
-        gateways_heard = fleet.peers.live_peers(now),
+        gateways_heard = fleet.peers.heard(now),
         predicted_ms = predicted.as_millis() as u64,
         waited_ms = call.age_ms(),
         "no room at any engine"
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -88,10 +88,10 @@
         return;
     };
     let news = PeerNews {
-        loads: report.loads.into_iter().collect(),
-        retries: report.retries.into_iter().collect(),
+        loads: report.loads,
+        retries: report.retries,
         aside: report.aside.into(),
-        lines: report.lines.into_iter().collect(),
+        lines: report.lines.into(),
         store_calm: Duration::from_millis(report.store_calm_ms),
         changing: report.changing.into(),
         config: report.config,
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -23,7 +23,7 @@
 
 fn open(fleet: &Fleet, now: Instant) -> Vec<String> {
     let mut open: Vec<String> =
-        fleet.open_servers("svc", now).map(|belief| belief.entry.server.to_string()).collect();
+        fleet.open_servers("svc", now).map(|(belief, _)| belief.entry.server.to_string()).collect();
     open.sort();
     open
 }
--- /dev/null
+++ b/crates/gateway/tests/peer_sums.rs
@@ -0,0 +1,241 @@
+//! Sums over the other gateways' reports.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+use umberglade_gateway::belief::Fleet;
+use umberglade_gateway::belief::LineNews;
+use umberglade_gateway::belief::LoadShare;
+use umberglade_gateway::belief::PeerLoads;
+use umberglade_gateway::belief::PeerNews;
+use umberglade_gateway::belief::PlaceNeed;
+use umberglade_gateway::belief::RetryCount;
+use umberglade_gateway::belief::ServerSum;
+use umberglade_gateway::belief::place_engine;
+use umberglade_gateway::belief::place_plain;
+use umberglade_gateway::belief::server_digest;
+use umberglade_gateway::model::DomainKey;
+use umberglade_gateway::model::EngineSpec;
+use umberglade_gateway::model::PromptShape;
+use umberglade_gateway::model::ServerEntry;
+use umberglade_gateway::model::ServerStage;
+
+/// How long a report counts.
+const REPORT_LIFE: Duration = Duration::from_millis(600);
+/// How long a peer is remembered after its last report, for the order of its
+/// reports.
+const PEER_LIFE: Duration = Duration::from_secs(5);
+
+const PEERS: [&str; 3] = ["gw-1", "gw-2", "gw-3"];
+const SERVERS: u64 = 3;
+const SERVICES: u64 = 2;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Report { peer: usize, incarnation: u64, sequence: u64, news: Box<PeerNews> },
+    Wait(u64),
+    Tick,
+}
+
+fn news() -> impl Strategy<Value = PeerNews> {
+    // Counts of any size: a datagram may hold anything.
+    let count = || prop_oneof![4 => 0u32..50, 1 => any::<u32>()];
+    let load = (0..SERVERS, count(), count(), count(), count()).prop_map(
+        |(server, running, prompt_tokens, output_tokens, made_tokens)| {
+            (server, LoadShare { running, prompt_tokens, output_tokens, made_tokens })
+        },
+    );
+    let retry = (0..SERVICES, count(), count())
+        .prop_map(|(service, requests, repeats)| (service, RetryCount { requests, repeats }));
+    let line = (0..SERVICES, count(), count(), count()).prop_map(
+        |(service, waiting, on_time, pace_milli)| {
+            let arrivals_milli = pace_milli / 2;
+            let line = LineNews {
+                waiting,
+                on_time,
+                first_age_ms: 1,
+                is_first_late: false,
+                pace_milli,
+                arrivals_milli,
+            };
+            (service, line)
+        },
+    );
+    let servers = || prop::collection::vec(0..SERVERS, 0..3);
+    let few = 0..3usize;
+    (
+        prop::collection::vec(load, few.clone()),
+        prop::collection::vec(retry, few),
+        prop::option::of(line),
+        servers(),
+        servers(),
+    )
+        .prop_map(|(loads, retries, line, aside, changing)| PeerNews {
+            loads,
+            retries,
+            lines: line.into_iter().collect(),
+            aside: aside.into(),
+            changing: changing.into(),
+            ..PeerNews::default()
+        })
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..PEERS.len(), 1u64..3, 1u64..30, news()).prop_map(
+            |(peer, incarnation, sequence, news)| {
+                let news = Box::new(news);
+                Step::Report { peer, incarnation, sequence, news }
+            }
+        ),
+        3 => (0u64..700).prop_map(Step::Wait),
+        1 => Just(Step::Tick),
+    ]
+}
+
+/// The newest reports and when they came, summed anew at each look.
+#[derive(Default)]
+struct PlainSums {
+    newest: Vec<(usize, u64, u64, Instant, PeerNews)>,
+}
+
+impl PlainSums {
+    fn note(&mut self, peer: usize, incarnation: u64, sequence: u64, news: PeerNews, now: Instant) {
+        let is_older = |known: &&(usize, u64, u64, Instant, PeerNews)| {
+            known.0 == peer && known.1 == incarnation && known.2 >= sequence
+        };
+        if self.newest.iter().find(is_older).is_some() {
+            return;
+        }
+        self.newest.retain(|known| known.0 != peer);
+        self.newest.push((peer, incarnation, sequence, now, news));
+    }
+
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = &PeerNews> {
+        let is_fresh = move |heard: Instant| now - heard < REPORT_LIFE;
+        self.newest.iter().filter(move |known| is_fresh(known.3)).map(|known| &known.4)
+    }
+
+    fn server(&self, digest: u64, now: Instant) -> ServerSum {
+        let mut sum = ServerSum::default();
+        for news in self.fresh(now) {
+            for (_, load) in news.loads.iter().filter(|(server, _)| *server == digest) {
+                sum.load = sum.load.plus(load.bounded());
+            }
+            let count = |of: &[u64]| of.iter().filter(|server| **server == digest).count() as u32;
+            sum.aside += count(&news.aside);
+            sum.changing += count(&news.changing);
+        }
+        sum
+    }
+
+    fn requests(&self, digest: u64, now: Instant) -> u64 {
+        let counts = self.fresh(now).flat_map(|news| &news.retries);
+        counts.filter(|(of, _)| *of == digest).map(|(_, count)| u64::from(count.requests)).sum()
+    }
+
+    fn waiting(&self, digest: u64, now: Instant) -> u64 {
+        let lines = self.fresh(now).flat_map(|news| &news.lines);
+        lines.filter(|(of, _)| *of == digest).map(|(_, line)| u64::from(line.waiting)).sum()
+    }
+}
+
+proptest! {
+    /// Whatever comes in whatever order, lapses or is replaced: the sums are
+    /// those of the newest reports that still count, to the last token.
+    #[test]
+    fn sums_equal_the_sum_over_all_reports(steps in prop::collection::vec(step(), 1..60)) {
+        let mut now = Instant::now();
+        let mut loads = PeerLoads::default();
+        let mut plain = PlainSums::default();
+        for step in steps {
+            match step {
+                Step::Report { peer, incarnation, sequence, news } => {
+                    loads.note(PEERS[peer], incarnation, sequence, (*news).clone(), now);
+                    plain.note(peer, incarnation, sequence, *news, now);
+                }
+                Step::Wait(millis) => now += Duration::from_millis(millis),
+                Step::Tick => {
+                    loads.forget_old(now);
+                    plain.newest.retain(|known| now - known.3 < PEER_LIFE);
+                }
+            }
+            for server in 0..SERVERS {
+                prop_assert_eq!(loads.server(server, now), plain.server(server, now));
+            }
+            for service in 0..SERVICES {
+                let requests = plain.requests(service, now).min(u64::from(u32::MAX));
+                prop_assert_eq!(u64::from(loads.retries(service, now).count.requests), requests);
+                let waiting = plain.waiting(service, now).min(u64::from(u32::MAX));
+                prop_assert_eq!(u64::from(loads.other_lines(service, now).waiting), waiting);
+            }
+            prop_assert_eq!(loads.heard(now), plain.fresh(now).count());
+        }
+    }
+}
+
+/// With 140 engines and 79 gateways, each placement summed the reports anew
+/// for each pair of engines: 700,000 look-ups, each 40 ms, on an eighth of a
+/// core. Callers waited for the gateway's own processor, and half of them were
+/// not served. Each server is looked up once now, whatever its peers.
+#[test]
+fn a_placement_looks_each_server_up_once() {
+    struct Case {
+        name: &'static str,
+        peers: usize,
+        decode: usize,
+        prefill: usize,
+    }
+    let cases = [
+        Case { name: "small", peers: 5, decode: 12, prefill: 6 },
+        Case { name: "large", peers: 78, decode: 91, prefill: 49 },
+        Case { name: "no reader", peers: 78, decode: 91, prefill: 0 },
+    ];
+    let shape = PromptShape { prompt_tokens: 5000, output_limit: 500, output_estimate: Some(400) };
+    let spec = EngineSpec {
+        slots: 64,
+        kv_tokens: 37_406,
+        handle_ttl: Duration::from_millis(500),
+        tokens_per_event: 8,
+    };
+    for case in cases {
+        let now = Instant::now();
+        let mut fleet = Fleet::default();
+        for at in 0..case.decode + case.prefill {
+            let stage = if at < case.decode { ServerStage::Decode } else { ServerStage::Prefill };
+            fleet.upsert(entry(at, stage), at as u64 + 1);
+        }
+        for peer in 0..case.peers {
+            let load = LoadShare::of_stream(&shape);
+            let at = peer % (case.decode + case.prefill);
+            let news = PeerNews {
+                loads: vec![(server_digest(&format!("s{at}")), load)],
+                ..PeerNews::default()
+            };
+            fleet.peers.note(&format!("gw-{peer}"), 1, 1, news, now);
+        }
+        let domain: DomainKey = "z0".into();
+        let gateway = server_digest("gw");
+        let need = PlaceNeed { service: "svc", gateway, domain: &domain, tried: &[], now };
+        let before = fleet.peers.server_looks();
+        place_engine(&fleet, &spec, &shape, 0, &need).expect("room");
+        let engines = (case.decode + case.prefill) as u64;
+        assert_eq!(fleet.peers.server_looks() - before, engines, "{}: engines", case.name);
+        let before = fleet.peers.server_looks();
+        place_plain(&fleet, &need).expect("a server");
+        assert_eq!(fleet.peers.server_looks() - before, engines, "{}: a plain call", case.name);
+    }
+}
+
+fn entry(at: usize, stage: ServerStage) -> ServerEntry {
+    ServerEntry {
+        server: format!("s{at}").into(),
+        service: "svc".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: format!("z{}", at % 4).into(),
+        slots: 64,
+        stage,
+        is_leaving: false,
+    }
+}
--- a/crates/gateway/tests/stage_watch.rs
+++ b/crates/gateway/tests/stage_watch.rs
@@ -111,7 +111,8 @@
         assert_eq!(here.count(), 2, "{domain}: {chosen:?}");
     }
     fleet.begin_change(&chosen[0], ServerStage::Decode, now);
-    let open = fleet.open_servers("svc", now).filter(|belief| belief.entry.server == chosen[0]);
+    let open =
+        fleet.open_servers("svc", now).filter(|(belief, _)| belief.entry.server == chosen[0]);
     assert_eq!(open.count(), 0, "an engine that changes gets no work");
 }
 
