A server's start is part of its identity; entries of other writers spoil nothing

Change: an incarnation is (id, start). The fleet forgets all of an earlier start, ignores its late news, and counts, outcomes, kept connections and offered KV caches name the incarnation they belong to; reports between gateways do so too. Report and order of a change of stage go over one connection, so that the order can't reach the next start. Rows are Held, Removed or Unreadable one by one; an unreadable one closes its server until the next heartbeat. Datagrams that are no reports are logged once in ten seconds at most.

--- a/crates/gateway/benches/decision.rs
+++ b/crates/gateway/benches/decision.rs
@@ -52,6 +52,7 @@
         slots: 64,
         stage,
         is_leaving: false,
+        started_at: None,
     }
 }
 
--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -1,7 +1,9 @@
 //! The backend servers, as far as the store and our own requests tell.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
@@ -9,11 +11,10 @@
 use super::LoadShare;
 use super::PeerLoads;
 use super::ServerBelief;
-use super::ServerHealth;
 use super::ServerOutcome;
 use super::ServerSum;
-use super::server_digest;
 use crate::model::ServerEntry;
+use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
 use crate::model::ServerStage;
 use crate::model::ServiceName;
@@ -44,6 +45,24 @@
     Removed(ServerKey),
     /// Missing after an outage; counts as gone unless it is back in time.
     Lapsed(ServerKey),
+    /// Started again under its id.
+    Restarted(ServerKey),
+}
+
+/// A whole listing of the servers' table.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListedServers {
+    pub entries: Vec<(ServerEntry, StoreVersion)>,
+    /// Rows that hold no registration.
+    pub unreadable: Vec<(ServerKey, StoreVersion)>,
+}
+
+/// What is remembered of a server that was removed.
+#[derive(Debug)]
+struct RemovedServer {
+    version: StoreVersion,
+    started_at: Option<SystemTime>,
+    removed_at: Instant,
 }
 
 /// All known servers and the load on them.
@@ -57,9 +76,8 @@
     /// Engines that this gateway has told to change their stage, and until
     /// when they count as changing at most.
     changing: FxHashMap<ServerKey, (ServerStage, Instant)>,
-    /// Removed rows' versions, and when they were removed, so that a late older
-    /// row brings none back.
-    removed: FxHashMap<ServerKey, (StoreVersion, Instant)>,
+    /// So that a late row of before brings none back.
+    removed: FxHashMap<ServerKey, RemovedServer>,
     grace_until: Option<Instant>,
     /// Since when the table has been read without an outage.
     calm_since: Option<Instant>,
@@ -104,28 +122,62 @@
 
     /// Takes in a server's row.
     pub fn upsert(&mut self, entry: ServerEntry, version: StoreVersion) -> Option<FleetChange> {
-        if self.removed.get(&entry.server).is_some_and(|(at, _)| *at >= version) {
+        let is_late = |removed: &RemovedServer| {
+            removed.version >= version || entry.started_at < removed.started_at
+        };
+        if self.removed.get(&entry.server).is_some_and(is_late) {
             return None;
         }
-        let key = entry.server.clone();
-        if let Some(known) = self.servers.get_mut(&key) {
-            return update(known, entry, version);
+        let Some(known) = self.servers.get_mut(&entry.server) else {
+            return self.insert(entry, version);
+        };
+        match entry.started_at.cmp(&known.entry.started_at) {
+            // News of an earlier start, written late.
+            Ordering::Less => None,
+            Ordering::Equal if entry.service == known.entry.service => {
+                update(known, entry, version)
+            }
+            _ if version <= known.version => None,
+            _ => Some(self.restart(entry, version)),
         }
+    }
+
+    fn insert(&mut self, entry: ServerEntry, version: StoreVersion) -> Option<FleetChange> {
+        let key = entry.server.clone();
         self.removed.remove(&key);
         self.services.entry(entry.service.clone()).or_default().push(key.clone());
         let is_leaving = entry.is_leaving;
-        let belief = ServerBelief {
-            digest: server_digest(&key),
-            entry,
-            version,
-            own: LoadShare::default(),
-            health: ServerHealth::default(),
-            gone_at: None,
-        };
-        self.servers.insert(key.clone(), belief);
+        self.servers.insert(key.clone(), ServerBelief::new(entry, version));
         (!is_leaving).then_some(FleetChange::Joined(key))
     }
 
+    /// Forgets what was believed of a server's earlier start.
+    ///
+    /// Guards against judging a process by the one before it: counts of work
+    /// that ended with it would keep the server looking full, its leaving would
+    /// keep work away, and an order meant for it would change the new one.
+    fn restart(&mut self, entry: ServerEntry, version: StoreVersion) -> FleetChange {
+        let key = entry.server.clone();
+        if let Some(before) = self.servers.remove(&key) {
+            self.unlist(&before);
+        }
+        self.changing.remove(&key);
+        self.insert(entry, version);
+        FleetChange::Restarted(key)
+    }
+
+    /// A server's row holds what is no registration: until it holds one again,
+    /// it names no server to use.
+    pub fn note_unreadable(&mut self, key: &str, version: StoreVersion) {
+        if let Some(known) = self.servers.get_mut(key)
+            && version > known.version
+        {
+            known.version = version;
+            known.is_unreadable = true;
+            known.gone_at = None;
+        }
+    }
+
     /// Takes in that a server's row was removed at `version`.
     pub fn remove(
         &mut self,
@@ -150,17 +202,20 @@
     /// Takes in a whole listing as of `version`: what it lacks is removed.
     pub fn replace(
         &mut self,
-        entries: Vec<(ServerEntry, StoreVersion)>,
+        listing: ListedServers,
         version: StoreVersion,
         now: Instant,
     ) -> Vec<FleetChange> {
+        let ListedServers { entries, unreadable } = listing;
+        let readable = entries.iter().map(|(entry, _)| &entry.server);
         let listed: FxHashSet<ServerKey> =
-            entries.iter().map(|(entry, _)| entry.server.clone()).collect();
+            readable.chain(unreadable.iter().map(|(key, _)| key)).cloned().collect();
         let missing: Vec<ServerKey> =
             self.servers.keys().filter(|key| !listed.contains(*key)).cloned().collect();
         let mut changes: Vec<FleetChange> =
             missing.iter().filter_map(|key| self.remove(key, version, now)).collect();
         changes.extend(entries.into_iter().filter_map(|(entry, at)| self.upsert(entry, at)));
+        unreadable.iter().for_each(|(key, at)| self.note_unreadable(key, *at));
         changes
     }
 
@@ -175,7 +230,10 @@
             .filter(|belief| belief.gone_at.is_some_and(|at| at <= now || !may_have_lapsed))
             .map(|belief| (belief.entry.server.clone(), belief.version))
             .collect();
-        self.removed.retain(|_, (_, at)| now.saturating_duration_since(*at) < REMOVED_TIME);
+        let is_remembered = |removed: &RemovedServer| {
+            now.saturating_duration_since(removed.removed_at) < REMOVED_TIME
+        };
+        self.removed.retain(|_, removed| is_remembered(removed));
         gone.iter().filter_map(|(key, version)| self.forget(key, *version, now)).collect()
     }
 
@@ -190,7 +248,7 @@
         keys.iter()
             .filter_map(|key| self.servers.get(key))
             .filter(move |belief| belief.is_open(now) && !self.is_own_change(belief, now))
-            .map(move |belief| (belief, self.peers.server(belief.digest, now)))
+            .map(move |belief| (belief, self.peers.server(belief.incarnation, now)))
             .filter(|(_, others)| others.changing == 0)
     }
 
@@ -204,7 +262,7 @@
         self.servers
             .values()
             .filter(|belief| self.is_own_change(belief, now))
-            .map(|belief| belief.digest)
+            .map(|belief| belief.incarnation)
             .collect()
     }
 
@@ -223,7 +281,7 @@
 
     /// Work at a server, ours and the other gateways'.
     pub fn load(&self, belief: &ServerBelief, now: Instant) -> LoadShare {
-        belief.own.plus(self.peers.server(belief.digest, now).load)
+        belief.own.plus(self.peers.server(belief.incarnation, now).load)
     }
 
     /// Our own work at each server that has any, for a report to the peers.
@@ -231,7 +289,7 @@
         self.servers
             .values()
             .filter(|belief| belief.own.running > 0)
-            .map(|belief| (belief.digest, belief.own))
+            .map(|belief| (belief.incarnation, belief.own))
             .collect()
     }
 
@@ -240,39 +298,57 @@
         self.servers
             .values()
             .filter(|belief| belief.health.is_aside(now))
-            .map(|belief| belief.digest)
+            .map(|belief| belief.incarnation)
             .collect()
     }
 
-    /// Counts work that is being sent to a server.
-    pub fn begin(&mut self, key: &str, work: LoadShare, now: Instant) {
-        if let Some(belief) = self.servers.get_mut(key) {
-            belief.health.note_work(now);
-            belief.own = belief.own.plus(work);
-        }
+    /// Counts work that is being sent to a server; the start of the server at
+    /// which it counts, if the server is known.
+    pub fn begin(&mut self, key: &str, work: LoadShare, now: Instant) -> Option<ServerIncarnation> {
+        let belief = self.servers.get_mut(key)?;
+        belief.health.note_work(now);
+        belief.own = belief.own.plus(work);
+        Some(belief.incarnation)
     }
 
-    /// Work at a server has changed from `before` to `after`.
-    pub fn change(&mut self, key: &str, before: LoadShare, after: LoadShare) {
-        if let Some(belief) = self.servers.get_mut(key) {
+    /// Work at a start of a server has changed from `before` to `after`.
+    pub fn change(
+        &mut self,
+        key: &str,
+        incarnation: ServerIncarnation,
+        before: LoadShare,
+        after: LoadShare,
+    ) {
+        if let Some(belief) = self.start_of(key, incarnation) {
             belief.own = belief.own.minus(before).plus(after);
         }
     }
 
-    /// Work at a server has ended.
-    pub fn end(&mut self, key: &str, work: LoadShare) {
-        if let Some(belief) = self.servers.get_mut(key) {
+    /// Work at a start of a server has ended.
+    pub fn end(&mut self, key: &str, incarnation: ServerIncarnation, work: LoadShare) {
+        if let Some(belief) = self.start_of(key, incarnation) {
             belief.own = belief.own.minus(work);
         }
     }
 
-    /// Notes how a send to a server ended.
-    pub fn note(&mut self, key: &str, outcome: ServerOutcome, now: Instant) {
-        if let Some(belief) = self.servers.get_mut(key) {
+    /// Notes how a send to a start of a server ended.
+    pub fn note(
+        &mut self,
+        key: &str,
+        incarnation: ServerIncarnation,
+        outcome: ServerOutcome,
+        now: Instant,
+    ) {
+        if let Some(belief) = self.start_of(key, incarnation) {
             belief.health.note(outcome, now);
         }
     }
 
+    /// A server, if it has not started again since `incarnation`.
+    fn start_of(&mut self, key: &str, incarnation: ServerIncarnation) -> Option<&mut ServerBelief> {
+        self.servers.get_mut(key).filter(|belief| belief.incarnation == incarnation)
+    }
+
     /// Notes stray bytes on a connection to a server.
     pub fn note_garbled(&mut self, key: &str, now: Instant) {
         if let Some(belief) = self.servers.get_mut(key) {
@@ -292,11 +368,17 @@
 
     fn forget(&mut self, key: &str, version: StoreVersion, now: Instant) -> Option<FleetChange> {
         let belief = self.servers.remove(key)?;
+        self.unlist(&belief);
+        let removed =
+            RemovedServer { version, started_at: belief.entry.started_at, removed_at: now };
+        self.removed.insert(belief.entry.server.clone(), removed);
+        Some(FleetChange::Removed(belief.entry.server))
+    }
+
+    fn unlist(&mut self, belief: &ServerBelief) {
         if let Some(keys) = self.services.get_mut(&belief.entry.service) {
             keys.retain(|listed| listed != &belief.entry.server);
         }
-        self.removed.insert(belief.entry.server.clone(), (version, now));
-        Some(FleetChange::Removed(belief.entry.server))
     }
 }
 
@@ -320,5 +402,6 @@
     known.entry = entry;
     known.version = version;
     known.gone_at = None;
+    known.is_unreadable = false;
     begins_leaving.then(|| FleetChange::Leaving(known.entry.server.clone()))
 }
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -24,6 +24,7 @@
 pub use self::departure_pace::DeparturePace;
 pub use self::fleet::Fleet;
 pub use self::fleet::FleetChange;
+pub use self::fleet::ListedServers;
 pub use self::in_force::InForce;
 pub use self::in_force::InForceChange;
 pub use self::load_share::LoadShare;
--- a/crates/gateway/src/belief/placement.rs
+++ b/crates/gateway/src/belief/placement.rs
@@ -316,7 +316,7 @@
 /// third met at one server of 39; its prompts queued and its memory ran out.
 /// A server that is less loaded by one request still goes first.
 fn dislike(need: &PlaceNeed<'_>, belief: &ServerBelief) -> f64 {
-    let mixed = (need.gateway ^ belief.digest).wrapping_mul(MIX);
+    let mixed = (need.gateway ^ belief.incarnation).wrapping_mul(MIX);
     (mixed >> 32) as f64 / f64::from(u32::MAX)
 }
 
--- a/crates/gateway/src/belief/server_belief.rs
+++ b/crates/gateway/src/belief/server_belief.rs
@@ -5,6 +5,7 @@
 use crate::belief::LoadShare;
 use crate::belief::ServerHealth;
 use crate::model::ServerEntry;
+use crate::model::ServerIncarnation;
 use crate::model::StoreVersion;
 
 /// One server: its registration, our own work there, and its record.
@@ -13,19 +14,34 @@
     pub entry: ServerEntry,
     /// The version of the row `entry` was read from.
     pub version: StoreVersion,
-    /// The server's id as it stands in load reports.
-    pub digest: u64,
+    /// This start of the server, as it stands in load reports.
+    pub incarnation: ServerIncarnation,
     /// Our own work there.
     pub own: LoadShare,
     pub health: ServerHealth,
     /// Set when the entry was found missing after an outage of the store;
     /// the server counts as gone from then on.
     pub gone_at: Option<Instant>,
+    /// True while the server's row holds what is no registration.
+    pub is_unreadable: bool,
 }
 
 impl ServerBelief {
+    /// What is believed of a server that has just become known.
+    pub fn new(entry: ServerEntry, version: StoreVersion) -> Self {
+        ServerBelief {
+            incarnation: entry.incarnation(),
+            entry,
+            version,
+            own: LoadShare::default(),
+            health: ServerHealth::default(),
+            gone_at: None,
+            is_unreadable: false,
+        }
+    }
+
     /// True when new work may go there.
     pub fn is_open(&self, now: Instant) -> bool {
-        !self.entry.is_leaving && self.gone_at.is_none_or(|at| now < at)
+        !self.entry.is_leaving && !self.is_unreadable && self.gone_at.is_none_or(|at| now < at)
     }
 }
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -8,7 +8,6 @@
 use super::claim::DutyRow;
 use super::claim::LEASE_TIME;
 use super::claim::may_claim;
-use super::order::OrderTarget;
 use super::order::give_order;
 use crate::belief::StageChange;
 use crate::belief::StageWatch;
@@ -16,13 +15,17 @@
 use crate::belief::stage_look;
 use crate::codec::PlatformCodec;
 use crate::events;
+use crate::forward::send_target;
+use crate::model::RowValue;
 use crate::model::ServiceName;
+use crate::model::StoreRow;
 use crate::model::StoreTable;
 use crate::model::StoreVersion;
 use crate::state::GatewayState;
 use crate::store::FollowError;
 use crate::store::StoreClient;
 use crate::timing::waking_clock;
+use crate::upstream::SendTarget;
 
 /// Between two looks at the pools.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -93,11 +96,9 @@
     log_claim(service, change, "claimed");
     let chosen = stage_choice(&state.fleet(), service, change, Instant::now());
     for server in chosen {
-        let target = {
-            let fleet = state.fleet();
-            let Some(belief) = fleet.server(&server) else { continue };
-            OrderTarget { server: server.clone(), address: belief.entry.address }
-        };
+        let Some(target) = send_target(state, &server) else { continue };
+        // A connection of its own, so that order and report go to one process.
+        let target = SendTarget { may_reuse: false, ..target };
         let may_still = || waking_clock().saturating_sub(begun) < ORDER_TIME;
         let given = give_order::<C>(state, &target, change.to, fence, may_still).await;
         if given.is_ok() {
@@ -127,7 +128,7 @@
 ) -> Result<Option<StoreVersion>, FollowError> {
     let batch = client.look(StoreTable::Duties).await?;
     let row = batch.rows.iter().find(|row| row.key == STAGES_KEY);
-    let known = row.and_then(|row| postcard::from_bytes::<DutyRow>(row.value.as_deref()?).ok());
+    let known = row.and_then(known_claim);
     if !may_claim(known.as_ref(), batch.store_time) {
         return Ok(None);
     }
@@ -138,6 +139,26 @@
     client.claim(StoreTable::Duties, STAGES_KEY, &value, version).await
 }
 
+/// The claim that `row` holds. One that can't be read counts as none: nobody
+/// could ever renew it or wait for its end.
+fn known_claim(row: &StoreRow) -> Option<DutyRow> {
+    let RowValue::Held(value) = &row.value else { return None };
+    match postcard::from_bytes(value) {
+        Ok(claim) => Some(claim),
+        Err(error) => {
+            tracing::warn!(
+                event = events::ROW_UNREADABLE,
+                table = %StoreTable::Duties,
+                key = %row.key,
+                version = row.version,
+                %error,
+                "claim not understood; it counts as none"
+            );
+            None
+        }
+    }
+}
+
 fn log_claim(service: &ServiceName, change: StageChange, outcome: &str) {
     tracing::info!(
         event = events::DUTY_CLAIMED,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -32,8 +32,8 @@
 pub const CONFIG_IGNORED: u32 = 6002;
 /// A server joined, is leaving, or is gone.
 pub const SERVER_CHANGED: u32 = 6003;
-/// A server's registration could not be read.
-pub const SERVER_IGNORED: u32 = 6004;
+/// A row of the store holds what the gateway can't read.
+pub const ROW_UNREADABLE: u32 = 6004;
 /// A table of the store can be read again.
 pub const STORE_REGAINED: u32 = 6005;
 /// A table of the store can't be read; what is known stays in force.
@@ -50,6 +50,8 @@
 pub const DUTY_CLAIMED: u32 = 6011;
 /// An engine was told to change its stage.
 pub const ENGINE_ORDERED: u32 = 6012;
+/// A datagram came that is no report of a gateway.
+pub const REPORT_UNREADABLE: u32 = 6013;
 /// The process serves.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful stop begins.
--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -60,9 +60,13 @@
     }
 
     /// True while the prefill server, which keeps the cache for `ttl`, should
-    /// still have it by the time a decode server asks.
+    /// still have it by the time a decode server asks: one that has started
+    /// again since has nothing of before.
     pub fn is_fresh(&self, ttl: Duration) -> bool {
-        self.made_at.elapsed() + FETCH_MARGIN < ttl
+        let fleet = self.state.fleet();
+        let belief = fleet.server(&self.target.server);
+        let is_same_start = belief.is_some_and(|of| of.incarnation == self.target.incarnation);
+        is_same_start && self.made_at.elapsed() + FETCH_MARGIN < ttl
     }
 
     /// A decode server has the cache.
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -69,6 +69,7 @@
     let belief = fleet.server(server)?;
     Some(SendTarget {
         server: belief.entry.server.clone(),
+        incarnation: belief.incarnation,
         address: belief.entry.address,
         may_reuse: !belief.health.is_suspect(Instant::now()),
     })
@@ -107,7 +108,7 @@
     if head.is_not_run || status == http::StatusCode::MISDIRECTED_REQUEST {
         let failure = SendFailure::NotRun;
         if !head.closes {
-            state.pool.keep(&target.server, connection, head.keep_alive, Instant::now());
+            state.pool.keep(target, connection, head.keep_alive, Instant::now());
         }
         return Err(fail(state, call, target, failure, &format!("status {status}")));
     }
@@ -128,7 +129,7 @@
     failure: SendFailure,
     problem: &str,
 ) -> SendFailure {
-    state.note_outcome(&target.server, failure.outcome());
+    state.note_outcome(target, failure.outcome());
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
     tracing::info!(
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -20,6 +20,7 @@
 pub use self::event_reader::EventReader;
 pub use self::event_reader::EventSplitter;
 pub use self::event_reader::StreamEvent;
+pub use self::exchange::send_target;
 pub use self::refuse::Refusal;
 pub use self::refuse::refuse;
 
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -248,12 +248,9 @@
         }
     };
     let is_error = parts.status.is_server_error();
-    state.note_outcome(
-        &target.server,
-        if is_error { ServerOutcome::Erred } else { ServerOutcome::Fine },
-    );
+    state.note_outcome(target, if is_error { ServerOutcome::Erred } else { ServerOutcome::Fine });
     if !reply.head.closes {
-        state.pool.keep(&target.server, reply.connection, reply.head.keep_alive, Instant::now());
+        state.pool.keep(target, reply.connection, reply.head.keep_alive, Instant::now());
     }
     let mut response = Response::new(answer::whole(body));
     *response.status_mut() = parts.status;
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -59,13 +59,13 @@
     let fail = |problem: &str| exchange::fail(state, call, &target, SendFailure::Broken, problem);
     let body = read.or(late).await.map_err(|problem| fail(&problem))?.to_bytes();
     if !reply.head.closes {
-        state.pool.keep(&target.server, reply.connection, reply.head.keep_alive, Instant::now());
+        state.pool.keep(&target, reply.connection, reply.head.keep_alive, Instant::now());
     }
     if !status.is_success() {
         return Err(fail(&format!("status {status}")));
     }
     let result = C::prefill_result(&body).map_err(|error| fail(&error.to_string()))?;
-    state.note_outcome(&target.server, ServerOutcome::Fine);
+    state.note_outcome(&target, ServerOutcome::Fine);
     tracing::info!(
         event = events::PREFILL_DONE,
         request_id = call.id(),
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -218,10 +218,10 @@
         let made = self.relayed as u32 * self.call.engine_spec().tokens_per_event;
         let took = self.call.arrived.elapsed().saturating_sub(self.first_event);
         self.state.demand.with_outputs(&self.call.service, |outputs| outputs.note(made, took));
-        self.state.note_outcome(&stream.target.server, ServerOutcome::Fine);
+        self.state.note_outcome(&stream.target, ServerOutcome::Fine);
         if let Some(connection) = stream.connection {
-            let server = &stream.target.server;
-            self.state.pool.keep(server, connection, stream.keep_alive, Instant::now());
+            let target = &stream.target;
+            self.state.pool.keep(target, connection, stream.keep_alive, Instant::now());
         }
     }
 
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -75,7 +75,7 @@
     if !status.is_success() {
         return match by_deadline(until, read_failure::<C>(reply)).await {
             Some(Ok(response)) => {
-                state.note_outcome(&target.server, ServerOutcome::Erred);
+                state.note_outcome(&target, ServerOutcome::Erred);
                 OpenEnd::Answered(response)
             }
             Some(Err(error)) => fail(SendFailure::Broken, &error.to_string()),
@@ -90,7 +90,7 @@
         Some(Err(error)) => return fail(SendFailure::Broken, &error.to_string()),
         None => return fail(SendFailure::Silent, "no first event in time"),
     };
-    state.note_outcome(&target.server, ServerOutcome::Fine);
+    state.note_outcome(&target, ServerOutcome::Fine);
     OpenEnd::Stream(Box::new(OpenStream {
         status,
         headers: C::reply_headers(&parts.headers),
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -30,17 +30,21 @@
 pub use self::route_table::ServiceSpec;
 pub use self::server_entry::ServerEntry;
 pub use self::server_entry::ServerStage;
+pub use self::server_entry::server_incarnation;
 pub use self::stage_order::EngineReport;
 pub use self::stage_order::StageOrder;
 pub use self::store_row::RowBatch;
+pub use self::store_row::RowValue;
 pub use self::store_row::StoreRow;
 pub use self::store_row::StoreTable;
 
 use std::sync::Arc;
 
-/// A backend server's id: one start of one server. Shared, since every
-/// request and log line names one.
+/// A backend server's id. Shared, since every request and log line names one.
 pub type ServerKey = Arc<str>;
+/// A digest of a server's id and of when it started: what is known of one
+/// start of a server says nothing of the next.
+pub type ServerIncarnation = u64;
 /// A service's name, as in the configuration.
 pub type ServiceName = Arc<str>;
 /// A failure domain's name.
--- a/crates/gateway/src/model/server_entry.rs
+++ b/crates/gateway/src/model/server_entry.rs
@@ -1,10 +1,12 @@
 //! A backend server as it registers itself.
 
 use std::net::SocketAddr;
+use std::time::SystemTime;
 
 use strum::Display;
 
 use super::DomainKey;
+use super::ServerIncarnation;
 use super::ServerKey;
 use super::ServiceName;
 
@@ -32,4 +34,22 @@
     pub stage: ServerStage,
     /// True once it has announced that it leaves.
     pub is_leaving: bool,
+    /// When this start of the server was, by its own clock; `None` if it does
+    /// not say. A server may start again under its id: it then knows nothing
+    /// of before.
+    pub started_at: Option<SystemTime>,
+}
+
+impl ServerEntry {
+    /// Names this start of the server, among all starts of all servers.
+    pub fn incarnation(&self) -> ServerIncarnation {
+        server_incarnation(&self.server, self.started_at)
+    }
+}
+
+/// Names the start of `server` at `started_at`.
+pub fn server_incarnation(server: &str, started_at: Option<SystemTime>) -> ServerIncarnation {
+    let since_epoch = started_at.and_then(|at| at.duration_since(SystemTime::UNIX_EPOCH).ok());
+    let seed = since_epoch.map_or(0, |since| since.as_millis() as u64);
+    umberglade_wire::digest_seeded(server.as_bytes(), seed)
 }
--- a/crates/gateway/src/model/stage_order.rs
+++ b/crates/gateway/src/model/stage_order.rs
@@ -1,5 +1,7 @@
 //! An order to an engine to change its stage.
 
+use std::time::SystemTime;
+
 use super::ServerStage;
 use super::StoreVersion;
 
@@ -25,4 +27,6 @@
     pub is_changing: bool,
     /// Orders accepted since its start.
     pub orders: u64,
+    /// When it started, if it says so.
+    pub started_at: Option<SystemTime>,
 }
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -26,8 +26,17 @@
 pub struct StoreRow {
     pub key: String,
     pub version: StoreVersion,
-    /// `None` when the row was removed.
-    pub value: Option<Bytes>,
+    pub value: RowValue,
+}
+
+/// What a row holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RowValue {
+    Held(Bytes),
+    /// The row is gone.
+    Removed,
+    /// It holds what can't be decoded; why.
+    Unreadable(String),
 }
 
 /// The store's answer to a listing or a feed.
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -1,5 +1,6 @@
 //! Sends and hears load reports.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,11 +12,15 @@
 use super::SendBudget;
 use crate::belief::PeerNews;
 use crate::belief::report_pace;
+use crate::events;
 use crate::state::GatewayState;
 use crate::timing::by_deadline;
 
 /// The largest datagram sent: some 300 servers with work.
 const MAX_DATAGRAM: usize = 8 * 1024;
+/// Between two log lines on datagrams that are no reports: anything on the
+/// network may send any number of them.
+const UNREADABLE_PAUSE: Duration = Duration::from_secs(10);
 
 /// Reports our work to the gateways in `book`, for good: regularly, and at
 /// once when a stream begins, ends or waits.
@@ -71,9 +76,13 @@
 /// Takes in the other gateways' reports, for good.
 pub async fn hear_reports(state: Arc<GatewayState>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut unreadable = UnreadableLog::default();
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => take_report(&state, &buffer[..length]),
+            Ok((length, peer)) => match postcard::from_bytes(&buffer[..length]) {
+                Ok(report) => take_report(&state, report),
+                Err(error) => unreadable.note(peer, length, &error),
+            },
             Err(error) => {
                 tracing::debug!(%error, "receiving a load report");
                 smol::Timer::after(report_pace(0)).await;
@@ -82,11 +91,29 @@
     }
 }
 
-fn take_report(state: &GatewayState, datagram: &[u8]) {
-    let Ok(report) = postcard::from_bytes::<LoadReport>(datagram) else {
+/// Logs datagrams that are no reports, each [`UNREADABLE_PAUSE`] at most.
+#[derive(Debug, Default)]
+struct UnreadableLog {
+    /// Since the last line.
+    ignored: u64,
+    logged_at: Option<Instant>,
+}
+
+impl UnreadableLog {
+    fn note(&mut self, peer: SocketAddr, bytes: usize, error: &postcard::Error) {
         metrics::counter!("umberglade_reports_bad_total").increment(1);
-        return;
-    };
+        self.ignored += 1;
+        if self.logged_at.is_some_and(|at| at.elapsed() < UNREADABLE_PAUSE) {
+            return;
+        }
+        let ignored = self.ignored;
+        tracing::warn!(event = events::REPORT_UNREADABLE, %peer, bytes, ignored, %error, "no report");
+        self.ignored = 0;
+        self.logged_at = Some(Instant::now());
+    }
+}
+
+fn take_report(state: &GatewayState, report: LoadReport) {
     let news = PeerNews {
         loads: report.loads,
         retries: report.retries,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::stop::LAST_CALL;
 use crate::stop::StopSwitch;
 use crate::upstream::ConnectionPool;
+use crate::upstream::SendTarget;
 
 /// One process's state.
 ///
@@ -194,11 +195,12 @@
     }
 
     /// Notes how a send ended, and says so when the server is passed over.
-    pub fn note_outcome(&self, server: &str, outcome: ServerOutcome) {
+    pub fn note_outcome(&self, target: &SendTarget, outcome: ServerOutcome) {
         let now = Instant::now();
+        let server = &*target.server;
         let mut fleet = self.fleet();
         let was_aside = fleet.server(server).is_some_and(|belief| belief.health.is_aside(now));
-        fleet.note(server, outcome, now);
+        fleet.note(server, target.incarnation, outcome, now);
         let Some(belief) = fleet.server(server) else { return };
         let failure_share = belief.health.failure_share(now);
         let is_aside = belief.health.is_aside(now);
@@ -223,8 +225,9 @@
                 FleetChange::Leaving(server) => (server, "leaving"),
                 FleetChange::Removed(server) => (server, "removed"),
                 FleetChange::Lapsed(server) => (server, "lapsed"),
+                FleetChange::Restarted(server) => (server, "restarted"),
             };
-            if matches!(change, FleetChange::Leaving(_) | FleetChange::Removed(_)) {
+            if !matches!(change, FleetChange::Joined(_) | FleetChange::Lapsed(_)) {
                 self.pool.forget(server);
             }
             tracing::info!(event = events::SERVER_CHANGED, %server, version, outcome, "server changed");
--- a/crates/gateway/src/store/config_sink.rs
+++ b/crates/gateway/src/store/config_sink.rs
@@ -7,10 +7,13 @@
 use event_listener::EventListener;
 
 use super::TableSink;
+use super::server_sink::log_unreadable;
 use crate::belief::InForceChange;
 use crate::codec::PlatformCodec;
 use crate::events;
+use crate::model::RowValue;
 use crate::model::StoreRow;
+use crate::model::StoreTable;
 use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
@@ -28,7 +31,14 @@
     }
 
     fn take(&self, row: StoreRow) {
-        let Some(value) = &row.value else { return };
+        let value = match &row.value {
+            RowValue::Held(value) => value,
+            RowValue::Removed => return,
+            RowValue::Unreadable(problem) => {
+                log_unreadable(StoreTable::Configuration, &row, problem);
+                return;
+            }
+        };
         match C::route_table(&row.key, value) {
             Ok(Some(table)) => self.offer(row.version, table),
             Ok(None) => {}
--- a/crates/gateway/src/store/member_sink.rs
+++ b/crates/gateway/src/store/member_sink.rs
@@ -7,7 +7,10 @@
 use serde::Serialize;
 
 use super::TableSink;
+use super::server_sink::log_unreadable;
+use crate::model::RowValue;
 use crate::model::StoreRow;
+use crate::model::StoreTable;
 use crate::model::StoreVersion;
 use crate::peers::PeerBook;
 use crate::state::GatewayState;
@@ -33,17 +36,21 @@
     }
 
     fn take(&self, row: &StoreRow) {
-        match row.value.as_ref().map(|value| postcard::from_bytes::<MemberRow>(value)) {
-            Some(Ok(member)) => self.book.insert(&row.key, member.address),
-            Some(Err(error)) => tracing::warn!(
-                event = crate::events::SERVER_IGNORED,
-                member = %row.key,
-                %error,
-                "member row not understood"
-            ),
-            None => self.book.remove(&row.key),
+        match &row.value {
+            RowValue::Removed => self.book.remove(&row.key),
+            RowValue::Unreadable(problem) => self.ignore(row, problem),
+            RowValue::Held(value) => match postcard::from_bytes::<MemberRow>(value) {
+                Ok(member) => self.book.insert(&row.key, member.address),
+                Err(error) => self.ignore(row, &error.to_string()),
+            },
         }
     }
+
+    /// A row that can't be read names no gateway to report to.
+    fn ignore(&self, row: &StoreRow, problem: &str) {
+        log_unreadable(StoreTable::Members, row, problem);
+        self.book.remove(&row.key);
+    }
 }
 
 impl TableSink for MemberSink {
--- a/crates/gateway/src/store/server_sink.rs
+++ b/crates/gateway/src/store/server_sink.rs
@@ -5,10 +5,13 @@
 use std::time::Instant;
 
 use super::TableSink;
+use crate::belief::ListedServers;
 use crate::codec::PlatformCodec;
 use crate::events;
+use crate::model::RowValue;
 use crate::model::ServerEntry;
 use crate::model::StoreRow;
+use crate::model::StoreTable;
 use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
@@ -25,29 +28,54 @@
         ServerSink { state, codec: PhantomData }
     }
 
-    fn decode(row: &StoreRow) -> Option<ServerEntry> {
-        let value = row.value.as_ref()?;
-        match C::server_entry(&row.key, value) {
-            Ok(entry) => Some(entry),
-            Err(error) => {
-                tracing::warn!(
-                    event = events::SERVER_IGNORED,
-                    server = %row.key,
-                    version = row.version,
-                    %error,
-                    "registration not understood"
-                );
-                None
-            }
-        }
+    fn decode(row: &StoreRow) -> RowNews {
+        let problem = match &row.value {
+            RowValue::Removed => return RowNews::Removed,
+            RowValue::Unreadable(problem) => problem.clone(),
+            RowValue::Held(value) => match C::server_entry(&row.key, value) {
+                Ok(entry) => return RowNews::Entry(entry),
+                Err(error) => error.to_string(),
+            },
+        };
+        log_unreadable(StoreTable::Servers, row, &problem);
+        RowNews::Unreadable
     }
 }
 
+/// What a row of the servers' table tells.
+enum RowNews {
+    Entry(ServerEntry),
+    Removed,
+    Unreadable,
+}
+
+/// Logs a row that holds what can't be read.
+pub(super) fn log_unreadable(table: StoreTable, row: &StoreRow, problem: &str) {
+    metrics::counter!("umberglade_rows_unreadable_total", "table" => table.to_string())
+        .increment(1);
+    tracing::warn!(
+        event = events::ROW_UNREADABLE,
+        %table,
+        key = %row.key,
+        version = row.version,
+        error = problem,
+        "row not understood"
+    );
+}
+
 impl<C: PlatformCodec> TableSink for ServerSink<C> {
     fn listed(&mut self, rows: Vec<StoreRow>, version: StoreVersion) {
-        let entries =
-            rows.iter().filter_map(|row| Some((Self::decode(row)?, row.version))).collect();
-        let changes = self.state.fleet().replace(entries, version, Instant::now());
+        let mut listing = ListedServers::default();
+        for row in &rows {
+            match Self::decode(row) {
+                RowNews::Entry(entry) => listing.entries.push((entry, row.version)),
+                RowNews::Unreadable => {
+                    listing.unreadable.push((row.key.as_str().into(), row.version));
+                }
+                RowNews::Removed => {}
+            }
+        }
+        let changes = self.state.fleet().replace(listing, version, Instant::now());
         self.state.log_changes(&changes, version);
     }
 
@@ -55,11 +83,12 @@
         for row in rows {
             let now = Instant::now();
             let change = match Self::decode(&row) {
-                Some(entry) => self.state.fleet().upsert(entry, row.version),
-                None if row.value.is_none() => {
-                    self.state.fleet().remove(&row.key, row.version, now)
+                RowNews::Entry(entry) => self.state.fleet().upsert(entry, row.version),
+                RowNews::Removed => self.state.fleet().remove(&row.key, row.version, now),
+                RowNews::Unreadable => {
+                    self.state.fleet().note_unreadable(&row.key, row.version);
+                    None
                 }
-                None => None,
             };
             self.state.log_changes(change.as_slice(), row.version);
         }
--- a/crates/gateway/src/upstream/connection_pool.rs
+++ b/crates/gateway/src/upstream/connection_pool.rs
@@ -9,6 +9,8 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 
+use super::SendTarget;
+use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
 
 /// How long a connection is kept when the server does not say: under the
@@ -26,6 +28,8 @@
 
 #[derive(Debug)]
 struct IdleConnection {
+    /// The start of the server that it leads to.
+    incarnation: ServerIncarnation,
     connection: KeptConnection,
     until: Instant,
 }
@@ -39,11 +43,12 @@
 
 impl ConnectionPool {
     /// Takes a connection that should still be open.
-    pub fn take(&self, server: &str, now: Instant) -> Option<KeptConnection> {
+    pub fn take(&self, target: &SendTarget, now: Instant) -> Option<KeptConnection> {
         let mut idle = self.idle.lock().expect("pool lock");
-        let kept = idle.get_mut(server)?;
+        let kept = idle.get_mut(&target.server)?;
         while let Some(newest) = kept.pop() {
-            if now < newest.until && !newest.connection.is_closed() {
+            let is_same_start = newest.incarnation == target.incarnation;
+            if is_same_start && now < newest.until && !newest.connection.is_closed() {
                 return Some(newest.connection);
             }
         }
@@ -54,7 +59,7 @@
     /// the server says it keeps it.
     pub fn keep(
         &self,
-        server: &ServerKey,
+        target: &SendTarget,
         connection: KeptConnection,
         stated: Option<Duration>,
         now: Instant,
@@ -64,10 +69,11 @@
             return;
         }
         let mut idle = self.idle.lock().expect("pool lock");
-        let kept = idle.entry(server.clone()).or_default();
+        let kept = idle.entry(target.server.clone()).or_default();
         kept.retain(|old| now < old.until && !old.connection.is_closed());
         if kept.len() < KEPT_PER_SERVER {
-            kept.push(IdleConnection { connection, until: now + keep });
+            let incarnation = target.incarnation;
+            kept.push(IdleConnection { incarnation, connection, until: now + keep });
         }
     }
 
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -23,6 +23,7 @@
 use super::send_error::ConnectSnafu;
 use super::send_error::ConnectTimeoutSnafu;
 use super::send_error::HandshakeSnafu;
+use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
 
 /// How long opening a connection may take: some ten round trips between
@@ -34,6 +35,8 @@
 #[derive(Debug, Clone)]
 pub struct SendTarget {
     pub server: ServerKey,
+    /// The start of the server that is meant.
+    pub incarnation: ServerIncarnation,
     pub address: SocketAddr,
     /// False when a kept connection might hold stray bytes.
     pub may_reuse: bool,
@@ -48,7 +51,7 @@
 ) -> Result<(Response<Incoming>, KeptConnection), SendError> {
     let mut request = request;
     if target.may_reuse {
-        while let Some(mut kept) = pool.take(&target.server, Instant::now()) {
+        while let Some(mut kept) = pool.take(target, Instant::now()) {
             match kept.try_send_request(request).await {
                 Ok(response) => return Ok((response, kept)),
                 // The connection had closed before anything was written on
--- a/crates/gateway/src/work_hold.rs
+++ b/crates/gateway/src/work_hold.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::belief::LoadShare;
+use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
 
@@ -17,15 +18,17 @@
 pub struct WorkHold {
     state: Arc<GatewayState>,
     pub server: ServerKey,
+    /// The start of the server at which it counts; `None` for an unknown one.
+    incarnation: Option<ServerIncarnation>,
     work: LoadShare,
 }
 
 impl WorkHold {
     /// Counts `work` at `server` from now on.
     pub fn begin(state: &Arc<GatewayState>, server: ServerKey, work: LoadShare) -> Self {
-        state.fleet().begin(&server, work, Instant::now());
+        let incarnation = state.fleet().begin(&server, work, Instant::now());
         tell(state, work);
-        WorkHold { state: Arc::clone(state), server, work }
+        WorkHold { state: Arc::clone(state), server, incarnation, work }
     }
 
     /// Notes that `made` tokens have been generated. An answer that outgrows
@@ -36,7 +39,9 @@
         if made >= after.output_tokens {
             after.output_tokens = made + made / OUTGROWN_PART;
         }
-        self.state.fleet().change(&self.server, self.work, after);
+        if let Some(incarnation) = self.incarnation {
+            self.state.fleet().change(&self.server, incarnation, self.work, after);
+        }
         self.work = after;
     }
 }
@@ -51,7 +56,9 @@
 
 impl Drop for WorkHold {
     fn drop(&mut self) {
-        self.state.fleet().end(&self.server, self.work);
+        if let Some(incarnation) = self.incarnation {
+            self.state.fleet().end(&self.server, incarnation, self.work);
+        }
         tell(&self.state, self.work);
         self.state.room.notify(usize::MAX);
     }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use umberglade_gateway::belief::Fleet;
 use umberglade_gateway::belief::FleetChange;
+use umberglade_gateway::belief::ListedServers;
+use umberglade_gateway::belief::LoadShare;
 use umberglade_gateway::belief::PeerNews;
+use umberglade_gateway::belief::ServerOutcome;
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerStage;
 
@@ -18,9 +22,15 @@
         slots: 6,
         stage: ServerStage::Plain,
         is_leaving,
+        started_at: None,
     }
 }
 
+fn since(entry: ServerEntry, start_ms: u64) -> ServerEntry {
+    let started_at = Some(SystemTime::UNIX_EPOCH + Duration::from_millis(start_ms));
+    ServerEntry { started_at, ..entry }
+}
+
 fn open(fleet: &Fleet, now: Instant) -> Vec<String> {
     let mut open: Vec<String> =
         fleet.open_servers("svc", now).map(|(belief, _)| belief.entry.server.to_string()).collect();
@@ -33,6 +43,11 @@
     Ready(&'static str, u64),
     Leaving(&'static str, u64),
     Removed(&'static str, u64),
+    /// A row of the start at the last number, in milliseconds.
+    ReadySince(&'static str, u64, u64),
+    LeavingSince(&'static str, u64, u64),
+    Unreadable(&'static str, u64),
+    ListedUnreadable(&'static str, u64),
     Listed(&'static [(&'static str, u64)], u64),
     Regained,
     PeerCalm(u64),
@@ -135,6 +150,56 @@
             steps: &[Ready("a", 1), Regained, Wait(3000), Removed("a", 9)],
             open: &[],
         },
+        // A server announced its leaving, ended, and was started again under
+        // its id. Taken for the one that leaves, it would get no work for good.
+        Case {
+            name: "started again after its leaving",
+            steps: &[LeavingSince("a", 1, 100), ReadySince("a", 2, 200)],
+            open: &["a"],
+        },
+        Case {
+            name: "started again after its removal",
+            steps: &[ReadySince("a", 1, 100), Removed("a", 2), ReadySince("a", 3, 200)],
+            open: &["a"],
+        },
+        // A write of the earlier start is performed seconds after it was sent.
+        Case {
+            name: "late news of the earlier start",
+            steps: &[ReadySince("a", 1, 200), LeavingSince("a", 2, 100)],
+            open: &["a"],
+        },
+        Case {
+            name: "late news of a start before the removed one",
+            steps: &[ReadySince("a", 1, 200), Removed("a", 2), ReadySince("a", 3, 100)],
+            open: &[],
+        },
+        // Another writer's row under a server's id: nobody knows whether the
+        // server is there, and its next heartbeat says so.
+        Case {
+            name: "a row that can't be read",
+            steps: &[Ready("a", 1), Ready("b", 2), Unreadable("a", 3)],
+            open: &["b"],
+        },
+        Case {
+            name: "until the next that can",
+            steps: &[Ready("a", 1), Unreadable("a", 3), Ready("a", 4)],
+            open: &["a"],
+        },
+        Case {
+            name: "an older one that can't be read",
+            steps: &[Ready("a", 4), Unreadable("a", 3)],
+            open: &["a"],
+        },
+        Case {
+            name: "listed, and can't be read: not removed, not used",
+            steps: &[Ready("a", 1), ListedUnreadable("a", 3), Ready("a", 4)],
+            open: &["a"],
+        },
+        Case {
+            name: "never known, and can't be read",
+            steps: &[ListedUnreadable("a", 3)],
+            open: &[],
+        },
     ];
     for case in cases {
         let mut now = Instant::now();
@@ -153,7 +218,20 @@
                 Listed(servers, version) => {
                     let entries =
                         servers.iter().map(|(server, at)| (entry(server, false), *at)).collect();
-                    fleet.replace(entries, version, now);
+                    let listing = ListedServers { entries, unreadable: Vec::new() };
+                    fleet.replace(listing, version, now);
+                }
+                ReadySince(server, version, start) => {
+                    fleet.upsert(since(entry(server, false), start), version);
+                }
+                LeavingSince(server, version, start) => {
+                    fleet.upsert(since(entry(server, true), start), version);
+                }
+                Unreadable(server, version) => fleet.note_unreadable(server, version),
+                ListedUnreadable(server, version) => {
+                    let unreadable = vec![(server.into(), version)];
+                    let listing = ListedServers { entries: Vec::new(), unreadable };
+                    fleet.replace(listing, version, now);
                 }
                 Regained => fleet.store_regained(now),
                 PeerCalm(millis) => {
@@ -182,3 +260,39 @@
     assert_eq!(fleet.remove("a", 5, now), Some(FleetChange::Removed("a".into())));
     assert_eq!(fleet.remove("a", 6, now), None);
 }
+
+/// A server crashes with streams at work and is started again at once, under
+/// its id and at its address. Judged by what was known of the process before,
+/// it would look full until those streams' callers left, be passed over for
+/// failures that it never made, and be told by other gateways' reports to be
+/// busy. Nothing of before counts for it, and what ends late is not its own.
+#[test]
+fn a_new_start_begins_with_nothing() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.upsert(since(entry("a", false), 100), 1);
+    let work = LoadShare { running: 5, ..LoadShare::default() };
+    let earlier = fleet.begin("a", work, now).expect("a known server");
+    fleet.note("a", earlier, ServerOutcome::Unreachable, now);
+    fleet.begin_change("a", ServerStage::Decode, now);
+    let news = PeerNews {
+        loads: vec![(earlier, work)],
+        aside: [earlier].into_iter().collect(),
+        ..PeerNews::default()
+    };
+    fleet.peers.note("peer", 1, 1, news, now);
+    let change = fleet.upsert(since(entry("a", false), 200), 2);
+    assert_eq!(change, Some(FleetChange::Restarted("a".into())));
+    fleet.end("a", earlier, work);
+    fleet.note("a", earlier, ServerOutcome::Unreachable, now);
+    let (belief, others) = fleet.open_servers("svc", now).next().expect("open to new work");
+    assert_ne!(belief.incarnation, earlier);
+    assert_eq!(fleet.load(belief, now), LoadShare::default());
+    assert_eq!((others.aside, belief.health.is_aside(now)), (0, false));
+    let later = fleet.begin("a", work, now).expect("a known server");
+    fleet.change("a", earlier, work, LoadShare::default());
+    fleet.end("a", earlier, work);
+    assert_eq!(fleet.load(fleet.server("a").unwrap(), now), work, "counts of the new start stay");
+    fleet.end("a", later, work);
+    assert_eq!(fleet.load(fleet.server("a").unwrap(), now), LoadShare::default());
+}
--- a/crates/gateway/tests/peer_sums.rs
+++ b/crates/gateway/tests/peer_sums.rs
@@ -237,5 +237,6 @@
         slots: 64,
         stage,
         is_leaving: false,
+        started_at: None,
     }
 }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -42,6 +42,7 @@
         slots: 6,
         stage,
         is_leaving: false,
+        started_at: None,
     }
 }
 
@@ -70,6 +71,10 @@
     }
 }
 
+fn note(fleet: &mut Fleet, server: &str, outcome: ServerOutcome, now: Instant) {
+    fleet.note(server, server_digest(server), outcome, now);
+}
+
 /// One change to a fleet of three plain servers, `a` in our own domain.
 #[derive(Debug, Clone, Copy)]
 enum Change {
@@ -83,14 +88,16 @@
 
 fn apply(fleet: &mut Fleet, change: Change, now: Instant) {
     match change {
-        Change::Own(server, running) => fleet.begin(server, calls(running), now),
+        Change::Own(server, running) => {
+            fleet.begin(server, calls(running), now);
+        }
         Change::Peer(server, running) => {
             let loads = [(server_digest(server), calls(running))].into();
             let news = PeerNews { loads, ..PeerNews::default() };
             fleet.peers.note("peer", 1, 1, news, now);
         }
         Change::Outcome(server, outcome, times) => {
-            (0..times).for_each(|_| fleet.note(server, outcome, now));
+            (0..times).for_each(|_| note(fleet, server, outcome, now));
         }
         Change::PeersPassOver(server, peers) => {
             for peer in 0..peers {
@@ -259,7 +266,7 @@
     let begun = Instant::now();
     let mut fleet = fleet(ServerStage::Decode, &[("dead", "own"), ("busy", "own")]);
     fleet.begin("busy", streams(5, 0), begun);
-    fleet.note("dead", ServerOutcome::Unreachable, begun);
+    note(&mut fleet, "dead", ServerOutcome::Unreachable, begun);
     let domain: DomainKey = "own".into();
     let place = |fleet: &Fleet, now| {
         place_engine(fleet, &spec(), &SHAPE, 0, &need(&domain, &[], now)).map(|place| place.decode)
@@ -270,7 +277,7 @@
     assert_eq!(place(&fleet, later).as_deref(), Ok("dead"), "the probe");
     fleet.begin("dead", streams(1, 0), later);
     assert_eq!(place(&fleet, later).as_deref(), Ok("busy"), "while the probe is out");
-    fleet.note("dead", ServerOutcome::Fine, later);
+    note(&mut fleet, "dead", ServerOutcome::Fine, later);
     assert_eq!(place(&fleet, later).as_deref(), Ok("dead"), "proved well");
 }
 
--- a/crates/gateway/tests/stage_watch.rs
+++ b/crates/gateway/tests/stage_watch.rs
@@ -100,6 +100,7 @@
             slots: 16,
             stage: if at < 9 { ServerStage::Prefill } else { ServerStage::Decode },
             is_leaving: false,
+            started_at: None,
         };
         fleet.upsert(entry, at + 1);
     }
