Metrics have an address that the operators' scrapes know

One that can't be bound is logged (7008) and keeps no gateway from serving. A test scrapes a process whose callers send paths of all sorts: every line parses as exposition text, labels are of a known bounded set, and the number of series does not grow with requests.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -64,5 +64,7 @@
 pub const SETTINGS_REJECTED: u32 = 7005;
 /// Log lines were dropped: more came than may be written a second.
 pub const LINES_DROPPED: u32 = 7006;
+/// The address for metrics can't be had; they are read at the ready address.
+pub const METRICS_UNBOUND: u32 = 7008;
 /// A caller's connection could not be accepted.
 pub const ACCEPT_FAILED: u32 = 7007;
--- a/crates/gateway/src/model/gateway_settings.rs
+++ b/crates/gateway/src/model/gateway_settings.rs
@@ -17,6 +17,8 @@
     /// Where the balancer asks whether this instance takes callers, and
     /// where metrics are read.
     pub ready: SocketAddr,
+    /// Where metrics are read besides `ready`, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Where other gateways send their load reports, over UDP.
     pub peer: SocketAddr,
     /// Where the platform's store answers.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -71,6 +71,7 @@
     let mut settings = settings;
     let front = bind(&mut settings.front).await?;
     let ready = bind(&mut settings.ready).await?;
+    let metrics_listener = bind_metrics(&mut settings).await;
     let address = settings.peer;
     let socket = UdpSocket::bind(address).await.context(BindSnafu { address })?;
     settings.peer = socket.local_addr().context(BindSnafu { address })?;
@@ -83,10 +84,12 @@
     pool::spawn(keep_stages::<C>(Arc::clone(&state)));
     pool::spawn(tick(Arc::clone(&state)));
     pool::spawn(ingress::serve_front::<C>(front, Arc::clone(&state)));
-    let ready_state = Arc::clone(&state);
-    pool::spawn(async move {
-        ingress::serve_ready::<C>(ready, ready_state).await;
-    });
+    for listener in [Some(ready), metrics_listener].into_iter().flatten() {
+        let state = Arc::clone(&state);
+        pool::spawn(async move {
+            ingress::serve_ready::<C>(listener, state).await;
+        });
+    }
     let settings = &state.settings;
     tracing::info!(
         event = events::GATEWAY_STARTED,
@@ -94,6 +97,7 @@
         domain = %settings.domain,
         front = %settings.front,
         ready = %settings.ready,
+        metrics = settings.metrics.map(|address| address.to_string()),
         peer = %settings.peer,
         store = %settings.store,
         "gateway serving"
@@ -130,6 +134,23 @@
     Ok(listener)
 }
 
+/// The listener for metrics, where one is asked for. One that can't be had
+/// keeps no gateway from serving: its port may be taken on some instance.
+async fn bind_metrics(settings: &mut GatewaySettings) -> Option<TcpListener> {
+    let mut address = settings.metrics?;
+    match bind(&mut address).await {
+        Ok(listener) => {
+            settings.metrics = Some(address);
+            Some(listener)
+        }
+        Err(error) => {
+            settings.metrics = None;
+            tracing::warn!(event = events::METRICS_UNBOUND, %error, "no address for metrics");
+            None
+        }
+    }
+}
+
 fn follow<C: PlatformCodec>(state: &Arc<GatewayState>, book: &Arc<PeerBook>) {
     let store = state.settings.store;
     let config = TableFollower {
--- a/crates/umberglade/src/cli/gateway.rs
+++ b/crates/umberglade/src/cli/gateway.rs
@@ -15,4 +15,8 @@
     /// most log lines a second; more are counted and dropped [UMBERGLADE_LOG_LINES, default 400]
     #[argh(option)]
     pub log_lines: Option<u32>,
+    /// port on which operators read metrics, at the address of the callers' port; 0 takes any
+    /// free one; without it they are read at the ready address only [UMBERGLADE_METRICS_PORT]
+    #[argh(option)]
+    pub metrics_port: Option<u16>,
 }
--- a/crates/umberglade/src/gateway.rs
+++ b/crates/umberglade/src/gateway.rs
@@ -1,5 +1,6 @@
 //! `umberglade gateway`: one instance of the users' platform.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -45,11 +46,25 @@
     )?;
     let path = setting::resolve("node-file", node_file::PATH_VARIABLE, args.node_file, None)?;
     let path = PathBuf::from(path);
-    let settings = node_file::read(&path).map_err(failed)?;
+    let mut settings = node_file::read(&path).map_err(failed)?;
+    settings.metrics = metrics_address(args.metrics_port, &settings)?;
     pool::start(threads);
     pool::block_on(serve(path, settings))
 }
 
+/// Where metrics are read besides the ready address; `None` unless asked for.
+fn metrics_address(
+    port: Option<u16>,
+    settings: &GatewaySettings,
+) -> Result<Option<SocketAddr>, StartError> {
+    const VARIABLE: &str = "UMBERGLADE_METRICS_PORT";
+    if port.is_none() && std::env::var_os(VARIABLE).is_none() {
+        return Ok(None);
+    }
+    let port = setting::resolve("metrics-port", VARIABLE, port, None)?;
+    Ok(Some(SocketAddr::new(settings.front.ip(), port)))
+}
+
 async fn serve(path: PathBuf, settings: GatewaySettings) -> Result<(), StartError> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(failed)?;
     let state = start::start::<UsersPlatform>(settings, install_metrics()).await.map_err(failed)?;
@@ -68,12 +83,16 @@
 /// checked and told.
 fn reload(path: &Path, state: &Arc<GatewayState>) {
     match node_file::read(path) {
-        Ok(settings) => tracing::info!(
-            event = events::SETTINGS_RELOADED,
-            path = %path.display(),
-            changed = settings != state.settings,
-            "settings read again"
-        ),
+        Ok(settings) => {
+            // The flag, not the file, says where metrics are read.
+            let settings = GatewaySettings { metrics: state.settings.metrics, ..settings };
+            tracing::info!(
+                event = events::SETTINGS_RELOADED,
+                path = %path.display(),
+                changed = settings != state.settings,
+                "settings read again"
+            );
+        }
         Err(error) => tracing::error!(
             event = events::SETTINGS_REJECTED,
             path = %path.display(),
--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -30,6 +30,7 @@
     child: Child,
     lines: BufReader<ChildStdout>,
     front: String,
+    metrics: String,
     node_file: PathBuf,
 }
 
@@ -50,15 +51,17 @@
         let node_file = std::env::temp_dir().join(file);
         std::fs::write(&node_file, node_text(store)).expect("writing the settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_umberglade"))
-            .args(["gateway", "--log-lines", log_lines])
+            .args(["gateway", "--log-lines", log_lines, "--metrics-port", "0"])
             .env("UMBERGLADE_NODE_FILE", &node_file)
             .stdout(Stdio::piped())
             .spawn()
             .expect("starting umberglade");
         let lines = BufReader::new(child.stdout.take().expect("piped stdout"));
-        let mut gateway = Gateway { child, lines, front: String::new(), node_file };
+        let (front, metrics) = (String::new(), String::new());
+        let mut gateway = Gateway { child, lines, front, metrics, node_file };
         let started = gateway.event(7001);
         gateway.front = started["front"].as_str().expect("an address").to_owned();
+        gateway.metrics = started["metrics"].as_str().expect("an address").to_owned();
         gateway
     }
 
@@ -258,3 +261,55 @@
     assert!(answer.ends_with(b"0\r\n\r\n"), "cut after {} bytes", answer.len());
     assert!(answer.len() > 8 * EVENT_BYTES, "only {} bytes", answer.len());
 }
+
+/// Operators scrape an instance whose callers send paths and ids of all sorts.
+/// A label that took its value from a request would make a series of each, and
+/// the scraper, then the instance, would run out of memory.
+#[test]
+fn metrics_are_exposition_text_with_few_series() {
+    const LABELS: [&str; 6] = ["call", "failure", "outcome", "quantile", "reason", "table"];
+    let store = start_site();
+    let gateway = Gateway::start("scraped", &store, "400");
+    let agent = agent();
+    let paths = ["/safe/", "/once/", "/stream/", "/nowhere/"];
+    let scrape = || {
+        let url = format!("http://{}/metrics", gateway.metrics);
+        let mut answer = agent.get(url).call().expect("an answer");
+        answer.body_mut().read_to_string().expect("text")
+    };
+    let mut counts = Vec::new();
+    for round in 0..3 {
+        for at in 0..40 {
+            let path = format!("{}{round}-{at}", paths[at % paths.len()]);
+            gateway.call(&agent, &path, &format!("id-{round}-{at}"));
+        }
+        let text = scrape();
+        text.lines().for_each(|line| check_exposition_line(line, &LABELS));
+        counts.push(text.lines().filter(|line| !line.starts_with('#')).count());
+    }
+    assert!(counts[0] > 10 && counts[2] < 150, "{counts:?}");
+    assert_eq!(counts[1], counts[2], "series grow with requests: {counts:?}");
+}
+
+/// `name{label="value",...} number`, or a comment.
+fn check_exposition_line(line: &str, labels: &[&str]) {
+    if line.is_empty() || line.starts_with("# TYPE ") || line.starts_with("# HELP ") {
+        return;
+    }
+    let (series, number) = line.rsplit_once(' ').unwrap_or_else(|| panic!("no value: {line}"));
+    assert!(number.parse::<f64>().is_ok(), "no number: {line}");
+    let (name, pairs) = match series.split_once('{') {
+        Some((name, pairs)) => (name, pairs.strip_suffix('}').expect("a closing brace")),
+        None => (series, ""),
+    };
+    let is_name = |name: &str| {
+        name.starts_with(|first: char| first.is_ascii_alphabetic())
+            && name.chars().all(|found| found.is_ascii_alphanumeric() || found == '_')
+    };
+    assert!(is_name(name), "no metric name: {line}");
+    for pair in pairs.split(',').filter(|pair| !pair.is_empty()) {
+        let (label, value) = pair.split_once('=').unwrap_or_else(|| panic!("no label: {line}"));
+        assert!(labels.contains(&label), "a label not known to be bounded: {line}");
+        assert!(value.len() >= 2 && value.starts_with('"') && value.ends_with('"'), "{line}");
+    }
+}
