No request is sent without a permit, and each repeat is counted once

Cause: sends went out by five paths (answers, hedges, resumed streams, first prompts, prompts read again), each of which asked or counted for itself.

Change: exchange takes a SendPermit, which only Attempts gives out: free for a request's first send, else from the allowance. One that is dropped unsettled counts as a repeat; a first prompt settles when it was read, or never sent.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use super::Call;
+use super::send_permit::SendPermit;
 use crate::belief::RetryUse;
 use crate::events;
 use crate::model::ServerKey;
@@ -29,6 +30,8 @@
     sends: u32,
     /// Sends that reached no server.
     unsent: u32,
+    /// True once a server was asked to read the prompt.
+    has_sent_prompt: bool,
 }
 
 impl Attempts {
@@ -43,25 +46,14 @@
         self.unsent += 1;
     }
 
-    /// True when another send is within the route's bounds and, unless none
-    /// has reached a server yet, the service's retry allowance, which is
-    /// then spent: that bounds what arrives at servers.
-    pub fn may_send(&self, state: &Arc<GatewayState>, call: &Call) -> bool {
-        if self.sends == 0 {
-            return true;
-        }
-        let route = &call.route;
-        let runs_left = self.runs < route.max_attempts && (self.runs == 0 || route.is_repeatable());
-        if !runs_left
-            || self.sends >= route.max_attempts + SPARE_SENDS + self.unsent.min(SPARE_UNSENT)
-        {
-            return false;
+    /// The right to another send, when it is within the route's bounds and,
+    /// unless none has reached a server yet, the service's retry allowance,
+    /// which is then spent: that bounds what arrives at servers.
+    pub fn permit(&self, state: &Arc<GatewayState>, call: &Call) -> Option<SendPermit> {
+        if !self.is_within_route(call) {
+            return None;
         }
-        if self.unsent == self.sends {
-            return true;
-        }
-        let is_allowed = state.spend_retry(&call.service, RetryUse::Needed);
-        if !is_allowed {
+        if self.unsent < self.sends && !state.spend_retry(&call.service, RetryUse::Needed) {
             metrics::counter!("umberglade_retries_denied_total").increment(1);
             tracing::info!(
                 event = events::RETRY_DENIED,
@@ -71,8 +63,28 @@
                 gateways = state.members(),
                 "retry allowance spent"
             );
+            return None;
         }
-        is_allowed
+        Some(SendPermit::counted(state, &call.service))
+    }
+
+    /// The right to have the prompt read at a server of its own: the first time
+    /// freely, again only to help, within the retry allowance.
+    pub fn permit_prompt(&mut self, state: &Arc<GatewayState>, call: &Call) -> Option<SendPermit> {
+        if std::mem::replace(&mut self.has_sent_prompt, true) {
+            let is_allowed = state.spend_retry(&call.service, RetryUse::Helpful);
+            return is_allowed.then(|| SendPermit::counted(state, &call.service));
+        }
+        Some(SendPermit::first_prompt(state, &call.service))
+    }
+
+    fn is_within_route(&self, call: &Call) -> bool {
+        if self.sends == 0 {
+            return true;
+        }
+        let route = &call.route;
+        let runs_left = self.runs < route.max_attempts && (self.runs == 0 || route.is_repeatable());
+        runs_left && self.sends < route.max_attempts + SPARE_SENDS + self.unsent.min(SPARE_UNSENT)
     }
 
     /// Sends so far.
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -10,6 +10,7 @@
 use strum::Display;
 
 use super::Call;
+use super::send_permit::SendPermit;
 use crate::belief::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
@@ -61,6 +62,7 @@
     pub response: Response<Incoming>,
     pub head: ReplyHead,
     pub connection: KeptConnection,
+    pub permit: SendPermit,
 }
 
 /// Where `server` is now; `None` when it is no longer known.
@@ -81,6 +83,7 @@
     call: &Call,
     target: &SendTarget,
     order: &OnwardOrder,
+    permit: SendPermit,
     patience: Duration,
 ) -> Result<OpenReply, SendFailure> {
     let request = call.onward::<C>(order);
@@ -96,7 +99,12 @@
     };
     let (response, connection) = match sent.or(late).await {
         Ok(answered) => answered,
-        Err((failure, problem)) => return Err(fail(state, call, target, failure, &problem)),
+        Err((failure, problem)) => {
+            if failure == SendFailure::Unsent {
+                permit.settle();
+            }
+            return Err(fail(state, call, target, failure, &problem));
+        }
     };
     let head = C::reply_head(response.headers());
     let status = response.status();
@@ -118,7 +126,7 @@
     if status.is_success() && needs_signature && !head.is_signed {
         return Err(fail(state, call, target, SendFailure::Garbled, "not signed"));
     }
-    Ok(OpenReply { response, head, connection })
+    Ok(OpenReply { response, head, connection, permit })
 }
 
 /// Notes and logs a failed send.
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod refuse;
 mod relay;
 mod room_wait;
+mod send_permit;
 mod stream_open;
 mod stream_run;
 
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -21,6 +21,7 @@
 use super::exchange::SendFailure;
 use super::refuse::refuse_call;
 use super::room_wait::need;
+use super::send_permit::SendPermit;
 use crate::belief::LoadShare;
 use crate::belief::ServerOutcome;
 use crate::belief::place_plain;
@@ -78,13 +79,13 @@
 ) -> Response<GatewayBody> {
     let mut attempts = Attempts::default();
     let mut leftover = Leftover::default();
-    while attempts.may_send(state, &call) {
+    while let Some(permit) = attempts.permit(state, &call) {
         if Instant::now() >= call.deadline {
             break;
         }
         let Some(server) = place(state, &call, &attempts) else { break };
         attempts.begin(&server);
-        let first = pin!(send_once::<C>(state, &call, server));
+        let first = pin!(send_once::<C>(state, &call, server, permit));
         let end = match hedge_after(&call, &attempts) {
             None => first.await,
             Some(after) => {
@@ -149,8 +150,9 @@
     if let Some(end) = by_deadline(Instant::now() + after, first.as_mut()).await {
         return Some(end);
     }
-    let second = if attempts.may_send(state, call) { place(state, call, attempts) } else { None };
-    let Some(server) = second else { return Some(first.await) };
+    let permit = attempts.permit(state, call);
+    let second = permit.and_then(|permit| Some((place(state, call, attempts)?, permit)));
+    let Some((server, permit)) = second else { return Some(first.await) };
     tracing::info!(
         event = events::CALL_HEDGED,
         request_id = call.id(),
@@ -161,7 +163,7 @@
     );
     metrics::counter!("umberglade_hedges_total").increment(1);
     attempts.begin(&server);
-    let mut second = pin!(send_once::<C>(state, call, server));
+    let mut second = pin!(send_once::<C>(state, call, server, permit));
     let (is_first, end) =
         async { (true, first.as_mut().await) }.or(async { (false, second.as_mut().await) }).await;
     if end.is_final(call) {
@@ -204,6 +206,7 @@
     state: &Arc<GatewayState>,
     call: &Arc<Call>,
     server: ServerKey,
+    permit: SendPermit,
 ) -> SendEnd {
     let Some(target) = exchange::send_target(state, &server) else {
         return SendEnd::Failed(SendFailure::Unsent);
@@ -216,7 +219,7 @@
         purpose: SendPurpose::Answer,
         resume_after: call.head.resume_after,
     };
-    match exchange::exchange::<C>(state, call, &target, &order, time_left).await {
+    match exchange::exchange::<C>(state, call, &target, &order, permit, time_left).await {
         Ok(reply) => read_whole::<C>(state, call, &target, reply).await,
         Err(failure) => SendEnd::Failed(failure),
     }
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -11,6 +11,7 @@
 use super::cache_guard::CacheGuard;
 use super::exchange;
 use super::exchange::SendFailure;
+use super::send_permit::SendPermit;
 use crate::belief::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
@@ -34,6 +35,7 @@
     state: &Arc<GatewayState>,
     call: &Call,
     hold: WorkHold,
+    permit: SendPermit,
     prompt_tokens: u32,
     resume_after: Option<u64>,
 ) -> Result<CacheGuard<C>, SendFailure> {
@@ -48,7 +50,7 @@
         purpose: SendPurpose::Prefill,
         resume_after,
     };
-    let reply = exchange::exchange::<C>(state, call, &target, &order, patience).await?;
+    let reply = exchange::exchange::<C>(state, call, &target, &order, permit, patience).await?;
     let status = reply.response.status();
     let read =
         async { reply.response.into_body().collect().await.map_err(|error| error.to_string()) };
@@ -65,6 +67,7 @@
         return Err(fail(&format!("status {status}")));
     }
     let result = C::prefill_result(&body).map_err(|error| fail(&error.to_string()))?;
+    reply.permit.settle();
     state.note_outcome(&target, ServerOutcome::Fine);
     tracing::info!(
         event = events::PREFILL_DONE,
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -228,7 +228,7 @@
     /// Goes on at another server behind the last event passed on.
     async fn resume(&mut self) -> Option<Box<OpenStream>> {
         let resume_after = self.last_id.or(self.call.head.resume_after);
-        while self.attempts.may_send(&self.state, &self.call) {
+        while let Some(permit) = self.attempts.permit(&self.state, &self.call) {
             let left = self.call.time_left(Instant::now());
             if left.is_zero() {
                 return None;
@@ -236,7 +236,7 @@
             let (hold, cache) = stream_run::read_elsewhere::<C>(
                 &self.state,
                 &self.call,
-                &self.attempts,
+                &mut self.attempts,
                 resume_after,
             )
             .await?;
@@ -259,7 +259,9 @@
             );
             metrics::counter!("umberglade_streams_resumed_total").increment(1);
             let patience = RESUME_PATIENCE.min(left);
-            let end = stream_open::open::<C>(&self.state, &self.call, hold, &order, patience).await;
+            let end =
+                stream_open::open::<C>(&self.state, &self.call, hold, permit, &order, patience)
+                    .await;
             match end {
                 OpenEnd::Stream(stream) => {
                     if let Some(cache) = cache {
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -17,6 +17,7 @@
 use super::exchange;
 use super::exchange::OpenReply;
 use super::exchange::SendFailure;
+use super::send_permit::SendPermit;
 use crate::belief::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::model::OnwardOrder;
@@ -57,6 +58,7 @@
     state: &Arc<GatewayState>,
     call: &Call,
     hold: WorkHold,
+    permit: SendPermit,
     order: &OnwardOrder,
     patience: Duration,
 ) -> OpenEnd {
@@ -64,7 +66,7 @@
         return OpenEnd::Failed(SendFailure::Unsent);
     };
     let until = Instant::now() + patience;
-    let reply = match exchange::exchange::<C>(state, call, &target, order, patience).await {
+    let reply = match exchange::exchange::<C>(state, call, &target, order, permit, patience).await {
         Ok(reply) => reply,
         Err(failure) => return OpenEnd::Failed(failure),
     };
@@ -82,7 +84,7 @@
             None => fail(SendFailure::Silent, "no answer body in time"),
         };
     }
-    let OpenReply { response, head, connection } = reply;
+    let OpenReply { response, head, connection, .. } = reply;
     let (parts, body) = response.into_parts();
     let mut reader = EventReader::new(body);
     let first = match by_deadline(until, reader.next_event()).await {
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -24,7 +24,6 @@
 use super::stream_open;
 use super::stream_open::OpenEnd;
 use crate::belief::LoadShare;
-use crate::belief::RetryUse;
 use crate::belief::place_decode;
 use crate::belief::place_prefill;
 use crate::codec::PlatformCodec;
@@ -53,26 +52,28 @@
         Ok(placed) => placed,
         Err(refusal) => return refusal,
     };
+    let mut attempts = Attempts::default();
     let cache = match placed.prefill {
-        Some(hold) => read_first::<C>(state, &call, hold, shape.prompt_tokens).await,
+        Some(hold) => {
+            read_prompt::<C>(state, &call, &mut attempts, hold, call.head.resume_after).await
+        }
         None => None,
     };
-    open_somewhere::<C>(state, call, placed.decode, cache).await
+    open_somewhere::<C>(state, call, attempts, placed.decode, cache).await
 }
 
-/// Has the prompt read for the first time; `None` when that failed and the
-/// decode server is to read it.
-async fn read_first<C: PlatformCodec>(
+/// Has the prompt read at the server of `hold`; `None` when that failed, or may
+/// not be asked for, and the decode server is to read it.
+async fn read_prompt<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
+    attempts: &mut Attempts,
     hold: WorkHold,
-    tokens: u32,
+    resume_after: Option<u64>,
 ) -> Option<CacheGuard<C>> {
-    let read = prefill_step::prefill::<C>(state, call, hold, tokens, call.head.resume_after).await;
-    if matches!(read, Err(SendFailure::NotRun)) {
-        state.note_repeat(&call.service);
-    }
-    read.ok()
+    let permit = attempts.permit_prompt(state, call)?;
+    let tokens = call.prompt_shape().prompt_tokens;
+    prefill_step::prefill::<C>(state, call, hold, permit, tokens, resume_after).await.ok()
 }
 
 /// Opens the stream at the server of `hold`, or at another where that is
@@ -80,16 +81,16 @@
 async fn open_somewhere<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: Arc<Call>,
+    mut attempts: Attempts,
     hold: WorkHold,
     cache: Option<CacheGuard<C>>,
 ) -> Response<GatewayBody> {
-    let mut attempts = Attempts::default();
-    let mut next = Some((hold, cache));
+    let mut next = attempts.permit(state, &call).map(|permit| (permit, hold, cache));
     let mut may_have_run = false;
     let mut refused_with_cache = 0;
     let mut answered = None;
     let ttl = call.engine_spec().handle_ttl;
-    while let Some((hold, cache)) = next.take() {
+    while let Some((permit, hold, cache)) = next.take() {
         let mut kept_cache = None;
         attempts.begin(&hold.server);
         let source = cache.as_ref().and_then(|cache| cache.source().cloned());
@@ -101,7 +102,7 @@
             resume_after: call.head.resume_after,
         };
         let patience = first_event_patience(&call, &attempts);
-        let end = stream_open::open::<C>(state, &call, hold, &order, patience).await;
+        let end = stream_open::open::<C>(state, &call, hold, permit, &order, patience).await;
         match end {
             OpenEnd::Stream(stream) => {
                 if let Some(cache) = cache {
@@ -135,11 +136,15 @@
                 may_have_run = true;
             }
         }
-        if call.time_left(Instant::now()) > FIRST_EVENT_TIME && attempts.may_send(state, &call) {
-            next = match kept_cache {
+        let has_time = call.time_left(Instant::now()) > FIRST_EVENT_TIME;
+        let permit = if has_time { attempts.permit(state, &call) } else { None };
+        if let Some(permit) = permit {
+            let resume_after = call.head.resume_after;
+            let found = match kept_cache {
                 Some(cache) => elsewhere(state, &call, &attempts).map(|hold| (hold, Some(cache))),
-                None => read_elsewhere::<C>(state, &call, &attempts, call.head.resume_after).await,
+                None => read_elsewhere::<C>(state, &call, &mut attempts, resume_after).await,
             };
+            next = found.map(|(hold, cache)| (permit, hold, cache));
         }
     }
     if let Some(response) = answered {
@@ -188,26 +193,22 @@
 pub async fn read_elsewhere<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     resume_after: Option<u64>,
 ) -> Option<(WorkHold, Option<CacheGuard<C>>)> {
     let decode = elsewhere(state, call, attempts)?;
     let Some(prefill) = prefill_near(state, call, &decode) else { return Some((decode, None)) };
-    let tokens = call.prompt_shape().prompt_tokens;
-    let cache = prefill_step::prefill::<C>(state, call, prefill, tokens, resume_after).await.ok();
+    let cache = read_prompt::<C>(state, call, attempts, prefill, resume_after).await;
     Some((decode, cache))
 }
 
-/// A prefill server for a prompt that must be read again, near the decode
-/// server; `None` when there is none or the retry allowance is spent.
+/// A prefill server near the decode server, if there is any.
 fn prefill_near(state: &Arc<GatewayState>, call: &Call, decode: &WorkHold) -> Option<WorkHold> {
     let server = {
         let fleet = state.fleet();
         let domain = fleet.server(&decode.server)?.entry.domain.clone();
         place_prefill(&fleet, &domain, &need(state, call, &[])).ok()?
     };
-    if !state.spend_retry(&call.service, RetryUse::Helpful) {
-        return None;
-    }
-    Some(WorkHold::begin(state, server, LoadShare::of_prompt(call.prompt_shape().prompt_tokens)))
+    let work = LoadShare::of_prompt(call.prompt_shape().prompt_tokens);
+    Some(WorkHold::begin(state, server, work))
 }
