Gateways tell each other how many prompt readers they find right

Change: reports carry each service's wanted readers where known; a gateway that does not know takes the median of what it hears.

--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
 use super::HeardRetries;
 use super::LineNews;
@@ -159,6 +160,16 @@
             .all(|(peer, _)| own < *peer)
     }
 
+    /// The prompt readers that live peers find right for the service with
+    /// `digest`: the median, so that one with odd callers decides nothing.
+    pub fn wanted_readers(&self, digest: u64, now: Instant) -> Option<usize> {
+        let told = self.fresh(now).flat_map(|report| &report.news.wanted_readers);
+        let mut wanted: SmallVec<[u32; 16]> =
+            told.filter(|(service, _)| *service == digest).map(|(_, count)| *count).collect();
+        wanted.sort_unstable();
+        wanted.get(wanted.len() / 2).map(|count| *count as usize)
+    }
+
     /// Peers that a fresh report has come from.
     pub fn heard(&self, now: Instant) -> usize {
         self.fresh(now).count()
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -12,6 +12,7 @@
 use crate::belief::StageChange;
 use crate::belief::StageLook;
 use crate::belief::StageWatch;
+use crate::belief::server_digest;
 use crate::belief::stage_choice;
 use crate::belief::stage_look;
 use crate::codec::PlatformCodec;
@@ -70,9 +71,9 @@
     let own = state.demand.with_line(service, |line| line.len());
     let waiting = own + state.other_lines(service).waiting as usize;
     let look = stage_look(&state.fleet(), service, waiting, now);
-    let engines = look.prefill + look.decode;
-    let wanted =
-        state.demand.with_balance(service, |balance| balance.wanted_readers(engines, spec));
+    // The gateway that acts for all may have served too few streams to know.
+    let heard = || state.fleet().peers.wanted_readers(server_digest(service), now);
+    let wanted = state.own_wanted_readers(service, spec).or_else(heard);
     watch.look(StageLook { wanted, ..look }, now)
 }
 
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -29,6 +29,8 @@
     pub store_calm_ms: u64,
     /// Engines that this gateway has told to change their stage.
     pub changing: Vec<u64>,
+    /// Prompt readers that this gateway finds right, by service, where it knows.
+    pub wanted_readers: Vec<(u64, u32)>,
     /// The configuration in force here; 0 while none is known.
     pub config: ConfigVersion,
 }
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -63,6 +63,7 @@
         aside,
         lines: state.demand.own_lines(now),
         changing,
+        wanted_readers: state.wanted_readers(),
         config: state.config_version(),
     };
     let datagram = postcard::to_allocvec(&report).expect("encoding plain numbers and text");
@@ -121,6 +122,7 @@
         lines: report.lines.into(),
         store_calm: Duration::from_millis(report.store_calm_ms),
         changing: report.changing.into(),
+        wanted_readers: report.wanted_readers.into(),
         config: report.config,
     };
     let now = Instant::now();
