Engines read for themselves past a queue; late callers leave places; more memory given out

Cause: engines that generate were the only stage that admission knew. Late callers took the last places in bursts. 0.90 of the memory given out pushed no request out at all.

Change, three policies, measured one after the other but committed together: 0.95 of an engine's memory is given out; a late request leaves one or two places to those still on time, by arrivals and pace; a prompt is read by the engine that generates once four times its length waits at every reader. With the last, readers are kept at 0.8 of their time.

--- a/crates/gateway/src/belief/placement.rs
+++ b/crates/gateway/src/belief/placement.rs
@@ -16,8 +16,11 @@
 
 /// The share of an engine's memory that is given out: the rest takes up
 /// block rounding and answers longer than estimated, so that a request is
-/// rarely pushed out and its prompt read twice.
-const MEMORY_PART: f64 = 0.90;
+/// rarely pushed out and its prompt read twice. Where engines hold ten streams
+/// or so, 0.90 pushes none out and places fewer (mean worth 0.627 over thirty
+/// days); 0.95 pushes out one in 800 (0.639); 1.0 one in 50 (0.642, and 13 to
+/// 20 prompts a day read twice).
+const MEMORY_PART: f64 = 0.95;
 /// What failing always weighs against the server being full once over.
 const FAILURE_WEIGHT: f64 = 4.0;
 /// What each gateway that passes a server over weighs, up to three of them.
@@ -34,6 +37,14 @@
 /// Prompt tokens an engine reads in a millisecond, for weighing a queue
 /// against the transfer above; measured on the deployments' engines.
 const PREFILL_TOKENS_PER_MS: f64 = 55.0;
+/// A decode engine reads its prompt itself once prompts of this many times its
+/// length wait at every reader: it would be done sooner, at half a reader's
+/// speed and between its streams' tokens, though these are held up by it.
+///
+/// Guards against readers that become the narrow stage, when some fail, slow
+/// down or were ordered away in a burst: all prompts queued there, first events
+/// came after 1.9 s at the median, and half of a day's streams were late.
+const READS_ITSELF_TIMES: f64 = 4.0;
 /// Milliseconds that an engine's being wholly full weighs.
 const FULL_MS: f64 = 400.0;
 
@@ -163,13 +174,15 @@
         |reader: &Candidate<'_>| reader.reading_cost() + dislike(need, reader.belief) * prompt_ms;
     let readers = well_or_all(&engines, need.now, |stage| stage == ServerStage::Prefill);
     let readers = DomainReaders::new(&readers, reading_cost);
+    let longest_queue = (f64::from(shape.prompt_tokens) * READS_ITSELF_TIMES) as u32;
     let stream_fill = LoadShare::of_stream(shape).peak_tokens() / given_out(spec);
     let mut places: SmallVec<[(f64, usize); 32]> = SmallVec::new();
     for (at, decode) in decodes.iter().enumerate() {
         let Some(fill) = decode.room(spec, shape) else { continue };
         let fill = fill + dislike(need, decode.belief) * stream_fill;
         let decode_cost = (fill + decode.failure_cost) * FULL_MS;
-        let reader_cost = readers.near(&decode.belief.entry.domain).map_or(0.0, |(_, cost)| cost);
+        let reader = readers.near(&decode.belief.entry.domain, longest_queue);
+        let reader_cost = reader.map_or(prompt_ms * READS_ITSELF_TIMES, |(_, cost)| cost);
         places.push((decode_cost + reader_cost, at));
     }
     if ahead >= places.len() {
@@ -178,7 +191,7 @@
     let by_cost = |left: &(f64, usize), right: &(f64, usize)| left.0.total_cmp(&right.0);
     let (_, &mut (cost, at), _) = places.select_nth_unstable_by(ahead, by_cost);
     let decode = &decodes[at].belief.entry;
-    let prefill = readers.near(&decode.domain).map(|(server, _)| server.clone());
+    let prefill = readers.near(&decode.domain, longest_queue).map(|(server, _)| server.clone());
     Ok(EnginePlace { decode: decode.server.clone(), prefill, cost })
 }
 
@@ -214,33 +227,33 @@
 /// once for each pair of engines grows with the square of a site.
 #[derive(Debug)]
 struct DomainReaders<'a> {
-    cheapest: SmallVec<[(&'a ServerBelief, f64); 8]>,
+    cheapest: SmallVec<[(Candidate<'a>, f64); 8]>,
 }
 
 impl<'a> DomainReaders<'a> {
     fn new(readers: &[Candidate<'a>], cost: impl Fn(&Candidate<'_>) -> f64) -> Self {
-        let mut cheapest: SmallVec<[(&ServerBelief, f64); 8]> = SmallVec::new();
+        let mut cheapest: SmallVec<[(Candidate<'a>, f64); 8]> = SmallVec::new();
         for reader in readers {
-            let belief = reader.belief;
             let cost = cost(reader);
-            let same =
-                |known: &&mut (&ServerBelief, f64)| known.0.entry.domain == belief.entry.domain;
+            let domain = &reader.belief.entry.domain;
+            let same = |known: &&mut (Candidate<'a>, f64)| known.0.belief.entry.domain == *domain;
             match cheapest.iter_mut().find(same) {
-                Some(known) if cost < known.1 => *known = (belief, cost),
+                Some(known) if cost < known.1 => *known = (*reader, cost),
                 Some(_) => {}
-                None => cheapest.push((belief, cost)),
+                None => cheapest.push((*reader, cost)),
             }
         }
         DomainReaders { cheapest }
     }
 
-    /// The cheapest for a decode server in `domain`, and its cost with the
-    /// transfer's.
-    fn near(&self, domain: &DomainKey) -> Option<(&'a ServerKey, f64)> {
+    /// The cheapest for a decode server in `domain` at which no more than
+    /// `longest_queue` tokens wait, and its cost with the transfer's.
+    fn near(&self, domain: &DomainKey, longest_queue: u32) -> Option<(&'a ServerKey, f64)> {
         self.cheapest
             .iter()
+            .filter(|(reader, _)| reader.load().prompt_tokens <= longest_queue)
             .map(|(reader, cost)| {
-                let entry = &reader.entry;
+                let entry = &reader.belief.entry;
                 (&entry.server, cost + transfer_cost(&entry.domain, domain))
             })
             .min_by(|left, right| left.1.total_cmp(&right.1))
--- a/crates/gateway/src/belief/stage_balance.rs
+++ b/crates/gateway/src/belief/stage_balance.rs
@@ -10,10 +10,11 @@
 /// The weight of one stream in the mean, once there are enough.
 const WEIGHT: f64 = 0.05;
 /// Readers are kept at this share of their time when engines that generate are
-/// full: a prompt then waits for another's reading time on the mean. Over six
-/// plays of six days each, mean worth 0.645 with it; at 0.8 readers' queues
-/// grew to half a second and engines were ordered back (0.635).
-const READING_SHARE: f64 = 0.65;
+/// full. What they do not read in time, the engines that generate read for
+/// themselves: without that, readers kept at 0.8 queued for seconds and 0.5 was
+/// the most that held (mean worth 0.634 and 0.642); with it 0.8 is worth 0.663
+/// and 0.5 0.655 (four plays of five days each).
+const READING_SHARE: f64 = 0.8;
 
 /// What a mean stream takes of engines' time.
 ///
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -187,11 +187,14 @@
 ) -> Result<Placed, PlaceRefusal> {
     let EnginePlace { decode, prefill, cost } = {
         let now = Instant::now();
-        let line = state.demand.with_line(&call.service, |line| line.news(now));
+        let others = state.other_lines(&call.service);
+        let (line, left) = state
+            .demand
+            .with_line(&call.service, |line| (line.news(now), line.places_left(others, now)));
         let fleet = state.fleet();
         let service = server_digest(&call.service);
         let ahead = line.map_or(0, |line| fleet.peers.waiting_before(service, &line, now));
-        place_engine(&fleet, spec, shape, ahead, &need(state, call, &[]))?
+        place_engine(&fleet, spec, shape, ahead + left, &need(state, call, &[]))?
     };
     log_placed(state, call, &decode, prefill.as_ref(), 0, cost);
     let prefill = prefill
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -350,3 +350,32 @@
         assert_eq!(&*place.decode, "idle", "gateway {at}");
     }
 }
+
+/// Readers fail or slow down in a burst, and prompts queue at those left. An
+/// engine that generates reads a prompt more slowly, but at once: past some
+/// queue it is done sooner, and the queue stops growing.
+#[test]
+fn an_engine_reads_for_itself_when_readers_are_behind() {
+    struct QueueCase {
+        name: &'static str,
+        queued: [u32; 2],
+        reader: Option<&'static str>,
+    }
+    let cases = [
+        QueueCase { name: "idle", queued: [0, 9_000], reader: Some("p-0") },
+        QueueCase { name: "some prompts wait", queued: [30_000, 19_000], reader: Some("p-1") },
+        QueueCase { name: "one is far behind", queued: [90_000, 0], reader: Some("p-1") },
+        QueueCase { name: "all are far behind", queued: [90_000, 40_000], reader: None },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut fleet = fleet(ServerStage::Prefill, &[("p-0", "a"), ("p-1", "a")]);
+        fleet.upsert(entry("d", "a", ServerStage::Decode), 10);
+        for (at, queued) in case.queued.into_iter().enumerate() {
+            fleet.begin(&format!("p-{at}"), LoadShare::of_prompt(queued), now);
+        }
+        let domain: DomainKey = "a".into();
+        let place = place_engine(&fleet, &spec(), &SHAPE, 0, &need(&domain, &[], now)).unwrap();
+        assert_eq!(place.prefill.as_deref(), case.reader, "{}", case.name);
+    }
+}
