--- a/crates/gateway/src/belief/waiting_line.rs
+++ b/crates/gateway/src/belief/waiting_line.rs
@@ -24,8 +24,8 @@
 /// The least part of the pace that is taken to be left beside new callers.
 const LEAST_SPARE: f64 = 0.1;
 
-/// The most places that a late request leaves to others: more would hold it
-/// back at small sites, where there are no more.
+/// The most places that a late request leaves to others: in a burst of more
+/// than twice the pace it would never be placed.
 const MOST_PLACES_LEFT: usize = 2;
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -194,7 +194,8 @@
         let fleet = state.fleet();
         let service = server_digest(&call.service);
         let ahead = line.map_or(0, |line| fleet.peers.waiting_before(service, &line, now));
-        place_engine(&fleet, spec, shape, ahead + left, &need(state, call, &[]))?
+        let need = PlaceNeed { places_left: left, ..need(state, call, &[]) };
+        place_engine(&fleet, spec, shape, ahead, &need)?
     };
     log_placed(state, call, &decode, prefill.as_ref(), 0, cost);
     let prefill = prefill
@@ -256,6 +257,7 @@
         gateway: state.digest,
         domain: &state.settings.domain,
         tried,
+        places_left: 0,
         now: Instant::now(),
     }
 }
