--- /dev/null
+++ b/crates/gateway/src/belief/candidate.rs
@@ -0,0 +1,149 @@
+//! A server that may take a request, and what weighs for and against it.
+
+use std::time::Instant;
+
+use smallvec::SmallVec;
+
+use super::Fleet;
+use super::LoadShare;
+use super::PlaceNeed;
+use super::PlaceRefusal;
+use super::ServerBelief;
+use super::ServerSum;
+use crate::model::EngineSpec;
+use crate::model::PromptShape;
+use crate::model::ServerKey;
+use crate::model::ServerStage;
+
+/// The share of an engine's memory that is given out: the rest takes up
+/// block rounding and answers longer than estimated, so that a request is
+/// rarely pushed out and its prompt read twice. Where engines hold ten streams
+/// or so, 0.90 pushes none out and places fewer (mean worth 0.627 over thirty
+/// days); 0.95 pushes out one in 800 (0.639); 1.0 one in 50 (0.642, and 13 to
+/// 20 prompts a day read twice).
+const MEMORY_PART: f64 = 0.95;
+/// What failing always weighs against the server being full once over.
+const FAILURE_WEIGHT: f64 = 4.0;
+/// What each gateway that passes a server over weighs, up to three of them.
+const PEER_ASIDE_WEIGHT: f64 = 0.7;
+/// This many other gateways that pass a server over are believed outright.
+const PEERS_TO_BELIEVE: u32 = 2;
+/// Prompt tokens an engine reads in a millisecond, for weighing a queue
+/// against the transfer above; measured on the deployments' engines.
+pub(super) const PREFILL_TOKENS_PER_MS: f64 = 55.0;
+/// Milliseconds that an engine's being wholly full weighs.
+pub(super) const FULL_MS: f64 = 400.0;
+
+/// A server that may take the request, with what the other gateways tell of
+/// it: looked up once, however many costs are weighed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Candidate<'a> {
+    pub belief: &'a ServerBelief,
+    pub others: ServerSum,
+    /// What its failures weigh, ours and those that others saw, in shares of
+    /// a full server.
+    pub failure_cost: f64,
+}
+
+impl Candidate<'_> {
+    /// Work there, ours and the other gateways'.
+    pub fn load(&self) -> LoadShare {
+        self.belief.own.plus(self.others.load)
+    }
+
+    /// True when we pass the server over, or enough of the other gateways do
+    /// that it is hardly their paths.
+    pub fn is_aside(&self, now: Instant) -> bool {
+        self.belief.health.is_aside(now) || self.others.aside >= PEERS_TO_BELIEVE
+    }
+
+    /// How full the engine would be with a stream of `shape`, from 0 to 1;
+    /// `None` when it has no room for it.
+    pub fn room(&self, spec: &EngineSpec, shape: &PromptShape) -> Option<f64> {
+        let load = self.load();
+        let slots = if spec.slots > 0 { spec.slots } else { self.belief.entry.slots };
+        let with_it = load.plus(LoadShare::of_stream(shape));
+        let by_slots = f64::from(with_it.running) / f64::from(slots.max(1));
+        let by_memory = with_it.peak_tokens() / given_out(spec);
+        let is_alone = load.running == 0;
+        let filled = by_slots.max(if is_alone { by_memory.min(1.0) } else { by_memory });
+        (filled <= 1.0).then_some(filled)
+    }
+
+    /// Milliseconds that a prompt waits there for those before it, with what
+    /// failures weigh.
+    pub fn reading_cost(&self) -> f64 {
+        let queued = f64::from(self.load().prompt_tokens) / PREFILL_TOKENS_PER_MS;
+        queued + self.failure_cost * FULL_MS
+    }
+}
+
+/// Most services have no more.
+pub(super) type Candidates<'a> = SmallVec<[Candidate<'a>; 32]>;
+
+/// The servers that may take the request: not tried yet and not set aside;
+/// set aside ones too when there are no others, since a guess that one is
+/// down must never refuse a request by itself.
+pub(super) fn candidates<'a>(
+    fleet: &'a Fleet,
+    need: &PlaceNeed<'_>,
+    suits: impl Fn(ServerStage) -> bool,
+) -> Candidates<'a> {
+    well_or_all(&open_candidates(fleet, need, suits), need.now, |_| true)
+}
+
+/// The servers that are open to the request, whatever their record.
+pub(super) fn open_candidates<'a>(
+    fleet: &'a Fleet,
+    need: &PlaceNeed<'_>,
+    suits: impl Fn(ServerStage) -> bool,
+) -> Candidates<'a> {
+    fleet
+        .open_servers(need.service, need.now)
+        .filter(|(belief, _)| suits(belief.entry.stage))
+        .filter(|(belief, _)| !need.tried.contains(&belief.entry.server))
+        .map(|(belief, others)| Candidate {
+            belief,
+            others,
+            failure_cost: failure_cost(belief, others, need.now),
+        })
+        .collect()
+}
+
+/// Those of a suitable stage that are not set aside, or all of that stage if
+/// there are no others.
+pub(super) fn well_or_all<'a>(
+    open: &[Candidate<'a>],
+    now: Instant,
+    suits: impl Fn(ServerStage) -> bool,
+) -> Candidates<'a> {
+    let suitable = || open.iter().filter(|candidate| suits(candidate.belief.entry.stage));
+    let well: Candidates<'a> = suitable().filter(|one| !one.is_aside(now)).copied().collect();
+    if well.is_empty() { suitable().copied().collect() } else { well }
+}
+
+/// The candidate of the least cost; equal ones are drawn from.
+pub(super) fn cheapest(
+    candidates: &[Candidate<'_>],
+    cost: impl Fn(&Candidate<'_>) -> f64,
+) -> Result<(ServerKey, f64), PlaceRefusal> {
+    candidates
+        .iter()
+        .map(|candidate| (candidate, cost(candidate) + fastrand::f64() * 0.01))
+        .min_by(|left, right| left.1.total_cmp(&right.1))
+        .map(|(candidate, cost)| (candidate.belief.entry.server.clone(), cost))
+        .ok_or(PlaceRefusal::NoServer)
+}
+
+/// What our own failures there weigh, and those of the other gateways: a
+/// server that one of them passes over is likely down for all, though only
+/// this one's path may be.
+fn failure_cost(belief: &ServerBelief, others: ServerSum, now: Instant) -> f64 {
+    let peers = f64::from(others.aside.min(3));
+    belief.health.failure_share(now) * FAILURE_WEIGHT + peers * PEER_ASIDE_WEIGHT
+}
+
+/// The tokens of an engine's memory that are given out.
+pub(super) fn given_out(spec: &EngineSpec) -> f64 {
+    f64::from(spec.kv_tokens.max(1)) * MEMORY_PART
+}
--- /dev/null
+++ b/crates/gateway/src/belief/domain_readers.rs
@@ -0,0 +1,55 @@
+//! The prefill servers worth choosing, one a failure domain.
+
+use smallvec::SmallVec;
+
+use super::candidate::Candidate;
+use crate::model::DomainKey;
+use crate::model::ServerKey;
+
+/// What fetching the KV cache from another failure domain weighs, in
+/// milliseconds of prefill queue: such transfers take twice as long, and
+/// their bytes are paid for.
+const AWAY_TRANSFER_MS: f64 = 120.0;
+
+/// The cheapest prefill server of each failure domain, found once a decision:
+/// once for each pair of engines grows with the square of a site.
+#[derive(Debug)]
+pub(super) struct DomainReaders<'a> {
+    cheapest: SmallVec<[(Candidate<'a>, f64); 8]>,
+}
+
+impl<'a> DomainReaders<'a> {
+    /// The cheapest of `readers` in each domain by `cost`.
+    pub fn new(readers: &[Candidate<'a>], cost: impl Fn(&Candidate<'_>) -> f64) -> Self {
+        let mut cheapest: SmallVec<[(Candidate<'a>, f64); 8]> = SmallVec::new();
+        for reader in readers {
+            let cost = cost(reader);
+            let domain = &reader.belief.entry.domain;
+            let same = |known: &&mut (Candidate<'a>, f64)| known.0.belief.entry.domain == *domain;
+            match cheapest.iter_mut().find(same) {
+                Some(known) if cost < known.1 => *known = (*reader, cost),
+                Some(_) => {}
+                None => cheapest.push((*reader, cost)),
+            }
+        }
+        DomainReaders { cheapest }
+    }
+
+    /// The cheapest for a decode server in `domain` at which no more than
+    /// `longest_queue` tokens wait, and its cost with the transfer's.
+    pub fn near(&self, domain: &DomainKey, longest_queue: u32) -> Option<(&'a ServerKey, f64)> {
+        self.cheapest
+            .iter()
+            .filter(|(reader, _)| reader.load().prompt_tokens <= longest_queue)
+            .map(|(reader, cost)| {
+                let entry = &reader.belief.entry;
+                (&entry.server, cost + transfer_cost(&entry.domain, domain))
+            })
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+    }
+}
+
+/// What a transfer between two failure domains weighs, in milliseconds.
+pub(super) fn transfer_cost(from: &DomainKey, to: &DomainKey) -> f64 {
+    if from == to { 0.0 } else { AWAY_TRANSFER_MS }
+}
--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -8,6 +8,8 @@
 use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
 
+use super::FleetChange;
+use super::ListedServers;
 use super::LoadShare;
 use super::PeerLoads;
 use super::ServerBelief;
@@ -37,26 +39,6 @@
 /// for as long as the store keeps its history, some 20 s.
 const REMOVED_TIME: Duration = Duration::from_secs(60);
 
-/// What a row changed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FleetChange {
-    Joined(ServerKey),
-    Leaving(ServerKey),
-    Removed(ServerKey),
-    /// Missing after an outage; counts as gone unless it is back in time.
-    Lapsed(ServerKey),
-    /// Started again under its id.
-    Restarted(ServerKey),
-}
-
-/// A whole listing of the servers' table.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ListedServers {
-    pub entries: Vec<(ServerEntry, StoreVersion)>,
-    /// Rows that hold no registration.
-    pub unreadable: Vec<(ServerKey, StoreVersion)>,
-}
-
 /// What is remembered of a server that was removed.
 #[derive(Debug)]
 struct RemovedServer {
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -2,9 +2,12 @@
 //! does I/O or reads a clock: the time is passed in, so every decision can
 //! be tested as a table.
 
+mod candidate;
 mod config_watch;
 mod departure_pace;
+mod domain_readers;
 mod fleet;
+mod fleet_news;
 mod in_force;
 mod load_share;
 mod output_guess;
@@ -25,8 +28,8 @@
 pub use self::config_watch::ConfigWatch;
 pub use self::departure_pace::DeparturePace;
 pub use self::fleet::Fleet;
-pub use self::fleet::FleetChange;
-pub use self::fleet::ListedServers;
+pub use self::fleet_news::FleetChange;
+pub use self::fleet_news::ListedServers;
 pub use self::in_force::InForce;
 pub use self::in_force::InForceChange;
 pub use self::load_share::LoadShare;
