--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -51,30 +51,25 @@
             let Some(spec) = &spec.engine else { continue };
             let watch = watches.entry(service.clone()).or_default();
             let now = Instant::now();
-            let Some(change) = look(&state, service, spec, watch, now) else { continue };
+            let look = look(&state, service, spec, now);
+            let Some(change) = watch.look(look, now) else { continue };
             if !is_ours(&state, now) {
                 continue;
             }
             watch.rest(now);
-            act::<C>(&state, &mut client, service, change).await;
+            act::<C>(&state, &mut client, service, look, change).await;
         }
     }
 }
 
-fn look(
-    state: &GatewayState,
-    service: &ServiceName,
-    spec: &EngineSpec,
-    watch: &mut StageWatch,
-    now: Instant,
-) -> Option<StageChange> {
+fn look(state: &GatewayState, service: &ServiceName, spec: &EngineSpec, now: Instant) -> StageLook {
     let own = state.demand.with_line(service, |line| line.len());
     let waiting = own + state.other_lines(service).waiting as usize;
     let look = stage_look(&state.fleet(), service, waiting, now);
     // The gateway that acts for all may have served too few streams to know.
     let heard = || state.fleet().peers.wanted_readers(server_digest(service), now);
     let wanted = state.own_wanted_readers(service, spec).or_else(heard);
-    watch.look(StageLook { wanted, ..look }, now)
+    StageLook { wanted, ..look }
 }
 
 fn is_ours(state: &GatewayState, now: Instant) -> bool {
@@ -86,21 +81,22 @@
     state: &Arc<GatewayState>,
     client: &mut StoreClient<C>,
     service: &ServiceName,
+    look: StageLook,
     change: StageChange,
 ) {
     let begun = waking_clock();
     let fence = match claim(state, client).await {
         Ok(Some(fence)) => fence,
         Ok(None) => {
-            log_claim(service, change, "held by another");
+            log_claim(service, look, change, "held by another");
             return;
         }
         Err(error) => {
-            log_claim(service, change, &error.to_string());
+            log_claim(service, look, change, &error.to_string());
             return;
         }
     };
-    log_claim(service, change, "claimed");
+    log_claim(service, look, change, "claimed");
     let chosen = stage_choice(&state.fleet(), service, change, Instant::now());
     for server in chosen {
         let Some(target) = send_target(state, &server) else { continue };
@@ -166,12 +162,17 @@
     }
 }
 
-fn log_claim(service: &ServiceName, change: StageChange, outcome: &str) {
+fn log_claim(service: &ServiceName, look: StageLook, change: StageChange, outcome: &str) {
     tracing::info!(
         event = events::DUTY_CLAIMED,
         %service,
         stage = %change.to,
         count = change.count,
+        prefill = look.prefill,
+        prefill_busy = look.prefill_busy,
+        decode = look.decode,
+        waiting = look.waiting,
+        wanted = look.wanted,
         outcome,
         "engines should change their stage"
     );
