--- a/crates/gateway/benches/decision.rs
+++ b/crates/gateway/benches/decision.rs
@@ -86,14 +86,7 @@
         let mut group = criterion.benchmark_group(format!("{gateways} gateways {servers} servers"));
         let mut fleet = site(gateways, servers, now);
         let gateway = server_digest("gw-0");
-        let need = |service| PlaceNeed {
-            service,
-            gateway,
-            domain: &domain,
-            tried: &[],
-            places_left: 0,
-            now,
-        };
+        let need = |service| PlaceNeed { service, gateway, domain: &domain, tried: &[], now };
         group.bench_function("place_engine", |bench| {
             bench.iter(|| place_engine(black_box(&fleet), &spec(), &SHAPE, 0, &need("engine")));
         });
--- a/crates/gateway/src/belief/placement.rs
+++ b/crates/gateway/src/belief/placement.rs
@@ -35,10 +35,6 @@
 /// came after 1.9 s at the median, and half of a day's streams were late.
 const READS_ITSELF_TIMES: f64 = 4.0;
 
-/// A place is left to others for each so many engines. Guards small services:
-/// of two engines a late request would never get any.
-const ENGINES_PER_PLACE_LEFT: usize = 4;
-
 /// An odd multiplier whose upper product bits depend on all lower ones: 2^64
 /// over the golden ratio, as in multiplicative hashing.
 const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
@@ -54,9 +50,6 @@
     pub domain: &'a DomainKey,
     /// Servers that this request has already been to.
     pub tried: &'a [ServerKey],
-    /// Engines with room that are left to others, at large enough services: a
-    /// late request leaves them to those who can be on time.
-    pub places_left: usize,
     pub now: Instant,
 }
 
@@ -133,8 +126,7 @@
         let reader_cost = reader.map_or(prompt_ms * READS_ITSELF_TIMES, |(_, cost)| cost);
         places.push((decode_cost + reader_cost, at));
     }
-    let left = need.places_left.min(decodes.len() / ENGINES_PER_PLACE_LEFT);
-    if ahead + left >= places.len() {
+    if ahead >= places.len() {
         return Err(PlaceRefusal::NoRoom);
     }
     let by_cost = |left: &(f64, usize), right: &(f64, usize)| left.0.total_cmp(&right.0);
--- a/crates/gateway/src/belief/waiting_line.rs
+++ b/crates/gateway/src/belief/waiting_line.rs
@@ -24,10 +24,6 @@
 /// The least part of the pace that is taken to be left beside new callers.
 const LEAST_SPARE: f64 = 0.1;
 
-/// The most places that a late request leaves to others: in a burst of more
-/// than twice the pace it would never be placed.
-const MOST_PLACES_LEFT: usize = 2;
-
 #[derive(Debug, Clone, Copy)]
 struct Waiter {
     /// When its caller first tried.
@@ -189,27 +185,6 @@
         self.is_blocked = true;
     }
 
-    /// Places that the first in line leaves free: none if it can be on time.
-    /// A late one leaves as many as new requests are expected before another
-    /// place comes free.
-    ///
-    /// Guards against late answers that make others late. In a burst, each
-    /// moment in which nobody on time waits let one in that keeps its place for
-    /// seconds, and the next to come was late for it. Buys 0.007 of a day's
-    /// worth (0.650 for 0.642 over twenty days with bursts each).
-    pub fn places_left(&self, others: OtherLines, now: Instant) -> usize {
-        let is_late = self.first(now).is_some_and(|(_, first)| now >= first.on_time_until);
-        if !is_late {
-            return 0;
-        }
-        let pace = self.pace.per_second(now) + others.pace;
-        let arrivals = self.arrivals.per_second(now) + others.arrivals;
-        if pace <= 0.0 {
-            return 1;
-        }
-        ((arrivals / pace).ceil() as usize).clamp(1, MOST_PLACES_LEFT)
-    }
-
     /// When a caller refused for lack of room should come back: once those who
     /// wait have been placed, by what is left beside new callers, who go
     /// before late ones.
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -187,15 +187,11 @@
 ) -> Result<Placed, PlaceRefusal> {
     let EnginePlace { decode, prefill, cost } = {
         let now = Instant::now();
-        let others = state.other_lines(&call.service);
-        let (line, left) = state
-            .demand
-            .with_line(&call.service, |line| (line.news(now), line.places_left(others, now)));
+        let line = state.demand.with_line(&call.service, |line| line.news(now));
         let fleet = state.fleet();
         let service = server_digest(&call.service);
         let ahead = line.map_or(0, |line| fleet.peers.waiting_before(service, &line, now));
-        let need = PlaceNeed { places_left: left, ..need(state, call, &[]) };
-        place_engine(&fleet, spec, shape, ahead, &need)?
+        place_engine(&fleet, spec, shape, ahead, &need(state, call, &[]))?
     };
     log_placed(state, call, &decode, prefill.as_ref(), 0, cost);
     let prefill = prefill
@@ -257,7 +253,6 @@
         gateway: state.digest,
         domain: &state.settings.domain,
         tried,
-        places_left: 0,
         now: Instant::now(),
     }
 }
--- a/crates/gateway/tests/peer_sums.rs
+++ b/crates/gateway/tests/peer_sums.rs
@@ -217,8 +217,7 @@
         }
         let domain: DomainKey = "z0".into();
         let gateway = server_digest("gw");
-        let need =
-            PlaceNeed { service: "svc", gateway, domain: &domain, tried: &[], places_left: 0, now };
+        let need = PlaceNeed { service: "svc", gateway, domain: &domain, tried: &[], now };
         let before = fleet.peers.server_looks();
         place_engine(&fleet, &spec, &shape, 0, &need).expect("room");
         let engines = (case.decode + case.prefill) as u64;
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -55,7 +55,7 @@
 }
 
 fn need<'a>(domain: &'a DomainKey, tried: &'a [ServerKey], now: Instant) -> PlaceNeed<'a> {
-    PlaceNeed { service: "svc", gateway: server_digest("gw-1"), domain, tried, places_left: 0, now }
+    PlaceNeed { service: "svc", gateway: server_digest("gw-1"), domain, tried, now }
 }
 
 fn calls(running: u32) -> LoadShare {
@@ -379,36 +379,3 @@
         assert_eq!(place.prefill.as_deref(), case.reader, "{}", case.name);
     }
 }
-
-/// Two engines, one full: a late request that left a place to others would wait
-/// in vain for as long as the other engine has any work.
-#[test]
-fn late_requests_leave_places_at_large_services_only() {
-    struct LeftCase {
-        engines: usize,
-        places_left: usize,
-        is_placed: bool,
-    }
-    let cases = [
-        LeftCase { engines: 2, places_left: 2, is_placed: true },
-        LeftCase { engines: 3, places_left: 2, is_placed: true },
-        LeftCase { engines: 8, places_left: 2, is_placed: false },
-        LeftCase { engines: 8, places_left: 0, is_placed: true },
-    ];
-    for case in cases {
-        let now = Instant::now();
-        let mut fleet = Fleet::default();
-        for at in 0..case.engines {
-            let server = format!("d-{at}");
-            fleet.upsert(entry(&server, "a", ServerStage::Decode), at as u64 + 1);
-            // All but two are full.
-            let work = if at < 2 { LoadShare::default() } else { streams(13, 0) };
-            fleet.begin(&server, work, now);
-        }
-        let domain: DomainKey = "a".into();
-        let need = PlaceNeed { places_left: case.places_left, ..need(&domain, &[], now) };
-        let place = place_engine(&fleet, &spec(), &SHAPE, 0, &need);
-        let named = format!("{} engines, {} left", case.engines, case.places_left);
-        assert_eq!(place.is_ok(), case.is_placed, "{named}");
-    }
-}
--- a/crates/gateway/tests/waiting_line.rs
+++ b/crates/gateway/tests/waiting_line.rs
@@ -372,32 +372,3 @@
         assert_eq!(refused > 0, case.is_refused, "{}: {refused} refused", case.name);
     }
 }
-
-/// A burst of more than the engines serve. Whenever nobody waits who can still
-/// be on time, late callers would take the last places, for seconds each, and
-/// those who come next would be late for it. Late ones leave them some.
-#[test]
-fn late_callers_leave_places_to_those_on_time() {
-    struct PlacesCase {
-        name: &'static str,
-        waited: Duration,
-        others: OtherLines,
-        left: usize,
-    }
-    let others = |pace, arrivals| OtherLines { pace, arrivals, ..OtherLines::default() };
-    let late = TARGET + ms(100);
-    let cases = [
-        PlacesCase { name: "on time", waited: ms(100), others: others(20.0, 30.0), left: 0 },
-        PlacesCase { name: "late in calm", waited: late, others: others(20.0, 12.0), left: 1 },
-        PlacesCase { name: "late in a burst", waited: late, others: others(20.0, 30.0), left: 2 },
-        PlacesCase { name: "in a storm", waited: late, others: others(2.0, 90.0), left: 2 },
-        PlacesCase { name: "no pace known", waited: late, others: others(0.0, 0.0), left: 1 },
-    ];
-    for case in cases {
-        let begun = Instant::now();
-        let mut line = WaitingLine::default();
-        line.join(asker(begun), PATIENCE, OtherLines::default(), begun).expect("an empty line");
-        let left = line.places_left(case.others, begun + case.waited);
-        assert_eq!(left, case.left, "{}", case.name);
-    }
-}
