--- a/crates/gateway/src/belief/candidate.rs
+++ b/crates/gateway/src/belief/candidate.rs
@@ -18,9 +18,10 @@
 /// The share of an engine's memory that is given out: the rest takes up
 /// block rounding and answers longer than estimated, so that a request is
 /// rarely pushed out and its prompt read twice. Where engines hold ten streams
-/// or so, 0.90 pushes none out and places fewer (mean worth 0.627 over thirty
-/// days); 0.95 pushes out one in 800 (0.639); 1.0 one in 50 (0.642, and 13 to
-/// 20 prompts a day read twice).
+/// or so, 0.90 pushes none out and places fewer in a burst (callers got 0.627 of
+/// the value of what they asked for, over thirty runs with bursts and faults);
+/// 0.95 pushes out one in 800 (0.639); 1.0 one in 50 (0.642, with 13 to 20
+/// prompts a run read twice).
 const MEMORY_PART: f64 = 0.95;
 /// What failing always weighs against the server being full once over.
 const FAILURE_WEIGHT: f64 = 4.0;
@@ -29,7 +30,8 @@
 /// This many other gateways that pass a server over are believed outright.
 const PEERS_TO_BELIEVE: u32 = 2;
 /// Prompt tokens an engine reads in a millisecond, for weighing a queue
-/// against the transfer above; measured on the deployments' engines.
+/// against a transfer between failure domains; measured on engines that read
+/// 55. It refuses nobody.
 pub(super) const PREFILL_TOKENS_PER_MS: f64 = 55.0;
 /// Milliseconds that an engine's being wholly full weighs.
 pub(super) const FULL_MS: f64 = 400.0;
--- a/crates/gateway/src/belief/placement.rs
+++ b/crates/gateway/src/belief/placement.rs
@@ -32,7 +32,7 @@
 ///
 /// Guards against readers that become the narrow stage, when some fail, slow
 /// down or were ordered away in a burst: all prompts queued there, first events
-/// came after 1.9 s at the median, and half of a day's streams were late.
+/// came after 1.9 s at the median, and half of all streams were late.
 const READS_ITSELF_TIMES: f64 = 4.0;
 
 /// An odd multiplier whose upper product bits depend on all lower ones: 2^64
--- a/crates/gateway/src/belief/stage_balance.rs
+++ b/crates/gateway/src/belief/stage_balance.rs
@@ -12,8 +12,9 @@
 /// Readers are kept at this share of their time when engines that generate are
 /// full. What they do not read in time, the engines that generate read for
 /// themselves: without that, readers kept at 0.8 queued for seconds and 0.5 was
-/// the most that held (mean worth 0.634 and 0.642); with it 0.8 is worth 0.663
-/// and 0.5 0.655 (four plays of five days each).
+/// the most that held (callers got 0.634 and 0.642 of the value of what they
+/// asked for); with it 0.8 gives 0.663 and 0.5 0.655, over twenty runs each with
+/// bursts and faults.
 const READING_SHARE: f64 = 0.8;
 
 /// What a mean stream takes of engines' time.
@@ -22,7 +23,8 @@
 /// How busy readers are says little: they are idle before a burst, and a prompt
 /// in its engine's constant steps looks like one being read. Judged by that,
 /// two of five readers were ordered to generate at the start of a burst, prompts
-/// queued for seconds, and a day was worth 0.60 for 0.69 with one ordered.
+/// queued for seconds, and callers got 0.60 of the value of what they asked for;
+/// with one ordered 0.69.
 /// What a stream takes of either stage does not depend on how many come.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StageBalance {
