--- a/crates/gateway/src/belief/stage_watch.rs
+++ b/crates/gateway/src/belief/stage_watch.rs
@@ -41,6 +41,13 @@
     pub wanted: Option<usize>,
 }
 
+impl StageLook {
+    /// Engines of either stage.
+    pub fn engines(&self) -> usize {
+        self.prefill + self.decode
+    }
+}
+
 /// How many engines should change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StageChange {
@@ -101,7 +108,7 @@
 }
 
 fn least_prefill(look: StageLook) -> usize {
-    let part = LEAST_PART * (look.prefill + look.decode) as f64;
+    let part = LEAST_PART * look.engines() as f64;
     LEAST_PREFILL.max(part.ceil() as usize)
 }
 
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -27,6 +27,7 @@
 use crate::state::GatewayState;
 use crate::store::FollowError;
 use crate::store::StoreClient;
+use crate::store::log_unreadable;
 use crate::timing::waking_clock;
 use crate::upstream::SendTarget;
 
@@ -68,7 +69,9 @@
     let look = stage_look(&state.fleet(), service, waiting, now);
     // The gateway that acts for all may have served too few streams to know.
     let heard = || state.fleet().peers.wanted_readers(server_digest(service), now);
-    let wanted = state.own_wanted_readers(service, spec).or_else(heard);
+    let own =
+        state.demand.with_balance(service, |balance| balance.wanted_readers(look.engines(), spec));
+    let wanted = own.or_else(heard);
     StageLook { wanted, ..look }
 }
 
@@ -149,14 +152,7 @@
     match postcard::from_bytes(value) {
         Ok(claim) => Some(claim),
         Err(error) => {
-            tracing::warn!(
-                event = events::ROW_UNREADABLE,
-                table = %StoreTable::Duties,
-                key = %row.key,
-                version = row.version,
-                %error,
-                "claim not understood; it counts as none"
-            );
+            log_unreadable(StoreTable::Duties, row, &error.to_string());
             None
         }
     }
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -62,13 +62,12 @@
     call: &Call,
     hold: WorkHold,
     permit: SendPermit,
-    prompt_tokens: u32,
     resume_after: Option<u64>,
 ) -> Result<CacheGuard<C>, SendFailure> {
     let target = exchange::send_target(state, &hold.server).ok_or(SendFailure::Unsent)?;
     let begun = Instant::now();
     let time_left = call.time_left(begun);
-    let tokens_ahead = tokens_at(state, &target).max(prompt_tokens);
+    let tokens_ahead = tokens_at(state, &target).max(call.prompt_shape().prompt_tokens);
     let patience = patience(state, call, tokens_ahead).min(time_left);
     let order = OnwardOrder {
         server: target.server.clone(),
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -29,6 +29,7 @@
 use crate::codec::PlatformCodec;
 use crate::model::OnwardOrder;
 use crate::model::SendPurpose;
+use crate::model::ServerKey;
 use crate::state::GatewayState;
 use crate::stop::CLOSE_TIME;
 use crate::work_hold::WorkHold;
@@ -53,29 +54,16 @@
         Err(refusal) => return refusal,
     };
     let mut attempts = Attempts::default();
-    let cache = match placed.prefill {
-        Some(hold) => {
-            read_prompt::<C>(state, &call, &mut attempts, hold, call.head.resume_after).await
-        }
-        None => None,
-    };
+    let mut cache = None;
+    if let Some(hold) = placed.prefill
+        && let Some(permit) = attempts.permit_prompt(state, &call)
+    {
+        let resume_after = call.head.resume_after;
+        cache = prefill_step::prefill::<C>(state, &call, hold, permit, resume_after).await.ok();
+    }
     open_somewhere::<C>(state, call, attempts, placed.decode, cache).await
 }
 
-/// Has the prompt read at the server of `hold`; `None` when that failed, or may
-/// not be asked for, and the decode server is to read it.
-async fn read_prompt<C: PlatformCodec>(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    attempts: &mut Attempts,
-    hold: WorkHold,
-    resume_after: Option<u64>,
-) -> Option<CacheGuard<C>> {
-    let permit = attempts.permit_prompt(state, call)?;
-    let tokens = call.prompt_shape().prompt_tokens;
-    prefill_step::prefill::<C>(state, call, hold, permit, tokens, resume_after).await.ok()
-}
-
 /// Opens the stream at the server of `hold`, or at another where that is
 /// allowed, and relays it.
 async fn open_somewhere<C: PlatformCodec>(
@@ -197,18 +185,17 @@
     resume_after: Option<u64>,
 ) -> Option<(WorkHold, Option<CacheGuard<C>>)> {
     let decode = elsewhere(state, call, attempts)?;
-    let Some(prefill) = prefill_near(state, call, &decode) else { return Some((decode, None)) };
-    let cache = read_prompt::<C>(state, call, attempts, prefill, resume_after).await;
+    let Some(server) = prefill_near(state, call, &decode) else { return Some((decode, None)) };
+    let Some(permit) = attempts.permit_prompt(state, call) else { return Some((decode, None)) };
+    let work = LoadShare::of_prompt(call.prompt_shape().prompt_tokens);
+    let prefill = WorkHold::begin(state, server, work);
+    let cache = prefill_step::prefill::<C>(state, call, prefill, permit, resume_after).await.ok();
     Some((decode, cache))
 }
 
 /// A prefill server near the decode server, if there is any.
-fn prefill_near(state: &Arc<GatewayState>, call: &Call, decode: &WorkHold) -> Option<WorkHold> {
-    let server = {
-        let fleet = state.fleet();
-        let domain = fleet.server(&decode.server)?.entry.domain.clone();
-        place_prefill(&fleet, &domain, &need(state, call, &[])).ok()?
-    };
-    let work = LoadShare::of_prompt(call.prompt_shape().prompt_tokens);
-    Some(WorkHold::begin(state, server, work))
+fn prefill_near(state: &Arc<GatewayState>, call: &Call, decode: &WorkHold) -> Option<ServerKey> {
+    let fleet = state.fleet();
+    let domain = fleet.server(&decode.server)?.entry.domain.clone();
+    place_prefill(&fleet, &domain, &need(state, call, &[])).ok()
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,7 +27,6 @@
 use crate::demand::CallerDemand;
 use crate::events;
 use crate::model::ConfigVersion;
-use crate::model::EngineSpec;
 use crate::model::GatewaySettings;
 use crate::model::RouteTable;
 use crate::model::ServiceName;
@@ -244,24 +243,18 @@
         self.fleet().peers.other_lines(server_digest(service), Instant::now())
     }
 
-    /// Prompt readers of `service` that are right by what its streams take, as
-    /// far as this gateway knows.
-    pub fn own_wanted_readers(&self, service: &ServiceName, spec: &EngineSpec) -> Option<usize> {
-        let engines = {
-            let fleet = self.fleet();
-            let look = stage_look(&fleet, service, 0, Instant::now());
-            look.prefill + look.decode
-        };
-        self.demand.with_balance(service, |balance| balance.wanted_readers(engines, spec))
-    }
-
-    /// The same for all services with engines, for a report to the peers.
+    /// Prompt readers that are right by what streams take, for each service with
+    /// engines of which this gateway knows it; for a report to the peers.
     pub fn wanted_readers(&self) -> Vec<(u64, u32)> {
         let Some(table) = self.table() else { return Vec::new() };
         let services = table.services.iter();
         services
             .filter_map(|(service, spec)| {
-                let wanted = self.own_wanted_readers(service, spec.engine.as_ref()?)?;
+                let spec = spec.engine.as_ref()?;
+                let engines = stage_look(&self.fleet(), service, 0, Instant::now()).engines();
+                let wanted = self
+                    .demand
+                    .with_balance(service, |balance| balance.wanted_readers(engines, spec))?;
                 Some((server_digest(service), u32::try_from(wanted).ok()?))
             })
             .collect()
--- a/crates/gateway/src/store/config_sink.rs
+++ b/crates/gateway/src/store/config_sink.rs
@@ -7,7 +7,7 @@
 use event_listener::EventListener;
 
 use super::TableSink;
-use super::server_sink::log_unreadable;
+use super::unreadable_row::log_unreadable;
 use crate::belief::InForceChange;
 use crate::codec::PlatformCodec;
 use crate::events;
--- a/crates/gateway/src/store/member_sink.rs
+++ b/crates/gateway/src/store/member_sink.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use super::TableSink;
-use super::server_sink::log_unreadable;
+use super::unreadable_row::log_unreadable;
 use crate::model::RowValue;
 use crate::model::StoreRow;
 use crate::model::StoreTable;
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,6 +7,7 @@
 mod server_sink;
 mod store_client;
 mod table_follower;
+mod unreadable_row;
 
 pub use self::config_sink::ConfigSink;
 pub use self::follow_error::FollowError;
@@ -16,3 +17,4 @@
 pub use self::store_client::StoreClient;
 pub use self::table_follower::TableFollower;
 pub use self::table_follower::TableSink;
+pub use self::unreadable_row::log_unreadable;
--- a/crates/gateway/src/store/server_sink.rs
+++ b/crates/gateway/src/store/server_sink.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use super::TableSink;
+use super::unreadable_row::log_unreadable;
 use crate::belief::ListedServers;
 use crate::codec::PlatformCodec;
-use crate::events;
 use crate::model::RowValue;
 use crate::model::ServerEntry;
 use crate::model::StoreRow;
@@ -49,20 +49,6 @@
     Unreadable,
 }
 
-/// Logs a row that holds what can't be read.
-pub(super) fn log_unreadable(table: StoreTable, row: &StoreRow, problem: &str) {
-    metrics::counter!("umberglade_rows_unreadable_total", "table" => table.to_string())
-        .increment(1);
-    tracing::warn!(
-        event = events::ROW_UNREADABLE,
-        %table,
-        key = %row.key,
-        version = row.version,
-        error = problem,
-        "row not understood"
-    );
-}
-
 impl<C: PlatformCodec> TableSink for ServerSink<C> {
     fn listed(&mut self, rows: Vec<StoreRow>, version: StoreVersion) {
         let mut listing = ListedServers::default();
