A stop looks again before it ends; servers that leave get no stream begun before

The server to go on at is chosen before the prompt is read; with a reader that hangs that takes seconds, longer since prompts are waited for by their usual time, and the server had announced its leaving meanwhile.

--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -68,15 +68,21 @@
     pub permit: SendPermit,
 }
 
-/// Where `server` is now; `None` when it is no longer known.
+/// Where `server` is now; `None` when it is no longer known, or gets no new
+/// work.
+///
+/// Guards against a server chosen before a prompt was read, which takes seconds
+/// where readers are slow or hang: it may have announced its leaving since, and
+/// the stream reached it 2.4 s after that.
 pub fn send_target(state: &GatewayState, server: &str) -> Option<SendTarget> {
+    let now = Instant::now();
     let fleet = state.fleet();
-    let belief = fleet.server(server)?;
+    let belief = fleet.server(server).filter(|belief| belief.is_open(now))?;
     Some(SendTarget {
         server: belief.entry.server.clone(),
         incarnation: belief.incarnation,
         address: belief.entry.address,
-        may_reuse: !belief.health.is_suspect(Instant::now()),
+        may_reuse: !belief.health.is_suspect(now),
     })
 }
 
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -53,6 +53,8 @@
 const CONFIG_PACE: Duration = Duration::from_millis(50);
 /// Pauses between tries to register with the store.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
+/// How often a stop looks whether anything is still in flight.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
 /// How often beliefs and kept connections past their time are dropped.
 const TICK: Duration = Duration::from_millis(500);
 
@@ -112,11 +114,18 @@
     tracing::info!(event = events::STOP_BEGUN, in_flight = state.in_flight(), "stop begun");
     let latest = begun + state.settings.stop_grace.saturating_sub(GRACE_MARGIN);
     smol::Timer::at((begun + LEAST_STOP).min(latest)).await;
-    while state.is_busy() && Instant::now() < latest {
-        smol::Timer::after(Duration::from_millis(20)).await;
+    loop {
+        while state.is_busy() && Instant::now() < latest {
+            smol::Timer::after(BUSY_PAUSE).await;
+        }
+        // The answers of connections that came too late to be counted.
+        smol::Timer::at((Instant::now() + FLUSH_TIME).min(latest)).await;
+        // Guards against a call that came in meanwhile: the process's end
+        // would cut it with its server at work.
+        if !state.is_busy() || Instant::now() >= latest {
+            break;
+        }
     }
-    // The answers of connections that came too late to be counted.
-    smol::Timer::at((Instant::now() + FLUSH_TIME).min(latest)).await;
     tracing::info!(
         event = events::GATEWAY_STOPPED,
         in_flight = state.in_flight(),
