--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -35,6 +35,11 @@
 /// 6 s, and registers within a heartbeat.
 const CHANGE_TIME: Duration = Duration::from_secs(12);
 
+/// How long a server is passed over that has said it is another than its row
+/// tells of: a row that nobody renews is gone after three heartbeats of 1.2 s,
+/// and one that is renewed with nothing new in it is told to nobody.
+const OUTDATED_TIME: Duration = Duration::from_secs(5);
+
 /// How long a removed server is remembered: older rows of it may come late
 /// for as long as the store keeps its history, some 20 s.
 const REMOVED_TIME: Duration = Duration::from_secs(60);
@@ -280,7 +285,7 @@
     pub fn own_aside(&self, now: Instant) -> Vec<u64> {
         self.servers
             .values()
-            .filter(|belief| belief.is_outdated || belief.health.is_aside(now))
+            .filter(|belief| belief.is_outdated(now) || belief.health.is_aside(now))
             .map(|belief| belief.incarnation)
             .collect()
     }
@@ -327,7 +332,9 @@
         // been replaced at its address: each is rejected and counts as a
         // repeat, 160 in 10 s when a third of 12 engines started anew. Its row
         // is a heartbeat old; the next tells what is there.
-        belief.is_outdated |= outcome == ServerOutcome::Misdirected;
+        if outcome == ServerOutcome::Misdirected {
+            belief.outdated_until = Some(now + OUTDATED_TIME);
+        }
         belief.health.note(outcome, now);
     }
 
@@ -390,6 +397,6 @@
     known.version = version;
     known.gone_at = None;
     known.is_unreadable = false;
-    known.is_outdated = false;
+    known.outdated_until = None;
     begins_leaving.then(|| FleetChange::Leaving(known.entry.server.clone()))
 }
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -12,6 +12,7 @@
 use super::LineNews;
 use super::OtherLines;
 use super::PeerNews;
+use super::PeerRank;
 use super::PeerSums;
 use super::ServerSum;
 use super::ServiceSum;
@@ -175,6 +176,18 @@
         self.fresh(now).count()
     }
 
+    /// Where the gateway with digest `own` stands among those heard.
+    pub fn rank(&self, own: u64, now: Instant) -> PeerRank {
+        let mut rank = PeerRank { peers: 0, before: 0 };
+        for (peer, report) in &self.reports {
+            if now.saturating_duration_since(report.heard_at) < REPORT_LIFE {
+                rank.peers += 1;
+                rank.before += usize::from(*peer < own);
+            }
+        }
+        rank
+    }
+
     /// Peers heard of lately.
     pub fn live_peers(&self, now: Instant) -> usize {
         self.reports
--- /dev/null
+++ b/crates/gateway/src/belief/read_roster.rs
@@ -0,0 +1,186 @@
+//! Which gateways read a table of the store, and which are told by them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rustc_hash::FxHashMap;
+
+use super::TableFingerprint;
+
+/// Gateways that read a table for all: two may die or be cut off at once, and
+/// the others still know within a report.
+const READERS: usize = 3;
+/// With fewer other gateways than this each reads for itself: three of eight
+/// reading twice as often save little.
+const LEAST_PEERS: usize = 8;
+/// The part of a table's bound for which another's reading counts as fresh.
+/// What is left is for a read of one's own: a call may wait 0.9 s for its
+/// answer, and bounds are two seconds or more.
+const FRESH_PART: f64 = 0.5;
+/// The part of the bound over which gateways that nobody tells any more spread
+/// their first reads: the first of them tell the others.
+const SPREAD_PART: f64 = 0.1;
+/// How long a gateway leaves it to each one before it to step in for a missing
+/// reader: a read and a report take some 30 ms.
+const STEP_IN_PAUSE: Duration = Duration::from_millis(150);
+/// The longest time until a gateway that is told looks again.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+
+/// One gateway's own reading of a table, as it tells the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadNotice {
+    pub fingerprint: TableFingerprint,
+    /// When the store answered it.
+    pub read_at: Instant,
+}
+
+/// A gateway among those it hears.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerRank {
+    /// Other gateways heard.
+    pub peers: usize,
+    /// Those of them with a lesser digest.
+    pub before: usize,
+}
+
+/// What a gateway does next about a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadTurn {
+    /// It reads the store, for itself or for all.
+    Own,
+    /// What others tell holds; it looks again then.
+    Told { until: Instant },
+}
+
+/// Who reads one table, as one gateway sees it.
+///
+/// Guards against calls to the store that grow with the gateways: each of 195
+/// read for itself once a second, and each change woke all of them. Nothing is
+/// agreed on and nothing is kept: whoever isn't told in time reads for itself,
+/// so frozen, cut off or lying readers cost calls and delay within the bound.
+#[derive(Debug)]
+pub struct ReadRoster {
+    own: u64,
+    /// How soon a change must be known.
+    bound: Duration,
+    notices: FxHashMap<u64, ReadNotice>,
+    /// Of the content held here.
+    fingerprint: TableFingerprint,
+    /// The content held here was the store's at this time: by a read of our
+    /// own, or by another's that found the same.
+    known_at: Option<Instant>,
+    read_at: Option<Instant>,
+    /// True while this gateway reads for all.
+    is_reader: bool,
+    /// Since when there have been too few readers.
+    short_since: Option<Instant>,
+    /// From 0 to 1; spreads gateways that fall back to reading.
+    draw: f64,
+}
+
+impl ReadRoster {
+    /// The roster at the gateway with digest `own`, that has read nothing yet.
+    pub fn new(own: u64, bound: Duration, draw: f64) -> Self {
+        ReadRoster {
+            own,
+            bound,
+            notices: FxHashMap::default(),
+            fingerprint: 0,
+            known_at: None,
+            read_at: None,
+            is_reader: true,
+            short_since: None,
+            draw,
+        }
+    }
+
+    /// The store has answered a read of our own.
+    pub fn note_read(&mut self, fingerprint: TableFingerprint, now: Instant) {
+        self.fingerprint = fingerprint;
+        self.known_at = Some(now);
+        self.read_at = Some(now);
+    }
+
+    /// A read of our own failed: another may be better placed to read for all.
+    pub fn note_failed(&mut self) {
+        self.is_reader = false;
+        self.short_since = None;
+    }
+
+    /// What another gateway told has been taken in.
+    pub fn note_told(&mut self, fingerprint: TableFingerprint) {
+        self.fingerprint = fingerprint;
+        for notice in self.notices.values() {
+            if notice.fingerprint == fingerprint {
+                self.known_at = self.known_at.max(Some(notice.read_at));
+            }
+        }
+    }
+
+    /// The gateway with digest `peer` has read the store.
+    pub fn hear(&mut self, peer: u64, notice: ReadNotice) {
+        self.notices.insert(peer, notice);
+        if notice.fingerprint == self.fingerprint && self.known_at.is_some() {
+            self.known_at = self.known_at.max(Some(notice.read_at));
+        }
+    }
+
+    /// What to do now.
+    pub fn turn(&mut self, rank: PeerRank, now: Instant) -> ReadTurn {
+        let fresh_time = self.fresh_time();
+        self.notices.retain(|_, notice| is_within(notice.read_at, fresh_time, now));
+        let Some(known_at) = self.known_at else { return self.read_for_all() };
+        let lapses_at = known_at + fresh_time + self.bound.mul_f64(SPREAD_PART * self.draw);
+        if rank.peers < LEAST_PEERS || now >= lapses_at {
+            return self.read_for_all();
+        }
+        if self.is_reader {
+            let before = self.notices.keys().filter(|peer| **peer < self.own).count();
+            if before < READERS {
+                return ReadTurn::Own;
+            }
+            self.is_reader = false;
+        }
+        if self.notices.len() >= READERS {
+            self.short_since = None;
+        } else {
+            let since = *self.short_since.get_or_insert(now);
+            let patience = STEP_IN_PAUSE * (rank.before as u32 + 1);
+            if now >= since + patience {
+                return self.read_for_all();
+            }
+        }
+        ReadTurn::Told { until: lapses_at.min(now + LOOK_PAUSE) }
+    }
+
+    /// What the others are told, while this gateway reads for all.
+    pub fn own_notice(&self, now: Instant) -> Option<ReadNotice> {
+        let read_at = self.read_at.filter(|at| is_within(*at, self.fresh_time(), now))?;
+        self.is_reader.then_some(ReadNotice { fingerprint: self.fingerprint, read_at })
+    }
+
+    /// When the content held here was last the store's, as far as is known.
+    pub fn known_at(&self) -> Option<Instant> {
+        self.known_at
+    }
+
+    /// True when gateways read for each other: those that read do so twice as
+    /// often then, which makes what all know younger for a few calls more.
+    pub fn is_shared(rank: PeerRank) -> bool {
+        rank.peers >= LEAST_PEERS
+    }
+
+    fn read_for_all(&mut self) -> ReadTurn {
+        self.is_reader = true;
+        self.short_since = None;
+        ReadTurn::Own
+    }
+
+    fn fresh_time(&self) -> Duration {
+        self.bound.mul_f64(FRESH_PART)
+    }
+}
+
+fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) < time
+}
--- a/crates/gateway/src/belief/server_belief.rs
+++ b/crates/gateway/src/belief/server_belief.rs
@@ -24,9 +24,9 @@
     pub gone_at: Option<Instant>,
     /// True while the server's row holds what is no registration.
     pub is_unreadable: bool,
-    /// True once the server at its address has said that it is another than
-    /// the row tells of, until the next row.
-    pub is_outdated: bool,
+    /// Set once the server at its address has said that it is another than the
+    /// row tells of, until the next row or this time.
+    pub outdated_until: Option<Instant>,
 }
 
 impl ServerBelief {
@@ -40,13 +40,18 @@
             health: ServerHealth::default(),
             gone_at: None,
             is_unreadable: false,
-            is_outdated: false,
+            outdated_until: None,
         }
     }
 
+    /// True while its row is taken to tell of another server.
+    pub fn is_outdated(&self, now: Instant) -> bool {
+        self.outdated_until.is_some_and(|until| now < until)
+    }
+
     /// True when new work may go there.
     pub fn is_open(&self, now: Instant) -> bool {
-        let is_row_true = !self.is_unreadable && !self.is_outdated;
+        let is_row_true = !self.is_unreadable && !self.is_outdated(now);
         !self.entry.is_leaving && is_row_true && self.gone_at.is_none_or(|at| now < at)
     }
 }
--- /dev/null
+++ b/crates/gateway/src/belief/table_content.rs
@@ -0,0 +1,82 @@
+//! What a table of the store holds, as one number that gateways compare.
+
+use rustc_hash::FxHashMap;
+
+use crate::model::StoreVersion;
+
+/// A digest of what a row says; rows that differ in nothing that matters have
+/// the same.
+pub type ContentDigest = u64;
+/// A digest of a whole table's content, whatever the order of its rows.
+pub type TableFingerprint = u64;
+
+/// What is known of one row.
+#[derive(Debug, Clone, Copy)]
+struct KnownRow {
+    version: StoreVersion,
+    /// `None` once the row is gone: an older row of it that comes late does not
+    /// bring it back.
+    digest: Option<ContentDigest>,
+}
+
+/// The content of one table, by row.
+///
+/// Servers renew their rows each second and say the same as before. By content
+/// a gateway tells the others only of rows that say something new, and two
+/// gateways know that they hold the same by comparing one number.
+#[derive(Debug, Default)]
+pub struct TableContent {
+    rows: FxHashMap<String, KnownRow>,
+    /// Invariant: the exclusive or of the digests of all rows that are there,
+    /// each mixed with its key's.
+    fingerprint: TableFingerprint,
+}
+
+impl TableContent {
+    /// Takes in a row, gone if `digest` is `None`; true when it says something
+    /// new, false when it is older than the one known or says the same.
+    pub fn note(
+        &mut self,
+        key: &str,
+        version: StoreVersion,
+        digest: Option<ContentDigest>,
+    ) -> bool {
+        let known = self.rows.get(key).copied();
+        if known.is_some_and(|known| known.version > version) {
+            return false;
+        }
+        self.rows.insert(key.to_owned(), KnownRow { version, digest });
+        let before = known.and_then(|known| known.digest);
+        if before == digest {
+            return false;
+        }
+        for part in [before, digest].into_iter().flatten() {
+            self.fingerprint ^= mixed(key, part);
+        }
+        true
+    }
+
+    /// Takes in a whole listing as of `version`; the keys of rows that are gone.
+    pub fn replace<'a>(
+        &mut self,
+        rows: impl Iterator<Item = (&'a str, StoreVersion, ContentDigest)>,
+        version: StoreVersion,
+    ) -> Vec<String> {
+        let mut before = std::mem::take(self);
+        for (key, at, digest) in rows {
+            before.rows.remove(key);
+            self.note(key, at, Some(digest));
+        }
+        let is_gone = |row: &KnownRow| row.digest.is_some() && row.version <= version;
+        before.rows.into_iter().filter(|(_, row)| is_gone(row)).map(|(key, _)| key).collect()
+    }
+
+    /// The same at two gateways that hold the same content.
+    pub fn fingerprint(&self) -> TableFingerprint {
+        self.fingerprint
+    }
+}
+
+fn mixed(key: &str, digest: ContentDigest) -> u64 {
+    umberglade_wire::digest_seeded(key.as_bytes(), digest)
+}
--- a/crates/gateway/src/model/server_entry.rs
+++ b/crates/gateway/src/model/server_entry.rs
@@ -11,7 +11,7 @@
 use super::ServiceName;
 
 /// The part of a request that a model engine does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum ServerStage {
     /// Not a model engine.
@@ -23,7 +23,7 @@
 }
 
 /// One registered server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ServerEntry {
     pub server: ServerKey,
     pub service: ServiceName,
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
 use strum::Display;
 
 use super::StoreVersion;
 
 /// The tables the gateway follows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum StoreTable {
     /// The operator's configuration.
@@ -22,7 +24,7 @@
 }
 
 /// One row, or the news that it is gone.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRow {
     pub key: String,
     pub version: StoreVersion,
@@ -30,7 +32,7 @@
 }
 
 /// What a row holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RowValue {
     Held(Bytes),
     /// The row is gone.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,14 +4,22 @@
 //! server, so that a server's whole load is known within a tenth of a
 //! second, or about as soon as the network carries it. Reports carry
 //! absolute counts: a lost one is made good by the next.
+//!
+//! The few gateways that read the store's tables tell the others of rows that
+//! say something new; a report names what its sender holds, so that who lacks
+//! a row sees it and reads for itself.
 
 mod peer_book;
 mod report;
 mod report_loop;
+mod row_loop;
 mod send_budget;
 
 pub use self::peer_book::PeerBook;
 pub use self::report::LoadReport;
+pub use self::report::PeerMessage;
+pub use self::report::TableRows;
 pub use self::report_loop::hear_reports;
 pub use self::report_loop::send_reports;
+pub use self::row_loop::send_rows;
 pub use self::send_budget::SendBudget;
--- a/crates/gateway/src/peers/peer_book.rs
+++ b/crates/gateway/src/peers/peer_book.rs
@@ -11,9 +11,14 @@
 }
 
 impl PeerBook {
-    /// Notes a gateway.
-    pub fn insert(&self, peer: &str, address: SocketAddr) {
-        self.addresses.lock().expect("peer book lock").insert(peer.to_owned(), address);
+    /// Notes a gateway; true when it was not known at that address.
+    pub fn insert(&self, peer: &str, address: SocketAddr) -> bool {
+        let mut addresses = self.addresses.lock().expect("peer book lock");
+        if addresses.get(peer) == Some(&address) {
+            return false;
+        }
+        addresses.insert(peer.to_owned(), address);
+        true
     }
 
     /// Forgets a gateway.
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -7,6 +7,9 @@
 use crate::belief::LoadShare;
 use crate::belief::RetryCount;
 use crate::model::ConfigVersion;
+use crate::model::StoreRow;
+use crate::model::StoreTable;
+use crate::store::TableNotice;
 
 /// A gateway's work at each server that has any of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,4 +36,20 @@
     pub wanted_readers: Vec<(u64, u32)>,
     /// The configuration in force here; 0 while none is known.
     pub config: ConfigVersion,
+    /// Tables of the store that this gateway reads for all.
+    pub tables: Vec<TableNotice>,
+}
+
+/// Rows of one table that one gateway has read and that say something new.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableRows {
+    pub table: StoreTable,
+    pub rows: Vec<StoreRow>,
+}
+
+/// What a datagram between gateways holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    Load(LoadReport),
+    Rows(TableRows),
 }
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -9,6 +9,7 @@
 
 use super::LoadReport;
 use super::PeerBook;
+use super::PeerMessage;
 use super::SendBudget;
 use crate::belief::PeerNews;
 use crate::belief::report_pace;
@@ -17,7 +18,7 @@
 use crate::timing::by_deadline;
 
 /// The largest datagram sent: some 300 servers with work.
-const MAX_DATAGRAM: usize = 8 * 1024;
+pub(super) const MAX_DATAGRAM: usize = 8 * 1024;
 /// Between two log lines on datagrams that are no reports: anything on the
 /// network may send any number of them.
 const UNREADABLE_PAUSE: Duration = Duration::from_secs(10);
@@ -65,8 +66,10 @@
         changing,
         wanted_readers: state.wanted_readers(),
         config: state.config_version(),
+        tables: state.table_notices(now),
     };
-    let datagram = postcard::to_allocvec(&report).expect("encoding plain numbers and text");
+    let datagram =
+        postcard::to_allocvec(&PeerMessage::Load(report)).expect("encoding plain numbers and text");
     if datagram.len() > MAX_DATAGRAM {
         metrics::counter!("umberglade_reports_oversize_total").increment(1);
         return None;
@@ -75,13 +78,17 @@
 }
 
 /// Takes in the other gateways' reports, for good.
-pub async fn hear_reports(state: Arc<GatewayState>, socket: UdpSocket) {
+pub async fn hear_reports(state: Arc<GatewayState>, book: Arc<PeerBook>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     let mut unreadable = UnreadableLog::default();
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, peer)) => match postcard::from_bytes(&buffer[..length]) {
-                Ok(report) => take_report(&state, report),
+                Ok(PeerMessage::Rows(rows)) => state.hear_rows(rows),
+                Ok(PeerMessage::Load(report)) => {
+                    learn_peer(&state, &book, &report.peer, peer);
+                    take_report(&state, report);
+                }
                 Err(error) => unreadable.note(peer, length, &error),
             },
             Err(error) => {
@@ -114,6 +121,14 @@
     }
 }
 
+/// A gateway that is not in the book yet gets reports from now on: the table of
+/// gateways is read rarely.
+fn learn_peer(state: &GatewayState, book: &PeerBook, peer: &str, address: SocketAddr) {
+    if peer != state.settings.instance && book.insert(peer, address) {
+        state.set_members(book.len());
+    }
+}
+
 fn take_report(state: &GatewayState, report: LoadReport) {
     let news = PeerNews {
         loads: report.loads,
@@ -128,5 +143,8 @@
     let now = Instant::now();
     state.fleet().peers.note(&report.peer, report.incarnation, report.sequence, news, now);
     state.hear_config(&report.peer, report.config);
+    for notice in report.tables {
+        state.hear_notice(&report.peer, notice, now);
+    }
     state.room.notify(usize::MAX);
 }
--- /dev/null
+++ b/crates/gateway/src/peers/row_loop.rs
@@ -0,0 +1,60 @@
+//! Tells the other gateways of rows read from the store.
+
+use std::sync::Arc;
+
+use smol::net::UdpSocket;
+
+use super::PeerBook;
+use super::PeerMessage;
+use super::TableRows;
+use super::report_loop::MAX_DATAGRAM;
+use crate::state::GatewayState;
+
+/// The room in a datagram for rows: what is left frames them.
+const ROOM: usize = MAX_DATAGRAM - 64;
+
+/// Tells the gateways in `book` of rows that this one has read for all, for
+/// good.
+pub async fn send_rows(state: Arc<GatewayState>, book: Arc<PeerBook>, socket: UdpSocket) {
+    loop {
+        let told = state.next_rows().await;
+        let peers = book.others(&state.settings.instance);
+        for datagram in datagrams(told) {
+            for address in &peers {
+                // A lost one shows by the fingerprint in the next report.
+                let _ = socket.send_to(&datagram, address).await;
+            }
+        }
+        // What they hold is to be compared with what this gateway holds.
+        state.work_changed.notify(1);
+    }
+}
+
+/// `told` in as many datagrams as it takes. A row that fits none is left out:
+/// the others see by the fingerprint that they lack it.
+fn datagrams(told: TableRows) -> Vec<Vec<u8>> {
+    let table = told.table;
+    let mut datagrams = Vec::new();
+    let mut rows = Vec::new();
+    let mut bytes = 0;
+    for row in told.rows {
+        let size = postcard::to_allocvec(&row).expect("encoding plain fields").len();
+        if size > ROOM {
+            continue;
+        }
+        if bytes + size > ROOM {
+            datagrams.push(encode(TableRows { table, rows: std::mem::take(&mut rows) }));
+            bytes = 0;
+        }
+        bytes += size;
+        rows.push(row);
+    }
+    if !rows.is_empty() {
+        datagrams.push(encode(TableRows { table, rows }));
+    }
+    datagrams
+}
+
+fn encode(rows: TableRows) -> Vec<u8> {
+    postcard::to_allocvec(&PeerMessage::Rows(rows)).expect("encoding plain fields")
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -31,6 +31,7 @@
 use crate::store::ServerSink;
 use crate::store::StoreClient;
 use crate::store::TableFollower;
+use crate::store::TableSharing;
 
 /// The part of the configuration's bound that its feed waits at the store:
 /// with the call's margin and a new connection, a connection that has gone
@@ -44,11 +45,10 @@
 const SERVER_PACE_PART: f64 = 0.6;
 /// The part of the drain bound that the servers' feed waits at the store.
 const SERVER_WAIT_PART: f64 = 0.35;
-/// How long the feed of the gateways themselves waits; they rarely change.
-const MEMBER_WAIT: Duration = Duration::from_secs(10);
-/// The least time between two reads of the gateways: after a restart of all
-/// they register one after the other.
-const MEMBER_PACE: Duration = Duration::from_secs(1);
+/// Between two reads of the gateways: whoever registers later has read of this
+/// one and reports to it, by which it is known at once. A gateway that missed
+/// both the row and the reports of another learns of it then.
+const MEMBER_PACE: Duration = Duration::from_secs(30);
 /// Configurations may come in quick succession; they are read one by one.
 const CONFIG_PACE: Duration = Duration::from_millis(50);
 /// Pauses between tries to register with the store.
@@ -79,10 +79,11 @@
     settings.peer = socket.local_addr().context(BindSnafu { address })?;
     let state = GatewayState::new(settings, metrics);
     let book = Arc::new(PeerBook::default());
-    follow::<C>(&state, &book);
-    pool::spawn(register::<C>(Arc::clone(&state)));
-    pool::spawn(peers::send_reports(Arc::clone(&state), book, socket.clone()));
-    pool::spawn(peers::hear_reports(Arc::clone(&state), socket));
+    follow::<C>(&state);
+    pool::spawn(register::<C>(Arc::clone(&state), Arc::clone(&book)));
+    pool::spawn(peers::send_reports(Arc::clone(&state), Arc::clone(&book), socket.clone()));
+    pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&book), socket.clone()));
+    pool::spawn(peers::hear_reports(Arc::clone(&state), book, socket));
     pool::spawn(keep_stages::<C>(Arc::clone(&state)));
     pool::spawn(tick(Arc::clone(&state)));
     pool::spawn(ingress::serve_front::<C>(front, Arc::clone(&state)));
@@ -160,7 +161,7 @@
     }
 }
 
-fn follow<C: PlatformCodec>(state: &Arc<GatewayState>, book: &Arc<PeerBook>) {
+fn follow<C: PlatformCodec>(state: &Arc<GatewayState>) {
     let store = state.settings.store;
     let config = TableFollower {
         client: StoreClient::<C>::new(store),
@@ -168,6 +169,7 @@
         sink: ConfigSink::<C>::new(Arc::clone(state)),
         wait: state.settings.config_bound.mul_f64(CONFIG_WAIT_PART),
         pace: CONFIG_PACE,
+        sharing: Some(TableSharing::new(Arc::clone(state), StoreTable::Configuration)),
     };
     let servers = TableFollower {
         client: StoreClient::<C>::new(store),
@@ -175,35 +177,38 @@
         sink: ServerSink::<C>::new(Arc::clone(state)),
         wait: state.settings.drain_bound.mul_f64(SERVER_WAIT_PART),
         pace: state.settings.drain_bound.mul_f64(SERVER_PACE_PART),
-    };
-    let members = TableFollower {
-        client: StoreClient::<C>::new(store),
-        table: StoreTable::Members,
-        sink: MemberSink::new(Arc::clone(state), Arc::clone(book)),
-        wait: MEMBER_WAIT,
-        pace: MEMBER_PACE,
+        sharing: Some(TableSharing::new(Arc::clone(state), StoreTable::Servers)),
     };
     pool::spawn(config.run());
     pool::spawn(servers.run());
-    pool::spawn(members.run());
 }
 
 /// Writes where this gateway hears its peers, once the store takes it. The
 /// row is the same for each start of the instance, so writing it twice
-/// (after a lost answer) changes nothing.
-async fn register<C: PlatformCodec>(state: Arc<GatewayState>) {
+/// (after a lost answer) changes nothing. The others are read after that: of
+/// two gateways that start together one at least reads of the other.
+async fn register<C: PlatformCodec>(state: Arc<GatewayState>, book: Arc<PeerBook>) {
     let mut client = StoreClient::<C>::new(state.settings.store);
     let member = MemberRow { address: state.settings.peer };
     let row = postcard::to_allocvec(&member).expect("encoding an address");
     loop {
         match client.put(StoreTable::Members, &state.settings.instance, &row).await {
-            Ok(()) => return,
+            Ok(()) => break,
             Err(error) => {
                 tracing::info!(event = events::STORE_LOST, table = "members", %error, "not registered yet");
                 smol::Timer::after(REGISTER_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             }
         }
     }
+    let members = TableFollower {
+        client,
+        table: StoreTable::Members,
+        sink: MemberSink::new(state, book),
+        wait: Duration::ZERO,
+        pace: MEMBER_PACE,
+        sharing: None,
+    };
+    members.run().await;
 }
 
 /// Logs when the number of gateways heard has changed from `before`.
--- a/crates/gateway/src/store/config_sink.rs
+++ b/crates/gateway/src/store/config_sink.rs
@@ -2,12 +2,13 @@
 
 use std::marker::PhantomData;
 use std::sync::Arc;
-use std::time::Duration;
 
 use event_listener::EventListener;
 
 use super::TableSink;
+use super::raw_digest;
 use super::unreadable_row::log_unreadable;
+use crate::belief::ContentDigest;
 use crate::belief::InForceChange;
 use crate::codec::PlatformCodec;
 use crate::events;
@@ -89,8 +90,8 @@
         }
     }
 
-    fn wait(&self, base: Duration) -> Duration {
-        self.state.config_wait(base)
+    fn digest(&self, row: &StoreRow) -> Option<ContentDigest> {
+        raw_digest(row)
     }
 
     fn due(&self) -> Option<EventListener> {
--- a/crates/gateway/src/store/member_sink.rs
+++ b/crates/gateway/src/store/member_sink.rs
@@ -7,7 +7,9 @@
 use serde::Serialize;
 
 use super::TableSink;
+use super::raw_digest;
 use super::unreadable_row::log_unreadable;
+use crate::belief::ContentDigest;
 use crate::model::RowValue;
 use crate::model::StoreRow;
 use crate::model::StoreTable;
@@ -40,7 +42,9 @@
             RowValue::Removed => self.book.remove(&row.key),
             RowValue::Unreadable(problem) => self.ignore(row, problem),
             RowValue::Held(value) => match postcard::from_bytes::<MemberRow>(value) {
-                Ok(member) => self.book.insert(&row.key, member.address),
+                Ok(member) => {
+                    self.book.insert(&row.key, member.address);
+                }
                 Err(error) => self.ignore(row, &error.to_string()),
             },
         }
@@ -65,4 +69,8 @@
         }
         self.state.set_members(self.book.len());
     }
+
+    fn digest(&self, row: &StoreRow) -> Option<ContentDigest> {
+        raw_digest(row)
+    }
 }
--- a/crates/gateway/src/store/server_sink.rs
+++ b/crates/gateway/src/store/server_sink.rs
@@ -1,11 +1,16 @@
 //! Takes in the servers' registrations.
 
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Instant;
 
+use rustc_hash::FxHasher;
+
 use super::TableSink;
 use super::unreadable_row::log_unreadable;
+use crate::belief::ContentDigest;
 use crate::belief::ListedServers;
 use crate::codec::PlatformCodec;
 use crate::model::RowValue;
@@ -15,6 +20,9 @@
 use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
+/// The digest of every row that holds no registration.
+const UNREADABLE_DIGEST: ContentDigest = 1;
+
 /// Keeps the fleet up to date.
 #[derive(Debug)]
 pub struct ServerSink<C> {
@@ -29,16 +37,14 @@
     }
 
     fn decode(row: &StoreRow) -> RowNews {
-        let problem = match &row.value {
-            RowValue::Removed => return RowNews::Removed,
-            RowValue::Unreadable(problem) => problem.clone(),
+        match &row.value {
+            RowValue::Removed => RowNews::Removed,
+            RowValue::Unreadable(problem) => RowNews::Unreadable(problem.clone()),
             RowValue::Held(value) => match C::server_entry(&row.key, value) {
-                Ok(entry) => return RowNews::Entry(entry),
-                Err(error) => error.to_string(),
+                Ok(entry) => RowNews::Entry(entry),
+                Err(error) => RowNews::Unreadable(error.to_string()),
             },
-        };
-        log_unreadable(StoreTable::Servers, row, &problem);
-        RowNews::Unreadable
+        }
     }
 }
 
@@ -46,7 +52,8 @@
 enum RowNews {
     Entry(ServerEntry),
     Removed,
-    Unreadable,
+    /// Why.
+    Unreadable(String),
 }
 
 impl<C: PlatformCodec> TableSink for ServerSink<C> {
@@ -55,7 +62,8 @@
         for row in &rows {
             match Self::decode(row) {
                 RowNews::Entry(entry) => listing.entries.push((entry, row.version)),
-                RowNews::Unreadable => {
+                RowNews::Unreadable(problem) => {
+                    log_unreadable(StoreTable::Servers, row, &problem);
                     listing.unreadable.push((row.key.as_str().into(), row.version));
                 }
                 RowNews::Removed => {}
@@ -71,7 +79,8 @@
             let change = match Self::decode(&row) {
                 RowNews::Entry(entry) => self.state.fleet().upsert(entry, row.version),
                 RowNews::Removed => self.state.fleet().remove(&row.key, row.version, now),
-                RowNews::Unreadable => {
+                RowNews::Unreadable(problem) => {
+                    log_unreadable(StoreTable::Servers, &row, &problem);
                     self.state.fleet().note_unreadable(&row.key, row.version);
                     None
                 }
@@ -80,6 +89,20 @@
         }
     }
 
+    /// Servers renew their rows with nothing new in them but how often they
+    /// have.
+    fn digest(&self, row: &StoreRow) -> Option<ContentDigest> {
+        match Self::decode(row) {
+            RowNews::Removed => None,
+            RowNews::Unreadable(_) => Some(UNREADABLE_DIGEST),
+            RowNews::Entry(entry) => {
+                let mut hasher = FxHasher::default();
+                entry.hash(&mut hasher);
+                Some(hasher.finish())
+            }
+        }
+    }
+
     fn regained(&mut self) {
         self.state.fleet().store_regained(Instant::now());
         // Guards against a change made in the outage that the configuration's
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -8,12 +8,16 @@
 
 use super::FollowError;
 use super::StoreClient;
+use super::TableSharing;
+use crate::belief::ContentDigest;
+use crate::belief::ReadTurn;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::RowBatch;
 use crate::model::StoreRow;
 use crate::model::StoreTable;
 use crate::model::StoreVersion;
+use crate::timing::by_deadline;
 
 /// The pause after a first failed call, doubled with each in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -31,15 +35,13 @@
     fn listed(&mut self, rows: Vec<StoreRow>, version: StoreVersion);
     /// Changes, in order.
     fn changed(&mut self, rows: Vec<StoreRow>);
+    /// A digest of what a row says, the same while it says nothing new; `None`
+    /// when the row is gone.
+    fn digest(&self, row: &StoreRow) -> Option<ContentDigest>;
     /// The store answers again after it did not.
     fn regained(&mut self) {}
     /// A call was answered, with or without changes.
     fn read(&mut self) {}
-    /// How long the next feed call waits at the store; `base` is the
-    /// follower's own wait.
-    fn wait(&self, base: Duration) -> Duration {
-        base
-    }
     /// Resolves when the feed should be read at once, on a new connection.
     fn due(&self) -> Option<EventListener> {
         None
@@ -53,13 +55,15 @@
     pub client: StoreClient<C>,
     pub table: StoreTable,
     pub sink: S,
-    /// How long a feed call waits at the store, unless the sink says. Guards against a connection
+    /// How long a feed call waits at the store. Guards against a connection
     /// that has gone silent: it is found out within this time and a little,
     /// while a new one works.
     pub wait: Duration,
     /// The least time between calls: tables that change all the time are
     /// read in batches, which saves calls and costs at most this delay.
     pub pace: Duration,
+    /// Set for tables that gateways read for each other.
+    pub sharing: Option<TableSharing>,
 }
 
 impl<C: PlatformCodec, S: TableSink> TableFollower<C, S> {
@@ -67,30 +71,46 @@
     pub async fn run(mut self) {
         let mut position: Option<StoreVersion> = None;
         let mut failures: u32 = 0;
-        let mut read_at = Instant::now();
+        let mut known_at = Instant::now();
+        let mut is_told = false;
         loop {
+            if let Some(until) = self.told_until() {
+                // What others tell meanwhile is in no feed from here on.
+                position = None;
+                is_told = true;
+                if !self.be_told(until).await {
+                    continue;
+                }
+            }
             let begun = Instant::now();
-            let outage = if failures > 0 { read_at.elapsed() } else { Duration::ZERO };
+            known_at = self.known_at().unwrap_or(known_at);
+            // Others that fall silent may do so because the store did.
+            let is_outage = failures > 0 || is_told;
+            let outage = if is_outage { known_at.elapsed() } else { Duration::ZERO };
+            is_told = false;
             match self.step(position, outage).await {
                 Ok(version) => {
                     if failures > 0 {
-                        self.log_regained(failures, read_at);
+                        self.log_regained(failures, known_at);
                         failures = 0;
                     }
                     self.sink.read();
                     position = Some(version);
-                    read_at = Instant::now();
-                    self.mark_age(read_at);
-                    smol::Timer::at(begun + self.pace).await;
+                    known_at = Instant::now();
+                    self.mark_age(known_at);
+                    smol::Timer::at(begun + self.usual_pace()).await;
                 }
                 Err(error) if error.is_history_gone() => position = None,
                 Err(error) => {
                     if failures == 0 {
-                        self.log_lost(&error, position, read_at);
+                        self.log_lost(&error, position, known_at);
                     }
                     failures += 1;
-                    self.mark_age(read_at);
+                    self.mark_age(known_at);
                     metrics::counter!("umberglade_store_failures_total").increment(1);
+                    if let Some(sharing) = &self.sharing {
+                        sharing.note_failed();
+                    }
                     smol::Timer::after(pause(failures)).await;
                     // After an outage the whole table is read: the feed
                     // would tell nothing of entries that lapsed unseen.
@@ -102,7 +122,41 @@
         }
     }
 
-    /// One call; `outage` is how long the store has not been read.
+    /// Until when what other gateways tell is enough; `None` when this one
+    /// reads the store itself now.
+    fn told_until(&self) -> Option<Instant> {
+        match self.sharing.as_ref()?.turn() {
+            ReadTurn::Own => None,
+            ReadTurn::Told { until } => Some(until),
+        }
+    }
+
+    /// Takes in what other gateways tell, until `until` at most; true when the
+    /// store should be read all the same.
+    async fn be_told(&mut self, until: Instant) -> bool {
+        let Some(sharing) = &mut self.sharing else { return true };
+        let news = sharing.news();
+        let rows = sharing.take_told(&self.sink);
+        if !rows.is_empty() {
+            self.sink.changed(rows);
+            return false;
+        }
+        let woken = async {
+            news.await;
+            false
+        };
+        let due = self.sink.due();
+        let is_due = async {
+            match due {
+                Some(due) => due.await,
+                None => std::future::pending().await,
+            }
+            true
+        };
+        by_deadline(until, woken.or(is_due)).await.unwrap_or(false)
+    }
+
+    /// One call; `outage` is how long the table's content has not been known.
     async fn step(
         &mut self,
         position: Option<StoreVersion>,
@@ -112,12 +166,18 @@
             None => {
                 let (rows, version) = self.client.list(self.table).await?;
                 self.tell_regained(outage);
+                if let Some(sharing) = &mut self.sharing {
+                    sharing.note_listed(&rows, version, &self.sink);
+                }
                 self.sink.listed(rows, version);
                 Ok(version)
             }
             Some(version) => {
                 let batch = self.feed(version).await?;
                 self.tell_regained(outage);
+                if let Some(sharing) = &mut self.sharing {
+                    sharing.note_changed(&batch.rows, &self.sink);
+                }
                 if !batch.rows.is_empty() {
                     self.sink.changed(batch.rows);
                 }
@@ -129,8 +189,8 @@
     /// A feed call. When a read falls due meanwhile, the call is begun anew on
     /// another connection: this one may have gone silent.
     async fn feed(&mut self, version: StoreVersion) -> Result<RowBatch, FollowError> {
+        let wait = self.shortened(self.wait);
         loop {
-            let wait = self.sink.wait(self.wait);
             let due = self.sink.due();
             let feed = self.client.feed(self.table, version, wait);
             let Some(due) = due else { return feed.await };
@@ -144,6 +204,24 @@
         }
     }
 
+    /// The least time between two calls here.
+    fn usual_pace(&self) -> Duration {
+        self.shortened(self.pace)
+    }
+
+    /// Half of `time` where this gateway reads for others too: what they know
+    /// is older by a report.
+    fn shortened(&self, time: Duration) -> Duration {
+        let is_shared = self.sharing.as_ref().is_some_and(TableSharing::is_shared);
+        if is_shared { time / 2 } else { time }
+    }
+
+    /// When the content held here was last the store's, by our own reads or
+    /// what others told.
+    fn known_at(&self) -> Option<Instant> {
+        self.sharing.as_ref().and_then(TableSharing::known_at)
+    }
+
     fn tell_regained(&mut self, outage: Duration) {
         if outage >= LEAST_OUTAGE {
             self.sink.regained();
--- /dev/null
+++ b/crates/gateway/src/store/table_sharing.rs
@@ -0,0 +1,108 @@
+//! A follower's part in reading its table together with the other gateways.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use event_listener::EventListener;
+
+use super::SharedReading;
+use super::TableSink;
+use crate::belief::PeerRank;
+use crate::belief::ReadRoster;
+use crate::belief::ReadTurn;
+use crate::belief::TableContent;
+use crate::model::RowValue;
+use crate::model::StoreRow;
+use crate::model::StoreTable;
+use crate::model::StoreVersion;
+use crate::state::GatewayState;
+
+/// The content that a follower holds, and what it and the others tell of it.
+#[derive(Debug)]
+pub struct TableSharing {
+    state: Arc<GatewayState>,
+    table: StoreTable,
+    content: TableContent,
+}
+
+impl TableSharing {
+    /// The part of the gateway with `state` in reading `table`.
+    pub fn new(state: Arc<GatewayState>, table: StoreTable) -> Self {
+        TableSharing { state, table, content: TableContent::default() }
+    }
+
+    /// What to do next.
+    pub fn turn(&self) -> ReadTurn {
+        let now = Instant::now();
+        let rank = self.rank(now);
+        self.reading().roster().turn(rank, now)
+    }
+
+    /// True when gateways read this table for each other.
+    pub fn is_shared(&self) -> bool {
+        ReadRoster::is_shared(self.rank(Instant::now()))
+    }
+
+    /// Resolves when others have told of rows.
+    pub fn news(&self) -> EventListener {
+        self.reading().news.listen()
+    }
+
+    /// The rows that others have told and that say something new here.
+    pub fn take_told(&mut self, sink: &impl TableSink) -> Vec<StoreRow> {
+        let told = self.reading().take_told();
+        let rows: Vec<StoreRow> =
+            told.into_iter().filter(|row| note(&mut self.content, sink, row)).collect();
+        if !rows.is_empty() {
+            self.reading().roster().note_told(self.content.fingerprint());
+        }
+        rows
+    }
+
+    /// The store has answered with changes; those that say something new are
+    /// told to the others.
+    pub fn note_changed(&mut self, rows: &[StoreRow], sink: &impl TableSink) {
+        let is_news = |row: &&StoreRow| note(&mut self.content, sink, row);
+        let news: Vec<StoreRow> = rows.iter().filter(is_news).cloned().collect();
+        self.note_read(news);
+    }
+
+    /// The store has answered with the whole table as of `version`.
+    pub fn note_listed(&mut self, rows: &[StoreRow], version: StoreVersion, sink: &impl TableSink) {
+        let listed =
+            rows.iter().filter_map(|row| Some((row.key.as_str(), row.version, sink.digest(row)?)));
+        let gone = self.content.replace(listed, version);
+        let removed = |key| StoreRow { key, version, value: RowValue::Removed };
+        self.note_read(gone.into_iter().map(removed).collect());
+    }
+
+    /// When the content held here was last the store's.
+    pub fn known_at(&self) -> Option<Instant> {
+        self.reading().roster().known_at()
+    }
+
+    /// A call to the store failed.
+    pub fn note_failed(&self) {
+        self.reading().roster().note_failed();
+    }
+
+    fn note_read(&self, news: Vec<StoreRow>) {
+        self.reading().note_read(self.content.fingerprint());
+        let tells = self.reading().roster().own_notice(Instant::now()).is_some();
+        if tells && !news.is_empty() {
+            self.state.tell_rows(self.table, news);
+        }
+    }
+
+    fn reading(&self) -> &SharedReading {
+        self.state.reading(self.table)
+    }
+
+    fn rank(&self, now: Instant) -> PeerRank {
+        self.state.fleet().peers.rank(self.state.digest, now)
+    }
+}
+
+fn note(content: &mut TableContent, sink: &impl TableSink, row: &StoreRow) -> bool {
+    content.note(&row.key, row.version, sink.digest(row))
+}
--- /dev/null
+++ b/crates/gateway/tests/read_roster.rs
@@ -0,0 +1,243 @@
+//! Which gateways read a table of the store, and which are told.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_gateway::belief::PeerRank;
+use umberglade_gateway::belief::ReadNotice;
+use umberglade_gateway::belief::ReadRoster;
+use umberglade_gateway::belief::ReadTurn;
+
+/// A change must be known within this.
+const BOUND: Duration = Duration::from_secs(3);
+/// What the gateway under test holds, and what it lacks.
+const HELD: u64 = 7;
+const OTHER: u64 = 8;
+/// The gateway under test.
+const OWN: u64 = 100;
+const CROWD: PeerRank = PeerRank { peers: 78, before: 40 };
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// The store answered the gateway with content of this fingerprint.
+    Read(u64),
+    Failed,
+    /// Rows told by others were taken in.
+    Told(u64),
+    /// A peer tells of its own reading, so many milliseconds old.
+    Hear {
+        peer: u64,
+        fingerprint: u64,
+        age_ms: u64,
+    },
+    Wait(u64),
+    /// It decides, and this is what it must do.
+    Reads,
+    IsTold,
+    /// The same as one of few gateways.
+    ReadsAmongFew,
+    /// Whether it tells the others of its reading.
+    Tells(bool),
+}
+
+struct RosterCase {
+    name: &'static str,
+    steps: Vec<Step>,
+}
+
+fn play(case: &RosterCase) {
+    let mut roster = ReadRoster::new(OWN, BOUND, 0.0);
+    let mut now = Instant::now() + Duration::from_secs(60);
+    for (at, step) in case.steps.iter().enumerate() {
+        let what = format!("{}, step {at} {step:?}", case.name);
+        let few = PeerRank { peers: 6, before: 5 };
+        match *step {
+            Step::Read(fingerprint) => roster.note_read(fingerprint, now),
+            Step::Failed => roster.note_failed(),
+            Step::Told(fingerprint) => roster.note_told(fingerprint),
+            Step::Hear { peer, fingerprint, age_ms } => {
+                let read_at = now - Duration::from_millis(age_ms);
+                roster.hear(peer, ReadNotice { fingerprint, read_at });
+            }
+            Step::Wait(millis) => now += Duration::from_millis(millis),
+            Step::Reads => assert_eq!(roster.turn(CROWD, now), ReadTurn::Own, "{what}"),
+            Step::ReadsAmongFew => assert_eq!(roster.turn(few, now), ReadTurn::Own, "{what}"),
+            Step::IsTold => match roster.turn(CROWD, now) {
+                ReadTurn::Own => panic!("{what}: reads"),
+                ReadTurn::Told { until } => assert!(until > now, "{what}"),
+            },
+            Step::Tells(tells) => assert_eq!(roster.own_notice(now).is_some(), tells, "{what}"),
+        }
+    }
+}
+
+fn hear(peer: u64, fingerprint: u64) -> Step {
+    Step::Hear { peer, fingerprint, age_ms: 100 }
+}
+
+#[test]
+fn who_reads_and_who_is_told() {
+    use Step::*;
+    let cases = [
+        RosterCase { name: "knows nothing", steps: vec![Reads, Tells(false)] },
+        RosterCase { name: "nobody else reads", steps: vec![Read(HELD), Reads, Tells(true)] },
+        RosterCase {
+            name: "two others are too few to leave it to",
+            steps: vec![Read(HELD), hear(1, HELD), hear(2, HELD), Reads],
+        },
+        RosterCase {
+            name: "three before it read",
+            steps: vec![
+                Read(HELD),
+                hear(1, HELD),
+                hear(2, HELD),
+                hear(3, HELD),
+                IsTold,
+                Tells(false),
+            ],
+        },
+        RosterCase {
+            name: "those behind it leave it to this one",
+            steps: vec![Read(HELD), hear(201, HELD), hear(202, HELD), hear(203, HELD), Reads],
+        },
+        RosterCase {
+            name: "few gateways read for themselves",
+            steps: vec![Read(HELD), hear(1, HELD), hear(2, HELD), hear(3, HELD), ReadsAmongFew],
+        },
+        RosterCase {
+            name: "a failed read is left to those that can, whoever they are",
+            steps: vec![
+                Read(HELD),
+                hear(201, HELD),
+                hear(202, HELD),
+                hear(203, HELD),
+                Failed,
+                IsTold,
+            ],
+        },
+    ];
+    cases.iter().for_each(play);
+}
+
+/// A reader that freezes, dies or loses the store falls silent towards the
+/// others. A server that leaves meanwhile would go on getting work from all
+/// gateways it told, beyond the time in which its leaving must be known.
+/// Each of them reads for itself once nobody has told it for half of that time.
+#[test]
+fn silent_readers_are_not_waited_for() {
+    use Step::*;
+    let cases = [
+        RosterCase {
+            name: "all fall silent",
+            steps: vec![
+                Read(HELD),
+                hear(1, HELD),
+                hear(2, HELD),
+                hear(3, HELD),
+                IsTold,
+                Wait(1390),
+                IsTold,
+                Wait(120),
+                Reads,
+            ],
+        },
+        RosterCase {
+            name: "one of three goes on",
+            steps: vec![
+                Read(HELD),
+                hear(1, HELD),
+                hear(2, HELD),
+                hear(3, HELD),
+                IsTold,
+                Wait(1000),
+                hear(1, HELD),
+                Wait(1000),
+                IsTold,
+            ],
+        },
+        RosterCase {
+            name: "a suspended reader tells of an old read",
+            steps: vec![
+                Read(HELD),
+                hear(1, HELD),
+                hear(2, HELD),
+                hear(3, HELD),
+                IsTold,
+                Wait(1450),
+                Hear { peer: 1, fingerprint: HELD, age_ms: 5000 },
+                Hear { peer: 2, fingerprint: HELD, age_ms: 5000 },
+                Hear { peer: 3, fingerprint: HELD, age_ms: 5000 },
+                Wait(60),
+                Reads,
+            ],
+        },
+        RosterCase {
+            name: "the readers hold what this one lacks: the rows were lost on the way",
+            steps: vec![
+                Read(HELD),
+                hear(1, HELD),
+                hear(2, HELD),
+                hear(3, HELD),
+                IsTold,
+                Wait(700),
+                hear(1, OTHER),
+                hear(2, OTHER),
+                hear(3, OTHER),
+                IsTold,
+                Wait(810),
+                Reads,
+            ],
+        },
+        RosterCase {
+            name: "and the rows come at last",
+            steps: vec![
+                Read(HELD),
+                hear(1, HELD),
+                hear(2, HELD),
+                hear(3, HELD),
+                IsTold,
+                Wait(700),
+                hear(1, OTHER),
+                hear(2, OTHER),
+                hear(3, OTHER),
+                Told(OTHER),
+                Wait(810),
+                IsTold,
+            ],
+        },
+    ];
+    cases.iter().for_each(play);
+}
+
+/// Readers die one after the other. If each gateway that notices stepped in at
+/// once, all would read at the same moment; if none did, the last reader's
+/// death would leave everyone without. Each leaves it to those before it for
+/// 150 ms apiece.
+#[test]
+fn gateways_step_in_one_after_the_other() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let stepped_in = |before: usize, after_ms: u64| {
+        let rank = PeerRank { peers: 78, before };
+        let mut roster = ReadRoster::new(OWN, BOUND, 0.0);
+        roster.note_read(HELD, now);
+        for peer in 1..=3 {
+            roster.hear(peer, ReadNotice { fingerprint: HELD, read_at: now });
+        }
+        assert!(matches!(roster.turn(rank, now), ReadTurn::Told { .. }));
+        // The first of the three is heard no longer.
+        let mut at = now;
+        while at < now + Duration::from_millis(1500 + after_ms) {
+            at += Duration::from_millis(50);
+            for peer in 2..=3 {
+                roster.hear(peer, ReadNotice { fingerprint: HELD, read_at: at });
+            }
+            if roster.turn(rank, at) == ReadTurn::Own {
+                return true;
+            }
+        }
+        false
+    };
+    assert!(stepped_in(3, 650), "the fourth steps in");
+    assert!(!stepped_in(3, 500), "but leaves it to three others first");
+    assert!(!stepped_in(40, 3000), "the forty-first leaves it to those before it");
+}
