--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -6,6 +6,7 @@
 mod config_watch;
 mod departure_pace;
 mod domain_readers;
+mod engine_learning;
 mod fleet;
 mod fleet_news;
 mod in_force;
@@ -29,6 +30,7 @@
 
 pub use self::config_watch::ConfigWatch;
 pub use self::departure_pace::DeparturePace;
+pub use self::engine_learning::EngineLearning;
 pub use self::fleet::Fleet;
 pub use self::fleet_news::FleetChange;
 pub use self::fleet_news::ListedServers;
--- a/crates/gateway/src/belief/output_guess.rs
+++ b/crates/gateway/src/belief/output_guess.rs
@@ -3,10 +3,16 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Answers needed before their length is believed.
 const LEAST_ANSWERS: u32 = 6;
 /// The weight of one answer in the average, once there are enough.
 const WEIGHT: f64 = 0.05;
+/// The most answers that one gateway's averages stand for: those before have
+/// nearly no weight any more.
+const MOST_ANSWERS: u32 = 20;
 /// The part of the caller's estimate, the rest being the usual length, both
 /// as logarithms. Estimates are off by about as much as lengths differ (both
 /// 0.45 in the logarithm over 2,471 answers), so each counts half.
@@ -21,7 +27,7 @@
 /// outgrow their estimates at once: a request is then pushed out and its
 /// prompt read again. Both together are off by 1,120 tokens on the mean (3,370
 /// long), the caller's estimate alone by 1,420.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct OutputGuess {
     ln_mean: f64,
     /// Seconds a token takes, from the first event on.
@@ -41,6 +47,18 @@
         self.token_s += (token_s - self.token_s) * weight;
     }
 
+    /// What this and `other` have learned, by how many answers each stands for.
+    pub fn with(&self, other: &OutputGuess) -> OutputGuess {
+        let (ours, theirs) = (self.answers, other.answers.min(MOST_ANSWERS));
+        let answers = ours.saturating_add(theirs);
+        let part = f64::from(theirs) / f64::from(answers.max(1));
+        OutputGuess {
+            ln_mean: self.ln_mean + (other.ln_mean - self.ln_mean) * part,
+            token_s: self.token_s + (other.token_s - self.token_s) * part,
+            answers,
+        }
+    }
+
     /// How long an answer of `tokens` takes from its first event on; zero
     /// while too little is known.
     pub fn run_time(&self, tokens: u32) -> Duration {
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -6,8 +6,8 @@
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
-use smallvec::SmallVec;
 
+use super::EngineLearning;
 use super::HeardRetries;
 use super::LineNews;
 use super::OtherLines;
@@ -25,6 +25,10 @@
 /// After this long without a report a peer no longer counts as live.
 const PEER_LIFE: Duration = Duration::from_secs(5);
 
+/// How long what a peer has learned counts: it is told each two seconds and
+/// changes slowly; a peer that has started anew knows nothing for a while.
+const LEARNING_LIFE: Duration = Duration::from_secs(30);
+
 /// A gateway's name as its digest.
 type PeerDigest = u64;
 
@@ -53,6 +57,13 @@
     heard_at: Instant,
 }
 
+/// What a peer has learned, by service.
+#[derive(Debug)]
+struct PeerLearning {
+    learned: Vec<(u64, EngineLearning)>,
+    heard_at: Instant,
+}
+
 /// The newest report of each peer.
 ///
 /// Reports count for [`REPORT_LIFE`]. Those that have lapsed are taken out of
@@ -66,6 +77,7 @@
     /// for reports that newer ones have replaced.
     by_age: VecDeque<HeardReport>,
     heard: u64,
+    learned: FxHashMap<PeerDigest, PeerLearning>,
     /// Looks at a server's sum so far.
     server_looks: Cell<u64>,
 }
@@ -161,14 +173,15 @@
             .all(|(peer, _)| own < *peer)
     }
 
-    /// The prompt readers that live peers find right for the service with
-    /// `digest`: the median, so that one with odd callers decides nothing.
-    pub fn wanted_readers(&self, digest: u64, now: Instant) -> Option<usize> {
-        let told = self.fresh(now).flat_map(|report| &report.news.wanted_readers);
-        let mut wanted: SmallVec<[u32; 16]> =
-            told.filter(|(service, _)| *service == digest).map(|(_, count)| *count).collect();
-        wanted.sort_unstable();
-        wanted.get(wanted.len() / 2).map(|count| *count as usize)
+    /// The gateway named `peer` tells what it has learned, by service.
+    pub fn learn(&mut self, peer: &str, learned: Vec<(u64, EngineLearning)>, now: Instant) {
+        self.learned.insert(server_digest(peer), PeerLearning { learned, heard_at: now });
+    }
+
+    /// What peers have learned of the service with `digest`.
+    pub fn learned(&self, digest: u64) -> impl Iterator<Item = EngineLearning> {
+        let told = self.learned.values().flat_map(|peer| &peer.learned);
+        told.filter(move |(service, _)| *service == digest).map(|(_, learned)| *learned)
     }
 
     /// Peers that a fresh report has come from.
@@ -199,6 +212,7 @@
     /// Forgets reports of peers that no longer count.
     pub fn forget_old(&mut self, now: Instant) {
         self.settle(now);
+        self.learned.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < LEARNING_LIFE);
         self.reports.retain(|_, report| now.saturating_duration_since(report.heard_at) < PEER_LIFE);
     }
 
--- a/crates/gateway/src/belief/peer_news.rs
+++ b/crates/gateway/src/belief/peer_news.rs
@@ -24,9 +24,6 @@
     pub store_calm: Duration,
     /// Engines that the peer has told to change their stage.
     pub changing: SmallVec<[u64; 4]>,
-    /// Prompt readers that the peer finds right, by service; none where it does
-    /// not know yet.
-    pub wanted_readers: SmallVec<[(u64, u32); 1]>,
     /// The configuration in force at the peer; 0 while it knows none.
     pub config: ConfigVersion,
 }
--- a/crates/gateway/src/belief/reading_pace.rs
+++ b/crates/gateway/src/belief/reading_pace.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Prompts needed before the pace is believed.
 const LEAST_PROMPTS: f64 = 8.0;
 /// What a prompt's weight becomes with each further one: some fifty prompts
@@ -18,7 +21,7 @@
 /// steps) passes while it reads others. By the whole time alone engines looked
 /// three times as busy as they were: 5,200 tokens took 200 ms on an idle engine
 /// that reads 55 in a millisecond.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct ReadingPace {
     weight: f64,
     tokens: f64,
@@ -40,6 +43,17 @@
         self.tokens_millis = self.tokens_millis * FORGETTING + tokens * millis;
     }
 
+    /// What this and `other` have learned together.
+    pub fn with(&self, other: &ReadingPace) -> ReadingPace {
+        ReadingPace {
+            weight: self.weight + other.weight,
+            tokens: self.tokens + other.tokens,
+            millis: self.millis + other.millis,
+            tokens_squared: self.tokens_squared + other.tokens_squared,
+            tokens_millis: self.tokens_millis + other.tokens_millis,
+        }
+    }
+
     /// Milliseconds of an engine's time that a token takes; `None` while too
     /// little is known.
     pub fn millis_per_token(&self) -> Option<f64> {
--- a/crates/gateway/src/belief/stage_balance.rs
+++ b/crates/gateway/src/belief/stage_balance.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::ReadingPace;
 use crate::model::EngineSpec;
 
@@ -9,6 +12,8 @@
 const LEAST_STREAMS: u32 = 8;
 /// The weight of one stream in the mean, once there are enough.
 const WEIGHT: f64 = 0.05;
+/// The most streams that one gateway's means stand for.
+const MOST_STREAMS: u32 = 20;
 /// Readers are kept at this share of their time when engines that generate are
 /// full. What they do not read in time, the engines that generate read for
 /// themselves: without that, readers kept at 0.8 queued for seconds and 0.5 was
@@ -26,7 +31,7 @@
 /// queued for seconds, and callers got 0.60 of the value of what they asked for;
 /// with one ordered 0.69.
 /// What a stream takes of either stage does not depend on how many come.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct StageBalance {
     pub reading: ReadingPace,
     /// Tokens of a mean prompt.
@@ -51,6 +56,21 @@
         self.token_s += (held * stay_s - self.token_s) * weight;
     }
 
+    /// What this and `other` have learned, by how many streams each stands for.
+    pub fn with(&self, other: &StageBalance) -> StageBalance {
+        let (ours, theirs) = (self.streams, other.streams.min(MOST_STREAMS));
+        let streams = ours.saturating_add(theirs);
+        let part = f64::from(theirs) / f64::from(streams.max(1));
+        let mean = |own: f64, others: f64| own + (others - own) * part;
+        StageBalance {
+            reading: self.reading.with(&other.reading),
+            prompt_tokens: mean(self.prompt_tokens, other.prompt_tokens),
+            stay_s: mean(self.stay_s, other.stay_s),
+            token_s: mean(self.token_s, other.token_s),
+            streams,
+        }
+    }
+
     /// The engines of `engines` that should read prompts so that both stages
     /// are full at the same load; `None` while too little is known.
     pub fn wanted_readers(&self, engines: usize, spec: &EngineSpec) -> Option<usize> {
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::belief::EngineLearning;
 use crate::belief::LineNews;
 use crate::belief::OutputGuess;
 use crate::belief::StageBalance;
@@ -66,6 +67,14 @@
         change(balances.entry(service.clone()).or_default())
     }
 
+    /// What this gateway's own streams of `service` were like.
+    pub fn learned(&self, service: &ServiceName) -> EngineLearning {
+        EngineLearning {
+            outputs: self.with_outputs(service, |outputs| *outputs),
+            balance: self.with_balance(service, |balance| *balance),
+        }
+    }
+
     /// How long a caller of `route` that will wait for `patience` has been
     /// trying already.
     pub fn tried_for(&self, route: &str, patience: Option<Duration>) -> Duration {
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -12,7 +12,6 @@
 use crate::belief::StageChange;
 use crate::belief::StageLook;
 use crate::belief::StageWatch;
-use crate::belief::server_digest;
 use crate::belief::stage_choice;
 use crate::belief::stage_look;
 use crate::codec::PlatformCodec;
@@ -67,11 +66,7 @@
     let own = state.demand.with_line(service, |line| line.len());
     let waiting = own + state.other_lines(service).waiting as usize;
     let look = stage_look(&state.fleet(), service, waiting, now);
-    // The gateway that acts for all may have served too few streams to know.
-    let heard = || state.fleet().peers.wanted_readers(server_digest(service), now);
-    let own =
-        state.demand.with_balance(service, |balance| balance.wanted_readers(look.engines(), spec));
-    let wanted = own.or_else(heard);
+    let wanted = state.learned(service).balance.wanted_readers(look.engines(), spec);
     StageLook { wanted, ..look }
 }
 
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -37,10 +37,8 @@
 /// they make the queues longer, and healthy engines count as failed. With half
 /// the pace that the constants were made for, most were given up.
 fn patience(state: &GatewayState, call: &Call, tokens_ahead: u32) -> Duration {
-    let usual = state
-        .demand
-        .with_balance(&call.service, |balance| balance.reading.estimate(tokens_ahead))
-        .map(|usual| usual * PATIENCE_TIMES);
+    let reading = state.learned(&call.service).balance.reading;
+    let usual = reading.estimate(tokens_ahead).map(|usual| usual * PATIENCE_TIMES);
     let slowest = || {
         let millis = f64::from(tokens_ahead) / UNKNOWN_TOKENS_PER_MS;
         Duration::from_secs_f64(millis / 1000.0)
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -75,9 +75,7 @@
 ) -> Result<Placed, Response<GatewayBody>> {
     let now = Instant::now();
     let asker = LineAsker { on_time_until: on_time_until(call), tried_for: call.tried_for };
-    let run_time = state
-        .demand
-        .with_outputs(&call.service, |outputs| outputs.run_time(shape.expected_output()));
+    let run_time = state.learned(&call.service).outputs.run_time(shape.expected_output());
     let give_up = give_up_at(call, run_time);
     let patience = give_up.saturating_duration_since(now);
     let others = state.other_lines(&call.service);
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -81,8 +81,7 @@
     let service = route.service(draw).clone();
     let spec = spec_of(&table, &service);
     if let Some(prompt) = &mut head.prompt {
-        prompt.output_estimate =
-            state.demand.with_outputs(&service, |outputs| outputs.expect(prompt.output_estimate));
+        prompt.output_estimate = state.learned(&service).outputs.expect(prompt.output_estimate);
     }
     let head_patience = head.patience;
     let patience = head_patience.unwrap_or(DEFAULT_PATIENCE);
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::belief::EngineLearning;
 use crate::belief::LineNews;
 use crate::belief::LoadShare;
 use crate::belief::RetryCount;
@@ -12,7 +13,7 @@
 use crate::store::TableNotice;
 
 /// A gateway's work at each server that has any of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     pub peer: String,
     /// Drawn at each start of the process.
@@ -32,8 +33,9 @@
     pub store_calm_ms: u64,
     /// Engines that this gateway has told to change their stage.
     pub changing: Vec<u64>,
-    /// Prompt readers that this gateway finds right, by service, where it knows.
-    pub wanted_readers: Vec<(u64, u32)>,
+    /// What this gateway has learned of engines, by service; `None` in most
+    /// reports, since it changes slowly.
+    pub learned: Option<Vec<(u64, EngineLearning)>>,
     /// The configuration in force here; 0 while none is known.
     pub config: ConfigVersion,
     /// Tables of the store that this gateway reads for all.
@@ -48,7 +50,7 @@
 }
 
 /// What a datagram between gateways holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     Load(LoadReport),
     Rows(TableRows),
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -19,6 +19,9 @@
 
 /// The largest datagram sent: some 300 servers with work.
 pub(super) const MAX_DATAGRAM: usize = 8 * 1024;
+/// How often what was learned of engines is told: some 80 bytes a service, and
+/// slow to change.
+const TELL_LEARNED_EVERY: Duration = Duration::from_secs(2);
 /// Between two log lines on datagrams that are no reports: anything on the
 /// network may send any number of them.
 const UNREADABLE_PAUSE: Duration = Duration::from_secs(10);
@@ -31,6 +34,7 @@
 pub async fn send_reports(state: Arc<GatewayState>, book: Arc<PeerBook>, socket: UdpSocket) {
     let incarnation = fastrand::u64(..);
     let mut budget = SendBudget::new(Instant::now());
+    let mut learning_due = Instant::now();
     for sequence in 1.. {
         let changed = state.work_changed.listen();
         let peers = book.others(&state.settings.instance);
@@ -38,7 +42,12 @@
         if by_deadline(due, changed).await.is_some() {
             smol::Timer::at(budget.send_at(peers.len(), due, Instant::now())).await;
         }
-        let Some(datagram) = encode_report(&state, incarnation, sequence) else { continue };
+        let tells_learned = Instant::now() >= learning_due;
+        if tells_learned {
+            learning_due = Instant::now() + TELL_LEARNED_EVERY;
+        }
+        let report = encode_report(&state, incarnation, sequence, tells_learned);
+        let Some(datagram) = report else { continue };
         for address in peers {
             // A lost report is made good by the next one.
             let _ = socket.send_to(&datagram, address).await;
@@ -47,7 +56,12 @@
 }
 
 /// The report of this moment; `None` when it does not fit a datagram.
-fn encode_report(state: &GatewayState, incarnation: u64, sequence: u64) -> Option<Vec<u8>> {
+fn encode_report(
+    state: &GatewayState,
+    incarnation: u64,
+    sequence: u64,
+    tells_learned: bool,
+) -> Option<Vec<u8>> {
     let now = Instant::now();
     // One statement a lock: a guard lives to the end of its statement.
     let loads = state.fleet().own_loads();
@@ -64,7 +78,7 @@
         aside,
         lines: state.demand.own_lines(now),
         changing,
-        wanted_readers: state.wanted_readers(),
+        learned: tells_learned.then(|| state.own_learning()),
         config: state.config_version(),
         tables: state.table_notices(now),
     };
@@ -137,11 +151,13 @@
         lines: report.lines.into(),
         store_calm: Duration::from_millis(report.store_calm_ms),
         changing: report.changing.into(),
-        wanted_readers: report.wanted_readers.into(),
         config: report.config,
     };
     let now = Instant::now();
     state.fleet().peers.note(&report.peer, report.incarnation, report.sequence, news, now);
+    if let Some(learned) = report.learned {
+        state.fleet().peers.learn(&report.peer, learned, now);
+    }
     state.hear_config(&report.peer, report.config);
     for notice in report.tables {
         state.hear_notice(&report.peer, notice, now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::belief::ConfigWatch;
+use crate::belief::EngineLearning;
 use crate::belief::Fleet;
 use crate::belief::FleetChange;
 use crate::belief::InForce;
@@ -26,7 +27,6 @@
 use crate::belief::RetryUse;
 use crate::belief::ServerOutcome;
 use crate::belief::server_digest;
-use crate::belief::stage_look;
 use crate::demand::CallerDemand;
 use crate::events;
 use crate::model::ConfigVersion;
@@ -298,23 +298,24 @@
         self.fleet().peers.other_lines(server_digest(service), Instant::now())
     }
 
-    /// Prompt readers that are right by what streams take, for each service with
-    /// engines of which this gateway knows it; for a report to the peers.
-    pub fn wanted_readers(&self) -> Vec<(u64, u32)> {
+    /// What this gateway's own streams were like, for each service with engines;
+    /// for a report to the peers.
+    pub fn own_learning(&self) -> Vec<(u64, EngineLearning)> {
         let Some(table) = self.table() else { return Vec::new() };
-        let services = table.services.iter();
+        let services = table.services.iter().filter(|(_, spec)| spec.engine.is_some());
         services
-            .filter_map(|(service, spec)| {
-                let spec = spec.engine.as_ref()?;
-                let engines = stage_look(&self.fleet(), service, 0, Instant::now()).engines();
-                let wanted = self
-                    .demand
-                    .with_balance(service, |balance| balance.wanted_readers(engines, spec))?;
-                Some((server_digest(service), u32::try_from(wanted).ok()?))
-            })
+            .map(|(service, _)| (server_digest(service), self.demand.learned(service)))
             .collect()
     }
 
+    /// What all gateways have learned of the engines of `service`.
+    pub fn learned(&self, service: &ServiceName) -> EngineLearning {
+        let own = self.demand.learned(service);
+        let fleet = self.fleet();
+        let others = fleet.peers.learned(server_digest(service));
+        EngineLearning::pooled(others.chain([own]))
+    }
+
     /// Gateways registered, this one included.
     pub fn members(&self) -> usize {
         self.members.load(Ordering::Relaxed).max(1)
--- /dev/null
+++ b/crates/gateway/tests/engine_learning.rs
@@ -0,0 +1,61 @@
+//! What gateways learn of engines together.
+
+use std::time::Duration;
+
+use umberglade_gateway::belief::EngineLearning;
+use umberglade_gateway::model::EngineSpec;
+
+const ENGINES: usize = 140;
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 64,
+        kv_tokens: 37_406,
+        handle_ttl: Duration::from_millis(500),
+        tokens_per_event: 8,
+    }
+}
+
+/// What a gateway knows that has served so many streams: prompts of 5,000
+/// tokens read at 55 a millisecond, answers of 500 that take three seconds.
+fn learned(streams: u32, slowdown: f64) -> EngineLearning {
+    let mut learning = EngineLearning::default();
+    for at in 0..streams {
+        let prompt = 4000 + at % 5 * 500;
+        let read_ms = (100.0 + f64::from(prompt) / 55.0) * slowdown;
+        learning.balance.reading.note(prompt, Duration::from_secs_f64(read_ms / 1000.0));
+        let stay = Duration::from_secs_f64(3.0 * slowdown);
+        learning.balance.note_stream(prompt, 500, stay);
+        learning.outputs.note(500, stay);
+    }
+    learning
+}
+
+/// 195 gateways share 50 streams a second. One of them serves eight in half a
+/// minute, fewer than it needs to believe what it has seen: engines are left
+/// as they are through the first bursts, and callers whose answers cannot end
+/// in time take room all the same. Together the gateways know after a second.
+#[test]
+fn many_gateways_know_soon_what_none_knows_alone() {
+    let each = learned(2, 1.0);
+    assert_eq!(each.balance.wanted_readers(ENGINES, &spec()), None);
+    assert_eq!(each.outputs.run_time(500), Duration::ZERO);
+    let pool = EngineLearning::pooled((0..25).map(|_| each));
+    let alone = learned(50, 1.0);
+    let wanted = pool.balance.wanted_readers(ENGINES, &spec()).expect("known together");
+    let expected = alone.balance.wanted_readers(ENGINES, &spec()).expect("known alone");
+    assert!(wanted.abs_diff(expected) <= 2, "{wanted} for {expected}");
+    let run_time = pool.outputs.run_time(500).as_secs_f64();
+    assert!((run_time - 3.0).abs() < 0.1, "{run_time}");
+}
+
+/// A gateway whose path to the engines is slow sees all streams take three
+/// times as long. It is one of many and moves the mean by its part, however
+/// many streams it has served.
+#[test]
+fn one_odd_gateway_decides_little() {
+    let others = (0..39).map(|_| learned(40, 1.0));
+    let pool = EngineLearning::pooled(others.chain([learned(4000, 3.0)]));
+    let run_time = pool.outputs.run_time(500).as_secs_f64();
+    assert!((3.0..3.3).contains(&run_time), "{run_time}");
+}
