--- a/crates/gateway/src/belief/engine_learning.rs
+++ b/crates/gateway/src/belief/engine_learning.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::OpeningTime;
 use super::OutputGuess;
 use super::StageBalance;
 
@@ -12,6 +13,7 @@
 pub struct EngineLearning {
     pub outputs: OutputGuess,
     pub balance: StageBalance,
+    pub opening: OpeningTime,
 }
 
 impl EngineLearning {
@@ -25,6 +27,7 @@
         of.fold(EngineLearning::default(), |pool, one| EngineLearning {
             outputs: pool.outputs.with(&one.outputs),
             balance: pool.balance.with(&one.balance),
+            opening: pool.opening.with(&one.opening),
         })
     }
 }
--- /dev/null
+++ b/crates/gateway/src/belief/opening_time.rs
@@ -0,0 +1,62 @@
+//! How long a stream takes from its room's being found to its first event.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Streams needed before their mean is believed.
+const LEAST_STREAMS: u32 = 8;
+/// The most streams that one gateway's mean stands for.
+const MOST_STREAMS: u32 = 20;
+/// The weight of one stream in the mean, once there are enough.
+const WEIGHT: f64 = 0.05;
+/// Mean deviations that are added to the mean: nine streams of ten begin
+/// within that.
+const DEVIATIONS: f64 = 1.6;
+/// Taken while too little is known: reading a mean prompt takes 90 ms, its
+/// transfer and first tokens as long again.
+const UNKNOWN: Duration = Duration::from_millis(300);
+
+/// The time from placement to first event, as a mean and its mean deviation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct OpeningTime {
+    mean_s: f64,
+    deviation_s: f64,
+    streams: u32,
+}
+
+impl OpeningTime {
+    /// Takes in a stream whose first event came `took` after its placement.
+    pub fn note(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        self.streams = self.streams.saturating_add(1);
+        let weight = WEIGHT.max(1.0 / f64::from(self.streams));
+        let off = (took - self.mean_s).abs();
+        if self.streams > 1 {
+            self.deviation_s += (off - self.deviation_s) * weight;
+        }
+        self.mean_s += (took - self.mean_s) * weight;
+    }
+
+    /// What this and `other` have learned, by how many streams each stands for.
+    pub fn with(&self, other: &OpeningTime) -> OpeningTime {
+        let (ours, theirs) = (self.streams, other.streams.min(MOST_STREAMS));
+        let streams = ours.saturating_add(theirs);
+        let part = f64::from(theirs) / f64::from(streams.max(1));
+        let mean = |own: f64, others: f64| own + (others - own) * part;
+        OpeningTime {
+            mean_s: mean(self.mean_s, other.mean_s),
+            deviation_s: mean(self.deviation_s, other.deviation_s),
+            streams,
+        }
+    }
+
+    /// Within this nine streams of ten have begun.
+    pub fn likely(&self) -> Duration {
+        if self.streams < LEAST_STREAMS {
+            return UNKNOWN;
+        }
+        Duration::from_secs_f64(self.mean_s + self.deviation_s * DEVIATIONS)
+    }
+}
--- a/crates/gateway/src/belief/stage_watch.rs
+++ b/crates/gateway/src/belief/stage_watch.rs
@@ -20,6 +20,11 @@
 /// number: a failure domain may fail.
 const LEAST_PART: f64 = 0.12;
 const LEAST_PREFILL: usize = 3;
+/// Where more than this part of the readers is not wanted for this long, they
+/// change also while nobody waits: engines are away for some 6 s, longer than
+/// most bursts last, so whoever waits for the burst gets its room after it.
+const SPARE_PART: f64 = 0.2;
+const SPARE_TIME: Duration = Duration::from_secs(2);
 /// Prompt readers busier than this for [`OVERLOAD_TIME`] are too few.
 const OVERLOAD_SHARE: f64 = 0.9;
 const OVERLOAD_TIME: Duration = Duration::from_secs(3);
@@ -68,6 +73,8 @@
     looked_at: Option<Instant>,
     waiting_since: Option<Instant>,
     overloaded_since: Option<Instant>,
+    /// Since when there have been clearly more readers than wanted.
+    spare_since: Option<Instant>,
     rest_until: Option<Instant>,
 }
 
@@ -81,10 +88,14 @@
         if self.rest_until.is_some_and(|until| now < until) {
             return None;
         }
-        if has_lasted(self.waiting_since, WAITING_TIME, now) {
-            let wanted = look.wanted?.max(least_prefill(look));
-            let count = look.prefill.saturating_sub(wanted);
-            return (count > 0).then_some(StageChange { to: ServerStage::Decode, count });
+        let spare = look
+            .wanted
+            .map_or(0, |wanted| look.prefill.saturating_sub(wanted.max(least_prefill(look))));
+        keep_since(&mut self.spare_since, spare as f64 > SPARE_PART * look.prefill as f64, now);
+        if has_lasted(self.waiting_since, WAITING_TIME, now)
+            || has_lasted(self.spare_since, SPARE_TIME, now)
+        {
+            return (spare > 0).then_some(StageChange { to: ServerStage::Decode, count: spare });
         }
         if has_lasted(self.overloaded_since, OVERLOAD_TIME, now) {
             let missing = look.wanted?.saturating_sub(look.prefill);
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -8,6 +8,7 @@
 
 use crate::belief::EngineLearning;
 use crate::belief::LineNews;
+use crate::belief::OpeningTime;
 use crate::belief::OutputGuess;
 use crate::belief::StageBalance;
 use crate::belief::UsualPatience;
@@ -23,6 +24,7 @@
     lines: Mutex<HashMap<ServiceName, WaitingLine>>,
     outputs: Mutex<HashMap<ServiceName, OutputGuess>>,
     balances: Mutex<HashMap<ServiceName, StageBalance>>,
+    openings: Mutex<HashMap<ServiceName, OpeningTime>>,
     /// By the route's name.
     patience: Mutex<HashMap<String, UsualPatience>>,
 }
@@ -67,11 +69,22 @@
         change(balances.entry(service.clone()).or_default())
     }
 
+    /// Runs `change` on how long streams of `service` take to begin.
+    pub fn with_opening<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut OpeningTime) -> T,
+    ) -> T {
+        let mut openings = self.openings.lock().expect("openings lock");
+        change(openings.entry(service.clone()).or_default())
+    }
+
     /// What this gateway's own streams of `service` were like.
     pub fn learned(&self, service: &ServiceName) -> EngineLearning {
         EngineLearning {
             outputs: self.with_outputs(service, |outputs| *outputs),
             balance: self.with_balance(service, |balance| *balance),
+            opening: self.with_opening(service, |opening| *opening),
         }
     }
 
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -67,6 +67,10 @@
 ) -> Response<GatewayBody> {
     let first_event = call.arrived.elapsed();
     metrics::histogram!("umberglade_first_event_seconds").record(first_event.as_secs_f64());
+    if attempts.sends() == 1 {
+        let took = stream.hold.age();
+        state.demand.with_opening(&call.service, |opening| opening.note(took));
+    }
     let (sender, body) = answer::pieces();
     let mut response = Response::new(body);
     *response.status_mut() = stream.status;
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -74,8 +74,11 @@
     shape: &PromptShape,
 ) -> Result<Placed, Response<GatewayBody>> {
     let now = Instant::now();
-    let asker = LineAsker { on_time_until: on_time_until(call), tried_for: call.tried_for };
-    let run_time = state.learned(&call.service).outputs.run_time(shape.expected_output());
+    let learned = state.learned(&call.service);
+    let opening = learned.opening.likely();
+    let asker =
+        LineAsker { on_time_until: on_time_until(call, opening), tried_for: call.tried_for };
+    let run_time = learned.outputs.run_time(shape.expected_output());
     let give_up = give_up_at(call, run_time);
     let patience = give_up.saturating_duration_since(now);
     let others = state.other_lines(&call.service);
@@ -152,14 +155,15 @@
     );
 }
 
-/// Until when an answer begun is still on time.
+/// Until when an answer begun, which takes `opening` to its first event, is
+/// still on time.
 ///
 /// The target counts from the caller's first try. Guards against callers who
 /// come back after a refusal, late in any case, taking room from those who
 /// could still be on time.
-fn on_time_until(call: &Call) -> Instant {
+fn on_time_until(call: &Call, opening: Duration) -> Instant {
     let target = call.route.target_latency.unwrap_or(LEAST_GIVE_UP);
-    let left = target.saturating_sub(FIRST_EVENT_TIME);
+    let left = target.saturating_sub(opening);
     call.arrived + left.saturating_sub(call.tried_for)
 }
 
--- a/crates/gateway/tests/engine_learning.rs
+++ b/crates/gateway/tests/engine_learning.rs
@@ -1,5 +1,6 @@
 //! What gateways learn of engines together.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use umberglade_gateway::belief::EngineLearning;
@@ -16,11 +17,11 @@
     }
 }
 
-/// What a gateway knows that has served so many streams: prompts of 5,000
+/// What a gateway knows that has served these streams: prompts of 5,000
 /// tokens read at 55 a millisecond, answers of 500 that take three seconds.
-fn learned(streams: u32, slowdown: f64) -> EngineLearning {
+fn learned(streams: Range<u32>, slowdown: f64) -> EngineLearning {
     let mut learning = EngineLearning::default();
-    for at in 0..streams {
+    for at in streams {
         let prompt = 4000 + at % 5 * 500;
         let read_ms = (100.0 + f64::from(prompt) / 55.0) * slowdown;
         learning.balance.reading.note(prompt, Duration::from_secs_f64(read_ms / 1000.0));
@@ -37,11 +38,11 @@
 /// in time take room all the same. Together the gateways know after a second.
 #[test]
 fn many_gateways_know_soon_what_none_knows_alone() {
-    let each = learned(2, 1.0);
+    let each = learned(0..2, 1.0);
     assert_eq!(each.balance.wanted_readers(ENGINES, &spec()), None);
     assert_eq!(each.outputs.run_time(500), Duration::ZERO);
-    let pool = EngineLearning::pooled((0..25).map(|_| each));
-    let alone = learned(50, 1.0);
+    let pool = EngineLearning::pooled((0..25).map(|at| learned(at * 2..at * 2 + 2, 1.0)));
+    let alone = learned(0..50, 1.0);
     let wanted = pool.balance.wanted_readers(ENGINES, &spec()).expect("known together");
     let expected = alone.balance.wanted_readers(ENGINES, &spec()).expect("known alone");
     assert!(wanted.abs_diff(expected) <= 2, "{wanted} for {expected}");
@@ -54,8 +55,8 @@
 /// many streams it has served.
 #[test]
 fn one_odd_gateway_decides_little() {
-    let others = (0..39).map(|_| learned(40, 1.0));
-    let pool = EngineLearning::pooled(others.chain([learned(4000, 3.0)]));
+    let others = (0..39).map(|_| learned(0..40, 1.0));
+    let pool = EngineLearning::pooled(others.chain([learned(0..4000, 3.0)]));
     let run_time = pool.outputs.run_time(500).as_secs_f64();
     assert!((3.0..3.3).contains(&run_time), "{run_time}");
 }
