--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -135,10 +135,10 @@
         HeardRetries { gateways: self.heard(now), count: self.service(digest, now).retries() }
     }
 
-    /// How many requests for the service with `digest` wait at gateways whose
-    /// line goes before `own`. All of such a line count: with the first alone,
-    /// a quarter of the streams of 79 gateways met another at an engine's last
-    /// place and were rejected, against 3 in 100.
+    /// How many requests for the service with `digest` may take room at other
+    /// gateways before the first of `own`. Of a line whose first can be on time
+    /// that one alone: the next looks for room only once it has been told of. Of
+    /// one whose first is late, all: those have waited their turn.
     pub fn waiting_before(&self, digest: u64, own: &LineNews, now: Instant) -> usize {
         if self.other_lines(digest, now).waiting == 0 {
             return 0;
@@ -148,7 +148,8 @@
                 let mut line = report.news.line(digest)?;
                 let heard = now.saturating_duration_since(report.heard_at);
                 line.first_age_ms = line.first_age_ms.saturating_add(heard.as_millis() as u32);
-                (line.waiting > 0 && line.goes_before(own)).then_some(line.waiting as usize)
+                let before = if line.is_first_late { line.waiting } else { 1 };
+                (line.waiting > 0 && line.goes_before(own)).then_some(before as usize)
             })
             .sum()
     }
