--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -80,7 +80,7 @@
         changing,
         learned: tells_learned.then(|| state.own_learning()),
         config: state.config_version(),
-        tables: state.table_notices(now),
+        tables: state.readings.notices(now),
     };
     let datagram =
         postcard::to_allocvec(&PeerMessage::Load(report)).expect("encoding plain numbers and text");
@@ -98,7 +98,7 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, peer)) => match postcard::from_bytes(&buffer[..length]) {
-                Ok(PeerMessage::Rows(rows)) => state.hear_rows(rows),
+                Ok(PeerMessage::Rows(rows)) => state.readings.hear_rows(rows),
                 Ok(PeerMessage::Load(report)) => {
                     learn_peer(&state, &book, &report.peer, peer);
                     take_report(&state, report);
@@ -160,7 +160,7 @@
     }
     state.hear_config(&report.peer, report.config);
     for notice in report.tables {
-        state.hear_notice(&report.peer, notice, now);
+        state.readings.hear_notice(&report.peer, notice, now);
     }
     state.room.notify(usize::MAX);
 }
--- a/crates/gateway/src/peers/row_loop.rs
+++ b/crates/gateway/src/peers/row_loop.rs
@@ -17,7 +17,7 @@
 /// good.
 pub async fn send_rows(state: Arc<GatewayState>, book: Arc<PeerBook>, socket: UdpSocket) {
     loop {
-        let told = state.next_rows().await;
+        let told = state.readings.next_rows().await;
         let peers = book.others(&state.settings.instance);
         for datagram in datagrams(told) {
             for address in &peers {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,11 +7,8 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 
-use async_channel::Receiver;
-use async_channel::Sender;
 use event_listener::Event;
 use metrics_exporter_prometheus::PrometheusHandle;
 
@@ -21,7 +18,6 @@
 use crate::belief::FleetChange;
 use crate::belief::InForce;
 use crate::belief::OtherLines;
-use crate::belief::ReadNotice;
 use crate::belief::RetryAllowance;
 use crate::belief::RetryCount;
 use crate::belief::RetryUse;
@@ -33,14 +29,10 @@
 use crate::model::GatewaySettings;
 use crate::model::RouteTable;
 use crate::model::ServiceName;
-use crate::model::StoreRow;
-use crate::model::StoreTable;
-use crate::peers::TableRows;
 use crate::stop::GRACE_MARGIN;
 use crate::stop::LAST_CALL;
 use crate::stop::StopSwitch;
-use crate::store::SharedReading;
-use crate::store::TableNotice;
+use crate::store::SharedReadings;
 use crate::upstream::ConnectionPool;
 use crate::upstream::SendTarget;
 
@@ -65,9 +57,7 @@
     /// Notified when a server may have room again, or more has become known.
     pub room: Event,
     /// Tables of the store that gateways read for each other.
-    readings: [SharedReading; 2],
-    /// Rows that the other gateways are to be told of.
-    rows_out: (Sender<TableRows>, Receiver<TableRows>),
+    pub readings: SharedReadings,
     in_force: RwLock<InForce>,
     config_watch: Mutex<ConfigWatch>,
     fleet: Mutex<Fleet>,
@@ -103,9 +93,6 @@
     }
 }
 
-/// Reads of a table whose news wait to be told.
-const ROWS_OUT: usize = 16;
-
 /// Assumed until the members table is read: cautious for most sites.
 const FIRST_MEMBERS: usize = 8;
 
@@ -119,14 +106,9 @@
             Instant::now(),
         );
         let digest = server_digest(&settings.instance);
-        let readings = [
-            SharedReading::new(StoreTable::Configuration, digest, settings.config_bound),
-            SharedReading::new(StoreTable::Servers, digest, settings.drain_bound),
-        ];
         Arc::new(GatewayState {
             digest,
-            readings,
-            rows_out: async_channel::bounded(ROWS_OUT),
+            readings: SharedReadings::new(digest, &settings),
             settings,
             metrics,
             pool: ConnectionPool::default(),
@@ -173,48 +155,6 @@
         self.config_due.notify(usize::MAX);
     }
 
-    /// How gateways read `table` for each other; `table` is one of those they do.
-    pub fn reading(&self, table: StoreTable) -> &SharedReading {
-        let found = self.readings.iter().find(|reading| reading.table == table);
-        found.expect("a table that is read for others")
-    }
-
-    /// What a report tells of the tables that this gateway reads for all.
-    pub fn table_notices(&self, now: Instant) -> Vec<TableNotice> {
-        self.readings.iter().filter_map(|reading| reading.notice(now)).collect()
-    }
-
-    /// `peer` has read a table of the store.
-    pub fn hear_notice(&self, peer: &str, notice: TableNotice, now: Instant) {
-        let Some(read_at) = now.checked_sub(Duration::from_millis(notice.age_ms)) else { return };
-        let Some(reading) = self.readings.iter().find(|of| of.table == notice.table) else {
-            return;
-        };
-        let notice = ReadNotice { fingerprint: notice.fingerprint, read_at };
-        reading.roster().hear(server_digest(peer), notice);
-    }
-
-    /// Another gateway has read rows that say something new.
-    pub fn hear_rows(&self, told: TableRows) {
-        if let Some(reading) = self.readings.iter().find(|of| of.table == told.table) {
-            reading.tell(told.rows);
-        }
-    }
-
-    /// Tells the other gateways of `rows`, once the network takes them. Where
-    /// more are waiting than may, they are dropped: the others see by the
-    /// fingerprint that they lack them, and read the store.
-    pub fn tell_rows(&self, table: StoreTable, rows: Vec<StoreRow>) {
-        if self.rows_out.0.try_send(TableRows { table, rows }).is_err() {
-            metrics::counter!("umberglade_rows_untold_total").increment(1);
-        }
-    }
-
-    /// The next rows that the others are to be told of.
-    pub async fn next_rows(&self) -> TableRows {
-        self.rows_out.1.recv().await.expect("a channel whose sender is kept")
-    }
-
     /// Runs `change` on what is in force.
     pub fn with_in_force<T>(&self, change: impl FnOnce(&mut InForce) -> T) -> T {
         change(&mut self.in_force.write().expect("in-force lock"))
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -78,6 +78,7 @@
                 // What others tell meanwhile is in no feed from here on.
                 position = None;
                 is_told = true;
+                self.mark_age(self.known_at().unwrap_or(known_at));
                 if !self.be_told(until).await {
                     continue;
                 }
--- a/crates/gateway/src/store/table_sharing.rs
+++ b/crates/gateway/src/store/table_sharing.rs
@@ -116,12 +116,12 @@
         self.reading().note_read(self.content.fingerprint());
         let tells = self.reading().roster().own_notice(Instant::now()).is_some();
         if tells && !news.is_empty() {
-            self.state.tell_rows(self.table, news);
+            self.state.readings.tell(self.table, news);
         }
     }
 
     fn reading(&self) -> &SharedReading {
-        self.state.reading(self.table)
+        self.state.readings.of(self.table)
     }
 
     fn rank(&self, now: Instant) -> PeerRank {
