--- a/crates/gateway/src/belief/engine_learning.rs
+++ b/crates/gateway/src/belief/engine_learning.rs
@@ -17,6 +17,11 @@
 }
 
 impl EngineLearning {
+    /// False for what no gateway can have learned.
+    pub fn is_sound(&self) -> bool {
+        self.outputs.is_sound() && self.balance.is_sound() && self.opening.is_sound()
+    }
+
     /// What several gateways have learned together, each by how much it has
     /// seen lately.
     ///
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -17,6 +17,7 @@
 mod peer_news;
 mod peer_sums;
 mod placement;
+mod pooled_count;
 mod read_roster;
 mod reading_pace;
 mod report_pace;
--- a/crates/gateway/src/belief/opening_time.rs
+++ b/crates/gateway/src/belief/opening_time.rs
@@ -5,10 +5,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::pooled_count::PooledCount;
+use super::pooled_count::is_sound;
+
 /// Streams needed before their mean is believed.
 const LEAST_STREAMS: u32 = 8;
-/// The most streams that one gateway's mean stands for.
-const MOST_STREAMS: u32 = 20;
 /// The weight of one stream in the mean, once there are enough. After a restart
 /// of all gateways callers come back at once and streams take a second to begin;
 /// that must be forgotten in seconds by gateways that serve two streams a second
@@ -51,17 +52,19 @@
 
     /// What this and `other` have learned, by how many streams each stands for.
     pub fn with(&self, other: &OpeningTime) -> OpeningTime {
-        let (ours, theirs) = (self.streams, other.streams.min(MOST_STREAMS));
-        let streams = ours.saturating_add(theirs);
-        let part = f64::from(theirs) / f64::from(streams.max(1));
-        let mean = |own: f64, others: f64| own + (others - own) * part;
+        let pool = PooledCount::new(self.streams, other.streams);
         OpeningTime {
-            mean_s: mean(self.mean_s, other.mean_s),
-            deviation_s: mean(self.deviation_s, other.deviation_s),
-            streams,
+            mean_s: pool.mean(self.mean_s, other.mean_s),
+            deviation_s: pool.mean(self.deviation_s, other.deviation_s),
+            streams: pool.samples,
         }
     }
 
+    /// False for what no gateway can have learned.
+    pub fn is_sound(&self) -> bool {
+        [self.mean_s, self.deviation_s].into_iter().all(is_sound)
+    }
+
     /// How long after its caller's first try a stream may find its room and
     /// still begin within `target`.
     pub fn latest_start(&self, target: Duration) -> Duration {
--- a/crates/gateway/src/belief/output_guess.rs
+++ b/crates/gateway/src/belief/output_guess.rs
@@ -6,13 +6,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::pooled_count::PooledCount;
+use super::pooled_count::is_sound;
+
 /// Answers needed before their length is believed.
 const LEAST_ANSWERS: u32 = 6;
 /// The weight of one answer in the average, once there are enough.
 const WEIGHT: f64 = 0.05;
-/// The most answers that one gateway's averages stand for: those before have
-/// nearly no weight any more.
-const MOST_ANSWERS: u32 = 20;
 /// The part of the caller's estimate, the rest being the usual length, both
 /// as logarithms. Estimates are off by about as much as lengths differ (both
 /// 0.45 in the logarithm over 2,471 answers), so each counts half.
@@ -49,16 +49,19 @@
 
     /// What this and `other` have learned, by how many answers each stands for.
     pub fn with(&self, other: &OutputGuess) -> OutputGuess {
-        let (ours, theirs) = (self.answers, other.answers.min(MOST_ANSWERS));
-        let answers = ours.saturating_add(theirs);
-        let part = f64::from(theirs) / f64::from(answers.max(1));
+        let pool = PooledCount::new(self.answers, other.answers);
         OutputGuess {
-            ln_mean: self.ln_mean + (other.ln_mean - self.ln_mean) * part,
-            token_s: self.token_s + (other.token_s - self.token_s) * part,
-            answers,
+            ln_mean: pool.mean(self.ln_mean, other.ln_mean),
+            token_s: pool.mean(self.token_s, other.token_s),
+            answers: pool.samples,
         }
     }
 
+    /// False for what no gateway can have learned.
+    pub fn is_sound(&self) -> bool {
+        [self.ln_mean, self.token_s].into_iter().all(is_sound)
+    }
+
     /// How long an answer of `tokens` takes from its first event on; zero
     /// while too little is known.
     pub fn run_time(&self, tokens: u32) -> Duration {
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -177,7 +177,8 @@
     }
 
     /// The gateway named `peer` tells what it has learned, by service.
-    pub fn learn(&mut self, peer: &str, learned: Vec<(u64, EngineLearning)>, now: Instant) {
+    pub fn learn(&mut self, peer: &str, mut learned: Vec<(u64, EngineLearning)>, now: Instant) {
+        learned.retain(|(_, of)| of.is_sound());
         self.learned.insert(server_digest(peer), PeerLearning { learned, heard_at: now });
     }
 
--- /dev/null
+++ b/crates/gateway/src/belief/pooled_count.rs
@@ -0,0 +1,37 @@
+//! Means of several gateways taken together.
+
+/// The most samples that one gateway's mean stands for: the weight of a sample
+/// falls to a twentieth, so those before have nearly none any more.
+const MOST_SAMPLES: u32 = 20;
+
+/// How much of a pool of means one more of them makes out.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PooledCount {
+    /// Samples that the pool stands for with it.
+    pub samples: u32,
+    part: f64,
+}
+
+impl PooledCount {
+    /// A mean of `theirs` samples joins a pool that stands for `ours`.
+    pub fn new(ours: u32, theirs: u32) -> Self {
+        let theirs = theirs.min(MOST_SAMPLES);
+        let samples = ours.saturating_add(theirs);
+        PooledCount { samples, part: f64::from(theirs) / f64::from(samples.max(1)) }
+    }
+
+    /// The pool's mean, `ours` so far, with `theirs`.
+    pub fn mean(&self, ours: f64, theirs: f64) -> f64 {
+        ours + (theirs - ours) * self.part
+    }
+}
+
+/// True when `value` can be a time, a count or a sum of them.
+///
+/// Guards against a datagram that is not a gateway's: one that is no number, or
+/// beyond all bounds, would spoil every mean it is taken into, and a time made
+/// of it would end the process.
+pub(super) fn is_sound(value: f64) -> bool {
+    const MOST: f64 = 1e15;
+    (0.0..=MOST).contains(&value)
+}
--- a/crates/gateway/src/belief/reading_pace.rs
+++ b/crates/gateway/src/belief/reading_pace.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::pooled_count::is_sound;
+
 /// Prompts needed before the pace is believed.
 const LEAST_PROMPTS: f64 = 8.0;
 /// What a prompt's weight becomes with each further one: some fifty prompts
@@ -54,6 +56,12 @@
         }
     }
 
+    /// False for what no gateway can have learned.
+    pub fn is_sound(&self) -> bool {
+        let sums = [self.weight, self.tokens, self.millis, self.tokens_squared, self.tokens_millis];
+        sums.into_iter().all(is_sound)
+    }
+
     /// Milliseconds of an engine's time that a token takes; `None` while too
     /// little is known.
     pub fn millis_per_token(&self) -> Option<f64> {
--- a/crates/gateway/src/belief/stage_balance.rs
+++ b/crates/gateway/src/belief/stage_balance.rs
@@ -6,14 +6,14 @@
 use serde::Serialize;
 
 use super::ReadingPace;
+use super::pooled_count::PooledCount;
+use super::pooled_count::is_sound;
 use crate::model::EngineSpec;
 
 /// Streams needed before their mean is believed.
 const LEAST_STREAMS: u32 = 8;
 /// The weight of one stream in the mean, once there are enough.
 const WEIGHT: f64 = 0.05;
-/// The most streams that one gateway's means stand for.
-const MOST_STREAMS: u32 = 20;
 /// Readers are kept at this share of their time when engines that generate are
 /// full. What they do not read in time, the engines that generate read for
 /// themselves: without that, readers kept at 0.8 queued for seconds and 0.5 was
@@ -58,19 +58,22 @@
 
     /// What this and `other` have learned, by how many streams each stands for.
     pub fn with(&self, other: &StageBalance) -> StageBalance {
-        let (ours, theirs) = (self.streams, other.streams.min(MOST_STREAMS));
-        let streams = ours.saturating_add(theirs);
-        let part = f64::from(theirs) / f64::from(streams.max(1));
-        let mean = |own: f64, others: f64| own + (others - own) * part;
+        let pool = PooledCount::new(self.streams, other.streams);
         StageBalance {
             reading: self.reading.with(&other.reading),
-            prompt_tokens: mean(self.prompt_tokens, other.prompt_tokens),
-            stay_s: mean(self.stay_s, other.stay_s),
-            token_s: mean(self.token_s, other.token_s),
-            streams,
+            prompt_tokens: pool.mean(self.prompt_tokens, other.prompt_tokens),
+            stay_s: pool.mean(self.stay_s, other.stay_s),
+            token_s: pool.mean(self.token_s, other.token_s),
+            streams: pool.samples,
         }
     }
 
+    /// False for what no gateway can have learned.
+    pub fn is_sound(&self) -> bool {
+        let means = [self.prompt_tokens, self.stay_s, self.token_s];
+        means.into_iter().all(is_sound) && self.reading.is_sound()
+    }
+
     /// The engines of `engines` that should read prompts so that both stages
     /// are full at the same load; `None` while too little is known.
     pub fn wanted_readers(&self, engines: usize, spec: &EngineSpec) -> Option<usize> {
--- a/crates/gateway/src/belief/table_content.rs
+++ b/crates/gateway/src/belief/table_content.rs
@@ -10,6 +10,11 @@
 /// A digest of a whole table's content, whatever the order of its rows.
 pub type TableFingerprint = u64;
 
+/// Rows that are gone which are remembered at most; far more than change within
+/// the store's history. Without a bound a process that never lists the table
+/// again would keep each server that ever left.
+const MOST_GONE: usize = 1024;
+
 /// What is known of one row.
 #[derive(Debug, Clone, Copy)]
 struct KnownRow {
@@ -30,6 +35,8 @@
     /// Invariant: the exclusive or of the digests of all rows that are there,
     /// each mixed with its key's.
     fingerprint: TableFingerprint,
+    /// Rows in `rows` that are gone, about.
+    gone: usize,
 }
 
 impl TableContent {
@@ -46,6 +53,11 @@
             return false;
         }
         self.rows.insert(key.to_owned(), KnownRow { version, digest });
+        self.gone += usize::from(digest.is_none());
+        if self.gone > MOST_GONE {
+            self.rows.retain(|_, row| row.digest.is_some());
+            self.gone = 0;
+        }
         let before = known.and_then(|known| known.digest);
         if before == digest {
             return false;
@@ -71,6 +83,16 @@
         before.rows.into_iter().filter(|(_, row)| is_gone(row)).map(|(key, _)| key).collect()
     }
 
+    /// Rows remembered, those that are gone included.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True when no row is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// The same at two gateways that hold the same content.
     pub fn fingerprint(&self) -> TableFingerprint {
         self.fingerprint
--- a/crates/gateway/tests/engine_learning.rs
+++ b/crates/gateway/tests/engine_learning.rs
@@ -2,8 +2,10 @@
 
 use std::ops::Range;
 use std::time::Duration;
+use std::time::Instant;
 
 use umberglade_gateway::belief::EngineLearning;
+use umberglade_gateway::belief::PeerLoads;
 use umberglade_gateway::model::EngineSpec;
 
 const ENGINES: usize = 140;
@@ -60,3 +62,35 @@
     let run_time = pool.outputs.run_time(500).as_secs_f64();
     assert!((3.0..3.3).contains(&run_time), "{run_time}");
 }
+
+/// A datagram that is not a gateway's claims what no gateway can have learned.
+/// Taken into the means of all it would make every answer seem endless, or end
+/// the process when a time is made of it.
+#[test]
+fn what_no_gateway_can_have_learned_is_ignored() {
+    const SERVICE: u64 = 7;
+    struct OddCase {
+        name: &'static str,
+        /// The number that stands where the length of answers is told.
+        told: f64,
+        is_taken: bool,
+    }
+    let cases = [
+        OddCase { name: "usual", told: 6.2, is_taken: true },
+        OddCase { name: "no number", told: f64::NAN, is_taken: false },
+        OddCase { name: "endless", told: f64::INFINITY, is_taken: false },
+        OddCase { name: "less than nothing", told: -1.0, is_taken: false },
+        OddCase { name: "beyond all bounds", told: 1e300, is_taken: false },
+    ];
+    for case in cases {
+        let mut bytes = postcard::to_allocvec(&learned(0..30, 1.0)).unwrap();
+        bytes[..8].copy_from_slice(&case.told.to_le_bytes());
+        let odd: EngineLearning = postcard::from_bytes(&bytes).unwrap();
+        let mut peers = PeerLoads::default();
+        peers.learn("peer", vec![(SERVICE, odd)], Instant::now());
+        let taken = peers.learned(SERVICE).count() > 0;
+        assert_eq!(taken, case.is_taken, "{}", case.name);
+        let pool = EngineLearning::pooled(peers.learned(SERVICE));
+        assert!(pool.outputs.run_time(500) < Duration::from_secs(60), "{}", case.name);
+    }
+}
--- a/crates/gateway/tests/table_content.rs
+++ b/crates/gateway/tests/table_content.rs
@@ -125,3 +125,19 @@
         prop_assert_eq!(straight.fingerprint(), listing.fingerprint());
     }
 }
+
+/// Servers come and go for as long as a process lives. Each that has left would
+/// be remembered for good.
+#[test]
+fn rows_that_are_gone_are_forgotten_in_the_end() {
+    let mut content = TableContent::default();
+    content.note("stays", 1, Some(5));
+    let whole = content.fingerprint();
+    for at in 0..10_000u64 {
+        let key = format!("server-{at}");
+        content.note(&key, at * 2 + 2, Some(9));
+        content.note(&key, at * 2 + 3, None);
+    }
+    assert_eq!(content.fingerprint(), whole);
+    assert!(content.len() < 2_000, "{} rows kept", content.len());
+}
