--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -187,6 +187,18 @@
             steps: &[Ready("a", 1), Misdirected("a"), Ready("a", 3)],
             open: &["a"],
         },
+        // A gateway that is told of rows by others hears of none that says the
+        // same as before: one stray answer would keep the server out for good.
+        Case {
+            name: "a server that says it is another, and whose row stays as it is",
+            steps: &[Ready("a", 1), Misdirected("a"), Wait(4900)],
+            open: &[],
+        },
+        Case {
+            name: "it is tried again once a row that nobody renews would be gone",
+            steps: &[Ready("a", 1), Misdirected("a"), Wait(5100)],
+            open: &["a"],
+        },
         // Another writer's row under a server's id: nobody knows whether the
         // server is there, and its next heartbeat says so.
         Case {
