--- a/crates/gateway/tests/read_roster.rs
+++ b/crates/gateway/tests/read_roster.rs
@@ -75,6 +75,12 @@
     Step::Hear { peer, fingerprint, age_ms: 100 }
 }
 
+/// A gateway that three others tell what it holds, and what comes then.
+fn told_case(name: &'static str, steps: &[Step]) -> RosterCase {
+    let told = [Step::Read(HELD), hear(1, HELD), hear(2, HELD), hear(3, HELD), Step::IsTold];
+    RosterCase { name, steps: [&told, steps].concat() }
+}
+
 #[test]
 fn who_reads_and_who_is_told() {
     use Step::*;
@@ -126,76 +132,21 @@
 #[test]
 fn silent_readers_are_not_waited_for() {
     use Step::*;
+    let old_hear = |peer| Hear { peer, fingerprint: HELD, age_ms: 5000 };
     let cases = [
-        RosterCase {
-            name: "all fall silent",
-            steps: vec![
-                Read(HELD),
-                hear(1, HELD),
-                hear(2, HELD),
-                hear(3, HELD),
-                IsTold,
-                Wait(1390),
-                IsTold,
-                Wait(120),
-                Reads,
-            ],
-        },
-        RosterCase {
-            name: "one of three goes on",
-            steps: vec![
-                Read(HELD),
-                hear(1, HELD),
-                hear(2, HELD),
-                hear(3, HELD),
-                IsTold,
-                Wait(1000),
-                hear(1, HELD),
-                Wait(1000),
-                IsTold,
-            ],
-        },
-        RosterCase {
-            name: "a suspended reader tells of an old read",
-            steps: vec![
-                Read(HELD),
-                hear(1, HELD),
-                hear(2, HELD),
-                hear(3, HELD),
-                IsTold,
-                Wait(1450),
-                Hear { peer: 1, fingerprint: HELD, age_ms: 5000 },
-                Hear { peer: 2, fingerprint: HELD, age_ms: 5000 },
-                Hear { peer: 3, fingerprint: HELD, age_ms: 5000 },
-                Wait(60),
-                Reads,
-            ],
-        },
-        RosterCase {
-            name: "the readers hold what this one lacks: the rows were lost on the way",
-            steps: vec![
-                Read(HELD),
-                hear(1, HELD),
-                hear(2, HELD),
-                hear(3, HELD),
-                IsTold,
-                Wait(700),
-                hear(1, OTHER),
-                hear(2, OTHER),
-                hear(3, OTHER),
-                IsTold,
-                Wait(810),
-                Reads,
-            ],
-        },
-        RosterCase {
-            name: "and the rows come at last",
-            steps: vec![
-                Read(HELD),
-                hear(1, HELD),
-                hear(2, HELD),
-                hear(3, HELD),
-                IsTold,
+        told_case("all fall silent", &[Wait(1390), IsTold, Wait(120), Reads]),
+        told_case("one of three goes on", &[Wait(1000), hear(1, HELD), Wait(1000), IsTold]),
+        told_case(
+            "a suspended reader tells of an old read",
+            &[Wait(1450), old_hear(1), old_hear(2), old_hear(3), Wait(60), Reads],
+        ),
+        told_case(
+            "the readers hold what this one lacks: the rows were lost on the way",
+            &[Wait(700), hear(1, OTHER), hear(2, OTHER), hear(3, OTHER), IsTold, Wait(810), Reads],
+        ),
+        told_case(
+            "and the rows come at last",
+            &[
                 Wait(700),
                 hear(1, OTHER),
                 hear(2, OTHER),
@@ -204,7 +155,7 @@
                 Wait(810),
                 IsTold,
             ],
-        },
+        ),
     ];
     cases.iter().for_each(play);
 }
