--- a/crates/gateway/src/belief/opening_time.rs
+++ b/crates/gateway/src/belief/opening_time.rs
@@ -25,10 +25,6 @@
 /// Mean deviations that are added to the mean: nine streams of ten begin
 /// within that.
 const DEVIATIONS: f64 = 1.6;
-/// Taken while too little is known: reading a mean prompt takes 90 ms, its
-/// transfer and first tokens as long again.
-const UNKNOWN: Duration = Duration::from_millis(300);
-
 /// The time from placement to first event, as a mean and its mean deviation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct OpeningTime {
@@ -38,6 +34,10 @@
 }
 
 impl OpeningTime {
+    /// Taken while too little is known: reading a mean prompt takes 90 ms, its
+    /// transfer and first tokens as long again.
+    pub const UNKNOWN: Duration = Duration::from_millis(300);
+
     /// Takes in a stream whose first event came `took` after its placement.
     pub fn note(&mut self, took: Duration) {
         let took = took.as_secs_f64();
@@ -74,7 +74,7 @@
     /// Within this nine streams of ten have begun.
     pub fn likely(&self) -> Duration {
         if self.streams < LEAST_STREAMS {
-            return UNKNOWN;
+            return Self::UNKNOWN;
         }
         Duration::from_secs_f64(self.mean_s + self.deviation_s * DEVIATIONS)
     }
--- a/crates/gateway/src/belief/pooled_count.rs
+++ b/crates/gateway/src/belief/pooled_count.rs
@@ -1,7 +1,7 @@
 //! Means of several gateways taken together.
 
-/// The most samples that one gateway's mean stands for: the weight of a sample
-/// falls to a twentieth, so those before have nearly none any more.
+/// The most samples that one gateway's mean stands for, however many it has
+/// seen: its means forget, the slowest of them within about as many.
 const MOST_SAMPLES: u32 = 20;
 
 /// How much of a pool of means one more of them makes out.
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -29,15 +29,15 @@
 use crate::timing::by_deadline;
 use crate::work_hold::WorkHold;
 
-/// From the room's being found to the first event: reading a mean prompt
-/// takes 90 ms, its transfer and first tokens as long again.
-pub(super) const FIRST_EVENT_TIME: Duration = Duration::from_millis(300);
+/// From the room's being found to the first event, where what is learned of it
+/// is not asked for.
+pub(super) const FIRST_EVENT_TIME: Duration = OpeningTime::UNKNOWN;
 /// The first in line looks again this often: room at a server may come free
 /// without any event of ours.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
-/// Within this the others know who is first here: a report takes a hop of under
-/// two milliseconds, and waits up to 50 ms for the budget of its sender where
-/// that has told of much else.
+/// Within this the others usually know who is first here: a report takes a hop
+/// of under two milliseconds, and a wake-up at each end. Where its sender has told
+/// of much else it waits up to 50 ms for its budget, and two may meet.
 const TELL_TIME: Duration = Duration::from_millis(25);
 /// How soon to come back when a service has no server at all: about the
 /// time in which a new one registers.
--- a/crates/gateway/src/store/table_sharing.rs
+++ b/crates/gateway/src/store/table_sharing.rs
@@ -93,7 +93,9 @@
         self.note_read(news);
     }
 
-    /// The store has answered with the whole table as of `version`.
+    /// The store has answered with the whole table as of `version`. The others
+    /// are told of rows that are gone; that they lack changed ones they see by
+    /// the fingerprint, and read the store.
     pub fn note_listed(&mut self, rows: &[StoreRow], version: StoreVersion, sink: &impl TableSink) {
         let listed =
             rows.iter().filter_map(|row| Some((row.key.as_str(), row.version, sink.digest(row)?)));
