Log lines of failed and refused requests say which requests are the same

Cause: the incident's logs could not tell whether the requests under which servers ended were one request that came again; only the prompt's size hinted at it. And a body that came too late was logged as a broken connection, as was a prompt's answer that could not be read.

Change: each request has a digest of method, host, target, credentials and body; 5002 and 5005 carry it. 'broken' now means a connection that broke, and nothing else; late bodies are 'silent', unreadable ones 'garbled'. What the failures say of a server's health is as before. No decision changes.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 
 use crate::codec::PlatformCodec;
+use crate::model::CallContent;
 use crate::model::CallHead;
 use crate::model::ConfigVersion;
 use crate::model::EngineSpec;
@@ -29,6 +30,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub head: CallHead,
+    /// The same for each try of the same request.
+    pub content: CallContent,
     pub route: Arc<Route>,
     pub service: ServiceName,
     pub spec: ServiceSpec,
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -153,6 +153,7 @@
     tracing::info!(
         event = events::SEND_FAILED,
         request_id = call.id(),
+        content = %format_args!("{:016x}", call.content),
         server = %target.server,
         peer = %target.address,
         failure = %failure,
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -235,19 +235,13 @@
     let (parts, body) = reply.response.into_parts();
     let read = match by_deadline(call.deadline, body.collect()).await {
         Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) => Err(error.to_string()),
-        None => Err("the body did not arrive in time".to_owned()),
+        Some(Err(error)) => Err((SendFailure::Broken, error.to_string())),
+        None => Err((SendFailure::Silent, "the body did not arrive in time".to_owned())),
     };
     let body: Bytes = match read {
         Ok(body) => body,
-        Err(problem) => {
-            return SendEnd::Failed(exchange::fail(
-                state,
-                call,
-                target,
-                SendFailure::Broken,
-                &problem,
-            ));
+        Err((failure, problem)) => {
+            return SendEnd::Failed(exchange::fail(state, call, target, failure, &problem));
         }
     };
     let is_error = parts.status.is_server_error();
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -75,21 +75,25 @@
     };
     let reply = exchange::exchange::<C>(state, call, &target, &order, permit, patience).await?;
     let status = reply.response.status();
-    let read =
-        async { reply.response.into_body().collect().await.map_err(|error| error.to_string()) };
+    let read = async {
+        let collected = reply.response.into_body().collect().await;
+        collected.map_err(|error| (SendFailure::Broken, error.to_string()))
+    };
     let late = async {
         smol::Timer::at(begun + patience).await;
-        Err("the body did not arrive in time".to_owned())
+        Err((SendFailure::Silent, "the body did not arrive in time".to_owned()))
     };
-    let fail = |problem: &str| exchange::fail(state, call, &target, SendFailure::Broken, problem);
-    let body = read.or(late).await.map_err(|problem| fail(&problem))?.to_bytes();
+    let fail = |failure, problem: &str| exchange::fail(state, call, &target, failure, problem);
+    let body = read.or(late).await.map_err(|(failure, problem)| fail(failure, &problem))?;
+    let body = body.to_bytes();
     if !reply.head.closes {
         state.pool.keep(&target, reply.connection, reply.head.keep_alive, Instant::now());
     }
     if !status.is_success() {
-        return Err(fail(&format!("status {status}")));
+        return Err(fail(SendFailure::Garbled, &format!("status {status}")));
     }
-    let result = C::prefill_result(&body).map_err(|error| fail(&error.to_string()))?;
+    let result =
+        C::prefill_result(&body).map_err(|error| fail(SendFailure::Garbled, &error.to_string()))?;
     reply.permit.settle();
     let took = begun.elapsed();
     state.demand.with_balance(&call.service, |balance| balance.reading.note(tokens_ahead, took));
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -90,6 +90,7 @@
     tracing::info!(
         event = events::CALL_REFUSED,
         request_id = call.id(),
+        content = %format_args!("{:016x}", call.content),
         route = %call.route.name,
         service = %call.service,
         config = call.config,
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -23,6 +23,7 @@
 use crate::forward::GatewayBody;
 use crate::forward::Refusal;
 use crate::forward::refuse;
+use crate::model::ContentParts;
 use crate::model::RouteTable;
 use crate::state::GatewayState;
 use crate::timing::by_deadline;
@@ -65,7 +66,7 @@
     let Some(table) = state.table() else {
         return Ok(refused(request_id, Refusal::NoConfiguration, Some(NO_CONFIGURATION_RETRY), 0));
     };
-    let host = host(request.headers(), request.uri()).unwrap_or_default();
+    let host = stated_host(request.headers(), request.uri()).unwrap_or_default();
     let Some(route) = table.route(host, request.uri().path()) else {
         return Ok(refused(request_id, Refusal::NoRoute, None, table.version));
     };
@@ -77,6 +78,14 @@
         Some(body) => body,
         None => return Ok(refused(request_id, Refusal::TooLarge, None, table.version)),
     };
+    let content = ContentParts {
+        method: parts.method.as_str(),
+        host: stated_host(&parts.headers, &parts.uri).unwrap_or_default(),
+        target: parts.uri.path_and_query().map_or("/", |target| target.as_str()),
+        credentials: credentials(&parts.headers),
+        body: &body,
+    }
+    .digest();
     let draw = umberglade_wire::digest(request_id.as_bytes());
     let service = route.service(draw).clone();
     let spec = spec_of(&table, &service);
@@ -92,6 +101,7 @@
         headers: parts.headers,
         body,
         head,
+        content,
         route: Arc::clone(route),
         service,
         spec,
@@ -111,10 +121,15 @@
 }
 
 /// The host a request names: in its target or its `Host` header.
-fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
+fn stated_host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
     uri.host().or_else(|| headers.get(header::HOST).and_then(|value| value.to_str().ok()))
 }
 
+/// Who calls, as far as the request itself says.
+fn credentials(headers: &HeaderMap) -> &[u8] {
+    headers.get(header::AUTHORIZATION).map(|value| value.as_bytes()).unwrap_or_default()
+}
+
 /// The whole body; `None` when it is longer than `limit`.
 async fn read_body(body: Incoming, limit: usize) -> Result<Option<bytes::Bytes>, CallAborted> {
     let read = async {
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -2,6 +2,7 @@
 //! project's own terms. An adapter fills these types; nothing here depends
 //! on how a platform spells them.
 
+mod call_content;
 mod call_head;
 mod engine_spec;
 mod gateway_settings;
@@ -12,6 +13,7 @@
 mod stage_order;
 mod store_row;
 
+pub use self::call_content::ContentParts;
 pub use self::call_head::CallHead;
 pub use self::call_head::PromptShape;
 pub use self::engine_spec::EngineSpec;
@@ -45,6 +47,9 @@
 /// A digest of a server's id and of when it started: what is known of one
 /// start of a server says nothing of the next.
 pub type ServerIncarnation = u64;
+/// A digest of what a request asks and of who asks it: the same when the request
+/// comes again under another id.
+pub type CallContent = u64;
 /// A service's name, as in the configuration.
 pub type ServiceName = Arc<str>;
 /// A failure domain's name.
