--- /dev/null
+++ b/crates/gateway/src/belief/content_record.rs
@@ -0,0 +1,140 @@
+//! What is known of one content under which servers have ended.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+
+use super::CrashId;
+use super::quarantine::Quarantine;
+
+/// Ends of servers, none of them followed by a whole answer, after which a
+/// content is held back.
+const CRASHES_TO_HOLD: usize = 3;
+/// Ends remembered of one content; beyond that the oldest go. Where many servers
+/// end in one moment, one end of an earlier moment may be forgotten.
+const MOST_CRASHES: usize = 6;
+/// Sends that break at one server within this broke by one end of it: no
+/// server is back sooner. Reports of it come within this too.
+const SAME_END: Duration = Duration::from_secs(1);
+/// How long a whole answer speaks for a content.
+const PROOF_LIFE: Duration = Duration::from_secs(60);
+/// How long ends of servers without a whole answer since are remembered.
+const CRASH_LIFE: Duration = Duration::from_secs(600);
+
+/// One content's record.
+#[derive(Debug, Default)]
+pub(super) struct ContentRecord {
+    /// Ends of servers under it, oldest first. Invariant: none before `whole_at`.
+    crashes: SmallVec<[(CrashId, Instant); CRASHES_TO_HOLD]>,
+    /// When it was answered whole last, as far as known.
+    whole_at: Option<Instant>,
+    /// True when this gateway saw one of the ends itself.
+    pub has_own: bool,
+    pub quarantine: Option<Quarantine>,
+}
+
+impl ContentRecord {
+    /// A send broke at the start `incarnation` of a server; the end's id, or
+    /// `None` when that end is known.
+    ///
+    /// A server may end twice under one id before its new start is registered:
+    /// the second end has an id of its own.
+    pub fn note_own(&mut self, incarnation: CrashId, now: Instant) -> Option<CrashId> {
+        self.has_own = true;
+        let mut id = incarnation;
+        while let Some((_, at)) = self.crashes.iter().find(|(known, _)| *known == id) {
+            if now.saturating_duration_since(*at) < SAME_END {
+                return None;
+            }
+            id = umberglade_wire::digest_seeded(b"again", id);
+        }
+        self.add(id, now);
+        Some(id)
+    }
+
+    /// Another gateway saw the end `id` at `at`.
+    pub fn note_heard(&mut self, id: CrashId, at: Instant) {
+        if !self.has_crash(id) && self.whole_at.is_none_or(|whole| at > whole) {
+            self.add(id, at);
+        }
+    }
+
+    fn add(&mut self, id: CrashId, at: Instant) {
+        let place = self.crashes.partition_point(|(_, known)| *known <= at);
+        self.crashes.insert(place, (id, at));
+        if self.crashes.len() > MOST_CRASHES {
+            self.crashes.remove(0);
+        }
+    }
+
+    /// True when a server's end `id` is known of it.
+    pub fn has_crash(&self, id: CrashId) -> bool {
+        self.crashes.iter().any(|(known, _)| *known == id)
+    }
+
+    /// The ends of servers under it.
+    pub fn crash_ids(&self) -> impl Iterator<Item = CrashId> {
+        self.crashes.iter().map(|(id, _)| *id)
+    }
+
+    /// Takes back that a server ended under it.
+    pub fn excuse(&mut self, id: CrashId) {
+        self.crashes.retain(|(known, _)| *known != id);
+    }
+
+    /// It was answered whole at `at`: servers do not end under it.
+    pub fn note_whole(&mut self, at: Instant) {
+        let at = self.whole_at.map_or(at, |known| known.max(at));
+        self.whole_at = Some(at);
+        self.crashes.retain(|(_, crashed_at)| *crashed_at > at);
+        self.has_own &= !self.crashes.is_empty();
+    }
+
+    /// Ends of servers since it was last answered whole.
+    pub fn crashes(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// True when servers end under it for all that is known.
+    ///
+    /// Guards against holding back a popular request: of those there is one at
+    /// each server at any time, and three servers that lose their power in the
+    /// same moment end under it. Of a content that was answered whole in the
+    /// last minute the moments count, not the servers, and the answers between
+    /// two of them clear it.
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let is_proven = self.whole_at.is_some_and(|at| age(at) < PROOF_LIFE);
+        let count = if is_proven { self.moments() } else { self.crashes.len() };
+        count >= CRASHES_TO_HOLD
+    }
+
+    /// Moments at which servers ended, [`SAME_END`] apart.
+    fn moments(&self) -> usize {
+        let mut count = 0;
+        let mut last: Option<Instant> = None;
+        for (_, at) in &self.crashes {
+            if last.is_none_or(|last| at.saturating_duration_since(last) >= SAME_END) {
+                count += 1;
+                last = Some(*at);
+            }
+        }
+        count
+    }
+
+    /// True while it is worth remembering.
+    pub fn is_live(&self, now: Instant) -> bool {
+        let is_within = |at: &Instant, life| now.saturating_duration_since(*at) < life;
+        self.quarantine.is_some()
+            || self.crashes.iter().any(|(_, at)| is_within(at, CRASH_LIFE))
+            || self.whole_at.is_some_and(|at| is_within(&at, PROOF_LIFE))
+    }
+
+    /// How much would be lost by forgetting it, to compare: whether it is held
+    /// back, how many servers ended, and how long ago.
+    pub fn weight(&self) -> (bool, usize, Option<Instant>) {
+        let newest = self.crashes.last().map(|(_, at)| *at);
+        (self.quarantine.is_some(), self.crashes.len(), newest)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -0,0 +1,363 @@
+//! Which requests end the servers that run them, and may run no more.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+use strum::Display;
+
+use super::CrashId;
+use super::OutcomeNews;
+use super::SendOutcome;
+use super::content_record::ContentRecord;
+use super::outcome_log::OutcomeLog;
+use super::quarantine::Quarantine;
+use super::recent_whole::RecentWhole;
+use crate::model::CallContent;
+use crate::model::ServerIncarnation;
+use crate::model::StoreVersion;
+
+/// Contents remembered at most, some 250 bytes each: those on a hundred servers
+/// that end in one moment. Beyond that the least telling go.
+const MOST_RECORDS: usize = 1024;
+/// An answer that is known to be earlier than an end counts as this much
+/// earlier.
+const JUST_BEFORE: Duration = Duration::from_millis(1);
+/// From the writing of a row until all gateways have read it, at most.
+const ROW_TIME: Duration = Duration::from_secs(2);
+/// Rows that wait to be written or removed at most.
+const MOST_ROW_CHANGES: usize = 64;
+
+/// A content that is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldContent {
+    /// Ends of servers that are remembered of it.
+    pub crashes: usize,
+    /// Requests of it that were let through to find out more.
+    pub probes: u32,
+    /// The version of its row in the store; 0 while there is none.
+    pub version: StoreVersion,
+    /// For how long it has been held back, or since the last probe.
+    pub age: Duration,
+    /// From now until the next probe; zero when it is due.
+    pub left: Duration,
+}
+
+/// May a request of a content be sent?
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ContentVerdict {
+    Admitted,
+    HeldBack(HeldContent),
+    /// One request may find out whether servers still end under it, once its
+    /// gateway has claimed that in the store.
+    ProbeDue(HeldContent),
+}
+
+/// What has changed for a content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum ContentChange {
+    /// It is held back from now on.
+    HeldBack,
+    /// It was held back, and is no longer.
+    Cleared,
+    /// It was held back, and nobody has asked for it for long.
+    Forgotten,
+}
+
+/// What is to be done with a content's row in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowChange {
+    /// It is held back: gateways that hear nobody and those that start are to
+    /// know.
+    Write(CallContent),
+    /// It is held back no more.
+    Remove(CallContent, StoreVersion),
+}
+
+/// Contents under which servers have ended (poison requests).
+///
+/// Guards against one request that ends server after server: under new ids it
+/// comes at any gateway, each time as a first send. By its content it is the
+/// same request. Gateways tell each other under which content their sends broke;
+/// one under which three servers ended, with no whole answer between, is held
+/// back by all, and the store holds that for gateways to come. It stays so until
+/// a request of it is answered whole: one that is on its way, or a probe, of
+/// which there is one at a time.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    /// Invariant: at most [`MOST_RECORDS`].
+    records: FxHashMap<CallContent, ContentRecord>,
+    recent: RecentWhole,
+    log: OutcomeLog,
+    row_changes: Vec<RowChange>,
+}
+
+impl CrashWatch {
+    /// A send of `content` broke at a start of a server.
+    pub fn note_crash(
+        &mut self,
+        content: CallContent,
+        incarnation: ServerIncarnation,
+        now: Instant,
+    ) -> Option<ContentChange> {
+        let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
+        self.log.push(content, SendOutcome::Crashed(id), now);
+        self.judge(content, id, now)
+    }
+
+    /// A request of `content` was answered whole by a server that lived on.
+    pub fn note_whole(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
+        self.recent.note(content, now);
+        let record = self.records.get_mut(&content)?;
+        if record.crashes() > 0 || record.quarantine.is_some() {
+            self.log.push(content, SendOutcome::Whole, now);
+        }
+        record.note_whole(now);
+        self.clear(content)
+    }
+
+    /// Another gateway tells of an outcome.
+    pub fn hear(&mut self, news: OutcomeNews, now: Instant) -> Option<ContentChange> {
+        let age = Duration::from_millis(u64::from(news.age_ms));
+        let at = now.checked_sub(age).unwrap_or(now);
+        match news.outcome {
+            SendOutcome::Crashed(id) => {
+                self.crash_record(news.content, at, now).note_heard(id, at);
+                self.judge(news.content, id, now)
+            }
+            SendOutcome::Whole => {
+                let record = self.records.get_mut(&news.content)?;
+                record.note_whole(at);
+                let is_cleared = !record.is_suspect(now)
+                    && record.quarantine.is_some_and(|of| of.version == 0 || of.since < at);
+                if is_cleared { self.clear(news.content) } else { None }
+            }
+        }
+    }
+
+    /// The store holds a row of a content that is held back.
+    pub fn note_row(
+        &mut self,
+        content: CallContent,
+        probes: u32,
+        version: StoreVersion,
+        now: Instant,
+    ) -> Option<ContentChange> {
+        let record = self.record(content);
+        let before = record.quarantine;
+        if before.is_some_and(|known| known.version >= version) {
+            return None;
+        }
+        // Guards against a row that overtakes the answer that cleared its
+        // content: nobody else would know that it is to be removed.
+        if before.is_none() && self.log.saw_whole(content, ROW_TIME, now) {
+            self.queue(RowChange::Remove(content, version));
+            return None;
+        }
+        let record = self.record(content);
+        record.quarantine = Some(Quarantine::new(probes, version, now));
+        before.is_none().then_some(ContentChange::HeldBack)
+    }
+
+    /// The store holds no row of `content` as of `version`.
+    pub fn note_no_row(
+        &mut self,
+        content: CallContent,
+        version: StoreVersion,
+        now: Instant,
+    ) -> Option<ContentChange> {
+        let record = self.records.get_mut(&content)?;
+        let known = record.quarantine?.version;
+        if known == 0 || known > version {
+            return None;
+        }
+        record.note_whole(now);
+        record.quarantine = None;
+        Some(ContentChange::Cleared)
+    }
+
+    /// The contents whose rows are known.
+    pub fn rows(&self) -> Vec<CallContent> {
+        let has_row =
+            |record: &ContentRecord| record.quarantine.is_some_and(|known| known.version > 0);
+        self.records.iter().filter(|(_, of)| has_row(of)).map(|(content, _)| *content).collect()
+    }
+
+    /// Decides on a request that has just come; a probe that is due is left to
+    /// this request alone for a while.
+    pub fn admit(&mut self, content: CallContent, now: Instant) -> ContentVerdict {
+        let Some(held) = self.held(content, now) else { return ContentVerdict::Admitted };
+        if !held.left.is_zero() {
+            return ContentVerdict::HeldBack(held);
+        }
+        let record = self.records.get_mut(&content);
+        if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
+            quarantine.begin_claim(now);
+        }
+        ContentVerdict::ProbeDue(held)
+    }
+
+    /// How `content` is held back; `None` when it is not.
+    pub fn held(&self, content: CallContent, now: Instant) -> Option<HeldContent> {
+        let record = self.records.get(&content)?;
+        let quarantine = record.quarantine?;
+        Some(HeldContent {
+            crashes: record.crashes(),
+            probes: quarantine.probes,
+            version: quarantine.version,
+            age: now.saturating_duration_since(quarantine.since),
+            left: quarantine.time_left(now),
+        })
+    }
+
+    /// Ends of servers under `content` since it was last answered whole.
+    pub fn crashes(&self, content: CallContent) -> usize {
+        self.records.get(&content).map_or(0, ContentRecord::crashes)
+    }
+
+    /// What a report tells the others; with `tells_all` also what they were
+    /// told before.
+    pub fn news(&mut self, tells_all: bool, now: Instant) -> Vec<OutcomeNews> {
+        self.log.news(tells_all, now)
+    }
+
+    /// Takes the changes of rows that are to be made.
+    pub fn take_row_changes(&mut self) -> Vec<RowChange> {
+        std::mem::take(&mut self.row_changes)
+    }
+
+    /// Forgets what is past; what was held back until now and is no longer. Its
+    /// row is removed by the gateway that `removes_rows`.
+    pub fn tick(&mut self, removes_rows: bool, now: Instant) -> Vec<CallContent> {
+        let mut forgotten = Vec::new();
+        for (content, record) in &mut self.records {
+            if let Some(quarantine) = record.quarantine.take_if(|of| of.is_unasked(now)) {
+                forgotten.push((*content, quarantine.version));
+            }
+        }
+        self.records.retain(|_, record| record.is_live(now));
+        for (content, version) in forgotten.iter().filter(|_| removes_rows) {
+            self.queue_removal(*content, *version);
+        }
+        forgotten.into_iter().map(|(content, _)| content).collect()
+    }
+
+    /// Contents remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// True when no content is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Contents held back.
+    pub fn held_count(&self) -> usize {
+        self.records.values().filter(|record| record.quarantine.is_some()).count()
+    }
+
+    /// Decides on `content`, under which the end `id` of a server has become
+    /// known.
+    fn judge(&mut self, content: CallContent, id: CrashId, now: Instant) -> Option<ContentChange> {
+        if self.is_explained(content, id) {
+            self.records.get_mut(&content)?.excuse(id);
+            return None;
+        }
+        let record = self.records.get_mut(&content)?;
+        let was_held = record.quarantine.is_some();
+        if !was_held && !record.is_suspect(now) {
+            return None;
+        }
+        let has_own = record.has_own;
+        record.quarantine.get_or_insert(Quarantine::new(0, 0, now));
+        self.excuse_others(content);
+        if was_held {
+            return None;
+        }
+        // Those that saw it end a server write the row; the first wins.
+        if has_own {
+            self.queue(RowChange::Write(content));
+        }
+        Some(ContentChange::HeldBack)
+    }
+
+    /// True when the end `id` of a server is that of a content held back, and
+    /// `content` was only there.
+    ///
+    /// Guards against sound requests that are held back in the company of
+    /// several fatal ones: a stream that goes on at the next server may be there
+    /// when that one ends too.
+    fn is_explained(&self, content: CallContent, id: CrashId) -> bool {
+        let is_held = |record: &ContentRecord| record.quarantine.is_some();
+        let has_own_reason = self.records.get(&content).is_some_and(is_held);
+        !has_own_reason && self.records.values().any(|of| is_held(of) && of.has_crash(id))
+    }
+
+    /// Takes the ends of servers under `content`, which is held back, out of the
+    /// records of those that are not.
+    fn excuse_others(&mut self, content: CallContent) {
+        let Some(record) = self.records.get(&content) else { return };
+        let ids: SmallVec<[CrashId; 3]> = record.crash_ids().collect();
+        for record in self.records.values_mut().filter(|record| record.quarantine.is_none()) {
+            ids.iter().for_each(|id| record.excuse(*id));
+        }
+    }
+
+    fn clear(&mut self, content: CallContent) -> Option<ContentChange> {
+        let quarantine = self.records.get_mut(&content)?.quarantine.take()?;
+        self.queue_removal(content, quarantine.version);
+        Some(ContentChange::Cleared)
+    }
+
+    fn queue_removal(&mut self, content: CallContent, version: StoreVersion) {
+        if version > 0 {
+            self.queue(RowChange::Remove(content, version));
+        }
+    }
+
+    /// Leaves a change of a row to be made. One that finds no room is made good
+    /// by a probe, or by another gateway.
+    pub fn queue(&mut self, change: RowChange) {
+        if self.row_changes.len() < MOST_ROW_CHANGES {
+            self.row_changes.push(change);
+        }
+    }
+
+    /// The record of `content`, under which a server ended at `at`. A new one
+    /// begins with what this gateway has seen of the content lately, of which
+    /// the others are told.
+    fn crash_record(
+        &mut self,
+        content: CallContent,
+        at: Instant,
+        now: Instant,
+    ) -> &mut ContentRecord {
+        let is_new = !self.records.contains_key(&content);
+        if is_new && self.recent.contains(content, now) {
+            let before = at.checked_sub(JUST_BEFORE).unwrap_or(at);
+            self.log.push(content, SendOutcome::Whole, before);
+            self.record(content).note_whole(before);
+        }
+        self.record(content)
+    }
+
+    fn record(&mut self, content: CallContent) -> &mut ContentRecord {
+        if !self.records.contains_key(&content) {
+            self.make_room();
+        }
+        self.records.entry(content).or_default()
+    }
+
+    fn make_room(&mut self) {
+        if self.records.len() < MOST_RECORDS {
+            return;
+        }
+        let least = self.records.iter().min_by_key(|(_, record)| record.weight());
+        if let Some(content) = least.map(|(content, _)| *content) {
+            self.records.remove(&content);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/belief/outcome_log.rs
@@ -0,0 +1,58 @@
+//! Outcomes that this gateway has seen and still tells the others of.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::OutcomeNews;
+use super::SendOutcome;
+use crate::model::CallContent;
+
+/// For this long each report tells of an outcome: one report at the slowest
+/// pace, and a few at a small site.
+const FRESH_TIME: Duration = Duration::from_millis(400);
+/// For this long those reports do that tell what changes slowly, one each two
+/// seconds: a datagram may be lost, and a gateway may be suspended.
+const TELL_TIME: Duration = Duration::from_secs(10);
+/// Outcomes told at most: some 25 bytes each in a report. A gateway has a few
+/// sends at a server that ends, and the newest say most.
+const MOST_TOLD: usize = 32;
+
+/// Outcomes to tell, oldest first. Telling each several times makes up for
+/// lost datagrams; hearing one again changes nothing.
+#[derive(Debug, Default)]
+pub(super) struct OutcomeLog {
+    /// Invariant: at most [`MOST_TOLD`].
+    seen: VecDeque<(Instant, CallContent, SendOutcome)>,
+}
+
+impl OutcomeLog {
+    /// Notes an outcome.
+    pub fn push(&mut self, content: CallContent, outcome: SendOutcome, now: Instant) {
+        if self.seen.len() == MOST_TOLD {
+            self.seen.pop_front();
+        }
+        self.seen.push_back((now, content, outcome));
+    }
+
+    /// True when this gateway saw `content` answered whole within `span`.
+    pub fn saw_whole(&self, content: CallContent, span: Duration, now: Instant) -> bool {
+        self.seen.iter().any(|(at, of, outcome)| {
+            let is_whole = *of == content && *outcome == SendOutcome::Whole;
+            is_whole && now.saturating_duration_since(*at) < span
+        })
+    }
+
+    /// What a report tells: fresh outcomes, or with `tells_all` older ones too.
+    pub fn news(&mut self, tells_all: bool, now: Instant) -> Vec<OutcomeNews> {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.seen.retain(|(at, ..)| age(*at) < TELL_TIME);
+        let told = self.seen.iter().filter(|(at, ..)| tells_all || age(*at) < FRESH_TIME);
+        told.map(|(at, content, outcome)| OutcomeNews {
+            content: *content,
+            outcome: *outcome,
+            age_ms: age(*at).as_millis() as u32,
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/belief/outcome_news.rs
@@ -0,0 +1,30 @@
+//! What became of sends of one content, as gateways tell each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+
+use crate::model::CallContent;
+
+/// One end of one start of a server. Gateways that saw the same end name it
+/// alike, so that it counts once.
+pub type CrashId = u64;
+
+/// What became of one send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum SendOutcome {
+    /// The connection broke while a server was at work on it.
+    Crashed(CrashId),
+    /// The server answered it whole, and lived.
+    Whole,
+}
+
+/// An outcome that the other gateways are told of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeNews {
+    pub content: CallContent,
+    pub outcome: SendOutcome,
+    /// Milliseconds since it was seen.
+    pub age_ms: u32,
+}
--- /dev/null
+++ b/crates/gateway/src/belief/quarantine.rs
@@ -0,0 +1,63 @@
+//! Requests of one content that are held back.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::model::StoreVersion;
+
+/// How long a content is held back before one request of it may show whether
+/// servers still end under it.
+const FIRST_WAIT: Duration = Duration::from_secs(20);
+/// How many times longer each further wait is: a content that ends servers ends
+/// three more in its first half hour, and hardly any after.
+const WAIT_TIMES: u32 = 5;
+/// The longest wait.
+const LONGEST_WAIT: Duration = Duration::from_secs(2 * 3600);
+/// A claim of the probe is settled within this, or has failed.
+const CLAIM_TIME: Duration = Duration::from_secs(2);
+/// How long beyond its wait a content that nobody asks for is held back.
+const UNASKED_TIME: Duration = Duration::from_secs(600);
+
+/// How long a content is held back that has been probed `probes` times.
+fn wait(probes: u32) -> Duration {
+    let times = WAIT_TIMES.saturating_pow(probes);
+    FIRST_WAIT.saturating_mul(times).min(LONGEST_WAIT)
+}
+
+/// A content that is held back, until a request of it is answered whole.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Quarantine {
+    /// Requests that were let through to find out.
+    pub probes: u32,
+    /// Since when it is held back, or the last probe was claimed.
+    pub since: Instant,
+    /// The version of its row in the store; 0 while there is none.
+    pub version: StoreVersion,
+    claimed_until: Option<Instant>,
+}
+
+impl Quarantine {
+    /// One that begins at `since`.
+    pub fn new(probes: u32, version: StoreVersion, since: Instant) -> Self {
+        Quarantine { probes, since, version, claimed_until: None }
+    }
+
+    /// From `now` until a probe may be claimed; zero from then on.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        let due = self.since + wait(self.probes);
+        let due = self.claimed_until.map_or(due, |until| due.max(until));
+        due.saturating_duration_since(now)
+    }
+
+    /// A probe is being claimed: other requests wait for how that ends.
+    pub fn begin_claim(&mut self, now: Instant) {
+        self.claimed_until = Some(now + CLAIM_TIME);
+    }
+
+    /// True when nobody has asked for the content for long: a request after
+    /// the wait would have claimed a probe.
+    pub fn is_unasked(&self, now: Instant) -> bool {
+        let quiet = now.saturating_duration_since(self.since);
+        quiet >= wait(self.probes).saturating_mul(2) + UNASKED_TIME
+    }
+}
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -79,6 +79,10 @@
         known: StoreVersion,
     ) -> (String, Bytes);
 
+    /// The path (`POST`) and body that remove one row if it still has version
+    /// `known`.
+    fn remove_call(table: StoreTable, key: &str, known: StoreVersion) -> (String, Bytes);
+
     /// Decodes the answer to a write that was done: the store's version by
     /// then.
     fn written_version(body: &[u8]) -> Result<StoreVersion, CodecError>;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -26,6 +26,11 @@
 pub const CACHE_RELEASED: u32 = 5013;
 /// What decided that a request for a stream finds no room.
 pub const NO_ROOM: u32 = 5014;
+/// A send broke: its server may have ended under the request.
+pub const CRASH_SUSPECTED: u32 = 5015;
+/// A request is held back since servers end under such requests, or is let
+/// through to find out.
+pub const CALL_HELD_BACK: u32 = 5016;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
@@ -55,6 +60,10 @@
 /// This gateway begins to read a table of the store, or is told by others from
 /// now on what it holds.
 pub const STORE_TURN: u32 = 6014;
+/// Requests of a content are held back from now on, or no longer.
+pub const CONTENT_CHANGED: u32 = 6015;
+/// The row of a content held back was written or removed.
+pub const CONTENT_ROW: u32 = 6016;
 /// The process serves.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful stop begins.
--- /dev/null
+++ b/crates/gateway/src/forward/admit.rs
@@ -0,0 +1,71 @@
+//! Whether a request may be sent at all, or ends the servers that run it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Response;
+
+use super::Call;
+use super::GatewayBody;
+use super::Refusal;
+use super::attempts::Attempts;
+use super::refuse::refuse_call;
+use crate::belief::ContentVerdict;
+use crate::belief::HeldContent;
+use crate::codec::PlatformCodec;
+use crate::events;
+use crate::quarantine::claim_probe;
+use crate::quarantine::content_key;
+use crate::state::GatewayState;
+
+/// How soon to come back where the next probe is not known to be further off.
+const LEAST_RETRY: Duration = Duration::from_secs(1);
+
+/// The sends that `call` may make; a refusal when it is held back.
+pub(super) async fn admit<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+) -> Result<Attempts, Response<GatewayBody>> {
+    let held = match state.quarantines.admit(call.content) {
+        ContentVerdict::Admitted => return Ok(Attempts::default()),
+        ContentVerdict::HeldBack(held) => held,
+        ContentVerdict::ProbeDue(held) => {
+            match claim_probe::<C>(state, call.content, held).await {
+                Ok(true) => {
+                    log_held(call, held, 0, "let through to find out");
+                    return Ok(Attempts::probe());
+                }
+                Ok(false) => log_held(call, held, 0, "another gateway finds out"),
+                Err(error) => log_held(call, held, 0, &error.to_string()),
+            }
+            held
+        }
+    };
+    log_held(call, held, 0, "refused");
+    Err(refuse_call(call, Refusal::Quarantined, Some(retry_after(held)), 0))
+}
+
+/// When a caller of what is held back may come back.
+pub(super) fn retry_after(held: HeldContent) -> Duration {
+    held.left.max(LEAST_RETRY)
+}
+
+/// Logs what decided that `call` is held back after `sends` sends, or let
+/// through.
+pub(super) fn log_held(call: &Call, held: HeldContent, sends: u32, outcome: &str) {
+    metrics::counter!("umberglade_calls_held_total").increment(1);
+    tracing::info!(
+        event = events::CALL_HELD_BACK,
+        request_id = call.id(),
+        content = content_key(call.content),
+        service = %call.service,
+        crashes = held.crashes,
+        probes = held.probes,
+        row_version = held.version,
+        held_ms = held.age.as_millis() as u64,
+        left_ms = held.left.as_millis() as u64,
+        sends,
+        outcome,
+        "servers end under such requests"
+    );
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -5,7 +5,9 @@
 use smallvec::SmallVec;
 
 use super::Call;
+use super::admit::log_held;
 use super::send_permit::SendPermit;
+use crate::belief::HeldContent;
 use crate::belief::RetryUse;
 use crate::events;
 use crate::model::ServerKey;
@@ -32,9 +34,29 @@
     unsent: u32,
     /// True once a server was asked to read the prompt.
     has_sent_prompt: bool,
+    /// True for a request that is let through to find out whether servers end
+    /// under it: it reaches one server, once.
+    is_probe: bool,
 }
 
 impl Attempts {
+    /// Those of a probe.
+    pub fn probe() -> Self {
+        Attempts { is_probe: true, ..Attempts::default() }
+    }
+
+    /// How `call` is held back; `None` for a probe's only send.
+    ///
+    /// Guards against sends that go on for a request while its content turns
+    /// out to end servers: it waits in line, it is sent again, its stream goes
+    /// on elsewhere, or it is hedged. All sends ask here first.
+    pub fn held_back(&self, state: &GatewayState, call: &Call) -> Option<HeldContent> {
+        if self.is_probe && self.sends == 0 {
+            return None;
+        }
+        state.quarantines.held(call.content)
+    }
+
     /// Notes a send to `server`.
     pub fn begin(&mut self, server: &ServerKey) {
         self.tried.push(server.clone());
@@ -53,6 +75,10 @@
         if !self.is_within_route(call) {
             return None;
         }
+        if let Some(held) = self.held_back(state, call) {
+            log_held(call, held, self.sends, "not sent again");
+            return None;
+        }
         if self.unsent < self.sends && !state.spend_retry(&call.service, RetryUse::Needed) {
             metrics::counter!("umberglade_retries_denied_total").increment(1);
             tracing::info!(
@@ -69,8 +95,12 @@
     }
 
     /// The right to have the prompt read at a server of its own: the first time
-    /// freely, again only to help, within the retry allowance.
+    /// freely, again only to help, within the retry allowance. A probe's is read
+    /// by the server that answers it.
     pub fn permit_prompt(&mut self, state: &Arc<GatewayState>, call: &Call) -> Option<SendPermit> {
+        if self.is_probe || self.held_back(state, call).is_some() {
+            return None;
+        }
         if std::mem::replace(&mut self.has_sent_prompt, true) {
             let is_allowed = state.spend_retry(&call.service, RetryUse::Helpful);
             return is_allowed.then(|| SendPermit::counted(state, &call.service));
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -5,7 +5,9 @@
 use std::time::Instant;
 
 use futures_lite::FutureExt;
+use http::HeaderMap;
 use http::Response;
+use http::header;
 use hyper::body::Incoming;
 use strum::Display;
 
@@ -139,6 +141,13 @@
     Ok(OpenReply { response, head, connection, permit })
 }
 
+/// True for an answer that says where it ends. One that ends with its
+/// connection looks whole also when its server has crashed, and so does not show
+/// that the server lived on.
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::CONTENT_LENGTH)
+}
+
 /// Notes and logs a failed send.
 pub fn fail(
     state: &GatewayState,
@@ -148,6 +157,9 @@
     problem: &str,
 ) -> SendFailure {
     state.note_outcome(target, failure.outcome());
+    if failure == SendFailure::Broken {
+        state.note_crash(call.id(), call.content, target);
+    }
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
     tracing::info!(
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! One caller's request, end to end.
 
+mod admit;
 mod answer;
 mod attempts;
 mod cache_guard;
@@ -44,8 +45,14 @@
         return refuse_call(&call, Refusal::Stopping, Some(Duration::ZERO), 0);
     }
     state.note_request(&call.service);
+    let attempts = match admit::admit::<C>(state, &call).await {
+        Ok(attempts) => attempts,
+        Err(refusal) => return refusal,
+    };
     match call.route.kind {
-        CallKind::Stream => stream_run::run::<C>(state, call).await,
-        CallKind::Idempotent | CallKind::AtMostOnce => plain_run::run::<C>(state, call).await,
+        CallKind::Stream => stream_run::run::<C>(state, call, attempts).await,
+        CallKind::Idempotent | CallKind::AtMostOnce => {
+            plain_run::run::<C>(state, call, attempts).await
+        }
     }
 }
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -8,18 +8,17 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt;
 
 use super::Call;
 use super::GatewayBody;
-use super::Refusal;
 use super::answer;
 use super::attempts::Attempts;
 use super::exchange;
 use super::exchange::OpenReply;
 use super::exchange::SendFailure;
-use super::refuse::refuse_call;
+use super::exchange::is_delimited;
+use super::refuse::refuse_unanswered;
 use super::room_wait::need;
 use super::send_permit::SendPermit;
 use crate::belief::LoadShare;
@@ -76,8 +75,8 @@
 pub async fn run<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: Arc<Call>,
+    mut attempts: Attempts,
 ) -> Response<GatewayBody> {
-    let mut attempts = Attempts::default();
     let mut leftover = Leftover::default();
     while let Some(permit) = attempts.permit(state, &call) {
         if Instant::now() >= call.deadline {
@@ -103,7 +102,7 @@
         }
         take_in(end, &mut attempts, &mut leftover);
     }
-    finish(&call, &attempts, leftover)
+    finish(state, &call, &attempts, leftover)
 }
 
 /// Counts an end that is not final.
@@ -246,6 +245,9 @@
     };
     let is_error = parts.status.is_server_error();
     state.note_outcome(target, if is_error { ServerOutcome::Erred } else { ServerOutcome::Fine });
+    if !is_error && is_delimited(&parts.headers) {
+        state.quarantines.note_whole(call.content);
+    }
     if !reply.head.closes {
         state.pool.keep(target, reply.connection, reply.head.keep_alive, Instant::now());
     }
@@ -275,20 +277,15 @@
     response
 }
 
-/// The answer when no send was final. Only a request that certainly did not
-/// run gets a status that promises so.
-fn finish(call: &Call, attempts: &Attempts, leftover: Leftover) -> Response<GatewayBody> {
-    if let Some(response) = leftover.answered {
-        return done(call, response, attempts);
+/// The answer when no send was final.
+fn finish(
+    state: &GatewayState,
+    call: &Call,
+    attempts: &Attempts,
+    leftover: Leftover,
+) -> Response<GatewayBody> {
+    match leftover.answered {
+        Some(response) => done(call, response, attempts),
+        None => refuse_unanswered(state, call, attempts, leftover.may_have_run, || RETRY_AFTER),
     }
-    let is_late = Instant::now() >= call.deadline;
-    let refusal = match (leftover.may_have_run, is_late) {
-        (true, true) => Refusal::Expired,
-        (true, false) => Refusal::OutcomeUnknown,
-        (false, true) => Refusal::ExpiredUnsent,
-        (false, false) if attempts.sends() == 0 => Refusal::NoServer,
-        (false, false) => Refusal::NotRun,
-    };
-    let retry_after = (refusal.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER);
-    refuse_call(call, refusal, retry_after, attempts.sends())
 }
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -1,6 +1,7 @@
 //! The gateway's own answers.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -11,8 +12,11 @@
 
 use super::Call;
 use super::GatewayBody;
+use super::admit::retry_after;
 use super::answer;
+use super::attempts::Attempts;
 use crate::events;
+use crate::state::GatewayState;
 
 /// Why the gateway answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, strum::IntoStaticStr)]
@@ -34,6 +38,8 @@
     NotRun,
     /// The process is stopping and the request might not end in time.
     Stopping,
+    /// Servers end under such requests.
+    Quarantined,
     /// The deadline passed before it was sent.
     ExpiredUnsent,
     /// The deadline passed while a server may have been at work.
@@ -55,6 +61,7 @@
             | Refusal::NoRoom
             | Refusal::NotRun
             | Refusal::Stopping
+            | Refusal::Quarantined
             | Refusal::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Expired => StatusCode::GATEWAY_TIMEOUT,
             Refusal::OutcomeUnknown => StatusCode::BAD_GATEWAY,
@@ -80,6 +87,29 @@
     response
 }
 
+/// The refusal of `call` once no further send may be made. Only a request that
+/// certainly did not run gets a status that promises so; `usual` says when it
+/// may come back.
+pub fn refuse_unanswered(
+    state: &GatewayState,
+    call: &Call,
+    attempts: &Attempts,
+    may_have_run: bool,
+    usual: impl FnOnce() -> Duration,
+) -> Response<GatewayBody> {
+    let is_late = Instant::now() >= call.deadline;
+    let held = state.quarantines.held(call.content);
+    let (refusal, retry_after) = match (may_have_run, is_late, held) {
+        (true, true, _) => (Refusal::Expired, None),
+        (true, false, _) => (Refusal::OutcomeUnknown, None),
+        (false, false, Some(held)) => (Refusal::Quarantined, Some(retry_after(held))),
+        (false, true, _) => (Refusal::ExpiredUnsent, Some(usual())),
+        (false, false, None) if attempts.sends() == 0 => (Refusal::NoServer, Some(usual())),
+        (false, false, None) => (Refusal::NotRun, Some(usual())),
+    };
+    refuse_call(call, refusal, retry_after, attempts.sends())
+}
+
 /// Like [`refuse`] for a routed call, with its log line.
 pub fn refuse_call(
     call: &Call,
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -229,6 +229,9 @@
             balance.note_stream(prompt_tokens, made, stay);
         });
         self.state.note_outcome(&stream.target, ServerOutcome::Fine);
+        if stream.is_delimited {
+            self.state.quarantines.note_whole(self.call.content);
+        }
         if let Some(connection) = stream.connection {
             let target = &stream.target;
             self.state.pool.keep(target, connection, stream.keep_alive, Instant::now());
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -9,6 +9,9 @@
 use super::Call;
 use super::GatewayBody;
 use super::Refusal;
+use super::admit::log_held;
+use super::admit::retry_after;
+use super::attempts::Attempts;
 use super::refuse::refuse_call;
 use crate::belief::EnginePlace;
 use crate::belief::LineAsker;
@@ -75,6 +78,7 @@
 pub(super) async fn wait_for_room(
     state: &Arc<GatewayState>,
     call: &Call,
+    attempts: &Attempts,
     spec: &EngineSpec,
     shape: &PromptShape,
 ) -> Result<Placed, Response<GatewayBody>> {
@@ -99,6 +103,10 @@
     let mut is_told = false;
     loop {
         let woken = state.room.listen();
+        if let Some(held) = attempts.held_back(state, call) {
+            log_held(call, held, 0, "left the line");
+            return Err(refuse_call(call, Refusal::Quarantined, Some(retry_after(held)), 0));
+        }
         let now = Instant::now();
         let leads = state.demand.with_line(&call.service, |line| line.leads_since(ticket, now));
         let tries_at = leads.map(|since| tries_at(state, call, since));
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -40,6 +40,8 @@
     /// Kept once the stream has ended well; `None` when the server closes.
     pub connection: Option<KeptConnection>,
     pub keep_alive: Option<Duration>,
+    /// False when its end looks like its server's.
+    pub is_delimited: bool,
     pub hold: WorkHold,
 }
 
@@ -101,6 +103,7 @@
         target,
         connection: (!head.closes).then_some(connection),
         keep_alive: head.keep_alive,
+        is_delimited: exchange::is_delimited(&parts.headers),
         hold,
     }))
 }
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use http::Response;
-use http::StatusCode;
 
 use super::Call;
 use super::GatewayBody;
@@ -15,6 +14,7 @@
 use super::exchange::SendFailure;
 use super::prefill_step;
 use super::refuse::refuse_call;
+use super::refuse::refuse_unanswered;
 use super::relay;
 use super::room_wait::FIRST_EVENT_TIME;
 use super::room_wait::log_placed;
@@ -42,6 +42,7 @@
 pub async fn run<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: Arc<Call>,
+    mut attempts: Attempts,
 ) -> Response<GatewayBody> {
     // Begun this late in a stop, a stream would be cut by its end.
     if state.stop.has_lasted(CLOSE_TIME) {
@@ -49,11 +50,10 @@
     }
     let shape = call.prompt_shape();
     let spec = call.engine_spec();
-    let placed = match wait_for_room(state, &call, &spec, &shape).await {
+    let placed = match wait_for_room(state, &call, &attempts, &spec, &shape).await {
         Ok(placed) => placed,
         Err(refusal) => return refusal,
     };
-    let mut attempts = Attempts::default();
     let mut cache = None;
     if let Some(hold) = placed.prefill
         && let Some(permit) = attempts.permit_prompt(state, &call)
@@ -138,18 +138,8 @@
     if let Some(response) = answered {
         return response;
     }
-    let is_late = Instant::now() >= call.deadline;
-    let refusal = match (may_have_run, is_late) {
-        (true, true) => Refusal::Expired,
-        (true, false) => Refusal::OutcomeUnknown,
-        (false, true) => Refusal::ExpiredUnsent,
-        (false, false) => Refusal::NotRun,
-    };
-    refuse_call(&call, refusal, retry_after(state, &call, refusal), attempts.sends())
-}
-
-fn retry_after(state: &GatewayState, call: &Call, refusal: Refusal) -> Option<Duration> {
-    (refusal.status() == StatusCode::SERVICE_UNAVAILABLE).then(|| room_after(state, call))
+    let usual = || room_after(state, &call);
+    refuse_unanswered(state, &call, &attempts, may_have_run, usual)
 }
 
 /// How long to wait for a first event: to the end when no other server may
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ingress;
 pub mod model;
 pub mod peers;
+pub mod quarantine;
 pub mod start;
 pub mod state;
 pub mod stop;
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -21,6 +21,8 @@
     Members,
     /// Who may do what only one gateway may do at a time.
     Duties,
+    /// Requests that are held back, by content.
+    Quarantines,
 }
 
 /// One row, or the news that it is gone.
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -6,6 +6,7 @@
 use crate::belief::EngineLearning;
 use crate::belief::LineNews;
 use crate::belief::LoadShare;
+use crate::belief::OutcomeNews;
 use crate::belief::RetryCount;
 use crate::model::ConfigVersion;
 use crate::model::StoreRow;
@@ -40,6 +41,8 @@
     pub config: ConfigVersion,
     /// Tables of the store that this gateway reads for all.
     pub tables: Vec<TableNotice>,
+    /// What became of sends of contents under which servers may end.
+    pub outcomes: Vec<OutcomeNews>,
 }
 
 /// Rows of one table that one gateway has read and that say something new.
@@ -52,6 +55,6 @@
 /// What a datagram between gateways holds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    Load(LoadReport),
+    Load(Box<LoadReport>),
     Rows(TableRows),
 }
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -81,9 +81,10 @@
         learned: tells_learned.then(|| state.own_learning()),
         config: state.config_version(),
         tables: state.readings.notices(now),
+        outcomes: state.quarantines.news(tells_learned),
     };
-    let datagram =
-        postcard::to_allocvec(&PeerMessage::Load(report)).expect("encoding plain numbers and text");
+    let datagram = postcard::to_allocvec(&PeerMessage::Load(Box::new(report)))
+        .expect("encoding plain numbers and text");
     if datagram.len() > MAX_DATAGRAM {
         metrics::counter!("umberglade_reports_oversize_total").increment(1);
         return None;
@@ -101,7 +102,7 @@
                 Ok(PeerMessage::Rows(rows)) => state.readings.hear_rows(rows),
                 Ok(PeerMessage::Load(report)) => {
                     learn_peer(&state, &book, &report.peer, peer);
-                    take_report(&state, report);
+                    take_report(&state, *report);
                 }
                 Err(error) => unreadable.note(peer, length, &error),
             },
@@ -162,5 +163,8 @@
     for notice in report.tables {
         state.readings.hear_notice(&report.peer, notice, now);
     }
+    for news in report.outcomes {
+        state.quarantines.hear(news);
+    }
     state.room.notify(usize::MAX);
 }
--- /dev/null
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -0,0 +1,161 @@
+//! What this process knows of contents under which servers end.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use event_listener::Event;
+
+use super::content_key;
+use crate::belief::ContentChange;
+use crate::belief::ContentVerdict;
+use crate::belief::CrashWatch;
+use crate::belief::HeldContent;
+use crate::belief::OutcomeNews;
+use crate::belief::RowChange;
+use crate::events;
+use crate::model::CallContent;
+use crate::model::StoreVersion;
+use crate::upstream::SendTarget;
+
+/// The contents held back, with log lines of what changes.
+#[derive(Debug, Default)]
+pub struct Quarantines {
+    watch: Mutex<CrashWatch>,
+    /// Notified when rows of the store are to be written or removed.
+    pub rows_due: Event,
+    /// True once the store's rows have been read.
+    is_read: AtomicBool,
+}
+
+impl Quarantines {
+    /// A send of request `request_id` broke at `target`; true when that changes
+    /// what is held back.
+    pub fn note_crash(&self, request_id: &str, content: CallContent, target: &SendTarget) -> bool {
+        let now = Instant::now();
+        let mut watch = self.watch();
+        let change = watch.note_crash(content, target.incarnation, now);
+        let crashes = watch.crashes(content);
+        drop(watch);
+        metrics::counter!("umberglade_crashed_sends_total").increment(1);
+        tracing::info!(
+            event = events::CRASH_SUSPECTED,
+            request_id,
+            content = content_key(content),
+            server = %target.server,
+            incarnation = target.incarnation,
+            crashes,
+            is_held_back = change.is_some(),
+            "a server may have ended under this request"
+        );
+        self.log_change(content, change, "own")
+    }
+
+    /// A request of `content` was answered whole; true when that changes what
+    /// is held back.
+    pub fn note_whole(&self, content: CallContent) -> bool {
+        let change = self.watch().note_whole(content, Instant::now());
+        self.log_change(content, change, "own")
+    }
+
+    /// Takes in what another gateway tells; true when that changes what is held
+    /// back.
+    pub fn hear(&self, news: OutcomeNews) -> bool {
+        let change = self.watch().hear(news, Instant::now());
+        self.log_change(news.content, change, "gateway")
+    }
+
+    /// Takes in a content's row; true when that changes what is held back.
+    pub fn note_row(&self, content: CallContent, probes: u32, version: StoreVersion) -> bool {
+        let change = self.watch().note_row(content, probes, version, Instant::now());
+        self.log_change(content, change, "store")
+    }
+
+    /// The store holds no row of `content` as of `version`.
+    pub fn note_no_row(&self, content: CallContent, version: StoreVersion) {
+        let change = self.watch().note_no_row(content, version, Instant::now());
+        self.log_change(content, change, "store");
+    }
+
+    /// The contents whose rows are known.
+    pub fn rows(&self) -> Vec<CallContent> {
+        self.watch().rows()
+    }
+
+    /// The store's rows have been read.
+    pub fn mark_read(&self) {
+        self.is_read.store(true, Ordering::Release);
+    }
+
+    /// True once the store's rows have been read.
+    pub fn is_read(&self) -> bool {
+        self.is_read.load(Ordering::Acquire)
+    }
+
+    /// Decides on a request that has just come.
+    pub fn admit(&self, content: CallContent) -> ContentVerdict {
+        self.watch().admit(content, Instant::now())
+    }
+
+    /// How `content` is held back; `None` when it is not.
+    pub fn held(&self, content: CallContent) -> Option<HeldContent> {
+        self.watch().held(content, Instant::now())
+    }
+
+    /// What a report tells the other gateways.
+    pub fn news(&self, tells_all: bool) -> Vec<OutcomeNews> {
+        self.watch().news(tells_all, Instant::now())
+    }
+
+    /// Takes the changes of rows that are to be made.
+    pub fn take_row_changes(&self) -> Vec<RowChange> {
+        self.watch().take_row_changes()
+    }
+
+    /// A change of a row has not been made yet.
+    pub fn put_back(&self, change: RowChange) {
+        self.watch().queue(change);
+    }
+
+    /// Forgets what is past; `removes_rows` where this gateway is to remove the
+    /// rows of what nobody asks for.
+    pub fn tick(&self, removes_rows: bool) {
+        let mut watch = self.watch();
+        let forgotten = watch.tick(removes_rows, Instant::now());
+        metrics::gauge!("umberglade_contents_held").set(watch.held_count() as f64);
+        metrics::gauge!("umberglade_contents_watched").set(watch.len() as f64);
+        drop(watch);
+        for content in forgotten {
+            self.log_change(content, Some(ContentChange::Forgotten), "time");
+        }
+    }
+
+    fn watch(&self) -> MutexGuard<'_, CrashWatch> {
+        self.watch.lock().expect("watch lock")
+    }
+
+    /// Logs a change, from whom it is known; true if there is one.
+    fn log_change(
+        &self,
+        content: CallContent,
+        change: Option<ContentChange>,
+        known_by: &'static str,
+    ) -> bool {
+        let Some(change) = change else { return false };
+        let held = self.held(content);
+        tracing::warn!(
+            event = events::CONTENT_CHANGED,
+            content = content_key(content),
+            outcome = %change,
+            known_by,
+            crashes = held.map_or(0, |held| held.crashes),
+            probes = held.map_or(0, |held| held.probes),
+            row_version = held.map_or(0, |held| held.version),
+            "requests held back changed"
+        );
+        self.rows_due.notify(usize::MAX);
+        true
+    }
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -21,6 +21,7 @@
 use crate::model::StoreTable;
 use crate::peers;
 use crate::peers::PeerBook;
+use crate::quarantine;
 use crate::state::GatewayState;
 use crate::stop::FLUSH_TIME;
 use crate::stop::GRACE_MARGIN;
@@ -28,6 +29,7 @@
 use crate::store::ConfigSink;
 use crate::store::MemberRow;
 use crate::store::MemberSink;
+use crate::store::QuarantineSink;
 use crate::store::ServerSink;
 use crate::store::StoreClient;
 use crate::store::TableFollower;
@@ -51,6 +53,13 @@
 const MEMBER_PACE: Duration = Duration::from_secs(30);
 /// Configurations may come in quick succession; they are read one by one.
 const CONFIG_PACE: Duration = Duration::from_millis(50);
+/// How long the feed of requests held back waits at the store, twice as long as
+/// where gateways read it for each other: its rows change rarely, and the feed
+/// tells of them at once.
+const QUARANTINE_WAIT: Duration = Duration::from_secs(8);
+/// Between two reads of the requests held back, so that several that change at
+/// a time cost one call.
+const QUARANTINE_PACE: Duration = Duration::from_millis(200);
 /// Pauses between tries to register with the store.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
 /// How often a stop looks whether anything is still in flight.
@@ -85,6 +94,7 @@
     pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&book), socket.clone()));
     pool::spawn(peers::hear_reports(Arc::clone(&state), book, socket));
     pool::spawn(keep_stages::<C>(Arc::clone(&state)));
+    pool::spawn(quarantine::keep_rows::<C>(Arc::clone(&state)));
     pool::spawn(tick(Arc::clone(&state)));
     pool::spawn(ingress::serve_front::<C>(front, Arc::clone(&state)));
     for listener in [Some(ready), metrics_listener].into_iter().flatten() {
@@ -179,8 +189,17 @@
         pace: state.settings.drain_bound.mul_f64(SERVER_PACE_PART),
         sharing: Some(TableSharing::new(Arc::clone(state), StoreTable::Servers)),
     };
+    let quarantines = TableFollower {
+        client: StoreClient::<C>::new(store),
+        table: StoreTable::Quarantines,
+        sink: QuarantineSink::new(Arc::clone(state)),
+        wait: QUARANTINE_WAIT,
+        pace: QUARANTINE_PACE,
+        sharing: Some(TableSharing::new(Arc::clone(state), StoreTable::Quarantines)),
+    };
     pool::spawn(config.run());
     pool::spawn(servers.run());
+    pool::spawn(quarantines.run());
 }
 
 /// Writes where this gateway hears its peers, once the store takes it. The
@@ -230,6 +249,8 @@
         let changes = state.fleet().tick(now);
         state.log_changes(&changes, 0);
         state.pool.tick(now);
+        let rank = state.fleet().peers.rank(state.digest, now);
+        state.quarantines.tick(rank.before == 0);
         heard = log_peers(&state, heard, now);
         metrics::gauge!("umberglade_in_flight").set(f64::from(state.in_flight()));
         metrics::gauge!("umberglade_kept_connections").set(state.pool.len() as f64);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use event_listener::Event;
@@ -25,10 +26,12 @@
 use crate::belief::server_digest;
 use crate::demand::CallerDemand;
 use crate::events;
+use crate::model::CallContent;
 use crate::model::ConfigVersion;
 use crate::model::GatewaySettings;
 use crate::model::RouteTable;
 use crate::model::ServiceName;
+use crate::quarantine::Quarantines;
 use crate::stop::GRACE_MARGIN;
 use crate::stop::LAST_CALL;
 use crate::stop::StopSwitch;
@@ -58,6 +61,9 @@
     pub room: Event,
     /// Tables of the store that gateways read for each other.
     pub readings: SharedReadings,
+    /// Requests that are held back since servers end under them.
+    pub quarantines: Quarantines,
+    begun: Instant,
     in_force: RwLock<InForce>,
     config_watch: Mutex<ConfigWatch>,
     fleet: Mutex<Fleet>,
@@ -93,17 +99,21 @@
     }
 }
 
+/// How long after its start a process waits for the requests held back: reading
+/// them takes some 20 ms.
+const FIRST_READ: Duration = Duration::from_millis(400);
 /// Assumed until the members table is read: cautious for most sites.
 const FIRST_MEMBERS: usize = 8;
 
 impl GatewayState {
     /// The state of a process that knows nothing yet.
     pub fn new(settings: GatewaySettings, metrics: Option<PrometheusHandle>) -> Arc<Self> {
+        let begun = Instant::now();
         let retries = RetryAllowance::new(
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window,
-            Instant::now(),
+            begun,
         );
         let digest = server_digest(&settings.instance);
         Arc::new(GatewayState {
@@ -117,6 +127,8 @@
             work_changed: Event::new(),
             config_due: Event::new(),
             room: Event::new(),
+            quarantines: Quarantines::default(),
+            begun,
             in_force: RwLock::default(),
             config_watch: Mutex::default(),
             fleet: Mutex::default(),
@@ -278,17 +290,28 @@
         self.stop.has_lasted(latest.saturating_sub(LAST_CALL))
     }
 
-    /// Returns once a configuration and servers are known.
+    /// Returns once a configuration, servers and the requests held back are
+    /// known; the last are waited for only in the first [`FIRST_READ`], so that
+    /// a table that can't be read keeps nobody waiting.
     pub async fn known(&self) {
         loop {
             let changed = self.room.listen();
-            if self.is_known() {
+            let knows_held = self.quarantines.is_read() || self.begun.elapsed() > FIRST_READ;
+            if self.is_known() && knows_held {
                 return;
             }
             changed.await;
         }
     }
 
+    /// A send of a request broke at `target`, which may have ended under it.
+    pub fn note_crash(&self, request_id: &str, content: CallContent, target: &SendTarget) {
+        if self.quarantines.note_crash(request_id, content, target) {
+            self.room.notify(usize::MAX);
+        }
+        self.work_changed.notify(1);
+    }
+
     fn is_known(&self) -> bool {
         self.table().is_some() && !self.fleet().is_empty()
     }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -4,6 +4,7 @@
 mod config_sink;
 mod follow_error;
 mod member_sink;
+mod quarantine_sink;
 mod raw_digest;
 mod server_sink;
 mod shared_reading;
@@ -17,6 +18,7 @@
 pub use self::follow_error::FollowError;
 pub use self::member_sink::MemberRow;
 pub use self::member_sink::MemberSink;
+pub use self::quarantine_sink::QuarantineSink;
 pub use self::raw_digest::raw_digest;
 pub use self::server_sink::ServerSink;
 pub use self::shared_reading::SharedReading;
--- /dev/null
+++ b/crates/gateway/src/store/quarantine_sink.rs
@@ -0,0 +1,80 @@
+//! Takes in which contents are held back.
+
+use std::sync::Arc;
+
+use rustc_hash::FxHashSet;
+
+use super::TableSink;
+use super::raw_digest;
+use super::unreadable_row::log_unreadable;
+use crate::belief::ContentDigest;
+use crate::model::CallContent;
+use crate::model::RowValue;
+use crate::model::StoreRow;
+use crate::model::StoreTable;
+use crate::model::StoreVersion;
+use crate::quarantine::QuarantineRow;
+use crate::quarantine::key_content;
+use crate::state::GatewayState;
+
+/// Keeps what is held back up to date with the store.
+#[derive(Debug)]
+pub struct QuarantineSink {
+    state: Arc<GatewayState>,
+}
+
+impl QuarantineSink {
+    /// A sink for `state`.
+    pub fn new(state: Arc<GatewayState>) -> Self {
+        QuarantineSink { state }
+    }
+
+    /// A row that can't be read holds nothing back, and clears nothing.
+    fn take(&self, row: &StoreRow) {
+        let Some(content) = key_content(&row.key) else {
+            log_unreadable(StoreTable::Quarantines, row, "the key names no content");
+            return;
+        };
+        match &row.value {
+            RowValue::Removed => self.state.quarantines.note_no_row(content, row.version),
+            RowValue::Unreadable(problem) => log_unreadable(StoreTable::Quarantines, row, problem),
+            RowValue::Held(value) => match postcard::from_bytes::<QuarantineRow>(value) {
+                Ok(held) => {
+                    if self.state.quarantines.note_row(content, held.probes, row.version) {
+                        self.state.room.notify(usize::MAX);
+                    }
+                }
+                Err(error) => log_unreadable(StoreTable::Quarantines, row, &error.to_string()),
+            },
+        }
+    }
+}
+
+impl TableSink for QuarantineSink {
+    fn listed(&mut self, rows: Vec<StoreRow>, version: StoreVersion) {
+        let listed: FxHashSet<CallContent> =
+            rows.iter().filter_map(|row| key_content(&row.key)).collect();
+        for content in self.state.quarantines.rows() {
+            if !listed.contains(&content) {
+                self.state.quarantines.note_no_row(content, version);
+            }
+        }
+        self.changed(rows);
+    }
+
+    fn changed(&mut self, rows: Vec<StoreRow>) {
+        rows.iter().for_each(|row| self.take(row));
+    }
+
+    /// With the version: a row that was removed and written again says the same
+    /// as before, and a probe is claimed by its version.
+    fn digest(&self, row: &StoreRow) -> Option<ContentDigest> {
+        let digest = raw_digest(row)?;
+        Some(umberglade_wire::digest_seeded(&digest.to_le_bytes(), row.version))
+    }
+
+    fn read(&mut self) {
+        self.state.quarantines.mark_read();
+        self.state.room.notify(usize::MAX);
+    }
+}
--- a/crates/gateway/src/store/shared_readings.rs
+++ b/crates/gateway/src/store/shared_readings.rs
@@ -15,6 +15,9 @@
 use crate::model::StoreTable;
 use crate::peers::TableRows;
 
+/// Within this requests held back are known to gateways that nobody tells. Those
+/// that hear each other know by what they tell of sends that broke.
+const QUARANTINE_BOUND: Duration = Duration::from_secs(10);
 /// Reads of a table whose news wait to be told.
 const ROWS_OUT: usize = 16;
 
@@ -22,7 +25,7 @@
 /// told of.
 #[derive(Debug)]
 pub struct SharedReadings {
-    tables: [SharedReading; 2],
+    tables: [SharedReading; 3],
     rows_out: (Sender<TableRows>, Receiver<TableRows>),
 }
 
@@ -31,8 +34,9 @@
     pub fn new(own: u64, settings: &GatewaySettings) -> Self {
         let configuration = (StoreTable::Configuration, settings.config_bound);
         let servers = (StoreTable::Servers, settings.drain_bound);
+        let quarantines = (StoreTable::Quarantines, QUARANTINE_BOUND);
         SharedReadings {
-            tables: [configuration, servers]
+            tables: [configuration, servers, quarantines]
                 .map(|(table, bound)| SharedReading::new(table, own, bound)),
             rows_out: async_channel::bounded(ROWS_OUT),
         }
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
 use snafu::ResultExt;
@@ -97,11 +98,35 @@
         value: &[u8],
         known: StoreVersion,
     ) -> Result<Option<StoreVersion>, FollowError> {
-        let (path, body) = C::claim_call(table, key, value, known);
-        metrics::counter!("umberglade_store_calls_total", "call" => "claim").increment(1);
+        let call = C::claim_call(table, key, value, known);
+        self.write_if("claim", "store claim", call).await
+    }
+
+    /// Removes one row of our own if it still has version `known`; false when
+    /// another has written or removed it.
+    pub async fn remove(
+        &mut self,
+        table: StoreTable,
+        key: &str,
+        known: StoreVersion,
+    ) -> Result<bool, FollowError> {
+        let call = C::remove_call(table, key, known);
+        let written = self.write_if("remove", "store removal", call).await?;
+        Ok(written.is_some())
+    }
+
+    /// Makes a write under a condition; the version by then, or `None` when the
+    /// condition does not hold.
+    async fn write_if(
+        &mut self,
+        kind: &'static str,
+        step: &'static str,
+        (path, body): (String, Bytes),
+    ) -> Result<Option<StoreVersion>, FollowError> {
+        metrics::counter!("umberglade_store_calls_total", "call" => kind).increment(1);
         let reply = self
             .kept
-            .call("store claim", Method::POST, &path, body, CALL_TIMEOUT)
+            .call(step, Method::POST, &path, body, CALL_TIMEOUT)
             .await
             .context(ExchangeSnafu)?;
         if reply.status == StatusCode::PRECONDITION_FAILED {
--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -290,7 +290,7 @@
 
 /// The labels of the gateway's metrics, with every value that they may have.
 const LABELS: [(&str, &[&str]); 6] = [
-    ("call", &["put", "claim", "store listing", "store feed", "store look"]),
+    ("call", &["put", "claim", "remove", "store listing", "store feed", "store look"]),
     ("failure", &["unsent", "not_run", "misdirected", "silent", "broken", "garbled"]),
     ("outcome", &["whole", "caller_left", "expired", "broken"]),
     ("quantile", &["0", "0.5", "0.9", "0.95", "0.99", "0.999", "1"]),
@@ -308,9 +308,10 @@
             "expired_unsent",
             "expired",
             "outcome_unknown",
+            "quarantined",
         ],
     ),
-    ("table", &["configuration", "servers", "members", "duties"]),
+    ("table", &["configuration", "servers", "members", "duties", "quarantines"]),
 ];
 
 /// `name{label="value",...} number`, or a comment.
