--- a/crates/gateway/src/belief/content_record.rs
+++ b/crates/gateway/src/belief/content_record.rs
@@ -16,7 +16,7 @@
 const MOST_CRASHES: usize = 6;
 /// Sends that break at one server within this broke by one end of it: no
 /// server is back sooner. Reports of it come within this too.
-const SAME_END: Duration = Duration::from_secs(1);
+pub(super) const SAME_END: Duration = Duration::from_secs(1);
 /// How long a whole answer speaks for a content.
 const PROOF_LIFE: Duration = Duration::from_secs(60);
 /// How long ends of servers without a whole answer since are remembered.
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -11,6 +11,7 @@
 use super::OutcomeNews;
 use super::SendOutcome;
 use super::content_record::ContentRecord;
+use super::content_record::SAME_END;
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
 use super::recent_whole::RecentWhole;
@@ -24,6 +25,8 @@
 /// An answer that is known to be earlier than an end counts as this much
 /// earlier.
 const JUST_BEFORE: Duration = Duration::from_millis(1);
+/// How long a server's end is remembered: longer than its registration stays.
+const ENDED_LIFE: Duration = Duration::from_secs(60);
 /// From the writing of a row until all gateways have read it, at most.
 const ROW_TIME: Duration = Duration::from_secs(2);
 /// Rows that wait to be written or removed at most.
@@ -89,6 +92,12 @@
 pub struct CrashWatch {
     /// Invariant: at most [`MOST_RECORDS`].
     records: FxHashMap<CallContent, ContentRecord>,
+    /// Starts of servers that have ended, for all that is known, and have
+    /// answered nothing since.
+    ///
+    /// Guards against an outage of a whole service, or of the way there: each
+    /// send breaks again and again, without any server that ended anew.
+    ended: FxHashMap<ServerIncarnation, Instant>,
     recent: RecentWhole,
     log: OutcomeLog,
     row_changes: Vec<RowChange>,
@@ -102,13 +111,24 @@
         incarnation: ServerIncarnation,
         now: Instant,
     ) -> Option<ContentChange> {
+        let ended_at = *self.ended.entry(incarnation).or_insert(now);
+        if now.saturating_duration_since(ended_at) >= SAME_END {
+            return None;
+        }
         let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
         self.log.push(content, SendOutcome::Crashed(id), now);
         self.judge(content, id, now)
     }
 
-    /// A request of `content` was answered whole by a server that lived on.
-    pub fn note_whole(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
+    /// A request of `content` was answered whole by a start of a server, which
+    /// lived on.
+    pub fn note_whole(
+        &mut self,
+        content: CallContent,
+        incarnation: ServerIncarnation,
+        now: Instant,
+    ) -> Option<ContentChange> {
+        self.ended.remove(&incarnation);
         self.recent.note(content, now);
         let record = self.records.get_mut(&content)?;
         if record.crashes() > 0 || record.quarantine.is_some() {
@@ -238,6 +258,7 @@
             }
         }
         self.records.retain(|_, record| record.is_live(now));
+        self.ended.retain(|_, at| now.saturating_duration_since(*at) < ENDED_LIFE);
         for (content, version) in forgotten.iter().filter(|_| removes_rows) {
             self.queue_removal(*content, *version);
         }
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -53,11 +53,10 @@
         self.log_change(content, change, "own")
     }
 
-    /// A request of `content` was answered whole; true when that changes what
-    /// is held back.
-    pub fn note_whole(&self, content: CallContent) -> bool {
-        let change = self.watch().note_whole(content, Instant::now());
-        self.log_change(content, change, "own")
+    /// A request of `content` was answered whole by `target`.
+    pub fn note_whole(&self, content: CallContent, target: &SendTarget) {
+        let change = self.watch().note_whole(content, target.incarnation, Instant::now());
+        self.log_change(content, change, "own");
     }
 
     /// Takes in what another gateway tells; true when that changes what is held
