Ends that held contents explain are a set; what stops wait for is counted in one place

The watch looked through all records for each break that it heard of, some thousand at 340 gateways when a hundred servers end. A server that broke long ago and was not used since counts as ended anew.

--- a/crates/gateway/src/belief/content_record.rs
+++ b/crates/gateway/src/belief/content_record.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustc_hash::FxHashSet;
 use smallvec::SmallVec;
 
 use super::CrashId;
@@ -53,11 +54,15 @@
         Some(id)
     }
 
-    /// Another gateway saw the end `id` at `at`.
-    pub fn note_heard(&mut self, id: CrashId, at: Instant) {
-        if !self.has_crash(id) && self.whole_at.is_none_or(|whole| at > whole) {
-            self.add(id, at);
+    /// Another gateway saw the end `id` at `at`; false when that says nothing
+    /// new.
+    pub fn note_heard(&mut self, id: CrashId, at: Instant) -> bool {
+        let is_known = self.crashes.iter().any(|(known, _)| *known == id);
+        if is_known || self.whole_at.is_some_and(|whole| at <= whole) {
+            return false;
         }
+        self.add(id, at);
+        true
     }
 
     fn add(&mut self, id: CrashId, at: Instant) {
@@ -68,19 +73,14 @@
         }
     }
 
-    /// True when a server's end `id` is known of it.
-    pub fn has_crash(&self, id: CrashId) -> bool {
-        self.crashes.iter().any(|(known, _)| *known == id)
-    }
-
     /// The ends of servers under it.
     pub fn crash_ids(&self) -> impl Iterator<Item = CrashId> {
         self.crashes.iter().map(|(id, _)| *id)
     }
 
-    /// Takes back that a server ended under it.
-    pub fn excuse(&mut self, id: CrashId) {
-        self.crashes.retain(|(known, _)| *known != id);
+    /// Takes back ends of servers that another content explains.
+    pub fn excuse(&mut self, explained: &FxHashSet<CrashId>) {
+        self.crashes.retain(|(id, _)| !explained.contains(id));
     }
 
     /// It was answered whole at `at`: servers do not end under it.
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -4,17 +4,20 @@
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
-use smallvec::SmallVec;
-use strum::Display;
+use rustc_hash::FxHashSet;
 
+use super::ContentChange;
+use super::ContentVerdict;
 use super::CrashId;
+use super::HeldContent;
 use super::OutcomeNews;
+use super::RowChange;
 use super::SendOutcome;
 use super::content_record::ContentRecord;
-use super::content_record::SAME_END;
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
 use super::recent_whole::RecentWhole;
+use super::server_end::ServerEnd;
 use crate::model::CallContent;
 use crate::model::ServerIncarnation;
 use crate::model::StoreVersion;
@@ -25,60 +28,11 @@
 /// An answer that is known to be earlier than an end counts as this much
 /// earlier.
 const JUST_BEFORE: Duration = Duration::from_millis(1);
-/// How long a server's end is remembered: longer than its registration stays.
-const ENDED_LIFE: Duration = Duration::from_secs(60);
 /// From the writing of a row until all gateways have read it, at most.
 const ROW_TIME: Duration = Duration::from_secs(2);
 /// Rows that wait to be written or removed at most.
 const MOST_ROW_CHANGES: usize = 64;
 
-/// A content that is held back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HeldContent {
-    /// Ends of servers that are remembered of it.
-    pub crashes: usize,
-    /// Requests of it that were let through to find out more.
-    pub probes: u32,
-    /// The version of its row in the store; 0 while there is none.
-    pub version: StoreVersion,
-    /// For how long it has been held back, or since the last probe.
-    pub age: Duration,
-    /// From now until the next probe; zero when it is due.
-    pub left: Duration,
-}
-
-/// May a request of a content be sent?
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ContentVerdict {
-    Admitted,
-    HeldBack(HeldContent),
-    /// One request may find out whether servers still end under it, once its
-    /// gateway has claimed that in the store.
-    ProbeDue(HeldContent),
-}
-
-/// What has changed for a content.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum ContentChange {
-    /// It is held back from now on.
-    HeldBack,
-    /// It was held back, and is no longer.
-    Cleared,
-    /// It was held back, and nobody has asked for it for long.
-    Forgotten,
-}
-
-/// What is to be done with a content's row in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RowChange {
-    /// It is held back: gateways that hear nobody and those that start are to
-    /// know.
-    Write(CallContent),
-    /// It is held back no more.
-    Remove(CallContent, StoreVersion),
-}
-
 /// Contents under which servers have ended (poison requests).
 ///
 /// Guards against one request that ends server after server: under new ids it
@@ -94,10 +48,10 @@
     records: FxHashMap<CallContent, ContentRecord>,
     /// Starts of servers that have ended, for all that is known, and have
     /// answered nothing since.
-    ///
-    /// Guards against an outage of a whole service, or of the way there: each
-    /// send breaks again and again, without any server that ended anew.
-    ended: FxHashMap<ServerIncarnation, Instant>,
+    ended: FxHashMap<ServerIncarnation, ServerEnd>,
+    /// Ends of servers that contents held back explain. Invariant: those in the
+    /// records of such contents.
+    explained: FxHashSet<CrashId>,
     recent: RecentWhole,
     log: OutcomeLog,
     row_changes: Vec<RowChange>,
@@ -111,8 +65,8 @@
         incarnation: ServerIncarnation,
         now: Instant,
     ) -> Option<ContentChange> {
-        let ended_at = *self.ended.entry(incarnation).or_insert(now);
-        if now.saturating_duration_since(ended_at) >= SAME_END {
+        let end = self.ended.entry(incarnation).or_insert(ServerEnd { at: now, broke_at: now });
+        if end.is_outage(now) {
             return None;
         }
         let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
@@ -144,8 +98,8 @@
         let at = now.checked_sub(age).unwrap_or(now);
         match news.outcome {
             SendOutcome::Crashed(id) => {
-                self.crash_record(news.content, at, now).note_heard(id, at);
-                self.judge(news.content, id, now)
+                let is_new = self.crash_record(news.content, at, now).note_heard(id, at);
+                if is_new { self.judge(news.content, id, now) } else { None }
             }
             SendOutcome::Whole => {
                 let record = self.records.get_mut(&news.content)?;
@@ -178,6 +132,7 @@
         }
         let record = self.record(content);
         record.quarantine = Some(Quarantine::new(probes, version, now));
+        self.excuse_others();
         before.is_none().then_some(ContentChange::HeldBack)
     }
 
@@ -195,6 +150,7 @@
         }
         record.note_whole(now);
         record.quarantine = None;
+        self.note_explained();
         Some(ContentChange::Cleared)
     }
 
@@ -258,7 +214,10 @@
             }
         }
         self.records.retain(|_, record| record.is_live(now));
-        self.ended.retain(|_, at| now.saturating_duration_since(*at) < ENDED_LIFE);
+        self.ended.retain(|_, end| end.is_live(now));
+        if !forgotten.is_empty() {
+            self.note_explained();
+        }
         for (content, version) in forgotten.iter().filter(|_| removes_rows) {
             self.queue_removal(*content, *version);
         }
@@ -283,18 +242,21 @@
     /// Decides on `content`, under which the end `id` of a server has become
     /// known.
     fn judge(&mut self, content: CallContent, id: CrashId, now: Instant) -> Option<ContentChange> {
-        if self.is_explained(content, id) {
-            self.records.get_mut(&content)?.excuse(id);
-            return None;
-        }
         let record = self.records.get_mut(&content)?;
         let was_held = record.quarantine.is_some();
+        // Guards against sound requests that are held back in the company of
+        // several fatal ones: a stream that goes on at the next server may be
+        // there when that one ends too.
+        if !was_held && self.explained.contains(&id) {
+            record.excuse(&self.explained);
+            return None;
+        }
         if !was_held && !record.is_suspect(now) {
             return None;
         }
         let has_own = record.has_own;
         record.quarantine.get_or_insert(Quarantine::new(0, 0, now));
-        self.excuse_others(content);
+        self.excuse_others();
         if was_held {
             return None;
         }
@@ -305,30 +267,23 @@
         Some(ContentChange::HeldBack)
     }
 
-    /// True when the end `id` of a server is that of a content held back, and
-    /// `content` was only there.
-    ///
-    /// Guards against sound requests that are held back in the company of
-    /// several fatal ones: a stream that goes on at the next server may be there
-    /// when that one ends too.
-    fn is_explained(&self, content: CallContent, id: CrashId) -> bool {
-        let is_held = |record: &ContentRecord| record.quarantine.is_some();
-        let has_own_reason = self.records.get(&content).is_some_and(is_held);
-        !has_own_reason && self.records.values().any(|of| is_held(of) && of.has_crash(id))
-    }
-
-    /// Takes the ends of servers under `content`, which is held back, out of the
-    /// records of those that are not.
-    fn excuse_others(&mut self, content: CallContent) {
-        let Some(record) = self.records.get(&content) else { return };
-        let ids: SmallVec<[CrashId; 3]> = record.crash_ids().collect();
+    /// Takes the ends of servers under contents held back out of the records of
+    /// the others.
+    fn excuse_others(&mut self) {
+        self.note_explained();
         for record in self.records.values_mut().filter(|record| record.quarantine.is_none()) {
-            ids.iter().for_each(|id| record.excuse(*id));
+            record.excuse(&self.explained);
         }
     }
 
+    fn note_explained(&mut self) {
+        let held = self.records.values().filter(|record| record.quarantine.is_some());
+        self.explained = held.flat_map(ContentRecord::crash_ids).collect();
+    }
+
     fn clear(&mut self, content: CallContent) -> Option<ContentChange> {
         let quarantine = self.records.get_mut(&content)?.quarantine.take()?;
+        self.note_explained();
         self.queue_removal(content, quarantine.version);
         Some(ContentChange::Cleared)
     }
--- /dev/null
+++ b/crates/gateway/src/belief/server_end.rs
@@ -0,0 +1,42 @@
+//! The end of one start of a server, as far as sends that broke tell.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::content_record::SAME_END;
+
+/// Sends that break this soon after another at the same start of a server say
+/// that it is still out of order.
+const STILL_OUT: Duration = Duration::from_secs(3);
+
+/// A start of a server that has answered nothing since a send to it broke.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ServerEnd {
+    /// When the first send broke.
+    pub at: Instant,
+    /// When the last did.
+    pub broke_at: Instant,
+}
+
+impl ServerEnd {
+    /// A further send broke: true when the server has not been at work since the
+    /// first, and so has not ended anew.
+    ///
+    /// Guards against an outage of a whole service, or of the way there, in
+    /// which each send breaks and no server ends: what is asked for often would
+    /// be held back until long after it. One that comes much later may have
+    /// found the server at work for others.
+    pub fn is_outage(&mut self, now: Instant) -> bool {
+        let is_still_out = now.saturating_duration_since(self.broke_at) < STILL_OUT;
+        self.broke_at = now;
+        if !is_still_out {
+            self.at = now;
+        }
+        now.saturating_duration_since(self.at) >= SAME_END
+    }
+
+    /// True while it says anything of further sends.
+    pub fn is_live(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.broke_at) < STILL_OUT
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/flight_count.rs
@@ -0,0 +1,58 @@
+//! Requests and connections that a graceful stop waits for.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+/// Counts what is in flight.
+#[derive(Debug, Default)]
+pub struct FlightCount {
+    requests: Arc<AtomicU32>,
+    /// Callers' connections that a stop closes.
+    connections: Arc<AtomicU32>,
+}
+
+/// Counts one request or connection until dropped.
+#[derive(Debug)]
+pub struct FlightGuard {
+    count: Arc<AtomicU32>,
+}
+
+impl FlightGuard {
+    fn enter(count: &Arc<AtomicU32>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        FlightGuard { count: Arc::clone(count) }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl FlightCount {
+    /// Counts a request until the guard is dropped.
+    pub fn enter_request(&self) -> FlightGuard {
+        FlightGuard::enter(&self.requests)
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub fn enter_connection(&self) -> FlightGuard {
+        FlightGuard::enter(&self.connections)
+    }
+
+    /// Requests in flight.
+    pub fn requests(&self) -> u32 {
+        self.requests.load(Ordering::Acquire)
+    }
+
+    /// True while a request is in flight, or an answer is not written out yet.
+    ///
+    /// Guards against answers cut by the end of a stop: a request counts until
+    /// its last event is handed over, and the connection writes it after that.
+    /// A caller that reads slowly, or a busy instance, lost the last events.
+    pub fn is_busy(&self) -> bool {
+        self.requests() > 0 || self.connections.load(Ordering::Acquire) > 0
+    }
+}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -28,6 +28,7 @@
 use crate::belief::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
+use crate::flight_count::FlightGuard;
 use crate::model::OnwardOrder;
 use crate::model::SendPurpose;
 use crate::state::GatewayState;
@@ -77,7 +78,7 @@
     *response.headers_mut() = stream.headers.clone();
     let relay = Relay {
         state: Arc::clone(state),
-        in_flight: state.enter(),
+        in_flight: state.flights.enter_request(),
         call,
         sender,
         attempts,
@@ -96,7 +97,7 @@
     state: Arc<GatewayState>,
     /// Held so that a graceful stop waits for the stream.
     #[allow(dead_code)]
-    in_flight: crate::state::InFlightGuard,
+    in_flight: FlightGuard,
     call: Arc<Call>,
     sender: Sender<BodyPiece>,
     attempts: Attempts,
--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -75,7 +75,7 @@
     // first request may be on its way, and the answer to it closes it.
     let is_late = state.stop.has_lasted(CLOSE_TIME);
     // Late ones may stay idle, and a stop does not wait for them.
-    let _open = (!is_late).then(|| state.enter_connection());
+    let _open = (!is_late).then(|| state.flights.enter_connection());
     let closing = async {
         if is_late {
             std::future::pending::<()>().await;
@@ -93,7 +93,7 @@
     state: Arc<GatewayState>,
     request: Request<Incoming>,
 ) -> Result<Response<GatewayBody>, CallAborted> {
-    let _in_flight = state.enter();
+    let _in_flight = state.flights.enter_request();
     let mut response = match read_call::<C>(&state, request).await? {
         ReadEnd::Call(call) => forward::forward::<C>(&state, call).await,
         ReadEnd::Refused(response) => response,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod demand;
 pub mod duty;
 pub mod events;
+pub mod flight_count;
 pub mod forward;
 pub mod ingress;
 pub mod model;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -122,24 +122,24 @@
 pub async fn stop(state: &Arc<GatewayState>) {
     let begun = Instant::now();
     state.stop.begin(begun);
-    tracing::info!(event = events::STOP_BEGUN, in_flight = state.in_flight(), "stop begun");
+    tracing::info!(event = events::STOP_BEGUN, in_flight = state.flights.requests(), "stop begun");
     let latest = begun + state.settings.stop_grace.saturating_sub(GRACE_MARGIN);
     smol::Timer::at((begun + LEAST_STOP).min(latest)).await;
     loop {
-        while state.is_busy() && Instant::now() < latest {
+        while state.flights.is_busy() && Instant::now() < latest {
             smol::Timer::after(BUSY_PAUSE).await;
         }
         // The answers of connections that came too late to be counted.
         smol::Timer::at((Instant::now() + FLUSH_TIME).min(latest)).await;
         // Guards against a call that came in meanwhile: the process's end
         // would cut it with its server at work.
-        if !state.is_busy() || Instant::now() >= latest {
+        if !state.flights.is_busy() || Instant::now() >= latest {
             break;
         }
     }
     tracing::info!(
         event = events::GATEWAY_STOPPED,
-        in_flight = state.in_flight(),
+        in_flight = state.flights.requests(),
         elapsed_ms = begun.elapsed().as_millis() as u64,
         "stopped"
     );
@@ -252,7 +252,7 @@
         let rank = state.fleet().peers.rank(state.digest, now);
         state.quarantines.tick(rank.before == 0);
         heard = log_peers(&state, heard, now);
-        metrics::gauge!("umberglade_in_flight").set(f64::from(state.in_flight()));
+        metrics::gauge!("umberglade_in_flight").set(f64::from(state.flights.requests()));
         metrics::gauge!("umberglade_kept_connections").set(state.pool.len() as f64);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -26,6 +25,7 @@
 use crate::belief::server_digest;
 use crate::demand::CallerDemand;
 use crate::events;
+use crate::flight_count::FlightCount;
 use crate::model::CallContent;
 use crate::model::ConfigVersion;
 use crate::model::GatewaySettings;
@@ -51,6 +51,7 @@
     pub metrics: Option<PrometheusHandle>,
     pub pool: ConnectionPool,
     pub stop: StopSwitch,
+    pub flights: FlightCount,
     pub demand: CallerDemand,
     /// Notified when streams begin, end or wait, which the other gateways
     /// are told at once.
@@ -70,33 +71,6 @@
     retries: Mutex<RetryAllowance>,
     /// Gateways registered in the store, this one included; at least 1.
     members: AtomicUsize,
-    in_flight: AtomicU32,
-    /// Callers' connections that a stop closes.
-    connections: AtomicU32,
-}
-
-/// Counts one request in flight until dropped.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    state: Arc<GatewayState>,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.state.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-/// Counts one caller's connection until dropped.
-#[derive(Debug)]
-pub struct ConnectionGuard {
-    state: Arc<GatewayState>,
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.state.connections.fetch_sub(1, Ordering::AcqRel);
-    }
 }
 
 /// How long after its start a process waits for the requests held back: reading
@@ -123,6 +97,7 @@
             metrics,
             pool: ConnectionPool::default(),
             stop: StopSwitch::default(),
+            flights: FlightCount::default(),
             demand: CallerDemand::default(),
             work_changed: Event::new(),
             config_due: Event::new(),
@@ -134,8 +109,6 @@
             fleet: Mutex::default(),
             retries: Mutex::new(retries),
             members: AtomicUsize::new(FIRST_MEMBERS),
-            in_flight: AtomicU32::new(0),
-            connections: AtomicU32::new(0),
         })
     }
 
@@ -315,30 +288,4 @@
     fn is_known(&self) -> bool {
         self.table().is_some() && !self.fleet().is_empty()
     }
-
-    /// Counts a request in flight until the guard is dropped.
-    pub fn enter(self: &Arc<Self>) -> InFlightGuard {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        InFlightGuard { state: Arc::clone(self) }
-    }
-
-    /// Counts a caller's connection until the guard is dropped.
-    pub fn enter_connection(self: &Arc<Self>) -> ConnectionGuard {
-        self.connections.fetch_add(1, Ordering::AcqRel);
-        ConnectionGuard { state: Arc::clone(self) }
-    }
-
-    /// True while a request is in flight, or an answer is not written out yet.
-    ///
-    /// Guards against answers cut by the end of a stop: a request counts until
-    /// its last event is handed over, and the connection writes it after that.
-    /// A caller that reads slowly, or a busy instance, lost the last events.
-    pub fn is_busy(&self) -> bool {
-        self.in_flight() > 0 || self.connections.load(Ordering::Acquire) > 0
-    }
-
-    /// Requests in flight.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Acquire)
-    }
 }
