--- a/crates/gateway/src/belief/content_record.rs
+++ b/crates/gateway/src/belief/content_record.rs
@@ -15,6 +15,8 @@
 /// Ends remembered of one content; beyond that the oldest go. Where many servers
 /// end in one moment, one end of an earlier moment may be forgotten.
 const MOST_CRASHES: usize = 6;
+/// Ends of servers in the company of contents held back that do not count.
+const MOST_EXCUSED: usize = 1;
 /// Sends that break at one server within this broke by one end of it: no
 /// server is back sooner. Reports of it come within this too.
 pub(super) const SAME_END: Duration = Duration::from_secs(1);
@@ -78,9 +80,18 @@
         self.crashes.iter().map(|(id, _)| *id)
     }
 
-    /// Takes back ends of servers that another content explains.
-    pub fn excuse(&mut self, explained: &FxHashSet<CrashId>) {
+    /// Takes back an end of a server that other contents explain; false when it
+    /// shares so many with them that it may as well be the fatal one.
+    ///
+    /// Guards against a fatal request that is let off since a sound one, which
+    /// was there each time, was noted before it.
+    pub fn excuse(&mut self, explained: &FxHashSet<CrashId>) -> bool {
+        let shared = self.crashes.iter().filter(|(id, _)| explained.contains(id)).count();
+        if shared > MOST_EXCUSED {
+            return false;
+        }
         self.crashes.retain(|(id, _)| !explained.contains(id));
+        true
     }
 
     /// It was answered whole at `at`: servers do not end under it.
@@ -103,26 +114,19 @@
     /// same moment end under it. Of a content that was answered whole in the
     /// last minute the moments count, not the servers, and the answers between
     /// two of them clear it.
-    pub fn is_suspect(&self, now: Instant) -> bool {
+    ///
+    /// Only ends later than `since` count, where it is set.
+    pub fn is_suspect(&self, since: Option<Instant>, now: Instant) -> bool {
         let age = |at: Instant| now.saturating_duration_since(at);
         let is_proven = self.whole_at.is_some_and(|at| age(at) < PROOF_LIFE);
-        let count = if is_proven { self.moments() } else { self.crashes.len() };
+        let counted = || {
+            let ends = self.crashes.iter().map(|(_, at)| *at);
+            ends.filter(|at| since.is_none_or(|since| *at >= since))
+        };
+        let count = if is_proven { moments(counted()) } else { counted().count() };
         count >= CRASHES_TO_HOLD
     }
 
-    /// Moments at which servers ended, [`SAME_END`] apart.
-    fn moments(&self) -> usize {
-        let mut count = 0;
-        let mut last: Option<Instant> = None;
-        for (_, at) in &self.crashes {
-            if last.is_none_or(|last| at.saturating_duration_since(last) >= SAME_END) {
-                count += 1;
-                last = Some(*at);
-            }
-        }
-        count
-    }
-
     /// True while it is worth remembering.
     pub fn is_live(&self, now: Instant) -> bool {
         let is_within = |at: &Instant, life| now.saturating_duration_since(*at) < life;
@@ -138,3 +142,16 @@
         (self.quarantine.is_some(), self.crashes.len(), newest)
     }
 }
+
+/// Moments among `ends`, oldest first, that are [`SAME_END`] apart.
+fn moments(ends: impl Iterator<Item = Instant>) -> usize {
+    let mut count = 0;
+    let mut last: Option<Instant> = None;
+    for at in ends {
+        if last.is_none_or(|last| at.saturating_duration_since(last) >= SAME_END) {
+            count += 1;
+            last = Some(at);
+        }
+    }
+    count
+}
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -28,6 +28,8 @@
 /// An answer that is known to be earlier than an end counts as this much
 /// earlier.
 const JUST_BEFORE: Duration = Duration::from_millis(1);
+/// Within this all gateways heard have told what they still tell.
+const LEARN_TIME: Duration = Duration::from_secs(3);
 /// From the writing of a row until all gateways have read it, at most.
 const ROW_TIME: Duration = Duration::from_secs(2);
 /// Rows that wait to be written or removed at most.
@@ -44,6 +46,8 @@
 /// which there is one at a time.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
+    /// When the gateway began to hear the others; `None` for long ago.
+    begun: Option<Instant>,
     /// Invariant: at most [`MOST_RECORDS`].
     records: FxHashMap<CallContent, ContentRecord>,
     /// Starts of servers that have ended, for all that is known, and have
@@ -58,6 +62,11 @@
 }
 
 impl CrashWatch {
+    /// The watch of a gateway that has heard nobody yet.
+    pub fn new(begun: Instant) -> Self {
+        CrashWatch { begun: Some(begun), ..CrashWatch::default() }
+    }
+
     /// A send of `content` broke at a start of a server.
     pub fn note_crash(
         &mut self,
@@ -70,8 +79,11 @@
             return None;
         }
         let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
+        if self.is_explained(content, id) {
+            return None;
+        }
         self.log.push(content, SendOutcome::Crashed(id), now);
-        self.judge(content, id, now)
+        self.weigh_crash(content, now)
     }
 
     /// A request of `content` was answered whole by a start of a server, which
@@ -96,15 +108,23 @@
     pub fn hear(&mut self, news: OutcomeNews, now: Instant) -> Option<ContentChange> {
         let age = Duration::from_millis(u64::from(news.age_ms));
         let at = now.checked_sub(age).unwrap_or(now);
+        let since = self.learns_since(now);
         match news.outcome {
             SendOutcome::Crashed(id) => {
                 let is_new = self.crash_record(news.content, at, now).note_heard(id, at);
-                if is_new { self.judge(news.content, id, now) } else { None }
+                if !is_new || self.is_explained(news.content, id) {
+                    return None;
+                }
+                self.weigh_crash(news.content, now)
             }
             SendOutcome::Whole => {
+                if since.is_some() {
+                    // Ends before it may be told later.
+                    self.record(news.content);
+                }
                 let record = self.records.get_mut(&news.content)?;
                 record.note_whole(at);
-                let is_cleared = !record.is_suspect(now)
+                let is_cleared = !record.is_suspect(since, now)
                     && record.quarantine.is_some_and(|of| of.version == 0 || of.since < at);
                 if is_cleared { self.clear(news.content) } else { None }
             }
@@ -239,27 +259,25 @@
         self.records.values().filter(|record| record.quarantine.is_some()).count()
     }
 
-    /// Decides on `content`, under which the end `id` of a server has become
-    /// known.
-    fn judge(&mut self, content: CallContent, id: CrashId, now: Instant) -> Option<ContentChange> {
-        let record = self.records.get_mut(&content)?;
-        let was_held = record.quarantine.is_some();
-        // Guards against sound requests that are held back in the company of
-        // several fatal ones: a stream that goes on at the next server may be
-        // there when that one ends too.
-        if !was_held && self.explained.contains(&id) {
-            record.excuse(&self.explained);
-            return None;
+    /// A further end of a server is known under `content`.
+    fn weigh_crash(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
+        if self.records.get(&content)?.quarantine.is_none() {
+            return self.judge(content, now);
         }
-        if !was_held && !record.is_suspect(now) {
+        self.excuse_others();
+        None
+    }
+
+    /// Holds `content` back if servers end under it.
+    pub fn judge(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
+        let since = self.learns_since(now);
+        let record = self.records.get_mut(&content)?;
+        if record.quarantine.is_some() || !record.is_suspect(since, now) {
             return None;
         }
+        record.quarantine = Some(Quarantine::new(0, 0, now));
         let has_own = record.has_own;
-        record.quarantine.get_or_insert(Quarantine::new(0, 0, now));
         self.excuse_others();
-        if was_held {
-            return None;
-        }
         // Those that saw it end a server write the row; the first wins.
         if has_own {
             self.queue(RowChange::Write(content));
@@ -267,13 +285,46 @@
         Some(ContentChange::HeldBack)
     }
 
+    /// True when the end `id` of a server, noted for `content`, is that of
+    /// another content, which is held back; it is taken back then.
+    ///
+    /// Guards against sound requests that are held back in the company of fatal
+    /// ones: a stream that goes on at the next server may be there when that one
+    /// ends too.
+    fn is_explained(&mut self, content: CallContent, id: CrashId) -> bool {
+        if !self.explained.contains(&id) {
+            return false;
+        }
+        let Some(record) = self.records.get_mut(&content) else { return false };
+        if record.quarantine.is_some() {
+            return false;
+        }
+        record.excuse(&self.explained)
+    }
+
+    /// Since when this gateway has heard all that happened, while that is not
+    /// long.
+    ///
+    /// Guards against sound requests that are held back on half of what
+    /// happened: one gateway tells at once of servers that ended in the last
+    /// seconds, and another a little later of the whole answers between.
+    fn learns_since(&self, now: Instant) -> Option<Instant> {
+        self.begun.filter(|begun| now.saturating_duration_since(*begun) < LEARN_TIME)
+    }
+
     /// Takes the ends of servers under contents held back out of the records of
-    /// the others.
+    /// the others, and out of what is told of these.
     fn excuse_others(&mut self) {
         self.note_explained();
-        for record in self.records.values_mut().filter(|record| record.quarantine.is_none()) {
-            record.excuse(&self.explained);
+        let explained = &self.explained;
+        let mut excused = FxHashSet::default();
+        for (content, record) in &mut self.records {
+            if record.quarantine.is_none() && record.excuse(explained) {
+                excused.insert(*content);
+            }
         }
+        self.log
+            .retain_crashes(|content, id| !explained.contains(&id) || !excused.contains(&content));
     }
 
     fn note_explained(&mut self) {
--- a/crates/gateway/src/belief/outcome_log.rs
+++ b/crates/gateway/src/belief/outcome_log.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::CrashId;
 use super::OutcomeNews;
 use super::SendOutcome;
 use crate::model::CallContent;
@@ -43,6 +44,14 @@
         })
     }
 
+    /// Keeps only those ends of servers that `is_kept`.
+    pub fn retain_crashes(&mut self, is_kept: impl Fn(CallContent, CrashId) -> bool) {
+        self.seen.retain(|(_, content, outcome)| match outcome {
+            SendOutcome::Crashed(id) => is_kept(*content, *id),
+            SendOutcome::Whole => true,
+        });
+    }
+
     /// What a report tells: fresh outcomes, or with `tells_all` older ones too.
     pub fn news(&mut self, tells_all: bool, now: Instant) -> Vec<OutcomeNews> {
         let age = |at: Instant| now.saturating_duration_since(at);
--- a/crates/gateway/src/belief/quarantine.rs
+++ b/crates/gateway/src/belief/quarantine.rs
@@ -6,13 +6,18 @@
 use crate::model::StoreVersion;
 
 /// How long a content is held back before one request of it may show whether
-/// servers still end under it.
-const FIRST_WAIT: Duration = Duration::from_secs(20);
-/// How many times longer each further wait is: a content that ends servers ends
-/// three more in its first half hour, and hardly any after.
-const WAIT_TIMES: u32 = 5;
-/// The longest wait.
-const LONGEST_WAIT: Duration = Duration::from_secs(2 * 3600);
+/// servers still end under it, by the probes made so far; the last stands for
+/// all further ones. The first comes soon: a popular request that is at each
+/// server a fatal one ends is held back with it, and one more end costs less
+/// than many sound requests. The others are rare: a fatal one ends three more
+/// servers in its first hour.
+const WAITS: [Duration; 5] = [
+    Duration::from_millis(1500),
+    Duration::from_secs(6),
+    Duration::from_secs(60),
+    Duration::from_secs(600),
+    Duration::from_secs(7200),
+];
 /// A claim of the probe is settled within this, or has failed.
 const CLAIM_TIME: Duration = Duration::from_secs(2);
 /// How long beyond its wait a content that nobody asks for is held back.
@@ -20,8 +25,8 @@
 
 /// How long a content is held back that has been probed `probes` times.
 fn wait(probes: u32) -> Duration {
-    let times = WAIT_TIMES.saturating_pow(probes);
-    FIRST_WAIT.saturating_mul(times).min(LONGEST_WAIT)
+    let place = (probes as usize).min(WAITS.len() - 1);
+    WAITS[place]
 }
 
 /// A content that is held back, until a request of it is answered whole.
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -21,7 +21,7 @@
 use crate::upstream::SendTarget;
 
 /// The contents held back, with log lines of what changes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantines {
     watch: Mutex<CrashWatch>,
     /// Notified when rows of the store are to be written or removed.
@@ -31,6 +31,15 @@
 }
 
 impl Quarantines {
+    /// Those of a process that has begun to hear the others at `begun`.
+    pub fn new(begun: Instant) -> Self {
+        Quarantines {
+            watch: Mutex::new(CrashWatch::new(begun)),
+            rows_due: Event::new(),
+            is_read: AtomicBool::new(false),
+        }
+    }
+
     /// A send of request `request_id` broke at `target`; true when that changes
     /// what is held back.
     pub fn note_crash(&self, request_id: &str, content: CallContent, target: &SendTarget) -> bool {
@@ -93,9 +102,13 @@
         self.is_read.load(Ordering::Acquire)
     }
 
-    /// Decides on a request that has just come.
+    /// Decides on a request that has just come, also by what was heard while
+    /// this process was too young to judge it.
     pub fn admit(&self, content: CallContent) -> ContentVerdict {
-        self.watch().admit(content, Instant::now())
+        let now = Instant::now();
+        let change = self.watch().judge(content, now);
+        self.log_change(content, change, "gateway");
+        self.watch().admit(content, now)
     }
 
     /// How `content` is held back; `None` when it is not.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -102,7 +102,7 @@
             work_changed: Event::new(),
             config_due: Event::new(),
             room: Event::new(),
-            quarantines: Quarantines::default(),
+            quarantines: Quarantines::new(begun),
             begun,
             in_force: RwLock::default(),
             config_watch: Mutex::default(),
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -14,7 +14,7 @@
 /// A server that lives.
 const ELSEWHERE: u64 = 99;
 /// The first wait for a probe.
-const FIRST_WAIT: Duration = Duration::from_secs(20);
+const FIRST_WAIT: Duration = Duration::from_millis(1500);
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -244,18 +244,19 @@
     assert!(matches!(watch.admit(CONTENT, due + ms(2000)), ContentVerdict::ProbeDue(_)));
 }
 
-/// A request that ends servers comes each second, for good. In its first half
-/// hour no more than three further servers may end under it.
+/// A request that ends servers comes each second, for good. In its first hour no
+/// more than three further servers may end under it, later than three seconds
+/// after the third.
 #[test]
 fn probes_come_ever_more_rarely() {
     let begun = Instant::now();
     let mut watch = holding(begun);
     let mut probes = 0;
-    for second in 0..1800 {
+    for second in 0..3600 {
         let now = begun + Duration::from_secs(second);
         watch.tick(false, now);
         if let ContentVerdict::ProbeDue(held) = watch.admit(CONTENT, now) {
-            probes += 1;
+            probes += u32::from(second > 3);
             watch.note_row(CONTENT, held.probes + 1, 100 + second, now);
             watch.note_crash(CONTENT, 100 + second, now + ms(50));
         }
@@ -273,7 +274,7 @@
         watch.take_row_changes();
         watch.note_row(CONTENT, 0, 11, begun);
         assert!(watch.tick(removes_rows, begun + Duration::from_secs(300)).is_empty());
-        let later = begun + Duration::from_secs(700);
+        let later = begun + Duration::from_secs(610);
         assert_eq!(watch.tick(removes_rows, later), [CONTENT]);
         let removals = usize::from(removes_rows);
         assert_eq!(watch.take_row_changes().len(), removals, "removes rows: {removes_rows}");
@@ -311,6 +312,60 @@
     assert!(watch.held(SOUND, begun + ms(13_000)).is_some());
 }
 
+/// What a gateway that has held a request back tells of the sound ones that were
+/// in its company is nothing: one that starts then knows of the fatal request by
+/// the store alone, and could not tell them apart.
+#[test]
+fn company_is_told_to_nobody() {
+    const SOUND: u64 = 1000;
+    let begun = Instant::now();
+    let mut watch = CrashWatch::default();
+    watch.note_crash(CONTENT, 1, begun);
+    watch.note_crash(CONTENT, 2, begun);
+    watch.note_crash(SOUND, 2, begun);
+    watch.note_crash(CONTENT, 3, begun);
+    watch.note_crash(SOUND, 3, begun);
+    let told = watch.news(true, begun + ms(100));
+    assert!(told.iter().all(|news| news.content == CONTENT), "{told:?}");
+}
+
+/// A sound request is at each server that a fatal one ends, and its breaks are
+/// noted first. The fatal one must not be let off for that.
+#[test]
+fn a_fatal_request_is_not_let_off_for_its_company() {
+    const SOUND: u64 = 1000;
+    let begun = Instant::now();
+    let mut watch = CrashWatch::default();
+    for server in 1..=3 {
+        watch.note_crash(SOUND, server, begun);
+        watch.note_crash(CONTENT, server, begun);
+    }
+    assert!(watch.held(CONTENT, begun).is_some());
+}
+
+/// A gateway starts while servers end for their own reasons. One gateway tells it
+/// of three ends under a popular request, another a moment later of the whole
+/// answers between: it judges once it has heard both.
+#[test]
+fn a_gateway_that_has_just_begun_does_not_judge() {
+    let begun = Instant::now();
+    let end = |id| OutcomeNews { content: CONTENT, outcome: SendOutcome::Crashed(id), age_ms: 900 };
+    let whole = OutcomeNews { content: CONTENT, outcome: SendOutcome::Whole, age_ms: 100 };
+    for is_sound in [true, false] {
+        let mut watch = CrashWatch::new(begun);
+        for id in 1..=3 {
+            watch.hear(end(id), begun + ms(50));
+        }
+        assert!(watch.held(CONTENT, begun + ms(60)).is_none(), "sound: {is_sound}");
+        if is_sound {
+            watch.hear(whole, begun + ms(300));
+        }
+        watch.judge(CONTENT, begun + ms(3000));
+        let is_held = watch.held(CONTENT, begun + ms(3000)).is_some();
+        assert_eq!(is_held, !is_sound, "sound: {is_sound}");
+    }
+}
+
 /// Hundreds of servers end in one moment, thousands of requests with them, while
 /// a fatal one is about. What is remembered and told stays bounded, and what
 /// says most is kept.
