--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -353,20 +353,21 @@
         }
     }
 
-    /// The record of `content`, under which a server ended at `at`. A new one
-    /// begins with what this gateway has seen of the content lately, of which
-    /// the others are told.
+    /// The record of `content`, under which a server ended at `at`. Before the
+    /// first of a series of ends stands what this gateway has seen of the
+    /// content lately, of which the others are told.
     fn crash_record(
         &mut self,
         content: CallContent,
         at: Instant,
         now: Instant,
     ) -> &mut ContentRecord {
-        let is_new = !self.records.contains_key(&content);
-        if is_new && self.recent.contains(content, now) {
+        let is_recent = self.recent.contains(content, now);
+        let record = self.record(content);
+        if record.crashes() == 0 && record.quarantine.is_none() && is_recent {
             let before = at.checked_sub(JUST_BEFORE).unwrap_or(at);
+            record.note_whole(before);
             self.log.push(content, SendOutcome::Whole, before);
-            self.record(content).note_whole(before);
         }
         self.record(content)
     }
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -432,4 +432,11 @@
     let told = watch.news(false, begun + ms(500));
     let expected = OutcomeNews { content: CONTENT, outcome: SendOutcome::Whole, age_ms: 31 };
     assert_eq!(told, [expected]);
+    // Once cleared, it is told anew with the next end: others may have begun
+    // since.
+    watch.note_whole(CONTENT, ELSEWHERE, begun + ms(600));
+    watch.note_crash(CONTENT, 2, begun + ms(20_000));
+    let told = watch.news(false, begun + ms(20_000));
+    let wholes = told.iter().filter(|news| news.outcome == SendOutcome::Whole).count();
+    assert_eq!(wholes, 1, "{told:?}");
 }
