--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -26,22 +26,19 @@
     state: &Arc<GatewayState>,
     call: &Call,
 ) -> Result<Attempts, Response<GatewayBody>> {
-    let held = match state.quarantines.admit(call.content) {
+    let (held, outcome) = match state.quarantines.admit(call.content) {
         ContentVerdict::Admitted => return Ok(Attempts::default()),
-        ContentVerdict::HeldBack(held) => held,
-        ContentVerdict::ProbeDue(held) => {
-            match claim_probe::<C>(state, call.content, held).await {
-                Ok(true) => {
-                    log_held(call, held, 0, "let through to find out");
-                    return Ok(Attempts::probe());
-                }
-                Ok(false) => log_held(call, held, 0, "another gateway finds out"),
-                Err(error) => log_held(call, held, 0, &error.to_string()),
+        ContentVerdict::HeldBack(held) => (held, "refused".to_owned()),
+        ContentVerdict::ProbeDue(held) => match claim_probe::<C>(state, call.content, held).await {
+            Ok(true) => {
+                log_held(call, held, 0, "let through to find out");
+                return Ok(Attempts::probe());
             }
-            held
-        }
+            Ok(false) => (held, "refused; another gateway finds out".to_owned()),
+            Err(error) => (held, format!("refused; probe not claimed: {error}")),
+        },
     };
-    log_held(call, held, 0, "refused");
+    log_held(call, held, 0, &outcome);
     Err(refuse_call(call, Refusal::Quarantined, Some(retry_after(held)), 0))
 }
 
