--- /dev/null
+++ b/crates/gateway/src/belief/content_records.rs
@@ -0,0 +1,120 @@
+//! The records of all contents under which servers have ended.
+
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
+
+use super::CrashId;
+use super::content_record::ContentRecord;
+use crate::model::CallContent;
+
+/// Contents remembered at most, some 250 bytes each: those on a hundred servers
+/// that end in one moment. Beyond that the least telling go.
+const MOST_RECORDS: usize = 1024;
+
+/// Records by content, and which ends of servers the contents held back explain.
+#[derive(Debug, Default)]
+pub(super) struct ContentRecords {
+    /// Invariant: at most [`MOST_RECORDS`].
+    records: FxHashMap<CallContent, ContentRecord>,
+    /// Invariant: after [`note_explained`](Self::note_explained), the ends of
+    /// servers under contents that are held back.
+    explained: FxHashSet<CrashId>,
+}
+
+impl ContentRecords {
+    /// The record of `content`, if there is one.
+    pub fn get(&self, content: CallContent) -> Option<&ContentRecord> {
+        self.records.get(&content)
+    }
+
+    /// The record of `content`, if there is one.
+    pub fn get_mut(&mut self, content: CallContent) -> Option<&mut ContentRecord> {
+        self.records.get_mut(&content)
+    }
+
+    /// The record of `content`, which is made if there is none.
+    pub fn entry(&mut self, content: CallContent) -> &mut ContentRecord {
+        if !self.records.contains_key(&content) {
+            self.make_room();
+        }
+        self.records.entry(content).or_default()
+    }
+
+    fn make_room(&mut self) {
+        if self.records.len() < MOST_RECORDS {
+            return;
+        }
+        let least = self.records.iter().min_by_key(|(_, record)| record.weight());
+        if let Some(content) = least.map(|(content, _)| *content) {
+            self.records.remove(&content);
+        }
+    }
+
+    /// All records, to change them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (CallContent, &mut ContentRecord)> {
+        self.records.iter_mut().map(|(content, record)| (*content, record))
+    }
+
+    /// Keeps the records that `is_kept`.
+    pub fn retain(&mut self, is_kept: impl Fn(&ContentRecord) -> bool) {
+        self.records.retain(|_, record| is_kept(record));
+    }
+
+    /// The contents that are held back.
+    pub fn held(&self) -> impl Iterator<Item = (CallContent, &ContentRecord)> {
+        let all = self.records.iter().map(|(content, record)| (*content, record));
+        all.filter(|(_, record)| record.quarantine.is_some())
+    }
+
+    /// Contents remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// What is held back, or the ends of servers under it, has changed.
+    pub fn note_explained(&mut self) {
+        let held = self.records.values().filter(|record| record.quarantine.is_some());
+        self.explained = held.flat_map(ContentRecord::crash_ids).collect();
+    }
+
+    /// True when the end `id` of a server, noted for `content`, is that of
+    /// another content, which is held back; it is taken back then.
+    ///
+    /// Guards against sound requests that are held back in the company of fatal
+    /// ones: a stream that goes on at the next server may be there when that one
+    /// ends too.
+    pub fn is_explained(&mut self, content: CallContent, id: CrashId) -> bool {
+        if !self.explained.contains(&id) {
+            return false;
+        }
+        let record = self.records.get_mut(&content);
+        record.is_some_and(|record| record.quarantine.is_none() && record.excuse(&self.explained))
+    }
+
+    /// Takes the ends of servers under contents held back out of the records of
+    /// the others; what was taken out.
+    pub fn excuse_others(&mut self) -> ExcusedEnds<'_> {
+        self.note_explained();
+        let mut contents = FxHashSet::default();
+        for (content, record) in &mut self.records {
+            if record.quarantine.is_none() && record.excuse(&self.explained) {
+                contents.insert(*content);
+            }
+        }
+        ExcusedEnds { contents, explained: &self.explained }
+    }
+}
+
+/// Ends of servers that no longer count for some contents.
+#[derive(Debug)]
+pub(super) struct ExcusedEnds<'a> {
+    contents: FxHashSet<CallContent>,
+    explained: &'a FxHashSet<CrashId>,
+}
+
+impl ExcusedEnds<'_> {
+    /// True when the end `id` no longer counts for `content`.
+    pub fn contains(&self, content: CallContent, id: CrashId) -> bool {
+        self.explained.contains(&id) && self.contents.contains(&content)
+    }
+}
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -4,16 +4,15 @@
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 
 use super::ContentChange;
 use super::ContentVerdict;
-use super::CrashId;
 use super::HeldContent;
 use super::OutcomeNews;
 use super::RowChange;
 use super::SendOutcome;
 use super::content_record::ContentRecord;
+use super::content_records::ContentRecords;
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
 use super::recent_whole::RecentWhole;
@@ -22,9 +21,6 @@
 use crate::model::ServerIncarnation;
 use crate::model::StoreVersion;
 
-/// Contents remembered at most, some 250 bytes each: those on a hundred servers
-/// that end in one moment. Beyond that the least telling go.
-const MOST_RECORDS: usize = 1024;
 /// An answer that is known to be earlier than an end counts as this much
 /// earlier.
 const JUST_BEFORE: Duration = Duration::from_millis(1);
@@ -48,14 +44,10 @@
 pub struct CrashWatch {
     /// When the gateway began to hear the others; `None` for long ago.
     begun: Option<Instant>,
-    /// Invariant: at most [`MOST_RECORDS`].
-    records: FxHashMap<CallContent, ContentRecord>,
+    records: ContentRecords,
     /// Starts of servers that have ended, for all that is known, and have
     /// answered nothing since.
     ended: FxHashMap<ServerIncarnation, ServerEnd>,
-    /// Ends of servers that contents held back explain. Invariant: those in the
-    /// records of such contents.
-    explained: FxHashSet<CrashId>,
     recent: RecentWhole,
     log: OutcomeLog,
     row_changes: Vec<RowChange>,
@@ -79,7 +71,7 @@
             return None;
         }
         let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
-        if self.is_explained(content, id) {
+        if self.records.is_explained(content, id) {
             return None;
         }
         self.log.push(content, SendOutcome::Crashed(id), now);
@@ -96,7 +88,7 @@
     ) -> Option<ContentChange> {
         self.ended.remove(&incarnation);
         self.recent.note(content, now);
-        let record = self.records.get_mut(&content)?;
+        let record = self.records.get_mut(content)?;
         if record.crashes() > 0 || record.quarantine.is_some() {
             self.log.push(content, SendOutcome::Whole, now);
         }
@@ -112,7 +104,7 @@
         match news.outcome {
             SendOutcome::Crashed(id) => {
                 let is_new = self.crash_record(news.content, at, now).note_heard(id, at);
-                if !is_new || self.is_explained(news.content, id) {
+                if !is_new || self.records.is_explained(news.content, id) {
                     return None;
                 }
                 self.weigh_crash(news.content, now)
@@ -120,9 +112,9 @@
             SendOutcome::Whole => {
                 if since.is_some() {
                     // Ends before it may be told later.
-                    self.record(news.content);
+                    self.records.entry(news.content);
                 }
-                let record = self.records.get_mut(&news.content)?;
+                let record = self.records.get_mut(news.content)?;
                 record.note_whole(at);
                 let is_cleared = !record.is_suspect(since, now)
                     && record.quarantine.is_some_and(|of| of.version == 0 || of.since < at);
@@ -139,7 +131,7 @@
         version: StoreVersion,
         now: Instant,
     ) -> Option<ContentChange> {
-        let record = self.record(content);
+        let record = self.records.entry(content);
         let before = record.quarantine;
         if before.is_some_and(|known| known.version >= version) {
             return None;
@@ -150,7 +142,7 @@
             self.queue(RowChange::Remove(content, version));
             return None;
         }
-        let record = self.record(content);
+        let record = self.records.entry(content);
         record.quarantine = Some(Quarantine::new(probes, version, now));
         self.excuse_others();
         before.is_none().then_some(ContentChange::HeldBack)
@@ -163,14 +155,14 @@
         version: StoreVersion,
         now: Instant,
     ) -> Option<ContentChange> {
-        let record = self.records.get_mut(&content)?;
+        let record = self.records.get_mut(content)?;
         let known = record.quarantine?.version;
         if known == 0 || known > version {
             return None;
         }
         record.note_whole(now);
         record.quarantine = None;
-        self.note_explained();
+        self.records.note_explained();
         Some(ContentChange::Cleared)
     }
 
@@ -178,7 +170,8 @@
     pub fn rows(&self) -> Vec<CallContent> {
         let has_row =
             |record: &ContentRecord| record.quarantine.is_some_and(|known| known.version > 0);
-        self.records.iter().filter(|(_, of)| has_row(of)).map(|(content, _)| *content).collect()
+        let held = self.records.held().filter(|(_, record)| has_row(record));
+        held.map(|(content, _)| content).collect()
     }
 
     /// Decides on a request that has just come; a probe that is due is left to
@@ -188,7 +181,7 @@
         if !held.left.is_zero() {
             return ContentVerdict::HeldBack(held);
         }
-        let record = self.records.get_mut(&content);
+        let record = self.records.get_mut(content);
         if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
             quarantine.begin_claim(now);
         }
@@ -197,7 +190,7 @@
 
     /// How `content` is held back; `None` when it is not.
     pub fn held(&self, content: CallContent, now: Instant) -> Option<HeldContent> {
-        let record = self.records.get(&content)?;
+        let record = self.records.get(content)?;
         let quarantine = record.quarantine?;
         Some(HeldContent {
             crashes: record.crashes(),
@@ -210,7 +203,7 @@
 
     /// Ends of servers under `content` since it was last answered whole.
     pub fn crashes(&self, content: CallContent) -> usize {
-        self.records.get(&content).map_or(0, ContentRecord::crashes)
+        self.records.get(content).map_or(0, ContentRecord::crashes)
     }
 
     /// What a report tells the others; with `tells_all` also what they were
@@ -228,15 +221,15 @@
     /// row is removed by the gateway that `removes_rows`.
     pub fn tick(&mut self, removes_rows: bool, now: Instant) -> Vec<CallContent> {
         let mut forgotten = Vec::new();
-        for (content, record) in &mut self.records {
+        for (content, record) in self.records.iter_mut() {
             if let Some(quarantine) = record.quarantine.take_if(|of| of.is_unasked(now)) {
-                forgotten.push((*content, quarantine.version));
+                forgotten.push((content, quarantine.version));
             }
         }
-        self.records.retain(|_, record| record.is_live(now));
+        self.records.retain(|record| record.is_live(now));
         self.ended.retain(|_, end| end.is_live(now));
         if !forgotten.is_empty() {
-            self.note_explained();
+            self.records.note_explained();
         }
         for (content, version) in forgotten.iter().filter(|_| removes_rows) {
             self.queue_removal(*content, *version);
@@ -251,17 +244,17 @@
 
     /// True when no content is remembered.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.len() == 0
     }
 
     /// Contents held back.
     pub fn held_count(&self) -> usize {
-        self.records.values().filter(|record| record.quarantine.is_some()).count()
+        self.records.held().count()
     }
 
     /// A further end of a server is known under `content`.
     fn weigh_crash(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
-        if self.records.get(&content)?.quarantine.is_none() {
+        if self.records.get(content)?.quarantine.is_none() {
             return self.judge(content, now);
         }
         self.excuse_others();
@@ -271,7 +264,7 @@
     /// Holds `content` back if servers end under it.
     pub fn judge(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
         let since = self.learns_since(now);
-        let record = self.records.get_mut(&content)?;
+        let record = self.records.get_mut(content)?;
         if record.quarantine.is_some() || !record.is_suspect(since, now) {
             return None;
         }
@@ -285,23 +278,6 @@
         Some(ContentChange::HeldBack)
     }
 
-    /// True when the end `id` of a server, noted for `content`, is that of
-    /// another content, which is held back; it is taken back then.
-    ///
-    /// Guards against sound requests that are held back in the company of fatal
-    /// ones: a stream that goes on at the next server may be there when that one
-    /// ends too.
-    fn is_explained(&mut self, content: CallContent, id: CrashId) -> bool {
-        if !self.explained.contains(&id) {
-            return false;
-        }
-        let Some(record) = self.records.get_mut(&content) else { return false };
-        if record.quarantine.is_some() {
-            return false;
-        }
-        record.excuse(&self.explained)
-    }
-
     /// Since when this gateway has heard all that happened, while that is not
     /// long.
     ///
@@ -312,29 +288,16 @@
         self.begun.filter(|begun| now.saturating_duration_since(*begun) < LEARN_TIME)
     }
 
-    /// Takes the ends of servers under contents held back out of the records of
-    /// the others, and out of what is told of these.
+    /// Ends of servers under contents held back do not count for the others, and
+    /// are told no more of these.
     fn excuse_others(&mut self) {
-        self.note_explained();
-        let explained = &self.explained;
-        let mut excused = FxHashSet::default();
-        for (content, record) in &mut self.records {
-            if record.quarantine.is_none() && record.excuse(explained) {
-                excused.insert(*content);
-            }
-        }
-        self.log
-            .retain_crashes(|content, id| !explained.contains(&id) || !excused.contains(&content));
-    }
-
-    fn note_explained(&mut self) {
-        let held = self.records.values().filter(|record| record.quarantine.is_some());
-        self.explained = held.flat_map(ContentRecord::crash_ids).collect();
+        let excused = self.records.excuse_others();
+        self.log.retain_crashes(|content, id| !excused.contains(content, id));
     }
 
     fn clear(&mut self, content: CallContent) -> Option<ContentChange> {
-        let quarantine = self.records.get_mut(&content)?.quarantine.take()?;
-        self.note_explained();
+        let quarantine = self.records.get_mut(content)?.quarantine.take()?;
+        self.records.note_explained();
         self.queue_removal(content, quarantine.version);
         Some(ContentChange::Cleared)
     }
@@ -363,29 +326,12 @@
         now: Instant,
     ) -> &mut ContentRecord {
         let is_recent = self.recent.contains(content, now);
-        let record = self.record(content);
+        let record = self.records.entry(content);
         if record.crashes() == 0 && record.quarantine.is_none() && is_recent {
             let before = at.checked_sub(JUST_BEFORE).unwrap_or(at);
             record.note_whole(before);
             self.log.push(content, SendOutcome::Whole, before);
         }
-        self.record(content)
-    }
-
-    fn record(&mut self, content: CallContent) -> &mut ContentRecord {
-        if !self.records.contains_key(&content) {
-            self.make_room();
-        }
-        self.records.entry(content).or_default()
-    }
-
-    fn make_room(&mut self) {
-        if self.records.len() < MOST_RECORDS {
-            return;
-        }
-        let least = self.records.iter().min_by_key(|(_, record)| record.weight());
-        if let Some(content) = least.map(|(content, _)| *content) {
-            self.records.remove(&content);
-        }
+        self.records.entry(content)
     }
 }
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -5,6 +5,7 @@
 mod candidate;
 mod config_watch;
 mod content_record;
+mod content_records;
 mod content_verdict;
 mod crash_watch;
 mod departure_pace;
