--- a/crates/gateway/src/belief/content_record.rs
+++ b/crates/gateway/src/belief/content_record.rs
@@ -80,14 +80,15 @@
         self.crashes.iter().map(|(id, _)| *id)
     }
 
-    /// Takes back an end of a server that other contents explain; false when it
-    /// shares so many with them that it may as well be the fatal one.
+    /// Takes back the ends of servers that other contents explain; false when it
+    /// shares so many with them that it may as well be the fatal one, unless it
+    /// was answered whole lately.
     ///
     /// Guards against a fatal request that is let off since a sound one, which
     /// was there each time, was noted before it.
-    pub fn excuse(&mut self, explained: &FxHashSet<CrashId>) -> bool {
+    pub fn excuse(&mut self, explained: &FxHashSet<CrashId>, now: Instant) -> bool {
         let shared = self.crashes.iter().filter(|(id, _)| explained.contains(id)).count();
-        if shared > MOST_EXCUSED {
+        if shared > MOST_EXCUSED && !self.is_proven(now) {
             return false;
         }
         self.crashes.retain(|(id, _)| !explained.contains(id));
@@ -107,6 +108,11 @@
         self.crashes.len()
     }
 
+    fn is_proven(&self, now: Instant) -> bool {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.whole_at.is_some_and(|at| age(at) < PROOF_LIFE)
+    }
+
     /// True when servers end under it for all that is known.
     ///
     /// Guards against holding back a popular request: of those there is one at
@@ -117,13 +123,11 @@
     ///
     /// Only ends later than `since` count, where it is set.
     pub fn is_suspect(&self, since: Option<Instant>, now: Instant) -> bool {
-        let age = |at: Instant| now.saturating_duration_since(at);
-        let is_proven = self.whole_at.is_some_and(|at| age(at) < PROOF_LIFE);
         let counted = || {
             let ends = self.crashes.iter().map(|(_, at)| *at);
             ends.filter(|at| since.is_none_or(|since| *at >= since))
         };
-        let count = if is_proven { moments(counted()) } else { counted().count() };
+        let count = if self.is_proven(now) { moments(counted()) } else { counted().count() };
         count >= CRASHES_TO_HOLD
     }
 
--- a/crates/gateway/src/belief/content_records.rs
+++ b/crates/gateway/src/belief/content_records.rs
@@ -1,5 +1,7 @@
 //! The records of all contents under which servers have ended.
 
+use std::time::Instant;
+
 use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
 
@@ -83,21 +85,23 @@
     /// Guards against sound requests that are held back in the company of fatal
     /// ones: a stream that goes on at the next server may be there when that one
     /// ends too.
-    pub fn is_explained(&mut self, content: CallContent, id: CrashId) -> bool {
+    pub fn is_explained(&mut self, content: CallContent, id: CrashId, now: Instant) -> bool {
         if !self.explained.contains(&id) {
             return false;
         }
         let record = self.records.get_mut(&content);
-        record.is_some_and(|record| record.quarantine.is_none() && record.excuse(&self.explained))
+        record.is_some_and(|record| {
+            record.quarantine.is_none() && record.excuse(&self.explained, now)
+        })
     }
 
     /// Takes the ends of servers under contents held back out of the records of
     /// the others; what was taken out.
-    pub fn excuse_others(&mut self) -> ExcusedEnds<'_> {
+    pub fn excuse_others(&mut self, now: Instant) -> ExcusedEnds<'_> {
         self.note_explained();
         let mut contents = FxHashSet::default();
         for (content, record) in &mut self.records {
-            if record.quarantine.is_none() && record.excuse(&self.explained) {
+            if record.quarantine.is_none() && record.excuse(&self.explained, now) {
                 contents.insert(*content);
             }
         }
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -71,7 +71,7 @@
             return None;
         }
         let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
-        if self.records.is_explained(content, id) {
+        if self.records.is_explained(content, id, now) {
             return None;
         }
         self.log.push(content, SendOutcome::Crashed(id), now);
@@ -104,7 +104,7 @@
         match news.outcome {
             SendOutcome::Crashed(id) => {
                 let is_new = self.crash_record(news.content, at, now).note_heard(id, at);
-                if !is_new || self.records.is_explained(news.content, id) {
+                if !is_new || self.records.is_explained(news.content, id, now) {
                     return None;
                 }
                 self.weigh_crash(news.content, now)
@@ -144,7 +144,7 @@
         }
         let record = self.records.entry(content);
         record.quarantine = Some(Quarantine::new(probes, version, now));
-        self.excuse_others();
+        self.excuse_others(now);
         before.is_none().then_some(ContentChange::HeldBack)
     }
 
@@ -257,7 +257,7 @@
         if self.records.get(content)?.quarantine.is_none() {
             return self.judge(content, now);
         }
-        self.excuse_others();
+        self.excuse_others(now);
         None
     }
 
@@ -270,7 +270,7 @@
         }
         record.quarantine = Some(Quarantine::new(0, 0, now));
         let has_own = record.has_own;
-        self.excuse_others();
+        self.excuse_others(now);
         // Those that saw it end a server write the row; the first wins.
         if has_own {
             self.queue(RowChange::Write(content));
@@ -290,8 +290,8 @@
 
     /// Ends of servers under contents held back do not count for the others, and
     /// are told no more of these.
-    fn excuse_others(&mut self) {
-        let excused = self.records.excuse_others();
+    fn excuse_others(&mut self, now: Instant) {
+        let excused = self.records.excuse_others(now);
         self.log.retain_crashes(|content, id| !excused.contains(content, id));
     }
 
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -329,6 +329,23 @@
     assert!(told.iter().all(|news| news.content == CONTENT), "{told:?}");
 }
 
+/// A popular request was answered a moment ago. Then fatal ones end every server
+/// for some seconds, and it is there each time, between no two of the ends
+/// answered. Once the fatal ones are known, what they explain does not count.
+#[test]
+fn popular_company_is_no_suspicion() {
+    const POPULAR: u64 = 1000;
+    let begun = Instant::now();
+    let mut watch = CrashWatch::default();
+    watch.note_whole(POPULAR, ELSEWHERE, begun);
+    for (server, at) in [(1, 1000), (2, 1100), (3, 2500), (4, 4000), (5, 4100)] {
+        watch.note_crash(POPULAR, server, begun + ms(at));
+        watch.note_crash(CONTENT, server, begun + ms(at));
+    }
+    assert!(watch.held(CONTENT, begun + ms(4100)).is_some());
+    assert!(watch.held(POPULAR, begun + ms(4100)).is_none());
+}
+
 /// A sound request is at each server that a fatal one ends, and its breaks are
 /// noted first. The fatal one must not be let off for that.
 #[test]
