The first probe needs no store

Now the first of the gateways that hear each other makes the first probe without a claim, and counts it.

--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -188,6 +188,14 @@
         ContentVerdict::ProbeDue(held)
     }
 
+    /// This gateway makes the probe that is due without a claim.
+    pub fn note_unclaimed_probe(&mut self, content: CallContent, now: Instant) {
+        let record = self.records.get_mut(content);
+        if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
+            *quarantine = Quarantine::new(quarantine.probes + 1, quarantine.version, now);
+        }
+    }
+
     /// How `content` is held back; `None` when it is not.
     pub fn held(&self, content: CallContent, now: Instant) -> Option<HeldContent> {
         let record = self.records.get(content)?;
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -1,5 +1,7 @@
 //! Claims the one request that may show whether a content is sound.
 
+use std::time::Instant;
+
 use super::QuarantineRow;
 use super::content_key;
 use crate::belief::HeldContent;
@@ -17,6 +19,10 @@
 /// a server: who changes the row from the version known to all has claimed the
 /// probe, and the others count the wait anew. A claim whose answer is lost is
 /// not used.
+///
+/// The first probe is made without a claim while the store is away, by the first
+/// of the gateways that hear each other: sound requests held back in the company
+/// of fatal ones would wait for the store.
 pub async fn claim_probe<C: PlatformCodec>(
     state: &GatewayState,
     content: CallContent,
@@ -26,9 +32,21 @@
     let probes = held.probes + 1;
     let row = QuarantineRow { probes }.encode();
     let key = content_key(content);
-    let claimed = client.claim(StoreTable::Quarantines, &key, &row, held.version).await?;
-    if let Some(version) = claimed {
-        state.quarantines.note_row(content, probes, version);
+    match client.claim(StoreTable::Quarantines, &key, &row, held.version).await {
+        Ok(Some(version)) => {
+            state.quarantines.note_row(content, probes, version);
+            Ok(true)
+        }
+        Ok(None) => Ok(false),
+        Err(_) if held.probes == 0 && is_first(state) => {
+            state.quarantines.note_unclaimed_probe(content);
+            Ok(true)
+        }
+        Err(error) => Err(error),
     }
-    Ok(claimed.is_some())
+}
+
+fn is_first(state: &GatewayState) -> bool {
+    let rank = state.fleet().peers.rank(state.digest, Instant::now());
+    rank.before == 0
 }
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -111,6 +111,11 @@
         self.watch().admit(content, now)
     }
 
+    /// This gateway makes the probe that is due without a claim.
+    pub fn note_unclaimed_probe(&self, content: CallContent) {
+        self.watch().note_unclaimed_probe(content, Instant::now());
+    }
+
     /// How `content` is held back; `None` when it is not.
     pub fn held(&self, content: CallContent) -> Option<HeldContent> {
         self.watch().held(content, Instant::now())
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -244,6 +244,19 @@
     assert!(matches!(watch.admit(CONTENT, due + ms(2000)), ContentVerdict::ProbeDue(_)));
 }
 
+/// The store is away, and the first of the gateways makes the first probe without
+/// a claim: the next is due after the longer wait.
+#[test]
+fn a_probe_without_a_claim_is_counted() {
+    let begun = Instant::now();
+    let mut watch = holding(begun);
+    let due = begun + FIRST_WAIT;
+    assert!(matches!(watch.admit(CONTENT, due), ContentVerdict::ProbeDue(_)));
+    watch.note_unclaimed_probe(CONTENT, due);
+    let held = watch.held(CONTENT, due).expect("held back");
+    assert_eq!((held.probes, held.left), (1, Duration::from_secs(6)));
+}
+
 /// A request that ends servers comes each second, for good. In its first hour no
 /// more than three further servers may end under it, later than three seconds
 /// after the third.
