A probe whose claim's answer is lost, or that told nothing, is made all the same

The row names the process that has claimed, which makes the probe once it reads that; a probe that ended no server and was not answered is made again, three times at most. The others are told of a whole answer that clears a content at once.

--- a/crates/gateway/src/belief/content_verdict.rs
+++ b/crates/gateway/src/belief/content_verdict.rs
@@ -29,6 +29,8 @@
     /// One request may find out whether servers still end under it, once its
     /// gateway has claimed that in the store.
     ProbeDue(HeldContent),
+    /// The same, and this gateway has claimed it already.
+    Probe(HeldContent),
 }
 
 /// What has changed for a content.
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -66,6 +66,7 @@
         incarnation: ServerIncarnation,
         now: Instant,
     ) -> Option<ContentChange> {
+        self.change_quarantine(content, Quarantine::spend_probe);
         let end = self.ended.entry(incarnation).or_insert(ServerEnd { at: now, broke_at: now });
         if end.is_outage(now) {
             return None;
@@ -123,12 +124,14 @@
         }
     }
 
-    /// The store holds a row of a content that is held back.
+    /// The store holds a row of a content that is held back. `is_own` says that
+    /// this gateway wrote it to claim a probe.
     pub fn note_row(
         &mut self,
         content: CallContent,
         probes: u32,
         version: StoreVersion,
+        is_own: bool,
         now: Instant,
     ) -> Option<ContentChange> {
         let record = self.records.entry(content);
@@ -143,7 +146,8 @@
             return None;
         }
         let record = self.records.entry(content);
-        record.quarantine = Some(Quarantine::new(probes, version, now));
+        let before_or_new = before.unwrap_or(Quarantine::new(probes, version, now));
+        record.quarantine = Some(before_or_new.renewed(probes, version, is_own, now));
         self.excuse_others(now);
         before.is_none().then_some(ContentChange::HeldBack)
     }
@@ -178,22 +182,43 @@
     /// this request alone for a while.
     pub fn admit(&mut self, content: CallContent, now: Instant) -> ContentVerdict {
         let Some(held) = self.held(content, now) else { return ContentVerdict::Admitted };
+        let record = self.records.get_mut(content);
+        let quarantine = record.and_then(|record| record.quarantine.as_mut());
+        let Some(quarantine) = quarantine else { return ContentVerdict::Admitted };
+        if quarantine.may_probe(now) {
+            quarantine.begin_probe();
+            return ContentVerdict::Probe(held);
+        }
         if !held.left.is_zero() {
             return ContentVerdict::HeldBack(held);
         }
+        quarantine.begin_claim(now);
+        ContentVerdict::ProbeDue(held)
+    }
+
+    /// The probe of `content` that this gateway has claimed goes out.
+    pub fn begin_probe(&mut self, content: CallContent) {
+        self.change_quarantine(content, Quarantine::begin_probe);
+    }
+
+    /// The request that was the probe is over, whatever came of it.
+    pub fn end_probe(&mut self, content: CallContent, now: Instant) {
+        self.change_quarantine(content, |quarantine| quarantine.end_probe(now));
+    }
+
+    fn change_quarantine(&mut self, content: CallContent, change: impl FnOnce(&mut Quarantine)) {
         let record = self.records.get_mut(content);
         if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
-            quarantine.begin_claim(now);
+            change(quarantine);
         }
-        ContentVerdict::ProbeDue(held)
     }
 
     /// This gateway makes the probe that is due without a claim.
     pub fn note_unclaimed_probe(&mut self, content: CallContent, now: Instant) {
-        let record = self.records.get_mut(content);
-        if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
+        self.change_quarantine(content, |quarantine| {
             *quarantine = Quarantine::new(quarantine.probes + 1, quarantine.version, now);
-        }
+            quarantine.begin_probe();
+        });
     }
 
     /// How `content` is held back; `None` when it is not.
--- a/crates/gateway/src/belief/quarantine.rs
+++ b/crates/gateway/src/belief/quarantine.rs
@@ -14,12 +14,17 @@
 const WAITS: [Duration; 5] = [
     Duration::from_millis(1500),
     Duration::from_secs(6),
-    Duration::from_secs(60),
+    Duration::from_secs(20),
     Duration::from_secs(600),
     Duration::from_secs(7200),
 ];
 /// A claim of the probe is settled within this, or has failed.
 const CLAIM_TIME: Duration = Duration::from_secs(2);
+/// The pause until a probe that told nothing is made again.
+const AGAIN_PAUSE: Duration = Duration::from_secs(1);
+/// How often a probe that told nothing is made again: its servers were full, or
+/// could not be reached.
+const MOST_AGAIN: u32 = 3;
 /// How long beyond its wait a content that nobody asks for is held back.
 const UNASKED_TIME: Duration = Duration::from_secs(600);
 
@@ -29,6 +34,17 @@
     WAITS[place]
 }
 
+/// Whether this gateway may make a probe that it has claimed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeRight {
+    /// It has claimed none, or made it.
+    None,
+    /// It may, and has made it so often in vain.
+    Unspent(u32),
+    /// A request is out.
+    Out(u32),
+}
+
 /// A content that is held back, until a request of it is answered whole.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Quarantine {
@@ -39,12 +55,51 @@
     /// The version of its row in the store; 0 while there is none.
     pub version: StoreVersion,
     claimed_until: Option<Instant>,
+    right: ProbeRight,
 }
 
 impl Quarantine {
     /// One that begins at `since`.
     pub fn new(probes: u32, version: StoreVersion, since: Instant) -> Self {
-        Quarantine { probes, since, version, claimed_until: None }
+        Quarantine { probes, since, version, claimed_until: None, right: ProbeRight::None }
+    }
+
+    /// The store's row has `version` now, of which this gateway has claimed the
+    /// probe if `is_own`.
+    ///
+    /// Guards against a probe that nobody makes, since the answer to its claim
+    /// was lost: it is made once the claim's own request has been refused.
+    pub fn renewed(self, probes: u32, version: StoreVersion, is_own: bool, now: Instant) -> Self {
+        let right = if is_own { ProbeRight::Unspent(0) } else { ProbeRight::None };
+        Quarantine { probes, since: now, version, right, ..self }
+    }
+
+    /// True when a request may go out as the probe that this gateway has claimed.
+    pub fn may_probe(&self, now: Instant) -> bool {
+        let is_claiming = self.claimed_until.is_some_and(|until| now < until);
+        matches!(self.right, ProbeRight::Unspent(_)) && !is_claiming
+    }
+
+    /// A request goes out as the probe.
+    pub fn begin_probe(&mut self) {
+        let tries = if let ProbeRight::Unspent(tries) = self.right { tries } else { 0 };
+        self.right = ProbeRight::Out(tries);
+    }
+
+    /// The probe has ended a server.
+    pub fn spend_probe(&mut self) {
+        self.right = ProbeRight::None;
+    }
+
+    /// The request that was the probe is over. One that told nothing is made
+    /// again a little later.
+    pub fn end_probe(&mut self, now: Instant) {
+        let ProbeRight::Out(tries) = self.right else { return };
+        self.right = ProbeRight::None;
+        if tries < MOST_AGAIN {
+            self.right = ProbeRight::Unspent(tries + 1);
+            self.claimed_until = Some(now + AGAIN_PAUSE);
+        }
     }
 
     /// From `now` until a probe may be claimed; zero from then on.
--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -9,6 +9,7 @@
 use super::GatewayBody;
 use super::Refusal;
 use super::attempts::Attempts;
+use super::probe_guard::ProbeGuard;
 use super::refuse::refuse_call;
 use crate::belief::ContentVerdict;
 use crate::belief::HeldContent;
@@ -29,11 +30,9 @@
     let (held, outcome) = match state.quarantines.admit(call.content) {
         ContentVerdict::Admitted => return Ok(Attempts::default()),
         ContentVerdict::HeldBack(held) => (held, "refused".to_owned()),
+        ContentVerdict::Probe(held) => return Ok(probe(state, call, held)),
         ContentVerdict::ProbeDue(held) => match claim_probe::<C>(state, call.content, held).await {
-            Ok(true) => {
-                log_held(call, held, 0, "let through to find out");
-                return Ok(Attempts::probe());
-            }
+            Ok(true) => return Ok(probe(state, call, held)),
             Ok(false) => (held, "refused; another gateway finds out".to_owned()),
             Err(error) => (held, format!("refused; probe not claimed: {error}")),
         },
@@ -42,6 +41,12 @@
     Err(refuse_call(call, Refusal::Quarantined, Some(retry_after(held)), 0))
 }
 
+/// The sends of the one request that is let through.
+fn probe(state: &Arc<GatewayState>, call: &Call, held: HeldContent) -> Attempts {
+    log_held(call, held, 0, "let through to find out");
+    Attempts::probe(ProbeGuard::new(state, call.content))
+}
+
 /// When a caller of what is held back may come back.
 pub(super) fn retry_after(held: HeldContent) -> Duration {
     held.left.max(LEAST_RETRY)
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -6,6 +6,7 @@
 
 use super::Call;
 use super::admit::log_held;
+use super::probe_guard::ProbeGuard;
 use super::send_permit::SendPermit;
 use crate::belief::HeldContent;
 use crate::belief::RetryUse;
@@ -34,15 +35,15 @@
     unsent: u32,
     /// True once a server was asked to read the prompt.
     has_sent_prompt: bool,
-    /// True for a request that is let through to find out whether servers end
+    /// Set for a request that is let through to find out whether servers end
     /// under it: it reaches one server, once.
-    is_probe: bool,
+    probe: Option<ProbeGuard>,
 }
 
 impl Attempts {
     /// Those of a probe.
-    pub fn probe() -> Self {
-        Attempts { is_probe: true, ..Attempts::default() }
+    pub fn probe(guard: ProbeGuard) -> Self {
+        Attempts { probe: Some(guard), ..Attempts::default() }
     }
 
     /// How `call` is held back; `None` for a probe's only send.
@@ -51,7 +52,7 @@
     /// out to end servers: it waits in line, it is sent again, its stream goes
     /// on elsewhere, or it is hedged. All sends ask here first.
     pub fn held_back(&self, state: &GatewayState, call: &Call) -> Option<HeldContent> {
-        if self.is_probe && self.sends == 0 {
+        if self.probe.is_some() && self.sends == 0 {
             return None;
         }
         state.quarantines.held(call.content)
@@ -98,7 +99,7 @@
     /// freely, again only to help, within the retry allowance. A probe's is read
     /// by the server that answers it.
     pub fn permit_prompt(&mut self, state: &Arc<GatewayState>, call: &Call) -> Option<SendPermit> {
-        if self.is_probe || self.held_back(state, call).is_some() {
+        if self.probe.is_some() || self.held_back(state, call).is_some() {
             return None;
         }
         if std::mem::replace(&mut self.has_sent_prompt, true) {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod plain_run;
 mod prefill_step;
+mod probe_guard;
 mod refuse;
 mod relay;
 mod room_wait;
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -246,7 +246,7 @@
     let is_error = parts.status.is_server_error();
     state.note_outcome(target, if is_error { ServerOutcome::Erred } else { ServerOutcome::Fine });
     if !is_error && is_delimited(&parts.headers) {
-        state.quarantines.note_whole(call.content, target);
+        state.note_whole(call.content, target);
     }
     if !reply.head.closes {
         state.pool.keep(target, reply.connection, reply.head.keep_alive, Instant::now());
--- /dev/null
+++ b/crates/gateway/src/forward/probe_guard.rs
@@ -0,0 +1,26 @@
+//! A request that finds out whether servers still end under its content.
+
+use std::sync::Arc;
+
+use crate::model::CallContent;
+use crate::state::GatewayState;
+
+/// Tells when the request is over, however it ends.
+#[derive(Debug)]
+pub struct ProbeGuard {
+    state: Arc<GatewayState>,
+    content: CallContent,
+}
+
+impl ProbeGuard {
+    /// A request of `content` goes out as a probe.
+    pub fn new(state: &Arc<GatewayState>, content: CallContent) -> Self {
+        ProbeGuard { state: Arc::clone(state), content }
+    }
+}
+
+impl Drop for ProbeGuard {
+    fn drop(&mut self) {
+        self.state.quarantines.end_probe(self.content);
+    }
+}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -231,7 +231,7 @@
         });
         self.state.note_outcome(&stream.target, ServerOutcome::Fine);
         if stream.is_delimited {
-            self.state.quarantines.note_whole(self.call.content, &stream.target);
+            self.state.note_whole(self.call.content, &stream.target);
         }
         if let Some(connection) = stream.connection {
             let target = &stream.target;
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -17,8 +17,8 @@
 ///
 /// Guards against a probe at each of hundreds of gateways, each of which may end
 /// a server: who changes the row from the version known to all has claimed the
-/// probe, and the others count the wait anew. A claim whose answer is lost is
-/// not used.
+/// probe, and the others count the wait anew. A claim whose answer is lost shows
+/// by its row later, and is used then.
 ///
 /// The first probe is made without a claim while the store is away, by the first
 /// of the gateways that hear each other: sound requests held back in the company
@@ -30,11 +30,12 @@
 ) -> Result<bool, FollowError> {
     let mut client = StoreClient::<C>::new(state.settings.store);
     let probes = held.probes + 1;
-    let row = QuarantineRow { probes }.encode();
+    let row = QuarantineRow { probes, claimed_by: state.quarantines.claimant };
     let key = content_key(content);
-    match client.claim(StoreTable::Quarantines, &key, &row, held.version).await {
+    match client.claim(StoreTable::Quarantines, &key, &row.encode(), held.version).await {
         Ok(Some(version)) => {
-            state.quarantines.note_row(content, probes, version);
+            state.quarantines.note_row(content, row, version);
+            state.quarantines.begin_probe(content);
             Ok(true)
         }
         Ok(None) => Ok(false),
--- a/crates/gateway/src/quarantine/quarantine_row.rs
+++ b/crates/gateway/src/quarantine/quarantine_row.rs
@@ -10,6 +10,8 @@
 pub struct QuarantineRow {
     /// Requests that were let through to find out more.
     pub probes: u32,
+    /// The process that has claimed the last of them; 0 while there is none.
+    pub claimed_by: u64,
 }
 
 impl QuarantineRow {
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -8,6 +8,7 @@
 
 use event_listener::Event;
 
+use super::QuarantineRow;
 use super::content_key;
 use crate::belief::ContentChange;
 use crate::belief::ContentVerdict;
@@ -28,6 +29,9 @@
     pub rows_due: Event,
     /// True once the store's rows have been read.
     is_read: AtomicBool,
+    /// Names this process in the rows that it writes to claim a probe; drawn, as
+    /// a process that starts again has claimed nothing.
+    pub claimant: u64,
 }
 
 impl Quarantines {
@@ -37,6 +41,7 @@
             watch: Mutex::new(CrashWatch::new(begun)),
             rows_due: Event::new(),
             is_read: AtomicBool::new(false),
+            claimant: fastrand::u64(1..),
         }
     }
 
@@ -62,10 +67,11 @@
         self.log_change(content, change, "own")
     }
 
-    /// A request of `content` was answered whole by `target`.
-    pub fn note_whole(&self, content: CallContent, target: &SendTarget) {
+    /// A request of `content` was answered whole by `target`; true when that
+    /// changes what is held back.
+    pub fn note_whole(&self, content: CallContent, target: &SendTarget) -> bool {
         let change = self.watch().note_whole(content, target.incarnation, Instant::now());
-        self.log_change(content, change, "own");
+        self.log_change(content, change, "own")
     }
 
     /// Takes in what another gateway tells; true when that changes what is held
@@ -76,8 +82,14 @@
     }
 
     /// Takes in a content's row; true when that changes what is held back.
-    pub fn note_row(&self, content: CallContent, probes: u32, version: StoreVersion) -> bool {
-        let change = self.watch().note_row(content, probes, version, Instant::now());
+    pub fn note_row(
+        &self,
+        content: CallContent,
+        row: QuarantineRow,
+        version: StoreVersion,
+    ) -> bool {
+        let is_own = row.claimed_by == self.claimant;
+        let change = self.watch().note_row(content, row.probes, version, is_own, Instant::now());
         self.log_change(content, change, "store")
     }
 
@@ -111,6 +123,16 @@
         self.watch().admit(content, now)
     }
 
+    /// The probe of `content` that this gateway has claimed goes out.
+    pub fn begin_probe(&self, content: CallContent) {
+        self.watch().begin_probe(content);
+    }
+
+    /// The request that was the probe is over.
+    pub fn end_probe(&self, content: CallContent) {
+        self.watch().end_probe(content, Instant::now());
+    }
+
     /// This gateway makes the probe that is due without a claim.
     pub fn note_unclaimed_probe(&self, content: CallContent) {
         self.watch().note_unclaimed_probe(content, Instant::now());
--- a/crates/gateway/src/quarantine/row_keeper.rs
+++ b/crates/gateway/src/quarantine/row_keeper.rs
@@ -64,11 +64,11 @@
 ) -> Result<bool, FollowError> {
     let held = state.quarantines.held(content).filter(|held| held.version == 0);
     let Some(held) = held else { return Ok(false) };
-    let row = QuarantineRow { probes: held.probes };
+    let row = QuarantineRow { probes: held.probes, claimed_by: 0 };
     let key = content_key(content);
     let written = client.claim(StoreTable::Quarantines, &key, &row.encode(), 0).await?;
     if let Some(version) = written {
-        state.quarantines.note_row(content, held.probes, version);
+        state.quarantines.note_row(content, row, version);
     }
     Ok(written.is_some())
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -277,6 +277,14 @@
         }
     }
 
+    /// A request of `content` was answered whole by `target`.
+    pub fn note_whole(&self, content: CallContent, target: &SendTarget) {
+        if self.quarantines.note_whole(content, target) {
+            // The others hold it back until they are told.
+            self.work_changed.notify(1);
+        }
+    }
+
     /// A send of a request broke at `target`, which may have ended under it.
     pub fn note_crash(&self, request_id: &str, content: CallContent, target: &SendTarget) {
         if self.quarantines.note_crash(request_id, content, target) {
--- a/crates/gateway/src/store/quarantine_sink.rs
+++ b/crates/gateway/src/store/quarantine_sink.rs
@@ -40,7 +40,7 @@
             RowValue::Unreadable(problem) => log_unreadable(StoreTable::Quarantines, row, problem),
             RowValue::Held(value) => match postcard::from_bytes::<QuarantineRow>(value) {
                 Ok(held) => {
-                    if self.state.quarantines.note_row(content, held.probes, row.version) {
+                    if self.state.quarantines.note_row(content, held, row.version) {
                         self.state.room.notify(usize::MAX);
                     }
                 }
--- a/crates/gateway/tests/crash_spread.rs
+++ b/crates/gateway/tests/crash_spread.rs
@@ -148,14 +148,15 @@
     fn ask(&mut self, now: Instant) {
         let gateway = self.draw.usize(..self.watches.len());
         match self.watches[gateway].admit(FATAL, now) {
-            ContentVerdict::Admitted => {}
+            ContentVerdict::Admitted | ContentVerdict::Probe(_) => {}
             ContentVerdict::HeldBack(_) => return,
             ContentVerdict::ProbeDue(held) => {
                 if !self.case.has_store || held.version != self.version {
                     return;
                 }
                 self.version += 1;
-                self.watches[gateway].note_row(FATAL, held.probes + 1, self.version, now);
+                self.watches[gateway].note_row(FATAL, held.probes + 1, self.version, true, now);
+                self.watches[gateway].begin_probe(FATAL);
                 self.feed(held.probes + 1, now);
             }
         }
@@ -220,7 +221,7 @@
             match mail {
                 Mail::News(news) => drop(self.watches[to].hear(news, now)),
                 Mail::Row { probes, version } => {
-                    self.watches[to].note_row(FATAL, probes, version, now);
+                    self.watches[to].note_row(FATAL, probes, version, false, now);
                 }
             }
         }
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -48,7 +48,7 @@
             Step::Works(server) => drop(watch.note_whole(OTHER, server, now)),
             Step::Whole => drop(watch.note_whole(CONTENT, ELSEWHERE, now)),
             Step::HeardWhole(age) => hear(watch, SendOutcome::Whole, age),
-            Step::Row(version) => drop(watch.note_row(CONTENT, 0, version, now)),
+            Step::Row(version) => drop(watch.note_row(CONTENT, 0, version, false, now)),
             Step::NoRow(version) => drop(watch.note_no_row(CONTENT, version, now)),
         }
     }
@@ -218,7 +218,7 @@
     let begun = Instant::now();
     let mut watch = holding(begun);
     assert_eq!(watch.take_row_changes(), [RowChange::Write(CONTENT)]);
-    watch.note_row(CONTENT, 0, 11, begun);
+    watch.note_row(CONTENT, 0, 11, false, begun);
     let before = begun + FIRST_WAIT - ms(1);
     assert!(matches!(watch.admit(CONTENT, before), ContentVerdict::HeldBack(_)));
     let due = begun + FIRST_WAIT;
@@ -226,7 +226,7 @@
         matches!(watch.admit(CONTENT, due), ContentVerdict::ProbeDue(held) if held.version == 11)
     );
     assert!(matches!(watch.admit(CONTENT, due), ContentVerdict::HeldBack(_)), "one at a time");
-    watch.note_row(CONTENT, 1, 12, due);
+    watch.note_row(CONTENT, 1, 12, true, due);
     watch.note_whole(CONTENT, ELSEWHERE, due + ms(50));
     assert_eq!(watch.admit(CONTENT, due + ms(50)), ContentVerdict::Admitted);
     assert_eq!(watch.take_row_changes(), [RowChange::Remove(CONTENT, 12)]);
@@ -257,6 +257,46 @@
     assert_eq!((held.probes, held.left), (1, Duration::from_secs(6)));
 }
 
+/// A gateway claims the probe, and the answer is lost: its own request is refused.
+/// The row shows later whose claim was taken; without that nobody would make the
+/// probe until the next, longer wait is over.
+#[test]
+fn a_claim_whose_answer_is_lost_is_used_later() {
+    let begun = Instant::now();
+    let mut watch = holding(begun);
+    watch.note_row(CONTENT, 0, 11, false, begun);
+    let due = begun + FIRST_WAIT;
+    assert!(matches!(watch.admit(CONTENT, due), ContentVerdict::ProbeDue(_)));
+    watch.note_row(CONTENT, 1, 12, true, due + ms(20));
+    assert!(matches!(watch.admit(CONTENT, due + ms(30)), ContentVerdict::HeldBack(_)));
+    let settled = due + ms(2000);
+    assert!(matches!(watch.admit(CONTENT, settled), ContentVerdict::Probe(_)));
+    assert!(matches!(watch.admit(CONTENT, settled), ContentVerdict::HeldBack(_)), "one at a time");
+}
+
+/// A probe finds no server, or a full one. It is made again a second later, a few
+/// times; one that ends a server is not.
+#[test]
+fn a_probe_that_told_nothing_is_made_again() {
+    let begun = Instant::now();
+    for ends_server in [false, true] {
+        let mut watch = holding(begun);
+        watch.note_row(CONTENT, 1, 12, true, begun);
+        let mut probes = 0;
+        for tick in 0..50 {
+            let now = begun + ms(tick * 100);
+            if matches!(watch.admit(CONTENT, now), ContentVerdict::Probe(_)) {
+                probes += 1;
+                if ends_server {
+                    watch.note_crash(CONTENT, 50, now);
+                }
+                watch.end_probe(CONTENT, now);
+            }
+        }
+        assert_eq!(probes, if ends_server { 1 } else { 4 }, "ends a server: {ends_server}");
+    }
+}
+
 /// A request that ends servers comes each second, for good. In its first hour no
 /// more than three further servers may end under it, later than three seconds
 /// after the third.
@@ -270,7 +310,8 @@
         watch.tick(false, now);
         if let ContentVerdict::ProbeDue(held) = watch.admit(CONTENT, now) {
             probes += u32::from(second > 3);
-            watch.note_row(CONTENT, held.probes + 1, 100 + second, now);
+            watch.note_row(CONTENT, held.probes + 1, 100 + second, true, now);
+            watch.begin_probe(CONTENT);
             watch.note_crash(CONTENT, 100 + second, now + ms(50));
         }
     }
@@ -285,7 +326,7 @@
     for removes_rows in [false, true] {
         let mut watch = holding(begun);
         watch.take_row_changes();
-        watch.note_row(CONTENT, 0, 11, begun);
+        watch.note_row(CONTENT, 0, 11, false, begun);
         assert!(watch.tick(removes_rows, begun + Duration::from_secs(300)).is_empty());
         let later = begun + Duration::from_secs(610);
         assert_eq!(watch.tick(removes_rows, later), [CONTENT]);
