--- a/crates/gateway/src/belief/content_record.rs
+++ b/crates/gateway/src/belief/content_record.rs
@@ -1,4 +1,4 @@
-//! What is known of one content under which servers have ended.
+//! What is known of one content under which servers have crashed.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -9,45 +9,45 @@
 use super::CrashId;
 use super::quarantine::Quarantine;
 
-/// Ends of servers, none of them followed by a whole answer, after which a
+/// Server crashes, none of them followed by a whole answer, after which a
 /// content is held back.
 const CRASHES_TO_HOLD: usize = 3;
 /// Ends remembered of one content; beyond that the oldest go. Where many servers
-/// end in one moment, one end of an earlier moment may be forgotten.
+/// crash in one moment, a crash of an earlier moment may be forgotten.
 const MOST_CRASHES: usize = 6;
-/// Ends of servers in the company of contents held back that do not count.
+/// Server crashes in the company of contents held back that do not count.
 const MOST_EXCUSED: usize = 1;
-/// Sends that break at one server within this broke by one end of it: no
+/// Sends that break at one server within this broke by one crash of it: no
 /// server is back sooner. Reports of it come within this too.
-pub(super) const SAME_END: Duration = Duration::from_secs(1);
+pub(super) const SAME_CRASH: Duration = Duration::from_secs(1);
 /// How long a whole answer speaks for a content.
 const PROOF_LIFE: Duration = Duration::from_secs(60);
-/// How long ends of servers without a whole answer since are remembered.
+/// How long server crashes without a whole answer since are remembered.
 const CRASH_LIFE: Duration = Duration::from_secs(600);
 
 /// One content's record.
 #[derive(Debug, Default)]
 pub(super) struct ContentRecord {
-    /// Ends of servers under it, oldest first. Invariant: none before `whole_at`.
+    /// Server crashes under it, oldest first. Invariant: none before `whole_at`.
     crashes: SmallVec<[(CrashId, Instant); CRASHES_TO_HOLD]>,
     /// When it was answered whole last, as far as known.
     whole_at: Option<Instant>,
-    /// True when this gateway saw one of the ends itself.
+    /// True when this gateway saw one of the crashes itself.
     pub has_own: bool,
     pub quarantine: Option<Quarantine>,
 }
 
 impl ContentRecord {
-    /// A send broke at the start `incarnation` of a server; the end's id, or
-    /// `None` when that end is known.
+    /// A send broke at the start `incarnation` of a server; the crash's id, or
+    /// `None` when that crash is known.
     ///
-    /// A server may end twice under one id before its new start is registered:
-    /// the second end has an id of its own.
+    /// A server may crash twice under one id before its new start is registered:
+    /// the second crash has an id of its own.
     pub fn note_own(&mut self, incarnation: CrashId, now: Instant) -> Option<CrashId> {
         self.has_own = true;
         let mut id = incarnation;
         while let Some((_, at)) = self.crashes.iter().find(|(known, _)| *known == id) {
-            if now.saturating_duration_since(*at) < SAME_END {
+            if now.saturating_duration_since(*at) < SAME_CRASH {
                 return None;
             }
             id = umberglade_wire::digest_seeded(b"again", id);
@@ -56,7 +56,7 @@
         Some(id)
     }
 
-    /// Another gateway saw the end `id` at `at`; false when that says nothing
+    /// Another gateway saw the crash `id` at `at`; false when that says nothing
     /// new.
     pub fn note_heard(&mut self, id: CrashId, at: Instant) -> bool {
         let is_known = self.crashes.iter().any(|(known, _)| *known == id);
@@ -75,12 +75,12 @@
         }
     }
 
-    /// The ends of servers under it.
+    /// The server crashes under it.
     pub fn crash_ids(&self) -> impl Iterator<Item = CrashId> {
         self.crashes.iter().map(|(id, _)| *id)
     }
 
-    /// Takes back the ends of servers that other contents explain; false when it
+    /// Takes back the server crashes that other contents explain; false when it
     /// shares so many with them that it may as well be the fatal one, unless it
     /// was answered whole lately.
     ///
@@ -95,7 +95,7 @@
         true
     }
 
-    /// It was answered whole at `at`: servers do not end under it.
+    /// It was answered whole at `at`: servers do not crash under it.
     pub fn note_whole(&mut self, at: Instant) {
         let at = self.whole_at.map_or(at, |known| known.max(at));
         self.whole_at = Some(at);
@@ -103,7 +103,7 @@
         self.has_own &= !self.crashes.is_empty();
     }
 
-    /// Ends of servers since it was last answered whole.
+    /// Server crashes since it was last answered whole.
     pub fn crashes(&self) -> usize {
         self.crashes.len()
     }
@@ -113,19 +113,19 @@
         self.whole_at.is_some_and(|at| age(at) < PROOF_LIFE)
     }
 
-    /// True when servers end under it for all that is known.
+    /// True when servers crash under it for all that is known.
     ///
     /// Guards against holding back a popular request: of those there is one at
     /// each server at any time, and three servers that lose their power in the
-    /// same moment end under it. Of a content that was answered whole in the
+    /// same moment crash under it. Of a content that was answered whole in the
     /// last minute the moments count, not the servers, and the answers between
     /// two of them clear it.
     ///
-    /// Only ends later than `since` count, where it is set.
+    /// Only crashes later than `since` count, where it is set.
     pub fn is_suspect(&self, since: Option<Instant>, now: Instant) -> bool {
         let counted = || {
-            let ends = self.crashes.iter().map(|(_, at)| *at);
-            ends.filter(|at| since.is_none_or(|since| *at >= since))
+            let times = self.crashes.iter().map(|(_, at)| *at);
+            times.filter(|at| since.is_none_or(|since| *at >= since))
         };
         let count = if self.is_proven(now) { moments(counted()) } else { counted().count() };
         count >= CRASHES_TO_HOLD
@@ -140,19 +140,19 @@
     }
 
     /// How much would be lost by forgetting it, to compare: whether it is held
-    /// back, how many servers ended, and how long ago.
+    /// back, how many servers crashed, and how long ago.
     pub fn weight(&self) -> (bool, usize, Option<Instant>) {
         let newest = self.crashes.last().map(|(_, at)| *at);
         (self.quarantine.is_some(), self.crashes.len(), newest)
     }
 }
 
-/// Moments among `ends`, oldest first, that are [`SAME_END`] apart.
-fn moments(ends: impl Iterator<Item = Instant>) -> usize {
+/// Moments among `crashes`, oldest first, that are [`SAME_CRASH`] apart.
+fn moments(crashes: impl Iterator<Item = Instant>) -> usize {
     let mut count = 0;
     let mut last: Option<Instant> = None;
-    for at in ends {
-        if last.is_none_or(|last| at.saturating_duration_since(last) >= SAME_END) {
+    for at in crashes {
+        if last.is_none_or(|last| at.saturating_duration_since(last) >= SAME_CRASH) {
             count += 1;
             last = Some(at);
         }
--- a/crates/gateway/src/belief/content_records.rs
+++ b/crates/gateway/src/belief/content_records.rs
@@ -1,4 +1,4 @@
-//! The records of all contents under which servers have ended.
+//! The records of all contents under which servers have crashed.
 
 use std::time::Instant;
 
@@ -10,16 +10,16 @@
 use crate::model::CallContent;
 
 /// Contents remembered at most, some 250 bytes each: those on a hundred servers
-/// that end in one moment. Beyond that the least telling go.
+/// that crash in one moment. Beyond that the least telling go.
 const MOST_RECORDS: usize = 1024;
 
-/// Records by content, and which ends of servers the contents held back explain.
+/// Records by content, and which server crashes the contents held back explain.
 #[derive(Debug, Default)]
 pub(super) struct ContentRecords {
     /// Invariant: at most [`MOST_RECORDS`].
     records: FxHashMap<CallContent, ContentRecord>,
-    /// Invariant: after [`note_explained`](Self::note_explained), the ends of
-    /// servers under contents that are held back.
+    /// Invariant: after [`note_explained`](Self::note_explained), the server
+    /// crashes under contents that are held back.
     explained: FxHashSet<CrashId>,
 }
 
@@ -73,18 +73,18 @@
         self.records.len()
     }
 
-    /// What is held back, or the ends of servers under it, has changed.
+    /// What is held back, or the server crashes under it, has changed.
     pub fn note_explained(&mut self) {
         let held = self.records.values().filter(|record| record.quarantine.is_some());
         self.explained = held.flat_map(ContentRecord::crash_ids).collect();
     }
 
-    /// True when the end `id` of a server, noted for `content`, is that of
+    /// True when the crash `id` of a server, noted for `content`, is that of
     /// another content, which is held back; it is taken back then.
     ///
     /// Guards against sound requests that are held back in the company of fatal
     /// ones: a stream that goes on at the next server may be there when that one
-    /// ends too.
+    /// crashes too.
     pub fn is_explained(&mut self, content: CallContent, id: CrashId, now: Instant) -> bool {
         if !self.explained.contains(&id) {
             return false;
@@ -95,9 +95,9 @@
         })
     }
 
-    /// Takes the ends of servers under contents held back out of the records of
+    /// Takes the server crashes under contents held back out of the records of
     /// the others; what was taken out.
-    pub fn excuse_others(&mut self, now: Instant) -> ExcusedEnds<'_> {
+    pub fn excuse_others(&mut self, now: Instant) -> ExcusedCrashes<'_> {
         self.note_explained();
         let mut contents = FxHashSet::default();
         for (content, record) in &mut self.records {
@@ -105,19 +105,19 @@
                 contents.insert(*content);
             }
         }
-        ExcusedEnds { contents, explained: &self.explained }
+        ExcusedCrashes { contents, explained: &self.explained }
     }
 }
 
-/// Ends of servers that no longer count for some contents.
+/// Server crashes that no longer count for some contents.
 #[derive(Debug)]
-pub(super) struct ExcusedEnds<'a> {
+pub(super) struct ExcusedCrashes<'a> {
     contents: FxHashSet<CallContent>,
     explained: &'a FxHashSet<CrashId>,
 }
 
-impl ExcusedEnds<'_> {
-    /// True when the end `id` no longer counts for `content`.
+impl ExcusedCrashes<'_> {
+    /// True when the crash `id` no longer counts for `content`.
     pub fn contains(&self, content: CallContent, id: CrashId) -> bool {
         self.explained.contains(&id) && self.contents.contains(&content)
     }
--- a/crates/gateway/src/belief/content_verdict.rs
+++ b/crates/gateway/src/belief/content_verdict.rs
@@ -9,7 +9,7 @@
 /// A content that is held back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeldContent {
-    /// Ends of servers that are remembered of it.
+    /// Server crashes that are remembered of it.
     pub crashes: usize,
     /// Requests of it that were let through to find out more.
     pub probes: u32,
@@ -26,7 +26,7 @@
 pub enum ContentVerdict {
     Admitted,
     HeldBack(HeldContent),
-    /// One request may find out whether servers still end under it, once its
+    /// One request may find out whether servers still crash under it, once its
     /// gateway has claimed that in the store.
     ProbeDue(HeldContent),
     /// The same, and this gateway has claimed it already.
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -1,4 +1,4 @@
-//! Which requests end the servers that run them, and may run no more.
+//! Which requests crash the servers that run them, and may run no more.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -11,17 +11,18 @@
 use super::OutcomeNews;
 use super::RowChange;
 use super::SendOutcome;
+use super::broken_start::BrokenStart;
 use super::content_record::ContentRecord;
 use super::content_records::ContentRecords;
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
 use super::recent_whole::RecentWhole;
-use super::server_end::ServerEnd;
+
 use crate::model::CallContent;
 use crate::model::ServerIncarnation;
 use crate::model::StoreVersion;
 
-/// An answer that is known to be earlier than an end counts as this much
+/// An answer that is known to be earlier than a crash counts as this much
 /// earlier.
 const JUST_BEFORE: Duration = Duration::from_millis(1);
 /// Within this all gateways heard have told what they still tell.
@@ -31,12 +32,12 @@
 /// Rows that wait to be written or removed at most.
 const MOST_ROW_CHANGES: usize = 64;
 
-/// Contents under which servers have ended (poison requests).
+/// Contents under which servers have crashed (poison requests).
 ///
-/// Guards against one request that ends server after server: under new ids it
+/// Guards against one request that crashes server after server: under new ids it
 /// comes at any gateway, each time as a first send. By its content it is the
 /// same request. Gateways tell each other under which content their sends broke;
-/// one under which three servers ended, with no whole answer between, is held
+/// one under which three servers crashed, with no whole answer between, is held
 /// back by all, and the store holds that for gateways to come. It stays so until
 /// a request of it is answered whole: one that is on its way, or a probe, of
 /// which there is one at a time.
@@ -45,9 +46,9 @@
     /// When the gateway began to hear the others; `None` for long ago.
     begun: Option<Instant>,
     records: ContentRecords,
-    /// Starts of servers that have ended, for all that is known, and have
-    /// answered nothing since.
-    ended: FxHashMap<ServerIncarnation, ServerEnd>,
+    /// Starts of servers at which a send broke and that have answered nothing
+    /// since.
+    broken: FxHashMap<ServerIncarnation, BrokenStart>,
     recent: RecentWhole,
     log: OutcomeLog,
     row_changes: Vec<RowChange>,
@@ -67,8 +68,9 @@
         now: Instant,
     ) -> Option<ContentChange> {
         self.change_quarantine(content, Quarantine::spend_probe);
-        let end = self.ended.entry(incarnation).or_insert(ServerEnd { at: now, broke_at: now });
-        if end.is_outage(now) {
+        let start =
+            self.broken.entry(incarnation).or_insert(BrokenStart { at: now, broke_at: now });
+        if start.is_outage(now) {
             return None;
         }
         let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
@@ -87,7 +89,7 @@
         incarnation: ServerIncarnation,
         now: Instant,
     ) -> Option<ContentChange> {
-        self.ended.remove(&incarnation);
+        self.broken.remove(&incarnation);
         self.recent.note(content, now);
         let record = self.records.get_mut(content)?;
         if record.crashes() > 0 || record.quarantine.is_some() {
@@ -234,7 +236,7 @@
         })
     }
 
-    /// Ends of servers under `content` since it was last answered whole.
+    /// Server crashes under `content` since it was last answered whole.
     pub fn crashes(&self, content: CallContent) -> usize {
         self.records.get(content).map_or(0, ContentRecord::crashes)
     }
@@ -260,7 +262,7 @@
             }
         }
         self.records.retain(|record| record.is_live(now));
-        self.ended.retain(|_, end| end.is_live(now));
+        self.broken.retain(|_, start| start.is_live(now));
         if !forgotten.is_empty() {
             self.records.note_explained();
         }
@@ -285,7 +287,7 @@
         self.records.held().count()
     }
 
-    /// A further end of a server is known under `content`.
+    /// A further crash of a server is known under `content`.
     fn weigh_crash(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
         if self.records.get(content)?.quarantine.is_none() {
             return self.judge(content, now);
@@ -294,7 +296,7 @@
         None
     }
 
-    /// Holds `content` back if servers end under it.
+    /// Holds `content` back if servers crash under it.
     pub fn judge(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
         let since = self.learns_since(now);
         let record = self.records.get_mut(content)?;
@@ -304,7 +306,7 @@
         record.quarantine = Some(Quarantine::new(0, 0, now));
         let has_own = record.has_own;
         self.excuse_others(now);
-        // Those that saw it end a server write the row; the first wins.
+        // Those that saw it crash a server write the row; the first wins.
         if has_own {
             self.queue(RowChange::Write(content));
         }
@@ -315,13 +317,13 @@
     /// long.
     ///
     /// Guards against sound requests that are held back on half of what
-    /// happened: one gateway tells at once of servers that ended in the last
+    /// happened: one gateway tells at once of servers that crashed in the last
     /// seconds, and another a little later of the whole answers between.
     fn learns_since(&self, now: Instant) -> Option<Instant> {
         self.begun.filter(|begun| now.saturating_duration_since(*begun) < LEARN_TIME)
     }
 
-    /// Ends of servers under contents held back do not count for the others, and
+    /// Server crashes under contents held back do not count for the others, and
     /// are told no more of these.
     fn excuse_others(&mut self, now: Instant) {
         let excused = self.records.excuse_others(now);
@@ -349,8 +351,8 @@
         }
     }
 
-    /// The record of `content`, under which a server ended at `at`. Before the
-    /// first of a series of ends stands what this gateway has seen of the
+    /// The record of `content`, under which a server crashed at `at`. Before the
+    /// first of a series of crashes stands what this gateway has seen of the
     /// content lately, of which the others are told.
     fn crash_record(
         &mut self,
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -2,6 +2,7 @@
 //! does I/O or reads a clock: the time is passed in, so every decision can
 //! be tested as a table.
 
+mod broken_start;
 mod candidate;
 mod config_watch;
 mod content_record;
@@ -32,7 +33,6 @@
 mod retry_allowance;
 mod row_change;
 mod server_belief;
-mod server_end;
 mod server_health;
 mod stage_balance;
 mod stage_watch;
--- a/crates/gateway/src/belief/outcome_log.rs
+++ b/crates/gateway/src/belief/outcome_log.rs
@@ -16,7 +16,7 @@
 /// seconds: a datagram may be lost, and a gateway may be suspended.
 const TELL_TIME: Duration = Duration::from_secs(10);
 /// Outcomes told at most: some 25 bytes each in a report. A gateway has a few
-/// sends at a server that ends, and the newest say most.
+/// sends at a server that crashes, and the newest say most.
 const MOST_TOLD: usize = 32;
 
 /// Outcomes to tell, oldest first. Telling each several times makes up for
@@ -44,7 +44,7 @@
         })
     }
 
-    /// Keeps only those ends of servers that `is_kept`.
+    /// Keeps only those server crashes that `is_kept`.
     pub fn retain_crashes(&mut self, is_kept: impl Fn(CallContent, CrashId) -> bool) {
         self.seen.retain(|(_, content, outcome)| match outcome {
             SendOutcome::Crashed(id) => is_kept(*content, *id),
--- a/crates/gateway/src/belief/outcome_news.rs
+++ b/crates/gateway/src/belief/outcome_news.rs
@@ -6,7 +6,7 @@
 
 use crate::model::CallContent;
 
-/// One end of one start of a server. Gateways that saw the same end name it
+/// One crash of one start of a server. Gateways that saw the same crash name it
 /// alike, so that it counts once.
 pub type CrashId = u64;
 
--- a/crates/gateway/src/belief/quarantine.rs
+++ b/crates/gateway/src/belief/quarantine.rs
@@ -6,10 +6,10 @@
 use crate::model::StoreVersion;
 
 /// How long a content is held back before one request of it may show whether
-/// servers still end under it, by the probes made so far; the last stands for
+/// servers still crash under it, by the probes made so far; the last stands for
 /// all further ones. The first comes soon: a popular request that is at each
-/// server a fatal one ends is held back with it, and one more end costs less
-/// than many sound requests. The others are rare: a fatal one ends three more
+/// server a fatal one crashes is held back with it, and one more crash costs less
+/// than many sound requests. The others are rare: a fatal one crashes three more
 /// servers in its first hour.
 const WAITS: [Duration; 5] = [
     Duration::from_millis(1500),
@@ -86,7 +86,7 @@
         self.right = ProbeRight::Out(tries);
     }
 
-    /// The probe has ended a server.
+    /// The probe has crashed a server.
     pub fn spend_probe(&mut self) {
         self.right = ProbeRight::None;
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -26,9 +26,9 @@
 pub const CACHE_RELEASED: u32 = 5013;
 /// What decided that a request for a stream finds no room.
 pub const NO_ROOM: u32 = 5014;
-/// A send broke: its server may have ended under the request.
+/// A send broke: its server may have crashed under the request.
 pub const CRASH_SUSPECTED: u32 = 5015;
-/// A request is held back since servers end under such requests, or is let
+/// A request is held back since servers crash under such requests, or is let
 /// through to find out.
 pub const CALL_HELD_BACK: u32 = 5016;
 /// A configuration is in force.
--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -1,4 +1,4 @@
-//! Whether a request may be sent at all, or ends the servers that run it.
+//! Whether a request may be sent at all, or crashes the servers that run it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,6 +68,6 @@
         left_ms = held.left.as_millis() as u64,
         sends,
         outcome,
-        "servers end under such requests"
+        "servers crash under such requests"
     );
 }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -35,7 +35,7 @@
     unsent: u32,
     /// True once a server was asked to read the prompt.
     has_sent_prompt: bool,
-    /// Set for a request that is let through to find out whether servers end
+    /// Set for a request that is let through to find out whether servers crash
     /// under it: it reaches one server, once.
     probe: Option<ProbeGuard>,
 }
@@ -49,7 +49,7 @@
     /// How `call` is held back; `None` for a probe's only send.
     ///
     /// Guards against sends that go on for a request while its content turns
-    /// out to end servers: it waits in line, it is sent again, its stream goes
+    /// out to crash servers: it waits in line, it is sent again, its stream goes
     /// on elsewhere, or it is hedged. All sends ask here first.
     pub fn held_back(&self, state: &GatewayState, call: &Call) -> Option<HeldContent> {
         if self.probe.is_some() && self.sends == 0 {
--- a/crates/gateway/src/forward/probe_guard.rs
+++ b/crates/gateway/src/forward/probe_guard.rs
@@ -1,4 +1,4 @@
-//! A request that finds out whether servers still end under its content.
+//! A request that finds out whether servers still crash under its content.
 
 use std::sync::Arc;
 
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -38,7 +38,7 @@
     NotRun,
     /// The process is stopping and the request might not end in time.
     Stopping,
-    /// Servers end under such requests.
+    /// Servers crash under such requests.
     Quarantined,
     /// The deadline passed before it was sent.
     ExpiredUnsent,
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -41,7 +41,7 @@
     pub config: ConfigVersion,
     /// Tables of the store that this gateway reads for all.
     pub tables: Vec<TableNotice>,
-    /// What became of sends of contents under which servers may end.
+    /// What became of sends of contents under which servers may crash.
     pub outcomes: Vec<OutcomeNews>,
 }
 
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Requests that end the servers that run them (poison requests): what this
+//! Requests that crash the servers that run them (poison requests): what this
 //! gateway knows of them, and their rows in the store.
 //!
 //! The decisions are [`CrashWatch`](crate::belief::CrashWatch)'s.
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -15,7 +15,7 @@
 /// True when this gateway may send one request of `content`, which is held back
 /// as `held` says.
 ///
-/// Guards against a probe at each of hundreds of gateways, each of which may end
+/// Guards against a probe at each of hundreds of gateways, each of which may crash
 /// a server: who changes the row from the version known to all has claimed the
 /// probe, and the others count the wait anew. A claim whose answer is lost shows
 /// by its row later, and is used then.
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -1,4 +1,4 @@
-//! What this process knows of contents under which servers end.
+//! What this process knows of contents under which servers crash.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -62,7 +62,7 @@
             incarnation = target.incarnation,
             crashes,
             is_held_back = change.is_some(),
-            "a server may have ended under this request"
+            "a server may have crashed under this request"
         );
         self.log_change(content, change, "own")
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -62,7 +62,7 @@
     pub room: Event,
     /// Tables of the store that gateways read for each other.
     pub readings: SharedReadings,
-    /// Requests that are held back since servers end under them.
+    /// Requests that are held back since servers crash under them.
     pub quarantines: Quarantines,
     begun: Instant,
     in_force: RwLock<InForce>,
@@ -285,7 +285,7 @@
         }
     }
 
-    /// A send of a request broke at `target`, which may have ended under it.
+    /// A send of a request broke at `target`, which may have crashed under it.
     pub fn note_crash(&self, request_id: &str, content: CallContent, target: &SendTarget) {
         if self.quarantines.note_crash(request_id, content, target) {
             self.room.notify(usize::MAX);
