--- a/crates/gateway/src/belief/content_record.rs
+++ b/crates/gateway/src/belief/content_record.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    /// The server crashes under it.
+    /// Which server crashes are known under it.
     pub fn crash_ids(&self) -> impl Iterator<Item = CrashId> {
         self.crashes.iter().map(|(id, _)| *id)
     }
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -17,7 +17,6 @@
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
 use super::recent_whole::RecentWhole;
-
 use crate::model::CallContent;
 use crate::model::ServerIncarnation;
 use crate::model::StoreVersion;
