What crashed servers before anything was answered is told apart at once

Cause: fatal requests crash three engines in the first 0.4 s of all gateways; a popular stream, not answered whole yet, was at each of them and was held back with them until a probe: 1.5 s and more, 20 s where probes met servers that were down already.

Change: how long runs lived is told with the crashes and lets off what outlived others held back for the same crashes; until that or a probe decides, requests wait instead of being refused, and the likelier one is probed at once; a probe that met a known crash is made again; who clears a content tells which row is void; a gateway that has just begun is told at once.

--- a/crates/gateway/src/belief/content_record.rs
+++ b/crates/gateway/src/belief/content_record.rs
@@ -7,7 +7,9 @@
 use smallvec::SmallVec;
 
 use super::CrashId;
+use super::quarantine::APART_PROBES;
 use super::quarantine::Quarantine;
+use crate::model::StoreVersion;
 
 /// Server crashes, none of them followed by a whole answer, after which a
 /// content is held back.
@@ -20,6 +22,11 @@
 /// Sends that break at one server within this broke by one crash of it: no
 /// server is back sooner. Reports of it come within this too.
 pub(super) const SAME_CRASH: Duration = Duration::from_secs(1);
+/// A run that gave events this many times as long as another's was past what
+/// crashed the other's server.
+const OUTLIVES_TIMES: u32 = 2;
+/// A run that gave events for less may still have been at its beginning.
+const OUTLIVES_LEAST: Duration = Duration::from_millis(120);
 /// How long a whole answer speaks for a content.
 const PROOF_LIFE: Duration = Duration::from_secs(60);
 /// How long server crashes without a whole answer since are remembered.
@@ -32,6 +39,13 @@
     crashes: SmallVec<[(CrashId, Instant); CRASHES_TO_HOLD]>,
     /// When it was answered whole last, as far as known.
     whole_at: Option<Instant>,
+    /// The longest that a run of it gave events before its server crashed, as this
+    /// gateway saw: a fatal request never outlives its own beginning by much.
+    pub lived: Duration,
+    /// Rows up to this version no longer hold it back, as another gateway told.
+    void_rows: Option<(StoreVersion, Instant)>,
+    /// When it was let off last, since another explained its crashes.
+    pub let_off_at: Option<Instant>,
     /// True when this gateway saw one of the crashes itself.
     pub has_own: bool,
     pub quarantine: Option<Quarantine>,
@@ -75,6 +89,11 @@
         }
     }
 
+    /// True when a server crashed under it and under `other`.
+    pub fn shares_crash(&self, other: &ContentRecord) -> bool {
+        self.crash_ids().any(|id| other.crash_ids().any(|of_other| of_other == id))
+    }
+
     /// Which server crashes are known under it.
     pub fn crash_ids(&self) -> impl Iterator<Item = CrashId> {
         self.crashes.iter().map(|(id, _)| *id)
@@ -91,10 +110,32 @@
         if shared > MOST_EXCUSED && !self.is_proven(now) {
             return false;
         }
-        self.crashes.retain(|(id, _)| !explained.contains(id));
+        self.forget_crashes(explained);
         true
     }
 
+    /// Takes back the server crashes that other contents explain.
+    pub fn forget_crashes(&mut self, explained: &FxHashSet<CrashId>) {
+        self.crashes.retain(|(id, _)| !explained.contains(id));
+    }
+
+    /// True when a run of it went on so much longer than any of `other` that
+    /// servers do not crash at its beginning.
+    pub fn outlives(&self, other: &ContentRecord) -> bool {
+        self.lived > (other.lived * OUTLIVES_TIMES).max(OUTLIVES_LEAST)
+    }
+
+    /// Another gateway tells that rows up to `version` are void.
+    pub fn note_void_rows(&mut self, version: StoreVersion, now: Instant) {
+        let known = self.void_rows.map_or(0, |(known, _)| known);
+        self.void_rows = Some((known.max(version), now));
+    }
+
+    /// True for a row that no longer holds it back.
+    pub fn is_void(&self, version: StoreVersion) -> bool {
+        self.void_rows.is_some_and(|(void, _)| version <= void)
+    }
+
     /// It was answered whole at `at`: servers do not crash under it.
     pub fn note_whole(&mut self, at: Instant) {
         let at = self.whole_at.map_or(at, |known| known.max(at));
@@ -109,8 +150,8 @@
     }
 
     fn is_proven(&self, now: Instant) -> bool {
-        let age = |at: Instant| now.saturating_duration_since(at);
-        self.whole_at.is_some_and(|at| age(at) < PROOF_LIFE)
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < PROOF_LIFE;
+        self.whole_at.is_some_and(is_recent) || self.let_off_at.is_some_and(is_recent)
     }
 
     /// True when servers crash under it for all that is known.
@@ -131,12 +172,24 @@
         count >= CRASHES_TO_HOLD
     }
 
+    /// True when it was let off within `span`.
+    pub fn was_let_off(&self, span: Duration, now: Instant) -> bool {
+        self.let_off_at.is_some_and(|at| now.saturating_duration_since(at) < span)
+    }
+
+    /// True while it is held back and its first probes may still tell it apart
+    /// from others.
+    pub fn is_undecided(&self) -> bool {
+        self.quarantine.is_some_and(|of| of.probes < APART_PROBES)
+    }
+
     /// True while it is worth remembering.
     pub fn is_live(&self, now: Instant) -> bool {
         let is_within = |at: &Instant, life| now.saturating_duration_since(*at) < life;
         self.quarantine.is_some()
             || self.crashes.iter().any(|(_, at)| is_within(at, CRASH_LIFE))
-            || self.whole_at.is_some_and(|at| is_within(&at, PROOF_LIFE))
+            || self.is_proven(now)
+            || self.void_rows.is_some_and(|(_, at)| is_within(&at, PROOF_LIFE))
     }
 
     /// How much would be lost by forgetting it, to compare: whether it is held
--- a/crates/gateway/src/belief/content_records.rs
+++ b/crates/gateway/src/belief/content_records.rs
@@ -1,13 +1,16 @@
 //! The records of all contents under which servers have crashed.
 
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
+use smallvec::SmallVec;
 
 use super::CrashId;
 use super::content_record::ContentRecord;
 use crate::model::CallContent;
+use crate::model::StoreVersion;
 
 /// Contents remembered at most, some 250 bytes each: those on a hundred servers
 /// that crash in one moment. Beyond that the least telling go.
@@ -73,6 +76,52 @@
         self.records.len()
     }
 
+    /// Where `content` stands among the contents that are held back for the same
+    /// server crashes; `None` when it shares none.
+    ///
+    /// Those whose runs lived longest go first, as the likeliest to be sound.
+    pub fn place_in_company(&self, content: CallContent) -> Option<usize> {
+        let record = self.records.get(&content)?;
+        let rank = |content, record: &ContentRecord| (Reverse(record.lived), content);
+        let is_company = |other: &&(CallContent, &ContentRecord)| {
+            let (other, of) = **other;
+            other != content && of.is_undecided() && of.shares_crash(record)
+        };
+        let held: SmallVec<[_; 4]> = self.held().collect();
+        let company: SmallVec<[_; 4]> = held.iter().filter(is_company).collect();
+        if company.is_empty() {
+            return None;
+        }
+        let own = rank(content, record);
+        Some(company.iter().filter(|(other, of)| rank(*other, of) < own).count())
+    }
+
+    /// Contents held back of which a run outlived by far all runs of another that
+    /// is held back for the same server crashes.
+    pub fn long_lived(&self) -> SmallVec<[CallContent; 2]> {
+        let undecided = || self.held().filter(|(_, record)| record.is_undecided());
+        let is_explained = |content: CallContent, record: &ContentRecord| {
+            undecided().any(|(other, of)| {
+                other != content && record.outlives(of) && of.shares_crash(record)
+            })
+        };
+        let all = undecided().filter(|(content, record)| is_explained(*content, record));
+        all.map(|(content, _)| content).collect()
+    }
+
+    /// Ends holding `content` back, and takes back the crashes that those still
+    /// held back explain; the version of its row.
+    pub fn let_off(&mut self, content: CallContent, now: Instant) -> StoreVersion {
+        let Some(record) = self.records.get_mut(&content) else { return 0 };
+        let quarantine = record.quarantine.take();
+        self.note_explained();
+        if let Some(record) = self.records.get_mut(&content) {
+            record.forget_crashes(&self.explained);
+            record.let_off_at = Some(now);
+        }
+        quarantine.map_or(0, |of| of.version)
+    }
+
     /// What is held back, or the server crashes under it, has changed.
     pub fn note_explained(&mut self) {
         let held = self.records.values().filter(|record| record.quarantine.is_some());
--- a/crates/gateway/src/belief/content_verdict.rs
+++ b/crates/gateway/src/belief/content_verdict.rs
@@ -19,6 +19,10 @@
     pub age: Duration,
     /// From now until the next probe; zero when it is due.
     pub left: Duration,
+    /// True while others are held back for the same server crashes and probes are
+    /// about to tell which of them is fatal, and while this gateway has just begun
+    /// and knows a row alone.
+    pub is_undecided: bool,
 }
 
 /// May a request of a content be sent?
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -51,6 +51,8 @@
     recent: RecentWhole,
     log: OutcomeLog,
     row_changes: Vec<RowChange>,
+    /// Held back, and let off since others explain the crashes.
+    let_off: Vec<CallContent>,
 }
 
 impl CrashWatch {
@@ -59,20 +61,30 @@
         CrashWatch { begun: Some(begun), ..CrashWatch::default() }
     }
 
-    /// A send of `content` broke at a start of a server.
+    /// A send of `content` broke at a start of a server, which had given events
+    /// for `lived`.
     pub fn note_crash(
         &mut self,
         content: CallContent,
         incarnation: ServerIncarnation,
+        lived: Duration,
         now: Instant,
     ) -> Option<ContentChange> {
-        self.change_quarantine(content, Quarantine::spend_probe);
         let start =
             self.broken.entry(incarnation).or_insert(BrokenStart { at: now, broke_at: now });
         if start.is_outage(now) {
             return None;
         }
-        let id = self.crash_record(content, now, now).note_own(incarnation, now)?;
+        let record = self.crash_record(content, now, now);
+        let crash = record.note_own(incarnation, now);
+        if lived > record.lived {
+            record.lived = lived;
+            self.log.push(content, SendOutcome::Lived(lived.as_millis() as u32), now);
+            self.excuse_long_lived(now);
+        }
+        let id = crash?;
+        // A probe that met a crash known before has told nothing.
+        self.change_quarantine(content, Quarantine::spend_probe);
         if self.records.is_explained(content, id, now) {
             return None;
         }
@@ -95,7 +107,7 @@
             self.log.push(content, SendOutcome::Whole, now);
         }
         record.note_whole(now);
-        self.clear(content)
+        self.clear(content, now)
     }
 
     /// Another gateway tells of an outcome.
@@ -111,6 +123,21 @@
                 }
                 self.weigh_crash(news.content, now)
             }
+            SendOutcome::Lived(lived_ms) => {
+                let record = self.records.get_mut(news.content)?;
+                let lived = Duration::from_millis(u64::from(lived_ms));
+                record.lived = record.lived.max(lived);
+                self.excuse_long_lived(now);
+                None
+            }
+            SendOutcome::Cleared(version) => {
+                let record = self.records.entry(news.content);
+                record.note_void_rows(version, now);
+                let is_void = |of: &mut Quarantine| of.version > 0 && of.version <= version;
+                record.quarantine.take_if(is_void)?;
+                self.records.note_explained();
+                Some(ContentChange::Cleared)
+            }
             SendOutcome::Whole => {
                 if since.is_some() {
                     // Ends before it may be told later.
@@ -120,7 +147,7 @@
                 record.note_whole(at);
                 let is_cleared = !record.is_suspect(since, now)
                     && record.quarantine.is_some_and(|of| of.version == 0 || of.since < at);
-                if is_cleared { self.clear(news.content) } else { None }
+                if is_cleared { self.clear(news.content, now) } else { None }
             }
         }
     }
@@ -136,13 +163,15 @@
         now: Instant,
     ) -> Option<ContentChange> {
         let before = self.records.get(content).and_then(|record| record.quarantine);
-        if before.is_some_and(|known| known.version >= version) {
+        let is_void = self.records.get(content).is_some_and(|record| record.is_void(version));
+        if is_void || before.is_some_and(|known| known.version >= version) {
             return None;
         }
-        // Guards against a row that overtakes the answer that cleared its
-        // content: nobody else would know that it is to be removed.
-        if before.is_none() && self.log.saw_whole(content, ROW_TIME, now) {
-            self.queue(RowChange::Remove(content, version));
+        // Guards against a row that overtakes what cleared its content: nobody else would know that it is to be removed.
+        let is_cleared = self.log.saw_whole(content, ROW_TIME, now)
+            || self.records.get(content).is_some_and(|record| record.was_let_off(ROW_TIME, now));
+        if before.is_none() && is_cleared {
+            self.queue_removal(content, version, now);
             return None;
         }
         let record = self.records.entry(content);
@@ -213,6 +242,11 @@
         }
     }
 
+    /// The claim of the probe of `content` failed: it is made again soon.
+    pub fn end_claim(&mut self, content: CallContent, now: Instant) {
+        self.change_quarantine(content, |quarantine| quarantine.end_claim(now));
+    }
+
     /// This gateway makes the probe that is due without a claim.
     pub fn note_unclaimed_probe(&mut self, content: CallContent, now: Instant) {
         self.change_quarantine(content, |quarantine| {
@@ -225,12 +259,17 @@
     pub fn held(&self, content: CallContent, now: Instant) -> Option<HeldContent> {
         let record = self.records.get(content)?;
         let quarantine = record.quarantine?;
+        let place = self.records.place_in_company(content);
+        let is_shared = place.is_some() && record.is_undecided();
+        // Its row is all that is known, and others may be about to say more.
+        let is_unheard = record.crashes() == 0 && self.learns_since(now).is_some();
         Some(HeldContent {
             crashes: record.crashes(),
             probes: quarantine.probes,
             version: quarantine.version,
             age: now.saturating_duration_since(quarantine.since),
-            left: quarantine.time_left(now),
+            left: quarantine.time_left(place, now),
+            is_undecided: is_shared || is_unheard,
         })
     }
 
@@ -265,7 +304,7 @@
             self.records.note_explained();
         }
         for (content, version) in forgotten.iter().filter(|_| removes_rows) {
-            self.queue_removal(*content, *version);
+            self.queue_removal(*content, *version, now);
         }
         forgotten.into_iter().map(|(content, _)| content).collect()
     }
@@ -304,6 +343,10 @@
         record.quarantine = Some(Quarantine::new(0, 0, now));
         let has_own = record.has_own;
         self.excuse_others(now);
+        self.excuse_long_lived(now);
+        if self.records.get(content)?.quarantine.is_none() {
+            return None;
+        }
         // Those that saw it crash a server write the row; the first wins.
         if has_own {
             self.queue(RowChange::Write(content));
@@ -328,15 +371,38 @@
         self.log.retain_crashes(|content, id| !excused.contains(content, id));
     }
 
-    fn clear(&mut self, content: CallContent) -> Option<ContentChange> {
+    /// Lets off contents of which a run went on far longer than any of another
+    /// that is held back for the same server crashes.
+    ///
+    /// Guards against a popular request that is held back with a fatal one, under
+    /// which servers crashed before anything was answered whole.
+    fn excuse_long_lived(&mut self, now: Instant) {
+        for content in self.records.long_lived() {
+            let version = self.records.let_off(content, now);
+            self.log.retain_crashes(|of, _| of != content);
+            self.queue_removal(content, version, now);
+            self.let_off.push(content);
+        }
+    }
+
+    /// Takes the contents that were held back and are not, since another explains
+    /// the crashes.
+    pub fn take_let_off(&mut self) -> Vec<CallContent> {
+        std::mem::take(&mut self.let_off)
+    }
+
+    fn clear(&mut self, content: CallContent, now: Instant) -> Option<ContentChange> {
         let quarantine = self.records.get_mut(content)?.quarantine.take()?;
         self.records.note_explained();
-        self.queue_removal(content, quarantine.version);
+        self.queue_removal(content, quarantine.version, now);
         Some(ContentChange::Cleared)
     }
 
-    fn queue_removal(&mut self, content: CallContent, version: StoreVersion) {
+    /// Has a row removed, and tells the others that it is void: one that starts
+    /// meanwhile reads it, and the store may be away.
+    fn queue_removal(&mut self, content: CallContent, version: StoreVersion, now: Instant) {
         if version > 0 {
+            self.log.push(content, SendOutcome::Cleared(version), now);
             self.queue(RowChange::Remove(content, version));
         }
     }
--- a/crates/gateway/src/belief/outcome_log.rs
+++ b/crates/gateway/src/belief/outcome_log.rs
@@ -48,7 +48,7 @@
     pub fn retain_crashes(&mut self, is_kept: impl Fn(CallContent, CrashId) -> bool) {
         self.seen.retain(|(_, content, outcome)| match outcome {
             SendOutcome::Crashed(id) => is_kept(*content, *id),
-            SendOutcome::Whole => true,
+            SendOutcome::Lived(_) | SendOutcome::Cleared(_) | SendOutcome::Whole => true,
         });
     }
 
--- a/crates/gateway/src/belief/outcome_news.rs
+++ b/crates/gateway/src/belief/outcome_news.rs
@@ -5,6 +5,7 @@
 use strum::Display;
 
 use crate::model::CallContent;
+use crate::model::StoreVersion;
 
 /// One crash of one start of a server. Gateways that saw the same crash name it
 /// alike, so that it counts once.
@@ -16,6 +17,12 @@
 pub enum SendOutcome {
     /// The connection broke while a server was at work on it.
     Crashed(CrashId),
+    /// Before its server crashed, a run of it gave events for so many milliseconds,
+    /// longer than any before.
+    Lived(u32),
+    /// It was held back and is no longer: its row in the store, up to this
+    /// version, is about to be removed.
+    Cleared(StoreVersion),
     /// The server answered it whole, and lived.
     Whole,
 }
--- a/crates/gateway/src/belief/quarantine.rs
+++ b/crates/gateway/src/belief/quarantine.rs
@@ -18,6 +18,12 @@
     Duration::from_secs(600),
     Duration::from_secs(7200),
 ];
+/// Probes of a content that tell it apart from others held back for the same
+/// server crashes, before it counts as fatal like any other.
+pub(super) const APART_PROBES: u32 = 5;
+/// Between two probes that tell contents apart. A stream begun shows within this
+/// whether its server lives.
+const APART_PAUSE: Duration = Duration::from_millis(600);
 /// A claim of the probe is settled within this, or has failed.
 const CLAIM_TIME: Duration = Duration::from_secs(2);
 /// The pause until a probe that told nothing is made again.
@@ -102,9 +108,16 @@
         }
     }
 
-    /// From `now` until a probe may be claimed; zero from then on.
-    pub fn time_left(&self, now: Instant) -> Duration {
-        let due = self.since + wait(self.probes);
+    /// From `now` until a probe may be claimed; zero from then on. Of several
+    /// contents that are held back for the same server crashes the one at `place` 0
+    /// is probed soon, on its own.
+    pub fn time_left(&self, place: Option<usize>, now: Instant) -> Duration {
+        let wait = match place {
+            Some(0) if self.probes < APART_PROBES => APART_PAUSE * self.probes.min(1),
+            Some(0) => wait(self.probes - APART_PROBES),
+            _ => wait(self.probes),
+        };
+        let due = self.since + wait;
         let due = self.claimed_until.map_or(due, |until| due.max(until));
         due.saturating_duration_since(now)
     }
@@ -114,6 +127,11 @@
         self.claimed_until = Some(now + CLAIM_TIME);
     }
 
+    /// The claim failed: it may be made again after a pause.
+    pub fn end_claim(&mut self, now: Instant) {
+        self.claimed_until = Some(now + APART_PAUSE);
+    }
+
     /// True when nobody has asked for the content for long: a request after
     /// the wait would have claimed a probe.
     pub fn is_unasked(&self, now: Instant) -> bool {
--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::Response;
 
@@ -18,27 +19,50 @@
 use crate::quarantine::claim_probe;
 use crate::quarantine::content_key;
 use crate::state::GatewayState;
+use crate::timing::by_deadline;
 
 /// How soon to come back where the next probe is not known to be further off.
 const LEAST_RETRY: Duration = Duration::from_secs(1);
 
+/// What is left of a caller's time when waiting for a probe ends.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// A request that waits for a probe looks this often whether one is due.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+
 /// The sends that `call` may make; a refusal when it is held back.
 pub(super) async fn admit<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
 ) -> Result<Attempts, Response<GatewayBody>> {
-    let (held, outcome) = match state.quarantines.admit(call.content) {
-        ContentVerdict::Admitted => return Ok(Attempts::default()),
-        ContentVerdict::HeldBack(held) => (held, "refused".to_owned()),
-        ContentVerdict::Probe(held) => return Ok(probe(state, call, held)),
-        ContentVerdict::ProbeDue(held) => match claim_probe::<C>(state, call.content, held).await {
-            Ok(true) => return Ok(probe(state, call, held)),
-            Ok(false) => (held, "refused; another gateway finds out".to_owned()),
-            Err(error) => (held, format!("refused; probe not claimed: {error}")),
-        },
-    };
-    log_held(call, held, 0, &outcome);
-    Err(refuse_call(call, Refusal::Quarantined, Some(retry_after(held)), 0))
+    loop {
+        let (held, outcome) = match state.quarantines.admit(call.content) {
+            ContentVerdict::Admitted => return Ok(Attempts::default()),
+            ContentVerdict::HeldBack(held) => (held, "refused".to_owned()),
+            ContentVerdict::Probe(held) => return Ok(probe(state, call, held)),
+            ContentVerdict::ProbeDue(held) => {
+                match claim_probe::<C>(state, call.content, held).await {
+                    Ok(true) => return Ok(probe(state, call, held)),
+                    Ok(false) => (held, "refused; another gateway finds out".to_owned()),
+                    Err(error) => (held, format!("refused; probe not claimed: {error}")),
+                }
+            }
+        };
+        if !wait_for_probe(state, call, held).await {
+            log_held(call, held, 0, &outcome);
+            return Err(refuse_call(call, Refusal::Quarantined, Some(retry_after(held)), 0));
+        }
+    }
+}
+
+/// Waits until `call` may be let through, or be a probe itself; false when it is
+/// held back for longer than its caller waits.
+pub(super) async fn wait_for_probe(state: &GatewayState, call: &Call, held: HeldContent) -> bool {
+    let has_time = call.time_left(Instant::now()) > ANSWER_TIME;
+    if !held.is_undecided || !has_time {
+        return false;
+    }
+    by_deadline(Instant::now() + LOOK_AGAIN, state.room.listen()).await;
+    true
 }
 
 /// The sends of the one request that is let through.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -6,6 +6,7 @@
 
 use super::Call;
 use super::admit::log_held;
+use super::admit::wait_for_probe;
 use super::probe_guard::ProbeGuard;
 use super::send_permit::SendPermit;
 use crate::belief::HeldContent;
@@ -58,6 +59,17 @@
         state.quarantines.held(call.content)
     }
 
+    /// Waits while `call` is held back only until probes have told its content
+    /// from others, but for what its caller has left to wait.
+    ///
+    /// Guards against popular requests that are refused since servers crashed
+    /// under fatal ones before any answer was whole.
+    pub async fn told_apart(&self, state: &GatewayState, call: &Call) {
+        while let Some(held) = self.held_back(state, call)
+            && wait_for_probe(state, call, held).await
+        {}
+    }
+
     /// Notes a send to `server`.
     pub fn begin(&mut self, server: &ServerKey) {
         self.tried.push(server.clone());
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -149,17 +149,29 @@
     headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::CONTENT_LENGTH)
 }
 
-/// Notes and logs a failed send.
+/// Notes and logs a send that failed before its first event.
 pub fn fail(
     state: &GatewayState,
     call: &Call,
     target: &SendTarget,
     failure: SendFailure,
     problem: &str,
+) -> SendFailure {
+    fail_midway(state, call, target, failure, problem, Duration::ZERO)
+}
+
+/// The same for one whose server had given events for `lived`.
+pub fn fail_midway(
+    state: &GatewayState,
+    call: &Call,
+    target: &SendTarget,
+    failure: SendFailure,
+    problem: &str,
+    lived: Duration,
 ) -> SendFailure {
     state.note_outcome(target, failure.outcome());
     if failure == SendFailure::Broken {
-        state.note_crash(call.id(), call.content, target);
+        state.note_crash(call.id(), call.content, target, lived);
     }
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -78,7 +78,9 @@
     mut attempts: Attempts,
 ) -> Response<GatewayBody> {
     let mut leftover = Leftover::default();
-    while let Some(permit) = attempts.permit(state, &call) {
+    loop {
+        attempts.told_apart(state, &call).await;
+        let Some(permit) = attempts.permit(state, &call) else { break };
         if Instant::now() >= call.deadline {
             break;
         }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -144,7 +144,15 @@
                 StreamStop::Expired => return RelayEnd::Expired,
                 StreamStop::Failed(failure, problem) => (failure, problem),
             };
-            exchange::fail(&self.state, &self.call, &current.target, failure, &problem);
+            let lived = current.hold.age().saturating_sub(self.passed_at.elapsed());
+            exchange::fail_midway(
+                &self.state,
+                &self.call,
+                &current.target,
+                failure,
+                &problem,
+                lived,
+            );
             self.attempts.runs += 1;
             // The connection closes here, before another server begins, so
             // that two never work on one request.
@@ -242,7 +250,9 @@
     /// Goes on at another server behind the last event passed on.
     async fn resume(&mut self) -> Option<Box<OpenStream>> {
         let resume_after = self.last_id.or(self.call.head.resume_after);
-        while let Some(permit) = self.attempts.permit(&self.state, &self.call) {
+        loop {
+            self.attempts.told_apart(&self.state, &self.call).await;
+            let permit = self.attempts.permit(&self.state, &self.call)?;
             let left = self.call.time_left(Instant::now());
             if left.is_zero() {
                 return None;
@@ -289,7 +299,6 @@
                 OpenEnd::Failed(_) => self.attempts.runs += 1,
             }
         }
-        None
     }
 
     fn log_end(&self, end: RelayEnd) {
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -103,7 +103,9 @@
     let mut is_told = false;
     loop {
         let woken = state.room.listen();
-        if let Some(held) = attempts.held_back(state, call) {
+        let held = attempts.held_back(state, call);
+        let is_undecided = held.is_some_and(|held| held.is_undecided);
+        if let Some(held) = held.filter(|_| !is_undecided) {
             log_held(call, held, 0, "left the line");
             return Err(refuse_call(call, Refusal::Quarantined, Some(retry_after(held)), 0));
         }
@@ -114,7 +116,7 @@
             state.work_changed.notify(1);
             is_told = true;
         }
-        if tries_at.is_some_and(|at| now >= at) {
+        if tries_at.is_some_and(|at| now >= at) && !is_undecided {
             match try_place(state, call, spec, shape) {
                 Ok(placed) => {
                     place.is_placed = true;
@@ -140,6 +142,7 @@
         let look_at = match tries_at {
             Some(at) if now < at => at,
             Some(_) => now + LOOK_AGAIN,
+            None if is_undecided => now + LOOK_AGAIN,
             None => give_up,
         };
         by_deadline(look_at.min(give_up), woken).await;
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -54,6 +54,7 @@
         Ok(placed) => placed,
         Err(refusal) => return refusal,
     };
+    attempts.told_apart(state, &call).await;
     let mut cache = None;
     if let Some(hold) = placed.prefill
         && let Some(permit) = attempts.permit_prompt(state, &call)
@@ -73,6 +74,7 @@
     hold: WorkHold,
     cache: Option<CacheGuard<C>>,
 ) -> Response<GatewayBody> {
+    attempts.told_apart(state, &call).await;
     let mut next = attempts.permit(state, &call).map(|permit| (permit, hold, cache));
     let mut may_have_run = false;
     let mut refused_with_cache = 0;
@@ -125,6 +127,7 @@
             }
         }
         let has_time = call.time_left(Instant::now()) > FIRST_EVENT_TIME;
+        attempts.told_apart(state, &call).await;
         let permit = if has_time { attempts.permit(state, &call) } else { None };
         if let Some(permit) = permit {
             let resume_after = call.head.resume_after;
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,9 @@
 /// How often what was learned of engines is told: some 80 bytes a service, and
 /// slow to change.
 const TELL_LEARNED_EVERY: Duration = Duration::from_secs(2);
+/// A gateway's first reports, by which others see that it has just begun and tell
+/// it at once what they tell rarely; the first may be lost.
+const FIRST_REPORTS: u64 = 2;
 /// Between two log lines on datagrams that are no reports: anything on the
 /// network may send any number of them.
 const UNREADABLE_PAUSE: Duration = Duration::from_secs(10);
@@ -42,7 +46,8 @@
         if by_deadline(due, changed).await.is_some() {
             smol::Timer::at(budget.send_at(peers.len(), due, Instant::now())).await;
         }
-        let tells_learned = Instant::now() >= learning_due;
+        let has_newcomer = state.has_newcomer.swap(false, Ordering::Relaxed);
+        let tells_learned = has_newcomer || Instant::now() >= learning_due;
         if tells_learned {
             learning_due = Instant::now() + TELL_LEARNED_EVERY;
         }
@@ -145,6 +150,10 @@
 }
 
 fn take_report(state: &GatewayState, report: LoadReport) {
+    if report.sequence <= FIRST_REPORTS {
+        state.has_newcomer.store(true, Ordering::Relaxed);
+        state.work_changed.notify(1);
+    }
     let news = PeerNews {
         loads: report.loads,
         retries: report.retries,
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -20,8 +20,8 @@
 /// probe, and the others count the wait anew. A claim whose answer is lost shows
 /// by its row later, and is used then.
 ///
-/// The first probe is made without a claim while the store is away, by the first
-/// of the gateways that hear each other: sound requests held back in the company
+/// The first probe, and those that tell contents apart, are made without a claim while
+/// the store is away, by the first of the gateways that hear each other: sound requests held back in the company
 /// of fatal ones would wait for the store.
 pub async fn claim_probe<C: PlatformCodec>(
     state: &GatewayState,
@@ -39,11 +39,14 @@
             Ok(true)
         }
         Ok(None) => Ok(false),
-        Err(_) if held.probes == 0 && is_first(state) => {
+        Err(_) if (held.probes == 0 || held.is_undecided) && is_first(state) => {
             state.quarantines.note_unclaimed_probe(content);
             Ok(true)
         }
-        Err(error) => Err(error),
+        Err(error) => {
+            state.quarantines.end_claim(content);
+            Err(error)
+        }
     }
 }
 
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -4,6 +4,7 @@
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use event_listener::Event;
@@ -45,12 +46,18 @@
         }
     }
 
-    /// A send of request `request_id` broke at `target`; true when that changes
-    /// what is held back.
-    pub fn note_crash(&self, request_id: &str, content: CallContent, target: &SendTarget) -> bool {
+    /// A send of request `request_id` broke at `target`, which had given events
+    /// for `lived`; true when that changes what is held back.
+    pub fn note_crash(
+        &self,
+        request_id: &str,
+        content: CallContent,
+        target: &SendTarget,
+        lived: Duration,
+    ) -> bool {
         let now = Instant::now();
         let mut watch = self.watch();
-        let change = watch.note_crash(content, target.incarnation, now);
+        let change = watch.note_crash(content, target.incarnation, lived, now);
         let crashes = watch.crashes(content);
         drop(watch);
         metrics::counter!("umberglade_crashed_sends_total").increment(1);
@@ -61,6 +68,7 @@
             server = %target.server,
             incarnation = target.incarnation,
             crashes,
+            lived_ms = lived.as_millis() as u64,
             is_held_back = change.is_some(),
             "a server may have crashed under this request"
         );
@@ -133,6 +141,11 @@
         self.watch().end_probe(content, Instant::now());
     }
 
+    /// The claim of the probe of `content` failed.
+    pub fn end_claim(&self, content: CallContent) {
+        self.watch().end_claim(content, Instant::now());
+    }
+
     /// This gateway makes the probe that is due without a claim.
     pub fn note_unclaimed_probe(&self, content: CallContent) {
         self.watch().note_unclaimed_probe(content, Instant::now());
@@ -182,7 +195,16 @@
         change: Option<ContentChange>,
         known_by: &'static str,
     ) -> bool {
-        let Some(change) = change else { return false };
+        let let_off = self.watch().take_let_off();
+        for content in &let_off {
+            self.write_change(*content, ContentChange::Cleared, "others' crashes");
+        }
+        let Some(change) = change else { return !let_off.is_empty() };
+        self.write_change(content, change, known_by);
+        true
+    }
+
+    fn write_change(&self, content: CallContent, change: ContentChange, known_by: &'static str) {
         let held = self.held(content);
         tracing::warn!(
             event = events::CONTENT_CHANGED,
@@ -195,6 +217,5 @@
             "requests held back changed"
         );
         self.rows_due.notify(usize::MAX);
-        true
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -56,6 +57,9 @@
     /// Notified when streams begin, end or wait, which the other gateways
     /// are told at once.
     pub work_changed: Event,
+    /// Set when a gateway that has just begun was heard: the next report tells also
+    /// what most leave out.
+    pub has_newcomer: AtomicBool,
     /// Notified when the configuration should be read from the store at once.
     pub config_due: Event,
     /// Notified when a server may have room again, or more has become known.
@@ -100,6 +104,7 @@
             flights: FlightCount::default(),
             demand: CallerDemand::default(),
             work_changed: Event::new(),
+            has_newcomer: AtomicBool::new(false),
             config_due: Event::new(),
             room: Event::new(),
             quarantines: Quarantines::new(begun),
@@ -280,14 +285,22 @@
     /// A request of `content` was answered whole by `target`.
     pub fn note_whole(&self, content: CallContent, target: &SendTarget) {
         if self.quarantines.note_whole(content, target) {
+            self.room.notify(usize::MAX);
             // The others hold it back until they are told.
             self.work_changed.notify(1);
         }
     }
 
-    /// A send of a request broke at `target`, which may have crashed under it.
-    pub fn note_crash(&self, request_id: &str, content: CallContent, target: &SendTarget) {
-        if self.quarantines.note_crash(request_id, content, target) {
+    /// A send of a request broke at `target`, which may have crashed under it
+    /// after it had given events for `lived`.
+    pub fn note_crash(
+        &self,
+        request_id: &str,
+        content: CallContent,
+        target: &SendTarget,
+        lived: Duration,
+    ) {
+        if self.quarantines.note_crash(request_id, content, target, lived) {
             self.room.notify(usize::MAX);
         }
         self.work_changed.notify(1);
--- a/crates/gateway/tests/crash_spread.rs
+++ b/crates/gateway/tests/crash_spread.rs
@@ -171,7 +171,7 @@
         for gateway in ended {
             self.ends.push(now);
             let server = self.ends.len() as u64;
-            self.watches[gateway].note_crash(FATAL, server, now);
+            self.watches[gateway].note_crash(FATAL, server, Duration::ZERO, now);
         }
     }
 
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -43,7 +43,7 @@
             watch.hear(OutcomeNews { content: CONTENT, outcome, age_ms }, now);
         };
         match self {
-            Step::Ends(server) => drop(watch.note_crash(CONTENT, server, now)),
+            Step::Ends(server) => drop(watch.note_crash(CONTENT, server, Duration::ZERO, now)),
             Step::HeardEnd(id, age) => hear(watch, SendOutcome::Crashed(id), age),
             Step::Works(server) => drop(watch.note_whole(OTHER, server, now)),
             Step::Whole => drop(watch.note_whole(CONTENT, ELSEWHERE, now)),
@@ -205,7 +205,7 @@
 fn holding(now: Instant) -> CrashWatch {
     let mut watch = CrashWatch::default();
     for server in 1..=3 {
-        watch.note_crash(CONTENT, server, now);
+        watch.note_crash(CONTENT, server, Duration::ZERO, now);
     }
     watch
 }
@@ -288,7 +288,7 @@
             if matches!(watch.admit(CONTENT, now), ContentVerdict::Probe(_)) {
                 probes += 1;
                 if ends_server {
-                    watch.note_crash(CONTENT, 50, now);
+                    watch.note_crash(CONTENT, 50, Duration::ZERO, now);
                 }
                 watch.end_probe(CONTENT, now);
             }
@@ -312,7 +312,7 @@
             probes += u32::from(second > 3);
             watch.note_row(CONTENT, held.probes + 1, 100 + second, true, now);
             watch.begin_probe(CONTENT);
-            watch.note_crash(CONTENT, 100 + second, now + ms(50));
+            watch.note_crash(CONTENT, 100 + second, Duration::ZERO, now + ms(50));
         }
     }
     assert!((1..=3).contains(&probes), "{probes} probes");
@@ -349,10 +349,10 @@
         for count in 0..3u64 {
             let now = begun + ms(fatal * 3000 + count * 100);
             let server = fatal * 10 + count;
-            watch.note_crash(fatal, server, now);
+            watch.note_crash(fatal, server, Duration::ZERO, now);
             // Its break is noted before the fatal one's third, and after it.
             if count > 0 {
-                watch.note_crash(SOUND, server, now);
+                watch.note_crash(SOUND, server, Duration::ZERO, now);
             }
         }
         let now = begun + ms(fatal * 3000 + 300);
@@ -361,7 +361,7 @@
     assert!(watch.held(SOUND, begun + ms(13_000)).is_none());
     // Its own end of a server counts all the same.
     for server in 90..93 {
-        watch.note_crash(SOUND, server, begun + ms(13_000));
+        watch.note_crash(SOUND, server, Duration::ZERO, begun + ms(13_000));
     }
     assert!(watch.held(SOUND, begun + ms(13_000)).is_some());
 }
@@ -374,11 +374,11 @@
     const SOUND: u64 = 1000;
     let begun = Instant::now();
     let mut watch = CrashWatch::default();
-    watch.note_crash(CONTENT, 1, begun);
-    watch.note_crash(CONTENT, 2, begun);
-    watch.note_crash(SOUND, 2, begun);
-    watch.note_crash(CONTENT, 3, begun);
-    watch.note_crash(SOUND, 3, begun);
+    watch.note_crash(CONTENT, 1, Duration::ZERO, begun);
+    watch.note_crash(CONTENT, 2, Duration::ZERO, begun);
+    watch.note_crash(SOUND, 2, Duration::ZERO, begun);
+    watch.note_crash(CONTENT, 3, Duration::ZERO, begun);
+    watch.note_crash(SOUND, 3, Duration::ZERO, begun);
     let told = watch.news(true, begun + ms(100));
     assert!(told.iter().all(|news| news.content == CONTENT), "{told:?}");
 }
@@ -393,8 +393,8 @@
     let mut watch = CrashWatch::default();
     watch.note_whole(POPULAR, ELSEWHERE, begun);
     for (server, at) in [(1, 1000), (2, 1100), (3, 2500), (4, 4000), (5, 4100)] {
-        watch.note_crash(POPULAR, server, begun + ms(at));
-        watch.note_crash(CONTENT, server, begun + ms(at));
+        watch.note_crash(POPULAR, server, Duration::ZERO, begun + ms(at));
+        watch.note_crash(CONTENT, server, Duration::ZERO, begun + ms(at));
     }
     assert!(watch.held(CONTENT, begun + ms(4100)).is_some());
     assert!(watch.held(POPULAR, begun + ms(4100)).is_none());
@@ -408,8 +408,8 @@
     let begun = Instant::now();
     let mut watch = CrashWatch::default();
     for server in 1..=3 {
-        watch.note_crash(SOUND, server, begun);
-        watch.note_crash(CONTENT, server, begun);
+        watch.note_crash(SOUND, server, Duration::ZERO, begun);
+        watch.note_crash(CONTENT, server, Duration::ZERO, begun);
     }
     assert!(watch.held(CONTENT, begun).is_some());
 }
@@ -446,17 +446,17 @@
     const MOST_TOLD: usize = 32;
     let begun = Instant::now();
     let mut watch = CrashWatch::default();
-    watch.note_crash(CONTENT, 1, begun);
-    watch.note_crash(CONTENT, 2, begun + ms(1));
+    watch.note_crash(CONTENT, 1, Duration::ZERO, begun);
+    watch.note_crash(CONTENT, 2, Duration::ZERO, begun + ms(1));
     for content in 100..5100 {
-        watch.note_crash(content, content % 300, begun + ms(2));
+        watch.note_crash(content, content % 300, Duration::ZERO, begun + ms(2));
     }
     for content in 10_000..60_000 {
         watch.note_whole(content, ELSEWHERE, begun + ms(3));
     }
     assert!(watch.len() <= MOST_RECORDS, "{} records", watch.len());
     assert!(watch.news(true, begun + ms(4)).len() <= MOST_TOLD);
-    watch.note_crash(CONTENT, 3, begun + ms(5));
+    watch.note_crash(CONTENT, 3, Duration::ZERO, begun + ms(5));
     assert!(watch.held(CONTENT, begun + ms(5)).is_some());
     watch.tick(true, begun + Duration::from_secs(1300));
     assert!(watch.is_empty(), "{} records", watch.len());
@@ -482,7 +482,7 @@
     let begun = Instant::now();
     for case in cases {
         let mut watch = CrashWatch::default();
-        watch.note_crash(CONTENT, 1, begun);
+        watch.note_crash(CONTENT, 1, Duration::ZERO, begun);
         let news = watch.news(case.tells_all, begun + case.after);
         assert_eq!(!news.is_empty(), case.is_told, "{}", case.name);
         assert!(news.iter().all(|of| u128::from(of.age_ms) == case.after.as_millis()));
@@ -506,7 +506,7 @@
     // Once cleared, it is told anew with the next end: others may have begun
     // since.
     watch.note_whole(CONTENT, ELSEWHERE, begun + ms(600));
-    watch.note_crash(CONTENT, 2, begun + ms(20_000));
+    watch.note_crash(CONTENT, 2, Duration::ZERO, begun + ms(20_000));
     let told = watch.news(false, begun + ms(20_000));
     let wholes = told.iter().filter(|news| news.outcome == SendOutcome::Whole).count();
     assert_eq!(wholes, 1, "{told:?}");
