Organisations, their keys and quotas at every gateway

Cause: the configuration has organisations, keys and quotas, and the gateway knew nothing of them.

Change: keys are decoded once in platform/ and held as digests; a server gets its organisation's name, set by the gateway, and no key; an unknown key or route gets 401 or 404 only while the configuration in force is surely the newest, else it is read first (0.4 s) or the answer is 503. Rows with keys are no longer told by datagram; gateways that the store turns away take the decoded configuration from one that has it, over TCP.

Quotas: each gateway keeps a sliding window of what all charged, told in their reports, and nobody owns it.

--- a/crates/gateway/src/belief/config_watch.rs
+++ b/crates/gateway/src/belief/config_watch.rs
@@ -1,12 +1,18 @@
 //! What this gateway hears of configurations that it does not hold yet.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use crate::model::ConfigVersion;
 
-/// What this gateway knows of configurations that it does not hold yet.
+/// What this gateway knows of configurations that it does not hold yet, and how
+/// sure it may be that there is none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ConfigWatch {
     /// The newest version that another gateway has told of.
     heard: ConfigVersion,
+    /// When the configuration in force was the store's, as far as is known.
+    fresh_at: Option<Instant>,
 }
 
 impl ConfigWatch {
@@ -18,4 +24,25 @@
         self.heard = self.heard.max(version);
         is_news
     }
+
+    /// The newest version that another gateway has told of.
+    pub fn heard(&self) -> ConfigVersion {
+        self.heard
+    }
+
+    /// The configuration in force was the store's at `at`: by a read of this
+    /// gateway, or of another that has the same in force.
+    pub fn note_fresh(&mut self, at: Instant) {
+        self.fresh_at = self.fresh_at.max(Some(at));
+    }
+
+    /// True when `own`, the version in force, is the newest for all that is known,
+    /// and was the store's within `bound`.
+    ///
+    /// Guards against callers who are told that their key or route is unknown, and
+    /// never come back, by a gateway that has missed a configuration.
+    pub fn is_newest(&self, own: ConfigVersion, bound: Duration, now: Instant) -> bool {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < bound;
+        self.heard <= own && self.fresh_at.is_some_and(is_fresh)
+    }
 }
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -344,9 +344,8 @@
         let has_own = record.has_own;
         self.excuse_others(now);
         self.excuse_long_lived(now);
-        if self.records.get(content)?.quarantine.is_none() {
-            return None;
-        }
+        // Let off at once.
+        self.records.get(content)?.quarantine?;
         // Those that saw it crash a server write the row; the first wins.
         if has_own {
             self.queue(RowChange::Write(content));
--- a/crates/gateway/src/belief/in_force.rs
+++ b/crates/gateway/src/belief/in_force.rs
@@ -39,6 +39,11 @@
         InForceChange::Applied { before }
     }
 
+    /// The version of the row in force, with its table.
+    pub fn current(&self) -> Option<&(StoreVersion, Arc<RouteTable>)> {
+        self.current.as_ref()
+    }
+
     /// The table in force; `None` before one is known.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
         self.current.as_ref().map(|(_, table)| Arc::clone(table))
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -4,6 +4,7 @@
 
 mod broken_start;
 mod candidate;
+mod charge_news;
 mod config_watch;
 mod content_record;
 mod content_records;
@@ -26,6 +27,9 @@
 mod placement;
 mod pooled_count;
 mod quarantine;
+mod quota_account;
+mod quota_pool;
+mod quota_view;
 mod read_roster;
 mod reading_pace;
 mod recent_whole;
@@ -40,6 +44,8 @@
 mod usual_patience;
 mod waiting_line;
 
+pub use self::charge_news::ChargeNews;
+pub use self::charge_news::ChargeTotal;
 pub use self::config_watch::ConfigWatch;
 pub use self::content_verdict::ContentChange;
 pub use self::content_verdict::ContentVerdict;
@@ -72,6 +78,10 @@
 pub use self::placement::place_engine;
 pub use self::placement::place_plain;
 pub use self::placement::place_prefill;
+pub use self::quota_pool::OrganisationDigest;
+pub use self::quota_pool::QuotaPool;
+pub use self::quota_pool::organisation_digest;
+pub use self::quota_view::QuotaView;
 pub use self::read_roster::PeerRank;
 pub use self::read_roster::ReadNotice;
 pub use self::read_roster::ReadRoster;
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -77,6 +77,8 @@
     /// for reports that newer ones have replaced.
     by_age: VecDeque<HeardReport>,
     heard: u64,
+    /// When the newest report came.
+    heard_at: Option<Instant>,
     learned: FxHashMap<PeerDigest, PeerLearning>,
     /// Looks at a server's sum so far.
     server_looks: Cell<u64>,
@@ -104,6 +106,7 @@
         }
         self.settle(now);
         self.heard += 1;
+        self.heard_at = Some(now);
         let serial = self.heard;
         self.sums.add(&news);
         self.by_age.push_back(HeardReport { peer, serial, heard_at: now });
@@ -205,6 +208,17 @@
         rank
     }
 
+    /// Peers heard within `span`.
+    pub fn heard_within(&self, span: Duration, now: Instant) -> usize {
+        let age = |report: &PeerReport| now.saturating_duration_since(report.heard_at);
+        self.reports.values().filter(|report| age(report) < span).count()
+    }
+
+    /// For how long no peer has been heard; `None` while none ever was.
+    pub fn unheard_for(&self, now: Instant) -> Option<Duration> {
+        self.heard_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Peers heard of lately.
     pub fn live_peers(&self, now: Instant) -> usize {
         self.reports
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -5,6 +5,7 @@
 use snafu::Snafu;
 
 use crate::model::CallHead;
+use crate::model::CallerMark;
 use crate::model::EngineReport;
 use crate::model::OnwardOrder;
 use crate::model::PrefillResult;
@@ -43,6 +44,10 @@
     /// what `order` says.
     fn onward_headers(headers: &HeaderMap, order: &OnwardOrder) -> HeaderMap;
 
+    /// Puts what servers are told of who calls into `headers`, whatever the
+    /// caller sent there, and takes its key out where organisations hold keys.
+    fn mark_caller(headers: &mut HeaderMap, caller: &CallerMark);
+
     /// Decodes a backend server's answer head.
     fn reply_head(headers: &HeaderMap) -> ReplyHead;
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -31,6 +31,10 @@
 /// A request is held back since servers crash under such requests, or is let
 /// through to find out.
 pub const CALL_HELD_BACK: u32 = 5016;
+/// A request's key is no organisation's, as far as is known.
+pub const KEY_UNKNOWN: u32 = 5017;
+/// A request is refused since its organisation's quota is spent.
+pub const QUOTA_SPENT: u32 = 5018;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
@@ -64,6 +68,12 @@
 pub const CONTENT_CHANGED: u32 = 6015;
 /// The row of a content held back was written or removed.
 pub const CONTENT_ROW: u32 = 6016;
+/// An organisation's quota is new or has changed.
+pub const QUOTA_CHANGED: u32 = 6017;
+/// A key of an organisation was added or is gone.
+pub const KEY_CHANGED: u32 = 6018;
+/// A newer configuration was taken from another gateway, or could not be.
+pub const CONFIG_COPIED: u32 = 6019;
 /// The process serves.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful stop begins.
@@ -78,5 +88,7 @@
 pub const LINES_DROPPED: u32 = 7006;
 /// The address for metrics can't be had; they are read at the ready address.
 pub const METRICS_UNBOUND: u32 = 7008;
+/// Other gateways can't take the configuration from this one.
+pub const COPIES_UNBOUND: u32 = 7009;
 /// A caller's connection could not be accepted.
 pub const ACCEPT_FAILED: u32 = 7007;
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -11,6 +11,7 @@
 use http::Uri;
 use http_body_util::Full;
 
+use super::QuotaCharge;
 use crate::codec::PlatformCodec;
 use crate::model::CallContent;
 use crate::model::CallHead;
@@ -27,9 +28,12 @@
 pub struct Call {
     pub method: Method,
     pub uri: Uri,
+    /// Marked with who calls; without its key.
     pub headers: HeaderMap,
     pub body: Bytes,
     pub head: CallHead,
+    /// What it is charged to its organisation's quota, if there is one.
+    pub charge: Option<QuotaCharge>,
     /// The same for each try of the same request.
     pub content: CallContent,
     pub route: Arc<Route>,
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -99,6 +99,11 @@
     patience: Duration,
 ) -> Result<OpenReply, SendFailure> {
     let request = call.onward::<C>(order);
+    if order.purpose != SendPurpose::Prefill
+        && let Some(charge) = &call.charge
+    {
+        charge.keep();
+    }
     let sent = async {
         upstream::send(&state.pool, target, request).await.map_err(|error| {
             let failure = if error.is_unsent() { SendFailure::Unsent } else { SendFailure::Broken };
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod plain_run;
 mod prefill_step;
 mod probe_guard;
+mod quota_charge;
 mod refuse;
 mod relay;
 mod room_wait;
@@ -24,6 +25,7 @@
 pub use self::event_reader::EventSplitter;
 pub use self::event_reader::StreamEvent;
 pub use self::exchange::send_target;
+pub use self::quota_charge::QuotaCharge;
 pub use self::refuse::Refusal;
 pub use self::refuse::refuse;
 
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -29,6 +29,12 @@
     NoRoute,
     /// The body is larger than allowed.
     TooLarge,
+    /// No organisation holds the request's key.
+    UnknownKey,
+    /// Its route or key is unknown, and a newer configuration may know it.
+    ConfigUnsettled,
+    /// Its organisation's quota is spent.
+    QuotaSpent,
     /// The request can't be understood.
     BadRequest,
     /// The service has no server that takes work.
@@ -54,10 +60,13 @@
     /// never will; 502 and 504 promise nothing.
     pub fn status(self) -> StatusCode {
         match self {
+            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::QuotaSpent => StatusCode::TOO_MANY_REQUESTS,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BadRequest => StatusCode::BAD_REQUEST,
             Refusal::NoConfiguration
+            | Refusal::ConfigUnsettled
             | Refusal::NoServer
             | Refusal::NoRoom
             | Refusal::NotRun
@@ -70,6 +79,13 @@
     }
 }
 
+impl Refusal {
+    /// True for an answer that promises that the request has not run.
+    fn promises_not_run(self) -> bool {
+        matches!(self.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+    }
+}
+
 /// The answer for `refusal`, with when to come back if the request has not
 /// run.
 pub fn refuse(refusal: Refusal, retry_after: Option<Duration>) -> Response<GatewayBody> {
@@ -118,6 +134,11 @@
     retry_after: Option<Duration>,
     sends: u32,
 ) -> Response<GatewayBody> {
+    if refusal.promises_not_run()
+        && let Some(charge) = &call.charge
+    {
+        charge.give_back();
+    }
     tracing::info!(
         event = events::CALL_REFUSED,
         request_id = call.id(),
--- /dev/null
+++ b/crates/gateway/src/in_force_log.rs
@@ -0,0 +1,84 @@
+//! Puts configurations in force, and logs what that changes.
+
+use std::collections::HashSet;
+use std::time::Instant;
+
+use crate::belief::InForceChange;
+use crate::events;
+use crate::model::KeyDigest;
+use crate::model::RouteTable;
+use crate::model::StoreVersion;
+use crate::state::GatewayState;
+
+/// Keys of which a change is logged one by one; of more, their number.
+const MOST_KEYS_LOGGED: usize = 16;
+
+impl GatewayState {
+    /// Takes in `table`, which `source` held at row version `row_version`; true
+    /// when it is in force now.
+    pub fn put_in_force(
+        &self,
+        row_version: StoreVersion,
+        table: RouteTable,
+        source: &'static str,
+    ) -> bool {
+        let version = table.version;
+        let known = self.table();
+        let change = self.with_in_force(|in_force| in_force.offer(row_version, table));
+        let before = match change {
+            InForceChange::Applied { before } => before.unwrap_or(0),
+            InForceChange::Old { current } => {
+                tracing::debug!(
+                    event = events::CONFIG_IGNORED,
+                    version,
+                    row_version,
+                    current,
+                    "older configuration ignored"
+                );
+                return false;
+            }
+        };
+        let Some(table) = self.table() else { return false };
+        self.quotas.set_limits(&table.organisations, version, &self.quota_view());
+        self.room.notify(usize::MAX);
+        metrics::gauge!("umberglade_config_version").set(version as f64);
+        tracing::info!(
+            event = events::CONFIG_APPLIED,
+            version,
+            row_version,
+            before,
+            source,
+            routes = table.len(),
+            organisations = table.organisations.len(),
+            "configuration in force"
+        );
+        if let Some(known) = known {
+            log_keys(&known, &table);
+        }
+        true
+    }
+
+    /// The configuration in force was the newest at `at`.
+    pub fn note_config_fresh(&self, at: Instant) {
+        self.with_config_watch(|watch| watch.note_fresh(at));
+    }
+}
+
+fn log_keys(before: &RouteTable, after: &RouteTable) {
+    let keys = |table: &RouteTable| table.organisations.keys().copied().collect::<HashSet<_>>();
+    let (before, keys) = (keys(before), keys(after));
+    log_key_changes("gone", before.difference(&keys), after.version);
+    log_key_changes("added", keys.difference(&before), after.version);
+}
+
+fn log_key_changes<'a>(
+    outcome: &'static str,
+    keys: impl Iterator<Item = &'a KeyDigest>,
+    version: u64,
+) {
+    let keys: Vec<&KeyDigest> = keys.collect();
+    for key in keys.iter().take(MOST_KEYS_LOGGED) {
+        let count = keys.len();
+        tracing::info!(event = events::KEY_CHANGED, %key, outcome, version, count, "keys changed");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ingress/find_route.rs
@@ -0,0 +1,85 @@
+//! Finds the route of a request and who calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::forward::Refusal;
+use crate::model::CallerKey;
+use crate::model::CallerMark;
+use crate::model::CallerVerdict;
+use crate::model::Organisation;
+use crate::model::Route;
+use crate::model::RouteTable;
+use crate::state::GatewayState;
+use crate::timing::by_deadline;
+
+/// How long a request with an unknown route or key waits for a configuration that
+/// may know it: a read of the store and a margin.
+const NEWER_WAIT: Duration = Duration::from_millis(400);
+/// Such a request looks this often.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// How soon to come back where none could be had.
+pub(super) const NEWER_RETRY: Duration = Duration::from_millis(500);
+
+/// What a configuration says of a request.
+pub(super) struct FoundRoute {
+    pub table: Arc<RouteTable>,
+    pub route: Arc<Route>,
+    pub organisation: Option<Arc<Organisation>>,
+}
+
+impl FoundRoute {
+    /// What servers are told of who calls.
+    pub fn mark(&self) -> CallerMark {
+        CallerMark {
+            organisation: self.organisation.as_ref().map(|of| of.name.clone()),
+            hides_key: !self.table.organisations.is_empty(),
+        }
+    }
+}
+
+/// The route of a request, and whose key it bears.
+///
+/// A caller who is told that its route or key is unknown does not come back.
+/// Unless the configuration in force is surely the newest it is read first, and
+/// the request is refused for now where that can't be done.
+pub(super) async fn find_route(
+    state: &GatewayState,
+    host: &str,
+    path: &str,
+    key: &CallerKey,
+) -> Result<FoundRoute, Refusal> {
+    let until = Instant::now() + NEWER_WAIT;
+    loop {
+        let changed = state.room.listen();
+        let table = state.table().ok_or(Refusal::NoConfiguration)?;
+        let refusal = match look_up(table, host, path, key) {
+            Ok(found) => return Ok(found),
+            Err(refusal) => refusal,
+        };
+        if state.has_newest_config() {
+            return Err(refusal);
+        }
+        if Instant::now() >= until {
+            return Err(Refusal::ConfigUnsettled);
+        }
+        state.config_due.notify(usize::MAX);
+        by_deadline(until.min(Instant::now() + LOOK_AGAIN), changed).await;
+    }
+}
+
+fn look_up(
+    table: Arc<RouteTable>,
+    host: &str,
+    path: &str,
+    key: &CallerKey,
+) -> Result<FoundRoute, Refusal> {
+    let route = Arc::clone(table.route(host, path).ok_or(Refusal::NoRoute)?);
+    let organisation = match table.organisations.caller(key, route.is_open) {
+        CallerVerdict::Anyone => None,
+        CallerVerdict::Known(organisation) => Some(organisation),
+        CallerVerdict::Unknown => return Err(Refusal::UnknownKey),
+    };
+    Ok(FoundRoute { table, route, organisation })
+}
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! Callers' connections, and the balancer's and operators' questions.
 
+mod find_route;
 mod front_server;
 mod read_call;
 mod ready_server;
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -17,13 +17,21 @@
 use hyper::body::Incoming;
 use snafu::Snafu;
 
+use super::find_route::FoundRoute;
+use super::find_route::NEWER_RETRY;
+use super::find_route::find_route;
+use crate::belief::organisation_digest;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::forward::Call;
 use crate::forward::GatewayBody;
+use crate::forward::QuotaCharge;
 use crate::forward::Refusal;
 use crate::forward::refuse;
+use crate::model::CallHead;
+use crate::model::CallerKey;
 use crate::model::ContentParts;
+use crate::model::Organisation;
 use crate::model::RouteTable;
 use crate::state::GatewayState;
 use crate::timing::by_deadline;
@@ -63,17 +71,18 @@
     let request_id = head.request_id.clone();
     let request_id = request_id.as_deref().unwrap_or("-");
     by_deadline(arrived + START_WAIT, state.known()).await;
-    let Some(table) = state.table() else {
-        return Ok(refused(request_id, Refusal::NoConfiguration, Some(NO_CONFIGURATION_RETRY), 0));
-    };
     let host = stated_host(request.headers(), request.uri()).unwrap_or_default();
-    let Some(route) = table.route(host, request.uri().path()) else {
-        return Ok(refused(request_id, Refusal::NoRoute, None, table.version));
+    let found = match find_route(state, host, request.uri().path(), &head.key).await {
+        Ok(found) => found,
+        Err(refusal) => return Ok(refuse_unrouted(state, request_id, &head.key, refusal)),
     };
+    let mark = found.mark();
+    let FoundRoute { table, route, organisation } = found;
     if request.body().size_hint().lower() > table.limits.max_body_bytes as u64 {
         return Ok(refused(request_id, Refusal::TooLarge, None, table.version));
     }
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    C::mark_caller(&mut parts.headers, &mark);
     let body = match read_body(body, table.limits.max_body_bytes).await? {
         Some(body) => body,
         None => return Ok(refused(request_id, Refusal::TooLarge, None, table.version)),
@@ -82,7 +91,7 @@
         method: parts.method.as_str(),
         host: stated_host(&parts.headers, &parts.uri).unwrap_or_default(),
         target: parts.uri.path_and_query().map_or("/", |target| target.as_str()),
-        credentials: credentials(&parts.headers),
+        credentials: credentials(&head.key),
         body: &body,
     }
     .digest();
@@ -92,6 +101,12 @@
     if let Some(prompt) = &mut head.prompt {
         prompt.output_estimate = state.learned(&service).outputs.expect(prompt.output_estimate);
     }
+    let charge = match charge(state, organisation.as_deref(), &head) {
+        Ok(charge) => charge,
+        Err(after) => {
+            return Ok(refused(request_id, Refusal::QuotaSpent, Some(after), table.version));
+        }
+    };
     let head_patience = head.patience;
     let patience = head_patience.unwrap_or(DEFAULT_PATIENCE);
     let allowed = route.timeout.map_or(patience, |timeout| timeout.min(patience));
@@ -101,8 +116,9 @@
         headers: parts.headers,
         body,
         head,
+        charge,
         content,
-        route: Arc::clone(route),
+        route: Arc::clone(&route),
         service,
         spec,
         config: table.version,
@@ -126,8 +142,58 @@
 }
 
 /// Who calls, as far as the request itself says.
-fn credentials(headers: &HeaderMap) -> &[u8] {
-    headers.get(header::AUTHORIZATION).map(|value| value.as_bytes()).unwrap_or_default()
+fn credentials(key: &CallerKey) -> &[u8] {
+    match key {
+        CallerKey::Sent(digest) => digest.as_bytes(),
+        CallerKey::None | CallerKey::Malformed => &[],
+    }
+}
+
+/// Charges a request to its organisation's quota; the refusal where that is spent.
+fn charge(
+    state: &Arc<GatewayState>,
+    organisation: Option<&Organisation>,
+    head: &CallHead,
+) -> Result<Option<QuotaCharge>, Duration> {
+    let Some((organisation, quota)) =
+        organisation.and_then(|organisation| Some((organisation, organisation.quota?)))
+    else {
+        return Ok(None);
+    };
+    let cost = quota.cost(head);
+    let request_id = head.request_id.as_deref().unwrap_or("-");
+    state.quotas.charge(organisation, cost, request_id, &state.quota_view())?;
+    Ok(Some(QuotaCharge::new(state, organisation_digest(&organisation.name), cost)))
+}
+
+/// Refuses a request that the configuration in force does not allow.
+fn refuse_unrouted(
+    state: &GatewayState,
+    request_id: &str,
+    key: &CallerKey,
+    refusal: Refusal,
+) -> ReadEnd {
+    let version = state.config_version();
+    if refusal == Refusal::UnknownKey {
+        let key = match key {
+            CallerKey::Sent(digest) => digest.to_string(),
+            CallerKey::None => "none".to_owned(),
+            CallerKey::Malformed => "not readable".to_owned(),
+        };
+        tracing::info!(
+            event = events::KEY_UNKNOWN,
+            request_id,
+            key,
+            config = version,
+            "unknown key"
+        );
+    }
+    let retry_after = match refusal {
+        Refusal::NoConfiguration => Some(NO_CONFIGURATION_RETRY),
+        Refusal::ConfigUnsettled => Some(NEWER_RETRY),
+        _ => None,
+    };
+    refused(request_id, refusal, retry_after, version)
 }
 
 /// The whole body; `None` when it is longer than `limit`.
--- a/crates/gateway/src/model/call_head.rs
+++ b/crates/gateway/src/model/call_head.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::CallerKey;
+
 /// The size of a prompt and of its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptShape {
@@ -28,6 +30,8 @@
     pub request_id: Option<String>,
     /// How long the caller will wait, from the moment it sent the request.
     pub patience: Option<Duration>,
+    /// Who calls.
+    pub key: CallerKey,
     /// Present on requests to model engines.
     pub prompt: Option<PromptShape>,
     /// The last event the caller already has, when it resumes a stream.
--- /dev/null
+++ b/crates/gateway/src/model/config_copy.rs
@@ -0,0 +1,47 @@
+//! A configuration as gateways hand it to each other.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::CallerLimits;
+use super::ConfigVersion;
+use super::OrganisationBook;
+use super::Route;
+use super::RouteTable;
+use super::ServiceName;
+use super::ServiceSpec;
+use super::StoreVersion;
+
+/// A decoded configuration: keys are digests in it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ConfigCopy {
+    /// The version of the store's row that it was read from.
+    pub row_version: StoreVersion,
+    version: ConfigVersion,
+    routes: Vec<Route>,
+    services: HashMap<ServiceName, ServiceSpec>,
+    limits: CallerLimits,
+    organisations: OrganisationBook,
+}
+
+impl ConfigCopy {
+    /// A copy of `table`, read at `row_version`.
+    pub fn of(row_version: StoreVersion, table: &RouteTable) -> Self {
+        ConfigCopy {
+            row_version,
+            version: table.version,
+            routes: table.routes().map(|route| (**route).clone()).collect(),
+            services: table.services.clone(),
+            limits: table.limits,
+            organisations: table.organisations.clone(),
+        }
+    }
+
+    /// The table again.
+    pub fn into_table(self) -> RouteTable {
+        RouteTable::new(self.version, self.routes, self.services, self.limits)
+            .with_organisations(self.organisations)
+    }
+}
--- a/crates/gateway/src/model/engine_spec.rs
+++ b/crates/gateway/src/model/engine_spec.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// The sizes of one service's engines.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests one engine generates for at a time.
     pub slots: u32,
--- a/crates/gateway/src/model/gateway_settings.rs
+++ b/crates/gateway/src/model/gateway_settings.rs
@@ -37,4 +37,10 @@
     pub retry_slack: f64,
     /// The window over which repeated sends are counted.
     pub retry_window: Duration,
+    /// The window over which what organisations have run is counted.
+    pub quota_window: Duration,
+    /// The part by which a quota may be exceeded in that window.
+    pub quota_overage: f64,
+    /// Units by which it may be exceeded besides.
+    pub quota_slack: f64,
 }
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -4,9 +4,16 @@
 
 mod call_content;
 mod call_head;
+mod caller_key;
+mod caller_mark;
+mod config_copy;
 mod engine_spec;
 mod gateway_settings;
+mod key_digest;
 mod onward_order;
+mod organisation;
+mod organisation_book;
+mod quota_limit;
 mod reply_head;
 mod route_table;
 mod server_entry;
@@ -16,11 +23,20 @@
 pub use self::call_content::ContentParts;
 pub use self::call_head::CallHead;
 pub use self::call_head::PromptShape;
+pub use self::caller_key::CallerKey;
+pub use self::caller_mark::CallerMark;
+pub use self::config_copy::ConfigCopy;
 pub use self::engine_spec::EngineSpec;
 pub use self::gateway_settings::GatewaySettings;
+pub use self::key_digest::KeyDigest;
 pub use self::onward_order::CacheSource;
 pub use self::onward_order::OnwardOrder;
 pub use self::onward_order::SendPurpose;
+pub use self::organisation::Organisation;
+pub use self::organisation_book::CallerVerdict;
+pub use self::organisation_book::OrganisationBook;
+pub use self::quota_limit::QuotaLimit;
+pub use self::quota_limit::QuotaUnit;
 pub use self::reply_head::PrefillResult;
 pub use self::reply_head::ReplyHead;
 pub use self::reply_head::ReportedLoad;
@@ -52,6 +68,8 @@
 pub type CallContent = u64;
 /// A service's name, as in the configuration.
 pub type ServiceName = Arc<str>;
+/// An organisation's name, as in the configuration.
+pub type OrganisationName = Arc<str>;
 /// A failure domain's name.
 pub type DomainKey = Arc<str>;
 /// The version of the configuration in force.
--- /dev/null
+++ b/crates/gateway/src/model/organisation_book.rs
@@ -0,0 +1,80 @@
+//! All organisations of a configuration, by their keys.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::CallerKey;
+use super::KeyDigest;
+use super::Organisation;
+
+/// Who calls, as the configuration in force says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CallerVerdict {
+    /// Nobody in particular: the configuration names no organisations, or the
+    /// route is open to all and no known key was sent.
+    Anyone,
+    Known(Arc<Organisation>),
+    /// No organisation holds the key.
+    Unknown,
+}
+
+/// The organisations of one configuration.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct OrganisationBook {
+    organisations: Vec<Arc<Organisation>>,
+    /// Places in `organisations`, by key.
+    keys: HashMap<KeyDigest, usize>,
+}
+
+impl OrganisationBook {
+    /// Adds an organisation that holds `keys`.
+    pub fn add(&mut self, organisation: Organisation, keys: impl IntoIterator<Item = KeyDigest>) {
+        let place = self.organisations.len();
+        self.organisations.push(Arc::new(organisation));
+        self.keys.extend(keys.into_iter().map(|key| (key, place)));
+    }
+
+    /// Who calls with `key`; routes that are `open` need none.
+    pub fn caller(&self, key: &CallerKey, is_open: bool) -> CallerVerdict {
+        if self.is_empty() {
+            return CallerVerdict::Anyone;
+        }
+        let place = match key {
+            CallerKey::Sent(digest) => self.keys.get(digest),
+            CallerKey::None | CallerKey::Malformed => None,
+        };
+        match place {
+            Some(place) => CallerVerdict::Known(Arc::clone(&self.organisations[*place])),
+            None if is_open => CallerVerdict::Anyone,
+            None => CallerVerdict::Unknown,
+        }
+    }
+
+    /// All organisations.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.organisations.iter()
+    }
+
+    /// The keys of all organisations.
+    pub fn keys(&self) -> impl Iterator<Item = &KeyDigest> {
+        self.keys.keys()
+    }
+
+    /// True when `key` is some organisation's.
+    pub fn holds(&self, key: &KeyDigest) -> bool {
+        self.keys.contains_key(key)
+    }
+
+    /// Organisations.
+    pub fn len(&self) -> usize {
+        self.organisations.len()
+    }
+
+    /// True without any: requests need no key then.
+    pub fn is_empty(&self) -> bool {
+        self.organisations.is_empty()
+    }
+}
--- a/crates/gateway/src/model/route_table.rs
+++ b/crates/gateway/src/model/route_table.rs
@@ -4,15 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use smallvec::SmallVec;
 use strum::Display;
 
 use super::ConfigVersion;
 use super::EngineSpec;
+use super::OrganisationBook;
 use super::ServiceName;
 
 /// What may be repeated of a route's requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum CallKind {
     /// Idempotent: may run more than once.
@@ -24,7 +27,7 @@
 }
 
 /// A service that gets part of a route's requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteShare {
     pub service: ServiceName,
     /// Its part, relative to the other shares' weights.
@@ -32,7 +35,7 @@
 }
 
 /// One route.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     pub name: String,
     /// Lower case, without a port.
@@ -44,6 +47,10 @@
     pub resumable: bool,
     /// Servers one caller's attempt may run on.
     pub max_attempts: u32,
+    /// True when requests need no key.
+    pub is_open: bool,
+    /// 0 is the most urgent.
+    pub priority: u32,
     /// The longest the operator wants a caller kept waiting.
     pub timeout: Option<Duration>,
     /// The time to the answer, or a stream's first event, worth full value.
@@ -80,7 +87,7 @@
 }
 
 /// One service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Connections one server accepts from all gateways together.
     pub max_connections: u32,
@@ -89,7 +96,7 @@
 }
 
 /// What a caller may send, and how long it may take.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     pub max_header_bytes: usize,
     pub max_body_bytes: usize,
@@ -115,12 +122,13 @@
     pub version: ConfigVersion,
     pub services: HashMap<ServiceName, ServiceSpec>,
     pub limits: CallerLimits,
+    pub organisations: OrganisationBook,
     /// Invariant: within a host, longer prefixes first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
 }
 
 impl RouteTable {
-    /// A table of `routes`, in any order.
+    /// A table of `routes`, in any order, without organisations.
     pub fn new(
         version: ConfigVersion,
         routes: Vec<Route>,
@@ -134,7 +142,13 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        RouteTable { version, services, limits, hosts }
+        let organisations = OrganisationBook::default();
+        RouteTable { version, services, limits, organisations, hosts }
+    }
+
+    /// The table with `organisations`, whose callers need keys.
+    pub fn with_organisations(self, organisations: OrganisationBook) -> Self {
+        RouteTable { organisations, ..self }
     }
 
     /// The route of a request: among its host's, the one with the longest
@@ -148,6 +162,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// Routes of all hosts.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -25,6 +25,14 @@
     Quarantines,
 }
 
+impl StoreTable {
+    /// True for rows in which callers' keys stand: gateways do not tell each other
+    /// of them as they are.
+    pub fn holds_keys(self) -> bool {
+        self == StoreTable::Configuration
+    }
+}
+
 /// One row, or the news that it is gone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRow {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,12 +9,15 @@
 //! say something new; a report names what its sender holds, so that who lacks
 //! a row sees it and reads for itself.
 
+mod config_copies;
 mod peer_book;
 mod report;
 mod report_loop;
 mod row_loop;
 mod send_budget;
 
+pub use self::config_copies::serve_copies;
+pub use self::config_copies::take_copies;
 pub use self::peer_book::PeerBook;
 pub use self::report::LoadReport;
 pub use self::report::PeerMessage;
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -3,9 +3,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::belief::ChargeNews;
 use crate::belief::EngineLearning;
 use crate::belief::LineNews;
 use crate::belief::LoadShare;
+use crate::belief::OrganisationDigest;
 use crate::belief::OutcomeNews;
 use crate::belief::RetryCount;
 use crate::model::ConfigVersion;
@@ -41,6 +43,11 @@
     pub config: ConfigVersion,
     /// Tables of the store that this gateway reads for all.
     pub tables: Vec<TableNotice>,
+    /// Units charged to organisations' quotas since this incarnation began, by the
+    /// digests of their names.
+    pub charges: Vec<(OrganisationDigest, ChargeNews)>,
+    /// Milliseconds for which this incarnation has run.
+    pub age_ms: u64,
     /// What became of sends of contents under which servers may crash.
     pub outcomes: Vec<OutcomeNews>,
 }
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -14,7 +14,9 @@
 use super::SendBudget;
 use crate::belief::PeerNews;
 use crate::belief::report_pace;
+use crate::belief::server_digest;
 use crate::events;
+use crate::model::StoreTable;
 use crate::state::GatewayState;
 use crate::timing::by_deadline;
 
@@ -86,6 +88,8 @@
         learned: tells_learned.then(|| state.own_learning()),
         config: state.config_version(),
         tables: state.readings.notices(now),
+        charges: state.quotas.news(tells_learned),
+        age_ms: state.age().as_millis() as u64,
         outcomes: state.quarantines.news(tells_learned),
     };
     let datagram = postcard::to_allocvec(&PeerMessage::Load(Box::new(report)))
@@ -107,7 +111,7 @@
                 Ok(PeerMessage::Rows(rows)) => state.readings.hear_rows(rows),
                 Ok(PeerMessage::Load(report)) => {
                     learn_peer(&state, &book, &report.peer, peer);
-                    take_report(&state, *report);
+                    take_report(&state, *report, peer);
                 }
                 Err(error) => unreadable.note(peer, length, &error),
             },
@@ -149,7 +153,7 @@
     }
 }
 
-fn take_report(state: &GatewayState, report: LoadReport) {
+fn take_report(state: &GatewayState, report: LoadReport, address: SocketAddr) {
     if report.sequence <= FIRST_REPORTS {
         state.has_newcomer.store(true, Ordering::Relaxed);
         state.work_changed.notify(1);
@@ -164,12 +168,22 @@
         config: report.config,
     };
     let now = Instant::now();
+    if !report.charges.is_empty() {
+        let digest = server_digest(&report.peer);
+        let view = state.quota_view();
+        let age = Duration::from_millis(report.age_ms);
+        state.quotas.hear(digest, report.incarnation, age, &report.charges, &view);
+    }
     state.fleet().peers.note(&report.peer, report.incarnation, report.sequence, news, now);
     if let Some(learned) = report.learned {
         state.fleet().peers.learn(&report.peer, learned, now);
     }
-    state.hear_config(&report.peer, report.config);
+    state.hear_config(&report.peer, address, report.config);
     for notice in report.tables {
+        if notice.table == StoreTable::Configuration && report.config == state.config_version() {
+            let age = Duration::from_millis(notice.age_ms);
+            state.note_config_fresh(now.checked_sub(age).unwrap_or(now));
+        }
         state.readings.hear_notice(&report.peer, notice, now);
     }
     for news in report.outcomes {
--- /dev/null
+++ b/crates/gateway/src/quota/mod.rs
@@ -0,0 +1,5 @@
+//! Quotas of organisations at this process.
+
+mod quotas;
+
+pub use self::quotas::Quotas;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -86,6 +86,7 @@
     let address = settings.peer;
     let socket = UdpSocket::bind(address).await.context(BindSnafu { address })?;
     settings.peer = socket.local_addr().context(BindSnafu { address })?;
+    let copies = bind_copies(settings.peer).await;
     let state = GatewayState::new(settings, metrics);
     let book = Arc::new(PeerBook::default());
     follow::<C>(&state);
@@ -93,6 +94,10 @@
     pool::spawn(peers::send_reports(Arc::clone(&state), Arc::clone(&book), socket.clone()));
     pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&book), socket.clone()));
     pool::spawn(peers::hear_reports(Arc::clone(&state), book, socket));
+    if let Some(copies) = copies {
+        pool::spawn(peers::serve_copies(Arc::clone(&state), copies));
+    }
+    pool::spawn(peers::take_copies(Arc::clone(&state)));
     pool::spawn(keep_stages::<C>(Arc::clone(&state)));
     pool::spawn(quarantine::keep_rows::<C>(Arc::clone(&state)));
     pool::spawn(tick(Arc::clone(&state)));
@@ -154,6 +159,18 @@
     Ok(listener)
 }
 
+/// The listener that hands the configuration to other gateways. One that can't be
+/// had keeps no gateway from serving: the others read the store.
+async fn bind_copies(address: SocketAddr) -> Option<TcpListener> {
+    match TcpListener::bind(address).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            tracing::warn!(event = events::COPIES_UNBOUND, %address, %error, "hands out no configuration");
+            None
+        }
+    }
+}
+
 /// The listener for metrics, where one is asked for. One that can't be had
 /// keeps no gateway from serving: its port may be taken on some instance.
 async fn bind_metrics(settings: &mut GatewaySettings) -> Option<TcpListener> {
@@ -251,6 +268,7 @@
         state.pool.tick(now);
         let rank = state.fleet().peers.rank(state.digest, now);
         state.quarantines.tick(rank.before == 0);
+        state.quotas.tick(&state.quota_view());
         heard = log_peers(&state, heard, now);
         metrics::gauge!("umberglade_in_flight").set(f64::from(state.flights.requests()));
         metrics::gauge!("umberglade_kept_connections").set(state.pool.len() as f64);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! What all requests of a gateway share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -19,10 +20,12 @@
 use crate::belief::FleetChange;
 use crate::belief::InForce;
 use crate::belief::OtherLines;
+use crate::belief::QuotaView;
 use crate::belief::RetryAllowance;
 use crate::belief::RetryCount;
 use crate::belief::RetryUse;
 use crate::belief::ServerOutcome;
+use crate::belief::report_pace;
 use crate::belief::server_digest;
 use crate::demand::CallerDemand;
 use crate::events;
@@ -33,6 +36,7 @@
 use crate::model::RouteTable;
 use crate::model::ServiceName;
 use crate::quarantine::Quarantines;
+use crate::quota::Quotas;
 use crate::stop::GRACE_MARGIN;
 use crate::stop::LAST_CALL;
 use crate::stop::StopSwitch;
@@ -68,11 +72,17 @@
     pub readings: SharedReadings,
     /// Requests that are held back since servers crash under them.
     pub quarantines: Quarantines,
+    /// What organisations may still have run.
+    pub quotas: Quotas,
     begun: Instant,
     in_force: RwLock<InForce>,
     config_watch: Mutex<ConfigWatch>,
+    /// The gateway that told last of a newer configuration, and its version.
+    config_source: Mutex<Option<(SocketAddr, ConfigVersion)>>,
     fleet: Mutex<Fleet>,
     retries: Mutex<RetryAllowance>,
+    /// When the gateways that share quotas were counted, and how many.
+    quota_peers: Mutex<Option<(Instant, usize)>>,
     /// Gateways registered in the store, this one included; at least 1.
     members: AtomicUsize,
 }
@@ -80,6 +90,13 @@
 /// How long after its start a process waits for the requests held back: reading
 /// them takes some 20 ms.
 const FIRST_READ: Duration = Duration::from_millis(400);
+/// A gateway not heard for longer does not count when a quota is given out: four
+/// reports at the slowest pace, so that lost ones change little.
+const QUOTA_PEER_LIFE: Duration = Duration::from_secs(1);
+/// Between two counts of them, each of which looks at all reports.
+const COUNT_PAUSE: Duration = Duration::from_millis(50);
+/// From a report's sending until it is taken in.
+const REPORT_DELAY: Duration = Duration::from_millis(10);
 /// Assumed until the members table is read: cautious for most sites.
 const FIRST_MEMBERS: usize = 8;
 
@@ -108,11 +125,14 @@
             config_due: Event::new(),
             room: Event::new(),
             quarantines: Quarantines::new(begun),
+            quotas: Quotas::new(begun),
             begun,
             in_force: RwLock::default(),
             config_watch: Mutex::default(),
+            config_source: Mutex::default(),
             fleet: Mutex::default(),
             retries: Mutex::new(retries),
+            quota_peers: Mutex::default(),
             members: AtomicUsize::new(FIRST_MEMBERS),
         })
     }
@@ -127,14 +147,15 @@
         self.table().map_or(0, |table| table.version)
     }
 
-    /// `peer` has configuration `version` in force.
-    pub fn hear_config(&self, peer: &str, version: ConfigVersion) {
+    /// The gateway `peer` at `address` has configuration `version` in force.
+    pub fn hear_config(&self, peer: &str, address: SocketAddr, version: ConfigVersion) {
         let own = self.config_version();
-        let mut watch = self.config_watch.lock().expect("config watch lock");
-        if !watch.hear(version, own) {
+        if version > own {
+            *self.config_source.lock().expect("config source lock") = Some((address, version));
+        }
+        if !self.with_config_watch(|watch| watch.hear(version, own)) {
             return;
         }
-        drop(watch);
         tracing::info!(
             event = events::CONFIG_HEARD,
             version,
@@ -145,6 +166,26 @@
         self.config_due.notify(usize::MAX);
     }
 
+    /// Runs `change` on what is known of newer configurations.
+    pub fn with_config_watch<T>(&self, change: impl FnOnce(&mut ConfigWatch) -> T) -> T {
+        change(&mut self.config_watch.lock().expect("config watch lock"))
+    }
+
+    /// True when no newer configuration is known of, and the one in force was the
+    /// store's within its bound.
+    pub fn has_newest_config(&self) -> bool {
+        let own = self.config_version();
+        let bound = self.settings.config_bound;
+        self.with_config_watch(|watch| watch.is_newest(own, bound, Instant::now()))
+    }
+
+    /// A gateway with a newer configuration than the one in force, and its version.
+    pub fn newer_config(&self) -> Option<(SocketAddr, ConfigVersion)> {
+        let own = self.config_version();
+        let source = *self.config_source.lock().expect("config source lock");
+        source.filter(|(_, version)| *version > own)
+    }
+
     /// Runs `change` on what is in force.
     pub fn with_in_force<T>(&self, change: impl FnOnce(&mut InForce) -> T) -> T {
         change(&mut self.in_force.write().expect("in-force lock"))
@@ -246,6 +287,41 @@
         EngineLearning::pooled(others.chain([own]))
     }
 
+    /// For how long the process has run.
+    pub fn age(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// What this gateway sees of the others when it gives out a quota.
+    pub fn quota_view(&self) -> QuotaView {
+        let now = Instant::now();
+        let unheard_for = self.fleet().peers.unheard_for(now);
+        let heard = self.quota_peers(now);
+        let report_age = report_pace(heard) + REPORT_DELAY;
+        QuotaView {
+            heard,
+            members: self.members(),
+            report_age,
+            unheard_for: unheard_for.unwrap_or(Duration::MAX).max(report_age),
+            window: self.settings.quota_window,
+            overage: self.settings.quota_overage,
+            slack: self.settings.quota_slack,
+        }
+    }
+
+    /// Other gateways that share quotas with this one, counted now and then.
+    fn quota_peers(&self, now: Instant) -> usize {
+        let counted = *self.quota_peers.lock().expect("quota peers lock");
+        if let Some((at, heard)) = counted
+            && now.saturating_duration_since(at) < COUNT_PAUSE
+        {
+            return heard;
+        }
+        let heard = self.fleet().peers.heard_within(QUOTA_PEER_LIFE, now);
+        *self.quota_peers.lock().expect("quota peers lock") = Some((now, heard));
+        heard
+    }
+
     /// Gateways registered, this one included.
     pub fn members(&self) -> usize {
         self.members.load(Ordering::Relaxed).max(1)
--- a/crates/gateway/src/store/config_sink.rs
+++ b/crates/gateway/src/store/config_sink.rs
@@ -2,6 +2,7 @@
 
 use std::marker::PhantomData;
 use std::sync::Arc;
+use std::time::Instant;
 
 use event_listener::EventListener;
 
@@ -9,7 +10,6 @@
 use super::raw_digest;
 use super::unreadable_row::log_unreadable;
 use crate::belief::ContentDigest;
-use crate::belief::InForceChange;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::RowValue;
@@ -41,7 +41,7 @@
             }
         };
         match C::route_table(&row.key, value) {
-            Ok(Some(table)) => self.offer(row.version, table),
+            Ok(Some(table)) => drop(self.state.put_in_force(row.version, table, "store")),
             Ok(None) => {}
             Err(error) => tracing::error!(
                 event = events::CONFIG_IGNORED,
@@ -51,32 +51,6 @@
             ),
         }
     }
-
-    fn offer(&self, row_version: StoreVersion, table: crate::model::RouteTable) {
-        let version = table.version;
-        let routes = table.len();
-        match self.state.with_in_force(|in_force| in_force.offer(row_version, table)) {
-            InForceChange::Applied { before } => {
-                self.state.room.notify(usize::MAX);
-                metrics::gauge!("umberglade_config_version").set(version as f64);
-                tracing::info!(
-                    event = events::CONFIG_APPLIED,
-                    version,
-                    row_version,
-                    before = before.unwrap_or(0),
-                    routes,
-                    "configuration in force"
-                );
-            }
-            InForceChange::Old { current } => tracing::debug!(
-                event = events::CONFIG_IGNORED,
-                version,
-                row_version,
-                current,
-                "older configuration ignored"
-            ),
-        }
-    }
 }
 
 impl<C: PlatformCodec> TableSink for ConfigSink<C> {
@@ -94,6 +68,10 @@
         raw_digest(row)
     }
 
+    fn read(&mut self) {
+        self.state.note_config_fresh(Instant::now());
+    }
+
     fn due(&self) -> Option<EventListener> {
         Some(self.state.config_due.listen())
     }
--- a/crates/gateway/src/store/table_sharing.rs
+++ b/crates/gateway/src/store/table_sharing.rs
@@ -117,7 +117,7 @@
     fn note_read(&self, news: Vec<StoreRow>) {
         self.reading().note_read(self.content.fingerprint());
         let tells = self.reading().roster().own_notice(Instant::now()).is_some();
-        if tells && !news.is_empty() {
+        if tells && !news.is_empty() && !self.table.holds_keys() {
             self.state.readings.tell(self.table, news);
         }
     }
