--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -13,15 +13,11 @@
 use super::OtherLines;
 use super::PeerNews;
 use super::PeerRank;
+use super::PeerReach;
 use super::PeerSums;
 use super::ServerSum;
 use super::ServiceSum;
 
-/// How long a peer's report counts: a dozen reports at the pace of a small
-/// site, and two at the slowest of one each 250 ms, so that a lost datagram
-/// changes nothing. Work of a peer that died ends with its connections,
-/// within about as long.
-const REPORT_LIFE: Duration = Duration::from_millis(600);
 /// After this long without a report a peer no longer counts as live.
 const PEER_LIFE: Duration = Duration::from_secs(5);
 
@@ -49,12 +45,19 @@
     news: PeerNews,
 }
 
+impl PeerReport {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) < self.news.reach.report_life()
+    }
+}
+
 /// A report as it was heard.
 #[derive(Debug, Clone, Copy)]
 struct HeardReport {
     peer: PeerDigest,
     serial: u64,
     heard_at: Instant,
+    reach: PeerReach,
 }
 
 /// What a peer has learned, by service.
@@ -66,16 +69,16 @@
 
 /// The newest report of each peer.
 ///
-/// Reports count for [`REPORT_LIFE`]. Those that have lapsed are taken out of
+/// Reports count for their [`PeerReach::report_life`]. Those that have lapsed are taken out of
 /// the sums when the next report comes or at the next tick; until then a look
 /// at the sums subtracts them, so that what is read is exact at any moment.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
     reports: FxHashMap<PeerDigest, PeerReport>,
     sums: PeerSums,
-    /// Invariant: all reports in the sums, oldest first; some entries stand
-    /// for reports that newer ones have replaced.
-    by_age: VecDeque<HeardReport>,
+    /// Invariant: all reports in the sums, those of one life in one queue, oldest
+    /// first; some entries stand for reports that newer ones have replaced.
+    by_age: [VecDeque<HeardReport>; 2],
     heard: u64,
     /// When the newest report came.
     heard_at: Option<Instant>,
@@ -109,7 +112,8 @@
         self.heard_at = Some(now);
         let serial = self.heard;
         self.sums.add(&news);
-        self.by_age.push_back(HeardReport { peer, serial, heard_at: now });
+        let reach = news.reach;
+        self.by_age[reach as usize].push_back(HeardReport { peer, serial, heard_at: now, reach });
         let report =
             PeerReport { incarnation, sequence, serial, heard_at: now, is_counted: true, news };
         let replaced = self.reports.insert(peer, report);
@@ -168,13 +172,13 @@
         self.fresh(now).any(|report| report.news.store_calm >= span)
     }
 
-    /// True when this gateway, with digest `own`, is the one to act for all:
-    /// of those that have read the store for `calm` it has the least digest.
+    /// True when this gateway, with digest `own`, is the one to act for all of its
+    /// shard: of those that have read the store for `calm` it has the least digest.
     /// More than one may think so; who acts must claim the duty first.
     pub fn is_first(&self, own: u64, calm: Duration, now: Instant) -> bool {
         self.reports
             .iter()
-            .filter(|(_, report)| now.saturating_duration_since(report.heard_at) < REPORT_LIFE)
+            .filter(|(_, report)| report.is_fresh(now) && report.news.reach == PeerReach::Near)
             .filter(|(_, report)| report.news.store_calm >= calm)
             .all(|(peer, _)| own < *peer)
     }
@@ -200,7 +204,7 @@
     pub fn rank(&self, own: u64, now: Instant) -> PeerRank {
         let mut rank = PeerRank { peers: 0, before: 0 };
         for (peer, report) in &self.reports {
-            if now.saturating_duration_since(report.heard_at) < REPORT_LIFE {
+            if report.is_fresh(now) {
                 rank.peers += 1;
                 rank.before += usize::from(*peer < own);
             }
@@ -208,10 +212,16 @@
         rank
     }
 
-    /// Peers heard within `span`.
+    /// Peers heard within `span`, or within the life of their report.
     pub fn heard_within(&self, span: Duration, now: Instant) -> usize {
         let age = |report: &PeerReport| now.saturating_duration_since(report.heard_at);
-        self.reports.values().filter(|report| age(report) < span).count()
+        let counts = |report: &&PeerReport| age(report) < span || report.is_fresh(now);
+        self.reports.values().filter(counts).count()
+    }
+
+    /// True when some peer of another shard is heard.
+    pub fn hears_far(&self, now: Instant) -> bool {
+        self.fresh(now).any(|report| report.news.reach == PeerReach::Far)
     }
 
     /// For how long no peer has been heard; `None` while none ever was.
@@ -241,16 +251,17 @@
     }
 
     fn fresh(&self, now: Instant) -> impl Iterator<Item = &PeerReport> {
-        self.reports
-            .values()
-            .filter(move |report| now.saturating_duration_since(report.heard_at) < REPORT_LIFE)
+        self.reports.values().filter(move |report| report.is_fresh(now))
     }
 
     /// Reports that have lapsed and are still part of the sums.
     fn lapsed(&self, now: Instant) -> impl Iterator<Item = &PeerReport> {
+        let lapsed_of = move |queue: &'_ VecDeque<HeardReport>| {
+            queue.partition_point(|heard| has_lapsed(heard, now))
+        };
         self.by_age
             .iter()
-            .take_while(move |heard| has_lapsed(heard, now))
+            .flat_map(move |queue| queue.range(..lapsed_of(queue)))
             .filter_map(|heard| {
                 self.reports.get(&heard.peer).filter(|of| of.serial == heard.serial)
             })
@@ -259,16 +270,18 @@
 
     /// Takes lapsed reports out of the sums.
     fn settle(&mut self, now: Instant) {
-        while let Some(heard) = self.by_age.pop_front_if(|heard| has_lapsed(heard, now)) {
-            let Some(report) = self.reports.get_mut(&heard.peer) else { continue };
-            if report.serial == heard.serial && report.is_counted {
-                report.is_counted = false;
-                self.sums.remove(&report.news);
+        for queue in &mut self.by_age {
+            while let Some(heard) = queue.pop_front_if(|heard| has_lapsed(heard, now)) {
+                let Some(report) = self.reports.get_mut(&heard.peer) else { continue };
+                if report.serial == heard.serial && report.is_counted {
+                    report.is_counted = false;
+                    self.sums.remove(&report.news);
+                }
             }
         }
     }
 }
 
 fn has_lapsed(heard: &HeardReport, now: Instant) -> bool {
-    now.saturating_duration_since(heard.heard_at) >= REPORT_LIFE
+    now.saturating_duration_since(heard.heard_at) >= heard.reach.report_life()
 }
--- a/crates/gateway/src/belief/quota_account.rs
+++ b/crates/gateway/src/belief/quota_account.rs
@@ -186,11 +186,16 @@
     /// What this gateway has charged, where it is to be told.
     pub fn tell(&mut self, tells_all: bool) -> Option<ChargeNews> {
         let is_untold = std::mem::take(&mut self.is_untold);
-        (is_untold || (tells_all && self.own_total != 0)).then_some(ChargeNews {
+        (is_untold || (tells_all && self.own_total != 0)).then(|| self.news())
+    }
+
+    /// What this gateway has charged.
+    pub fn news(&self) -> ChargeNews {
+        ChargeNews {
             total: self.own_total,
             recent: self.own_sum.max(0.0) as u64,
             asked: self.own_asked,
-        })
+        }
     }
 
     /// The limit in force.
--- a/crates/gateway/src/belief/quota_pool.rs
+++ b/crates/gateway/src/belief/quota_pool.rs
@@ -161,6 +161,12 @@
         told.collect()
     }
 
+    /// What this gateway charged within the window, for those that are told rarely.
+    pub fn recent_news(&self) -> Vec<(OrganisationDigest, ChargeNews)> {
+        let accounts = self.accounts.iter().map(|(organisation, of)| (*organisation, of.news()));
+        accounts.filter(|(_, news)| news.recent > 0).collect()
+    }
+
     /// Drops what has left the window, and forgets gateways that are long gone.
     pub fn tick(&mut self, view: &QuotaView, now: Instant) {
         for account in self.accounts.values_mut() {
--- a/crates/gateway/src/belief/report_pace.rs
+++ b/crates/gateway/src/belief/report_pace.rs
@@ -13,6 +13,12 @@
 /// The slowest pace, which the life of a report allows for.
 const SLOWEST_REPORT: Duration = Duration::from_millis(250);
 
+/// How often gateways of other shards are told what all need to know.
+pub const FAR_PACE: Duration = Duration::from_millis(1000);
+/// The same by those that read the store for all: what they tell counts as fresh for
+/// half of a bound of seconds.
+pub const READER_PACE: Duration = Duration::from_millis(400);
+
 /// The time between two regular reports to `peers` other gateways.
 pub fn report_pace(peers: usize) -> Duration {
     let every = REPORT_EVERY + REPORT_EVERY_PEER * u32::try_from(peers).unwrap_or(u32::MAX / 4);
--- /dev/null
+++ b/crates/gateway/src/belief/server_shards.rs
@@ -0,0 +1,29 @@
+//! Which servers a gateway sends work to where there are many of both (sharding).
+
+/// Gateways that share a shard at least: enough that losing some changes little.
+const LEAST_GATEWAYS: usize = 32;
+/// Servers of a service in a shard at least: enough that few are the busiest.
+const LEAST_SERVERS: usize = 32;
+/// Gateways from which on servers are sharded. Below that all tell each other at
+/// once, and each may use every server.
+const SHARDED_FROM: usize = 120;
+
+/// Into how many shards the `servers` of a service are divided among `gateways`; a
+/// power of two, so that gateways that count differently still share most.
+///
+/// Guards against what gateways tell each other growing with their square: full
+/// links make configuration, servers and loads stale at once. Only those of one
+/// shard need each other's loads as they change.
+pub fn shard_count(gateways: usize, servers: usize) -> u64 {
+    if gateways < SHARDED_FROM {
+        return 1;
+    }
+    let most = (gateways / LEAST_GATEWAYS).min(servers / LEAST_SERVERS).max(1);
+    1 << most.ilog2()
+}
+
+/// True when two digests, of gateways or servers, fall into the same of `count`
+/// shards.
+pub fn shares_shard(left: u64, right: u64, count: u64) -> bool {
+    left % count == right % count
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
 //! a row sees it and reads for itself.
 
 mod config_copies;
+mod far_turn;
 mod peer_book;
 mod report;
 mod report_loop;
@@ -18,7 +19,9 @@
 
 pub use self::config_copies::serve_copies;
 pub use self::config_copies::take_copies;
+pub use self::far_turn::FarTurn;
 pub use self::peer_book::PeerBook;
+pub use self::peer_book::PeerGroups;
 pub use self::report::LoadReport;
 pub use self::report::PeerMessage;
 pub use self::report::TableRows;
--- a/crates/gateway/src/peers/peer_book.rs
+++ b/crates/gateway/src/peers/peer_book.rs
@@ -4,6 +4,18 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
+use crate::belief::server_digest;
+use crate::belief::shares_shard;
+
+/// The other gateways' addresses.
+#[derive(Debug, Default)]
+pub struct PeerGroups {
+    /// Those of the same shard.
+    pub near: Vec<SocketAddr>,
+    /// The others, sorted.
+    pub far: Vec<SocketAddr>,
+}
+
 /// Gateways' names and addresses, this one's included.
 #[derive(Debug, Default)]
 pub struct PeerBook {
@@ -33,8 +45,26 @@
 
     /// The addresses of all gateways but `own`.
     pub fn others(&self, own: &str) -> Vec<SocketAddr> {
+        let PeerGroups { near, far } = self.groups(own, 1);
+        near.into_iter().chain(far).collect()
+    }
+
+    /// The addresses of all gateways but `own`, by whether they share its one of
+    /// `shards`.
+    pub fn groups(&self, own: &str, shards: u64) -> PeerGroups {
+        let own_digest = server_digest(own);
+        let mut groups = PeerGroups::default();
         let addresses = self.addresses.lock().expect("peer book lock");
-        addresses.iter().filter(|(peer, _)| *peer != own).map(|(_, address)| *address).collect()
+        for (peer, address) in addresses.iter().filter(|(peer, _)| *peer != own) {
+            if shares_shard(own_digest, server_digest(peer), shards) {
+                groups.near.push(*address);
+            } else {
+                groups.far.push(*address);
+            }
+        }
+        drop(addresses);
+        groups.far.sort_unstable();
+        groups
     }
 
     /// Gateways known.
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -9,6 +9,7 @@
 use crate::belief::LoadShare;
 use crate::belief::OrganisationDigest;
 use crate::belief::OutcomeNews;
+use crate::belief::PeerReach;
 use crate::belief::RetryCount;
 use crate::model::ConfigVersion;
 use crate::model::StoreRow;
@@ -23,6 +24,8 @@
     pub incarnation: u64,
     /// Grows with each report of an incarnation.
     pub sequence: u64,
+    /// Whom it was written for.
+    pub reach: PeerReach,
     /// Servers by their digest.
     pub loads: Vec<(u64, LoadShare)>,
     /// Requests and repeats in the last window; services by their digest.
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -8,11 +8,16 @@
 
 use smol::net::UdpSocket;
 
+use super::FarTurn;
 use super::LoadReport;
 use super::PeerBook;
+use super::PeerGroups;
 use super::PeerMessage;
 use super::SendBudget;
+use crate::belief::FAR_PACE;
 use crate::belief::PeerNews;
+use crate::belief::PeerReach;
+use crate::belief::READER_PACE;
 use crate::belief::report_pace;
 use crate::belief::server_digest;
 use crate::events;
@@ -40,42 +45,74 @@
 pub async fn send_reports(state: Arc<GatewayState>, book: Arc<PeerBook>, socket: UdpSocket) {
     let incarnation = fastrand::u64(..);
     let mut budget = SendBudget::new(Instant::now());
+    let mut far_turn = FarTurn::new(Instant::now());
     let mut learning_due = Instant::now();
     for sequence in 1.. {
         let changed = state.work_changed.listen();
-        let peers = book.others(&state.settings.instance);
-        let due = Instant::now() + report_pace(peers.len());
+        let shards = state.fleet().peer_shards();
+        let PeerGroups { near, far } = book.groups(&state.settings.instance, shards);
+        let due = Instant::now() + report_pace(near.len());
         if by_deadline(due, changed).await.is_some() {
-            smol::Timer::at(budget.send_at(peers.len(), due, Instant::now())).await;
+            smol::Timer::at(budget.send_at(near.len(), due, Instant::now())).await;
         }
         let has_newcomer = state.has_newcomer.swap(false, Ordering::Relaxed);
         let tells_learned = has_newcomer || Instant::now() >= learning_due;
         if tells_learned {
             learning_due = Instant::now() + TELL_LEARNED_EVERY;
         }
-        let report = encode_report(&state, incarnation, sequence, tells_learned);
-        let Some(datagram) = report else { continue };
-        for address in peers {
-            // A lost report is made good by the next one.
-            let _ = socket.send_to(&datagram, address).await;
+        let mut report = report(&state, incarnation, sequence, tells_learned);
+        send(&socket, &report, &near).await;
+        let pace = if report.tables.is_empty() { FAR_PACE } else { READER_PACE };
+        let told = far_turn.next(&far, pace, Instant::now());
+        if !told.is_empty() {
+            only_for_all(&mut report, &state);
+            send(&socket, &report, &told).await;
         }
     }
 }
 
-/// The report of this moment; `None` when it does not fit a datagram.
-fn encode_report(
+async fn send(socket: &UdpSocket, report: &LoadReport, peers: &[SocketAddr]) {
+    let datagram = postcard::to_allocvec(&PeerMessage::Load(Box::new(report.clone())))
+        .expect("encoding plain numbers and text");
+    if datagram.len() > MAX_DATAGRAM {
+        metrics::counter!("umberglade_reports_oversize_total").increment(1);
+        return;
+    }
+    let reach: &'static str = report.reach.into();
+    metrics::counter!("umberglade_report_bytes_total", "reach" => reach)
+        .increment((datagram.len() * peers.len()) as u64);
+    for address in peers {
+        // A lost report is made good by the next one.
+        let _ = socket.send_to(&datagram, address).await;
+    }
+}
+
+/// Takes out what only concerns gateways of the same shard.
+fn only_for_all(report: &mut LoadReport, state: &GatewayState) {
+    report.reach = PeerReach::Far;
+    report.loads = state.fleet().own_loads_for_all();
+    report.aside.clear();
+    report.changing.clear();
+    report.lines.clear();
+    report.charges = state.quotas.recent_news();
+    report.outcomes = state.quarantines.news(true);
+}
+
+/// The report of this moment for gateways of the same shard.
+fn report(
     state: &GatewayState,
     incarnation: u64,
     sequence: u64,
     tells_learned: bool,
-) -> Option<Vec<u8>> {
+) -> LoadReport {
     let now = Instant::now();
     // One statement a lock: a guard lives to the end of its statement.
     let loads = state.fleet().own_loads();
     let aside = state.fleet().own_aside(now);
     let changing = state.fleet().own_changing(now);
     let store_calm = state.fleet().store_calm(now);
-    let report = LoadReport {
+    LoadReport {
+        reach: PeerReach::Near,
         peer: state.settings.instance.clone(),
         incarnation,
         sequence,
@@ -91,14 +128,7 @@
         charges: state.quotas.news(tells_learned),
         age_ms: state.age().as_millis() as u64,
         outcomes: state.quarantines.news(tells_learned),
-    };
-    let datagram = postcard::to_allocvec(&PeerMessage::Load(Box::new(report)))
-        .expect("encoding plain numbers and text");
-    if datagram.len() > MAX_DATAGRAM {
-        metrics::counter!("umberglade_reports_oversize_total").increment(1);
-        return None;
     }
-    Some(datagram)
 }
 
 /// Takes in the other gateways' reports, for good.
@@ -159,6 +189,7 @@
         state.work_changed.notify(1);
     }
     let news = PeerNews {
+        reach: report.reach,
         loads: report.loads,
         retries: report.retries,
         aside: report.aside.into(),
--- a/crates/gateway/src/quota/quotas.rs
+++ b/crates/gateway/src/quota/quotas.rs
@@ -127,6 +127,11 @@
         self.pool().news(tells_all)
     }
 
+    /// What a report tells gateways that are told rarely.
+    pub fn recent_news(&self) -> Vec<(OrganisationDigest, ChargeNews)> {
+        self.pool().recent_news()
+    }
+
     /// Drops what is past, and shows in metrics what is used.
     pub fn tick(&self, view: &QuotaView) {
         self.pool().tick(view, Instant::now());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 
 use crate::belief::ConfigWatch;
 use crate::belief::EngineLearning;
+use crate::belief::FAR_PACE;
 use crate::belief::Fleet;
 use crate::belief::FleetChange;
 use crate::belief::InForce;
@@ -130,7 +131,7 @@
             in_force: RwLock::default(),
             config_watch: Mutex::default(),
             config_source: Mutex::default(),
-            fleet: Mutex::default(),
+            fleet: Mutex::new(Fleet::new(digest)),
             retries: Mutex::new(retries),
             quota_peers: Mutex::default(),
             members: AtomicUsize::new(FIRST_MEMBERS),
@@ -297,7 +298,9 @@
         let now = Instant::now();
         let unheard_for = self.fleet().peers.unheard_for(now);
         let heard = self.quota_peers(now);
-        let report_age = report_pace(heard) + REPORT_DELAY;
+        let hears_far = self.fleet().peers.hears_far(now);
+        let pace = if hears_far { FAR_PACE } else { report_pace(heard) };
+        let report_age = pace + REPORT_DELAY;
         QuotaView {
             heard,
             members: self.members(),
@@ -330,6 +333,7 @@
     /// Takes in how many gateways are registered.
     pub fn set_members(&self, count: usize) {
         self.members.store(count.max(1), Ordering::Relaxed);
+        self.fleet().set_gateways(count.max(1));
     }
 
     /// True when callers should be sent here.
--- /dev/null
+++ b/crates/gateway/tests/peer_traffic.rs
@@ -0,0 +1,169 @@
+//! What gateways tell each other where there are hundreds of them.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_gateway::belief::FAR_PACE;
+use umberglade_gateway::belief::LoadShare;
+use umberglade_gateway::belief::PeerReach;
+use umberglade_gateway::belief::RetryCount;
+use umberglade_gateway::belief::report_pace;
+use umberglade_gateway::belief::server_digest;
+use umberglade_gateway::belief::shard_count;
+use umberglade_gateway::belief::shares_shard;
+use umberglade_gateway::peers::FarTurn;
+use umberglade_gateway::peers::LoadReport;
+use umberglade_gateway::peers::PeerBook;
+use umberglade_gateway::peers::PeerGroups;
+use umberglade_gateway::peers::PeerMessage;
+use umberglade_gateway::peers::SendBudget;
+
+const SERVERS_PER_GATEWAY: usize = 10;
+/// Streams that begin at one gateway in a second, each told of four times.
+const STREAMS_PER_S: usize = 4;
+const CHANGES_PER_STREAM: usize = 4;
+/// Streams of one gateway at a time.
+const RUNNING: u64 = 12;
+const SECONDS: u64 = 10;
+/// Of the link of a small instance, 1.25 MB a second, a quarter may go to this.
+const MOST_BYTES_PER_S: f64 = 1.25e6 / 4.0;
+/// IP and UDP headers.
+const FRAMING: usize = 28;
+
+fn address(place: usize) -> SocketAddr {
+    let [.., high, low] = (place as u32).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 0, high, low), 7660))
+}
+
+fn book(gateways: usize) -> PeerBook {
+    let book = PeerBook::default();
+    for place in 0..gateways {
+        book.insert(&format!("front-{place}"), address(place));
+    }
+    book
+}
+
+fn report(reach: PeerReach, now: u64) -> LoadReport {
+    let load = LoadShare { running: 1, prompt_tokens: 3200, ..LoadShare::default() };
+    let streams = if reach == PeerReach::Near { RUNNING } else { 0 };
+    LoadReport {
+        reach,
+        peer: "front-hall-a-100".to_owned(),
+        incarnation: u64::MAX,
+        sequence: now,
+        loads: (0..streams).map(|server| (u64::MAX - server, load)).collect(),
+        retries: vec![(u64::MAX, RetryCount { requests: 40, repeats: 4 }); 2],
+        aside: Vec::new(),
+        lines: Vec::new(),
+        store_calm_ms: 60_000,
+        changing: Vec::new(),
+        learned: None,
+        config: 40,
+        tables: Vec::new(),
+        outcomes: Vec::new(),
+        charges: Vec::new(),
+        age_ms: 60_000,
+    }
+}
+
+fn bytes(report: LoadReport) -> usize {
+    postcard::to_allocvec(&PeerMessage::Load(Box::new(report))).expect("plain fields").len()
+        + FRAMING
+}
+
+/// Bytes a second that one of `gateways` sends, each of its streams told of as it
+/// changes.
+fn sent_per_s(gateways: usize) -> f64 {
+    let shards = shard_count(gateways, gateways * SERVERS_PER_GATEWAY);
+    let PeerGroups { near, far } = book(gateways).groups("front-0", shards);
+    let begun = Instant::now();
+    let mut budget = SendBudget::new(begun);
+    let mut far_turn = FarTurn::new(begun);
+    let mut change = begun;
+    let pause = Duration::from_secs(1) / (STREAMS_PER_S * CHANGES_PER_STREAM) as u32;
+    let (mut now, mut sent) = (begun, 0);
+    while now < begun + Duration::from_secs(SECONDS) {
+        let due = now + report_pace(near.len());
+        while change <= now {
+            change += pause;
+        }
+        now = if change < due { budget.send_at(near.len(), due, change) } else { due };
+        sent += near.len() * bytes(report(PeerReach::Near, 1));
+        let told = far_turn.next(&far, FAR_PACE, now);
+        sent += told.len() * bytes(report(PeerReach::Far, 1));
+    }
+    sent as f64 / SECONDS as f64
+}
+
+/// Guards against links that fill up with what gateways tell each other: it must
+/// not grow with their square, nor take the link of a small instance.
+#[test]
+fn traffic_hardly_grows_with_the_gateways() {
+    let few = sent_per_s(30);
+    for gateways in [195, 301, 340] {
+        let many = sent_per_s(gateways);
+        let power = (many / few).ln() / (gateways as f64 / 30.0).ln();
+        assert!(many < MOST_BYTES_PER_S, "{gateways} gateways: {many:.0} bytes a second");
+        assert!(power < 0.5, "{gateways} gateways: {few:.0} to {many:.0}, power {power:.2}");
+    }
+}
+
+struct ShardCase {
+    gateways: usize,
+    servers: usize,
+    shards: u64,
+}
+
+/// Guards against shards in which few gateways or few servers are left to choose
+/// from.
+#[test]
+fn few_are_not_sharded() {
+    let cases = [
+        ShardCase { gateways: 6, servers: 21, shards: 1 },
+        ShardCase { gateways: 79, servers: 140, shards: 1 },
+        ShardCase { gateways: 119, servers: 3000, shards: 1 },
+        ShardCase { gateways: 195, servers: 5, shards: 1 },
+        ShardCase { gateways: 195, servers: 50, shards: 1 },
+        ShardCase { gateways: 195, servers: 500, shards: 4 },
+        ShardCase { gateways: 301, servers: 2700, shards: 8 },
+        ShardCase { gateways: 340, servers: 890, shards: 8 },
+    ];
+    for case in cases {
+        let ShardCase { gateways, servers, shards } = case;
+        assert_eq!(shard_count(gateways, servers), shards, "{gateways} before {servers}");
+    }
+}
+
+/// Guards against shards without their part of the gateways or servers.
+#[test]
+fn shards_have_about_their_part() {
+    let shards = shard_count(301, 2700);
+    for (kind, count) in [("front", 301), ("i", 2700)] {
+        for shard in 0..shards {
+            let digest = |place| server_digest(&format!("{kind}-{place}"));
+            let held = (0..count).filter(|place| shares_shard(digest(*place), shard, shards));
+            let part = held.count() as f64 / (f64::from(count) / shards as f64);
+            assert!((0.5..1.6).contains(&part), "{kind}, shard {shard}: {part:.2} of its part");
+        }
+    }
+}
+
+/// Guards against far gateways that are never told, or all at a time.
+#[test]
+fn far_gateways_are_told_in_turn() {
+    let far: Vec<SocketAddr> = (1..=263).map(address).collect();
+    let begun = Instant::now();
+    let mut turn = FarTurn::new(begun);
+    let mut told = Vec::new();
+    for step in 1..=10 {
+        let now = begun + Duration::from_millis(100 * step);
+        let next = turn.next(&far, FAR_PACE, now);
+        assert!(next.len() < 60, "{} at a time", next.len());
+        told.extend(next);
+    }
+    told.sort_unstable();
+    told.dedup();
+    assert!(told.len() > 250, "{} told in a pace", told.len());
+}
