--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -19,17 +19,12 @@
 use super::recent_whole::RecentWhole;
 use crate::model::CallContent;
 use crate::model::ServerIncarnation;
-use crate::model::StoreVersion;
 
 /// An answer that is known to be earlier than a crash counts as this much
 /// earlier.
 const JUST_BEFORE: Duration = Duration::from_millis(1);
 /// Within this all gateways heard have told what they still tell.
 const LEARN_TIME: Duration = Duration::from_secs(3);
-/// From the writing of a row until all gateways have read it, at most.
-const ROW_TIME: Duration = Duration::from_secs(2);
-/// Rows that wait to be written or removed at most.
-const MOST_ROW_CHANGES: usize = 64;
 
 /// Contents under which servers have crashed (poison requests).
 ///
@@ -44,13 +39,13 @@
 pub struct CrashWatch {
     /// When the gateway began to hear the others; `None` for long ago.
     begun: Option<Instant>,
-    records: ContentRecords,
+    pub(super) records: ContentRecords,
     /// Starts of servers at which a send broke and that have answered nothing
     /// since.
     broken: FxHashMap<ServerIncarnation, BrokenStart>,
     recent: RecentWhole,
-    log: OutcomeLog,
-    row_changes: Vec<RowChange>,
+    pub(super) log: OutcomeLog,
+    pub(super) row_changes: Vec<RowChange>,
     /// Held back, and let off since others explain the crashes.
     let_off: Vec<CallContent>,
 }
@@ -152,61 +147,6 @@
         }
     }
 
-    /// The store holds a row of a content that is held back. `is_own` says that
-    /// this gateway wrote it to claim a probe.
-    pub fn note_row(
-        &mut self,
-        content: CallContent,
-        probes: u32,
-        version: StoreVersion,
-        is_own: bool,
-        now: Instant,
-    ) -> Option<ContentChange> {
-        let before = self.records.get(content).and_then(|record| record.quarantine);
-        let is_void = self.records.get(content).is_some_and(|record| record.is_void(version));
-        if is_void || before.is_some_and(|known| known.version >= version) {
-            return None;
-        }
-        // Guards against a row that overtakes what cleared its content: nobody else would know that it is to be removed.
-        let is_cleared = self.log.saw_whole(content, ROW_TIME, now)
-            || self.records.get(content).is_some_and(|record| record.was_let_off(ROW_TIME, now));
-        if before.is_none() && is_cleared {
-            self.queue_removal(content, version, now);
-            return None;
-        }
-        let record = self.records.entry(content);
-        let before_or_new = before.unwrap_or(Quarantine::new(probes, version, now));
-        record.quarantine = Some(before_or_new.renewed(probes, version, is_own, now));
-        self.excuse_others(now);
-        before.is_none().then_some(ContentChange::HeldBack)
-    }
-
-    /// The store holds no row of `content` as of `version`.
-    pub fn note_no_row(
-        &mut self,
-        content: CallContent,
-        version: StoreVersion,
-        now: Instant,
-    ) -> Option<ContentChange> {
-        let record = self.records.get_mut(content)?;
-        let known = record.quarantine?.version;
-        if known == 0 || known > version {
-            return None;
-        }
-        record.note_whole(now);
-        record.quarantine = None;
-        self.records.note_explained();
-        Some(ContentChange::Cleared)
-    }
-
-    /// The contents whose rows are known.
-    pub fn rows(&self) -> Vec<CallContent> {
-        let has_row =
-            |record: &ContentRecord| record.quarantine.is_some_and(|known| known.version > 0);
-        let held = self.records.held().filter(|(_, record)| has_row(record));
-        held.map(|(content, _)| content).collect()
-    }
-
     /// Decides on a request that has just come; a probe that is due is left to
     /// this request alone for a while.
     pub fn admit(&mut self, content: CallContent, now: Instant) -> ContentVerdict {
@@ -284,11 +224,6 @@
         self.log.news(tells_all, now)
     }
 
-    /// Takes the changes of rows that are to be made.
-    pub fn take_row_changes(&mut self) -> Vec<RowChange> {
-        std::mem::take(&mut self.row_changes)
-    }
-
     /// Forgets what is past; what was held back until now and is no longer. Its
     /// row is removed by the gateway that `removes_rows`.
     pub fn tick(&mut self, removes_rows: bool, now: Instant) -> Vec<CallContent> {
@@ -365,7 +300,7 @@
 
     /// Server crashes under contents held back do not count for the others, and
     /// are told no more of these.
-    fn excuse_others(&mut self, now: Instant) {
+    pub(super) fn excuse_others(&mut self, now: Instant) {
         let excused = self.records.excuse_others(now);
         self.log.retain_crashes(|content, id| !excused.contains(content, id));
     }
@@ -397,23 +332,6 @@
         Some(ContentChange::Cleared)
     }
 
-    /// Has a row removed, and tells the others that it is void: one that starts
-    /// meanwhile reads it, and the store may be away.
-    fn queue_removal(&mut self, content: CallContent, version: StoreVersion, now: Instant) {
-        if version > 0 {
-            self.log.push(content, SendOutcome::Cleared(version), now);
-            self.queue(RowChange::Remove(content, version));
-        }
-    }
-
-    /// Leaves a change of a row to be made. One that finds no room is made good
-    /// by a probe, or by another gateway.
-    pub fn queue(&mut self, change: RowChange) {
-        if self.row_changes.len() < MOST_ROW_CHANGES {
-            self.row_changes.push(change);
-        }
-    }
-
     /// The record of `content`, under which a server crashed at `at`. Before the
     /// first of a series of crashes stands what this gateway has seen of the
     /// content lately, of which the others are told.
--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -14,10 +14,6 @@
 use super::PeerLoads;
 use super::ServerBelief;
 use super::ServerOutcome;
-use super::ServerSum;
-use super::peer_loads::server_digest;
-use super::server_shards::shard_count;
-use super::server_shards::shares_shard;
 use crate::model::ServerEntry;
 use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
@@ -58,15 +54,15 @@
 /// All known servers and the load on them.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    servers: FxHashMap<ServerKey, ServerBelief>,
+    pub(super) servers: FxHashMap<ServerKey, ServerBelief>,
     /// Invariant: each id in `servers` stands here once, under its entry's
     /// service.
-    services: FxHashMap<ServiceName, Vec<ServerKey>>,
+    pub(super) services: FxHashMap<ServiceName, Vec<ServerKey>>,
     pub peers: PeerLoads,
     /// This gateway's digest.
-    own: u64,
+    pub(super) own: u64,
     /// Gateways that share the servers, this one included.
-    gateways: usize,
+    pub(super) gateways: usize,
     /// Engines that this gateway has told to change their stage, and until
     /// when they count as changing at most.
     changing: FxHashMap<ServerKey, (ServerStage, Instant)>,
@@ -85,24 +81,6 @@
         Fleet { own, ..Fleet::default() }
     }
 
-    /// Takes in how many gateways share the servers, this one included.
-    pub fn set_gateways(&mut self, gateways: usize) {
-        self.gateways = gateways;
-    }
-
-    /// Into how many shards the servers of `service` are divided.
-    fn shards(&self, service: &str) -> u64 {
-        let servers = self.services.get(service).map_or(0, Vec::len);
-        shard_count(self.gateways, servers)
-    }
-
-    /// The number of shards by which gateways are near each other: the fewest of
-    /// all services that are sharded.
-    pub fn peer_shards(&self) -> u64 {
-        let counts = self.services.keys().map(|service| self.shards(service));
-        counts.filter(|count| *count > 1).min().unwrap_or(1)
-    }
-
     /// The store answers again after an outage: entries that are missing
     /// from now on count for a while longer.
     ///
@@ -254,36 +232,6 @@
         gone.iter().filter_map(|(key, version)| self.forget(key, *version, now)).collect()
     }
 
-    /// The servers of `service` that may get new work, each with what the
-    /// other gateways tell of it: those of this gateway's shard, or all where that
-    /// has none.
-    pub fn open_servers<'a>(
-        &'a self,
-        service: &str,
-        now: Instant,
-    ) -> impl Iterator<Item = (&'a ServerBelief, ServerSum)> {
-        let shards = self.shards(service);
-        let is_near = move |belief: &&ServerBelief| {
-            shards == 1 || shares_shard(self.own, server_digest(&belief.entry.server), shards)
-        };
-        let has_near = shards > 1 && self.open_of(service, now).any(|belief| is_near(&belief));
-        self.open_of(service, now)
-            .filter(move |belief| !has_near || is_near(belief))
-            .map(move |belief| (belief, self.peers.server(belief.incarnation, now)))
-            .filter(|(_, others)| others.changing == 0)
-    }
-
-    fn open_of<'a>(
-        &'a self,
-        service: &str,
-        now: Instant,
-    ) -> impl Iterator<Item = &'a ServerBelief> {
-        let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        keys.iter()
-            .filter_map(|key| self.servers.get(key))
-            .filter(move |belief| belief.is_open(now) && !self.is_own_change(belief, now))
-    }
-
     /// An engine was told to change to `stage`: until it has, it refuses work.
     pub fn begin_change(&mut self, key: &str, stage: ServerStage, now: Instant) {
         self.changing.insert(key.into(), (stage, now + CHANGE_TIME));
@@ -298,7 +246,7 @@
             .collect()
     }
 
-    fn is_own_change(&self, belief: &ServerBelief, now: Instant) -> bool {
+    pub(super) fn is_own_change(&self, belief: &ServerBelief, now: Instant) -> bool {
         !self.changing.is_empty()
             && self
                 .changing
@@ -325,15 +273,6 @@
             .collect()
     }
 
-    /// The same at servers that gateways of all shards use.
-    pub fn own_loads_for_all(&self) -> Vec<(u64, LoadShare)> {
-        self.servers
-            .values()
-            .filter(|belief| belief.own.running > 0 && self.shards(&belief.entry.service) == 1)
-            .map(|belief| (belief.incarnation, belief.own))
-            .collect()
-    }
-
     /// Servers that we pass over ourselves, or that are not what their row
     /// tells, for a report to the peers.
     pub fn own_aside(&self, now: Instant) -> Vec<u64> {
--- /dev/null
+++ b/crates/gateway/src/belief/fleet_shards.rs
@@ -0,0 +1,70 @@
+//! The servers that a gateway sends work to: those of its shard.
+
+use std::time::Instant;
+
+use super::Fleet;
+use super::LoadShare;
+use super::ServerBelief;
+use super::ServerSum;
+use super::peer_loads::server_digest;
+use super::server_shards::shard_count;
+use super::server_shards::shares_shard;
+
+impl Fleet {
+    /// Takes in how many gateways share the servers, this one included.
+    pub fn set_gateways(&mut self, gateways: usize) {
+        self.gateways = gateways;
+    }
+
+    /// Into how many shards the servers of `service` are divided.
+    fn shards(&self, service: &str) -> u64 {
+        let servers = self.services.get(service).map_or(0, Vec::len);
+        shard_count(self.gateways, servers)
+    }
+
+    /// The number of shards by which gateways are near each other: the fewest of
+    /// all services that are sharded.
+    pub fn peer_shards(&self) -> u64 {
+        let counts = self.services.keys().map(|service| self.shards(service));
+        counts.filter(|count| *count > 1).min().unwrap_or(1)
+    }
+
+    /// The servers of `service` that may get new work, each with what the
+    /// other gateways tell of it: those of this gateway's shard, or all where that
+    /// has none.
+    pub fn open_servers<'a>(
+        &'a self,
+        service: &str,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a ServerBelief, ServerSum)> {
+        let shards = self.shards(service);
+        let is_near = move |belief: &&ServerBelief| {
+            shards == 1 || shares_shard(self.own, server_digest(&belief.entry.server), shards)
+        };
+        let has_near = shards > 1 && self.open_of(service, now).any(|belief| is_near(&belief));
+        self.open_of(service, now)
+            .filter(move |belief| !has_near || is_near(belief))
+            .map(move |belief| (belief, self.peers.server(belief.incarnation, now)))
+            .filter(|(_, others)| others.changing == 0)
+    }
+
+    fn open_of<'a>(
+        &'a self,
+        service: &str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a ServerBelief> {
+        let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        keys.iter()
+            .filter_map(|key| self.servers.get(key))
+            .filter(move |belief| belief.is_open(now) && !self.is_own_change(belief, now))
+    }
+
+    /// The same at servers that gateways of all shards use.
+    pub fn own_loads_for_all(&self) -> Vec<(u64, LoadShare)> {
+        self.servers
+            .values()
+            .filter(|belief| belief.own.running > 0 && self.shards(&belief.entry.service) == 1)
+            .map(|belief| (belief.incarnation, belief.own))
+            .collect()
+    }
+}
--- a/crates/gateway/src/in_force_log.rs
+++ b/crates/gateway/src/config_state.rs
@@ -1,10 +1,15 @@
-//! Puts configurations in force, and logs what that changes.
+//! The configuration in force at this process: what it is, what replaces it, and
+//! whether it is the newest.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
+use crate::belief::ConfigWatch;
 use crate::belief::InForceChange;
 use crate::events;
+use crate::model::ConfigVersion;
 use crate::model::KeyDigest;
 use crate::model::RouteTable;
 use crate::model::StoreVersion;
@@ -14,6 +19,55 @@
 const MOST_KEYS_LOGGED: usize = 16;
 
 impl GatewayState {
+    /// The configuration in force, if one is known.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.in_force.read().expect("in-force lock").table()
+    }
+
+    /// The version of the configuration in force; 0 while none is known.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.table().map_or(0, |table| table.version)
+    }
+
+    /// The gateway `peer` at `address` has configuration `version` in force.
+    pub fn hear_config(&self, peer: &str, address: SocketAddr, version: ConfigVersion) {
+        let own = self.config_version();
+        if version > own {
+            *self.config_source.lock().expect("config source lock") = Some((address, version));
+        }
+        if !self.with_config_watch(|watch| watch.hear(version, own)) {
+            return;
+        }
+        tracing::info!(
+            event = events::CONFIG_HEARD,
+            version,
+            own,
+            peer,
+            "another gateway has a newer configuration; the store is read"
+        );
+        self.config_due.notify(usize::MAX);
+    }
+
+    /// Runs `change` on what is known of newer configurations.
+    pub fn with_config_watch<T>(&self, change: impl FnOnce(&mut ConfigWatch) -> T) -> T {
+        change(&mut self.config_watch.lock().expect("config watch lock"))
+    }
+
+    /// True when no newer configuration is known of, and the one in force was the
+    /// store's within its bound.
+    pub fn has_newest_config(&self) -> bool {
+        let own = self.config_version();
+        let bound = self.settings.config_bound;
+        self.with_config_watch(|watch| watch.is_newest(own, bound, Instant::now()))
+    }
+
+    /// A gateway with a newer configuration than the one in force, and its version.
+    pub fn newer_config(&self) -> Option<(SocketAddr, ConfigVersion)> {
+        let own = self.config_version();
+        let source = *self.config_source.lock().expect("config source lock");
+        source.filter(|(_, version)| *version > own)
+    }
+
     /// Takes in `table`, which `source` held at row version `row_version`; true
     /// when it is in force now.
     pub fn put_in_force(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,12 +10,12 @@
 
 pub mod belief;
 pub mod codec;
+mod config_state;
 pub mod demand;
 pub mod duty;
 pub mod events;
 pub mod flight_count;
 pub mod forward;
-mod in_force_log;
 pub mod ingress;
 pub mod model;
 pub mod peers;
--- /dev/null
+++ b/crates/gateway/src/quota/quota_peers.rs
@@ -0,0 +1,56 @@
+//! The gateways that share quotas with this one.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::belief::FAR_PACE;
+use crate::belief::QuotaView;
+use crate::belief::report_pace;
+use crate::state::GatewayState;
+
+/// A gateway not heard for longer does not count when a quota is given out: four
+/// reports at the slowest pace, so that lost ones change little.
+const QUOTA_PEER_LIFE: Duration = Duration::from_secs(1);
+/// Between two counts of them, each of which looks at all reports.
+const COUNT_PAUSE: Duration = Duration::from_millis(50);
+/// From a report's sending until it is taken in.
+const REPORT_DELAY: Duration = Duration::from_millis(10);
+
+impl GatewayState {
+    /// For how long the process has run.
+    pub fn age(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// What this gateway sees of the others when it gives out a quota.
+    pub fn quota_view(&self) -> QuotaView {
+        let now = Instant::now();
+        let unheard_for = self.fleet().peers.unheard_for(now);
+        let heard = self.quota_peers(now);
+        let hears_far = self.fleet().peers.hears_far(now);
+        let pace = if hears_far { FAR_PACE } else { report_pace(heard) };
+        let report_age = pace + REPORT_DELAY;
+        QuotaView {
+            heard,
+            members: self.members(),
+            report_age,
+            unheard_for: unheard_for.unwrap_or(Duration::MAX).max(report_age),
+            window: self.settings.quota_window,
+            overage: self.settings.quota_overage,
+            slack: self.settings.quota_slack,
+        }
+    }
+
+    /// Other gateways that share quotas with this one, counted now and then.
+    fn quota_peers(&self, now: Instant) -> usize {
+        let counted = *self.quota_peers.lock().expect("quota peers lock");
+        if let Some((at, heard)) = counted
+            && now.saturating_duration_since(at) < COUNT_PAUSE
+        {
+            return heard;
+        }
+        let heard = self.fleet().peers.heard_within(QUOTA_PEER_LIFE, now);
+        *self.quota_peers.lock().expect("quota peers lock") = Some((now, heard));
+        heard
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,17 +16,14 @@
 
 use crate::belief::ConfigWatch;
 use crate::belief::EngineLearning;
-use crate::belief::FAR_PACE;
 use crate::belief::Fleet;
 use crate::belief::FleetChange;
 use crate::belief::InForce;
 use crate::belief::OtherLines;
-use crate::belief::QuotaView;
 use crate::belief::RetryAllowance;
 use crate::belief::RetryCount;
 use crate::belief::RetryUse;
 use crate::belief::ServerOutcome;
-use crate::belief::report_pace;
 use crate::belief::server_digest;
 use crate::demand::CallerDemand;
 use crate::events;
@@ -34,7 +31,6 @@
 use crate::model::CallContent;
 use crate::model::ConfigVersion;
 use crate::model::GatewaySettings;
-use crate::model::RouteTable;
 use crate::model::ServiceName;
 use crate::quarantine::Quarantines;
 use crate::quota::Quotas;
@@ -75,15 +71,15 @@
     pub quarantines: Quarantines,
     /// What organisations may still have run.
     pub quotas: Quotas,
-    begun: Instant,
-    in_force: RwLock<InForce>,
-    config_watch: Mutex<ConfigWatch>,
+    pub(crate) begun: Instant,
+    pub(crate) in_force: RwLock<InForce>,
+    pub(crate) config_watch: Mutex<ConfigWatch>,
     /// The gateway that told last of a newer configuration, and its version.
-    config_source: Mutex<Option<(SocketAddr, ConfigVersion)>>,
+    pub(crate) config_source: Mutex<Option<(SocketAddr, ConfigVersion)>>,
     fleet: Mutex<Fleet>,
     retries: Mutex<RetryAllowance>,
     /// When the gateways that share quotas were counted, and how many.
-    quota_peers: Mutex<Option<(Instant, usize)>>,
+    pub(crate) quota_peers: Mutex<Option<(Instant, usize)>>,
     /// Gateways registered in the store, this one included; at least 1.
     members: AtomicUsize,
 }
@@ -91,13 +87,6 @@
 /// How long after its start a process waits for the requests held back: reading
 /// them takes some 20 ms.
 const FIRST_READ: Duration = Duration::from_millis(400);
-/// A gateway not heard for longer does not count when a quota is given out: four
-/// reports at the slowest pace, so that lost ones change little.
-const QUOTA_PEER_LIFE: Duration = Duration::from_secs(1);
-/// Between two counts of them, each of which looks at all reports.
-const COUNT_PAUSE: Duration = Duration::from_millis(50);
-/// From a report's sending until it is taken in.
-const REPORT_DELAY: Duration = Duration::from_millis(10);
 /// Assumed until the members table is read: cautious for most sites.
 const FIRST_MEMBERS: usize = 8;
 
@@ -138,55 +127,6 @@
         })
     }
 
-    /// The configuration in force, if one is known.
-    pub fn table(&self) -> Option<Arc<RouteTable>> {
-        self.in_force.read().expect("in-force lock").table()
-    }
-
-    /// The version of the configuration in force; 0 while none is known.
-    pub fn config_version(&self) -> ConfigVersion {
-        self.table().map_or(0, |table| table.version)
-    }
-
-    /// The gateway `peer` at `address` has configuration `version` in force.
-    pub fn hear_config(&self, peer: &str, address: SocketAddr, version: ConfigVersion) {
-        let own = self.config_version();
-        if version > own {
-            *self.config_source.lock().expect("config source lock") = Some((address, version));
-        }
-        if !self.with_config_watch(|watch| watch.hear(version, own)) {
-            return;
-        }
-        tracing::info!(
-            event = events::CONFIG_HEARD,
-            version,
-            own,
-            peer,
-            "another gateway has a newer configuration; the store is read"
-        );
-        self.config_due.notify(usize::MAX);
-    }
-
-    /// Runs `change` on what is known of newer configurations.
-    pub fn with_config_watch<T>(&self, change: impl FnOnce(&mut ConfigWatch) -> T) -> T {
-        change(&mut self.config_watch.lock().expect("config watch lock"))
-    }
-
-    /// True when no newer configuration is known of, and the one in force was the
-    /// store's within its bound.
-    pub fn has_newest_config(&self) -> bool {
-        let own = self.config_version();
-        let bound = self.settings.config_bound;
-        self.with_config_watch(|watch| watch.is_newest(own, bound, Instant::now()))
-    }
-
-    /// A gateway with a newer configuration than the one in force, and its version.
-    pub fn newer_config(&self) -> Option<(SocketAddr, ConfigVersion)> {
-        let own = self.config_version();
-        let source = *self.config_source.lock().expect("config source lock");
-        source.filter(|(_, version)| *version > own)
-    }
-
     /// Runs `change` on what is in force.
     pub fn with_in_force<T>(&self, change: impl FnOnce(&mut InForce) -> T) -> T {
         change(&mut self.in_force.write().expect("in-force lock"))
@@ -288,43 +228,6 @@
         EngineLearning::pooled(others.chain([own]))
     }
 
-    /// For how long the process has run.
-    pub fn age(&self) -> Duration {
-        self.begun.elapsed()
-    }
-
-    /// What this gateway sees of the others when it gives out a quota.
-    pub fn quota_view(&self) -> QuotaView {
-        let now = Instant::now();
-        let unheard_for = self.fleet().peers.unheard_for(now);
-        let heard = self.quota_peers(now);
-        let hears_far = self.fleet().peers.hears_far(now);
-        let pace = if hears_far { FAR_PACE } else { report_pace(heard) };
-        let report_age = pace + REPORT_DELAY;
-        QuotaView {
-            heard,
-            members: self.members(),
-            report_age,
-            unheard_for: unheard_for.unwrap_or(Duration::MAX).max(report_age),
-            window: self.settings.quota_window,
-            overage: self.settings.quota_overage,
-            slack: self.settings.quota_slack,
-        }
-    }
-
-    /// Other gateways that share quotas with this one, counted now and then.
-    fn quota_peers(&self, now: Instant) -> usize {
-        let counted = *self.quota_peers.lock().expect("quota peers lock");
-        if let Some((at, heard)) = counted
-            && now.saturating_duration_since(at) < COUNT_PAUSE
-        {
-            return heard;
-        }
-        let heard = self.fleet().peers.heard_within(QUOTA_PEER_LIFE, now);
-        *self.quota_peers.lock().expect("quota peers lock") = Some((now, heard));
-        heard
-    }
-
     /// Gateways registered, this one included.
     pub fn members(&self) -> usize {
         self.members.load(Ordering::Relaxed).max(1)
