Quotas: what is not heard and what is tolerated share one bound; readers of large tables have large links

Quotas: the property found three faults, each with its schedule: two halves that each took itself for the most (2,178,000 of 2,100,000), an assumption that outlived the slots it stood for (2,490,000), and the overage given out twice beside a gateway that is cut off (2,160,000).

By size: 3,000 servers renew their rows each 1.2 s, a read of the table is some 1.2 MB, and a reader on a link of 1.25 MB a second fills it; then all read. Change: a gateway for which reading takes over a tenth of its link leaves it to others, and those step in; rows are told twice.

--- a/crates/gateway/src/belief/quota_account.rs
+++ b/crates/gateway/src/belief/quota_account.rs
@@ -35,6 +35,8 @@
     units: f64,
     /// By this one.
     own: f64,
+    /// Counted as used before this gateway's start, though nobody told of it.
+    assumed: f64,
 }
 
 /// What all gateways charged within the window, as far as is known here.
@@ -85,7 +87,7 @@
         for slot in (1..=slots).rev() {
             let Some(begun) = now.checked_sub(SLOT * slot) else { continue };
             let units = used / f64::from(slots);
-            account.slots.push_back(ChargeSlot { begun, units, own: 0.0 });
+            account.slots.push_back(ChargeSlot { begun, units, own: 0.0, assumed: units });
             account.sum += units;
         }
         account.assumed = account.sum;
@@ -175,6 +177,7 @@
         {
             self.sum -= slot.units;
             self.own_sum -= slot.own;
+            self.assumed = (self.assumed - slot.assumed).max(0.0);
             self.promised = (self.promised - slot.units).max(0.0);
             self.slots.pop_front();
         }
@@ -203,12 +206,9 @@
         self.limit
     }
 
-    /// Units that this gateway and those it hears may still give out. Of what may be
-    /// exceeded some is given out too, the less the more is asked unheard: so that
-    /// what gateways do not know costs nobody who is about at the limit.
+    /// Units that this gateway and those it hears may still give out.
     pub fn left(&self, view: &QuotaView) -> f64 {
-        let tolerance = view.tolerance(&self.limit) - self.asked_unheard(view);
-        (view.allowance(&self.limit) + tolerance.max(0.0)) * view.part() - self.sum
+        view.given_out(&self.limit, self.asked_unheard(view)) - self.sum
     }
 
     /// What callers of all gateways ask for until reports tell of it.
@@ -224,7 +224,7 @@
                 slot.units += units;
                 slot.own += own;
             }
-            _ => self.slots.push_back(ChargeSlot { begun: now, units, own }),
+            _ => self.slots.push_back(ChargeSlot { begun: now, units, own, assumed: 0.0 }),
         }
     }
 
--- a/crates/gateway/src/belief/read_roster.rs
+++ b/crates/gateway/src/belief/read_roster.rs
@@ -23,6 +23,11 @@
 /// How long a gateway leaves it to each one before it to step in for a missing
 /// reader: a read and a report take some 30 ms.
 const STEP_IN_PAUSE: Duration = Duration::from_millis(150);
+/// How much longer a gateway leaves it to others for which reading takes much of its
+/// link.
+const HEAVY_PAUSE: Duration = Duration::from_millis(400);
+/// Over this time gateways step in for readers for which it is heavier.
+const RELIEF_TIME: Duration = Duration::from_secs(3);
 /// The longest time until a gateway that is told looks again.
 const LOOK_PAUSE: Duration = Duration::from_millis(300);
 
@@ -32,6 +37,8 @@
     pub fingerprint: TableFingerprint,
     /// When the store answered it.
     pub read_at: Instant,
+    /// True where reading takes much of the reader's link.
+    pub is_heavy: bool,
 }
 
 /// A gateway among those it hears.
@@ -74,6 +81,8 @@
     is_reader: bool,
     /// Since when there have been too few readers.
     short_since: Option<Instant>,
+    /// True where reading takes much of this gateway's link: others should.
+    is_heavy: bool,
     /// From 0 to 1; spreads gateways that fall back to reading.
     draw: f64,
 }
@@ -90,6 +99,7 @@
             read_at: None,
             is_reader: true,
             short_since: None,
+            is_heavy: false,
             draw,
         }
     }
@@ -101,6 +111,14 @@
         self.read_at = Some(now);
     }
 
+    /// Reading takes much of this gateway's link, or does not.
+    ///
+    /// Guards against small instances that read a large table for all: their links
+    /// fill up with it, what they tell is late, and all others read too.
+    pub fn set_heavy(&mut self, is_heavy: bool) {
+        self.is_heavy = is_heavy;
+    }
+
     /// A read of our own failed: another may be better placed to read for all.
     pub fn note_failed(&mut self) {
         self.is_reader = false;
@@ -135,17 +153,26 @@
             return self.read_for_all();
         }
         if self.is_reader {
-            let before = self.notices.keys().filter(|peer| **peer < self.own).count();
+            let own = (self.is_heavy, self.own);
+            let is_before = |(peer, of): &(&u64, &ReadNotice)| (of.is_heavy, **peer) < own;
+            let before = self.notices.iter().filter(is_before).count();
             if before < READERS {
                 return ReadTurn::Own;
             }
             self.is_reader = false;
         }
-        if self.notices.len() >= READERS {
+        let light = self.notices.values().filter(|notice| !notice.is_heavy).count();
+        let has_enough = self.notices.len() >= READERS;
+        if has_enough && (self.is_heavy || light >= READERS) {
             self.short_since = None;
         } else {
             let since = *self.short_since.get_or_insert(now);
-            let patience = STEP_IN_PAUSE * (rank.before as u32 + 1);
+            let patience = match (has_enough, self.is_heavy) {
+                // There are readers, for whom it is heavier.
+                (true, _) => RELIEF_TIME.mul_f64(self.draw),
+                (false, false) => STEP_IN_PAUSE * (rank.before as u32 + 1),
+                (false, true) => HEAVY_PAUSE + STEP_IN_PAUSE * (rank.before as u32 + 1),
+            };
             if now >= since + patience {
                 return self.read_for_all();
             }
@@ -156,7 +183,8 @@
     /// What the others are told, while this gateway reads for all.
     pub fn own_notice(&self, now: Instant) -> Option<ReadNotice> {
         let read_at = self.read_at.filter(|at| is_within(*at, self.fresh_time(), now))?;
-        self.is_reader.then_some(ReadNotice { fingerprint: self.fingerprint, read_at })
+        let (fingerprint, is_heavy) = (self.fingerprint, self.is_heavy);
+        self.is_reader.then_some(ReadNotice { fingerprint, read_at, is_heavy })
     }
 
     /// Other gateways that have lately told of a read of theirs.
--- a/crates/gateway/src/model/gateway_settings.rs
+++ b/crates/gateway/src/model/gateway_settings.rs
@@ -23,6 +23,8 @@
     pub peer: SocketAddr,
     /// Where the platform's store answers.
     pub store: SocketAddr,
+    /// What this instance's link carries; `None` where that is not known.
+    pub link_bytes_per_s: Option<f64>,
     /// How long after its writing a configuration must be in force.
     pub config_bound: Duration,
     /// How long after its announcement a leaving server may get new work.
--- a/crates/gateway/src/store/shared_reading.rs
+++ b/crates/gateway/src/store/shared_reading.rs
@@ -25,6 +25,7 @@
     /// Milliseconds since the store answered, by a clock that counts while the
     /// instance is suspended: a reader that was must not pass for a fresh one.
     pub age_ms: u64,
+    pub is_heavy: bool,
 }
 
 /// The roster of a table, and the rows that others tell of it.
@@ -72,6 +73,7 @@
             table: self.table,
             fingerprint: own.fingerprint,
             age_ms: age.as_millis() as u64,
+            is_heavy: own.is_heavy,
         })
     }
 
--- a/crates/gateway/src/store/shared_readings.rs
+++ b/crates/gateway/src/store/shared_readings.rs
@@ -56,7 +56,8 @@
     pub fn hear_notice(&self, peer: &str, notice: TableNotice, now: Instant) {
         let Some(read_at) = now.checked_sub(Duration::from_millis(notice.age_ms)) else { return };
         let Some(reading) = self.find(notice.table) else { return };
-        let notice = ReadNotice { fingerprint: notice.fingerprint, read_at };
+        let is_heavy = notice.is_heavy;
+        let notice = ReadNotice { fingerprint: notice.fingerprint, read_at, is_heavy };
         reading.roster().hear(server_digest(peer), notice);
     }
 
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -14,6 +14,7 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::RowBatch;
+use crate::model::RowValue;
 use crate::model::StoreRow;
 use crate::model::StoreTable;
 use crate::model::StoreVersion;
@@ -29,6 +30,9 @@
 /// each second, and three renewals must be missed.
 const LEAST_OUTAGE: Duration = Duration::from_millis(1000);
 
+/// What frames a row in the store's answers, in bytes.
+const ROW_FRAME: usize = 40;
+
 /// What takes in a table's rows.
 pub trait TableSink: Send + 'static {
     /// The whole table as of `version`.
@@ -168,6 +172,7 @@
                 let (rows, version) = self.client.list(self.table).await?;
                 self.tell_regained(outage);
                 if let Some(sharing) = &mut self.sharing {
+                    sharing.note_size(bytes_of(&rows), self.pace);
                     sharing.note_listed(&rows, version, &self.sink);
                 }
                 self.sink.listed(rows, version);
@@ -177,6 +182,7 @@
                 let batch = self.feed(version).await?;
                 self.tell_regained(outage);
                 if let Some(sharing) = &mut self.sharing {
+                    sharing.note_size(bytes_of(&batch.rows), self.pace);
                     sharing.note_changed(&batch.rows, &self.sink);
                 }
                 if !batch.rows.is_empty() {
@@ -259,6 +265,15 @@
     }
 }
 
+/// About what `rows` take on the way, by their values.
+fn bytes_of(rows: &[StoreRow]) -> usize {
+    let value = |row: &StoreRow| match &row.value {
+        RowValue::Held(value) => value.len() * 4 / 3,
+        RowValue::Removed | RowValue::Unreadable(_) => 0,
+    };
+    rows.iter().map(|row| value(row) + row.key.len() + ROW_FRAME).sum()
+}
+
 fn pause(failures: u32) -> Duration {
     let doubled = FIRST_PAUSE * 2u32.pow(failures.saturating_sub(1).min(4));
     doubled.min(LONGEST_PAUSE).mul_f64(0.75 + fastrand::f64() * 0.5)
--- a/crates/gateway/src/store/table_sharing.rs
+++ b/crates/gateway/src/store/table_sharing.rs
@@ -1,6 +1,7 @@
 //! A follower's part in reading its table together with the other gateways.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use event_listener::EventListener;
@@ -18,12 +19,20 @@
 use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
+/// Reading that takes more than this part of a link is left to others.
+const HEAVY_PART: f64 = 0.1;
+/// Reads that follow sooner are not told from a series.
+const LEAST_PACE: Duration = Duration::from_millis(500);
+
 /// The content that a follower holds, and what it and the others tell of it.
 #[derive(Debug)]
 pub struct TableSharing {
     state: Arc<GatewayState>,
     table: StoreTable,
     content: TableContent,
+    /// What was told with the last read that had news: told once more, since a
+    /// datagram may be lost.
+    told_last: Vec<StoreRow>,
     /// True while others tell this gateway what the table holds.
     is_told: bool,
 }
@@ -31,7 +40,13 @@
 impl TableSharing {
     /// The part of the gateway with `state` in reading `table`.
     pub fn new(state: Arc<GatewayState>, table: StoreTable) -> Self {
-        TableSharing { state, table, content: TableContent::default(), is_told: false }
+        TableSharing {
+            state,
+            table,
+            content: TableContent::default(),
+            told_last: Vec::new(),
+            is_told: false,
+        }
     }
 
     /// What to do next.
@@ -104,6 +119,13 @@
         self.note_read(gone.into_iter().map(removed).collect());
     }
 
+    /// A read of `bytes` takes this gateway's link each `pace`.
+    pub fn note_size(&self, bytes: usize, pace: Duration) {
+        let Some(link) = self.state.settings.link_bytes_per_s else { return };
+        let taken = bytes as f64 / pace.as_secs_f64().max(LEAST_PACE.as_secs_f64());
+        self.reading().roster().set_heavy(taken > link * HEAVY_PART);
+    }
+
     /// When the content held here was last the store's.
     pub fn known_at(&self) -> Option<Instant> {
         self.reading().roster().known_at()
@@ -114,11 +136,17 @@
         self.reading().roster().note_failed();
     }
 
-    fn note_read(&self, news: Vec<StoreRow>) {
+    fn note_read(&mut self, news: Vec<StoreRow>) {
         self.reading().note_read(self.content.fingerprint());
+        let again = std::mem::take(&mut self.told_last);
         let tells = self.reading().roster().own_notice(Instant::now()).is_some();
-        if tells && !news.is_empty() && !self.table.holds_keys() {
-            self.state.readings.tell(self.table, news);
+        if !tells || self.table.holds_keys() {
+            return;
+        }
+        self.told_last.clone_from(&news);
+        let rows: Vec<StoreRow> = again.into_iter().chain(news).collect();
+        if !rows.is_empty() {
+            self.state.readings.tell(self.table, rows);
         }
     }
 
