Gateways that have just begun tell nobody of rows

Change: rows are told two seconds after a gateway's first read at the earliest, by the three that are to read, once (who reads too takes in what others told), and only where that takes little of the teller's link.

--- a/crates/gateway/src/belief/read_roster.rs
+++ b/crates/gateway/src/belief/read_roster.rs
@@ -153,10 +153,7 @@
             return self.read_for_all();
         }
         if self.is_reader {
-            let own = (self.is_heavy, self.own);
-            let is_before = |(peer, of): &(&u64, &ReadNotice)| (of.is_heavy, **peer) < own;
-            let before = self.notices.iter().filter(is_before).count();
-            if before < READERS {
+            if self.before() < READERS {
                 return ReadTurn::Own;
             }
             self.is_reader = false;
@@ -180,6 +177,18 @@
         ReadTurn::Told { until: lapses_at.min(now + LOOK_PAUSE) }
     }
 
+    /// True when this gateway is one of the few that tell all others of rows.
+    pub fn tells(&self, now: Instant) -> bool {
+        self.own_notice(now).is_some() && self.before() < READERS
+    }
+
+    /// Other readers that should read rather than this one.
+    fn before(&self) -> usize {
+        let own = (self.is_heavy, self.own);
+        let is_before = |(peer, of): &(&u64, &ReadNotice)| (of.is_heavy, **peer) < own;
+        self.notices.iter().filter(is_before).count()
+    }
+
     /// What the others are told, while this gateway reads for all.
     pub fn own_notice(&self, now: Instant) -> Option<ReadNotice> {
         let read_at = self.read_at.filter(|at| is_within(*at, self.fresh_time(), now))?;
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -87,6 +87,7 @@
                     continue;
                 }
             }
+            self.take_told();
             let begun = Instant::now();
             known_at = self.known_at().unwrap_or(known_at);
             // Others that fall silent may do so because the store did.
@@ -141,9 +142,7 @@
     async fn be_told(&mut self, until: Instant) -> bool {
         let Some(sharing) = &mut self.sharing else { return true };
         let news = sharing.news();
-        let rows = sharing.take_told(&self.sink);
-        if !rows.is_empty() {
-            self.sink.changed(rows);
+        if self.take_told() {
             return false;
         }
         let woken = async {
@@ -161,6 +160,18 @@
         by_deadline(until, woken.or(is_due)).await.unwrap_or(false)
     }
 
+    /// Takes in rows that others told; true when some say something new. A gateway
+    /// that reads the table too does not tell of them again.
+    fn take_told(&mut self) -> bool {
+        let Some(sharing) = &mut self.sharing else { return false };
+        let rows = sharing.take_told(&self.sink);
+        let has_news = !rows.is_empty();
+        if has_news {
+            self.sink.changed(rows);
+        }
+        has_news
+    }
+
     /// One call; `outage` is how long the table's content has not been known.
     async fn step(
         &mut self,
@@ -266,7 +277,7 @@
 }
 
 /// About what `rows` take on the way, by their values.
-fn bytes_of(rows: &[StoreRow]) -> usize {
+pub(super) fn bytes_of(rows: &[StoreRow]) -> usize {
     let value = |row: &StoreRow| match &row.value {
         RowValue::Held(value) => value.len() * 4 / 3,
         RowValue::Removed | RowValue::Unreadable(_) => 0,
--- a/crates/gateway/src/store/table_sharing.rs
+++ b/crates/gateway/src/store/table_sharing.rs
@@ -8,6 +8,7 @@
 
 use super::SharedReading;
 use super::TableSink;
+use super::table_follower::bytes_of;
 use crate::belief::PeerRank;
 use crate::belief::ReadRoster;
 use crate::belief::ReadTurn;
@@ -21,6 +22,14 @@
 
 /// Reading that takes more than this part of a link is left to others.
 const HEAVY_PART: f64 = 0.1;
+/// For so long after its first read a gateway tells nobody of rows.
+///
+/// Guards against gateways that start together, each of which takes itself for one
+/// of the few readers until it hears the others: each told all others of each server
+/// that registered, and links were full for seconds.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Telling others of one read may take a link for so long.
+const TELL_SECONDS: f64 = 0.2;
 /// Reads that follow sooner are not told from a series.
 const LEAST_PACE: Duration = Duration::from_millis(500);
 
@@ -30,9 +39,8 @@
     state: Arc<GatewayState>,
     table: StoreTable,
     content: TableContent,
-    /// What was told with the last read that had news: told once more, since a
-    /// datagram may be lost.
-    told_last: Vec<StoreRow>,
+    /// When this gateway first read the table.
+    read_since: Option<Instant>,
     /// True while others tell this gateway what the table holds.
     is_told: bool,
 }
@@ -44,7 +52,7 @@
             state,
             table,
             content: TableContent::default(),
-            told_last: Vec::new(),
+            read_since: None,
             is_told: false,
         }
     }
@@ -137,17 +145,25 @@
     }
 
     fn note_read(&mut self, news: Vec<StoreRow>) {
+        let now = Instant::now();
         self.reading().note_read(self.content.fingerprint());
-        let again = std::mem::take(&mut self.told_last);
-        let tells = self.reading().roster().own_notice(Instant::now()).is_some();
-        if !tells || self.table.holds_keys() {
-            return;
+        let since = *self.read_since.get_or_insert(now);
+        let has_settled = now.saturating_duration_since(since) >= SETTLE_TIME;
+        let tells = has_settled && self.reading().roster().tells(now);
+        if tells && !news.is_empty() && self.may_tell(&news) {
+            self.state.readings.tell(self.table, news);
         }
-        self.told_last.clone_from(&news);
-        let rows: Vec<StoreRow> = again.into_iter().chain(news).collect();
-        if !rows.is_empty() {
-            self.state.readings.tell(self.table, rows);
+    }
+
+    /// True where telling all others of `rows` takes little of this gateway's link:
+    /// of more they read for themselves.
+    fn may_tell(&self, rows: &[StoreRow]) -> bool {
+        if self.table.holds_keys() {
+            return false;
         }
+        let Some(link) = self.state.settings.link_bytes_per_s else { return true };
+        let told = (bytes_of(rows) * self.state.members()) as f64;
+        told <= link * TELL_SECONDS
     }
 
     fn reading(&self) -> &SharedReading {
