A gateway that has just begun waits 0.6 s for what others tell of a row

a_gateway_that_starts_later_knows failed: a request of which the gateway knew a row alone waited up to three seconds for the others, so that it was there when the next probe fell due, became it, and crashed a fourth server (502 where 503 was due at once). Who has begun is told all within a report or two.

--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -23,6 +23,8 @@
 /// An answer that is known to be earlier than a crash counts as this much
 /// earlier.
 const JUST_BEFORE: Duration = Duration::from_millis(1);
+/// Within this gateways that hear one that has begun have told it all.
+const HEAR_TIME: Duration = Duration::from_millis(600);
 /// Within this all gateways heard have told what they still tell.
 const LEARN_TIME: Duration = Duration::from_secs(3);
 
@@ -202,7 +204,8 @@
         let place = self.records.place_in_company(content);
         let is_shared = place.is_some() && record.is_undecided();
         // Its row is all that is known, and others may be about to say more.
-        let is_unheard = record.crashes() == 0 && self.learns_since(now).is_some();
+        let age = self.begun.map(|begun| now.saturating_duration_since(begun));
+        let is_unheard = record.crashes() == 0 && age.is_some_and(|age| age < HEAR_TIME);
         Some(HeldContent {
             crashes: record.crashes(),
             probes: quarantine.probes,
