--- a/crates/gateway/src/belief/content_records.rs
+++ b/crates/gateway/src/belief/content_records.rs
@@ -96,6 +96,20 @@
         Some(company.iter().filter(|(other, of)| rank(*other, of) < own).count())
     }
 
+    /// Marks the contents that are held back for the same server crashes as others.
+    pub fn mark_shared(&mut self) {
+        let held: SmallVec<[CallContent; 4]> = self.held().map(|(content, _)| content).collect();
+        for content in held {
+            if self.place_in_company(content).is_none() {
+                continue;
+            }
+            let record = self.records.get_mut(&content);
+            if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
+                quarantine.was_shared = true;
+            }
+        }
+    }
+
     /// Contents held back of which a run outlived by far all runs of another that
     /// is held back for the same server crashes.
     pub fn long_lived(&self) -> SmallVec<[CallContent; 2]> {
--- a/crates/gateway/src/belief/crash_watch.rs
+++ b/crates/gateway/src/belief/crash_watch.rs
@@ -192,7 +192,9 @@
     /// This gateway makes the probe that is due without a claim.
     pub fn note_unclaimed_probe(&mut self, content: CallContent, now: Instant) {
         self.change_quarantine(content, |quarantine| {
+            let was_shared = quarantine.was_shared;
             *quarantine = Quarantine::new(quarantine.probes + 1, quarantine.version, now);
+            quarantine.was_shared = was_shared;
             quarantine.begin_probe();
         });
     }
@@ -201,8 +203,10 @@
     pub fn held(&self, content: CallContent, now: Instant) -> Option<HeldContent> {
         let record = self.records.get(content)?;
         let quarantine = record.quarantine?;
-        let place = self.records.place_in_company(content);
-        let is_shared = place.is_some() && record.is_undecided();
+        let awaits_probe = quarantine.awaits_probe(now);
+        let in_company = self.records.place_in_company(content);
+        let place = in_company.or(awaits_probe.then_some(0));
+        let is_shared = awaits_probe || (in_company.is_some() && record.is_undecided());
         // Its row is all that is known, and others may be about to say more.
         let age = self.begun.map(|begun| now.saturating_duration_since(begun));
         let is_unheard = record.crashes() == 0 && age.is_some_and(|age| age < HEAR_TIME);
@@ -282,6 +286,7 @@
         let has_own = record.has_own;
         self.excuse_others(now);
         self.excuse_long_lived(now);
+        self.records.mark_shared();
         // Let off at once.
         self.records.get(content)?.quarantine?;
         // Those that saw it crash a server write the row; the first wins.
--- a/crates/gateway/src/belief/quarantine.rs
+++ b/crates/gateway/src/belief/quarantine.rs
@@ -60,6 +60,9 @@
     pub since: Instant,
     /// The version of its row in the store; 0 while there is none.
     pub version: StoreVersion,
+    /// True once others were held back for the same server crashes. It stays so when
+    /// these are cleared, until a probe has told of this one too.
+    pub was_shared: bool,
     claimed_until: Option<Instant>,
     right: ProbeRight,
 }
@@ -67,7 +70,14 @@
 impl Quarantine {
     /// One that begins at `since`.
     pub fn new(probes: u32, version: StoreVersion, since: Instant) -> Self {
-        Quarantine { probes, since, version, claimed_until: None, right: ProbeRight::None }
+        Quarantine {
+            probes,
+            since,
+            version,
+            was_shared: false,
+            claimed_until: None,
+            right: ProbeRight::None,
+        }
     }
 
     /// The store's row has `version` now, of which this gateway has claimed the
@@ -122,6 +132,13 @@
         due.saturating_duration_since(now)
     }
 
+    /// True while the first probe of a content that shared its crashes with others is
+    /// due, or has just gone out.
+    pub fn awaits_probe(&self, now: Instant) -> bool {
+        let is_out = self.probes == 1 && now.saturating_duration_since(self.since) < APART_PAUSE;
+        self.was_shared && (self.probes == 0 || is_out)
+    }
+
     /// A probe is being claimed: other requests wait for how that ends.
     pub fn begin_claim(&mut self, now: Instant) {
         self.claimed_until = Some(now + CLAIM_TIME);
