A look at a server's sum costs what has lapsed, not a search of all reports

Cause suspected, not profiled: two queues of reports were searched by halves for each server weighed in a placement, hundreds of times; before, and now again, only their lapsed heads are walked.

--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -256,12 +256,9 @@
 
     /// Reports that have lapsed and are still part of the sums.
     fn lapsed(&self, now: Instant) -> impl Iterator<Item = &PeerReport> {
-        let lapsed_of = move |queue: &'_ VecDeque<HeardReport>| {
-            queue.partition_point(|heard| has_lapsed(heard, now))
-        };
         self.by_age
             .iter()
-            .flat_map(move |queue| queue.range(..lapsed_of(queue)))
+            .flat_map(move |queue| queue.iter().take_while(move |heard| has_lapsed(heard, now)))
             .filter_map(|heard| {
                 self.reports.get(&heard.peer).filter(|of| of.serial == heard.serial)
             })
