Less work for each placement and report

The digest that is there is used, the others are counted now and then in one place, names are hashed once, and a report is copied only where far gateways are told. Two accessors that nobody used are gone. No behaviour changes but that a server that starts again under its id may change its shard.

--- a/crates/gateway/src/belief/config_watch.rs
+++ b/crates/gateway/src/belief/config_watch.rs
@@ -30,11 +30,6 @@
         is_news
     }
 
-    /// The newest version that another gateway has told of.
-    pub fn heard(&self) -> ConfigVersion {
-        self.heard
-    }
-
     /// The configuration in force was the store's at `at`: by a read of this
     /// gateway, or of another that has the same in force.
     pub fn note_fresh(&mut self, at: Instant) {
--- a/crates/gateway/src/belief/fleet_shards.rs
+++ b/crates/gateway/src/belief/fleet_shards.rs
@@ -6,7 +6,6 @@
 use super::LoadShare;
 use super::ServerBelief;
 use super::ServerSum;
-use super::peer_loads::server_digest;
 use super::server_shards::shard_count;
 use super::server_shards::shares_shard;
 
@@ -38,24 +37,23 @@
         now: Instant,
     ) -> impl Iterator<Item = (&'a ServerBelief, ServerSum)> {
         let shards = self.shards(service);
-        let is_near = move |belief: &&ServerBelief| {
-            shards == 1 || shares_shard(self.own, server_digest(&belief.entry.server), shards)
-        };
-        let has_near = shards > 1 && self.open_of(service, now).any(|belief| is_near(&belief));
-        self.open_of(service, now)
-            .filter(move |belief| !has_near || is_near(belief))
+        let has_near = shards > 1 && self.open_of(service, shards, now).next().is_some();
+        self.open_of(service, if has_near { shards } else { 1 }, now)
             .map(move |belief| (belief, self.peers.server(belief.incarnation, now)))
             .filter(|(_, others)| others.changing == 0)
     }
 
+    /// The open servers of `service` in this gateway's one of `shards`.
     fn open_of<'a>(
         &'a self,
         service: &str,
+        shards: u64,
         now: Instant,
     ) -> impl Iterator<Item = &'a ServerBelief> {
         let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
         keys.iter()
             .filter_map(|key| self.servers.get(key))
+            .filter(move |belief| shares_shard(self.own, belief.incarnation, shards))
             .filter(move |belief| belief.is_open(now) && !self.is_own_change(belief, now))
     }
 
--- a/crates/gateway/src/model/organisation_book.rs
+++ b/crates/gateway/src/model/organisation_book.rs
@@ -63,11 +63,6 @@
         self.keys.keys()
     }
 
-    /// True when `key` is some organisation's.
-    pub fn holds(&self, key: &KeyDigest) -> bool {
-        self.keys.contains_key(key)
-    }
-
     /// Organisations.
     pub fn len(&self) -> usize {
         self.organisations.len()
--- a/crates/gateway/src/peers/peer_book.rs
+++ b/crates/gateway/src/peers/peer_book.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 
 use crate::belief::server_digest;
 use crate::belief::shares_shard;
@@ -16,64 +17,78 @@
     pub far: Vec<SocketAddr>,
 }
 
+/// Where one gateway hears reports.
+#[derive(Debug)]
+struct PeerEntry {
+    /// That of its name.
+    digest: u64,
+    address: SocketAddr,
+}
+
 /// Gateways' names and addresses, this one's included.
 #[derive(Debug, Default)]
 pub struct PeerBook {
-    addresses: Mutex<HashMap<String, SocketAddr>>,
+    entries: Mutex<HashMap<String, PeerEntry>>,
 }
 
 impl PeerBook {
     /// Notes a gateway; true when it was not known at that address.
     pub fn insert(&self, peer: &str, address: SocketAddr) -> bool {
-        let mut addresses = self.addresses.lock().expect("peer book lock");
-        if addresses.get(peer) == Some(&address) {
+        let mut entries = self.entries();
+        if entries.get(peer).is_some_and(|known| known.address == address) {
             return false;
         }
-        addresses.insert(peer.to_owned(), address);
+        let digest = server_digest(peer);
+        entries.insert(peer.to_owned(), PeerEntry { digest, address });
         true
     }
 
     /// Forgets a gateway.
     pub fn remove(&self, peer: &str) {
-        self.addresses.lock().expect("peer book lock").remove(peer);
+        self.entries().remove(peer);
     }
 
     /// Forgets all.
     pub fn clear(&self) {
-        self.addresses.lock().expect("peer book lock").clear();
+        self.entries().clear();
     }
 
     /// The addresses of all gateways but `own`.
     pub fn others(&self, own: &str) -> Vec<SocketAddr> {
-        let PeerGroups { near, far } = self.groups(own, 1);
-        near.into_iter().chain(far).collect()
+        let entries = self.entries();
+        entries.iter().filter(|(peer, _)| *peer != own).map(|(_, of)| of.address).collect()
     }
 
     /// The addresses of all gateways but `own`, by whether they share its one of
     /// `shards`.
     pub fn groups(&self, own: &str, shards: u64) -> PeerGroups {
+        if shards == 1 {
+            return PeerGroups { near: self.others(own), far: Vec::new() };
+        }
         let own_digest = server_digest(own);
         let mut groups = PeerGroups::default();
-        let addresses = self.addresses.lock().expect("peer book lock");
-        for (peer, address) in addresses.iter().filter(|(peer, _)| *peer != own) {
-            if shares_shard(own_digest, server_digest(peer), shards) {
-                groups.near.push(*address);
+        for (_, entry) in self.entries().iter().filter(|(peer, _)| *peer != own) {
+            if shares_shard(own_digest, entry.digest, shards) {
+                groups.near.push(entry.address);
             } else {
-                groups.far.push(*address);
+                groups.far.push(entry.address);
             }
         }
-        drop(addresses);
         groups.far.sort_unstable();
         groups
     }
 
     /// Gateways known.
     pub fn len(&self) -> usize {
-        self.addresses.lock().expect("peer book lock").len()
+        self.entries().len()
     }
 
     /// True when none is known.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    fn entries(&self) -> MutexGuard<'_, HashMap<String, PeerEntry>> {
+        self.entries.lock().expect("peer book lock")
+    }
 }
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -60,25 +60,25 @@
         if tells_learned {
             learning_due = Instant::now() + TELL_LEARNED_EVERY;
         }
-        let mut report = report(&state, incarnation, sequence, tells_learned);
-        send(&socket, &report, &near).await;
+        let report = report(&state, incarnation, sequence, tells_learned);
         let pace = if report.tables.is_empty() { FAR_PACE } else { READER_PACE };
         let told = far_turn.next(&far, pace, Instant::now());
-        if !told.is_empty() {
-            only_for_all(&mut report, &state);
-            send(&socket, &report, &told).await;
+        let far_report = (!told.is_empty()).then(|| only_for_all(&report, &state));
+        send(&socket, report, &near).await;
+        if let Some(report) = far_report {
+            send(&socket, report, &told).await;
         }
     }
 }
 
-async fn send(socket: &UdpSocket, report: &LoadReport, peers: &[SocketAddr]) {
-    let datagram = postcard::to_allocvec(&PeerMessage::Load(Box::new(report.clone())))
+async fn send(socket: &UdpSocket, report: LoadReport, peers: &[SocketAddr]) {
+    let reach: &'static str = report.reach.into();
+    let datagram = postcard::to_allocvec(&PeerMessage::Load(Box::new(report)))
         .expect("encoding plain numbers and text");
     if datagram.len() > MAX_DATAGRAM {
         metrics::counter!("umberglade_reports_oversize_total").increment(1);
         return;
     }
-    let reach: &'static str = report.reach.into();
     metrics::counter!("umberglade_report_bytes_total", "reach" => reach)
         .increment((datagram.len() * peers.len()) as u64);
     for address in peers {
@@ -87,15 +87,22 @@
     }
 }
 
-/// Takes out what only concerns gateways of the same shard.
-fn only_for_all(report: &mut LoadReport, state: &GatewayState) {
-    report.reach = PeerReach::Far;
-    report.loads = state.fleet().own_loads_for_all();
-    report.aside.clear();
-    report.changing.clear();
-    report.lines.clear();
-    report.charges = state.quotas.recent_news();
-    report.outcomes = state.quarantines.news(true);
+/// `report` for gateways of other shards: without what only concerns its own.
+fn only_for_all(report: &LoadReport, state: &GatewayState) -> LoadReport {
+    LoadReport {
+        reach: PeerReach::Far,
+        peer: report.peer.clone(),
+        loads: state.fleet().own_loads_for_all(),
+        retries: report.retries.clone(),
+        aside: Vec::new(),
+        lines: Vec::new(),
+        changing: Vec::new(),
+        learned: report.learned.clone(),
+        tables: report.tables.clone(),
+        charges: state.quotas.recent_news(),
+        outcomes: state.quarantines.news(true),
+        ..*report
+    }
 }
 
 /// The report of this moment for gateways of the same shard.
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -3,4 +3,5 @@
 mod quota_peers;
 mod quotas;
 
+pub use self::quota_peers::QuotaPeers;
 pub use self::quotas::Quotas;
--- a/crates/gateway/src/quota/quota_peers.rs
+++ b/crates/gateway/src/quota/quota_peers.rs
@@ -16,6 +16,15 @@
 /// From a report's sending until it is taken in.
 const REPORT_DELAY: Duration = Duration::from_millis(10);
 
+/// Other gateways as they were counted.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaPeers {
+    counted_at: Instant,
+    heard: usize,
+    /// True when some are of another shard, and told rarely.
+    hears_far: bool,
+}
+
 impl GatewayState {
     /// For how long the process has run.
     pub fn age(&self) -> Duration {
@@ -25,9 +34,8 @@
     /// What this gateway sees of the others when it gives out a quota.
     pub fn quota_view(&self) -> QuotaView {
         let now = Instant::now();
+        let QuotaPeers { heard, hears_far, .. } = self.quota_peers(now);
         let unheard_for = self.fleet().peers.unheard_for(now);
-        let heard = self.quota_peers(now);
-        let hears_far = self.fleet().peers.hears_far(now);
         let pace = if hears_far { FAR_PACE } else { report_pace(heard) };
         let report_age = pace + REPORT_DELAY;
         QuotaView {
@@ -42,15 +50,19 @@
     }
 
     /// Other gateways that share quotas with this one, counted now and then.
-    fn quota_peers(&self, now: Instant) -> usize {
-        let counted = *self.quota_peers.lock().expect("quota peers lock");
-        if let Some((at, heard)) = counted
-            && now.saturating_duration_since(at) < COUNT_PAUSE
-        {
-            return heard;
+    fn quota_peers(&self, now: Instant) -> QuotaPeers {
+        let known = *self.quota_peers.lock().expect("quota peers lock");
+        let is_recent =
+            |of: &QuotaPeers| now.saturating_duration_since(of.counted_at) < COUNT_PAUSE;
+        if let Some(peers) = known.filter(is_recent) {
+            return peers;
         }
-        let heard = self.fleet().peers.heard_within(QUOTA_PEER_LIFE, now);
-        *self.quota_peers.lock().expect("quota peers lock") = Some((now, heard));
-        heard
+        let peers = {
+            let fleet = self.fleet();
+            let heard = fleet.peers.heard_within(QUOTA_PEER_LIFE, now);
+            QuotaPeers { counted_at: now, heard, hears_far: fleet.peers.hears_far(now) }
+        };
+        *self.quota_peers.lock().expect("quota peers lock") = Some(peers);
+        peers
     }
 }
--- a/crates/gateway/src/quota/quotas.rs
+++ b/crates/gateway/src/quota/quotas.rs
@@ -45,11 +45,12 @@
     ) {
         let changed = self.pool().set_limits(organisations, view, Instant::now());
         let mut labels = self.labels.lock().expect("labels lock");
-        for organisation in organisations.iter().take(MOST_LABELS) {
-            let digest = organisation_digest(&organisation.name);
-            if labels.len() < MOST_LABELS {
-                labels.entry(digest).or_insert_with(|| organisation.name.to_string());
+        for organisation in organisations.iter() {
+            if labels.len() >= MOST_LABELS {
+                break;
             }
+            let digest = organisation_digest(&organisation.name);
+            labels.entry(digest).or_insert_with(|| organisation.name.to_string());
         }
         drop(labels);
         for organisation in changed {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::model::GatewaySettings;
 use crate::model::ServiceName;
 use crate::quarantine::Quarantines;
+use crate::quota::QuotaPeers;
 use crate::quota::Quotas;
 use crate::stop::GRACE_MARGIN;
 use crate::stop::LAST_CALL;
@@ -78,8 +79,7 @@
     pub(crate) config_source: Mutex<Option<(SocketAddr, ConfigVersion)>>,
     fleet: Mutex<Fleet>,
     retries: Mutex<RetryAllowance>,
-    /// When the gateways that share quotas were counted, and how many.
-    pub(crate) quota_peers: Mutex<Option<(Instant, usize)>>,
+    pub(crate) quota_peers: Mutex<Option<QuotaPeers>>,
     /// Gateways registered in the store, this one included; at least 1.
     members: AtomicUsize,
 }
