--- a/crates/gateway/src/belief/crash_rows.rs
+++ b/crates/gateway/src/belief/crash_rows.rs
@@ -33,7 +33,8 @@
         if is_void || before.is_some_and(|known| known.version >= version) {
             return None;
         }
-        // Guards against a row that overtakes what cleared its content: nobody else would know that it is to be removed.
+        // Guards against a row that overtakes what cleared its content: nobody else
+        // would know that it is to be removed.
         let is_cleared = self.log.saw_whole(content, ROW_TIME, now)
             || self.records.get(content).is_some_and(|record| record.was_let_off(ROW_TIME, now));
         if before.is_none() && is_cleared {
--- a/crates/gateway/src/belief/retry_allowance.rs
+++ b/crates/gateway/src/belief/retry_allowance.rs
@@ -15,8 +15,7 @@
 
 /// The part of the bound that is used. The rest covers what other gateways
 /// send between two of their reports, and that a window here and one of a
-/// server begin at different moments. With 0.8, 80 gateways whose servers
-/// crashed in a burst once made 436 repeats where 426 were allowed.
+/// server begin at different moments.
 const USED_PART: f64 = 0.75;
 /// How old the others' counts may be, in reports: one may be lost.
 const LAG_REPORTS: u32 = 2;
--- a/crates/gateway/src/peers/config_copies.rs
+++ b/crates/gateway/src/peers/config_copies.rs
@@ -72,7 +72,14 @@
                 Err(error) => error.to_string(),
             };
             let own = state.config_version();
-            tracing::info!(event = events::CONFIG_COPIED, %peer, heard, own, outcome, "asked for the configuration");
+            tracing::info!(
+                event = events::CONFIG_COPIED,
+                %peer,
+                heard,
+                own,
+                outcome,
+                "asked for the configuration"
+            );
             if own < heard {
                 smol::Timer::after(FAILED_PAUSE).await;
             }
--- a/crates/gateway/src/peers/send_budget.rs
+++ b/crates/gateway/src/peers/send_budget.rs
@@ -3,13 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Datagrams a second spent on telling of changes at once, besides the
-/// regular reports: twenty changes a second told to 79 other gateways, more
-/// than one of that many has of streams in a burst (each is told four times:
-/// it waits, its prompt is read, it runs, it ends). With five a second,
-/// changes in bursts waited for the regular report; 74 of 90 engines that ran
-/// out of memory had been chosen by a gateway that missed others' choices of
-/// the last 0.3 s. It costs no processor time that could be measured.
+/// Datagrams a second spent on telling of changes at once, besides the regular
+/// reports: a stream is told of four times (it waits, its prompt is read, it runs,
+/// it ends), and changes that wait meet others' choices.
 const DATAGRAMS_PER_S: f64 = 1600.0;
 /// Reports that may be sent in a row.
 const BURST_REPORTS: f64 = 4.0;
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -21,8 +21,8 @@
 /// by its row later, and is used then.
 ///
 /// The first probe, and those that tell contents apart, are made without a claim while
-/// the store is away, by the first of the gateways that hear each other: sound requests held back in the company
-/// of fatal ones would wait for the store.
+/// the store is away, by the first of the gateways that hear each other: sound
+/// requests held back in the company of fatal ones would wait for the store.
 pub async fn claim_probe<C: PlatformCodec>(
     state: &GatewayState,
     content: CallContent,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -165,7 +165,12 @@
     match TcpListener::bind(address).await {
         Ok(listener) => Some(listener),
         Err(error) => {
-            tracing::warn!(event = events::COPIES_UNBOUND, %address, %error, "hands out no configuration");
+            tracing::warn!(
+                event = events::COPIES_UNBOUND,
+                %address,
+                %error,
+                "hands out no configuration"
+            );
             None
         }
     }
