--- a/crates/gateway/src/belief/server_shards.rs
+++ b/crates/gateway/src/belief/server_shards.rs
@@ -23,7 +23,7 @@
 }
 
 /// True when two digests, of gateways or servers, fall into the same of `count`
-/// shards.
+/// shards, a power of two.
 pub fn shares_shard(left: u64, right: u64, count: u64) -> bool {
-    left % count == right % count
+    (left ^ right) & (count - 1) == 0
 }
--- a/crates/gateway/src/ingress/find_route.rs
+++ b/crates/gateway/src/ingress/find_route.rs
@@ -52,7 +52,6 @@
 ) -> Result<FoundRoute, Refusal> {
     let until = Instant::now() + NEWER_WAIT;
     loop {
-        let changed = state.room.listen();
         let table = state.table().ok_or(Refusal::NoConfiguration)?;
         let refusal = match look_up(table, host, path, key) {
             Ok(found) => return Ok(found),
@@ -65,7 +64,8 @@
             return Err(Refusal::ConfigUnsettled);
         }
         state.ask_for_config();
-        by_deadline(until.min(Instant::now() + LOOK_AGAIN), changed).await;
+        // A change that comes meanwhile is seen at the next look.
+        by_deadline(until.min(Instant::now() + LOOK_AGAIN), state.room.listen()).await;
     }
 }
 
