Track and log the rate limits that servers state

The logs did not show whether a gateway knew about a limit that a server had stated when it placed a request there. Decoding the head of an answer now includes the stated limit. The last limit is kept per server incarnation:

- A stated limit is lifted only by an answer to a request that was sent after it.
- Servers that are gone are dropped after 60 s.

Event 6020 logs each change, and the placement events (5003, 5004) include the limit. No decision uses it yet.

--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -13,6 +13,7 @@
 use super::LoadShare;
 use super::PeerLoads;
 use super::ServerBelief;
+use super::ServerLimits;
 use super::ServerOutcome;
 use crate::model::ServerEntry;
 use crate::model::ServerIncarnation;
@@ -59,6 +60,7 @@
     /// service.
     pub(super) services: FxHashMap<ServiceName, Vec<ServerKey>>,
     pub peers: PeerLoads,
+    pub limits: ServerLimits,
     /// This gateway's digest.
     pub(super) own: u64,
     /// Gateways that share the servers, this one included.
@@ -218,6 +220,11 @@
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.forget_old(now);
         self.changing.retain(|_, (_, until)| now < *until);
+        if !self.limits.is_empty() {
+            let listed: FxHashSet<ServerIncarnation> =
+                self.servers.values().map(|belief| belief.incarnation).collect();
+            self.limits.tick(|server| listed.contains(&server), now);
+        }
         let may_have_lapsed = self.lapse_until(now).is_some();
         let gone: Vec<(ServerKey, StoreVersion)> = self
             .servers
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -74,6 +74,8 @@
 pub const KEY_CHANGED: u32 = 6018;
 /// A newer configuration was taken from another gateway, or could not be.
 pub const CONFIG_COPIED: u32 = 6019;
+/// The rate limit that a server states was set, changed or lifted.
+pub const SERVER_LIMIT_CHANGED: u32 = 6020;
 /// The process serves.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful stop begins.
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -99,6 +99,7 @@
     patience: Duration,
 ) -> Result<OpenReply, SendFailure> {
     let request = call.onward::<C>(order);
+    let sent_at = Instant::now();
     if order.purpose != SendPurpose::Prefill
         && let Some(charge) = &call.charge
     {
@@ -131,6 +132,9 @@
         return Err(fail(state, call, target, SendFailure::Garbled, &problem));
     }
     let is_misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected {
+        state.note_flow_control(target, head.flow_control, sent_at);
+    }
     if head.is_not_run || is_misdirected {
         let failure = if is_misdirected { SendFailure::Misdirected } else { SendFailure::NotRun };
         if !head.closes {
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -27,6 +27,7 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::OnwardOrder;
+use crate::model::RequestRate;
 use crate::model::SendPurpose;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
@@ -196,6 +197,7 @@
         own = belief.own.running,
         all = fleet.load(belief, need.now).running,
         failure_share = belief.health.failure_share(need.now),
+        limit = fleet.limits.limit(belief.incarnation).map(RequestRate::per_second),
         cost = place.cost,
         attempt = attempts.sends(),
         "placed"
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -27,6 +27,7 @@
 use crate::events;
 use crate::model::EngineSpec;
 use crate::model::PromptShape;
+use crate::model::RequestRate;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
 use crate::timing::by_deadline;
@@ -283,6 +284,7 @@
         own_output = shape.expected_output(),
         own_limit = shape.output_limit,
         failure_share = belief.health.failure_share(now),
+        limit = fleet.limits.limit(belief.incarnation).map(RequestRate::per_second),
         cost,
         attempt,
         waited_ms = call.age_ms(),
--- a/crates/gateway/src/model/reply_head.rs
+++ b/crates/gateway/src/model/reply_head.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::FlowControl;
+
 /// A server's load as it reports it with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -26,6 +28,7 @@
     /// How long the server keeps an idle connection, if it says.
     pub keep_alive: Option<Duration>,
     pub load: Option<ReportedLoad>,
+    pub flow_control: FlowControl,
 }
 
 /// A prefill server's answer: the prompt is read.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,7 +30,9 @@
 use crate::flight_count::FlightCount;
 use crate::model::CallContent;
 use crate::model::ConfigVersion;
+use crate::model::FlowControl;
 use crate::model::GatewaySettings;
+use crate::model::RequestRate;
 use crate::model::ServiceName;
 use crate::quarantine::Quarantines;
 use crate::quota::QuotaPeers;
@@ -185,6 +187,28 @@
         }
     }
 
+    /// Applies the flow control stated by `target` in its answer to a request sent at
+    /// `sent_at`, and logs a change of its rate limit.
+    pub fn note_flow_control(
+        &self,
+        target: &SendTarget,
+        flow_control: FlowControl,
+        sent_at: Instant,
+    ) {
+        let now = Instant::now();
+        let change =
+            self.fleet().limits.note_answer(target.incarnation, flow_control.limit, sent_at, now);
+        let Some(change) = change else { return };
+        tracing::info!(
+            event = events::SERVER_LIMIT_CHANGED,
+            server = &*target.server,
+            limit = change.after.map(RequestRate::per_second),
+            before = change.before.map(RequestRate::per_second),
+            source = "answer",
+            "server's rate limit changed"
+        );
+    }
+
     /// Logs what changed among the servers.
     pub fn log_changes(&self, changes: &[FleetChange], version: u64) {
         for change in changes {
--- /dev/null
+++ b/crates/gateway/tests/server_limits.rs
@@ -0,0 +1,83 @@
+//! Tracking of the rate limits that servers state in their answers.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_gateway::belief::ServerLimits;
+use umberglade_gateway::model::RequestRate;
+use umberglade_gateway::model::StatedLimit;
+
+const SERVER: u64 = 7;
+
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::new(per_second).expect("a rate")
+}
+
+/// An answer with the limit it states; times are offsets from the start of the test.
+struct Answer {
+    sent_ms: u64,
+    received_ms: u64,
+    stated: StatedLimit,
+}
+
+/// Guards against an out-of-order or unreadable answer lifting a limit.
+#[test]
+fn answers_update_the_limit() {
+    struct Case {
+        name: &'static str,
+        answers: Vec<Answer>,
+        limit: Option<f64>,
+    }
+    let four = StatedLimit::Rate(rate(4.0));
+    let six = StatedLimit::Rate(rate(6.0));
+    let answer = |sent_ms, received_ms, stated| Answer { sent_ms, received_ms, stated };
+    let cases = [
+        Case { name: "never stated", answers: vec![answer(0, 10, StatedLimit::None)], limit: None },
+        Case { name: "stated", answers: vec![answer(0, 10, four)], limit: Some(4.0) },
+        Case {
+            name: "changed",
+            answers: vec![answer(0, 10, four), answer(1, 12, six)],
+            limit: Some(6.0),
+        },
+        Case {
+            name: "lifted",
+            answers: vec![answer(0, 10, four), answer(20, 30, StatedLimit::None)],
+            limit: None,
+        },
+        Case {
+            name: "late answer to an earlier request",
+            answers: vec![answer(0, 10, four), answer(5, 30, StatedLimit::None)],
+            limit: Some(4.0),
+        },
+        Case {
+            name: "unreadable limit is ignored",
+            answers: vec![answer(0, 10, four), answer(20, 30, StatedLimit::Unreadable)],
+            limit: Some(4.0),
+        },
+    ];
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    for case in cases {
+        let mut limits = ServerLimits::default();
+        for answer in &case.answers {
+            limits.note_answer(SERVER, answer.stated, at(answer.sent_ms), at(answer.received_ms));
+        }
+        let limit = limits.limit(SERVER).map(RequestRate::per_second);
+        assert_eq!(limit, case.limit, "{}", case.name);
+    }
+}
+
+/// Guards against unbounded growth of the table, and against losing the limit of a server
+/// whose row has only lapsed.
+#[test]
+fn limits_of_unlisted_servers_expire() {
+    let start = Instant::now();
+    let mut limits = ServerLimits::default();
+    limits.note_answer(SERVER, StatedLimit::Rate(rate(4.0)), start, start);
+    let after = |seconds| start + Duration::from_secs(seconds);
+    limits.tick(|_| true, after(300));
+    limits.tick(|_| false, after(310));
+    assert_eq!(limits.limit(SERVER), Some(rate(4.0)));
+    limits.tick(|_| false, after(400));
+    assert!(limits.is_empty());
+}
