Gateways divide the rate limit that a server states

Symptom: none seen by callers yet. Servers in need that stated limits of 4.6 and 3.5 requests per second received 84 and 43 requests in 4 s, where 33 and 26 were allowed.

Cause: no gateway read the limit. What a server states about itself in its answers reached neither placement nor the other gateways; servers were chosen by load alone. Evidence: the failing test (59 in 4 s, 29 allowed, seven gateways), and placements in the logs that do not change when the limits begin.

The last limit of each server incarnation is now reported to all gateways: each change for 3 s in every report, and all limits every 2 s and to gateways that start. Its rate is divided: 1.5 gateways per request per second, plus 2, chosen by rendezvous hashing among those that may use the server, have equal shares, each enforced by a token bucket that starts empty. The others have no share and use servers without a limit. A gateway that hears half or fewer of those registered uses an equal share among all of them. Wherever a send is decided (first send, repeat, hedge, resumed stream, separate prompt read, release of a KV cache), the look-up of the target takes a token. Engines that state a limit are not ordered to change their stage. When no server accepts a request in time, the caller is refused at once and told when to retry.

Why it holds: the buckets of the few gateways with a share hold one token each, so they add little to the rate when all callers arrive at once. No agreement between gateways is needed, and a lost report costs at most 2 s.

--- a/crates/gateway/src/belief/candidate.rs
+++ b/crates/gateway/src/belief/candidate.rs
@@ -42,6 +42,8 @@
 pub(super) struct Candidate<'a> {
     pub belief: &'a ServerBelief,
     pub others: ServerSum,
+    /// False while the server's rate limit keeps this gateway from sending to it.
+    pub may_send: bool,
     /// What its failures weigh, ours and those that others saw, in shares of
     /// a full server.
     pub failure_cost: f64,
@@ -83,7 +85,7 @@
 /// Most services have no more.
 pub(super) type Candidates<'a> = SmallVec<[Candidate<'a>; 32]>;
 
-/// The servers that may take the request: not tried yet and not set aside;
+/// The servers that may take the request now: not tried yet and not set aside;
 /// set aside ones too when there are no others, since a guess that one is
 /// down must never refuse a request by itself.
 pub(super) fn candidates<'a>(
@@ -91,7 +93,9 @@
     need: &PlaceNeed<'_>,
     suits: impl Fn(ServerStage) -> bool,
 ) -> Candidates<'a> {
-    well_or_all(&open_candidates(fleet, need, suits), need.now, |_| true)
+    let mut open = open_candidates(fleet, need, suits);
+    open.retain(|candidate| candidate.may_send);
+    well_or_all(&open, need.now, |_| true)
 }
 
 /// The servers that are open to the request, whatever their record.
@@ -107,6 +111,7 @@
         .map(|(belief, others)| Candidate {
             belief,
             others,
+            may_send: fleet.may_send(belief, need.now),
             failure_cost: failure_cost(belief, others, need.now),
         })
         .collect()
--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -224,6 +224,7 @@
             let listed: FxHashSet<ServerIncarnation> =
                 self.servers.values().map(|belief| belief.incarnation).collect();
             self.limits.tick(|server| listed.contains(&server), now);
+            self.update_shares(now);
         }
         let may_have_lapsed = self.lapse_until(now).is_some();
         let gone: Vec<(ServerKey, StoreVersion)> = self
@@ -266,6 +267,11 @@
         self.servers.get(key)
     }
 
+    /// The server that runs as `incarnation`.
+    pub fn server_by_incarnation(&self, incarnation: ServerIncarnation) -> Option<&ServerBelief> {
+        self.servers.values().find(|belief| belief.incarnation == incarnation)
+    }
+
     /// Work at a server, ours and the other gateways'.
     pub fn load(&self, belief: &ServerBelief, now: Instant) -> LoadShare {
         belief.own.plus(self.peers.server(belief.incarnation, now).load)
--- /dev/null
+++ b/crates/gateway/src/belief/fleet_limits.rs
@@ -0,0 +1,107 @@
+//! Enforces the rate limits that servers state when requests are sent to them.
+
+use std::time::Instant;
+
+use super::Fleet;
+use super::LimitNews;
+use super::ServerBelief;
+use super::ServerLimitChange;
+use super::limit_share::even_limit_share;
+use super::limit_share::limit_share;
+use super::server_shards::shares_shard;
+use crate::model::RequestRate;
+use crate::model::ServerIncarnation;
+use crate::model::ServerStage;
+use crate::model::StatedLimit;
+
+impl Fleet {
+    /// Applies the limit that an answer of `server` to a request sent at `sent_at`
+    /// states.
+    pub fn note_limit(
+        &mut self,
+        server: ServerIncarnation,
+        stated: StatedLimit,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<ServerLimitChange> {
+        let change = self.limits.note_answer(server, stated, sent_at, now)?;
+        self.update_share(server, now);
+        Some(change)
+    }
+
+    /// Applies a limit reported by another gateway.
+    pub fn hear_limit(&mut self, news: LimitNews, now: Instant) -> Option<ServerLimitChange> {
+        let change = self.limits.hear(news, now)?;
+        self.update_share(news.server, now);
+        Some(change)
+    }
+
+    /// True when the server's rate limit allows this gateway a request now.
+    pub(super) fn may_send(&self, belief: &ServerBelief, now: Instant) -> bool {
+        self.limits.may_send(belief.incarnation, now)
+    }
+
+    /// True when the server with the id `key` states a limit.
+    pub fn has_limit(&self, key: &str) -> bool {
+        self.server(key).is_some_and(|belief| self.limits.limit(belief.incarnation).is_some())
+    }
+
+    /// Takes a token for a request that is about to be sent to `server`; false when its
+    /// rate limit allows none now.
+    pub fn take_send_token(&mut self, server: ServerIncarnation, now: Instant) -> bool {
+        self.limits.take_send_token(server, now)
+    }
+
+    /// The earliest time at which a server of `service` whose stage `suits` accepts may be
+    /// sent a request by this gateway; `None` when there is no such server.
+    pub fn next_send_at(
+        &self,
+        service: &str,
+        suits: impl Fn(ServerStage) -> bool,
+        now: Instant,
+    ) -> Option<Instant> {
+        self.open_servers(service, now)
+            .filter(|(belief, _)| suits(belief.entry.stage))
+            .filter_map(|(belief, _)| self.limits.next_send_at(belief.incarnation, now))
+            .min()
+    }
+
+    /// This gateway's share of the limit of `server`, in requests per second.
+    pub fn own_limit_share(&self, server: ServerIncarnation) -> Option<f64> {
+        let limit = self.limits.limit(server)?;
+        Some(self.own_share(self.server_by_incarnation(server)?, limit))
+    }
+
+    /// Recomputes this gateway's share of each limit from the gateways now heard.
+    pub(super) fn update_shares(&mut self, now: Instant) {
+        let shares: Vec<(ServerIncarnation, f64)> = self
+            .servers
+            .values()
+            .filter_map(|belief| {
+                let limit = self.limits.limit(belief.incarnation)?;
+                Some((belief.incarnation, self.own_share(belief, limit)))
+            })
+            .collect();
+        for (server, share) in shares {
+            self.limits.set_share(server, share, now);
+        }
+    }
+
+    fn update_share(&mut self, server: ServerIncarnation, now: Instant) {
+        if let Some(share) = self.own_limit_share(server) {
+            self.limits.set_share(server, share, now);
+        }
+    }
+
+    fn own_share(&self, belief: &ServerBelief, limit: RequestRate) -> f64 {
+        let shards = self.shards(&belief.entry.service);
+        if !shares_shard(self.own, belief.incarnation, shards) {
+            return 0.0;
+        }
+        let heard = self.peers.len() + 1;
+        if heard * 2 <= self.gateways {
+            return even_limit_share(limit, self.gateways);
+        }
+        limit_share(limit, self.peers.limit_rank(self.own, belief.incarnation, shards))
+    }
+}
--- a/crates/gateway/src/belief/fleet_shards.rs
+++ b/crates/gateway/src/belief/fleet_shards.rs
@@ -16,7 +16,7 @@
     }
 
     /// Into how many shards the servers of `service` are divided.
-    fn shards(&self, service: &str) -> u64 {
+    pub(super) fn shards(&self, service: &str) -> u64 {
         let servers = self.services.get(service).map_or(0, Vec::len);
         shard_count(self.gateways, servers)
     }
--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -9,6 +9,7 @@
 
 use super::EngineLearning;
 use super::HeardRetries;
+use super::LimitRank;
 use super::LineNews;
 use super::OtherLines;
 use super::PeerNews;
@@ -17,6 +18,9 @@
 use super::PeerSums;
 use super::ServerSum;
 use super::ServiceSum;
+use super::rendezvous_score::rendezvous_score;
+use super::shares_shard;
+use crate::model::ServerIncarnation;
 
 /// After this long without a report a peer no longer counts as live.
 const PEER_LIFE: Duration = Duration::from_secs(5);
@@ -212,6 +216,28 @@
         rank
     }
 
+    /// Where the gateway with digest `own` stands among those that may send to `server`, in
+    /// rendezvous order; servers are divided into `shards`.
+    pub fn limit_rank(&self, own: u64, server: ServerIncarnation, shards: u64) -> LimitRank {
+        let mut rank = LimitRank { gateways: 1, before: 0 };
+        let own_score = (rendezvous_score(own, server), own);
+        for peer in self.reports.keys().filter(|peer| shares_shard(**peer, server, shards)) {
+            rank.gateways += 1;
+            rank.before += usize::from((rendezvous_score(*peer, server), *peer) < own_score);
+        }
+        rank
+    }
+
+    /// The number of peers in the table, including those whose report is stale.
+    pub fn len(&self) -> usize {
+        self.reports.len()
+    }
+
+    /// True when the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty()
+    }
+
     /// Peers heard within `span`, or within the life of their report.
     pub fn heard_within(&self, span: Duration, now: Instant) -> usize {
         let age = |report: &PeerReport| now.saturating_duration_since(report.heard_at);
--- a/crates/gateway/src/belief/placement.rs
+++ b/crates/gateway/src/belief/placement.rs
@@ -17,6 +17,7 @@
 use super::candidate::well_or_all;
 use super::domain_readers::DomainReaders;
 use super::domain_readers::transfer_cost;
+use super::rendezvous_score::rendezvous_score;
 use crate::model::DomainKey;
 use crate::model::EngineSpec;
 use crate::model::PromptShape;
@@ -35,10 +36,6 @@
 /// came after 1.9 s at the median, and half of all streams were late.
 const READS_ITSELF_TIMES: f64 = 4.0;
 
-/// An odd multiplier whose upper product bits depend on all lower ones: 2^64
-/// over the golden ratio, as in multiplicative hashing.
-const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
-
 /// What a placement must respect.
 #[derive(Debug)]
 pub struct PlaceNeed<'a> {
@@ -105,11 +102,14 @@
     ahead: usize,
     need: &PlaceNeed<'_>,
 ) -> Result<EnginePlace, PlaceRefusal> {
-    let engines = open_candidates(fleet, need, |_| true);
-    let decodes = well_or_all(&engines, need.now, |stage| stage != ServerStage::Prefill);
-    if decodes.is_empty() {
+    let can_decode =
+        |candidate: &Candidate<'_>| candidate.belief.entry.stage != ServerStage::Prefill;
+    let mut engines = open_candidates(fleet, need, |_| true);
+    if !engines.iter().any(can_decode) {
         return Err(PlaceRefusal::NoServer);
     }
+    engines.retain(|candidate| candidate.may_send);
+    let decodes = well_or_all(&engines, need.now, |stage| stage != ServerStage::Prefill);
     let prompt_ms = f64::from(shape.prompt_tokens) / PREFILL_TOKENS_PER_MS;
     let reading_cost =
         |reader: &Candidate<'_>| reader.reading_cost() + dislike(need, reader.belief) * prompt_ms;
@@ -173,6 +173,5 @@
 /// third met at one server of 39; its prompts queued and its memory ran out.
 /// A server that is less loaded by one request still goes first.
 fn dislike(need: &PlaceNeed<'_>, belief: &ServerBelief) -> f64 {
-    let mixed = (need.gateway ^ belief.incarnation).wrapping_mul(MIX);
-    (mixed >> 32) as f64 / f64::from(u32::MAX)
+    f64::from(rendezvous_score(need.gateway, belief.incarnation)) / f64::from(u32::MAX)
 }
--- a/crates/gateway/src/belief/server_limits.rs
+++ b/crates/gateway/src/belief/server_limits.rs
@@ -5,6 +5,8 @@
 
 use rustc_hash::FxHashMap;
 
+use super::LimitNews;
+use super::TokenBucket;
 use crate::model::RequestRate;
 use crate::model::ServerIncarnation;
 use crate::model::StatedLimit;
@@ -12,16 +14,25 @@
 /// How long the limit of a server that is no longer listed is kept, in case its row has
 /// only lapsed.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
+/// How long every report includes a changed limit.
+const CHANGE_TOLD_FOR: Duration = Duration::from_secs(3);
+/// Maximum number of servers in the table. Bounds its memory, since limits reported by
+/// other gateways are not verified.
+const MOST_SERVERS: usize = 4096;
 
 /// The last known limit of one server incarnation.
 #[derive(Debug)]
 struct ServerLimit {
     /// `None` after the limit was lifted.
     rate: Option<RequestRate>,
-    /// When the last answer that set `rate` arrived.
+    /// When the last answer that set `rate` arrived, here or at another gateway.
     updated_at: Instant,
+    /// When the value of `rate` last changed at this gateway.
+    changed_at: Instant,
     /// When the server was last seen in the fleet, or `rate` was first set.
     listed_at: Instant,
+    /// Requests that this gateway may send, at its share of `rate`.
+    bucket: TokenBucket,
 }
 
 /// A change of a server's limit; `None` means no limit.
@@ -65,11 +76,65 @@
         self.set(server, after, now, now)
     }
 
+    /// Applies a limit reported by another gateway unless a newer one is known, and returns
+    /// the change, if any.
+    pub fn hear(&mut self, news: LimitNews, now: Instant) -> Option<ServerLimitChange> {
+        let age = Duration::from_millis(u64::from(news.age_ms));
+        let updated_at = now.checked_sub(age)?;
+        let is_newer =
+            self.limits.get(&news.server).is_none_or(|known| known.updated_at < updated_at);
+        if !is_newer {
+            return None;
+        }
+        self.set(news.server, news.rate, updated_at, now)
+    }
+
+    /// The limits that a report includes: recent changes, or with `tells_all` every entry,
+    /// lifted limits included.
+    pub fn news(&self, tells_all: bool, now: Instant) -> Vec<LimitNews> {
+        let is_recent =
+            |limit: &ServerLimit| now.saturating_duration_since(limit.changed_at) < CHANGE_TOLD_FOR;
+        let told = self.limits.iter().filter(|(_, limit)| tells_all || is_recent(limit));
+        told.map(|(server, limit)| {
+            let age = now.saturating_duration_since(limit.updated_at);
+            let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+            LimitNews { server: *server, rate: limit.rate, age_ms }
+        })
+        .collect()
+    }
+
     /// The last known limit of `server`; `None` if it never stated one or lifted it.
     pub fn limit(&self, server: ServerIncarnation) -> Option<RequestRate> {
         self.limits.get(&server)?.rate
     }
 
+    /// Sets this gateway's share of the limit of `server`, in requests per second.
+    pub fn set_share(&mut self, server: ServerIncarnation, share: f64, now: Instant) {
+        if let Some(limit) = self.limits.get_mut(&server) {
+            limit.bucket.set_rate(share, now);
+        }
+    }
+
+    /// True when the limit of `server` allows this gateway a request now.
+    pub fn may_send(&self, server: ServerIncarnation, now: Instant) -> bool {
+        self.limit_in_force(server).is_none_or(|limit| limit.bucket.has_token(now))
+    }
+
+    /// Takes a token for a request that is about to be sent to `server`; false when its
+    /// limit allows none now.
+    pub fn take_send_token(&mut self, server: ServerIncarnation, now: Instant) -> bool {
+        match self.limits.get_mut(&server) {
+            Some(limit) if limit.rate.is_some() => limit.bucket.take(now),
+            _ => true,
+        }
+    }
+
+    /// When this gateway may send the next request to `server`; `None` when it has no share
+    /// of the limit.
+    pub fn next_send_at(&self, server: ServerIncarnation, now: Instant) -> Option<Instant> {
+        self.limit_in_force(server).map_or(Some(now), |limit| limit.bucket.next_token_at(now))
+    }
+
     /// Removes servers for which `is_listed` has been false for [`UNLISTED_RETENTION`].
     pub fn tick(&mut self, is_listed: impl Fn(ServerIncarnation) -> bool, now: Instant) {
         self.limits.retain(|server, limit| {
@@ -80,6 +145,11 @@
         });
     }
 
+    /// Servers whose limit is in force.
+    pub fn in_force(&self) -> usize {
+        self.limits.values().filter(|limit| limit.rate.is_some()).count()
+    }
+
     /// The number of servers in the table, including those whose limit was lifted.
     pub fn len(&self) -> usize {
         self.limits.len()
@@ -90,6 +160,10 @@
         self.limits.is_empty()
     }
 
+    fn limit_in_force(&self, server: ServerIncarnation) -> Option<&ServerLimit> {
+        self.limits.get(&server).filter(|limit| limit.rate.is_some())
+    }
+
     fn set(
         &mut self,
         server: ServerIncarnation,
@@ -97,13 +171,25 @@
         updated_at: Instant,
         now: Instant,
     ) -> Option<ServerLimitChange> {
-        let limit = self.limits.entry(server).or_insert(ServerLimit {
+        if self.limits.len() >= MOST_SERVERS && !self.limits.contains_key(&server) {
+            return None;
+        }
+        let limit = self.limits.entry(server).or_insert_with(|| ServerLimit {
             rate: None,
             updated_at,
+            changed_at: now,
             listed_at: now,
+            bucket: TokenBucket::new(0.0, now),
         });
         let before = std::mem::replace(&mut limit.rate, after);
         limit.updated_at = updated_at;
-        (before != after).then_some(ServerLimitChange { before, after })
+        if before == after {
+            return None;
+        }
+        limit.changed_at = now;
+        if before.is_none() {
+            limit.bucket = TokenBucket::new(0.0, now);
+        }
+        Some(ServerLimitChange { before, after })
     }
 }
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -97,6 +97,9 @@
     log_claim(service, look, change, "claimed");
     let chosen = stage_choice(&state.fleet(), service, change, Instant::now());
     for server in chosen {
+        if state.fleet().has_limit(&server) {
+            continue;
+        }
         let Some(target) = send_target(state, &server) else { continue };
         // A connection of its own, so that order and report go to one process.
         let target = SendTarget { may_reuse: false, ..target };
--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -91,6 +91,10 @@
     source: &CacheSource,
     request_id: &str,
 ) {
+    if !state.fleet().take_send_token(target.incarnation, Instant::now()) {
+        log_release(target, request_id, "not sent: the rate limit of the server is reached");
+        return;
+    }
     let request = Request::builder()
         .method(Method::DELETE)
         .uri(C::release_path(&source.handle))
@@ -106,6 +110,10 @@
         }
         Err(error) => error.to_string(),
     };
+    log_release(target, request_id, &outcome);
+}
+
+fn log_release(target: &SendTarget, request_id: &str, outcome: &str) {
     tracing::info!(
         event = events::CACHE_RELEASED,
         request_id,
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -71,22 +71,23 @@
     pub permit: SendPermit,
 }
 
-/// Where `server` is now; `None` when it is no longer known, or gets no new
-/// work.
+/// Where `server` is now, for a request that is sent at once: takes a token of its rate
+/// limit. `None` when it is no longer known, gets no new work, or has no token left.
 ///
 /// Guards against a server chosen before a prompt was read, which takes seconds
 /// where readers are slow or hang: it may have announced its leaving since, and
 /// the stream reached it 2.4 s after that.
 pub fn send_target(state: &GatewayState, server: &str) -> Option<SendTarget> {
     let now = Instant::now();
-    let fleet = state.fleet();
+    let mut fleet = state.fleet();
     let belief = fleet.server(server).filter(|belief| belief.is_open(now))?;
-    Some(SendTarget {
+    let target = SendTarget {
         server: belief.entry.server.clone(),
         incarnation: belief.incarnation,
         address: belief.entry.address,
         may_reuse: !belief.health.is_suspect(now),
-    })
+    };
+    fleet.take_send_token(target.incarnation, now).then_some(target)
 }
 
 /// Sends `call` by `order` and waits up to `patience` for the answer head.
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -16,9 +16,14 @@
 use super::answer;
 use super::attempts::Attempts;
 use crate::events;
+use crate::model::ServerStage;
 use crate::quarantine::content_key;
 use crate::state::GatewayState;
 
+/// Retry delay when this gateway has no share of any server's rate limit; another gateway
+/// may have one.
+const NO_SHARE_RETRY: Duration = Duration::from_secs(1);
+
 /// Why the gateway answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -41,6 +46,8 @@
     NoServer,
     /// All servers are full, and the line is too long.
     NoRoom,
+    /// The rate limits of the servers allow no request in time.
+    RateLimited,
     /// Servers stated that they did not run it, and no more may be tried.
     NotRun,
     /// The process is stopping and the request might not end in time.
@@ -69,6 +76,7 @@
             | Refusal::ConfigUnsettled
             | Refusal::NoServer
             | Refusal::NoRoom
+            | Refusal::RateLimited
             | Refusal::NotRun
             | Refusal::Stopping
             | Refusal::Quarantined
@@ -114,19 +122,36 @@
     may_have_run: bool,
     usual: impl FnOnce() -> Duration,
 ) -> Response<GatewayBody> {
-    let is_late = Instant::now() >= call.deadline;
+    let now = Instant::now();
+    let is_late = now >= call.deadline;
     let held = state.quarantines.held(call.content);
+    let next_send_after = next_send_after(state, call, now);
     let (refusal, retry_after) = match (may_have_run, is_late, held) {
         (true, true, _) => (Refusal::Expired, None),
         (true, false, _) => (Refusal::OutcomeUnknown, None),
         (false, false, Some(held)) => (Refusal::Quarantined, Some(retry_after(held))),
         (false, true, _) => (Refusal::ExpiredUnsent, Some(usual())),
+        (false, false, None) if next_send_after.is_some_and(|after| !after.is_zero()) => {
+            (Refusal::RateLimited, next_send_after.map(|after| after.max(usual())))
+        }
         (false, false, None) if attempts.sends() == 0 => (Refusal::NoServer, Some(usual())),
         (false, false, None) => (Refusal::NotRun, Some(usual())),
     };
     refuse_call(call, refusal, retry_after, attempts.sends())
 }
 
+/// Time until the rate limits allow this gateway to send `call` to a server that can
+/// answer it; zero when one allows it now, `None` when there is no such server.
+pub(super) fn next_send_after(state: &GatewayState, call: &Call, now: Instant) -> Option<Duration> {
+    let fleet = state.fleet();
+    let answers = |stage| stage != ServerStage::Prefill;
+    if !fleet.open_servers(&call.service, now).any(|(belief, _)| answers(belief.entry.stage)) {
+        return None;
+    }
+    let at = fleet.next_send_at(&call.service, answers, now);
+    Some(at.map_or(NO_SHARE_RETRY, |at| at.saturating_duration_since(now)))
+}
+
 /// Like [`refuse`] for a routed call, with its log line.
 pub fn refuse_call(
     call: &Call,
--- a/crates/gateway/src/forward/room_wait.rs
+++ b/crates/gateway/src/forward/room_wait.rs
@@ -12,6 +12,7 @@
 use super::admit::log_held;
 use super::admit::retry_after;
 use super::attempts::Attempts;
+use super::refuse::next_send_after;
 use super::refuse::refuse_call;
 use crate::belief::EnginePlace;
 use crate::belief::LineAsker;
@@ -126,6 +127,10 @@
                 Err(PlaceRefusal::NoServer) => {
                     return Err(refuse_call(call, Refusal::NoServer, Some(NO_SERVER_RETRY), 0));
                 }
+                Err(PlaceRefusal::NoRoom) if is_rate_limited_until(state, call, give_up) => {
+                    let after = next_send_after(state, call, now);
+                    return Err(refuse_call(call, Refusal::RateLimited, after, 0));
+                }
                 Err(PlaceRefusal::NoRoom) => {
                     state.demand.with_line(&call.service, WaitingLine::note_no_room);
                     if !is_told {
@@ -162,6 +167,13 @@
     if state.other_lines(&call.service).waiting == 0 { since } else { since + TELL_TIME }
 }
 
+/// True when the rate limits allow this gateway no request to a server that decodes
+/// until after `until`.
+fn is_rate_limited_until(state: &GatewayState, call: &Call, until: Instant) -> bool {
+    let now = Instant::now();
+    next_send_after(state, call, now).is_some_and(|after| now + after > until)
+}
+
 /// When the lines ahead should have passed.
 pub(super) fn room_after(state: &GatewayState, call: &Call) -> Duration {
     let others = state.other_lines(&call.service);
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -5,6 +5,7 @@
 
 use crate::belief::ChargeNews;
 use crate::belief::EngineLearning;
+use crate::belief::LimitNews;
 use crate::belief::LineNews;
 use crate::belief::LoadShare;
 use crate::belief::OrganisationDigest;
@@ -53,6 +54,8 @@
     pub age_ms: u64,
     /// What became of sends of contents under which servers may crash.
     pub outcomes: Vec<OutcomeNews>,
+    /// Rate limits that servers state.
+    pub limits: Vec<LimitNews>,
 }
 
 /// Rows of one table that one gateway has read and that say something new.
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -101,6 +101,7 @@
         tables: report.tables.clone(),
         charges: state.quotas.recent_news(),
         outcomes: state.quarantines.news(true),
+        limits: state.fleet().limits.news(true, Instant::now()),
         ..*report
     }
 }
@@ -118,6 +119,7 @@
     let aside = state.fleet().own_aside(now);
     let changing = state.fleet().own_changing(now);
     let store_calm = state.fleet().store_calm(now);
+    let limits = state.fleet().limits.news(tells_learned, now);
     LoadReport {
         reach: PeerReach::Near,
         peer: state.settings.instance.clone(),
@@ -135,6 +137,7 @@
         charges: state.quotas.news(tells_learned),
         age_ms: state.age().as_millis() as u64,
         outcomes: state.quarantines.news(tells_learned),
+        limits,
     }
 }
 
@@ -224,6 +227,9 @@
         }
         state.readings.hear_notice(&report.peer, notice, now);
     }
+    for news in report.limits {
+        state.hear_limit(news);
+    }
     for news in report.outcomes {
         state.quarantines.hear(news);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,10 +19,12 @@
 use crate::belief::Fleet;
 use crate::belief::FleetChange;
 use crate::belief::InForce;
+use crate::belief::LimitNews;
 use crate::belief::OtherLines;
 use crate::belief::RetryAllowance;
 use crate::belief::RetryCount;
 use crate::belief::RetryUse;
+use crate::belief::ServerLimitChange;
 use crate::belief::ServerOutcome;
 use crate::belief::server_digest;
 use crate::demand::CallerDemand;
@@ -33,6 +35,7 @@
 use crate::model::FlowControl;
 use crate::model::GatewaySettings;
 use crate::model::RequestRate;
+use crate::model::ServerIncarnation;
 use crate::model::ServiceName;
 use crate::quarantine::Quarantines;
 use crate::quota::QuotaPeers;
@@ -196,17 +199,45 @@
         sent_at: Instant,
     ) {
         let now = Instant::now();
-        let change =
-            self.fleet().limits.note_answer(target.incarnation, flow_control.limit, sent_at, now);
-        let Some(change) = change else { return };
+        let server = target.incarnation;
+        let change = self.fleet().note_limit(server, flow_control.limit, sent_at, now);
+        if let Some(change) = change {
+            self.log_limit(server, change, "answer");
+            // Reports at once: other gateways apply the previous limit until they hear of it.
+            self.work_changed.notify(1);
+        }
+    }
+
+    /// Applies a server's rate limit reported by another gateway, and logs a change.
+    pub fn hear_limit(&self, news: LimitNews) {
+        let change = self.fleet().hear_limit(news, Instant::now());
+        if let Some(change) = change {
+            self.log_limit(news.server, change, "gateway");
+        }
+    }
+
+    fn log_limit(
+        &self,
+        incarnation: ServerIncarnation,
+        change: ServerLimitChange,
+        source: &'static str,
+    ) {
+        let fleet = self.fleet();
+        let share = fleet.own_limit_share(incarnation);
+        let server =
+            fleet.server_by_incarnation(incarnation).map(|belief| belief.entry.server.clone());
+        drop(fleet);
         tracing::info!(
             event = events::SERVER_LIMIT_CHANGED,
-            server = &*target.server,
+            server = server.as_deref(),
+            incarnation,
             limit = change.after.map(RequestRate::per_second),
             before = change.before.map(RequestRate::per_second),
-            source = "answer",
+            share,
+            source,
             "server's rate limit changed"
         );
+        self.room.notify(usize::MAX);
     }
 
     /// Logs what changed among the servers.
--- a/crates/gateway/tests/peer_traffic.rs
+++ b/crates/gateway/tests/peer_traffic.rs
@@ -63,6 +63,7 @@
         config: 40,
         tables: Vec::new(),
         outcomes: Vec::new(),
+        limits: Vec::new(),
         charges: Vec::new(),
         age_ms: 60_000,
     }
