Send newly started gateways a full report at once

Symptom: a gateway that started some 3.5 s after a server had stated a limit did not know the limit for up to 2 s, and sent to that server as to any other.

Cause: the report loop chose the addresses of a report before it waited for the next change. The first report from a new gateway ended that wait, but the full report that it triggered went to the gateways known before, not to the new one. In addition, a new gateway was recognized only by the sequence number of its report, which also grows while it knows no gateway to report to.

Choose the addresses after the wait, and also treat a gateway as new when no report of its incarnation is held. This includes a gateway that was not heard for 5 s, for example because it was cut off: it gets a full report again. Gateways of other shards are still told in turn, within a second.

The second condition has no test that fails without it.

--- a/crates/gateway/src/belief/peer_loads.rs
+++ b/crates/gateway/src/belief/peer_loads.rs
@@ -127,6 +127,12 @@
         true
     }
 
+    /// True when the table holds a report of this incarnation of `peer`.
+    pub fn has_report(&self, peer: &str, incarnation: u64) -> bool {
+        let known = self.reports.get(&server_digest(peer));
+        known.is_some_and(|report| report.incarnation == incarnation)
+    }
+
     /// What live reports say of the server with `digest`.
     pub fn server(&self, digest: u64, now: Instant) -> ServerSum {
         self.server_looks.set(self.server_looks.get() + 1);
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -30,7 +30,7 @@
 /// How often what was learned of engines is told: some 80 bytes a service, and
 /// slow to change.
 const TELL_LEARNED_EVERY: Duration = Duration::from_secs(2);
-/// A gateway's first reports, by which others see that it has just begun and tell
+/// A gateway's first reports, by which others also see that it has just begun and tell
 /// it at once what they tell rarely; the first may be lost.
 const FIRST_REPORTS: u64 = 2;
 /// Between two log lines on datagrams that are no reports: anything on the
@@ -50,12 +50,14 @@
     for sequence in 1.. {
         let changed = state.work_changed.listen();
         let shards = state.fleet().peer_shards();
-        let PeerGroups { near, far } = book.groups(&state.settings.instance, shards);
+        let PeerGroups { near, .. } = book.groups(&state.settings.instance, shards);
         let due = Instant::now() + report_pace(near.len());
         if by_deadline(due, changed).await.is_some() {
             smol::Timer::at(budget.send_at(near.len(), due, Instant::now())).await;
         }
         let has_newcomer = state.has_newcomer.swap(false, Ordering::Relaxed);
+        // Chosen again, since a gateway may have been added to the book during the wait.
+        let PeerGroups { near, far } = book.groups(&state.settings.instance, shards);
         let tells_learned = has_newcomer || Instant::now() >= learning_due;
         if tells_learned {
             learning_due = Instant::now() + TELL_LEARNED_EVERY;
@@ -194,7 +196,8 @@
 }
 
 fn take_report(state: &GatewayState, report: LoadReport, address: SocketAddr) {
-    if report.sequence <= FIRST_REPORTS {
+    let is_known = state.fleet().peers.has_report(&report.peer, report.incarnation);
+    if report.sequence <= FIRST_REPORTS || !is_known {
         state.has_newcomer.store(true, Ordering::Relaxed);
         state.work_changed.notify(1);
     }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -326,3 +326,17 @@
     fleet.end("a", later, work);
     assert_eq!(fleet.load(fleet.server("a").unwrap(), now), LoadShare::default());
 }
+
+/// Guards against a restarted gateway that gets no full report because its previous
+/// incarnation had got one.
+#[test]
+fn peer_reports_are_known_by_incarnation() {
+    let mut fleet = Fleet::new(0);
+    let now = Instant::now();
+    assert!(!fleet.peers.has_report("gw-1", 7));
+    fleet.peers.note("gw-1", 7, 1, PeerNews::default(), now);
+    assert!(fleet.peers.has_report("gw-1", 7));
+    assert!(!fleet.peers.has_report("gw-1", 8));
+    fleet.tick(now + Duration::from_secs(6));
+    assert!(!fleet.peers.has_report("gw-1", 7), "a stale report is dropped");
+}
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use umberglade_gateway::belief::LimitNews;
 use umberglade_gateway::belief::ServerLimits;
 use umberglade_gateway::model::RequestRate;
 use umberglade_gateway::model::StatedLimit;
@@ -81,3 +82,40 @@
     limits.tick(|_| false, after(400));
     assert!(limits.is_empty());
 }
+
+/// Guards against a report that arrives out of order replacing a newer limit.
+#[test]
+fn reports_apply_the_newest_limit() {
+    struct Case {
+        name: &'static str,
+        /// Age in milliseconds and limit of each report, in order of arrival.
+        reports: Vec<(u32, Option<f64>)>,
+        limit: Option<f64>,
+    }
+    let cases = [
+        Case { name: "first report", reports: vec![(100, Some(4.0))], limit: Some(4.0) },
+        Case { name: "newer", reports: vec![(100, Some(4.0)), (50, Some(6.0))], limit: Some(6.0) },
+        Case { name: "older", reports: vec![(100, Some(4.0)), (150, Some(6.0))], limit: Some(4.0) },
+        Case { name: "lifted", reports: vec![(100, Some(4.0)), (50, None)], limit: None },
+        Case {
+            name: "lifted earlier",
+            reports: vec![(100, Some(4.0)), (150, None)],
+            limit: Some(4.0),
+        },
+        Case {
+            name: "stated again",
+            reports: vec![(100, None), (50, Some(4.0))],
+            limit: Some(4.0),
+        },
+    ];
+    let now = Instant::now() + Duration::from_secs(1);
+    for case in cases {
+        let mut limits = ServerLimits::default();
+        for (age_ms, limit) in case.reports {
+            let news = LimitNews { server: SERVER, rate: limit.map(rate), age_ms };
+            limits.hear(news, now);
+        }
+        assert_eq!(limits.limit(SERVER).map(RequestRate::per_second), case.limit, "{}", case.name);
+        assert!(!limits.may_send(SERVER, now) || case.limit.is_none(), "{}", case.name);
+    }
+}
