Log departures and Retry-After stated in server answers

The gateway did not log that it had learned from an answer that a server is leaving, nor how long a server that rejected a request wants no further requests. Both are now decoded with the head of an answer. Event 6021 is logged once for each start of a server that states that it is leaving, and event 6022 for each 503 with a Retry-After (in seconds, a fraction is allowed, capped at one hour). No decision uses either yet.

Values stated by servers are kept by server incarnation in one table type, `IncarnationTable`, which the rate limits now use too. It drops servers that have been gone for 60 s and holds at most 4,096.

--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -13,6 +13,7 @@
 use super::LoadShare;
 use super::PeerLoads;
 use super::ServerBelief;
+use super::ServerDepartures;
 use super::ServerLimits;
 use super::ServerOutcome;
 use crate::model::ServerEntry;
@@ -61,6 +62,7 @@
     pub(super) services: FxHashMap<ServiceName, Vec<ServerKey>>,
     pub peers: PeerLoads,
     pub limits: ServerLimits,
+    pub departures: ServerDepartures,
     /// This gateway's digest.
     pub(super) own: u64,
     /// Gateways that share the servers, this one included.
@@ -220,10 +222,11 @@
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.forget_old(now);
         self.changing.retain(|_, (_, until)| now < *until);
-        if !self.limits.is_empty() {
+        if !(self.limits.is_empty() && self.departures.is_empty()) {
             let listed: FxHashSet<ServerIncarnation> =
                 self.servers.values().map(|belief| belief.incarnation).collect();
             self.limits.tick(|server| listed.contains(&server), now);
+            self.departures.tick(|server| listed.contains(&server), now);
             self.update_shares(now);
         }
         let may_have_lapsed = self.lapse_until(now).is_some();
--- a/crates/gateway/src/belief/server_limits.rs
+++ b/crates/gateway/src/belief/server_limits.rs
@@ -3,22 +3,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rustc_hash::FxHashMap;
-
+use super::IncarnationTable;
 use super::LimitNews;
 use super::TokenBucket;
 use crate::model::RequestRate;
 use crate::model::ServerIncarnation;
 use crate::model::StatedLimit;
 
-/// How long the limit of a server that is no longer listed is kept, in case its row has
-/// only lapsed.
-const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
 /// How long every report includes a changed limit.
 const CHANGE_TOLD_FOR: Duration = Duration::from_secs(3);
-/// Maximum number of servers in the table. Bounds its memory, since limits reported by
-/// other gateways are not verified.
-const MOST_SERVERS: usize = 4096;
 
 /// The last known limit of one server incarnation.
 #[derive(Debug)]
@@ -29,8 +22,6 @@
     updated_at: Instant,
     /// When the value of `rate` last changed at this gateway.
     changed_at: Instant,
-    /// When the server was last seen in the fleet, or `rate` was first set.
-    listed_at: Instant,
     /// Requests that this gateway may send, at its share of `rate`.
     bucket: TokenBucket,
 }
@@ -45,7 +36,7 @@
 /// The limits of all server incarnations that have stated one.
 #[derive(Debug, Default)]
 pub struct ServerLimits {
-    limits: FxHashMap<ServerIncarnation, ServerLimit>,
+    limits: IncarnationTable<ServerLimit>,
 }
 
 impl ServerLimits {
@@ -66,7 +57,7 @@
             StatedLimit::Unreadable => return None,
             StatedLimit::Rate(rate) => Some(rate),
             StatedLimit::None => {
-                let known = self.limits.get(&server)?;
+                let known = self.limits.get(server)?;
                 if sent_at <= known.updated_at {
                     return None;
                 }
@@ -82,7 +73,7 @@
         let age = Duration::from_millis(u64::from(news.age_ms));
         let updated_at = now.checked_sub(age)?;
         let is_newer =
-            self.limits.get(&news.server).is_none_or(|known| known.updated_at < updated_at);
+            self.limits.get(news.server).is_none_or(|known| known.updated_at < updated_at);
         if !is_newer {
             return None;
         }
@@ -98,19 +89,19 @@
         told.map(|(server, limit)| {
             let age = now.saturating_duration_since(limit.updated_at);
             let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-            LimitNews { server: *server, rate: limit.rate, age_ms }
+            LimitNews { server, rate: limit.rate, age_ms }
         })
         .collect()
     }
 
     /// The last known limit of `server`; `None` if it never stated one or lifted it.
     pub fn limit(&self, server: ServerIncarnation) -> Option<RequestRate> {
-        self.limits.get(&server)?.rate
+        self.limits.get(server)?.rate
     }
 
     /// Sets this gateway's share of the limit of `server`, in requests per second.
     pub fn set_share(&mut self, server: ServerIncarnation, share: f64, now: Instant) {
-        if let Some(limit) = self.limits.get_mut(&server) {
+        if let Some(limit) = self.limits.get_mut(server) {
             limit.bucket.set_rate(share, now);
         }
     }
@@ -123,7 +114,7 @@
     /// Takes a token for a request that is about to be sent to `server`; false when its
     /// limit allows none now.
     pub fn take_send_token(&mut self, server: ServerIncarnation, now: Instant) -> bool {
-        match self.limits.get_mut(&server) {
+        match self.limits.get_mut(server) {
             Some(limit) if limit.rate.is_some() => limit.bucket.take(now),
             _ => true,
         }
@@ -135,19 +126,14 @@
         self.limit_in_force(server).map_or(Some(now), |limit| limit.bucket.next_token_at(now))
     }
 
-    /// Removes servers for which `is_listed` has been false for [`UNLISTED_RETENTION`].
+    /// Removes servers that have been unlisted for the retention period of the table.
     pub fn tick(&mut self, is_listed: impl Fn(ServerIncarnation) -> bool, now: Instant) {
-        self.limits.retain(|server, limit| {
-            if is_listed(*server) {
-                limit.listed_at = now;
-            }
-            now.saturating_duration_since(limit.listed_at) < UNLISTED_RETENTION
-        });
+        self.limits.tick(is_listed, now);
     }
 
     /// Servers whose limit is in force.
     pub fn in_force(&self) -> usize {
-        self.limits.values().filter(|limit| limit.rate.is_some()).count()
+        self.limits.iter().filter(|(_, limit)| limit.rate.is_some()).count()
     }
 
     /// The number of servers in the table, including those whose limit was lifted.
@@ -161,7 +147,7 @@
     }
 
     fn limit_in_force(&self, server: ServerIncarnation) -> Option<&ServerLimit> {
-        self.limits.get(&server).filter(|limit| limit.rate.is_some())
+        self.limits.get(server).filter(|limit| limit.rate.is_some())
     }
 
     fn set(
@@ -171,16 +157,12 @@
         updated_at: Instant,
         now: Instant,
     ) -> Option<ServerLimitChange> {
-        if self.limits.len() >= MOST_SERVERS && !self.limits.contains_key(&server) {
-            return None;
-        }
-        let limit = self.limits.entry(server).or_insert_with(|| ServerLimit {
+        let limit = self.limits.get_or_insert_with(server, now, || ServerLimit {
             rate: None,
             updated_at,
             changed_at: now,
-            listed_at: now,
             bucket: TokenBucket::new(0.0, now),
-        });
+        })?;
         let before = std::mem::replace(&mut limit.rate, after);
         limit.updated_at = updated_at;
         if before == after {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -76,6 +76,10 @@
 pub const CONFIG_COPIED: u32 = 6019;
 /// The rate limit that a server states was set, changed or lifted.
 pub const SERVER_LIMIT_CHANGED: u32 = 6020;
+/// A server stated in an answer that it is leaving.
+pub const SERVER_DEPARTURE: u32 = 6021;
+/// A server rejected a request with a 503 and a `Retry-After`.
+pub const SERVER_BACKOFF: u32 = 6022;
 /// The process serves.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful stop begins.
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -134,7 +134,7 @@
     }
     let is_misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
     if !is_misdirected {
-        state.note_flow_control(target, head.flow_control, sent_at);
+        state.note_flow_control(target, status, head.flow_control, sent_at);
     }
     if head.is_not_run || is_misdirected {
         let failure = if is_misdirected { SendFailure::Misdirected } else { SendFailure::NotRun };
--- a/crates/gateway/src/model/flow_control.rs
+++ b/crates/gateway/src/model/flow_control.rs
@@ -1,5 +1,7 @@
 //! Flow control that backend servers state in their answers.
 
+use std::time::Duration;
+
 use super::RequestRate;
 
 /// The rate limit that an answer states.
@@ -18,4 +20,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct FlowControl {
     pub limit: StatedLimit,
+    pub is_leaving: bool,
+    /// How long the server wants no further requests from this gateway. Applies only to a
+    /// 503.
+    pub retry_after: Option<Duration>,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use event_listener::Event;
+use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::belief::ConfigWatch;
@@ -191,15 +192,28 @@
     }
 
     /// Applies the flow control stated by `target` in its answer to a request sent at
-    /// `sent_at`, and logs a change of its rate limit.
+    /// `sent_at`, and logs what is new.
     pub fn note_flow_control(
         &self,
         target: &SendTarget,
+        status: StatusCode,
         flow_control: FlowControl,
         sent_at: Instant,
     ) {
         let now = Instant::now();
         let server = target.incarnation;
+        if flow_control.is_leaving && self.fleet().departures.note(server, now) {
+            self.log_departure(server, "answer");
+        }
+        let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(delay) = flow_control.retry_after.filter(|_| is_unavailable) {
+            tracing::info!(
+                event = events::SERVER_BACKOFF,
+                server = &*target.server,
+                retry_after_ms = delay.as_millis() as u64,
+                "server rejected a request with Retry-After"
+            );
+        }
         let change = self.fleet().note_limit(server, flow_control.limit, sent_at, now);
         if let Some(change) = change {
             self.log_limit(server, change, "answer");
@@ -216,6 +230,20 @@
         }
     }
 
+    fn log_departure(&self, incarnation: ServerIncarnation, source: &'static str) {
+        let fleet = self.fleet();
+        let server =
+            fleet.server_by_incarnation(incarnation).map(|belief| belief.entry.server.clone());
+        drop(fleet);
+        tracing::info!(
+            event = events::SERVER_DEPARTURE,
+            server = server.as_deref(),
+            incarnation,
+            source,
+            "server stated that it is leaving"
+        );
+    }
+
     fn log_limit(
         &self,
         incarnation: ServerIncarnation,
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -340,3 +340,22 @@
     fleet.tick(now + Duration::from_secs(6));
     assert!(!fleet.peers.has_report("gw-1", 7), "a stale report is dropped");
 }
+
+/// Guards against a table that grows without bound as servers leave, and against a
+/// departure that is dropped before the retention period ends.
+#[test]
+fn departures_of_unlisted_servers_expire() {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(0);
+    fleet.upsert(entry("a", false), 1);
+    let server = fleet.server("a").expect("a known server").incarnation;
+    assert!(fleet.departures.note(server, start));
+    assert!(!fleet.departures.note(server, start), "already recorded");
+    let after = |seconds| start + Duration::from_secs(seconds);
+    fleet.tick(after(300));
+    fleet.remove("a", 2, after(301));
+    fleet.tick(after(330));
+    assert!(fleet.departures.contains(server));
+    fleet.tick(after(400));
+    assert!(!fleet.departures.contains(server));
+}
