Close servers to new work when they state that they are leaving

Symptom: with the store unavailable, requests reached a server 2.0 and 2.8 s after its answers had told their gateways that it was leaving (2.0 s are allowed). A caller whose request came later still would have reached a server that had exited.

Cause: a gateway learned of a departure only from the server's row, which is delayed while the store is unavailable. The statement in each of the server's answers was not applied, nor reported to other gateways. Evidence: no log has a line of the server between 7.5 and 20.8 s; the failing test (29, 16 and 31 of 96 calls at three such servers).

An answer that states a departure now closes that server incarnation at once, as a row that says so does. It is also reported to other gateways: a new departure in every report for 3 s, and all departures every 2 s and at once to gateways that start. A departure is never withdrawn: a row that is renewed without it, or that lapses and returns, changes nothing. Only a new incarnation under the same server id is open again. A departure is kept for 60 s after the server's row is gone.

Why it holds: every send of a request checks the server's state immediately before it (`send_target`), so a request that was placed earlier is not sent; and departures are keyed by incarnation and outlive the row by 60 s.

--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -141,8 +141,9 @@
         }
     }
 
-    fn insert(&mut self, entry: ServerEntry, version: StoreVersion) -> Option<FleetChange> {
+    fn insert(&mut self, mut entry: ServerEntry, version: StoreVersion) -> Option<FleetChange> {
         let key = entry.server.clone();
+        entry.is_leaving |= self.departures.contains(entry.incarnation());
         self.removed.remove(&key);
         self.services.entry(entry.service.clone()).or_default().push(key.clone());
         let is_leaving = entry.is_leaving;
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -15,6 +15,7 @@
 mod domain_readers;
 mod engine_learning;
 mod fleet;
+mod fleet_departures;
 mod fleet_limits;
 mod fleet_news;
 mod fleet_shards;
--- a/crates/gateway/src/belief/server_departures.rs
+++ b/crates/gateway/src/belief/server_departures.rs
@@ -1,10 +1,14 @@
 //! Servers that have stated in an answer that they are leaving.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use super::IncarnationTable;
 use crate::model::ServerIncarnation;
 
+/// How long every report includes a new departure.
+const CHANGE_TOLD_FOR: Duration = Duration::from_secs(3);
+
 /// The server incarnations that have stated that they are leaving. A departure is never
 /// withdrawn.
 #[derive(Debug, Default)]
@@ -20,6 +24,13 @@
         self.known_since.get_or_insert_with(server, now, || now).is_some() && is_new
     }
 
+    /// The departures that a report includes: recent ones, or with `tells_all` every entry.
+    pub fn news(&self, tells_all: bool, now: Instant) -> Vec<ServerIncarnation> {
+        let is_recent = |since: &Instant| now.saturating_duration_since(*since) < CHANGE_TOLD_FOR;
+        let told = self.known_since.iter().filter(|(_, since)| tells_all || is_recent(since));
+        told.map(|(server, _)| server).collect()
+    }
+
     pub fn contains(&self, server: ServerIncarnation) -> bool {
         self.known_since.get(server).is_some()
     }
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -13,6 +13,7 @@
 use crate::belief::PeerReach;
 use crate::belief::RetryCount;
 use crate::model::ConfigVersion;
+use crate::model::ServerIncarnation;
 use crate::model::StoreRow;
 use crate::model::StoreTable;
 use crate::store::TableNotice;
@@ -56,6 +57,8 @@
     pub outcomes: Vec<OutcomeNews>,
     /// Rate limits that servers state.
     pub limits: Vec<LimitNews>,
+    /// Servers that have stated that they are leaving.
+    pub departures: Vec<ServerIncarnation>,
 }
 
 /// Rows of one table that one gateway has read and that say something new.
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -104,6 +104,7 @@
         charges: state.quotas.recent_news(),
         outcomes: state.quarantines.news(true),
         limits: state.fleet().limits.news(true, Instant::now()),
+        departures: state.fleet().departures.news(true, Instant::now()),
         ..*report
     }
 }
@@ -122,6 +123,7 @@
     let changing = state.fleet().own_changing(now);
     let store_calm = state.fleet().store_calm(now);
     let limits = state.fleet().limits.news(tells_learned, now);
+    let departures = state.fleet().departures.news(tells_learned, now);
     LoadReport {
         reach: PeerReach::Near,
         peer: state.settings.instance.clone(),
@@ -140,6 +142,7 @@
         age_ms: state.age().as_millis() as u64,
         outcomes: state.quarantines.news(tells_learned),
         limits,
+        departures,
     }
 }
 
@@ -233,6 +236,9 @@
     for news in report.limits {
         state.hear_limit(news);
     }
+    for server in report.departures {
+        state.hear_departure(server);
+    }
     for news in report.outcomes {
         state.quarantines.hear(news);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -202,8 +202,8 @@
     ) {
         let now = Instant::now();
         let server = target.incarnation;
-        if flow_control.is_leaving && self.fleet().departures.note(server, now) {
-            self.log_departure(server, "answer");
+        if flow_control.is_leaving {
+            self.note_departure(server, "answer");
         }
         let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(delay) = flow_control.retry_after.filter(|_| is_unavailable) {
@@ -230,10 +230,18 @@
         }
     }
 
-    fn log_departure(&self, incarnation: ServerIncarnation, source: &'static str) {
-        let fleet = self.fleet();
-        let server =
-            fleet.server_by_incarnation(incarnation).map(|belief| belief.entry.server.clone());
+    /// Applies a departure reported by another gateway.
+    pub fn hear_departure(&self, incarnation: ServerIncarnation) {
+        self.note_departure(incarnation, "gateway");
+    }
+
+    /// Applies a departure that a server has stated, and logs it if it is new.
+    fn note_departure(&self, incarnation: ServerIncarnation, source: &'static str) {
+        let mut fleet = self.fleet();
+        let Some(change) = fleet.note_departure(incarnation, Instant::now()) else { return };
+        let belief = fleet.server_by_incarnation(incarnation);
+        let server = belief.map(|belief| belief.entry.server.clone());
+        let version = belief.map_or(0, |belief| belief.version);
         drop(fleet);
         tracing::info!(
             event = events::SERVER_DEPARTURE,
@@ -242,6 +250,9 @@
             source,
             "server stated that it is leaving"
         );
+        self.log_changes(&[change], version);
+        // Reports at once: other gateways send requests to the server until they hear of it.
+        self.work_changed.notify(1);
     }
 
     fn log_limit(
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -359,3 +359,36 @@
     fleet.tick(after(400));
     assert!(!fleet.departures.contains(server));
 }
+
+/// Guards against a stated departure that the server's row withdraws, and against one that
+/// is applied to the server's next incarnation.
+#[test]
+fn stated_departures_outlive_rows() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(0);
+    fleet.upsert(since(entry("a", false), 100), 1);
+    fleet.upsert(since(entry("b", false), 100), 1);
+    let server = fleet.server("a").expect("a known server").incarnation;
+    assert_eq!(fleet.note_departure(server, now), Some(FleetChange::Leaving("a".into())));
+    assert_eq!(fleet.note_departure(server, now), None, "already recorded");
+    assert_eq!(open(&fleet, now), ["b"]);
+    fleet.upsert(since(entry("a", false), 100), 2);
+    assert_eq!(open(&fleet, now), ["b"], "after a row update without the departure");
+    fleet.remove("a", 3, now);
+    fleet.upsert(since(entry("a", false), 100), 4);
+    assert_eq!(open(&fleet, now), ["b"], "after its row was removed and added again");
+    fleet.upsert(since(entry("a", false), 200), 5);
+    assert_eq!(open(&fleet, now), ["a", "b"], "after a restart");
+}
+
+/// Guards against a departure that is lost when another gateway reports it before the
+/// server is listed here.
+#[test]
+fn departures_are_kept_for_servers_listed_later() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(0);
+    let server = since(entry("a", false), 100);
+    assert_eq!(fleet.note_departure(server.incarnation(), now), None);
+    assert_eq!(fleet.upsert(server, 1), None);
+    assert!(open(&fleet, now).is_empty());
+}
--- a/crates/gateway/tests/peer_traffic.rs
+++ b/crates/gateway/tests/peer_traffic.rs
@@ -64,6 +64,7 @@
         tables: Vec::new(),
         outcomes: Vec::new(),
         limits: Vec::new(),
+        departures: Vec::new(),
         charges: Vec::new(),
         age_ms: 60_000,
     }
