Send nothing to a server for the time that it requests with a 503

Symptom: a server that rejected every request and requested a backoff of 3 s got 20 and 9 requests from single gateways in that time, 106 from all gateways in 4 s, and rejected each. Over a tenth of the plain calls were not served while this lasted.

Cause: the Retry-After of a rejection was not read, and a rejection did not change a gateway's view of the server. A server that rejects at once holds no work, so it appeared to have the most free capacity and attracted most first sends (105 of 106).

A 503 with Retry-After now closes that incarnation of the server to this gateway until the time is over; the latest end applies. Placement skips the server, and the target look-up immediately before each send refuses it, on every path (first send, repeat, hedge, resumed stream, separate prompt read, order to an engine, release of a KV cache). While all servers are backed off, a call is refused at once (`rate_limited`) with the time at which the first server accepts requests again; a stream waits in line if that is soon enough.

Gateways report their backoffs to each other, so a gateway that restarts, or was not heard for 5 s, learns its own from the others of its shard at once. A backoff that is told back may end later by a datagram's time on its way.

--- a/crates/gateway/src/belief/fleet.rs
+++ b/crates/gateway/src/belief/fleet.rs
@@ -12,6 +12,7 @@
 use super::ListedServers;
 use super::LoadShare;
 use super::PeerLoads;
+use super::ServerBackoffs;
 use super::ServerBelief;
 use super::ServerDepartures;
 use super::ServerLimits;
@@ -63,6 +64,7 @@
     pub peers: PeerLoads,
     pub limits: ServerLimits,
     pub departures: ServerDepartures,
+    pub backoffs: ServerBackoffs,
     /// This gateway's digest.
     pub(super) own: u64,
     /// Gateways that share the servers, this one included.
@@ -223,11 +225,12 @@
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.forget_old(now);
         self.changing.retain(|_, (_, until)| now < *until);
-        if !(self.limits.is_empty() && self.departures.is_empty()) {
+        if self.has_flow_control() {
             let listed: FxHashSet<ServerIncarnation> =
                 self.servers.values().map(|belief| belief.incarnation).collect();
             self.limits.tick(|server| listed.contains(&server), now);
             self.departures.tick(|server| listed.contains(&server), now);
+            self.backoffs.tick(|server| listed.contains(&server), now);
             self.update_shares(now);
         }
         let may_have_lapsed = self.lapse_until(now).is_some();
@@ -244,6 +247,11 @@
         gone.iter().filter_map(|(key, version)| self.forget(key, *version, now)).collect()
     }
 
+    /// True when any limit, departure or backoff stated by a server is known.
+    fn has_flow_control(&self) -> bool {
+        !(self.limits.is_empty() && self.departures.is_empty() && self.backoffs.is_empty())
+    }
+
     /// An engine was told to change to `stage`: until it has, it refuses work.
     pub fn begin_change(&mut self, key: &str, stage: ServerStage, now: Instant) {
         self.changing.insert(key.into(), (stage, now + CHANGE_TIME));
--- a/crates/gateway/src/belief/fleet_limits.rs
+++ b/crates/gateway/src/belief/fleet_limits.rs
@@ -1,7 +1,10 @@
-//! Enforces the rate limits that servers state when requests are sent to them.
+//! Enforces the rate limits that servers state, and the backoffs that they request, when
+//! requests are sent to them.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use super::BackoffNews;
 use super::Fleet;
 use super::LimitNews;
 use super::ServerBelief;
@@ -36,9 +39,42 @@
         Some(change)
     }
 
-    /// True when the server's rate limit allows this gateway a request now.
+    /// Records that `server` requests a backoff of `delay` from this gateway; true when it
+    /// ends later than the known one.
+    pub fn note_backoff(
+        &mut self,
+        server: ServerIncarnation,
+        delay: Duration,
+        now: Instant,
+    ) -> bool {
+        self.backoffs.note(server, self.own, now + delay, now)
+    }
+
+    /// Applies a backoff reported by another gateway; true when it concerns this gateway and
+    /// ends later than the known one.
+    pub fn hear_backoff(&mut self, news: BackoffNews, now: Instant) -> bool {
+        let until = now + Duration::from_millis(u64::from(news.left_ms));
+        self.backoffs.note(news.server, news.gateway, until, now) && news.gateway == self.own
+    }
+
+    /// The backoffs that a report includes: recent ones of this gateway, or with `tells_all`
+    /// all of them, and all known ones of `newcomers`.
+    pub fn backoff_news(
+        &self,
+        tells_all: bool,
+        newcomers: &[u64],
+        now: Instant,
+    ) -> Vec<BackoffNews> {
+        let tells_all_of =
+            |gateway| (tells_all && gateway == self.own) || newcomers.contains(&gateway);
+        self.backoffs.news(self.own, tells_all_of, now)
+    }
+
+    /// True when no backoff of the server is in force for this gateway and its rate limit
+    /// allows a request now.
     pub(super) fn may_send(&self, belief: &ServerBelief, now: Instant) -> bool {
-        self.limits.may_send(belief.incarnation, now)
+        let server = belief.incarnation;
+        self.backoffs.until(server, self.own, now).is_none() && self.limits.may_send(server, now)
     }
 
     /// True when the server with the id `key` states a limit.
@@ -46,10 +82,11 @@
         self.server(key).is_some_and(|belief| self.limits.limit(belief.incarnation).is_some())
     }
 
-    /// Takes a token for a request that is about to be sent to `server`; false when its
-    /// rate limit allows none now.
+    /// Takes a token for a request that is about to be sent to `server`; false when a
+    /// backoff or its rate limit allows none now.
     pub fn take_send_token(&mut self, server: ServerIncarnation, now: Instant) -> bool {
-        self.limits.take_send_token(server, now)
+        self.backoffs.until(server, self.own, now).is_none()
+            && self.limits.take_send_token(server, now)
     }
 
     /// The earliest time at which a server of `service` whose stage `suits` accepts may be
@@ -62,10 +99,18 @@
     ) -> Option<Instant> {
         self.open_servers(service, now)
             .filter(|(belief, _)| suits(belief.entry.stage))
-            .filter_map(|(belief, _)| self.limits.next_send_at(belief.incarnation, now))
+            .filter_map(|(belief, _)| self.next_send_to(belief.incarnation, now))
             .min()
     }
 
+    /// When this gateway may send the next request to `server`; `None` when it has no share
+    /// of its limit.
+    fn next_send_to(&self, server: ServerIncarnation, now: Instant) -> Option<Instant> {
+        let by_limit = self.limits.next_send_at(server, now)?;
+        let backoff_end = self.backoffs.until(server, self.own, now);
+        Some(backoff_end.map_or(by_limit, |end| end.max(by_limit)))
+    }
+
     /// This gateway's share of the limit of `server`, in requests per second.
     pub fn own_limit_share(&self, server: ServerIncarnation) -> Option<f64> {
         let limit = self.limits.limit(server)?;
--- a/crates/gateway/src/belief/incarnation_table.rs
+++ b/crates/gateway/src/belief/incarnation_table.rs
@@ -71,6 +71,12 @@
         });
     }
 
+    /// Removes the entries for whose value `keeps` returns false; `keeps` may modify the
+    /// value.
+    pub fn retain(&mut self, mut keeps: impl FnMut(&mut T) -> bool) {
+        self.entries.retain(|_, entry| keeps(&mut entry.value));
+    }
+
     pub fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -2,6 +2,7 @@
 //! does I/O or reads a clock: the time is passed in, so every decision can
 //! be tested as a table.
 
+mod backoff_news;
 mod broken_start;
 mod candidate;
 mod charge_news;
@@ -44,6 +45,7 @@
 mod report_pace;
 mod retry_allowance;
 mod row_change;
+mod server_backoffs;
 mod server_belief;
 mod server_departures;
 mod server_health;
@@ -56,6 +58,7 @@
 mod usual_patience;
 mod waiting_line;
 
+pub use self::backoff_news::BackoffNews;
 pub use self::charge_news::ChargeNews;
 pub use self::charge_news::ChargeTotal;
 pub use self::config_watch::ConfigWatch;
@@ -112,6 +115,7 @@
 pub use self::retry_allowance::RetryCount;
 pub use self::retry_allowance::RetryUse;
 pub use self::row_change::RowChange;
+pub use self::server_backoffs::ServerBackoffs;
 pub use self::server_belief::ServerBelief;
 pub use self::server_departures::ServerDepartures;
 pub use self::server_health::ServerHealth;
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::belief::BackoffNews;
 use crate::belief::ChargeNews;
 use crate::belief::EngineLearning;
 use crate::belief::LimitNews;
@@ -59,6 +60,9 @@
     pub limits: Vec<LimitNews>,
     /// Servers that have stated that they are leaving.
     pub departures: Vec<ServerIncarnation>,
+    /// Backoffs that servers request from this gateway, and from gateways that have just
+    /// started.
+    pub backoffs: Vec<BackoffNews>,
 }
 
 /// Rows of one table that one gateway has read and that say something new.
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -55,14 +54,14 @@
         if by_deadline(due, changed).await.is_some() {
             smol::Timer::at(budget.send_at(near.len(), due, Instant::now())).await;
         }
-        let has_newcomer = state.has_newcomer.swap(false, Ordering::Relaxed);
+        let newcomers = std::mem::take(&mut *state.newcomers.lock().expect("newcomers lock"));
         // Chosen again, since a gateway may have been added to the book during the wait.
         let PeerGroups { near, far } = book.groups(&state.settings.instance, shards);
-        let tells_learned = has_newcomer || Instant::now() >= learning_due;
+        let tells_learned = !newcomers.is_empty() || Instant::now() >= learning_due;
         if tells_learned {
             learning_due = Instant::now() + TELL_LEARNED_EVERY;
         }
-        let report = report(&state, incarnation, sequence, tells_learned);
+        let report = report(&state, incarnation, sequence, tells_learned, &newcomers);
         let pace = if report.tables.is_empty() { FAR_PACE } else { READER_PACE };
         let told = far_turn.next(&far, pace, Instant::now());
         let far_report = (!told.is_empty()).then(|| only_for_all(&report, &state));
@@ -105,6 +104,7 @@
         outcomes: state.quarantines.news(true),
         limits: state.fleet().limits.news(true, Instant::now()),
         departures: state.fleet().departures.news(true, Instant::now()),
+        backoffs: report.backoffs.clone(),
         ..*report
     }
 }
@@ -115,6 +115,7 @@
     incarnation: u64,
     sequence: u64,
     tells_learned: bool,
+    newcomers: &[u64],
 ) -> LoadReport {
     let now = Instant::now();
     // One statement a lock: a guard lives to the end of its statement.
@@ -124,6 +125,7 @@
     let store_calm = state.fleet().store_calm(now);
     let limits = state.fleet().limits.news(tells_learned, now);
     let departures = state.fleet().departures.news(tells_learned, now);
+    let backoffs = state.fleet().backoff_news(tells_learned, newcomers, now);
     LoadReport {
         reach: PeerReach::Near,
         peer: state.settings.instance.clone(),
@@ -143,6 +145,7 @@
         outcomes: state.quarantines.news(tells_learned),
         limits,
         departures,
+        backoffs,
     }
 }
 
@@ -201,7 +204,8 @@
 fn take_report(state: &GatewayState, report: LoadReport, address: SocketAddr) {
     let is_known = state.fleet().peers.has_report(&report.peer, report.incarnation);
     if report.sequence <= FIRST_REPORTS || !is_known {
-        state.has_newcomer.store(true, Ordering::Relaxed);
+        let digest = server_digest(&report.peer);
+        state.newcomers.lock().expect("newcomers lock").push(digest);
         state.work_changed.notify(1);
     }
     let news = PeerNews {
@@ -236,6 +240,9 @@
     for news in report.limits {
         state.hear_limit(news);
     }
+    for news in report.backoffs {
+        state.hear_backoff(news);
+    }
     for server in report.departures {
         state.hear_departure(server);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,6 +14,7 @@
 use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::belief::BackoffNews;
 use crate::belief::ConfigWatch;
 use crate::belief::EngineLearning;
 use crate::belief::Fleet;
@@ -65,9 +65,9 @@
     /// Notified when streams begin, end or wait, which the other gateways
     /// are told at once.
     pub work_changed: Event,
-    /// Set when a gateway that has just begun was heard: the next report tells also
-    /// what most leave out.
-    pub has_newcomer: AtomicBool,
+    /// Digests of gateways that have just started or are newly heard. Unless empty, the next
+    /// report includes what most reports omit.
+    pub newcomers: Mutex<Vec<u64>>,
     /// Notified when the configuration should be read from the store at once.
     pub config_due: Event,
     /// Notified when a server may have room again, or more has become known.
@@ -117,7 +117,7 @@
             flights: FlightCount::default(),
             demand: CallerDemand::default(),
             work_changed: Event::new(),
-            has_newcomer: AtomicBool::new(false),
+            newcomers: Mutex::default(),
             config_due: Event::new(),
             room: Event::new(),
             quarantines: Quarantines::new(begun),
@@ -207,12 +207,7 @@
         }
         let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(delay) = flow_control.retry_after.filter(|_| is_unavailable) {
-            tracing::info!(
-                event = events::SERVER_BACKOFF,
-                server = &*target.server,
-                retry_after_ms = delay.as_millis() as u64,
-                "server rejected a request with Retry-After"
-            );
+            self.note_backoff(target, delay, now);
         }
         let change = self.fleet().note_limit(server, flow_control.limit, sent_at, now);
         if let Some(change) = change {
@@ -222,6 +217,40 @@
         }
     }
 
+    /// Applies and logs a backoff of `delay` that `target` requests.
+    fn note_backoff(&self, target: &SendTarget, delay: Duration, now: Instant) {
+        let is_extended = self.fleet().note_backoff(target.incarnation, delay, now);
+        self.log_backoff(&target.server, delay, "answer");
+        if is_extended {
+            // Reports at once: other gateways return the backoff to this one after a restart.
+            self.work_changed.notify(1);
+        }
+    }
+
+    /// Applies a backoff reported by another gateway, and logs it if it extends a backoff of
+    /// this gateway.
+    pub fn hear_backoff(&self, news: BackoffNews) {
+        let mut fleet = self.fleet();
+        if !fleet.hear_backoff(news, Instant::now()) {
+            return;
+        }
+        let belief = fleet.server_by_incarnation(news.server);
+        let server = belief.map(|belief| belief.entry.server.clone());
+        drop(fleet);
+        let delay = Duration::from_millis(u64::from(news.left_ms));
+        self.log_backoff(server.as_deref().unwrap_or("-"), delay, "gateway");
+    }
+
+    fn log_backoff(&self, server: &str, delay: Duration, source: &'static str) {
+        tracing::info!(
+            event = events::SERVER_BACKOFF,
+            server,
+            retry_after_ms = delay.as_millis() as u64,
+            source,
+            "server rejected a request with Retry-After"
+        );
+    }
+
     /// Applies a server's rate limit reported by another gateway, and logs a change.
     pub fn hear_limit(&self, news: LimitNews) {
         let change = self.fleet().hear_limit(news, Instant::now());
--- a/crates/gateway/tests/peer_traffic.rs
+++ b/crates/gateway/tests/peer_traffic.rs
@@ -65,6 +65,7 @@
         outcomes: Vec::new(),
         limits: Vec::new(),
         departures: Vec::new(),
+        backoffs: Vec::new(),
         charges: Vec::new(),
         age_ms: 60_000,
     }
--- /dev/null
+++ b/crates/gateway/tests/server_backoffs.rs
@@ -0,0 +1,129 @@
+//! Backoffs that servers request when they reject requests.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use umberglade_gateway::belief::Fleet;
+use umberglade_gateway::belief::PlaceNeed;
+use umberglade_gateway::belief::ServerBackoffs;
+use umberglade_gateway::belief::place_plain;
+use umberglade_gateway::model::DomainKey;
+use umberglade_gateway::model::ServerEntry;
+use umberglade_gateway::model::ServerIncarnation;
+use umberglade_gateway::model::ServerStage;
+
+const OWN: u64 = 11;
+const OTHER: u64 = 12;
+const SERVER: u64 = 7;
+
+fn entry(server: &str) -> ServerEntry {
+    ServerEntry {
+        server: server.into(),
+        service: "svc".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: "z".into(),
+        slots: 6,
+        stage: ServerStage::Plain,
+        is_leaving: false,
+        started_at: None,
+    }
+}
+
+/// The fleet of the gateway `own` with one server, and the incarnation of that server.
+fn fleet(own: u64) -> (Fleet, ServerIncarnation) {
+    let mut fleet = Fleet::new(own);
+    fleet.set_gateways(2);
+    fleet.upsert(entry("a"), 1);
+    let server = fleet.server("a").expect("a known server").incarnation;
+    (fleet, server)
+}
+
+fn is_placed(fleet: &Fleet, now: Instant) -> bool {
+    let domain: DomainKey = "z".into();
+    let need = PlaceNeed { service: "svc", gateway: OWN, domain: &domain, tried: &[], now };
+    place_plain(fleet, &need).is_ok()
+}
+
+/// Guards against a later rejection with a shorter delay that ends a backoff early.
+#[test]
+fn a_backoff_ends_at_the_latest_requested_time() {
+    struct Case {
+        name: &'static str,
+        /// Arrival time and requested delay of each rejection, in milliseconds.
+        rejections: &'static [(u64, u64)],
+        until_ms: u64,
+    }
+    let cases = [
+        Case { name: "one rejection", rejections: &[(0, 3000)], until_ms: 3000 },
+        Case {
+            name: "a shorter delay later",
+            rejections: &[(0, 3000), (500, 1000)],
+            until_ms: 3000,
+        },
+        Case {
+            name: "a longer delay later",
+            rejections: &[(0, 1000), (500, 3000)],
+            until_ms: 3500,
+        },
+        Case {
+            name: "after the first backoff",
+            rejections: &[(0, 100), (500, 200)],
+            until_ms: 700,
+        },
+    ];
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    for case in cases {
+        let mut backoffs = ServerBackoffs::default();
+        for (arrived, delay) in case.rejections {
+            backoffs.note(SERVER, OWN, at(arrived + delay), at(*arrived));
+        }
+        let until = at(case.until_ms);
+        let before = until - Duration::from_millis(1);
+        assert_eq!(backoffs.until(SERVER, OWN, before), Some(until), "{}", case.name);
+        assert_eq!(backoffs.until(SERVER, OWN, until), None, "{}", case.name);
+        assert_eq!(backoffs.until(SERVER, OTHER, before), None, "{}", case.name);
+        backoffs.tick(|_| true, until);
+        assert!(backoffs.is_empty(), "{}", case.name);
+    }
+}
+
+/// Guards against placing or sending requests during a backoff.
+#[test]
+fn nothing_is_sent_during_a_backoff() {
+    let now = Instant::now();
+    let (mut fleet, server) = fleet(OWN);
+    let until = now + Duration::from_secs(3);
+    assert!(is_placed(&fleet, now));
+    assert!(fleet.note_backoff(server, Duration::from_secs(3), now));
+    for at in [now, until - Duration::from_millis(1)] {
+        assert!(!is_placed(&fleet, at));
+        assert!(!fleet.take_send_token(server, at));
+        assert_eq!(fleet.next_send_at("svc", |_| true, at), Some(until));
+    }
+    assert!(is_placed(&fleet, until) && fleet.take_send_token(server, until));
+}
+
+/// Guards against a gateway that sends requests during a backoff after a restart.
+#[test]
+fn a_restarted_gateway_learns_its_backoffs_from_others() {
+    let now = Instant::now();
+    let (mut before, server) = fleet(OWN);
+    before.note_backoff(server, Duration::from_secs(3), now);
+    let (mut other, _) = fleet(OTHER);
+    for news in before.backoff_news(false, &[], now) {
+        assert!(!other.hear_backoff(news, now), "the backoff of another gateway was applied");
+    }
+    assert!(is_placed(&other, now));
+    let later = now + Duration::from_secs(1);
+    assert!(
+        other.backoff_news(true, &[], later).is_empty(),
+        "reports the backoff of another gateway"
+    );
+    let (mut restarted, _) = fleet(OWN);
+    for news in other.backoff_news(true, &[OWN], later) {
+        assert!(restarted.hear_backoff(news, later));
+    }
+    assert!(!is_placed(&restarted, now + Duration::from_millis(2990)));
+    assert!(is_placed(&restarted, now + Duration::from_millis(3010)));
+}
