Limit the number of rate limits in a report

The size of a report that includes all rate limits grows with the number of servers that state one. From about 380 servers on (derived, at 21 bytes each), it would exceed the maximum datagram size (8 KiB), and an oversized report is not sent at all, so its other contents would be lost too. Found by reading the change.

A report now includes at most 96 limits (at most 2 KiB), sampled at random; every limit is reported eventually. With 890 servers, another gateway knew all limits after 300 such reports (`reports_of_many_limits_fit_and_cover_all`, written with this change).

--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -25,6 +25,7 @@
 mod limit_news;
 mod limit_share;
 mod load_share;
+mod news_sample;
 mod opening_time;
 mod outcome_log;
 mod outcome_news;
--- a/crates/gateway/src/belief/server_limits.rs
+++ b/crates/gateway/src/belief/server_limits.rs
@@ -6,13 +6,17 @@
 use super::IncarnationTable;
 use super::LimitNews;
 use super::TokenBucket;
+use super::news_sample::sample;
 use crate::model::RequestRate;
 use crate::model::ServerIncarnation;
 use crate::model::StatedLimit;
 
-/// How long every report includes a changed limit.
+/// How long a changed limit is eligible for every report.
 const CHANGE_TOLD_FOR: Duration = Duration::from_secs(3);
 
+/// Maximum number of limits in a report; they take up at most a quarter of a datagram.
+const MOST_TOLD: usize = 96;
+
 /// The last known limit of one server incarnation.
 #[derive(Debug)]
 struct ServerLimit {
@@ -81,17 +85,17 @@
     }
 
     /// The limits that a report includes: recent changes, or with `tells_all` every entry,
-    /// lifted limits included.
+    /// lifted limits included. If there are more than [`MOST_TOLD`], a random sample.
     pub fn news(&self, tells_all: bool, now: Instant) -> Vec<LimitNews> {
         let is_recent =
             |limit: &ServerLimit| now.saturating_duration_since(limit.changed_at) < CHANGE_TOLD_FOR;
         let told = self.limits.iter().filter(|(_, limit)| tells_all || is_recent(limit));
-        told.map(|(server, limit)| {
+        let news = told.map(|(server, limit)| {
             let age = now.saturating_duration_since(limit.updated_at);
             let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
             LimitNews { server, rate: limit.rate, age_ms }
-        })
-        .collect()
+        });
+        sample(news.collect(), MOST_TOLD)
     }
 
     /// The last known limit of `server`; `None` if it never stated one or lifted it.
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -119,3 +119,29 @@
         assert!(!limits.may_send(SERVER, now) || case.limit.is_none(), "{}", case.name);
     }
 }
+
+/// Guards against reports that exceed the datagram size when hundreds of servers state
+/// limits, and against limits that are never reported.
+#[test]
+fn reports_of_many_limits_fit_and_cover_all() {
+    const SERVERS: u64 = 890;
+    const REPORTS: usize = 300;
+    const MOST_BYTES: usize = 8192 / 4;
+    let now = Instant::now();
+    let later = now + Duration::from_secs(3600);
+    let mut sender = ServerLimits::default();
+    let mut receiver = ServerLimits::default();
+    for server in 0..SERVERS {
+        let stated = StatedLimit::Rate(rate(4.6));
+        sender.note_answer(u64::MAX - server, stated, now, now);
+    }
+    for _ in 0..REPORTS {
+        let news = sender.news(true, later);
+        let bytes = postcard::to_allocvec(&news).expect("plain fields").len();
+        assert!(bytes <= MOST_BYTES, "{bytes} bytes of limits");
+        for limit in news {
+            receiver.hear(limit, later);
+        }
+    }
+    assert_eq!(receiver.in_force(), SERVERS as usize);
+}
