Limit the number of departures and backoffs in a report

When hundreds of servers request a backoff at the same time, the report of each gateway would exceed the maximum datagram size (8 KiB) and not be sent at all, so gateways would not hear from each other when load is highest. At 23 bytes per backoff (derived), this happens from some 350 servers on. Found by reading the change.

A report now includes at most 80 backoffs and 96 departures, sampled at random. Together they take at most 3 KiB (`reports_of_many_departures_and_backoffs_fit` with 890 servers, written with this change).

--- a/crates/gateway/src/belief/server_backoffs.rs
+++ b/crates/gateway/src/belief/server_backoffs.rs
@@ -7,10 +7,14 @@
 
 use super::BackoffNews;
 use super::IncarnationTable;
+use super::news_sample::sample;
 use crate::model::ServerIncarnation;
 
-/// How long every report includes a new or extended backoff.
+/// How long a new or extended backoff is eligible for every report.
 const CHANGE_TOLD_FOR: Duration = Duration::from_secs(3);
+/// Maximum number of backoffs in a report. Limits them to a quarter of the maximum datagram
+/// size.
+const MOST_TOLD: usize = 80;
 /// Maximum number of gateways per server. Bounds memory, since backoffs reported by other
 /// gateways are not verified.
 const MOST_GATEWAYS: usize = 1024;
@@ -61,7 +65,7 @@
     }
 
     /// The backoffs that a report of the gateway `own` includes: its recent ones, and all of
-    /// the gateways for which `tells_all_of` is true.
+    /// the gateways for which `tells_all_of` is true; a random sample if there are too many.
     pub fn news(
         &self,
         own: u64,
@@ -75,13 +79,13 @@
         let all = self.backoffs.iter().flat_map(|(server, gateways)| {
             gateways.iter().map(move |(gateway, backoff)| (server, *gateway, *backoff))
         });
-        all.filter(|(_, gateway, backoff)| is_told(*gateway, backoff))
-            .map(|(server, gateway, backoff)| {
-                let left = backoff.until.saturating_duration_since(now);
-                let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-                BackoffNews { server, gateway, left_ms }
-            })
-            .collect()
+        let told = all.filter(|(_, gateway, backoff)| is_told(*gateway, backoff));
+        let news = told.map(|(server, gateway, backoff)| {
+            let left = backoff.until.saturating_duration_since(now);
+            let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            BackoffNews { server, gateway, left_ms }
+        });
+        sample(news.collect(), MOST_TOLD)
     }
 
     /// Removes backoffs that have ended, and servers that have been unlisted for the
--- a/crates/gateway/src/belief/server_departures.rs
+++ b/crates/gateway/src/belief/server_departures.rs
@@ -4,10 +4,14 @@
 use std::time::Instant;
 
 use super::IncarnationTable;
+use super::news_sample::sample;
 use crate::model::ServerIncarnation;
 
-/// How long every report includes a new departure.
+/// How long a new departure is eligible for every report.
 const CHANGE_TOLD_FOR: Duration = Duration::from_secs(3);
+/// Maximum number of departures in a report. Limits them to an eighth of the maximum datagram
+/// size.
+const MOST_TOLD: usize = 96;
 
 /// The server incarnations that have stated that they are leaving. A departure is never
 /// withdrawn.
@@ -24,11 +28,12 @@
         self.known_since.get_or_insert_with(server, now, || now).is_some() && is_new
     }
 
-    /// The departures that a report includes: recent ones, or with `tells_all` every entry.
+    /// The departures that a report includes: recent ones, or with `tells_all` every entry;
+    /// a random sample if there are too many.
     pub fn news(&self, tells_all: bool, now: Instant) -> Vec<ServerIncarnation> {
         let is_recent = |since: &Instant| now.saturating_duration_since(*since) < CHANGE_TOLD_FOR;
         let told = self.known_since.iter().filter(|(_, since)| tells_all || is_recent(since));
-        told.map(|(server, _)| server).collect()
+        sample(told.map(|(server, _)| server).collect(), MOST_TOLD)
     }
 
     pub fn contains(&self, server: ServerIncarnation) -> bool {
--- a/crates/gateway/tests/server_backoffs.rs
+++ b/crates/gateway/tests/server_backoffs.rs
@@ -127,3 +127,21 @@
     assert!(!is_placed(&restarted, now + Duration::from_millis(2990)));
     assert!(is_placed(&restarted, now + Duration::from_millis(3010)));
 }
+
+/// Guards against reports that exceed the maximum datagram size while hundreds of servers
+/// leave or request a backoff.
+#[test]
+fn reports_of_many_departures_and_backoffs_fit() {
+    const SERVERS: u64 = 890;
+    const MOST_BYTES: usize = 8192 * 3 / 8;
+    let now = Instant::now();
+    let mut fleet = Fleet::new(u64::MAX);
+    for server in 0..SERVERS {
+        fleet.note_backoff(u64::MAX - server, Duration::from_secs(3600), now);
+        fleet.note_departure(u64::MAX - server, now);
+    }
+    let news = (fleet.backoff_news(true, &[], now), fleet.departures.news(true, now));
+    let bytes = postcard::to_allocvec(&news).expect("plain fields").len();
+    assert!(!news.0.is_empty() && !news.1.is_empty());
+    assert!(bytes <= MOST_BYTES, "{bytes} bytes of departures and backoffs");
+}
