--- /dev/null
+++ b/crates/gateway/src/flow_state.rs
@@ -0,0 +1,135 @@
+//! Applies the flow control that servers state in their answers or other gateways report.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+
+use crate::belief::BackoffNews;
+use crate::belief::LimitNews;
+use crate::belief::ServerLimitChange;
+use crate::events;
+use crate::model::FlowControl;
+use crate::model::RequestRate;
+use crate::model::ServerIncarnation;
+use crate::state::GatewayState;
+use crate::upstream::SendTarget;
+
+impl GatewayState {
+    /// Applies the flow control stated by `target` in its answer to a request sent at
+    /// `sent_at`, and logs what is new.
+    pub fn note_flow_control(
+        &self,
+        target: &SendTarget,
+        status: StatusCode,
+        flow_control: FlowControl,
+        sent_at: Instant,
+    ) {
+        let now = Instant::now();
+        let server = target.incarnation;
+        if flow_control.is_leaving {
+            self.note_departure(server, "answer");
+        }
+        let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(delay) = flow_control.retry_after.filter(|_| is_unavailable) {
+            self.note_backoff(target, delay, now);
+        }
+        let change = self.fleet().note_limit(server, flow_control.limit, sent_at, now);
+        if let Some(change) = change {
+            self.log_limit(server, change, "answer");
+            // Reports at once: other gateways apply the previous limit until they hear of it.
+            self.work_changed.notify(1);
+        }
+    }
+
+    /// Applies and logs a backoff of `delay` that `target` requests.
+    fn note_backoff(&self, target: &SendTarget, delay: Duration, now: Instant) {
+        let is_extended = self.fleet().note_backoff(target.incarnation, delay, now);
+        self.log_backoff(&target.server, delay, "answer");
+        if is_extended {
+            // Reports at once: other gateways return the backoff to this one after a restart.
+            self.work_changed.notify(1);
+        }
+    }
+
+    /// Applies a backoff reported by another gateway, and logs it if it extends a backoff of
+    /// this gateway.
+    pub fn hear_backoff(&self, news: BackoffNews) {
+        let mut fleet = self.fleet();
+        if !fleet.hear_backoff(news, Instant::now()) {
+            return;
+        }
+        let belief = fleet.server_by_incarnation(news.server);
+        let server = belief.map(|belief| belief.entry.server.clone());
+        drop(fleet);
+        let delay = Duration::from_millis(u64::from(news.left_ms));
+        self.log_backoff(server.as_deref().unwrap_or("-"), delay, "gateway");
+    }
+
+    fn log_backoff(&self, server: &str, delay: Duration, source: &'static str) {
+        tracing::info!(
+            event = events::SERVER_BACKOFF,
+            server,
+            retry_after_ms = delay.as_millis() as u64,
+            source,
+            "server rejected a request with Retry-After"
+        );
+    }
+
+    /// Applies a server's rate limit reported by another gateway, and logs a change.
+    pub fn hear_limit(&self, news: LimitNews) {
+        let change = self.fleet().hear_limit(news, Instant::now());
+        if let Some(change) = change {
+            self.log_limit(news.server, change, "gateway");
+        }
+    }
+
+    /// Applies a departure reported by another gateway.
+    pub fn hear_departure(&self, incarnation: ServerIncarnation) {
+        self.note_departure(incarnation, "gateway");
+    }
+
+    /// Applies a departure that a server has stated, and logs it if it is new.
+    fn note_departure(&self, incarnation: ServerIncarnation, source: &'static str) {
+        let mut fleet = self.fleet();
+        let Some(change) = fleet.note_departure(incarnation, Instant::now()) else { return };
+        let belief = fleet.server_by_incarnation(incarnation);
+        let server = belief.map(|belief| belief.entry.server.clone());
+        let version = belief.map_or(0, |belief| belief.version);
+        drop(fleet);
+        tracing::info!(
+            event = events::SERVER_DEPARTURE,
+            server = server.as_deref(),
+            incarnation,
+            source,
+            "server stated that it is leaving"
+        );
+        self.log_changes(&[change], version);
+        // Reports at once: other gateways send requests to the server until they hear of it.
+        self.work_changed.notify(1);
+    }
+
+    fn log_limit(
+        &self,
+        incarnation: ServerIncarnation,
+        change: ServerLimitChange,
+        source: &'static str,
+    ) {
+        let fleet = self.fleet();
+        let share = fleet.own_limit_share(incarnation);
+        let server =
+            fleet.server_by_incarnation(incarnation).map(|belief| belief.entry.server.clone());
+        drop(fleet);
+        tracing::info!(
+            event = events::SERVER_LIMIT_CHANGED,
+            server = server.as_deref(),
+            incarnation,
+            limit = change.after.map(RequestRate::per_second),
+            before = change.before.map(RequestRate::per_second),
+            share,
+            source,
+            "server's rate limit changed"
+        );
+        self.room.notify(usize::MAX);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod duty;
 pub mod events;
 pub mod flight_count;
+mod flow_state;
 pub mod forward;
 pub mod ingress;
 pub mod model;
