Take the fleet lock once per statement in far reports

Cause: the report for gateways of other shards was built as a single struct literal in which three fields each take the fleet lock. A temporary guard is held until the end of its statement, so the second acquisition deadlocked on the first, and every request that needs the fleet blocked behind it. Class: a lock taken twice in one statement.

Each lock is now taken in its own statement, as in the report for near gateways. The other statements of the change that take the lock were reviewed for the same fault; none takes it twice.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,6 +26,7 @@
 pub use self::report::PeerMessage;
 pub use self::report::TableRows;
 pub use self::report_loop::hear_reports;
+pub use self::report_loop::only_for_all;
 pub use self::report_loop::send_reports;
 pub use self::row_loop::send_rows;
 pub use self::send_budget::SendBudget;
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -89,21 +89,29 @@
 }
 
 /// `report` for gateways of other shards: without what only concerns its own.
-fn only_for_all(report: &LoadReport, state: &GatewayState) -> LoadReport {
+pub fn only_for_all(report: &LoadReport, state: &GatewayState) -> LoadReport {
+    let now = Instant::now();
+    // Each call to `fleet()` needs its own statement: its temporary lock guard is held until the
+    // statement ends, so a second call in the same statement would deadlock.
+    let loads = state.fleet().own_loads_for_all();
+    let limits = state.fleet().limits.news(true, now);
+    let departures = state.fleet().departures.news(true, now);
+    let charges = state.quotas.recent_news();
+    let outcomes = state.quarantines.news(true);
     LoadReport {
         reach: PeerReach::Far,
         peer: report.peer.clone(),
-        loads: state.fleet().own_loads_for_all(),
+        loads,
         retries: report.retries.clone(),
         aside: Vec::new(),
         lines: Vec::new(),
         changing: Vec::new(),
         learned: report.learned.clone(),
         tables: report.tables.clone(),
-        charges: state.quotas.recent_news(),
-        outcomes: state.quarantines.news(true),
-        limits: state.fleet().limits.news(true, Instant::now()),
-        departures: state.fleet().departures.news(true, Instant::now()),
+        charges,
+        outcomes,
+        limits,
+        departures,
         backoffs: report.backoffs.clone(),
         ..*report
     }
