Transfers of the configuration tell their bytes and how many run at once

The record of the incident could not tell a small link of the asker from a source that serves dozens (events 6019 and 6023). No logic is changed.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -79,6 +79,8 @@
 pub const SERVER_DEPARTURE: u32 = 6021;
 /// A server rejected a request with a 503 and a `Retry-After`.
 pub const SERVER_BACKOFF: u32 = 6022;
+/// The configuration was sent to another gateway, or could not be.
+pub const CONFIG_SENT: u32 = 6023;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/peers/config_transfer.rs
+++ b/crates/gateway/src/peers/config_transfer.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,11 +33,14 @@
 /// Maximum size of a fetched snapshot, in bytes.
 const MAX_SNAPSHOT_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Number of transfers that this process is sending.
+static ACTIVE_SENDS: AtomicUsize = AtomicUsize::new(0);
+
 /// Sends the configuration in force to each gateway that connects, until the process stops.
 pub async fn serve_config(state: Arc<GatewayState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => pool::spawn(send_snapshot(Arc::clone(&state), stream)),
+            Ok((stream, peer)) => pool::spawn(send_snapshot(Arc::clone(&state), stream, peer)),
             Err(error) => {
                 tracing::warn!(event = events::ACCEPT_FAILED, %error, "accept of a peer failed");
                 smol::Timer::after(ACCEPT_RETRY_DELAY).await;
@@ -44,18 +49,35 @@
     }
 }
 
-async fn send_snapshot(state: Arc<GatewayState>, mut stream: TcpStream) {
+async fn send_snapshot(state: Arc<GatewayState>, mut stream: TcpStream, peer: SocketAddr) {
     let snapshot = state.with_config(|in_force| {
         in_force.current().map(|(row_version, table)| ConfigSnapshot::of(*row_version, table))
     });
     let Some(snapshot) = snapshot else { return };
     let bytes = postcard::to_allocvec(&snapshot).expect("encoding plain fields");
+    let started_at = Instant::now();
+    let active = ACTIVE_SENDS.fetch_add(1, Ordering::Relaxed) + 1;
     let write = async {
         stream.write_all(&bytes).await?;
         stream.close().await
     };
     // After an error the peer receives a truncated snapshot and fetches it again.
-    let _ = with_deadline(Instant::now() + TRANSFER_TIMEOUT, write).await;
+    let written = with_deadline(started_at + TRANSFER_TIMEOUT, write).await;
+    ACTIVE_SENDS.fetch_sub(1, Ordering::Relaxed);
+    let outcome = match written {
+        Some(Ok(())) => "sent".to_owned(),
+        Some(Err(error)) => error.to_string(),
+        None => "timed out".to_owned(),
+    };
+    tracing::info!(
+        event = events::CONFIG_SENT,
+        %peer,
+        bytes = bytes.len(),
+        active,
+        elapsed_ms = started_at.elapsed().as_millis() as u64,
+        outcome,
+        "configuration sent to a peer"
+    );
 }
 
 /// Fetches a newer configuration from a peer if the local read of the store has not returned it in
@@ -65,7 +87,9 @@
         state.config_read_requested.listen().await;
         smol::Timer::after(STORE_READ_DELAY).await;
         while let Some((peer, heard)) = state.newer_config() {
-            let outcome = match fetch_snapshot(&state, peer).await {
+            let started_at = Instant::now();
+            let mut bytes = Vec::new();
+            let outcome = match fetch_snapshot(&state, peer, &mut bytes).await {
                 Ok(true) => "taken".to_owned(),
                 Ok(false) => "no newer one".to_owned(),
                 Err(error) => error.to_string(),
@@ -76,6 +100,8 @@
                 %peer,
                 heard,
                 own,
+                bytes = bytes.len(),
+                elapsed_ms = started_at.elapsed().as_millis() as u64,
                 outcome,
                 "configuration requested from a peer"
             );
@@ -86,17 +112,21 @@
     }
 }
 
-async fn fetch_snapshot(state: &GatewayState, peer: SocketAddr) -> io::Result<bool> {
+/// Fetches the configuration of `peer` into `bytes`, which hold what arrived also after an error.
+async fn fetch_snapshot(
+    state: &GatewayState,
+    peer: SocketAddr,
+    bytes: &mut Vec<u8>,
+) -> io::Result<bool> {
     let read = async {
         let stream = TcpStream::connect(peer).await?;
-        let mut bytes = Vec::new();
-        stream.take(MAX_SNAPSHOT_BYTES).read_to_end(&mut bytes).await?;
-        Ok::<_, io::Error>(bytes)
+        stream.take(MAX_SNAPSHOT_BYTES).read_to_end(bytes).await?;
+        Ok::<_, io::Error>(())
     };
-    let bytes = with_deadline(Instant::now() + TRANSFER_TIMEOUT, read)
+    with_deadline(Instant::now() + TRANSFER_TIMEOUT, read)
         .await
         .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
-    let snapshot: ConfigSnapshot = postcard::from_bytes(&bytes)
+    let snapshot: ConfigSnapshot = postcard::from_bytes(bytes)
         .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
     let row_version = snapshot.row_version;
     Ok(state.apply_config(row_version, snapshot.into_table(), "gateway"))
