--- a/crates/gateway/src/store/config_sink.rs
+++ b/crates/gateway/src/store/config_sink.rs
@@ -43,7 +43,14 @@
             }
         };
         let (row_version, row_bytes) = (row.version, value.len());
-        if self.state.config().is_some_and(|config| row_version <= config.id.row_version) {
+        let held_version = self.state.config().map_or(0, |config| config.id.row_version);
+        if row_version <= held_version {
+            tracing::info!(
+                event = events::CONFIG_IGNORED,
+                row_version,
+                held_row_version = held_version,
+                "configuration ignored: its row is not newer than the one in force"
+            );
             return;
         }
         match C::route_table(&row.key, value) {
