--- a/crates/gateway/benches/decision.rs
+++ b/crates/gateway/benches/decision.rs
@@ -20,6 +20,12 @@
 use umberglade_gateway::model::PromptShape;
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerStage;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 /// Gateways and servers of a small site, a large one, and the target size. All servers have the
 /// same model, which is an upper bound for the cost of a decision at the target size.
@@ -70,8 +76,9 @@
     for index in 0..servers {
         let is_prefill = index % ENGINES_PER_PREFILL_SERVER == 0;
         let stage = if is_prefill { ServerStage::Prefill } else { ServerStage::Decode };
-        fleet.upsert(entry("engine", index, stage), index as u64 + 1);
-        fleet.upsert(entry("plain", index, ServerStage::Plain), (servers + index) as u64 + 1);
+        fleet.upsert(entry("engine", index, stage), stamp(index as u64 + 1));
+        fleet
+            .upsert(entry("plain", index, ServerStage::Plain), stamp((servers + index) as u64 + 1));
     }
     for peer in 1..gateways {
         fleet.peers.record(&format!("gw-{peer}"), 1, 1, peer_update(servers, peer, 0), now);
--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -19,6 +19,7 @@
 use super::server_outage::ServerOutage;
 use crate::model::RequestFingerprint;
 use crate::model::ServerIncarnation;
+use crate::model::StoreStamp;
 
 /// A completion that is known to precede a crash is dated this much before it.
 const MIN_COMPLETION_LEAD: Duration = Duration::from_millis(1);
@@ -134,11 +135,10 @@
                 self.release_long_running(now);
                 None
             }
-            AttemptOutcome::Cleared(version) => {
+            AttemptOutcome::Cleared(stamp) => {
                 let record = self.records.entry(update.content);
-                record.record_void_rows(version, now);
-                let is_void =
-                    |known: &mut Quarantine| known.version > 0 && known.version <= version;
+                record.record_void_rows(stamp, now);
+                let is_void = |known: &mut Quarantine| known.stamp.exists() && known.stamp <= stamp;
                 record.quarantine.take_if(is_void)?;
                 self.records.refresh_explained();
                 Some(QuarantineChange::Cleared)
@@ -153,7 +153,7 @@
                 let is_cleared = !record.is_poison_suspect(since, now)
                     && record
                         .quarantine
-                        .is_some_and(|known| known.version == 0 || known.since < at);
+                        .is_some_and(|known| !known.stamp.exists() || known.since < at);
                 if is_cleared { self.clear(update.content, now) } else { None }
             }
         }
@@ -208,7 +208,7 @@
     pub fn begin_unclaimed_probe(&mut self, fingerprint: RequestFingerprint, now: Instant) {
         self.change_quarantine(fingerprint, |quarantine| {
             let was_shared = quarantine.was_shared;
-            *quarantine = Quarantine::new(quarantine.probes + 1, quarantine.version, now);
+            *quarantine = Quarantine::new(quarantine.probes + 1, quarantine.stamp, now);
             quarantine.was_shared = was_shared;
             quarantine.begin_probe();
         });
@@ -233,7 +233,7 @@
         Some(QuarantineStatus {
             crashes: record.crashes(),
             probes: quarantine.probes,
-            version: quarantine.version,
+            stamp: quarantine.stamp,
             age: now.saturating_duration_since(quarantine.since),
             until_probe: quarantine.time_until_probe(rank, now),
             is_provisional: is_shared || awaits_reports,
@@ -257,7 +257,7 @@
         let mut forgotten = Vec::new();
         for (fingerprint, record) in self.records.iter_mut() {
             if let Some(quarantine) = record.quarantine.take_if(|known| known.is_idle(now)) {
-                forgotten.push((fingerprint, quarantine.version));
+                forgotten.push((fingerprint, quarantine.stamp));
             }
         }
         self.records.retain(|record| record.is_live(now));
@@ -265,8 +265,8 @@
         if !forgotten.is_empty() {
             self.records.refresh_explained();
         }
-        for (fingerprint, version) in forgotten.iter().filter(|_| removes_rows) {
-            self.queue_removal(*fingerprint, *version, now);
+        for (fingerprint, stamp) in forgotten.iter().filter(|_| removes_rows) {
+            self.queue_removal(*fingerprint, *stamp, now);
         }
         forgotten.into_iter().map(|(fingerprint, _)| fingerprint).collect()
     }
@@ -310,7 +310,7 @@
         if record.quarantine.is_some() || !record.is_poison_suspect(since, now) {
             return None;
         }
-        record.quarantine = Some(Quarantine::new(0, 0, now));
+        record.quarantine = Some(Quarantine::new(0, StoreStamp::NONE, now));
         let has_local_crash = record.has_local_crash;
         self.exclude_explained_crashes(now);
         self.release_long_running(now);
@@ -349,9 +349,9 @@
     /// crashed servers before any request completed.
     fn release_long_running(&mut self, now: Instant) {
         for fingerprint in self.records.long_running() {
-            let version = self.records.release(fingerprint, now);
+            let stamp = self.records.release(fingerprint, now);
             self.log.retain_crashes(|reported, _| reported != fingerprint);
-            self.queue_removal(fingerprint, version, now);
+            self.queue_removal(fingerprint, stamp, now);
             self.released.push(fingerprint);
         }
     }
@@ -364,7 +364,7 @@
     fn clear(&mut self, fingerprint: RequestFingerprint, now: Instant) -> Option<QuarantineChange> {
         let quarantine = self.records.get_mut(fingerprint)?.quarantine.take()?;
         self.records.refresh_explained();
-        self.queue_removal(fingerprint, quarantine.version, now);
+        self.queue_removal(fingerprint, quarantine.stamp, now);
         Some(QuarantineChange::Cleared)
     }
 
--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -9,7 +9,7 @@
 use super::CrashId;
 use super::quarantine::ISOLATION_PROBES;
 use super::quarantine::Quarantine;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// Number of server crashes, with no completion after them, at which a fingerprint is
 /// quarantined.
@@ -44,7 +44,7 @@
     /// gateway or reported by peers. A poison request never runs far past its beginning.
     pub longest_run: Duration,
     /// Rows up to this version no longer quarantine the fingerprint, as reported by a peer.
-    void_rows: Option<(StoreVersion, Instant)>,
+    void_rows: Option<(StoreStamp, Instant)>,
     /// When the fingerprint was last released because another one explains its crashes.
     pub released_at: Option<Instant>,
     /// True if this gateway saw one of the crashes itself.
@@ -126,14 +126,14 @@
     }
 
     /// Records a peer's report that rows up to `version` are void.
-    pub fn record_void_rows(&mut self, version: StoreVersion, now: Instant) {
-        let known = self.void_rows.map_or(0, |(known, _)| known);
-        self.void_rows = Some((known.max(version), now));
+    pub fn record_void_rows(&mut self, stamp: StoreStamp, now: Instant) {
+        let known = self.void_rows.map_or(StoreStamp::NONE, |(known, _)| known);
+        self.void_rows = Some((known.max(stamp), now));
     }
 
     /// Returns true if a row of `version` no longer quarantines the fingerprint.
-    pub fn is_void(&self, version: StoreVersion) -> bool {
-        self.void_rows.is_some_and(|(void, _)| version <= void)
+    pub fn is_void(&self, stamp: StoreStamp) -> bool {
+        self.void_rows.is_some_and(|(void, _)| stamp <= void)
     }
 
     /// Records a completion at `at`: servers do not crash under this request.
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -10,7 +10,7 @@
 use super::CrashId;
 use super::crash_record::CrashRecord;
 use crate::model::RequestFingerprint;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// Maximum number of records, of some 250 bytes each: enough for the requests on a hundred
 /// servers that crash at one moment. Beyond it, the least informative records are evicted.
@@ -132,15 +132,15 @@
 
     /// Ends the quarantine of `fingerprint` and removes the crashes that the remaining
     /// quarantined fingerprints explain. Returns the version of its row.
-    pub fn release(&mut self, fingerprint: RequestFingerprint, now: Instant) -> StoreVersion {
-        let Some(record) = self.records.get_mut(&fingerprint) else { return 0 };
+    pub fn release(&mut self, fingerprint: RequestFingerprint, now: Instant) -> StoreStamp {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return StoreStamp::NONE };
         let quarantine = record.quarantine.take();
         self.refresh_explained();
         if let Some(record) = self.records.get_mut(&fingerprint) {
             record.remove_crashes(&self.explained);
             record.released_at = Some(now);
         }
-        quarantine.map_or(0, |ended| ended.version)
+        quarantine.map_or(StoreStamp::NONE, |ended| ended.stamp)
     }
 
     /// Recomputes the explained crashes after a change of the quarantined fingerprints or of
--- a/crates/gateway/src/cluster/crash_rows.rs
+++ b/crates/gateway/src/cluster/crash_rows.rs
@@ -10,7 +10,7 @@
 use super::crash_record::CrashRecord;
 use super::quarantine::Quarantine;
 use crate::model::RequestFingerprint;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// Upper bound of the time from the writing of a row until all gateways have read it.
 const ROW_PROPAGATION_WINDOW: Duration = Duration::from_secs(2);
@@ -24,13 +24,17 @@
         &mut self,
         fingerprint: RequestFingerprint,
         probes: u32,
-        version: StoreVersion,
+        stamp: StoreStamp,
         is_local_claim: bool,
         now: Instant,
     ) -> Option<QuarantineChange> {
         let before = self.records.get(fingerprint).and_then(|record| record.quarantine);
-        let is_void = self.records.get(fingerprint).is_some_and(|record| record.is_void(version));
-        if is_void || before.is_some_and(|known| known.version >= version) {
+        let is_void = self.records.get(fingerprint).is_some_and(|record| record.is_void(stamp));
+        if is_void && stamp.is_copied() {
+            // The removal was lost with the copy from which the store has come back.
+            self.queue_row_change(RowChange::Remove(fingerprint, stamp));
+        }
+        if is_void || before.is_some_and(|known| known.stamp >= stamp) {
             return None;
         }
         // Prevents a row that arrives after its fingerprint was cleared from staying in the store:
@@ -41,12 +45,12 @@
                 .get(fingerprint)
                 .is_some_and(|record| record.was_released(ROW_PROPAGATION_WINDOW, now));
         if before.is_none() && is_cleared {
-            self.queue_removal(fingerprint, version, now);
+            self.queue_removal(fingerprint, stamp, now);
             return None;
         }
         let record = self.records.entry(fingerprint);
-        let before_or_new = before.unwrap_or(Quarantine::new(probes, version, now));
-        record.quarantine = Some(before_or_new.renewed(probes, version, is_local_claim, now));
+        let before_or_new = before.unwrap_or(Quarantine::new(probes, stamp, now));
+        record.quarantine = Some(before_or_new.renewed(probes, stamp, is_local_claim, now));
         self.exclude_explained_crashes(now);
         before.is_none().then_some(QuarantineChange::HeldBack)
     }
@@ -55,12 +59,19 @@
     pub fn apply_missing_row(
         &mut self,
         fingerprint: RequestFingerprint,
-        version: StoreVersion,
+        stamp: StoreStamp,
         now: Instant,
     ) -> Option<QuarantineChange> {
         let record = self.records.get_mut(fingerprint)?;
-        let known = record.quarantine?.version;
-        if known == 0 || known > version {
+        let quarantine = record.quarantine.as_mut()?;
+        let known = quarantine.stamp;
+        if !known.exists() || known > stamp {
+            return None;
+        }
+        if known.written_era() < stamp.written_era() {
+            // The row was written after the copy from which the store has come back.
+            quarantine.stamp = StoreStamp::NONE;
+            self.queue_row_change(RowChange::Write(fingerprint));
             return None;
         }
         record.record_completion(now);
@@ -72,7 +83,7 @@
     /// Returns the fingerprints whose rows are known.
     pub fn rows(&self) -> Vec<RequestFingerprint> {
         let has_row =
-            |record: &CrashRecord| record.quarantine.is_some_and(|known| known.version > 0);
+            |record: &CrashRecord| record.quarantine.is_some_and(|known| known.stamp.exists());
         let with_rows = self.records.quarantined().filter(|(_, record)| has_row(record));
         with_rows.map(|(fingerprint, _)| fingerprint).collect()
     }
@@ -87,12 +98,12 @@
     pub(super) fn queue_removal(
         &mut self,
         fingerprint: RequestFingerprint,
-        version: StoreVersion,
+        stamp: StoreStamp,
         now: Instant,
     ) {
-        if version > 0 {
-            self.log.push(fingerprint, AttemptOutcome::Cleared(version), now);
-            self.queue_row_change(RowChange::Remove(fingerprint, version));
+        if stamp.exists() {
+            self.log.push(fingerprint, AttemptOutcome::Cleared(stamp), now);
+            self.queue_row_change(RowChange::Remove(fingerprint, stamp));
         }
     }
 
--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -22,7 +22,7 @@
 use crate::model::ServerKey;
 use crate::model::ServerStage;
 use crate::model::ServiceName;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// How long a server whose row expired in an outage of the store is kept after the store is
 /// available again. Live servers are registered again within about 2 s.
@@ -48,7 +48,7 @@
 /// What is kept of a removed server.
 #[derive(Debug)]
 struct RemovedServer {
-    version: StoreVersion,
+    stamp: StoreStamp,
     started_at: Option<SystemTime>,
     removed_at: Instant,
 }
@@ -98,6 +98,12 @@
         self.stable_since = Some(now);
     }
 
+    /// Records that the store has come back from a copy: what peers have read of it until now does
+    /// not tell whether rows that the copy lacks are gone.
+    pub fn record_store_copied(&mut self) {
+        self.peers.forget_store_stability();
+    }
+
     /// Records that the table was read.
     pub fn record_store_read(&mut self, now: Instant) {
         self.stable_since.get_or_insert(now);
@@ -120,34 +126,32 @@
     }
 
     /// Applies a server's row.
-    pub fn upsert(&mut self, entry: ServerEntry, version: StoreVersion) -> Option<FleetChange> {
+    pub fn upsert(&mut self, entry: ServerEntry, stamp: StoreStamp) -> Option<FleetChange> {
         let is_outdated_row = |removed: &RemovedServer| {
-            removed.version >= version || entry.started_at < removed.started_at
+            removed.stamp >= stamp || entry.started_at < removed.started_at
         };
         if self.removed.get(&entry.server).is_some_and(is_outdated_row) {
             return None;
         }
         let Some(known) = self.servers.get_mut(&entry.server) else {
-            return self.insert(entry, version);
+            return self.insert(entry, stamp);
         };
         match entry.started_at.cmp(&known.entry.started_at) {
             // A late row of an earlier incarnation.
             Ordering::Less => None,
-            Ordering::Equal if entry.service == known.entry.service => {
-                update(known, entry, version)
-            }
-            _ if version <= known.version => None,
-            _ => Some(self.restart(entry, version)),
+            Ordering::Equal if entry.service == known.entry.service => update(known, entry, stamp),
+            _ if stamp <= known.stamp => None,
+            _ => Some(self.restart(entry, stamp)),
         }
     }
 
-    fn insert(&mut self, mut entry: ServerEntry, version: StoreVersion) -> Option<FleetChange> {
+    fn insert(&mut self, mut entry: ServerEntry, stamp: StoreStamp) -> Option<FleetChange> {
         let key = entry.server.clone();
         entry.is_leaving |= self.departures.contains(entry.incarnation());
         self.removed.remove(&key);
         self.services.entry(entry.service.clone()).or_default().push(key.clone());
         let is_leaving = entry.is_leaving;
-        self.servers.insert(key.clone(), ServerState::new(entry, version));
+        self.servers.insert(key.clone(), ServerState::new(entry, stamp));
         (!is_leaving).then_some(FleetChange::Joined(key))
     }
 
@@ -156,38 +160,33 @@
     /// Prevents a process from being judged by its predecessor: load that ended with it would keep
     /// the server looking full, its departure would keep work away, and a stage change meant for it
     /// would apply to the new process.
-    fn restart(&mut self, entry: ServerEntry, version: StoreVersion) -> FleetChange {
+    fn restart(&mut self, entry: ServerEntry, stamp: StoreStamp) -> FleetChange {
         let key = entry.server.clone();
         if let Some(before) = self.servers.remove(&key) {
             self.remove_from_service(&before);
         }
         self.stage_changes.remove(&key);
-        self.insert(entry, version);
+        self.insert(entry, stamp);
         FleetChange::Restarted(key)
     }
 
     /// Records that a server's row holds no valid registration. The server is not used until the
     /// row holds one again.
-    pub fn record_unreadable(&mut self, key: &str, version: StoreVersion) {
+    pub fn record_unreadable(&mut self, key: &str, stamp: StoreStamp) {
         if let Some(known) = self.servers.get_mut(key)
-            && version > known.version
+            && stamp > known.stamp
         {
-            known.version = version;
+            known.stamp = stamp;
             known.is_unreadable = true;
             known.expires_at = None;
         }
     }
 
     /// Applies the removal of a server's row at `version`.
-    pub fn remove(
-        &mut self,
-        key: &str,
-        version: StoreVersion,
-        now: Instant,
-    ) -> Option<FleetChange> {
+    pub fn remove(&mut self, key: &str, stamp: StoreStamp, now: Instant) -> Option<FleetChange> {
         let grace_end = self.expiry_grace_end(now);
         let server_state = self.servers.get_mut(key)?;
-        if server_state.version > version {
+        if server_state.stamp > stamp {
             return None;
         }
         if let Some(until) = grace_end
@@ -196,14 +195,14 @@
             server_state.expires_at.get_or_insert(until);
             return Some(FleetChange::Expired(server_state.entry.server.clone()));
         }
-        self.drop_server(key, version, now)
+        self.drop_server(key, stamp, now)
     }
 
     /// Applies a complete listing as of `version`. Servers that it lacks are removed.
     pub fn replace(
         &mut self,
         listing: ServerListing,
-        version: StoreVersion,
+        stamp: StoreStamp,
         now: Instant,
     ) -> Vec<FleetChange> {
         let ServerListing { entries, unreadable } = listing;
@@ -213,7 +212,7 @@
         let missing: Vec<ServerKey> =
             self.servers.keys().filter(|key| !listed.contains(*key)).cloned().collect();
         let mut changes: Vec<FleetChange> =
-            missing.iter().filter_map(|key| self.remove(key, version, now)).collect();
+            missing.iter().filter_map(|key| self.remove(key, stamp, now)).collect();
         changes.extend(entries.into_iter().filter_map(|(entry, at)| self.upsert(entry, at)));
         unreadable.iter().for_each(|(key, at)| self.record_unreadable(key, *at));
         changes
@@ -232,17 +231,17 @@
             self.update_shares(now);
         }
         let may_have_expired = self.expiry_grace_end(now).is_some();
-        let expired: Vec<(ServerKey, StoreVersion)> = self
+        let expired: Vec<(ServerKey, StoreStamp)> = self
             .servers
             .values()
             .filter(|state| state.expires_at.is_some_and(|at| at <= now || !may_have_expired))
-            .map(|server_state| (server_state.entry.server.clone(), server_state.version))
+            .map(|server_state| (server_state.entry.server.clone(), server_state.stamp))
             .collect();
         let is_retained = |removed: &RemovedServer| {
             now.saturating_duration_since(removed.removed_at) < REMOVED_RETENTION
         };
         self.removed.retain(|_, removed| is_retained(removed));
-        expired.iter().filter_map(|(key, version)| self.drop_server(key, *version, now)).collect()
+        expired.iter().filter_map(|(key, stamp)| self.drop_server(key, *stamp, now)).collect()
     }
 
     /// Returns true if any limit, departure or backoff stated by a server is known.
@@ -380,16 +379,11 @@
         self.servers.is_empty()
     }
 
-    fn drop_server(
-        &mut self,
-        key: &str,
-        version: StoreVersion,
-        now: Instant,
-    ) -> Option<FleetChange> {
+    fn drop_server(&mut self, key: &str, stamp: StoreStamp, now: Instant) -> Option<FleetChange> {
         let server_state = self.servers.remove(key)?;
         self.remove_from_service(&server_state);
         let removed =
-            RemovedServer { version, started_at: server_state.entry.started_at, removed_at: now };
+            RemovedServer { stamp, started_at: server_state.entry.started_at, removed_at: now };
         self.removed.insert(server_state.entry.server.clone(), removed);
         Some(FleetChange::Removed(server_state.entry.server))
     }
@@ -406,10 +400,10 @@
 fn update(
     known: &mut ServerState,
     mut entry: ServerEntry,
-    version: StoreVersion,
+    stamp: StoreStamp,
 ) -> Option<FleetChange> {
-    if version <= known.version {
-        if version == known.version {
+    if stamp <= known.stamp {
+        if stamp == known.stamp {
             known.expires_at = None;
         }
         return None;
@@ -418,7 +412,7 @@
     entry.is_leaving |= was_leaving;
     let is_newly_leaving = entry.is_leaving && !was_leaving;
     known.entry = entry;
-    known.version = version;
+    known.stamp = stamp;
     known.expires_at = None;
     known.is_unreadable = false;
     known.outdated_until = None;
--- a/crates/gateway/src/cluster/fleet_change.rs
+++ b/crates/gateway/src/cluster/fleet_change.rs
@@ -2,7 +2,7 @@
 
 use crate::model::ServerEntry;
 use crate::model::ServerKey;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// A change that a row makes to the fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,7 +20,7 @@
 /// A complete listing of the servers' table.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServerListing {
-    pub entries: Vec<(ServerEntry, StoreVersion)>,
+    pub entries: Vec<(ServerEntry, StoreStamp)>,
     /// Rows that hold no valid registration.
-    pub unreadable: Vec<(ServerKey, StoreVersion)>,
+    pub unreadable: Vec<(ServerKey, StoreStamp)>,
 }
--- a/crates/gateway/src/cluster/outcome_update.rs
+++ b/crates/gateway/src/cluster/outcome_update.rs
@@ -5,7 +5,8 @@
 use strum::Display;
 
 use crate::model::RequestFingerprint;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
+use crate::model::version_only;
 
 /// Identifies one crash of one server incarnation. Gateways that saw the same crash use the
 /// same id, so that it counts once.
@@ -22,11 +23,21 @@
     Lived(u32),
     /// The quarantine has ended: the row in the store, up to this version, is about to be
     /// removed.
-    Cleared(StoreVersion),
+    Cleared(#[serde(with = "version_only")] StoreStamp),
     /// The server completed the response and kept running.
     Whole,
 }
 
+impl AttemptOutcome {
+    /// Returns the stamp that the outcome contains, if any.
+    pub fn stamp(&mut self) -> Option<&mut StoreStamp> {
+        match self {
+            AttemptOutcome::Cleared(stamp) => Some(stamp),
+            AttemptOutcome::Crashed(_) | AttemptOutcome::Lived(_) | AttemptOutcome::Whole => None,
+        }
+    }
+}
+
 /// An outcome that is reported to peers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutcomeUpdate {
--- a/crates/gateway/src/cluster/peer_reports.rs
+++ b/crates/gateway/src/cluster/peer_reports.rs
@@ -193,6 +193,13 @@
         self.service(digest, now).queues()
     }
 
+    /// Forgets for how long peers have read the store without an outage, until they report again.
+    pub fn forget_store_stability(&mut self) {
+        for report in self.reports.values_mut() {
+            report.update.store_stable_for = Duration::ZERO;
+        }
+    }
+
     /// Returns true if a peer with a fresh report has read the store without an outage for the last
     /// `span`.
     pub fn is_store_stable_at_any_peer(&self, span: Duration, now: Instant) -> bool {
--- a/crates/gateway/src/cluster/quarantine.rs
+++ b/crates/gateway/src/cluster/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// How long a fingerprint is quarantined before a probe may show whether servers still
 /// crash under it, by the number of probes made so far; the last value applies to all
@@ -59,7 +59,7 @@
     /// When the quarantine began, or the last probe was claimed.
     pub since: Instant,
     /// The version of the row in the store; 0 while there is none.
-    pub version: StoreVersion,
+    pub stamp: StoreStamp,
     /// True once other fingerprints were quarantined for the same server crashes. It stays true
     /// when those are cleared, until a probe has shown the outcome for this one too.
     pub was_shared: bool,
@@ -69,11 +69,11 @@
 
 impl Quarantine {
     /// Returns a quarantine that begins at `since`.
-    pub fn new(probes: u32, version: StoreVersion, since: Instant) -> Self {
+    pub fn new(probes: u32, stamp: StoreStamp, since: Instant) -> Self {
         Quarantine {
             probes,
             since,
-            version,
+            stamp,
             was_shared: false,
             claimed_until: None,
             permit: ProbePermit::None,
@@ -88,12 +88,12 @@
     pub fn renewed(
         self,
         probes: u32,
-        version: StoreVersion,
+        stamp: StoreStamp,
         is_local_claim: bool,
         now: Instant,
     ) -> Self {
         let permit = if is_local_claim { ProbePermit::Unused(0) } else { ProbePermit::None };
-        Quarantine { probes, since: now, version, permit, ..self }
+        Quarantine { probes, since: now, stamp, permit, ..self }
     }
 
     /// Returns true if a request may be sent as the probe that this gateway has claimed.
--- a/crates/gateway/src/cluster/quarantine_verdict.rs
+++ b/crates/gateway/src/cluster/quarantine_verdict.rs
@@ -4,7 +4,7 @@
 
 use strum::Display;
 
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// The status of a quarantined fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,7 +14,7 @@
     /// Number of requests admitted as probes.
     pub probes: u32,
     /// The version of the row in the store; 0 while there is none.
-    pub version: StoreVersion,
+    pub stamp: StoreStamp,
     /// Time since the quarantine began, or since the last probe.
     pub age: Duration,
     /// Time until the next probe; zero when it is due.
--- a/crates/gateway/src/cluster/row_change.rs
+++ b/crates/gateway/src/cluster/row_change.rs
@@ -1,7 +1,7 @@
 //! Rows of the store that are to be written or removed.
 
 use crate::model::RequestFingerprint;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// A change to make to the row of a fingerprint in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -10,5 +10,5 @@
     /// start later have to know.
     Write(RequestFingerprint),
     /// The fingerprint is not quarantined any more.
-    Remove(RequestFingerprint, StoreVersion),
+    Remove(RequestFingerprint, StoreStamp),
 }
--- a/crates/gateway/src/cluster/server_state.rs
+++ b/crates/gateway/src/cluster/server_state.rs
@@ -6,14 +6,14 @@
 use crate::cluster::ServerHealth;
 use crate::model::ServerEntry;
 use crate::model::ServerIncarnation;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// One server: its registration, this gateway's load on it, and its health.
 #[derive(Debug, Clone)]
 pub struct ServerState {
     pub entry: ServerEntry,
     /// Version of the row from which `entry` was read.
-    pub version: StoreVersion,
+    pub stamp: StoreStamp,
     /// This incarnation of the server, as identified in load reports.
     pub incarnation: ServerIncarnation,
     /// This gateway's load on the server.
@@ -31,11 +31,11 @@
 
 impl ServerState {
     /// Creates the state of a server that has just become known.
-    pub fn new(entry: ServerEntry, version: StoreVersion) -> Self {
+    pub fn new(entry: ServerEntry, stamp: StoreStamp) -> Self {
         ServerState {
             incarnation: entry.incarnation(),
             entry,
-            version,
+            stamp,
             local_load: LoadShare::default(),
             health: ServerHealth::default(),
             expires_at: None,
--- a/crates/gateway/src/cluster/table_readers.rs
+++ b/crates/gateway/src/cluster/table_readers.rs
@@ -7,7 +7,7 @@
 
 use super::ReadCost;
 use super::TableFingerprint;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// Number of gateways that read a table for their peers: two may die or be cut off at once, and all
 /// gateways are still up to date within a report.
@@ -44,7 +44,7 @@
     pub cost: ReadCost,
     /// The store's version up to which the reader has read; `None` from gateways that do not state
     /// it.
-    pub through: Option<StoreVersion>,
+    pub through: Option<StoreStamp>,
 }
 
 /// A gateway's rank among the peers that report to it.
@@ -83,10 +83,10 @@
     /// read with the same fingerprint.
     known_at: Option<Instant>,
     /// The store's version up to which the content held here is known.
-    known_through: Option<StoreVersion>,
+    known_through: Option<StoreStamp>,
     read_at: Option<Instant>,
     /// The store's version up to which this gateway has read.
-    read_through: Option<StoreVersion>,
+    read_through: Option<StoreStamp>,
     /// True while this gateway reads for its peers.
     is_reader: bool,
     /// Since when there have been too few readers.
@@ -128,7 +128,7 @@
     pub fn record_read(
         &mut self,
         fingerprint: TableFingerprint,
-        through: StoreVersion,
+        through: StoreStamp,
         now: Instant,
     ) {
         self.fingerprint = fingerprint;
@@ -241,7 +241,7 @@
     }
 
     /// Returns the store's version up to which the content held here is known.
-    pub fn known_through(&self) -> Option<StoreVersion> {
+    pub fn known_through(&self) -> Option<StoreStamp> {
         self.known_through
     }
 
--- a/crates/gateway/src/cluster/table_row_set.rs
+++ b/crates/gateway/src/cluster/table_row_set.rs
@@ -2,7 +2,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// Digest of a row's content; rows that differ only in irrelevant details have the same digest.
 pub type RowDigest = u64;
@@ -17,7 +17,7 @@
 /// The last known state of one row.
 #[derive(Debug, Clone, Copy)]
 struct KnownRow {
-    version: StoreVersion,
+    stamp: StoreStamp,
     /// `None` once the row is deleted, so that an older version that arrives late does not restore
     /// it.
     digest: Option<RowDigest>,
@@ -40,12 +40,12 @@
 impl TableRowSet {
     /// Records a row, deleted if `digest` is `None`. Returns true if its content is new, and false
     /// if it is older than the known row or has the same content.
-    pub fn record(&mut self, key: &str, version: StoreVersion, digest: Option<RowDigest>) -> bool {
+    pub fn record(&mut self, key: &str, stamp: StoreStamp, digest: Option<RowDigest>) -> bool {
         let known = self.rows.get(key).copied();
-        if known.is_some_and(|known| known.version > version) {
+        if known.is_some_and(|known| known.stamp > stamp) {
             return false;
         }
-        self.rows.insert(key.to_owned(), KnownRow { version, digest });
+        self.rows.insert(key.to_owned(), KnownRow { stamp, digest });
         self.deleted += usize::from(digest.is_none());
         if self.deleted > MAX_DELETED_ROWS {
             self.rows.retain(|_, row| row.digest.is_some());
@@ -65,15 +65,15 @@
     /// rows.
     pub fn replace<'a>(
         &mut self,
-        rows: impl Iterator<Item = (&'a str, StoreVersion, RowDigest)>,
-        version: StoreVersion,
+        rows: impl Iterator<Item = (&'a str, StoreStamp, RowDigest)>,
+        stamp: StoreStamp,
     ) -> Vec<String> {
         let mut previous = std::mem::take(self);
-        for (key, row_version, digest) in rows {
+        for (key, row_stamp, digest) in rows {
             previous.rows.remove(key);
-            self.record(key, row_version, Some(digest));
+            self.record(key, row_stamp, Some(digest));
         }
-        let is_deleted = |row: &KnownRow| row.digest.is_some() && row.version <= version;
+        let is_deleted = |row: &KnownRow| row.digest.is_some() && row.stamp <= stamp;
         previous.rows.into_iter().filter(|(_, row)| is_deleted(row)).map(|(key, _)| key).collect()
     }
 
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -14,6 +14,7 @@
 use crate::model::RowBatch;
 use crate::model::ServerEntry;
 use crate::model::StageOrder;
+use crate::model::StoreEra;
 use crate::model::StoreTable;
 use crate::model::StoreVersion;
 
@@ -69,8 +70,11 @@
     /// Returns the path (`GET`) that waits for changes of `table` after `version`.
     fn feed_path(table: StoreTable, version: StoreVersion, wait_ms: u64) -> String;
 
-    /// Decodes the response to a listing or a feed call.
-    fn row_batch(body: &[u8]) -> Result<RowBatch, CodecError>;
+    /// Decodes the response to a listing or a feed call that the store made in `era`.
+    fn row_batch(body: &[u8], era: StoreEra) -> Result<RowBatch, CodecError>;
+
+    /// Returns the era that the store states in the head of each response; 0 if it states none.
+    fn store_era(headers: &HeaderMap) -> StoreEra;
 
     /// Returns the path (`POST`) and body that write one of the gateway's own rows unconditionally.
     fn put_request(table: StoreTable, key: &str, value: &[u8]) -> (String, Bytes);
--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -19,8 +19,8 @@
 use crate::model::DeltaError;
 use crate::model::KeyDigest;
 use crate::model::RouteTable;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
 /// Maximum number of changed keys that are logged individually; each line holds the total.
@@ -110,14 +110,17 @@
     }
 
     /// Puts the configuration read from a row of the store in force if it is newer than the one in
-    /// force, and returns whether it was. The row has `row_version` and `row_bytes` bytes.
+    /// force, and returns whether it was. The row has `stamp` and `row_bytes` bytes.
     pub fn apply_store_config(
         &self,
-        row_version: StoreVersion,
+        stamp: StoreStamp,
         row_bytes: usize,
         table: RouteTable,
     ) -> bool {
-        let id = ConfigId { row_version, version: table.version };
+        let version = table.version;
+        // A later version than the one in force is in no older copy: it was written since.
+        let stamp = if version > self.config_version() { stamp.written_when_seen() } else { stamp };
+        let id = ConfigId { stamp, version };
         self.apply_config(id, row_bytes, table, "store")
     }
 
@@ -192,7 +195,8 @@
         tracing::info!(
             event = events::CONFIG_APPLIED,
             version,
-            row_version = id.row_version,
+            row_version = id.stamp.version(),
+            era = id.stamp.written_era(),
             before,
             source,
             change_bytes,
@@ -216,7 +220,8 @@
     tracing::debug!(
         event = events::CONFIG_IGNORED,
         version = id.version,
-        row_version = id.row_version,
+        row_version = id.stamp.version(),
+        era = id.stamp.written_era(),
         current,
         "configuration ignored: not newer than the one in force"
     );
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -81,6 +81,8 @@
 pub const SERVER_BACKOFF: u32 = 6022;
 /// The configuration was sent to another gateway, or could not be.
 pub const CONFIG_SENT: u32 = 6023;
+/// The store has come back from an older copy of itself.
+pub const STORE_ERA_CHANGED: u32 = 6024;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/flow_state.rs
+++ b/crates/gateway/src/flow_state.rs
@@ -12,6 +12,7 @@
 use crate::model::FlowControl;
 use crate::model::RequestRate;
 use crate::model::ServerIncarnation;
+use crate::model::StoreStamp;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
 
@@ -94,7 +95,7 @@
         let Some(change) = fleet.record_departure(incarnation, Instant::now()) else { return };
         let server_state = fleet.server_by_incarnation(incarnation);
         let server = server_state.map(|server_state| server_state.entry.server.clone());
-        let version = server_state.map_or(0, |server_state| server_state.version);
+        let stamp = server_state.map_or(StoreStamp::NONE, |server_state| server_state.stamp);
         drop(fleet);
         tracing::info!(
             event = events::SERVER_DEPARTURE,
@@ -103,7 +104,7 @@
             source,
             "server stated that it is draining"
         );
-        self.log_changes(&[change], version);
+        self.log_changes(&[change], stamp);
         // Reports immediately: peers send requests to the server until they receive the report.
         self.report_requested.notify(1);
     }
--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -100,7 +100,7 @@
         service = %call.service,
         crashes = quarantine.crashes,
         probes = quarantine.probes,
-        row_version = quarantine.version,
+        row_version = quarantine.stamp.version(),
         held_ms = quarantine.age.as_millis() as u64,
         left_ms = quarantine.until_probe.as_millis() as u64,
         sends,
--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -302,7 +302,7 @@
         decode = %decode,
         prefill = prefill.map(|server| &**server),
         domain = %server_state.entry.domain,
-        row_version = server_state.version,
+        row_version = server_state.stamp.version(),
         own = server_state.local_load.running,
         all = load.running,
         prompt_tokens = load.prompt_tokens,
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -193,7 +193,7 @@
         config = call.config,
         server = %placement.server,
         domain = %server_state.entry.domain,
-        row_version = server_state.version,
+        row_version = server_state.stamp.version(),
         own = server_state.local_load.running,
         all = fleet.load(server_state, request.now).running,
         failure_share = server_state.health.failure_fraction(request.now),
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -21,7 +21,7 @@
 use crate::model::EngineReport;
 use crate::model::ServerStage;
 use crate::model::StageOrder;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 use crate::model::server_incarnation;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
@@ -67,7 +67,7 @@
     state: &GatewayState,
     target: &SendTarget,
     stage: ServerStage,
-    fence: StoreVersion,
+    fence: StoreStamp,
     is_within_window: impl Fn() -> bool,
 ) -> Result<(), OrderError> {
     let peer = target.address;
@@ -85,7 +85,8 @@
         return Ok(());
     }
     let holder = state.settings.instance.clone();
-    let order = StageOrder { stage, holder, fence, expected_orders: report.orders };
+    let order =
+        StageOrder { stage, holder, fence: fence.fencing_token(), expected_orders: report.orders };
     let (path, body) = C::order_request(&order);
     let request = engine_request::<C>(target, Method::POST, &path, body);
     snafu::ensure!(is_within_window(), ClaimExpiredSnafu);
--- a/crates/gateway/src/leader/stage_controller.rs
+++ b/crates/gateway/src/leader/stage_controller.rs
@@ -22,8 +22,8 @@
 use crate::model::RowValue;
 use crate::model::ServiceName;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::state::GatewayState;
 use crate::store::StoreClient;
 use crate::store::StoreError;
@@ -43,7 +43,7 @@
 
 /// Adjusts the sizes of the prefill and decode pools until the process stops.
 pub async fn run_stage_controller<C: PlatformCodec>(state: Arc<GatewayState>) {
-    let mut client = StoreClient::<C>::new(state.settings.store);
+    let mut client = StoreClient::<C>::new(&state);
     let mut monitors: HashMap<ServiceName, StageMonitor> = HashMap::new();
     loop {
         smol::Timer::after(POLL_INTERVAL).await;
@@ -77,7 +77,11 @@
     StageSnapshot { target_prefill, ..snapshot }
 }
 
+/// Returns false also while a claim may be in force that the store has lost with its copy.
 fn is_leader_candidate(state: &GatewayState, now: Instant) -> bool {
+    if state.store_eras.age().is_some_and(|age| age < LEASE_DURATION) {
+        return false;
+    }
     let fleet = state.fleet();
     fleet.store_stable_duration(now) >= MIN_STABLE_DURATION
         && fleet.peers.is_leader_candidate(state.digest, MIN_STABLE_DURATION, now)
@@ -123,7 +127,7 @@
             %server,
             peer = %target.address,
             stage = %change.to,
-            fence,
+            fence = fence.fencing_token(),
             outcome = result.err().map_or("accepted".to_owned(), |error| error.to_string()),
             "stage order sent to engine"
         );
@@ -136,7 +140,7 @@
 async fn claim_leadership<C: PlatformCodec>(
     state: &GatewayState,
     client: &mut StoreClient<C>,
-) -> Result<Option<StoreVersion>, StoreError> {
+) -> Result<Option<StoreStamp>, StoreError> {
     let batch = client.read_small_table(StoreTable::Duties).await?;
     let row = batch.rows.iter().find(|row| row.key == STAGES_KEY);
     let current = row.and_then(decode_claim);
@@ -146,8 +150,8 @@
     let until = batch.store_time + LEASE_DURATION;
     let claimed = LeaderRow { holder: state.settings.instance.clone(), until };
     let value = postcard::to_allocvec(&claimed).expect("encoding plain fields");
-    let version = row.map_or(0, |row| row.version);
-    client.claim(StoreTable::Duties, STAGES_KEY, &value, version).await
+    let stamp = row.map_or(StoreStamp::NONE, |row| row.stamp);
+    client.claim(StoreTable::Duties, STAGES_KEY, &value, stamp).await
 }
 
 /// Decodes the claim in `row`. One that can't be decoded counts as none: no gateway could renew it
--- a/crates/gateway/src/model/config_snapshot.rs
+++ b/crates/gateway/src/model/config_snapshot.rs
@@ -38,7 +38,7 @@
 /// Encodes `table`, whose id is `id`, for a gateway of the previous build.
 pub fn encode_snapshot(id: ConfigId, table: &RouteTable) -> Vec<u8> {
     let snapshot = SnapshotFields {
-        row_version: id.row_version,
+        row_version: id.stamp.version(),
         version: id.version,
         routes: table.routes().map(|route| &**route).collect(),
         services: &table.services,
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -25,6 +25,7 @@
 mod server_entry;
 mod stage_order;
 mod store_row;
+mod store_stamp;
 
 pub use self::attempt_spec::AttemptPurpose;
 pub use self::attempt_spec::AttemptSpec;
@@ -70,6 +71,11 @@
 pub use self::store_row::RowValue;
 pub use self::store_row::StoreRow;
 pub use self::store_row::StoreTable;
+pub use self::store_stamp::FencingToken;
+pub use self::store_stamp::StoreEra;
+pub use self::store_stamp::StoreStamp;
+pub use self::store_stamp::StoreVersion;
+pub use self::store_stamp::version_only;
 
 use std::sync::Arc;
 
@@ -93,5 +99,3 @@
 pub type DomainKey = Arc<str>;
 /// The version of the configuration in force.
 pub type ConfigVersion = u64;
-/// A row's version in the store's table service. Versions only increase.
-pub type StoreVersion = u64;
--- a/crates/gateway/src/model/stage_order.rs
+++ b/crates/gateway/src/model/stage_order.rs
@@ -2,8 +2,8 @@
 
 use std::time::SystemTime;
 
+use super::FencingToken;
 use super::ServerStage;
-use super::StoreVersion;
 
 /// An order to change to `stage`.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,7 +13,7 @@
     pub holder: String,
     /// The version of the row by which the instance became the leader. Later leaders have higher
     /// versions.
-    pub fence: StoreVersion,
+    pub fence: FencingToken,
     /// Number of orders that the engine must have accepted so far. The engine rejects the order if
     /// the number differs, so that a delayed order has no effect.
     pub expected_orders: u64,
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 use strum::Display;
 
-use super::StoreVersion;
+use super::StoreStamp;
+use super::version_only;
 
 /// The tables that the gateway follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -37,7 +38,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRow {
     pub key: String,
-    pub version: StoreVersion,
+    #[serde(with = "version_only")]
+    pub stamp: StoreStamp,
     pub value: RowValue,
 }
 
@@ -56,7 +58,7 @@
 pub struct RowBatch {
     pub rows: Vec<StoreRow>,
     /// The response contains all changes up to this version.
-    pub version: StoreVersion,
+    pub through: StoreStamp,
     /// The store's monotonic clock at the time of the response.
     pub store_time: Duration,
     /// True when a listing continues after its last key.
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -16,7 +16,9 @@
 use crate::model::ConfigId;
 use crate::model::ConfigVersion;
 use crate::model::ServerIncarnation;
+use crate::model::StoreEra;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
 use crate::store::ReadNoticeDetail;
 use crate::store::TableReadNotice;
@@ -79,6 +81,12 @@
     pub config: Option<ConfigId>,
     /// Details of the notices in [`LoadReport::tables`].
     pub reads: Vec<ReadNoticeDetail>,
+    /// The store's era, as far as the sender knows.
+    pub era: StoreEra,
+    /// Milliseconds since the sender learned that the store had come back from a copy in this era.
+    pub era_age_ms: Option<u64>,
+    /// The eras of the message's stamps, which contain only their numbers, in order.
+    pub written_eras: Vec<StoreEra>,
 }
 
 /// Content of a datagram between gateways.
@@ -90,17 +98,38 @@
 
 impl PeerMessage {
     /// Encodes the message and `tail` as one datagram.
-    pub fn encode(&self, tail: &ReportTail) -> Vec<u8> {
+    pub fn encode(&mut self, tail: &ReportTail) -> Vec<u8> {
+        let written_eras = self.stamps().map(|stamp| stamp.written_era()).collect();
+        let tail = ReportTail { written_eras, ..tail.clone() };
         let mut bytes = postcard::to_allocvec(self).expect("encoding plain fields");
-        bytes.extend(postcard::to_allocvec(tail).expect("encoding plain fields"));
+        bytes.extend(postcard::to_allocvec(&tail).expect("encoding plain fields"));
         bytes
     }
 
-    /// Decodes a datagram. The tail is empty if its sender is of the previous build.
-    pub fn decode(bytes: &[u8]) -> Result<(Self, ReportTail), postcard::Error> {
-        let (message, rest) = postcard::take_from_bytes(bytes)?;
-        let tail =
-            if rest.is_empty() { ReportTail::default() } else { postcard::from_bytes(rest)? };
+    /// Decodes a datagram. The tail of a gateway of the previous build is missing: it is taken to
+    /// be in `era`.
+    pub fn decode(bytes: &[u8], era: StoreEra) -> Result<(Self, ReportTail), postcard::Error> {
+        let (mut message, rest): (PeerMessage, _) = postcard::take_from_bytes(bytes)?;
+        let tail = match rest {
+            [] => ReportTail { era, ..ReportTail::default() },
+            rest => postcard::from_bytes(rest)?,
+        };
+        let written = tail.written_eras.iter().copied().chain(std::iter::repeat(tail.era));
+        for (stamp, written) in message.stamps().zip(written) {
+            *stamp = StoreStamp::new(tail.era, stamp.version()).written_in(written);
+        }
         Ok((message, tail))
     }
+
+    /// Iterates over the stamps whose eras the tail contains.
+    fn stamps(&mut self) -> impl Iterator<Item = &mut StoreStamp> {
+        let (rows, outcomes) = match self {
+            PeerMessage::Rows(table_rows) => (Some(&mut table_rows.rows), None),
+            PeerMessage::Load(report) => (None, Some(&mut report.outcomes)),
+        };
+        let of_rows = rows.into_iter().flatten().map(|row| &mut row.stamp);
+        let of_outcomes =
+            outcomes.into_iter().flatten().filter_map(|update| update.outcome.stamp());
+        of_rows.chain(of_outcomes)
+    }
 }
--- a/crates/gateway/src/peers/report_loop.rs
+++ b/crates/gateway/src/peers/report_loop.rs
@@ -79,10 +79,13 @@
     }
 }
 
-fn report_tail(state: &GatewayState) -> ReportTail {
+pub(super) fn report_tail(state: &GatewayState) -> ReportTail {
     ReportTail {
         config: state.config().map(|config| config.id),
         reads: state.shared_tables.notice_details(Instant::now()),
+        era: state.store_eras.current(),
+        era_age_ms: state.store_eras.age().map(|age| age.as_millis() as u64),
+        written_eras: Vec::new(),
     }
 }
 
@@ -143,7 +146,7 @@
     let loads = state.fleet().local_loads();
     let aside = state.fleet().local_ejections(now);
     let changing = state.fleet().local_stage_changes(now);
-    let store_stable_for = state.fleet().store_stable_duration(now);
+    let store_stable_for = state.store_stable_duration(now);
     let limits = state.fleet().limits.updates(is_full, now);
     let departures = state.fleet().departures.updates(is_full, now);
     let backoffs = state.fleet().backoff_updates(is_full, new_peers, now);
@@ -180,14 +183,16 @@
     let mut malformed = MalformedLog::default();
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, peer)) => match PeerMessage::decode(&buffer[..length]) {
-                Ok((PeerMessage::Rows(rows), _)) => state.shared_tables.apply_peer_rows(rows),
-                Ok((PeerMessage::Load(report), tail)) => {
-                    add_peer(&state, &registry, &report.peer, peer);
-                    apply_report(&state, *report, tail, peer);
+            Ok((length, peer)) => {
+                match PeerMessage::decode(&buffer[..length], state.store_eras.current()) {
+                    Ok((PeerMessage::Rows(rows), _)) => state.shared_tables.apply_peer_rows(rows),
+                    Ok((PeerMessage::Load(report), tail)) => {
+                        add_peer(&state, &registry, &report.peer, peer);
+                        apply_report(&state, *report, tail, peer);
+                    }
+                    Err(error) => malformed.record(peer, length, &error),
                 }
-                Err(error) => malformed.record(peer, length, &error),
-            },
+            }
             Err(error) => {
                 tracing::debug!(%error, "receiving a load report failed");
                 smol::Timer::after(report_interval(0)).await;
@@ -240,13 +245,19 @@
         state.new_peers.lock().expect("new peers lock").push(digest);
         state.report_requested.notify(1);
     }
+    let is_same_era = tail.era == state.store_eras.current();
+    if let Some(age_ms) = tail.era_age_ms {
+        state.store_eras.observe_peer_age(tail.era, Duration::from_millis(age_ms));
+    }
+    // What a peer read in another era says nothing of the present one.
+    let store_calm_ms = if is_same_era { report.store_calm_ms } else { 0 };
     let update = PeerUpdate {
         reach: report.reach,
         loads: report.loads,
         retries: report.retries,
         ejected: report.aside.into(),
         queues: report.lines.into(),
-        store_stable_for: Duration::from_millis(report.store_calm_ms),
+        store_stable_for: Duration::from_millis(store_calm_ms),
         stage_changes: report.changing.into(),
         config: report.config,
     };
--- a/crates/gateway/src/peers/row_sender.rs
+++ b/crates/gateway/src/peers/row_sender.rs
@@ -6,12 +6,17 @@
 
 use super::PeerMessage;
 use super::PeerRegistry;
+use super::ReportTail;
 use super::TableRows;
 use super::report_loop::MAX_DATAGRAM;
+use super::report_loop::report_tail;
 use crate::state::GatewayState;
 
-/// Capacity of a datagram for rows; the rest is left for framing.
-const MAX_ROWS_BYTES: usize = MAX_DATAGRAM - 64;
+/// Capacity of a datagram for rows; the rest is left for framing and the tail.
+const MAX_ROWS_BYTES: usize = MAX_DATAGRAM - 512;
+
+/// Maximum size of a row's era in the tail, in bytes.
+const MAX_ERA_BYTES: usize = 10;
 
 /// Sends the rows that this gateway has read for its peers to the gateways in `registry`, until the
 /// process stops.
@@ -19,7 +24,8 @@
     loop {
         let table_rows = state.shared_tables.next_outgoing_rows().await;
         let peers = registry.addresses_except(&state.settings.instance);
-        for datagram in datagrams(table_rows) {
+        let tail = report_tail(&state);
+        for datagram in datagrams(table_rows, &tail) {
             for address in &peers {
                 // Peers detect a lost datagram by the fingerprint in the next report.
                 let _ = socket.send_to(&datagram, address).await;
@@ -32,29 +38,27 @@
 
 /// Encodes `table_rows` into as many datagrams as needed. A row that fits into none is left out:
 /// peers detect by the fingerprint that they lack it.
-fn datagrams(table_rows: TableRows) -> Vec<Vec<u8>> {
+fn datagrams(table_rows: TableRows, tail: &ReportTail) -> Vec<Vec<u8>> {
     let table = table_rows.table;
     let mut datagrams = Vec::new();
     let mut rows = Vec::new();
     let mut bytes = 0;
     for row in table_rows.rows {
-        let size = postcard::to_allocvec(&row).expect("encoding plain fields").len();
+        let row_bytes = postcard::to_allocvec(&row).expect("encoding plain fields").len();
+        let size = row_bytes + MAX_ERA_BYTES;
         if size > MAX_ROWS_BYTES {
             continue;
         }
         if bytes + size > MAX_ROWS_BYTES {
-            datagrams.push(encode(TableRows { table, rows: std::mem::take(&mut rows) }));
+            let part = TableRows { table, rows: std::mem::take(&mut rows) };
+            datagrams.push(PeerMessage::Rows(part).encode(tail));
             bytes = 0;
         }
         bytes += size;
         rows.push(row);
     }
     if !rows.is_empty() {
-        datagrams.push(encode(TableRows { table, rows }));
+        datagrams.push(PeerMessage::Rows(TableRows { table, rows }).encode(tail));
     }
     datagrams
 }
-
-fn encode(rows: TableRows) -> Vec<u8> {
-    postcard::to_allocvec(&PeerMessage::Rows(rows)).expect("encoding plain fields")
-}
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -29,13 +29,13 @@
     fingerprint: RequestFingerprint,
     status: QuarantineStatus,
 ) -> Result<bool, StoreError> {
-    let mut client = StoreClient::<C>::new(state.settings.store);
+    let mut client = StoreClient::<C>::new(state);
     let probes = status.probes + 1;
     let row = QuarantineRow { probes, claimed_by: state.quarantines.claimant };
     let key = fingerprint_key(fingerprint);
-    match client.claim(StoreTable::Quarantines, &key, &row.encode(), status.version).await {
-        Ok(Some(version)) => {
-            state.quarantines.apply_row(fingerprint, row, version);
+    match client.claim(StoreTable::Quarantines, &key, &row.encode(), status.stamp).await {
+        Ok(Some(stamp)) => {
+            state.quarantines.apply_row(fingerprint, row, stamp);
             state.quarantines.begin_probe(fingerprint);
             Ok(true)
         }
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -19,7 +19,7 @@
 use crate::cluster::RowChange;
 use crate::events;
 use crate::model::RequestFingerprint;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 use crate::upstream::SendTarget;
 
 /// The quarantined fingerprints; logs each change.
@@ -96,13 +96,13 @@
         &self,
         fingerprint: RequestFingerprint,
         row: QuarantineRow,
-        version: StoreVersion,
+        stamp: StoreStamp,
     ) -> bool {
         let is_local_claim = row.claimed_by == self.claimant;
         let change = self.detector().apply_row(
             fingerprint,
             row.probes,
-            version,
+            stamp,
             is_local_claim,
             Instant::now(),
         );
@@ -110,8 +110,8 @@
     }
 
     /// Records that the store holds no row of `fingerprint` as of `version`.
-    pub fn apply_missing_row(&self, fingerprint: RequestFingerprint, version: StoreVersion) {
-        let change = self.detector().apply_missing_row(fingerprint, version, Instant::now());
+    pub fn apply_missing_row(&self, fingerprint: RequestFingerprint, stamp: StoreStamp) {
+        let change = self.detector().apply_missing_row(fingerprint, stamp, Instant::now());
         self.log_change(fingerprint, change, "store");
     }
 
@@ -227,7 +227,7 @@
             known_by,
             crashes = status.map_or(0, |status| status.crashes),
             probes = status.map_or(0, |status| status.probes),
-            row_version = status.map_or(0, |status| status.version),
+            row_version = status.map_or(0, |status| status.stamp.version()),
             "quarantine changed"
         );
         self.rows_due.notify(usize::MAX);
--- a/crates/gateway/src/quarantine/row_writer.rs
+++ b/crates/gateway/src/quarantine/row_writer.rs
@@ -9,8 +9,8 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::RequestFingerprint;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::state::GatewayState;
 use crate::store::StoreClient;
 use crate::store::StoreError;
@@ -23,7 +23,7 @@
 
 /// Writes and removes rows until the process stops.
 pub async fn run_row_writer<C: PlatformCodec>(state: Arc<GatewayState>) {
-    let mut client = StoreClient::<C>::for_background(state.settings.store);
+    let mut client = StoreClient::<C>::for_background(&state);
     loop {
         let due = state.quarantines.rows_due.listen();
         let changes = state.quarantines.take_row_changes();
@@ -50,7 +50,7 @@
 ) -> Result<(), StoreError> {
     let is_applied = match change {
         RowChange::Write(fingerprint) => write_row(state, client, fingerprint).await?,
-        RowChange::Remove(fingerprint, version) => remove_row(client, fingerprint, version).await?,
+        RowChange::Remove(fingerprint, stamp) => remove_row(client, fingerprint, stamp).await?,
     };
     log_row(change, if is_applied { "done" } else { "not needed" });
     Ok(())
@@ -62,13 +62,14 @@
     client: &mut StoreClient<C>,
     fingerprint: RequestFingerprint,
 ) -> Result<bool, StoreError> {
-    let status = state.quarantines.status(fingerprint).filter(|status| status.version == 0);
+    let status = state.quarantines.status(fingerprint).filter(|status| !status.stamp.exists());
     let Some(status) = status else { return Ok(false) };
     let row = QuarantineRow { probes: status.probes, claimed_by: 0 };
     let key = fingerprint_key(fingerprint);
-    let written = client.claim(StoreTable::Quarantines, &key, &row.encode(), 0).await?;
-    if let Some(version) = written {
-        state.quarantines.apply_row(fingerprint, row, version);
+    let written =
+        client.claim(StoreTable::Quarantines, &key, &row.encode(), StoreStamp::NONE).await?;
+    if let Some(stamp) = written {
+        state.quarantines.apply_row(fingerprint, row, stamp);
     }
     Ok(written.is_some())
 }
@@ -76,21 +77,21 @@
 async fn remove_row<C: PlatformCodec>(
     client: &mut StoreClient<C>,
     fingerprint: RequestFingerprint,
-    version: StoreVersion,
+    stamp: StoreStamp,
 ) -> Result<bool, StoreError> {
-    client.remove(StoreTable::Quarantines, &fingerprint_key(fingerprint), version).await
+    client.remove(StoreTable::Quarantines, &fingerprint_key(fingerprint), stamp).await
 }
 
 fn log_row(change: RowChange, outcome: &str) {
-    let (fingerprint, step, version) = match change {
-        RowChange::Write(fingerprint) => (fingerprint, "write", 0),
-        RowChange::Remove(fingerprint, version) => (fingerprint, "remove", version),
+    let (fingerprint, step, stamp) = match change {
+        RowChange::Write(fingerprint) => (fingerprint, "write", StoreStamp::NONE),
+        RowChange::Remove(fingerprint, stamp) => (fingerprint, "remove", stamp),
     };
     tracing::info!(
         event = events::QUARANTINE_ROW_CHANGED,
         content = fingerprint_key(fingerprint),
         step,
-        row_version = version,
+        row_version = stamp.version(),
         outcome,
         "change of a quarantine's row"
     );
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -18,6 +18,7 @@
 use crate::ingress;
 use crate::leader::run_stage_controller;
 use crate::model::GatewaySettings;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
 use crate::peers;
 use crate::peers::PeerRegistry;
@@ -96,7 +97,7 @@
     let registry = Arc::new(PeerRegistry::default());
     follow_tables::<C>(&state);
     pool::spawn(follow_members::<C>(Arc::clone(&state), Arc::clone(&registry)));
-    pool::spawn(register::<C>(Arc::clone(&state)));
+    pool::spawn(keep_registered::<C>(Arc::clone(&state)));
     pool::spawn(peers::send_reports(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
     pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
     pool::spawn(peers::receive_reports(Arc::clone(&state), registry, socket));
@@ -226,9 +227,8 @@
 }
 
 fn follow_tables<C: PlatformCodec>(state: &Arc<GatewayState>) {
-    let store = state.settings.store;
     let config = TableFollower {
-        reader: TableReader::<C>::new(store, StoreTable::Configuration),
+        reader: TableReader::<C>::new(state, StoreTable::Configuration),
         table: StoreTable::Configuration,
         sink: ConfigSink::<C>::new(Arc::clone(state)),
         feed_wait: state.settings.config_bound.mul_f64(CONFIG_WAIT_FRACTION),
@@ -236,7 +236,7 @@
         coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Configuration)),
     };
     let servers = TableFollower {
-        reader: TableReader::<C>::new(store, StoreTable::Servers),
+        reader: TableReader::<C>::new(state, StoreTable::Servers),
         table: StoreTable::Servers,
         sink: ServerSink::<C>::new(Arc::clone(state)),
         feed_wait: state.settings.drain_bound.mul_f64(SERVER_WAIT_FRACTION),
@@ -244,7 +244,7 @@
         coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Servers)),
     };
     let quarantines = TableFollower {
-        reader: TableReader::<C>::new(store, StoreTable::Quarantines),
+        reader: TableReader::<C>::new(state, StoreTable::Quarantines),
         table: StoreTable::Quarantines,
         sink: QuarantineSink::new(Arc::clone(state)),
         feed_wait: QUARANTINE_WAIT,
@@ -259,7 +259,7 @@
 /// Follows the table of gateways until the process stops.
 async fn follow_members<C: PlatformCodec>(state: Arc<GatewayState>, registry: Arc<PeerRegistry>) {
     let members = TableFollower {
-        reader: TableReader::<C>::new(state.settings.store, StoreTable::Members),
+        reader: TableReader::<C>::new(&state, StoreTable::Members),
         table: StoreTable::Members,
         sink: MemberSink::new(state, registry),
         feed_wait: Duration::ZERO,
@@ -273,12 +273,12 @@
 /// succeeds. The row is the same for each start of the instance, so that writing it twice (after a
 /// lost response) changes nothing. The peers' rows are read again afterwards: of two gateways that
 /// start together, at least one reads the other's row.
-async fn register<C: PlatformCodec>(state: Arc<GatewayState>) {
+async fn register<C: PlatformCodec>(state: &GatewayState) {
     let member = MemberRow { address: state.settings.peer };
     let row = postcard::to_allocvec(&member).expect("encoding an address");
     let mut timeout = INITIAL_REGISTER_TIMEOUT;
     loop {
-        let mut client = StoreClient::<C>::with_timeout(state.settings.store, timeout);
+        let mut client = StoreClient::<C>::with_timeout(state, timeout);
         match client.put(StoreTable::Members, &state.settings.instance, &row).await {
             Ok(()) => break,
             Err(error) => {
@@ -296,6 +296,15 @@
     state.registered.notify(usize::MAX);
 }
 
+/// Registers, and again each time the store comes back from a copy, which may lack the row.
+async fn keep_registered<C: PlatformCodec>(state: Arc<GatewayState>) {
+    loop {
+        let era_changed = state.store_eras.changed.listen();
+        register::<C>(&state).await;
+        era_changed.await;
+    }
+}
+
 /// Logs a change of the number of live peers from `before`, and returns the number.
 fn log_peers(state: &GatewayState, before: usize, now: Instant) -> usize {
     let live_peers = state.fleet().peers.live_peers(now);
@@ -314,7 +323,7 @@
         smol::Timer::after(MAINTENANCE_INTERVAL).await;
         let now = Instant::now();
         let changes = state.fleet().tick(now);
-        state.log_changes(&changes, 0);
+        state.log_changes(&changes, StoreStamp::NONE);
         state.pool.remove_expired(now);
         let rank = state.fleet().peers.rank(state.digest, now);
         state.quarantines.tick(rank.peers_before == 0);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
 use crate::model::GatewaySettings;
 use crate::model::RequestFingerprint;
 use crate::model::ServiceName;
+use crate::model::StoreStamp;
 use crate::quarantine::Quarantines;
 use crate::quota::QuotaPeers;
 use crate::quota::Quotas;
@@ -37,6 +38,7 @@
 use crate::stop::STOP_GRACE_MARGIN;
 use crate::stop::StopSignal;
 use crate::store::SharedTables;
+use crate::store::StoreEras;
 use crate::upstream::ConnectionPool;
 use crate::upstream::SendTarget;
 
@@ -69,6 +71,8 @@
     /// Notified when requests that wait should check again: a server may have capacity, or the
     /// configuration, the fleet, the quarantined requests or the peers' reports have changed.
     pub capacity_changed: Event,
+    /// The store's era.
+    pub store_eras: Arc<StoreEras>,
     /// Store tables that gateways read for each other.
     pub shared_tables: SharedTables,
     /// Requests that are quarantined because servers crash while executing them.
@@ -107,6 +111,7 @@
         let digest = name_digest(&settings.instance);
         Arc::new(GatewayState {
             digest,
+            store_eras: Arc::default(),
             shared_tables: SharedTables::new(digest, &settings),
             settings,
             metrics,
@@ -194,7 +199,7 @@
 
     /// Logs changes among the servers, and drops the pooled connections of those that are draining,
     /// removed or restarted.
-    pub fn log_changes(&self, changes: &[FleetChange], version: u64) {
+    pub fn log_changes(&self, changes: &[FleetChange], stamp: StoreStamp) {
         for change in changes {
             let (server, outcome) = match change {
                 FleetChange::Joined(server) => (server, "joined"),
@@ -206,7 +211,15 @@
             if !matches!(change, FleetChange::Joined(_) | FleetChange::Expired(_)) {
                 self.pool.remove_server(server);
             }
-            tracing::info!(event = events::SERVER_CHANGED, %server, version, outcome, "server changed");
+            let (version, era) = (stamp.version(), stamp.written_era());
+            tracing::info!(
+                event = events::SERVER_CHANGED,
+                %server,
+                version,
+                era,
+                outcome,
+                "server changed"
+            );
         }
         if !changes.is_empty() {
             self.capacity_changed.notify(usize::MAX);
@@ -236,6 +249,13 @@
         EngineEstimates::pooled(peers.chain([local]))
     }
 
+    /// Returns how long the server table has been read without an outage, and from the same store:
+    /// not from before it came back from a copy.
+    pub fn store_stable_duration(&self, now: Instant) -> Duration {
+        let era_age = self.store_eras.age().unwrap_or(Duration::MAX);
+        self.fleet().store_stable_duration(now).min(era_age)
+    }
+
     /// Returns the number of registered gateways, including this one.
     pub fn members(&self) -> usize {
         self.members.load(Ordering::Relaxed).max(1)
--- a/crates/gateway/src/store/config_sink.rs
+++ b/crates/gateway/src/store/config_sink.rs
@@ -9,15 +9,15 @@
 use super::TableSink;
 use super::TransferableRow;
 use super::base64_length;
-use super::raw_digest::version_digest;
+use super::raw_digest::stamp_digest;
 use super::unreadable_row::log_unreadable;
 use crate::cluster::RowDigest;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::RowValue;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
 /// Puts each newer configuration in force. Rows that can't be decoded are logged and ignored.
@@ -42,26 +42,21 @@
                 return;
             }
         };
-        let (row_version, row_bytes) = (row.version, value.len());
-        let held_version = self.state.config().map_or(0, |config| config.id.row_version);
-        if row_version <= held_version {
-            tracing::info!(
-                event = events::CONFIG_IGNORED,
-                row_version,
-                held_row_version = held_version,
-                "configuration ignored: its row is not newer than the one in force"
-            );
+        let (stamp, row_bytes) = (row.stamp, value.len());
+        let held = self.state.config().map(|config| config.id.stamp);
+        let is_known = |held: StoreStamp| stamp <= held && stamp.seen_era() == held.seen_era();
+        if held.is_some_and(is_known) {
             return;
         }
         match C::route_table(&row.key, value) {
             Ok(Some(table)) => {
                 drop(row);
-                self.state.apply_store_config(row_version, row_bytes, table);
+                self.state.apply_store_config(stamp, row_bytes, table);
             }
             Ok(None) => {}
             Err(error) => tracing::error!(
                 event = events::CONFIG_IGNORED,
-                row_version,
+                row_version = stamp.version(),
                 %error,
                 "cannot decode the configuration; keeping the one in force"
             ),
@@ -70,7 +65,7 @@
 }
 
 impl<C: PlatformCodec> TableSink for ConfigSink<C> {
-    fn apply_listing(&mut self, rows: Vec<StoreRow>, _version: StoreVersion) {
+    fn apply_listing(&mut self, rows: Vec<StoreRow>, _version: StoreStamp) {
         self.apply_changes(rows);
     }
 
@@ -80,17 +75,17 @@
         }
     }
 
-    /// Digests the version: peers that were sent the configuration by others know it, too. Other
+    /// Digests the stamp: peers that were sent the configuration by others know it, too. Other
     /// rows of the table do not matter here.
     fn digest(&self, row: &StoreRow) -> Option<RowDigest> {
         let is_held = row.key == C::CONFIGURATION_KEY && row.value != RowValue::Removed;
-        is_held.then(|| version_digest(row.version))
+        is_held.then(|| stamp_digest(row.stamp))
     }
 
     fn transferable_row(&self) -> Option<TransferableRow> {
         let config = self.state.config()?;
-        let (version, bytes) = (config.id.row_version, base64_length(config.row_bytes));
-        Some(TransferableRow { key: C::CONFIGURATION_KEY.to_owned(), version, bytes })
+        let (stamp, bytes) = (config.id.stamp, base64_length(config.row_bytes));
+        Some(TransferableRow { key: C::CONFIGURATION_KEY.to_owned(), stamp, bytes })
     }
 
     /// The operator's configuration does not expire.
--- a/crates/gateway/src/store/member_sink.rs
+++ b/crates/gateway/src/store/member_sink.rs
@@ -13,8 +13,8 @@
 use crate::cluster::RowDigest;
 use crate::model::RowValue;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::peers::PeerRegistry;
 use crate::state::GatewayState;
 
@@ -60,7 +60,7 @@
 }
 
 impl TableSink for MemberSink {
-    fn apply_listing(&mut self, rows: Vec<StoreRow>, _version: StoreVersion) {
+    fn apply_listing(&mut self, rows: Vec<StoreRow>, _version: StoreStamp) {
         self.registry.clear();
         self.apply_changes(rows);
     }
--- a/crates/gateway/src/store/quarantine_sink.rs
+++ b/crates/gateway/src/store/quarantine_sink.rs
@@ -11,8 +11,8 @@
 use crate::model::RequestFingerprint;
 use crate::model::RowValue;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::quarantine::QuarantineRow;
 use crate::quarantine::fingerprint_from_key;
 use crate::state::GatewayState;
@@ -36,11 +36,11 @@
             return;
         };
         match &row.value {
-            RowValue::Removed => self.state.quarantines.apply_missing_row(fingerprint, row.version),
+            RowValue::Removed => self.state.quarantines.apply_missing_row(fingerprint, row.stamp),
             RowValue::Unreadable(problem) => log_unreadable(StoreTable::Quarantines, row, problem),
             RowValue::Held(value) => match postcard::from_bytes::<QuarantineRow>(value) {
                 Ok(quarantine_row) => {
-                    if self.state.quarantines.apply_row(fingerprint, quarantine_row, row.version) {
+                    if self.state.quarantines.apply_row(fingerprint, quarantine_row, row.stamp) {
                         self.state.capacity_changed.notify(usize::MAX);
                     }
                 }
@@ -51,7 +51,7 @@
 }
 
 impl TableSink for QuarantineSink {
-    fn apply_listing(&mut self, rows: Vec<StoreRow>, version: StoreVersion) {
+    fn apply_listing(&mut self, rows: Vec<StoreRow>, version: StoreStamp) {
         let listed_fingerprints: FxHashSet<RequestFingerprint> =
             rows.iter().filter_map(|row| fingerprint_from_key(&row.key)).collect();
         for fingerprint in self.state.quarantines.rows() {
@@ -70,7 +70,7 @@
     /// before, and a probe is claimed by the row's version.
     fn digest(&self, row: &StoreRow) -> Option<RowDigest> {
         let digest = raw_digest(row)?;
-        Some(umberglade_wire::digest_seeded(&digest.to_le_bytes(), row.version))
+        Some(umberglade_wire::digest_seeded(&digest.to_le_bytes(), row.stamp.version()))
     }
 
     fn record_read(&mut self) {
--- a/crates/gateway/src/store/raw_digest.rs
+++ b/crates/gateway/src/store/raw_digest.rs
@@ -3,12 +3,12 @@
 use crate::cluster::RowDigest;
 use crate::model::RowValue;
 use crate::model::StoreRow;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
-/// Returns a digest of a row's content by its version: no two versions of a row have the same
+/// Returns a digest of a row's content by its stamp: no two versions of a row have the same
 /// content, as far as a gateway knows before it has read them.
-pub fn version_digest(version: StoreVersion) -> RowDigest {
-    umberglade_wire::digest(&version.to_le_bytes())
+pub fn stamp_digest(stamp: StoreStamp) -> RowDigest {
+    umberglade_wire::digest_seeded(&stamp.version().to_le_bytes(), stamp.written_era())
 }
 
 /// Returns a digest of the value of `row`, or `None` if the row was removed.
--- a/crates/gateway/src/store/read_progress.rs
+++ b/crates/gateway/src/store/read_progress.rs
@@ -3,15 +3,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::model::StoreVersion;
+use crate::cluster::COPY_SETTLING_TIME;
+use crate::model::StoreEra;
+use crate::model::StoreStamp;
 
 /// How far a follower has read.
 #[derive(Debug)]
 pub(super) struct ReadProgress {
     /// The version from which the feed goes on; `None` if the table is listed next.
-    pub position: Option<StoreVersion>,
+    pub position: Option<StoreStamp>,
     /// True if only a listing tells what the table holds now.
     pub must_list: bool,
+    /// The store's era at the last read.
+    pub last_era: Option<StoreEra>,
+    /// When the table is listed again, since rows that are gone have been removed from the copy from
+    /// which the store has come back.
+    settles_at: Option<Instant>,
     /// When the rows held here last matched the store.
     pub known_at: Instant,
     /// Number of failed reads since the last response.
@@ -27,6 +34,8 @@
         ReadProgress {
             position: None,
             must_list: false,
+            last_era: None,
+            settles_at: None,
             known_at: now,
             failures: 0,
             is_late: false,
@@ -46,6 +55,13 @@
         self.must_list = true;
     }
 
+    /// Lists the table next if what a copy has kept of it counts from now on.
+    pub fn list_if_settled(&mut self, now: Instant) {
+        if self.settles_at.take_if(|at| now >= *at).is_some() {
+            self.list_next();
+        }
+    }
+
     /// Returns true after a failed or late read.
     pub fn is_out(&self) -> bool {
         self.failures > 0 || self.is_late
@@ -57,14 +73,21 @@
         if self.is_out() || self.was_listener { self.known_at.elapsed() } else { Duration::ZERO }
     }
 
-    pub fn record_read(&mut self, version: StoreVersion, has_expired_rows: bool) {
+    /// Records that all changes up to `through` are known.
+    pub fn record_read(&mut self, through: StoreStamp, has_expired_rows: bool) {
+        let now = Instant::now();
+        let era = through.seen_era();
+        if self.last_era.is_some_and(|last| last != era) {
+            self.settles_at = Some(now + COPY_SETTLING_TIME);
+        }
+        self.last_era = Some(era);
         let was_listing = self.position.is_none();
-        self.position = Some(version);
+        self.position = Some(through);
         self.must_list = false;
         if has_expired_rows && !was_listing {
             self.list_next();
         }
-        self.known_at = Instant::now();
+        self.known_at = now;
         self.failures = 0;
         self.is_late = false;
         self.was_listener = false;
--- a/crates/gateway/src/store/server_sink.rs
+++ b/crates/gateway/src/store/server_sink.rs
@@ -16,8 +16,8 @@
 use crate::model::RowValue;
 use crate::model::ServerEntry;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
 /// Digest of every row that holds no valid registration.
@@ -57,14 +57,14 @@
 }
 
 impl<C: PlatformCodec> TableSink for ServerSink<C> {
-    fn apply_listing(&mut self, rows: Vec<StoreRow>, version: StoreVersion) {
+    fn apply_listing(&mut self, rows: Vec<StoreRow>, version: StoreStamp) {
         let mut listing = ServerListing::default();
         for row in &rows {
             match Self::decode(row) {
-                DecodedRow::Entry(entry) => listing.entries.push((entry, row.version)),
+                DecodedRow::Entry(entry) => listing.entries.push((entry, row.stamp)),
                 DecodedRow::Unreadable(problem) => {
                     log_unreadable(StoreTable::Servers, row, &problem);
-                    listing.unreadable.push((row.key.as_str().into(), row.version));
+                    listing.unreadable.push((row.key.as_str().into(), row.stamp));
                 }
                 DecodedRow::Removed => {}
             }
@@ -77,15 +77,15 @@
         for row in rows {
             let now = Instant::now();
             let change = match Self::decode(&row) {
-                DecodedRow::Entry(entry) => self.state.fleet().upsert(entry, row.version),
-                DecodedRow::Removed => self.state.fleet().remove(&row.key, row.version, now),
+                DecodedRow::Entry(entry) => self.state.fleet().upsert(entry, row.stamp),
+                DecodedRow::Removed => self.state.fleet().remove(&row.key, row.stamp, now),
                 DecodedRow::Unreadable(problem) => {
                     log_unreadable(StoreTable::Servers, &row, &problem);
-                    self.state.fleet().record_unreadable(&row.key, row.version);
+                    self.state.fleet().record_unreadable(&row.key, row.stamp);
                     None
                 }
             };
-            self.state.log_changes(change.as_slice(), row.version);
+            self.state.log_changes(change.as_slice(), row.stamp);
         }
     }
 
@@ -109,6 +109,11 @@
         self.state.config_read_requested.notify(usize::MAX);
     }
 
+    fn store_copied(&mut self) {
+        self.state.fleet().record_store_copied();
+        self.store_available();
+    }
+
     fn record_read(&mut self) {
         self.state.fleet().record_store_read(Instant::now());
     }
--- a/crates/gateway/src/store/shared_table.rs
+++ b/crates/gateway/src/store/shared_table.rs
@@ -11,8 +11,8 @@
 use crate::cluster::ReadCost;
 use crate::cluster::TableReaders;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::timing::boottime_clock;
 
 /// Maximum number of rows from peers that wait to be applied. Further rows are dropped: so many
@@ -39,7 +39,7 @@
     /// What reading the table costs the sender's link.
     pub cost: ReadCost,
     /// The store's version up to which the sender has read.
-    pub through: StoreVersion,
+    pub through: StoreStamp,
 }
 
 /// The readers of a table, and the rows received from them.
@@ -77,7 +77,7 @@
 
     /// Records that the store responded to a local read, after which the content held here has
     /// `fingerprint`.
-    pub fn record_read(&self, fingerprint: u64, through: StoreVersion) {
+    pub fn record_read(&self, fingerprint: u64, through: StoreStamp) {
         *self.last_read.lock().expect("read time lock") = boottime_clock();
         self.readers().record_read(fingerprint, through, Instant::now());
     }
--- a/crates/gateway/src/store/table_coordinator.rs
+++ b/crates/gateway/src/store/table_coordinator.rs
@@ -10,7 +10,7 @@
 use super::SharedTable;
 use super::TableSink;
 use super::TransferableRow;
-use super::raw_digest::version_digest;
+use super::raw_digest::stamp_digest;
 use super::table_follower::estimated_bytes;
 use crate::cluster::ReadCost;
 use crate::cluster::ReadRole;
@@ -19,9 +19,10 @@
 use crate::cluster::TableRowSet;
 use crate::events;
 use crate::model::RowValue;
+use crate::model::StoreEra;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::state::GatewayState;
 
 /// Time after its first read for which a gateway sends no rows to its peers.
@@ -41,6 +42,8 @@
     row_set: TableRowSet,
     /// When this gateway first read the table.
     first_read_at: Option<Instant>,
+    /// The era in which this gateway last listed the table.
+    read_era: StoreEra,
     /// True while this gateway relies on its peers' reads of the table.
     is_receiver: bool,
 }
@@ -53,6 +56,7 @@
             table,
             row_set: TableRowSet::default(),
             first_read_at: None,
+            read_era: 0,
             is_receiver: false,
         }
     }
@@ -110,11 +114,11 @@
 
     /// Records changes that the store returned, and sends peers the rows whose content is new.
     ///
-    /// `version` is the version up to which all changes are known now.
+    /// `through` is the version up to which all changes are known now.
     pub fn record_changes(
         &mut self,
         rows: &[StoreRow],
-        version: StoreVersion,
+        through: StoreStamp,
         sink: &impl TableSink,
     ) {
         let may_send = !self.table.holds_keys();
@@ -124,30 +128,34 @@
                 updates.push(row.clone());
             }
         }
-        self.record_read(updates, version);
+        self.record_read(updates, through);
     }
 
     /// Records the row that the sink holds: it may have been transferred from a peer.
     pub fn record_transferable(&mut self, row: &TransferableRow, interval: Duration) {
-        if self.row_set.record(&row.key, row.version, Some(version_digest(row.version))) {
+        if self.row_set.record(&row.key, row.stamp, Some(stamp_digest(row.stamp))) {
             self.shared_table().readers().record_peer_rows(self.row_set.fingerprint());
         }
         self.record_size(row.bytes, interval);
     }
 
-    /// Records the full table as of `version`, and sends removed rows to the peers. Peers that lack
-    /// changed rows detect this by the fingerprint, and read the store.
+    /// Records the full table as of `through`, and sends removed rows to the peers. Peers that lack
+    /// changed rows detect this by the fingerprint, and read the store. Rows that a copy of the
+    /// store lacks may have been lost with it; peers are not told of those.
     pub fn record_listing(
         &mut self,
         rows: &[StoreRow],
-        version: StoreVersion,
+        through: StoreStamp,
         sink: &impl TableSink,
     ) {
+        let is_same_era = through.seen_era() == self.read_era;
+        self.read_era = through.seen_era();
         let listed =
-            rows.iter().filter_map(|row| Some((row.key.as_str(), row.version, sink.digest(row)?)));
-        let removed_keys = self.row_set.replace(listed, version);
-        let removed = |key| StoreRow { key, version, value: RowValue::Removed };
-        self.record_read(removed_keys.into_iter().map(removed).collect(), version);
+            rows.iter().filter_map(|row| Some((row.key.as_str(), row.stamp, sink.digest(row)?)));
+        let mut removed_keys = self.row_set.replace(listed, through);
+        removed_keys.retain(|_| is_same_era);
+        let removed = |key| StoreRow { key, stamp: through, value: RowValue::Removed };
+        self.record_read(removed_keys.into_iter().map(removed).collect(), through);
     }
 
     /// Records that this gateway's link is loaded by a read of `bytes` in each `interval`.
@@ -157,10 +165,15 @@
     }
 
     /// Returns the store's version up to which the content held here is known.
-    pub fn known_through(&self) -> Option<StoreVersion> {
+    pub fn known_through(&self) -> Option<StoreStamp> {
         self.shared_table().readers().known_through()
     }
 
+    /// Returns the store's present era.
+    pub fn store_era(&self) -> StoreEra {
+        self.state.store_eras.current()
+    }
+
     /// Returns the latest time at which the rows held here matched the store.
     pub fn known_at(&self) -> Option<Instant> {
         self.shared_table().readers().known_at()
@@ -171,7 +184,7 @@
         self.shared_table().readers().record_failure();
     }
 
-    fn record_read(&mut self, updates: Vec<StoreRow>, through: StoreVersion) {
+    fn record_read(&mut self, updates: Vec<StoreRow>, through: StoreStamp) {
         let now = Instant::now();
         self.shared_table().record_read(self.row_set.fingerprint(), through);
         let since = *self.first_read_at.get_or_insert(now);
@@ -204,5 +217,5 @@
 
 /// Records `row` in `row_set`. Returns true if its content is new.
 fn record_row(row_set: &mut TableRowSet, sink: &impl TableSink, row: &StoreRow) -> bool {
-    row_set.record(&row.key, row.version, sink.digest(row))
+    row_set.record(&row.key, row.stamp, sink.digest(row))
 }
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -17,8 +17,8 @@
 use crate::events;
 use crate::model::RowValue;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
 use crate::timing::with_deadline;
 
 /// Delay after a first failed call, doubled with each further failure in a row.
@@ -66,6 +66,7 @@
             }
             self.apply_peer_rows();
             progress.known_at = self.known_at().unwrap_or(progress.known_at);
+            progress.list_if_settled(Instant::now());
             if progress.position.is_none() && !progress.must_list {
                 progress.position = self.resume_position();
             }
@@ -79,14 +80,14 @@
         // Listens from before the read, which may not show what fires the trigger.
         let read_trigger = self.sink.read_trigger();
         let outage = progress.outage();
-        match self.read_store(progress.position, outage).await {
-            Ok(ReadStep::Done(version)) => {
+        match self.read_store(progress, outage).await {
+            Ok(ReadStep::Done(through)) => {
                 if progress.is_out() {
                     self.log_available(progress.failures, progress.known_at);
                 }
                 self.sink.record_read();
                 let has_expired_rows = outage >= MIN_OUTAGE && self.sink.has_expiring_rows();
-                progress.record_read(version, has_expired_rows);
+                progress.record_read(through, has_expired_rows);
                 self.record_age(progress.known_at);
                 wait_until(started_at + self.read_interval(), read_trigger).await;
             }
@@ -98,6 +99,7 @@
                 self.record_age(progress.known_at);
             }
             Ok(ReadStep::Interrupted) => {}
+            Ok(ReadStep::EraChanged) => progress.list_next(),
             Err(error) if error.is_history_expired() => progress.list_next(),
             Err(error) => self.record_failure(&error, progress).await,
         }
@@ -120,12 +122,15 @@
         }
     }
 
-    /// Returns the store's version from which the feed reports all that is not known here, where
-    /// peers have transferred the table's content.
-    fn resume_position(&self) -> Option<StoreVersion> {
+    /// Returns the version from which the feed reports all that is not known here, where peers have
+    /// transferred the table's content; `None` if no number of the present era is known.
+    fn resume_position(&self) -> Option<StoreStamp> {
         let row = self.sink.transferable_row()?;
-        let known_through = self.coordinator.as_ref().and_then(TableCoordinator::known_through);
-        known_through.max(Some(row.version))
+        let coordinator = self.coordinator.as_ref()?;
+        let era = coordinator.store_era();
+        let is_of_era = |stamp: &StoreStamp| stamp.written_era() == era;
+        let known_through = coordinator.known_through().filter(is_of_era);
+        known_through.max(Some(row.stamp).filter(is_of_era))
     }
 
     /// Returns until when this gateway may rely on its peers' reads, or `None` if it reads the
@@ -179,32 +184,38 @@
     /// known.
     async fn read_store(
         &mut self,
-        position: Option<StoreVersion>,
+        progress: &ReadProgress,
         outage: Duration,
     ) -> Result<ReadStep, StoreError> {
+        let ReadProgress { position, last_era, .. } = *progress;
         let Some(read) = self.next_read(position).await? else { return Ok(ReadStep::Interrupted) };
         match read {
             TableRead::Late => Ok(ReadStep::Late),
-            TableRead::Listing { rows, version } => {
-                self.notify_available(outage);
+            TableRead::EraChanged => Ok(ReadStep::EraChanged),
+            TableRead::Listing { rows, through } => {
+                if last_era.is_some_and(|last| last != through.seen_era()) {
+                    self.sink.store_copied();
+                } else {
+                    self.notify_available(outage);
+                }
                 self.record_size(&rows);
                 if let Some(coordinator) = &mut self.coordinator {
-                    coordinator.record_listing(&rows, version, &self.sink);
+                    coordinator.record_listing(&rows, through, &self.sink);
                 }
-                self.sink.apply_listing(rows, version);
-                Ok(ReadStep::Done(version))
+                self.sink.apply_listing(rows, through);
+                Ok(ReadStep::Done(through))
             }
             TableRead::Changes(batch) => {
-                let version = position.max(Some(batch.version)).unwrap_or(batch.version);
+                let through = position.max(Some(batch.through)).unwrap_or(batch.through);
                 self.notify_available(outage);
                 self.record_size(&batch.rows);
                 if let Some(coordinator) = &mut self.coordinator {
-                    coordinator.record_changes(&batch.rows, version, &self.sink);
+                    coordinator.record_changes(&batch.rows, through, &self.sink);
                 }
                 if !batch.rows.is_empty() {
                     self.sink.apply_changes(batch.rows);
                 }
-                Ok(ReadStep::Done(version))
+                Ok(ReadStep::Done(through))
             }
         }
     }
@@ -223,7 +234,7 @@
     /// table is listed: the listing may not be needed any more.
     async fn next_read(
         &mut self,
-        position: Option<StoreVersion>,
+        position: Option<StoreStamp>,
     ) -> Result<Option<TableRead>, StoreError> {
         if let Some(version) = position {
             return self.feed(version).await.map(Some);
@@ -241,7 +252,7 @@
 
     /// Makes a feed call. If the sink's trigger fires meanwhile, another one is started on another
     /// connection: the present one may be silent.
-    async fn feed(&mut self, version: StoreVersion) -> Result<TableRead, StoreError> {
+    async fn feed(&mut self, version: StoreStamp) -> Result<TableRead, StoreError> {
         let feed_wait = self.halved_if_shared(self.feed_wait);
         loop {
             let Some(read_trigger) = self.sink.read_trigger() else {
@@ -299,7 +310,7 @@
         tracing::warn!(
             event = events::STORE_UNAVAILABLE,
             table = %self.table,
-            version = progress.position.unwrap_or(0),
+            version = progress.position.map_or(0, |position| position.version()),
             age_ms,
             %error,
             "store unavailable; keeping the state read last"
@@ -315,12 +326,14 @@
 
 /// The outcome of one read.
 enum ReadStep {
-    /// All changes up to this version are known.
-    Done(StoreVersion),
+    /// All changes up to this stamp are known.
+    Done(StoreStamp),
     /// No response yet.
     Late,
     /// Peers have sent rows.
     Interrupted,
+    /// The store has come back from a copy.
+    EraChanged,
 }
 
 /// Waits until `due`, or until `read_trigger` fires.
--- a/crates/gateway/src/store/table_reader.rs
+++ b/crates/gateway/src/store/table_reader.rs
@@ -1,24 +1,23 @@
 //! Reads one table of the store.
 
 use std::marker::PhantomData;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use snafu::ResultExt;
 
+use super::StoreEras;
 use super::StoreError;
 use super::overlapping_reads::OverlappingReads;
-use super::overlapping_reads::ReadResponse;
-use super::store_client::check_status;
-use super::store_error::DecodeSnafu;
+use super::store_client::decode_batch;
 use super::store_error::ExchangeSnafu;
 use crate::codec::PlatformCodec;
 use crate::model::RowBatch;
 use crate::model::StoreRow;
+use crate::model::StoreStamp;
 use crate::model::StoreTable;
-use crate::model::StoreVersion;
+use crate::state::GatewayState;
 
 /// Time from which on a page of a listing is late. It usually takes 4 ms.
 const PAGE_PACE: Duration = Duration::from_millis(900);
@@ -37,12 +36,14 @@
 /// What a read of a table has brought.
 #[derive(Debug)]
 pub enum TableRead {
-    /// All rows, as of `version` or later.
+    /// All rows, as of `through` or later.
     Listing {
         rows: Vec<StoreRow>,
-        version: StoreVersion,
+        through: StoreStamp,
     },
     Changes(RowBatch),
+    /// The store has come back from a copy: only a listing tells what it holds.
+    EraChanged,
     /// Nothing yet. The call goes on, and another one has been started beside it.
     Late,
 }
@@ -51,8 +52,8 @@
 #[derive(Debug)]
 struct PartialListing {
     rows: Vec<StoreRow>,
-    /// The version of the first page: changes made during the listing come with the feed.
-    version: StoreVersion,
+    /// That of the first page: changes made during the listing come with the feed.
+    through: StoreStamp,
     begun_at: Instant,
 }
 
@@ -61,17 +62,19 @@
 pub struct TableReader<C> {
     table: StoreTable,
     reads: OverlappingReads,
+    eras: Arc<StoreEras>,
     listing: Option<PartialListing>,
     is_listing: bool,
     codec: PhantomData<C>,
 }
 
 impl<C: PlatformCodec> TableReader<C> {
-    /// Creates a reader of `table` at the store at `address` without connecting.
-    pub fn new(address: SocketAddr, table: StoreTable) -> Self {
+    /// Creates a reader of `table` at the store of `state` without connecting.
+    pub fn new(state: &GatewayState, table: StoreTable) -> Self {
         TableReader {
             table,
-            reads: OverlappingReads::new(address.to_string()),
+            reads: OverlappingReads::new(state.settings.store.to_string()),
+            eras: Arc::clone(&state.store_eras),
             listing: None,
             is_listing: false,
             codec: PhantomData,
@@ -96,35 +99,46 @@
                 // A second copy of an earlier page.
                 continue;
             }
-            let batch = Self::decode(response)?;
+            let batch = decode_batch::<C>(&self.eras, &response.response)?;
             self.reads.abandon();
+            if self.is_of_other_era(&batch) {
+                self.listing = None;
+                continue;
+            }
             if let Some(listing) = self.add_page(batch) {
-                return Ok(TableRead::Listing { rows: listing.rows, version: listing.version });
+                return Ok(TableRead::Listing { rows: listing.rows, through: listing.through });
             }
         }
     }
 
+    /// Returns true if `batch` is of another era than the listing or than the newest answer.
+    fn is_of_other_era(&self, batch: &RowBatch) -> bool {
+        let era = batch.through.seen_era();
+        let is_other = |listing: &PartialListing| listing.through.seen_era() != era;
+        era != self.eras.current() || self.listing.as_ref().is_some_and(is_other)
+    }
+
     /// Adds a page to the listing, and returns it if it is complete.
     fn add_page(&mut self, batch: RowBatch) -> Option<PartialListing> {
-        let version = batch.version;
+        let through = batch.through;
         let is_last = !batch.has_more || batch.rows.is_empty();
         let listing = self.listing.get_or_insert_with(|| PartialListing {
             rows: Vec::new(),
-            version,
+            through,
             begun_at: Instant::now(),
         });
         listing.rows.extend(batch.rows);
         if is_last { self.listing.take() } else { None }
     }
 
-    /// Returns the changes after `version`; the store waits up to `wait` for the first.
+    /// Returns the changes after `position`; the store waits up to `wait` for the first.
     pub async fn feed(
         &mut self,
-        version: StoreVersion,
+        position: StoreStamp,
         wait: Duration,
     ) -> Result<TableRead, StoreError> {
         self.set_listing(false);
-        let path = self.feed_path(version, wait);
+        let path = self.feed_path(position, wait);
         let Some(response) = self.reads.next(FEED, &path, wait + FEED_EXTRA_PACE).await else {
             return Ok(TableRead::Late);
         };
@@ -132,12 +146,16 @@
         if response.response.body.len() > LARGE_RESPONSE {
             self.reads.abandon();
         }
-        Self::decode(response).map(TableRead::Changes)
+        let batch = decode_batch::<C>(&self.eras, &response.response);
+        if self.eras.current() != position.seen_era() {
+            return Ok(TableRead::EraChanged);
+        }
+        batch.map(TableRead::Changes)
     }
 
     /// Starts another feed call beside those under way, which may be on silent connections.
-    pub fn start_feed(&mut self, version: StoreVersion, wait: Duration) {
-        let path = self.feed_path(version, wait);
+    pub fn start_feed(&mut self, position: StoreStamp, wait: Duration) {
+        let path = self.feed_path(position, wait);
         self.reads.start(FEED, &path);
     }
 
@@ -146,8 +164,8 @@
         self.reads.abandon();
     }
 
-    fn feed_path(&self, version: StoreVersion, wait: Duration) -> Arc<str> {
-        C::feed_path(self.table, version, wait.as_millis() as u64).into()
+    fn feed_path(&self, position: StoreStamp, wait: Duration) -> Arc<str> {
+        C::feed_path(self.table, position.version(), wait.as_millis() as u64).into()
     }
 
     /// Gives up the calls under way if they are of the other kind.
@@ -158,9 +176,4 @@
             self.reads.abandon();
         }
     }
-
-    fn decode(response: ReadResponse) -> Result<RowBatch, StoreError> {
-        check_status(&response.response)?;
-        C::row_batch(&response.response.body).context(DecodeSnafu)
-    }
 }
--- a/crates/gateway/src/store/table_sink.rs
+++ b/crates/gateway/src/store/table_sink.rs
@@ -4,12 +4,12 @@
 
 use crate::cluster::RowDigest;
 use crate::model::StoreRow;
-use crate::model::StoreVersion;
+use crate::model::StoreStamp;
 
 /// Receives the rows of a table.
 pub trait TableSink: Send + 'static {
     /// Applies the full table as of `version`.
-    fn apply_listing(&mut self, rows: Vec<StoreRow>, version: StoreVersion);
+    fn apply_listing(&mut self, rows: Vec<StoreRow>, version: StoreStamp);
     /// Applies changes in their order.
     fn apply_changes(&mut self, rows: Vec<StoreRow>);
     /// Returns a digest of a row's content, which stays the same until the row changes in a way
@@ -17,6 +17,11 @@
     fn digest(&self, row: &StoreRow) -> Option<RowDigest>;
     /// Called when the store is available again after an outage.
     fn store_available(&mut self) {}
+    /// Called when the store has come back from a copy, which may lack rows that are written again
+    /// soon.
+    fn store_copied(&mut self) {
+        self.store_available();
+    }
     /// Called when the store has responded to a call, with or without changes.
     fn record_read(&mut self) {}
     /// Returns a listener that resolves when the feed should be read at once, on a new connection.
@@ -39,7 +44,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TransferableRow {
     pub key: String,
-    pub version: StoreVersion,
+    pub stamp: StoreStamp,
     /// Size of its value in the store, in bytes.
     pub bytes: usize,
 }
--- a/crates/gateway/src/store/unreadable_row.rs
+++ b/crates/gateway/src/store/unreadable_row.rs
@@ -12,7 +12,7 @@
         event = events::ROW_UNREADABLE,
         %table,
         key = %row.key,
-        version = row.version,
+        version = row.stamp.version(),
         error = problem,
         "cannot decode a row of the store"
     );
--- a/crates/gateway/tests/config_delta.rs
+++ b/crates/gateway/tests/config_delta.rs
@@ -21,6 +21,7 @@
 use umberglade_gateway::model::RouteShare;
 use umberglade_gateway::model::RouteTable;
 use umberglade_gateway::model::ServiceSpec;
+use umberglade_gateway::model::StoreStamp;
 
 fn route(host: u8, prefix: u8, service: u8) -> Route {
     Route {
@@ -101,7 +102,7 @@
 }
 
 fn id(version: u64) -> ConfigId {
-    ConfigId { row_version: version, version }
+    ConfigId { stamp: StoreStamp::new(0, version), version }
 }
 
 fn step(from: u64, to: u64, bytes: usize) -> ConfigPart {
--- a/crates/gateway/tests/crash_detector.rs
+++ b/crates/gateway/tests/crash_detector.rs
@@ -8,6 +8,12 @@
 use umberglade_gateway::cluster::OutcomeUpdate;
 use umberglade_gateway::cluster::QuarantineVerdict;
 use umberglade_gateway::cluster::RowChange;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 const REQUEST: u64 = 7;
 const OTHER: u64 = 8;
@@ -48,8 +54,10 @@
             Step::OtherCompletion(server) => drop(detector.record_completion(OTHER, server, now)),
             Step::Completion => drop(detector.record_completion(REQUEST, HEALTHY_SERVER, now)),
             Step::PeerCompletion(age) => apply_outcome(detector, AttemptOutcome::Whole, age),
-            Step::Row(version) => drop(detector.apply_row(REQUEST, 0, version, false, now)),
-            Step::MissingRow(version) => drop(detector.apply_missing_row(REQUEST, version, now)),
+            Step::Row(version) => drop(detector.apply_row(REQUEST, 0, stamp(version), false, now)),
+            Step::MissingRow(version) => {
+                detector.apply_missing_row(REQUEST, stamp(version), now);
+            }
         }
     }
 }
@@ -235,21 +243,21 @@
     let started_at = Instant::now();
     let mut detector = quarantining(started_at);
     assert_eq!(detector.take_row_changes(), [RowChange::Write(REQUEST)]);
-    detector.apply_row(REQUEST, 0, 11, false, started_at);
+    detector.apply_row(REQUEST, 0, stamp(11), false, started_at);
     let before = started_at + FIRST_PROBE_DELAY - ms(1);
     assert!(matches!(detector.admit(REQUEST, before), QuarantineVerdict::Quarantined(_)));
     let due = started_at + FIRST_PROBE_DELAY;
     assert!(
-        matches!(detector.admit(REQUEST, due), QuarantineVerdict::ProbeDue(of) if of.version == 11)
+        matches!(detector.admit(REQUEST, due), QuarantineVerdict::ProbeDue(of) if of.stamp == stamp(11))
     );
     assert!(
         matches!(detector.admit(REQUEST, due), QuarantineVerdict::Quarantined(_)),
         "one at a time"
     );
-    detector.apply_row(REQUEST, 1, 12, true, due);
+    detector.apply_row(REQUEST, 1, stamp(12), true, due);
     detector.record_completion(REQUEST, HEALTHY_SERVER, due + ms(50));
     assert_eq!(detector.admit(REQUEST, due + ms(50)), QuarantineVerdict::Admitted);
-    assert_eq!(detector.take_row_changes(), [RowChange::Remove(REQUEST, 12)]);
+    assert_eq!(detector.take_row_changes(), [RowChange::Remove(REQUEST, stamp(12))]);
 }
 
 /// A claim of the probe fails when the store is unavailable or another gateway was first; a
@@ -284,10 +292,10 @@
 fn claim_with_lost_response_is_used_later() {
     let started_at = Instant::now();
     let mut detector = quarantining(started_at);
-    detector.apply_row(REQUEST, 0, 11, false, started_at);
+    detector.apply_row(REQUEST, 0, stamp(11), false, started_at);
     let due = started_at + FIRST_PROBE_DELAY;
     assert!(matches!(detector.admit(REQUEST, due), QuarantineVerdict::ProbeDue(_)));
-    detector.apply_row(REQUEST, 1, 12, true, due + ms(20));
+    detector.apply_row(REQUEST, 1, stamp(12), true, due + ms(20));
     assert!(matches!(detector.admit(REQUEST, due + ms(30)), QuarantineVerdict::Quarantined(_)));
     let settled = due + ms(2000);
     assert!(matches!(detector.admit(REQUEST, settled), QuarantineVerdict::Probe(_)));
@@ -304,7 +312,7 @@
     let started_at = Instant::now();
     for crashes_server in [false, true] {
         let mut detector = quarantining(started_at);
-        detector.apply_row(REQUEST, 1, 12, true, started_at);
+        detector.apply_row(REQUEST, 1, stamp(12), true, started_at);
         let mut probes = 0;
         for tick in 0..50 {
             let now = started_at + ms(tick * 100);
@@ -336,7 +344,7 @@
         detector.tick(false, now);
         if let QuarantineVerdict::ProbeDue(status) = detector.admit(REQUEST, now) {
             probes += u32::from(second > 3);
-            detector.apply_row(REQUEST, status.probes + 1, 100 + second, true, now);
+            detector.apply_row(REQUEST, status.probes + 1, stamp(100 + second), true, now);
             detector.begin_probe(REQUEST);
             detector.record_crash(REQUEST, 100 + second, Duration::ZERO, now + ms(50));
         }
@@ -352,7 +360,7 @@
     for removes_rows in [false, true] {
         let mut detector = quarantining(started_at);
         detector.take_row_changes();
-        detector.apply_row(REQUEST, 0, 11, false, started_at);
+        detector.apply_row(REQUEST, 0, stamp(11), false, started_at);
         assert!(detector.tick(removes_rows, started_at + Duration::from_secs(300)).is_empty());
         let later = started_at + Duration::from_secs(610);
         assert_eq!(detector.tick(removes_rows, later), [REQUEST]);
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -12,6 +12,12 @@
 use umberglade_gateway::cluster::ServerOutcome;
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerStage;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 fn entry(server: &str, is_leaving: bool) -> ServerEntry {
     ServerEntry {
@@ -252,37 +258,37 @@
         for step in case.steps {
             match *step {
                 Ready(server, version) => {
-                    fleet.upsert(entry(server, false), version);
+                    fleet.upsert(entry(server, false), stamp(version));
                 }
                 Leaving(server, version) => {
-                    fleet.upsert(entry(server, true), version);
+                    fleet.upsert(entry(server, true), stamp(version));
                 }
                 Removed(server, version) => {
-                    fleet.remove(server, version, now);
+                    fleet.remove(server, stamp(version), now);
                 }
                 Listed(servers, version) => {
                     let entries = servers
                         .iter()
-                        .map(|(server, row_version)| (entry(server, false), *row_version))
+                        .map(|(server, row_version)| (entry(server, false), stamp(*row_version)))
                         .collect();
                     let listing = ServerListing { entries, unreadable: Vec::new() };
-                    fleet.replace(listing, version, now);
+                    fleet.replace(listing, stamp(version), now);
                 }
                 ReadySince(server, version, start) => {
-                    fleet.upsert(with_start(entry(server, false), start), version);
+                    fleet.upsert(with_start(entry(server, false), start), stamp(version));
                 }
                 LeavingSince(server, version, start) => {
-                    fleet.upsert(with_start(entry(server, true), start), version);
+                    fleet.upsert(with_start(entry(server, true), start), stamp(version));
                 }
                 Misdirected(server) => {
                     let incarnation = fleet.server(server).expect("a known server").incarnation;
                     fleet.record_outcome(server, incarnation, ServerOutcome::Misdirected, now);
                 }
-                Unreadable(server, version) => fleet.record_unreadable(server, version),
+                Unreadable(server, version) => fleet.record_unreadable(server, stamp(version)),
                 ListedUnreadable(server, version) => {
-                    let unreadable = vec![(server.into(), version)];
+                    let unreadable = vec![(server.into(), stamp(version))];
                     let listing = ServerListing { entries: Vec::new(), unreadable };
-                    fleet.replace(listing, version, now);
+                    fleet.replace(listing, stamp(version), now);
                 }
                 StoreAvailable => fleet.record_store_available(now),
                 PeerStoreStable(millis) => {
@@ -304,12 +310,12 @@
 fn changes_are_reported_once() {
     let now = Instant::now();
     let mut fleet = Fleet::default();
-    assert_eq!(fleet.upsert(entry("a", false), 1), Some(FleetChange::Joined("a".into())));
-    assert_eq!(fleet.upsert(entry("a", false), 2), None);
-    assert_eq!(fleet.upsert(entry("a", true), 3), Some(FleetChange::Leaving("a".into())));
-    assert_eq!(fleet.upsert(entry("a", true), 4), None);
-    assert_eq!(fleet.remove("a", 5, now), Some(FleetChange::Removed("a".into())));
-    assert_eq!(fleet.remove("a", 6, now), None);
+    assert_eq!(fleet.upsert(entry("a", false), stamp(1)), Some(FleetChange::Joined("a".into())));
+    assert_eq!(fleet.upsert(entry("a", false), stamp(2)), None);
+    assert_eq!(fleet.upsert(entry("a", true), stamp(3)), Some(FleetChange::Leaving("a".into())));
+    assert_eq!(fleet.upsert(entry("a", true), stamp(4)), None);
+    assert_eq!(fleet.remove("a", stamp(5), now), Some(FleetChange::Removed("a".into())));
+    assert_eq!(fleet.remove("a", stamp(6), now), None);
 }
 
 /// Prevents a restarted server from being judged by its previous incarnation. A server crashes with
@@ -321,7 +327,7 @@
 fn a_new_incarnation_starts_without_prior_state() {
     let now = Instant::now();
     let mut fleet = Fleet::default();
-    fleet.upsert(with_start(entry("a", false), 100), 1);
+    fleet.upsert(with_start(entry("a", false), 100), stamp(1));
     let work = LoadShare { running: 5, ..LoadShare::default() };
     let earlier = fleet.add_load("a", work, now).expect("a known server");
     fleet.record_outcome("a", earlier, ServerOutcome::Unreachable, now);
@@ -332,7 +338,7 @@
         ..PeerUpdate::default()
     };
     fleet.peers.record("peer", 1, 1, update, now);
-    let change = fleet.upsert(with_start(entry("a", false), 200), 2);
+    let change = fleet.upsert(with_start(entry("a", false), 200), stamp(2));
     assert_eq!(change, Some(FleetChange::Restarted("a".into())));
     fleet.remove_load("a", earlier, work);
     fleet.record_outcome("a", earlier, ServerOutcome::Unreachable, now);
@@ -373,13 +379,13 @@
 fn departures_of_unlisted_servers_expire() {
     let start = Instant::now();
     let mut fleet = Fleet::new(0);
-    fleet.upsert(entry("a", false), 1);
+    fleet.upsert(entry("a", false), stamp(1));
     let server = fleet.server("a").expect("a known server").incarnation;
     assert!(fleet.departures.record(server, start));
     assert!(!fleet.departures.record(server, start), "already recorded");
     let after = |seconds| start + Duration::from_secs(seconds);
     fleet.tick(after(300));
-    fleet.remove("a", 2, after(301));
+    fleet.remove("a", stamp(2), after(301));
     fleet.tick(after(330));
     assert!(fleet.departures.contains(server));
     fleet.tick(after(400));
@@ -392,18 +398,18 @@
 fn stated_departures_outlive_rows() {
     let now = Instant::now();
     let mut fleet = Fleet::new(0);
-    fleet.upsert(with_start(entry("a", false), 100), 1);
-    fleet.upsert(with_start(entry("b", false), 100), 1);
+    fleet.upsert(with_start(entry("a", false), 100), stamp(1));
+    fleet.upsert(with_start(entry("b", false), 100), stamp(1));
     let server = fleet.server("a").expect("a known server").incarnation;
     assert_eq!(fleet.record_departure(server, now), Some(FleetChange::Leaving("a".into())));
     assert_eq!(fleet.record_departure(server, now), None, "already recorded");
     assert_eq!(available(&fleet, now), ["b"]);
-    fleet.upsert(with_start(entry("a", false), 100), 2);
+    fleet.upsert(with_start(entry("a", false), 100), stamp(2));
     assert_eq!(available(&fleet, now), ["b"], "after a row update without the departure");
-    fleet.remove("a", 3, now);
-    fleet.upsert(with_start(entry("a", false), 100), 4);
+    fleet.remove("a", stamp(3), now);
+    fleet.upsert(with_start(entry("a", false), 100), stamp(4));
     assert_eq!(available(&fleet, now), ["b"], "after its row was removed and added again");
-    fleet.upsert(with_start(entry("a", false), 200), 5);
+    fleet.upsert(with_start(entry("a", false), 200), stamp(5));
     assert_eq!(available(&fleet, now), ["a", "b"], "after a restart");
 }
 
@@ -414,6 +420,6 @@
     let mut fleet = Fleet::new(0);
     let server = with_start(entry("a", false), 100);
     assert_eq!(fleet.record_departure(server.incarnation(), now), None);
-    assert_eq!(fleet.upsert(server, 1), None);
+    assert_eq!(fleet.upsert(server, stamp(1)), None);
     assert!(available(&fleet, now).is_empty());
 }
--- a/crates/gateway/tests/in_force.rs
+++ b/crates/gateway/tests/in_force.rs
@@ -9,10 +9,11 @@
 use umberglade_gateway::model::CallerLimits;
 use umberglade_gateway::model::ConfigId;
 use umberglade_gateway::model::RouteTable;
+use umberglade_gateway::model::StoreStamp;
 
 fn config(row_version: u64, version: u64) -> HeldConfig {
     let table = RouteTable::new(version, Vec::new(), HashMap::new(), CallerLimits::default());
-    HeldConfig::new(ConfigId { row_version, version }, 0, table)
+    HeldConfig::new(ConfigId { stamp: StoreStamp::new(0, row_version), version }, 0, table)
 }
 
 fn apply(in_force: &mut InForce, row_version: u64, version: u64) -> InForceChange {
--- a/crates/gateway/tests/limit_division.rs
+++ b/crates/gateway/tests/limit_division.rs
@@ -18,6 +18,12 @@
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerStage;
 use umberglade_gateway::model::StatedLimit;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 /// Interval over which arrivals at a server are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -117,7 +123,7 @@
         let mut fleet = Fleet::new(name_digest(&format!("gw-{gateway}")));
         fleet.set_gateways(self.case.gateways);
         for server in 0..SERVERS {
-            fleet.upsert(entry(&format!("s-{server}")), 1);
+            fleet.upsert(entry(&format!("s-{server}")), stamp(1));
         }
         fleet
     }
--- a/crates/gateway/tests/peer_totals.rs
+++ b/crates/gateway/tests/peer_totals.rs
@@ -20,6 +20,12 @@
 use umberglade_gateway::model::PromptShape;
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerStage;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 /// How long a report is valid.
 const REPORT_LIFETIME: Duration = Duration::from_millis(600);
@@ -211,7 +217,7 @@
         let mut fleet = Fleet::default();
         for at in 0..case.decode + case.prefill {
             let stage = if at < case.decode { ServerStage::Decode } else { ServerStage::Prefill };
-            fleet.upsert(entry(at, stage), at as u64 + 1);
+            fleet.upsert(entry(at, stage), stamp(at as u64 + 1));
         }
         for peer in 0..case.peers {
             let load = LoadShare::of_stream(&shape);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -20,6 +20,12 @@
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerKey;
 use umberglade_gateway::model::ServerStage;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 const SHAPE: PromptShape =
     PromptShape { prompt_tokens: 5000, output_limit: 4000, output_estimate: Some(3500) };
@@ -49,7 +55,7 @@
 fn fleet(stage: ServerStage, servers: &[(&str, &str)]) -> Fleet {
     let mut fleet = Fleet::default();
     for (at, (server, domain)) in servers.iter().enumerate() {
-        fleet.upsert(entry(server, domain, stage), at as u64 + 1);
+        fleet.upsert(entry(server, domain, stage), stamp(at as u64 + 1));
     }
     fleet
 }
@@ -114,10 +120,10 @@
             let domain = fleet.server(server).unwrap().entry.domain.clone();
             let leaving =
                 ServerEntry { is_leaving: true, ..entry(server, &domain, ServerStage::Plain) };
-            fleet.upsert(leaving, 100);
+            fleet.upsert(leaving, stamp(100));
         }
         Change::Removed(server) => {
-            fleet.remove(server, 100, now);
+            fleet.remove(server, stamp(100), now);
         }
     }
 }
@@ -253,8 +259,8 @@
     for case in cases {
         let now = Instant::now();
         let mut fleet = fleet(ServerStage::Decode, &[("d", "own")]);
-        fleet.upsert(entry("p-near", "own", ServerStage::Prefill), 10);
-        fleet.upsert(entry("p-far", "far", ServerStage::Prefill), 11);
+        fleet.upsert(entry("p-near", "own", ServerStage::Prefill), stamp(10));
+        fleet.upsert(entry("p-far", "far", ServerStage::Prefill), stamp(11));
         fleet.add_load("p-near", LoadShare::of_prompt(case.queued_locally), now);
         let domain: DomainKey = "own".into();
         let place = place_engine(&fleet, &spec(), &SHAPE, 0, &request(&domain, &[], now)).unwrap();
@@ -325,7 +331,7 @@
     let mut fleet = Fleet::default();
     for at in 0..60u64 {
         let stage = if at < 39 { ServerStage::Decode } else { ServerStage::Prefill };
-        fleet.upsert(entry(&format!("i-{at:08x}"), "z1", stage), at + 1);
+        fleet.upsert(entry(&format!("i-{at:08x}"), "z1", stage), stamp(at + 1));
     }
     for case in cases {
         let mut decodes: HashMap<ServerKey, usize> = HashMap::new();
@@ -383,7 +389,7 @@
     for case in cases {
         let now = Instant::now();
         let mut fleet = fleet(ServerStage::Prefill, &[("p-0", "a"), ("p-1", "a")]);
-        fleet.upsert(entry("d", "a", ServerStage::Decode), 10);
+        fleet.upsert(entry("d", "a", ServerStage::Decode), stamp(10));
         for (at, queued) in case.queued.into_iter().enumerate() {
             fleet.add_load(&format!("p-{at}"), LoadShare::of_prompt(queued), now);
         }
--- a/crates/gateway/tests/quarantine_propagation.rs
+++ b/crates/gateway/tests/quarantine_propagation.rs
@@ -10,6 +10,12 @@
 use umberglade_gateway::cluster::QuarantineVerdict;
 use umberglade_gateway::cluster::RowChange;
 use umberglade_gateway::cluster::report_interval;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 const POISON: u64 = 7;
 const STEP: Duration = Duration::from_millis(20);
@@ -152,14 +158,14 @@
             QuarantineVerdict::Admitted | QuarantineVerdict::Probe(_) => {}
             QuarantineVerdict::Quarantined(_) => return,
             QuarantineVerdict::ProbeDue(status) => {
-                if !self.case.has_store || status.version != self.version {
+                if !self.case.has_store || status.stamp.version() != self.version {
                     return;
                 }
                 self.version += 1;
                 self.detectors[gateway].apply_row(
                     POISON,
                     status.probes + 1,
-                    self.version,
+                    stamp(self.version),
                     true,
                     now,
                 );
@@ -228,7 +234,7 @@
             match message {
                 Message::Update(update) => drop(self.detectors[to].apply_peer_outcome(update, now)),
                 Message::Row { probes, version } => {
-                    self.detectors[to].apply_row(POISON, probes, version, false, now);
+                    self.detectors[to].apply_row(POISON, probes, stamp(version), false, now);
                 }
             }
         }
--- a/crates/gateway/tests/server_backoffs.rs
+++ b/crates/gateway/tests/server_backoffs.rs
@@ -11,6 +11,12 @@
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerIncarnation;
 use umberglade_gateway::model::ServerStage;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 const LOCAL: u64 = 11;
 const PEER: u64 = 12;
@@ -33,7 +39,7 @@
 fn fleet(local_gateway: u64) -> (Fleet, ServerIncarnation) {
     let mut fleet = Fleet::new(local_gateway);
     fleet.set_gateways(2);
-    fleet.upsert(entry("a"), 1);
+    fleet.upsert(entry("a"), stamp(1));
     let server = fleet.server("a").expect("a known server").incarnation;
     (fleet, server)
 }
--- a/crates/gateway/tests/shared_crashes.rs
+++ b/crates/gateway/tests/shared_crashes.rs
@@ -9,6 +9,12 @@
 use umberglade_gateway::cluster::OutcomeUpdate;
 use umberglade_gateway::cluster::QuarantineVerdict;
 use umberglade_gateway::cluster::RowChange;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 const POISON: u64 = 7;
 const POPULAR: u64 = 8;
@@ -177,7 +183,7 @@
             let mut detector = CrashDetector::new(now);
             let report = |detector: &mut CrashDetector| {
                 if let Some(version) = case.void_up_to {
-                    let outcome = AttemptOutcome::Cleared(version);
+                    let outcome = AttemptOutcome::Cleared(stamp(version));
                     detector.apply_peer_outcome(
                         OutcomeUpdate { content: POPULAR, outcome, age_ms: 5 },
                         now,
@@ -187,7 +193,7 @@
             if is_reported_first {
                 report(&mut detector);
             }
-            detector.apply_row(POPULAR, 0, case.row, false, now);
+            detector.apply_row(POPULAR, 0, stamp(case.row), false, now);
             if !is_reported_first {
                 // Until the report arrives, requests wait instead of being rejected.
                 assert!(detector.status(POPULAR, now).is_some_and(|status| status.is_provisional));
@@ -210,10 +216,10 @@
     let now = Instant::now();
     let mut detector = CrashDetector::default();
     crash_three(&mut detector, [0; 3], 0, now);
-    detector.apply_row(POPULAR, 0, 12, false, now);
+    detector.apply_row(POPULAR, 0, stamp(12), false, now);
     detector.take_row_changes();
     detector.record_completion(POPULAR, 99, now);
-    assert_eq!(detector.take_row_changes(), [RowChange::Remove(POPULAR, 12)]);
-    let is_reported = |update: &OutcomeUpdate| update.outcome == AttemptOutcome::Cleared(12);
+    assert_eq!(detector.take_row_changes(), [RowChange::Remove(POPULAR, stamp(12))]);
+    let is_reported = |update: &OutcomeUpdate| update.outcome == AttemptOutcome::Cleared(stamp(12));
     assert!(detector.updates(false, now).iter().any(is_reported));
 }
--- a/crates/gateway/tests/stage_monitor.rs
+++ b/crates/gateway/tests/stage_monitor.rs
@@ -12,6 +12,12 @@
 use umberglade_gateway::leader::is_claimable;
 use umberglade_gateway::model::ServerEntry;
 use umberglade_gateway::model::ServerStage;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 /// The same snapshot every 200 ms.
 struct MonitorCase {
@@ -173,7 +179,7 @@
             is_leaving: false,
             started_at: None,
         };
-        fleet.upsert(entry, at + 1);
+        fleet.upsert(entry, stamp(at + 1));
     }
     let change = StageChange { to: ServerStage::Decode, count: 6 };
     let chosen = choose_stage_change(&fleet, "svc", change, now);
--- a/crates/gateway/tests/table_readers.rs
+++ b/crates/gateway/tests/table_readers.rs
@@ -8,6 +8,12 @@
 use umberglade_gateway::cluster::ReaderNotice;
 use umberglade_gateway::cluster::ReaderRank;
 use umberglade_gateway::cluster::TableReaders;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 /// Time within which a change must be known.
 const BOUND: Duration = Duration::from_secs(3);
@@ -53,7 +59,7 @@
         let what = format!("{}, step {at} {step:?}", case.name);
         let few = ReaderRank { peers: 6, peers_before: 5 };
         match *step {
-            Step::Read(fingerprint) => readers.record_read(fingerprint, 1, now),
+            Step::Read(fingerprint) => readers.record_read(fingerprint, stamp(1), now),
             Step::ReadFailed => readers.record_failure(),
             Step::PeerRows(fingerprint) => readers.record_peer_rows(fingerprint),
             Step::PeerReads { peer, fingerprint, age_ms } => {
@@ -207,7 +213,7 @@
     let takes_over = |peers_before: usize, after_ms: u64| {
         let rank = ReaderRank { peers: 78, peers_before };
         let mut readers = TableReaders::new(LOCAL, BOUND, 0.0);
-        readers.record_read(HELD, 1, now);
+        readers.record_read(HELD, stamp(1), now);
         for peer in 1..=3 {
             readers.apply_peer_notice(peer, notice(now, false));
         }
@@ -264,7 +270,7 @@
         let started_at = Instant::now() + Duration::from_secs(60);
         let mut readers = TableReaders::new(LOCAL, BOUND, 0.5);
         readers.set_cost(cost(case.local_is_heavy));
-        readers.record_read(HELD, 1, started_at);
+        readers.record_read(HELD, stamp(1), started_at);
         // Three peers with higher digests read.
         for peer in 201..=203 {
             readers.apply_peer_notice(peer, notice(started_at, case.readers_are_heavy));
@@ -275,7 +281,7 @@
     // A receiver takes over from readers whose links are loaded more.
     let started_at = Instant::now() + Duration::from_secs(60);
     let mut readers = TableReaders::new(LOCAL, BOUND, 0.5);
-    readers.record_read(HELD, 1, started_at);
+    readers.record_read(HELD, stamp(1), started_at);
     (1..=3).for_each(|peer| readers.apply_peer_notice(peer, notice(started_at, false)));
     assert!(matches!(readers.role(MANY_PEERS, started_at), ReadRole::Receiver { .. }));
     let takes_over = (1..=60).any(|step| {
--- a/crates/gateway/tests/table_row_set.rs
+++ b/crates/gateway/tests/table_row_set.rs
@@ -2,6 +2,12 @@
 
 use proptest::prelude::*;
 use umberglade_gateway::cluster::TableRowSet;
+use umberglade_gateway::model::StoreStamp;
+
+/// Returns the stamp with `version` of a store that has never come back from a copy.
+fn stamp(version: u64) -> StoreStamp {
+    StoreStamp::new(0, version)
+}
 
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -21,8 +27,8 @@
 
 fn apply(row_set: &mut TableRowSet, step: &Step) -> bool {
     match *step {
-        Step::Row(key, version, digest) => row_set.record(key, version, Some(digest)),
-        Step::Deleted(key, version) => row_set.record(key, version, None),
+        Step::Row(key, version, digest) => row_set.record(key, stamp(version), Some(digest)),
+        Step::Deleted(key, version) => row_set.record(key, stamp(version), None),
     }
 }
 
@@ -106,21 +112,21 @@
             .collect();
         let mut ordered = TableRowSet::default();
         for (key, version, digest) in &all {
-            ordered.record(key, *version, Some(*digest));
+            ordered.record(key, stamp(*version), Some(*digest));
         }
         let mut shuffled = all.clone();
         shuffled.sort_by_key(|(_, version, _)| version.wrapping_mul(order | 1));
         let mut reordered = TableRowSet::default();
         for (key, version, digest) in shuffled.iter().chain(&all) {
-            reordered.record(key, *version, Some(*digest));
+            reordered.record(key, stamp(*version), Some(*digest));
         }
         prop_assert_eq!(ordered.fingerprint(), reordered.fingerprint());
 
         let newest = keys.iter().filter_map(|key| all.iter().rev().find(|row| row.0 == *key));
-        let listed: Vec<(&str, u64, u64)> = newest.copied().collect();
+        let listed = newest.map(|(key, version, digest)| (*key, stamp(*version), *digest));
         let mut listing = TableRowSet::default();
-        listing.record("gone", 1, Some(3));
-        let deleted = listing.replace(listed.into_iter(), all.len() as u64);
+        listing.record("gone", stamp(1), Some(3));
+        let deleted = listing.replace(listed, stamp(all.len() as u64));
         prop_assert_eq!(deleted, vec!["gone".to_owned()]);
         prop_assert_eq!(ordered.fingerprint(), listing.fingerprint());
     }
@@ -130,12 +136,12 @@
 #[test]
 fn deleted_rows_are_bounded() {
     let mut row_set = TableRowSet::default();
-    row_set.record("stays", 1, Some(5));
+    row_set.record("stays", stamp(1), Some(5));
     let initial = row_set.fingerprint();
     for at in 0..10_000u64 {
         let key = format!("server-{at}");
-        row_set.record(&key, at * 2 + 2, Some(9));
-        row_set.record(&key, at * 2 + 3, None);
+        row_set.record(&key, stamp(at * 2 + 2), Some(9));
+        row_set.record(&key, stamp(at * 2 + 3), None);
     }
     assert_eq!(row_set.fingerprint(), initial);
     assert!(row_set.len() < 2_000, "{} rows kept", row_set.len());
--- a/crates/wire/src/keep_alive.rs
+++ b/crates/wire/src/keep_alive.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -23,10 +24,11 @@
 use crate::error::HttpSnafu;
 use crate::error::WireError;
 
-/// The status and the complete body of a response.
+/// The head and the complete body of a response.
 #[derive(Debug, Clone)]
 pub struct BufferedResponse {
     pub status: StatusCode,
+    pub headers: HeaderMap,
     pub body: Bytes,
 }
 
@@ -97,8 +99,7 @@
         let peer = self.http.peer.as_str();
         let head = receive_head(&self.http, open_sender, step, request);
         let (sender, response) = with_timeout(step, peer, limits.head, head).await?;
-        let status = response.status();
-        let mut body = response.into_body();
+        let (head, mut body) = response.into_parts();
         let mut bytes = Vec::with_capacity(expected_length(&body));
         while let Some(frame) = next_frame(&mut body, limits.body).await.ok_or_else(|| {
             let silence_ms = limits.body.as_millis() as u64;
@@ -109,7 +110,7 @@
             received.store(bytes.len(), Ordering::Relaxed);
         }
         self.sender = Some(sender);
-        Ok(BufferedResponse { status, body: bytes.into() })
+        Ok(BufferedResponse { status: head.status, headers: head.headers, body: bytes.into() })
     }
 
     fn take_sender(&mut self) -> Option<SendRequest<Full<Bytes>>> {
@@ -163,9 +164,9 @@
 ) -> Result<(SendRequest<Full<Bytes>>, BufferedResponse), WireError> {
     let peer = http.peer.as_str();
     let (sender, response) = receive_head(http, open_sender, step, request).await?;
-    let status = response.status();
-    let body = response.into_body().collect().await.context(HttpSnafu { step, peer })?.to_bytes();
-    Ok((sender, BufferedResponse { status, body }))
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.context(HttpSnafu { step, peer })?.to_bytes();
+    Ok((sender, BufferedResponse { status: head.status, headers: head.headers, body }))
 }
 
 /// Sends `request` and receives the head of the response.
