Rows of peers are applied while a response of the store is late

A reader whose path to the store is silent applied what its peers had read only when a call was overtaken by the next one, 0.75 to 1.4 s later; found by reading the follower again. Its wait for the store is interrupted by rows of peers now, and the calls go on.

--- a/crates/gateway/src/store/config_sink.rs
+++ b/crates/gateway/src/store/config_sink.rs
@@ -8,8 +8,8 @@
 
 use super::TableSink;
 use super::TransferableRow;
-use super::base64_length;
 use super::raw_digest::stamp_digest;
+use super::row_size::base64_length;
 use super::unreadable_row::log_unreadable;
 use crate::cluster::RowDigest;
 use crate::codec::PlatformCodec;
--- a/crates/gateway/src/store/table_coordinator.rs
+++ b/crates/gateway/src/store/table_coordinator.rs
@@ -11,7 +11,7 @@
 use super::TableSink;
 use super::TransferableRow;
 use super::raw_digest::stamp_digest;
-use super::table_follower::estimated_bytes;
+use super::row_size::estimated_bytes;
 use crate::cluster::ReadCost;
 use crate::cluster::ReadRole;
 use crate::cluster::ReaderRank;
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -11,11 +11,11 @@
 use super::TableReader;
 use super::TableSink;
 use super::read_progress::ReadProgress;
+use super::row_size::estimated_bytes;
 use super::table_reader::TableRead;
 use crate::cluster::ReadRole;
 use crate::codec::PlatformCodec;
 use crate::events;
-use crate::model::RowValue;
 use crate::model::StoreRow;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
@@ -31,9 +31,6 @@
 /// entry expires after three missed renewals.
 const MIN_OUTAGE: Duration = Duration::from_millis(1000);
 
-/// Approximate overhead of a row in the store's responses, in bytes.
-const ROW_OVERHEAD: usize = 40;
-
 /// Keeps a sink up to date with one table until the process stops. The sink keeps its state while
 /// the store can't be read.
 #[derive(Debug)]
@@ -230,43 +227,47 @@
         }
     }
 
-    /// Waits for the next response of the store. Returns `None` if peers have sent rows while the
-    /// table is listed: the listing may not be needed any more.
+    /// Waits for the next response of the store. Returns `None` if peers have sent rows meanwhile,
+    /// which must not wait for a late response; the calls under way go on.
     async fn next_read(
         &mut self,
         position: Option<StoreStamp>,
     ) -> Result<Option<TableRead>, StoreError> {
-        if let Some(version) = position {
-            return self.feed(version).await.map(Some);
-        }
-        let Some(coordinator) = &self.coordinator else {
-            return self.reader.list().await.map(Some);
-        };
-        let rows_received = coordinator.rows_received();
+        let rows_received = self.coordinator.as_ref().map(TableCoordinator::rows_received);
         let interrupted = async {
-            rows_received.await;
+            match rows_received {
+                Some(rows_received) => rows_received.await,
+                None => std::future::pending().await,
+            }
             Ok(None)
         };
-        async { self.reader.list().await.map(Some) }.or(interrupted).await
+        let read = async {
+            let read = match position {
+                Some(position) => self.feed(position).await,
+                None => self.reader.list().await,
+            };
+            read.map(Some)
+        };
+        read.or(interrupted).await
     }
 
     /// Makes a feed call. If the sink's trigger fires meanwhile, another one is started on another
     /// connection: the present one may be silent.
-    async fn feed(&mut self, version: StoreStamp) -> Result<TableRead, StoreError> {
+    async fn feed(&mut self, position: StoreStamp) -> Result<TableRead, StoreError> {
         let feed_wait = self.halved_if_shared(self.feed_wait);
         loop {
             let Some(read_trigger) = self.sink.read_trigger() else {
-                return self.reader.feed(version, feed_wait).await;
+                return self.reader.feed(position, feed_wait).await;
             };
             let interrupted = async {
                 read_trigger.await;
                 None
             };
-            let feed = self.reader.feed(version, feed_wait);
+            let feed = self.reader.feed(position, feed_wait);
             if let Some(read) = async { Some(feed.await) }.or(interrupted).await {
                 return read;
             }
-            self.reader.start_feed(version, feed_wait);
+            self.reader.start_feed(position, feed_wait);
         }
     }
 
@@ -344,20 +345,6 @@
     }
 }
 
-/// Estimates the size of `rows` on the wire from their keys and values.
-pub(super) fn estimated_bytes(rows: &[StoreRow]) -> usize {
-    let value = |row: &StoreRow| match &row.value {
-        RowValue::Held(value) => base64_length(value.len()),
-        RowValue::Removed | RowValue::Unreadable(_) => 0,
-    };
-    rows.iter().map(|row| value(row) + row.key.len() + ROW_OVERHEAD).sum()
-}
-
-/// Returns the length of `bytes` bytes in the store's encoding.
-pub(super) fn base64_length(bytes: usize) -> usize {
-    bytes * 4 / 3
-}
-
 fn retry_delay(failures: u32) -> Duration {
     let doubled = INITIAL_RETRY_DELAY * 2u32.pow(failures.saturating_sub(1).min(4));
     doubled.min(MAX_RETRY_DELAY).mul_f64(0.75 + fastrand::f64() * 0.5)
