--- a/crates/gateway/src/peers/config_fetcher.rs
+++ b/crates/gateway/src/peers/config_fetcher.rs
@@ -33,7 +33,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a transfer may take at one peer before it goes on at another one.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Mean time for which a peer is not asked again after it was busy.
+/// Mean time for which a peer is not asked again after it was busy, or sent what is not needed any
+/// more.
 const BUSY_REST: Duration = Duration::from_millis(60);
 /// Time for which a peer is not asked again after it had nothing newer.
 const NOTHING_NEWER_REST: Duration = Duration::from_millis(250);
@@ -142,7 +143,7 @@
         self.wants_whole = false;
         match self.state.apply_config_part(part) {
             Ok(true) => ("taken".to_owned(), Duration::ZERO),
-            Ok(false) => ("overtaken".to_owned(), Duration::ZERO),
+            Ok(false) => ("overtaken".to_owned(), BUSY_REST),
             Err(error) => {
                 self.wants_whole = true;
                 (error.to_string(), FAILURE_REST)
--- a/crates/gateway/src/store/overlapping_reads.rs
+++ b/crates/gateway/src/store/overlapping_reads.rs
@@ -70,12 +70,12 @@
     /// Starts a read of `path`. If too many are under way, the oldest that has brought nothing is
     /// given up for it.
     pub fn start(&mut self, step: &'static str, path: &Arc<str>) {
-        metrics::counter!("umberglade_store_calls_total", "call" => step).increment(1);
         if self.open.len() >= MAX_OPEN {
             let is_silent = |read: &OpenRead| !read.is_receiving();
             let Some(oldest) = self.open.iter().position(is_silent) else { return };
             self.open.remove(oldest);
         }
+        metrics::counter!("umberglade_store_calls_total", "call" => step).increment(1);
         let mut client = self.idle.pop().unwrap_or_else(|| KeepAliveClient::new(self.peer.clone()));
         let received = Arc::new(AtomicUsize::new(0));
         let (path, counter) = (Arc::clone(path), Arc::clone(&received));
