--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use event_listener::EventListener;
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::net::TcpListener;
 use smol::net::UdpSocket;
@@ -36,6 +37,7 @@
 use crate::store::TableCoordinator;
 use crate::store::TableFollower;
 use crate::store::TableReader;
+use crate::timing::with_deadline;
 
 /// Fraction of the configuration's bound for which its feed waits at the store. Together with the
 /// call's margin and a new connection, a connection that has become silent hides a change for less
@@ -71,6 +73,9 @@
 const MAX_REGISTER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Number of ports that are tried if any free one is requested.
 const MAX_PORT_ATTEMPTS: u32 = 8;
+/// How long the first read of the registered gateways waits for this gateway's own registration,
+/// which a slow store may delay.
+const REGISTRATION_WAIT: Duration = Duration::from_secs(2);
 /// Interval at which a stop checks whether anything is still in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which expired server state and expired pooled connections are dropped.
@@ -96,7 +101,8 @@
     let state = GatewayState::new(settings, metrics);
     let registry = Arc::new(PeerRegistry::default());
     follow_tables::<C>(&state);
-    pool::spawn(follow_members::<C>(Arc::clone(&state), Arc::clone(&registry)));
+    let registered = state.registered.listen();
+    pool::spawn(follow_members::<C>(Arc::clone(&state), Arc::clone(&registry), registered));
     pool::spawn(keep_registered::<C>(Arc::clone(&state)));
     pool::spawn(peers::send_reports(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
     pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
@@ -256,8 +262,15 @@
     pool::spawn(quarantines.run());
 }
 
-/// Follows the table of gateways until the process stops.
-async fn follow_members<C: PlatformCodec>(state: Arc<GatewayState>, registry: Arc<PeerRegistry>) {
+/// Follows the table of gateways until the process stops. The first read waits a moment for this
+/// gateway's registration: gateways that start together register one after the other, and would
+/// otherwise all report to all others at once.
+async fn follow_members<C: PlatformCodec>(
+    state: Arc<GatewayState>,
+    registry: Arc<PeerRegistry>,
+    registered: EventListener,
+) {
+    with_deadline(Instant::now() + REGISTRATION_WAIT, registered).await;
     let members = TableFollower {
         reader: TableReader::<C>::new(&state, StoreTable::Members),
         table: StoreTable::Members,
