A stream that breaks at once no longer takes its response head along

Cause: the HTTP server buffers head and frames and flushes when the body is pending. A body that fails before the first flush ends the connection, and the buffered head and events are dropped. So it is for each stream whose server breaks together with its first event.

Without the guard, `early_break` (head, event and break in one packet) failed at its first call and `ordered_body` in its case without a frame; both pass with it.

Change: OrderedBody holds an error back until the connection's next completed flush, which the server makes only when its own buffer is empty; the head is buffered before the body is first polled. 1 s at most for a caller that does not read. The router's `serve` has no body that can fail.

--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -16,6 +16,9 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
+use umberglade_wire::ordered_body::FlushSignal;
+use umberglade_wire::ordered_body::OrderedBody;
+use umberglade_wire::ordered_body::TrackedStream;
 use umberglade_wire::pool;
 
 use super::read_call::CallAborted;
@@ -53,9 +56,17 @@
 
 async fn serve_connection<C: PlatformCodec>(stream: TcpStream, state: Arc<GatewayState>) {
     let limits = state.route_table().map(|table| table.limits).unwrap_or_default();
+    let signal = FlushSignal::default();
+    let stream = TrackedStream::new(stream, signal.clone());
     let service_state = Arc::clone(&state);
-    let service =
-        service_fn(move |request| handle_request::<C>(Arc::clone(&service_state), request));
+    let service = service_fn(move |request| {
+        let state = Arc::clone(&service_state);
+        let signal = signal.clone();
+        async move {
+            let response = handle_request::<C>(state, request).await?;
+            Ok::<_, CallAborted>(response.map(|body| OrderedBody::new(body, signal)))
+        }
+    });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         // Counted from when the connection becomes idle, so it must allow for the longest idle
