A rejection before the body reaches a caller that is still sending

Callers saw: a broken pipe or a reset in place of a 401, 404, 413 or 503.

Cause: after a response to a request whose body was not read, the HTTP server closes the connection, and the bytes that still arrive reset it before the caller has read the response.

Change: after such a response the gateway closes its own direction and discards what arrives, until the caller closes, for 1 s at most. Not after idle connections: a request that crosses their end must stay unread. The server of `serve` and the stand-ins lingers at the end of each connection.

--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -2,6 +2,8 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
@@ -16,6 +18,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
+use umberglade_wire::lingering_close;
 use umberglade_wire::ordered_body::FlushSignal;
 use umberglade_wire::ordered_body::OrderedBody;
 use umberglade_wire::ordered_body::TrackedStream;
@@ -56,24 +59,17 @@
 
 async fn serve_connection<C: PlatformCodec>(stream: TcpStream, state: Arc<GatewayState>) {
     let limits = state.route_table().map(|table| table.limits).unwrap_or_default();
-    let signal = FlushSignal::default();
-    let stream = TrackedStream::new(stream, signal.clone());
-    let service_state = Arc::clone(&state);
-    let service = service_fn(move |request| {
-        let state = Arc::clone(&service_state);
-        let signal = signal.clone();
-        async move {
-            let response = handle_request::<C>(state, request).await?;
-            Ok::<_, CallAborted>(response.map(|body| OrderedBody::new(body, signal)))
-        }
-    });
+    let context = ConnectionContext::new(&state);
+    let tracked_stream = TrackedStream::new(stream.clone(), context.signal.clone());
+    let service_context = context.clone();
+    let service = service_fn(move |request| handle_request::<C>(service_context.clone(), request));
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         // Counted from when the connection becomes idle, so it must allow for the longest idle
         // time, which is the larger of the two limits.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(tracked_stream), service);
     let mut connection = pin!(connection);
     let connection_ended = async {
         // The error is that the caller's connection broke; each request on it has logged its own
@@ -97,19 +93,42 @@
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
+    if context.has_unread_body.load(Ordering::Acquire) {
+        lingering_close::close(stream).await;
+    }
 }
 
-async fn handle_request<C: PlatformCodec>(
+/// What the requests of one connection share.
+#[derive(Debug, Clone)]
+struct ConnectionContext {
     state: Arc<GatewayState>,
+    signal: FlushSignal,
+    /// True when the last request was rejected before its body was read.
+    has_unread_body: Arc<AtomicBool>,
+}
+
+impl ConnectionContext {
+    fn new(state: &Arc<GatewayState>) -> Self {
+        let signal = FlushSignal::default();
+        ConnectionContext { state: Arc::clone(state), signal, has_unread_body: Arc::default() }
+    }
+}
+
+async fn handle_request<C: PlatformCodec>(
+    context: ConnectionContext,
     request: Request<Incoming>,
-) -> Result<Response<GatewayBody>, CallAborted> {
+) -> Result<Response<OrderedBody<GatewayBody>>, CallAborted> {
+    let ConnectionContext { state, signal, has_unread_body } = context;
     let _in_flight = state.in_flight.enter_request();
-    let mut response = match read_call::<C>(&state, request).await? {
+    let outcome = read_call::<C>(&state, request).await?;
+    let is_unread = matches!(outcome, ReadOutcome::RejectedUnread(_));
+    has_unread_body.store(is_unread, Ordering::Release);
+    let mut response = match outcome {
         ReadOutcome::Call(call) => forward::forward::<C>(&state, call).await,
-        ReadOutcome::Rejected(response) => response,
+        ReadOutcome::Rejected(response) | ReadOutcome::RejectedUnread(response) => response,
     };
     if state.stop.has_elapsed(BALANCER_NOTICE_DELAY) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|body| OrderedBody::new(body, signal)))
 }
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -58,6 +58,8 @@
 pub enum ReadOutcome {
     Call(Arc<Call>),
     Rejected(Response<GatewayBody>),
+    /// Rejected before its body was read; its caller may still be sending it.
+    RejectedUnread(Response<GatewayBody>),
 }
 
 /// Reads `request` completely; rejects it where no route or limit allows it.
@@ -73,18 +75,25 @@
     let host = stated_host(request.headers(), request.uri()).unwrap_or_default();
     let found = match find_route(state, host, request.uri().path(), &head.key).await {
         Ok(found) => found,
-        Err(rejection) => return Ok(reject_unrouted(state, request_id, &head.key, rejection)),
+        Err(rejection) => {
+            let response = reject_unrouted(state, request_id, &head.key, rejection);
+            return Ok(ReadOutcome::RejectedUnread(response));
+        }
     };
     let caller_identity = found.caller_identity();
     let FoundRoute { table, route, organisation } = found;
+    let reject_too_large = || {
+        let response = reject_request(request_id, Rejection::TooLarge, None, table.version);
+        Ok(ReadOutcome::RejectedUnread(response))
+    };
     if request.body().size_hint().lower() > table.limits.max_body_bytes as u64 {
-        return Ok(reject_request(request_id, Rejection::TooLarge, None, table.version));
+        return reject_too_large();
     }
     let (mut parts, body) = request.into_parts();
     C::set_caller_headers(&mut parts.headers, &caller_identity);
     let body = match read_body(body, table.limits.max_body_bytes).await? {
         Some(body) => body,
-        None => return Ok(reject_request(request_id, Rejection::TooLarge, None, table.version)),
+        None => return reject_too_large(),
     };
     let fingerprint = FingerprintParts {
         method: parts.method.as_str(),
@@ -104,12 +113,9 @@
     let charge = match charge(state, organisation.as_deref(), &head) {
         Ok(charge) => charge,
         Err(after) => {
-            return Ok(reject_request(
-                request_id,
-                Rejection::QuotaSpent,
-                Some(after),
-                table.version,
-            ));
+            let response =
+                reject_request(request_id, Rejection::QuotaSpent, Some(after), table.version);
+            return Ok(ReadOutcome::Rejected(response));
         }
     };
     let stated_timeout = head.timeout;
@@ -179,7 +185,7 @@
     request_id: &str,
     key: &CallerKey,
     rejection: Rejection,
-) -> ReadOutcome {
+) -> Response<GatewayBody> {
     let version = state.config_version();
     if rejection == Rejection::UnknownKey {
         let key = match key {
@@ -224,7 +230,7 @@
     rejection: Rejection,
     retry_after: Option<Duration>,
     config: u64,
-) -> ReadOutcome {
+) -> Response<GatewayBody> {
     tracing::info!(
         event = events::CALL_REJECTED,
         request_id,
@@ -233,5 +239,5 @@
         config,
         "rejected"
     );
-    ReadOutcome::Rejected(reject(rejection, retry_after))
+    reject(rejection, retry_after)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ids;
 pub mod keep_alive;
 pub mod lines;
+pub mod lingering_close;
 pub mod ordered_body;
 pub mod plain;
 pub mod platform;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -19,6 +19,7 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use crate::lingering_close;
 use crate::pool;
 use crate::reply;
 use crate::reply::ReplyBody;
@@ -75,8 +76,9 @@
             let _ = http1::Builder::new()
                 .timer(SmolTimer::new())
                 .header_read_timeout(HEADER_READ_TIMEOUT)
-                .serve_connection(FuturesIo::new(stream), service)
+                .serve_connection(FuturesIo::new(stream.clone()), service)
                 .await;
+            lingering_close::close(stream).await;
         });
     }
 }
