A silent stream is left only for another server, never for nothing

Cause: after four target gaps without an event the gateway closed the server's connection first and looked for another server then. Where the route, the retry budget or a lack of servers allows none, the stream ended with nothing in its place. An engine that preempts a stream is silent for as long as that; the change of the configuration is chance.

Change: a server that is silent is left only for one that is reserved together with the permit to send to it; until then it is waited for, to the caller's deadline. So before the first event, in mid-stream and for a resumed stream. Event 5019 tells of a stream that is waited for.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -35,6 +35,8 @@
 pub const KEY_UNKNOWN: u32 = 5017;
 /// A request is rejected because its organisation's quota is exhausted.
 pub const QUOTA_EXHAUSTED: u32 = 5018;
+/// A stream's server sends nothing, and no other server may continue the stream.
+pub const STREAM_STALLED: u32 = 5019;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -83,7 +83,31 @@
     /// has reached a server, this also consumes from the service's retry budget, which
     /// bounds the number of requests that arrive at servers.
     pub fn permit(&self, state: &Arc<GatewayState>, call: &Call) -> Option<AttemptPermit> {
-        if !self.is_within_route_limits(call) {
+        self.permit_after(self.runs, state, call)
+    }
+
+    /// Like [`Attempts::permit`], for an attempt that replaces the one in progress, whose server
+    /// may have run the request.
+    pub fn permit_replacement(
+        &self,
+        state: &Arc<GatewayState>,
+        call: &Call,
+    ) -> Option<AttemptPermit> {
+        self.permit_after(self.runs + 1, state, call)
+    }
+
+    /// Returns true when the route's limits allow the attempt in progress to be replaced.
+    pub fn allows_replacement(&self, call: &Call) -> bool {
+        self.is_within_route_limits(self.runs + 1, call)
+    }
+
+    fn permit_after(
+        &self,
+        runs: u32,
+        state: &Arc<GatewayState>,
+        call: &Call,
+    ) -> Option<AttemptPermit> {
+        if !self.is_within_route_limits(runs, call) {
             return None;
         }
         if let Some(quarantine) = self.quarantine_status(state, call) {
@@ -123,13 +147,14 @@
         Some(AttemptPermit::first_prefill(state, &call.service))
     }
 
-    /// Returns true when the route's limits allow another attempt.
-    fn is_within_route_limits(&self, call: &Call) -> bool {
+    /// Returns true when the route's limits allow another attempt after `runs` that may have run
+    /// the request.
+    fn is_within_route_limits(&self, runs: u32, call: &Call) -> bool {
         if self.count == 0 {
             return true;
         }
         let route = &call.route;
-        let runs_left = self.runs < route.max_attempts && (self.runs == 0 || route.is_retryable());
+        let runs_left = runs < route.max_attempts && (runs == 0 || route.is_retryable());
         runs_left
             && self.count
                 < route.max_attempts + MAX_NOT_RUN_RETRIES + self.unsent.min(MAX_UNSENT_RETRIES)
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod capacity_wait;
 mod event_reader;
 mod exchange;
+mod next_server;
 mod plain_run;
 mod prefill_step;
 mod probe_guard;
--- /dev/null
+++ b/crates/gateway/src/forward/next_server.rs
@@ -0,0 +1,50 @@
+//! The server at which a stream goes on when its server sends nothing.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Call;
+use super::attempt_permit::AttemptPermit;
+use super::attempts::Attempts;
+use super::capacity_wait::DEFAULT_FIRST_EVENT_TIME;
+use super::stream_run;
+use crate::load_guard::LoadGuard;
+use crate::state::GatewayState;
+
+/// Another server for a stream, with the permit to send to it.
+#[derive(Debug)]
+pub struct NextServer {
+    pub load_guard: LoadGuard,
+    pub permit: AttemptPermit,
+}
+
+/// Returns another server for `call`, whose server is silent, unless its route, its time, its
+/// quarantine or the retry budget forbid a further attempt, or no server has capacity.
+///
+/// A silent server may still be at work: an engine preempts streams and continues them seconds
+/// later. Prevents the end of such a stream with nothing in its place.
+pub fn reserve(state: &Arc<GatewayState>, call: &Call, attempts: &Attempts) -> Option<NextServer> {
+    let has_time = call.time_left(Instant::now()) > DEFAULT_FIRST_EVENT_TIME;
+    if !has_time || !attempts.allows_replacement(call) {
+        return None;
+    }
+    let load_guard = stream_run::place_retry(state, call, attempts)?;
+    let permit = attempts.permit_replacement(state, call)?;
+    Some(NextServer { load_guard, permit })
+}
+
+/// Like [`reserve`], once `silence` is over and there is another server.
+pub async fn reserve_after(
+    silence: Duration,
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &Attempts,
+) -> NextServer {
+    loop {
+        smol::Timer::after(silence).await;
+        if let Some(next) = reserve(state, call, attempts) {
+            return next;
+        }
+    }
+}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -19,6 +19,8 @@
 use super::attempts::Attempts;
 use super::exchange;
 use super::exchange::AttemptFailure;
+use super::next_server;
+use super::next_server::NextServer;
 use super::response_body;
 use super::response_body::BodyFrame;
 use super::stream_open;
@@ -39,7 +41,8 @@
 const STALL_TIMEOUT_GAPS: u32 = 4;
 /// Stall timeout of routes without a target gap.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Timeout of the first event of a resumed stream.
+/// Time without a first event of a resumed stream after which another server is tried where there
+/// is one.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// The outcome of a relayed stream.
@@ -56,6 +59,8 @@
 enum StreamStop {
     Ended,
     Failed(AttemptFailure, String),
+    /// It is silent, and goes on at another server.
+    Replaced(NextServer, String),
     Expired,
 }
 
@@ -138,13 +143,16 @@
                 Ok(stop) => stop,
                 Err(outcome) => return outcome,
             };
-            let (failure, problem) = match stop {
+            let (failure, problem, next) = match stop {
                 StreamStop::Ended => {
                     self.record_completion(*current);
                     return RelayOutcome::Whole;
                 }
                 StreamStop::Expired => return RelayOutcome::Expired,
-                StreamStop::Failed(failure, problem) => (failure, problem),
+                StreamStop::Failed(failure, problem) => (failure, problem, None),
+                StreamStop::Replaced(next, problem) => {
+                    (AttemptFailure::Silent, problem, Some(next))
+                }
             };
             let run_duration =
                 current.load_guard.age().saturating_sub(self.last_event_at.elapsed());
@@ -160,7 +168,7 @@
             // Closes the connection before another server starts, so that two servers never
             // run the same request at the same time.
             drop(current);
-            match self.resume().await {
+            match self.resume(next).await {
                 Some(next) => current = next,
                 None => return RelayOutcome::Broken,
             }
@@ -170,6 +178,7 @@
     /// Relays the events of one server until it stops. Fails when the caller disconnects.
     async fn relay_one(&mut self, stream: &mut OpenStream) -> Result<StreamStop, RelayOutcome> {
         let mut next = stream.first.take();
+        let mut is_stalled = false;
         let tokens_per_event = self.call.engine_spec().tokens_per_event;
         // The server of a resumed stream prefilled the tokens of the earlier events.
         let mut tokens = self.relayed as u32 * tokens_per_event;
@@ -201,8 +210,16 @@
                 }
                 None if Instant::now() >= self.call.deadline => return Ok(StreamStop::Expired),
                 None => {
-                    let problem = format!("no event for {} ms", stall_timeout.as_millis());
-                    return Ok(StreamStop::Failed(AttemptFailure::Silent, problem));
+                    let silence = self.last_event_at.elapsed();
+                    if let Some(next) =
+                        next_server::reserve(&self.state, &self.call, &self.attempts)
+                    {
+                        let problem = format!("no event for {} ms", silence.as_millis());
+                        return Ok(StreamStop::Replaced(next, problem));
+                    }
+                    if !std::mem::replace(&mut is_stalled, true) {
+                        self.record_stall(stream, silence);
+                    }
                 }
             }
         }
@@ -254,23 +271,38 @@
         }
     }
 
-    /// Resumes the stream at another server after the last relayed event.
-    async fn resume(&mut self) -> Option<Box<OpenStream>> {
+    /// Records that the server sends nothing, while no other may continue the stream.
+    fn record_stall(&self, stream: &OpenStream, silence: Duration) {
+        self.state.record_outcome(&stream.target, AttemptFailure::Silent.outcome());
+        metrics::counter!("umberglade_stream_stalls_total").increment(1);
+        tracing::info!(
+            event = events::STREAM_STALLED,
+            request_id = self.call.id(),
+            server = %stream.target.server,
+            relayed = self.relayed,
+            silent_ms = silence.as_millis() as u64,
+            elapsed_ms = self.call.age_ms(),
+            "stream is silent; waiting, as no other server may continue it"
+        );
+    }
+
+    /// Resumes the stream at another server after the last relayed event, first at `next`.
+    async fn resume(&mut self, next: Option<NextServer>) -> Option<Box<OpenStream>> {
         let resume_after = self.last_id.or(self.call.head.resume_after);
+        let mut next = next;
         loop {
-            self.attempts.wait_for_quarantine_decision(&self.state, &self.call).await;
-            let permit = self.attempts.permit(&self.state, &self.call)?;
-            let time_left = self.call.time_left(Instant::now());
-            if time_left.is_zero() {
-                return None;
-            }
-            let (load_guard, cache) = stream_run::prefill_retry::<C>(
+            let NextServer { load_guard, permit } = match next.take() {
+                Some(next) => next,
+                None => self.find_next().await?,
+            };
+            let cache = stream_run::prefill_nearby::<C>(
                 &self.state,
                 &self.call,
                 &mut self.attempts,
+                &load_guard,
                 resume_after,
             )
-            .await?;
+            .await;
             self.attempts.record(&load_guard.server);
             let source = cache.as_ref().and_then(|cache| cache.source().cloned());
             let attempt_spec = AttemptSpec {
@@ -289,14 +321,15 @@
                 "stream resumed at another server"
             );
             metrics::counter!("umberglade_streams_resumed_total").increment(1);
-            let timeout = RESUME_TIMEOUT.min(time_left);
+            let replacement =
+                next_server::reserve_after(RESUME_TIMEOUT, &self.state, &self.call, &self.attempts);
             let outcome = stream_open::open::<C>(
                 &self.state,
                 &self.call,
                 load_guard,
                 permit,
                 &attempt_spec,
-                timeout,
+                replacement,
             )
             .await;
             match outcome {
@@ -310,10 +343,25 @@
                 OpenOutcome::Failed(AttemptFailure::Unsent) => self.attempts.record_unsent(),
                 OpenOutcome::Failed(failure) if failure.is_not_run() => {}
                 OpenOutcome::Failed(_) => self.attempts.runs += 1,
+                OpenOutcome::Replaced(other) => {
+                    self.attempts.runs += 1;
+                    next = Some(other);
+                }
             }
         }
     }
 
+    /// Returns another server for the stream, whose server has stopped.
+    async fn find_next(&mut self) -> Option<NextServer> {
+        self.attempts.wait_for_quarantine_decision(&self.state, &self.call).await;
+        let permit = self.attempts.permit(&self.state, &self.call)?;
+        if self.call.time_left(Instant::now()).is_zero() {
+            return None;
+        }
+        let load_guard = stream_run::place_retry(&self.state, &self.call, &self.attempts)?;
+        Some(NextServer { load_guard, permit })
+    }
+
     fn log_end(&self, outcome: RelayOutcome) {
         let event = match outcome {
             RelayOutcome::Whole => events::CALL_DONE,
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_lite::FutureExt;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -17,6 +18,7 @@
 use super::exchange;
 use super::exchange::AttemptFailure;
 use super::exchange::OpenResponse;
+use super::next_server::NextServer;
 use super::response_body;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
@@ -52,35 +54,57 @@
     /// The server's complete error response.
     Responded(Response<GatewayBody>),
     Failed(AttemptFailure),
+    /// The server sent no event in time, and the stream may go on at another one.
+    Replaced(NextServer),
 }
 
-/// Sends `call` as `attempt_spec` states to the server of `load_guard` and waits up to `timeout`
-/// for the first event.
+/// Sends `call` as `attempt_spec` states to the server of `load_guard` and waits for the first
+/// event: until the call's deadline, or until `replacement` returns the server to go on at.
 pub async fn open<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
     load_guard: LoadGuard,
     permit: AttemptPermit,
     attempt_spec: &AttemptSpec,
-    timeout: Duration,
+    replacement: impl Future<Output = NextServer>,
 ) -> OpenOutcome {
     let Some(target) = exchange::send_target(state, &load_guard.server) else {
         return OpenOutcome::Failed(AttemptFailure::Unsent);
     };
-    let deadline = Instant::now() + timeout;
+    let started_at = Instant::now();
+    let opened = open_at::<C>(state, call, load_guard, permit, attempt_spec, &target);
+    let replaced = async {
+        let next = replacement.await;
+        let problem = format!("no first event within {} ms", started_at.elapsed().as_millis());
+        exchange::record_failure(state, call, &target, AttemptFailure::Silent, &problem);
+        OpenOutcome::Replaced(next)
+    };
+    opened.or(replaced).await
+}
+
+async fn open_at<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    load_guard: LoadGuard,
+    permit: AttemptPermit,
+    attempt_spec: &AttemptSpec,
+    target: &SendTarget,
+) -> OpenOutcome {
+    let deadline = call.deadline;
+    let timeout = call.time_left(Instant::now());
     let opened =
-        match exchange::exchange::<C>(state, call, &target, attempt_spec, permit, timeout).await {
+        match exchange::exchange::<C>(state, call, target, attempt_spec, permit, timeout).await {
             Ok(opened) => opened,
             Err(failure) => return OpenOutcome::Failed(failure),
         };
     let fail = |failure, problem: &str| {
-        OpenOutcome::Failed(exchange::record_failure(state, call, &target, failure, problem))
+        OpenOutcome::Failed(exchange::record_failure(state, call, target, failure, problem))
     };
     let status = opened.response.status();
     if !status.is_success() {
         return match with_deadline(deadline, read_error_response::<C>(opened)).await {
             Some(Ok(response)) => {
-                state.record_outcome(&target, ServerOutcome::Erred);
+                state.record_outcome(target, ServerOutcome::Erred);
                 OpenOutcome::Responded(response)
             }
             Some(Err(error)) => fail(AttemptFailure::Broken, &error.to_string()),
@@ -95,13 +119,13 @@
         Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()),
         None => return fail(AttemptFailure::Silent, "no first event in time"),
     };
-    state.record_outcome(&target, ServerOutcome::Fine);
+    state.record_outcome(target, ServerOutcome::Fine);
     OpenOutcome::Stream(Box::new(OpenStream {
         status,
         headers: C::response_headers(&parts.headers),
         first,
         reader,
-        target,
+        target: target.clone(),
         connection: (!head.closes).then_some(connection),
         keep_alive: head.keep_alive,
         is_delimited: exchange::is_delimited(&parts.headers),
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -17,6 +17,8 @@
 use super::capacity_wait::placement_request;
 use super::capacity_wait::wait_for_capacity;
 use super::exchange::AttemptFailure;
+use super::next_server;
+use super::next_server::NextServer;
 use super::prefill_step;
 use super::reject::reject_call;
 use super::reject::reject_failed;
@@ -34,8 +36,8 @@
 use crate::state::GatewayState;
 use crate::stop::IDLE_CLOSE_DELAY;
 
-/// Timeout of the first event while another server may be tried: five times the typical time,
-/// after which the event is not expected to arrive.
+/// Time without a first event after which another server is tried where there is one: five times
+/// the typical time, after which the event is not expected to arrive.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Returns the response to a streamed call.
@@ -92,9 +94,10 @@
             purpose: source.map_or(AttemptPurpose::Respond, AttemptPurpose::Decode),
             resume_after: call.head.resume_after,
         };
-        let timeout = first_event_timeout(&call, &attempts);
+        let replacement = next_server::reserve_after(FIRST_EVENT_TIMEOUT, state, &call, &attempts);
         let outcome =
-            stream_open::open::<C>(state, &call, load_guard, permit, &attempt_spec, timeout).await;
+            stream_open::open::<C>(state, &call, load_guard, permit, &attempt_spec, replacement)
+                .await;
         match outcome {
             OpenOutcome::Stream(stream) => {
                 if let Some(cache) = cache {
@@ -127,6 +130,16 @@
                 attempts.runs += 1;
                 may_have_run = true;
             }
+            OpenOutcome::Replaced(NextServer { load_guard, permit }) => {
+                attempts.runs += 1;
+                may_have_run = true;
+                let resume_after = call.head.resume_after;
+                let cache =
+                    prefill_nearby::<C>(state, &call, &mut attempts, &load_guard, resume_after)
+                        .await;
+                next = Some((permit, load_guard, cache));
+                continue;
+            }
         }
         let has_time = call.time_left(Instant::now()) > DEFAULT_FIRST_EVENT_TIME;
         attempts.wait_for_quarantine_decision(state, &call).await;
@@ -147,13 +160,6 @@
     reject_failed(state, &call, &attempts, may_have_run, usual_delay)
 }
 
-/// Returns the timeout of the first event: the call's deadline if no other server may be tried.
-fn first_event_timeout(call: &Call, attempts: &Attempts) -> Duration {
-    let time_left = call.time_left(Instant::now());
-    let may_retry = call.route.is_retryable() && attempts.runs + 1 < call.route.max_attempts;
-    if may_retry { time_left.min(FIRST_EVENT_TIMEOUT) } else { time_left }
-}
-
 /// Places a stream that failed, or could not be opened, at another decode server.
 pub fn place_retry(
     state: &Arc<GatewayState>,
@@ -171,23 +177,34 @@
 }
 
 /// Like [`place_retry`], with a prefill at a separate server where that is allowed.
+async fn prefill_retry<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &mut Attempts,
+    resume_after: Option<u64>,
+) -> Option<(LoadGuard, Option<CacheGuard<C>>)> {
+    let decode = place_retry(state, call, attempts)?;
+    let cache = prefill_nearby::<C>(state, call, attempts, &decode, resume_after).await;
+    Some((decode, cache))
+}
+
+/// Prefills the prompt of a retry at `decode` at a separate server, where that is allowed.
 ///
 /// Prevents retries from delaying other streams: a decode server prefills prompts in small
 /// chunks between the tokens of its streams, and a few at once pause all of them for half a
 /// second.
-pub async fn prefill_retry<C: PlatformCodec>(
+pub async fn prefill_nearby<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
     attempts: &mut Attempts,
+    decode: &LoadGuard,
     resume_after: Option<u64>,
-) -> Option<(LoadGuard, Option<CacheGuard<C>>)> {
-    let decode = place_retry(state, call, attempts)?;
-    let Some(server) = nearby_prefill(state, call, &decode) else { return Some((decode, None)) };
-    let Some(permit) = attempts.permit_prefill(state, call) else { return Some((decode, None)) };
+) -> Option<CacheGuard<C>> {
+    let server = nearby_prefill(state, call, decode)?;
+    let permit = attempts.permit_prefill(state, call)?;
     let load_share = LoadShare::of_prompt(call.prompt_shape().prompt_tokens);
     let prefill = LoadGuard::begin(state, server, load_share);
-    let cache = prefill_step::prefill::<C>(state, call, prefill, permit, resume_after).await.ok();
-    Some((decode, cache))
+    prefill_step::prefill::<C>(state, call, prefill, permit, resume_after).await.ok()
 }
 
 /// Returns a prefill server, preferably in the failure domain of the decode server.
