A probe of a quarantined request follows as soon as a server is back

Cause: the reservation of a claim (2 s) was kept after the claim was settled, so that no gateway that had tried could claim the next probe, due after 0.6 s; probes were claimed and sent while all engines were known to be down; the probe's request kept it in flight while it waited on; and a suspect that nobody sends held up the next for 1.5 s.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -240,6 +240,12 @@
         })
     }
 
+    /// Returns true while a server incarnation is known to be down: an attempt broke at it, and it
+    /// has not responded since.
+    pub fn is_down(&self, incarnation: ServerIncarnation, now: Instant) -> bool {
+        self.outages.get(&incarnation).is_some_and(|outage| outage.is_live(now))
+    }
+
     /// Returns the number of server crashes under `fingerprint` since its last completion.
     pub fn crashes(&self, fingerprint: RequestFingerprint) -> usize {
         self.records.get(fingerprint).map_or(0, CrashRecord::crashes)
--- a/crates/gateway/src/cluster/quarantine.rs
+++ b/crates/gateway/src/cluster/quarantine.rs
@@ -26,8 +26,8 @@
 const ISOLATION_INTERVAL: Duration = Duration::from_millis(600);
 /// A claim of the probe is settled within this time, or has failed.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
-/// Delay until an inconclusive probe is retried.
-const REPROBE_DELAY: Duration = Duration::from_secs(1);
+/// Delay until an inconclusive probe is retried, at another server where there is one.
+const REPROBE_DELAY: Duration = Duration::from_millis(250);
 /// How often a probe is retried that found its servers full or unreachable.
 const MAX_REPROBES: u32 = 3;
 /// How long beyond its probe delay a fingerprint without requests stays quarantined.
@@ -84,7 +84,7 @@
     /// gateway has claimed the probe in that row.
     ///
     /// Prevents a claimed probe from never being sent when the response to the claim was lost: it
-    /// is sent once the request that made the claim has been rejected.
+    /// is sent once the claim has timed out.
     pub fn renewed(
         self,
         probes: u32,
@@ -93,7 +93,9 @@
         now: Instant,
     ) -> Self {
         let permit = if is_local_claim { ProbePermit::Unused(0) } else { ProbePermit::None };
-        Quarantine { probes, since: now, stamp, permit, ..self }
+        // A claim by another gateway settles this gateway's.
+        let claimed_until = self.claimed_until.filter(|_| is_local_claim);
+        Quarantine { probes, since: now, stamp, permit, claimed_until, ..self }
     }
 
     /// Returns true if a request may be sent as the probe that this gateway has claimed.
@@ -106,6 +108,7 @@
     pub fn begin_probe(&mut self) {
         let retries = if let ProbePermit::Unused(retries) = self.permit { retries } else { 0 };
         self.permit = ProbePermit::InFlight(retries);
+        self.claimed_until = None;
     }
 
     /// Records that the probe has crashed a server.
@@ -126,11 +129,15 @@
 
     /// Returns the time from `now` until a probe may be claimed, or zero if it may be. Of
     /// several fingerprints that are quarantined for the same server crashes, the one at `rank`
-    /// 0 is probed soon, on its own.
+    /// 0 is probed soon, on its own; each further one a little later, as nobody may be sending
+    /// those before it.
     pub fn time_until_probe(&self, rank: Option<usize>, now: Instant) -> Duration {
         let delay = match rank {
             Some(0) if self.probes < ISOLATION_PROBES => ISOLATION_INTERVAL * self.probes.min(1),
             Some(0) => probe_delay(self.probes - ISOLATION_PROBES),
+            Some(rank) if self.probes == 0 => {
+                (ISOLATION_INTERVAL * rank as u32).min(probe_delay(self.probes))
+            }
             _ => probe_delay(self.probes),
         };
         let due = self.since + delay;
--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use http::Response;
+use smallvec::SmallVec;
 
 use super::Call;
 use super::GatewayBody;
@@ -16,6 +17,8 @@
 use crate::cluster::QuarantineVerdict;
 use crate::codec::PlatformCodec;
 use crate::events;
+use crate::model::ServerIncarnation;
+use crate::model::ServerStage;
 use crate::quarantine::claim_probe;
 use crate::quarantine::fingerprint_key;
 use crate::state::GatewayState;
@@ -35,7 +38,9 @@
     call: &Call,
 ) -> Result<Attempts, Response<GatewayBody>> {
     loop {
-        let (quarantine, outcome) = match state.quarantines.admit(call.fingerprint) {
+        let has_probe_server = || has_probe_server(state, call);
+        let verdict = state.quarantines.admit(call.fingerprint, has_probe_server);
+        let (quarantine, outcome) = match verdict {
             QuarantineVerdict::Admitted => return Ok(Attempts::default()),
             QuarantineVerdict::Quarantined(quarantine) => (quarantine, "refused".to_owned()),
             QuarantineVerdict::Probe(quarantine) => return Ok(new_probe(state, call, quarantine)),
@@ -59,6 +64,21 @@
     }
 }
 
+/// Returns true when a server that is not known to be down may respond to `call`.
+fn has_probe_server(state: &GatewayState, call: &Call) -> bool {
+    let now = Instant::now();
+    let incarnations: SmallVec<[ServerIncarnation; 32]> = {
+        let fleet = state.fleet();
+        let servers = fleet.available_servers(&call.service, now);
+        let may_respond = servers.map(|(server_state, _)| server_state).filter(|server_state| {
+            let is_prefill = server_state.entry.stage == ServerStage::Prefill;
+            !is_prefill && !server_state.health.is_ejected(now)
+        });
+        may_respond.map(|server_state| server_state.incarnation).collect()
+    };
+    incarnations.into_iter().any(|incarnation| !state.quarantines.is_down(incarnation))
+}
+
 /// Waits for a change or one poll interval, after which `call` may be admitted or become the
 /// probe. Returns false at once when its quarantine is decided or its deadline is too close.
 pub(super) async fn wait_for_probe(
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -61,8 +61,11 @@
     /// its fingerprint or another causes the crashes, and while its caller has time left.
     ///
     /// Prevents rejections of popular requests that ran on a server which a poison request
-    /// crashed before any response was complete.
-    pub async fn wait_for_quarantine_decision(&self, state: &GatewayState, call: &Call) {
+    /// crashed before any response was complete. The next probe may begin meanwhile.
+    pub async fn wait_for_quarantine_decision(&mut self, state: &GatewayState, call: &Call) {
+        if self.count > 0 {
+            self.probe = None;
+        }
         while let Some(quarantine) = self.quarantine_status(state, call)
             && wait_for_probe(state, call, quarantine).await
         {}
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -39,7 +39,10 @@
             state.quarantines.begin_probe(fingerprint);
             Ok(true)
         }
-        Ok(None) => Ok(false),
+        Ok(None) => {
+            state.quarantines.fail_claim(fingerprint);
+            Ok(false)
+        }
         Err(_) if (status.probes == 0 || status.is_provisional) && is_first_gateway(state) => {
             state.quarantines.begin_unclaimed_probe(fingerprint);
             Ok(true)
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -19,6 +19,7 @@
 use crate::cluster::RowChange;
 use crate::events;
 use crate::model::RequestFingerprint;
+use crate::model::ServerIncarnation;
 use crate::model::StoreStamp;
 use crate::upstream::SendTarget;
 
@@ -132,11 +133,26 @@
 
     /// Decides whether a new request may be sent. First quarantines its fingerprint if reports
     /// that were received while this process was still warming up show it to be suspect.
-    pub fn admit(&self, fingerprint: RequestFingerprint) -> QuarantineVerdict {
+    ///
+    /// Without `has_probe_server`, no probe is begun: it would find no server, and delay the next.
+    pub fn admit(
+        &self,
+        fingerprint: RequestFingerprint,
+        has_probe_server: impl FnOnce() -> bool,
+    ) -> QuarantineVerdict {
         let now = Instant::now();
         let change = self.detector().quarantine_if_suspect(fingerprint, now);
         self.log_change(fingerprint, change, "gateway");
-        self.detector().admit(fingerprint, now)
+        match self.status(fingerprint) {
+            None => QuarantineVerdict::Admitted,
+            Some(quarantine) if !has_probe_server() => QuarantineVerdict::Quarantined(quarantine),
+            Some(_) => self.detector().admit(fingerprint, now),
+        }
+    }
+
+    /// Returns true while a server incarnation is known to be down.
+    pub fn is_down(&self, incarnation: ServerIncarnation) -> bool {
+        self.detector().is_down(incarnation, Instant::now())
     }
 
     /// Records that the probe of `fingerprint` that this gateway has claimed is sent.
--- a/crates/gateway/tests/shared_crashes.rs
+++ b/crates/gateway/tests/shared_crashes.rs
@@ -223,3 +223,31 @@
     let is_reported = |update: &OutcomeUpdate| update.outcome == AttemptOutcome::Cleared(stamp(12));
     assert!(detector.updates(false, now).iter().any(is_reported));
 }
+
+struct ClaimCase {
+    name: &'static str,
+    is_local_claim: bool,
+}
+
+/// Prevents a claim that is settled from delaying the next probe: a gateway that claimed one, or
+/// lost it to another, claims the next as soon as that is due.
+#[test]
+fn settled_claim_does_not_delay_the_next_probe() {
+    let cases = [
+        ClaimCase { name: "own claim", is_local_claim: true },
+        ClaimCase { name: "another gateway's claim", is_local_claim: false },
+    ];
+    for ClaimCase { name, is_local_claim } in cases {
+        let now = Instant::now();
+        let mut detector = CrashDetector::default();
+        crash_three(&mut detector, [0, 90, 0], 57, now);
+        assert!(matches!(detector.admit(POPULAR, now), QuarantineVerdict::ProbeDue(_)), "{name}");
+        detector.apply_row(POPULAR, 1, stamp(12), is_local_claim, now + ms(5));
+        if is_local_claim {
+            detector.begin_probe(POPULAR);
+            detector.record_crash(POPULAR, 50, Duration::ZERO, now + ms(50));
+        }
+        let verdict = detector.admit(POPULAR, now + ms(605));
+        assert!(matches!(verdict, QuarantineVerdict::ProbeDue(_)), "{name}: {verdict:?}");
+    }
+}
