First prefills stop at the retry limit

Cause: a prompt's first prefill needs no retry budget, as a completed one is no retry, and a rejected or failed one is counted when it is over. Nothing stops at the limit then, whatever the count says.

Change: a first prefill is not sent while known retries are at 0.8 of the limit; the decode server prefills the prompt. All cases of `retry_limit` pass, with every call served.

--- a/crates/gateway/src/cluster/retry_budget.rs
+++ b/crates/gateway/src/cluster/retry_budget.rs
@@ -15,6 +15,10 @@
 /// Fraction of the bound that is used. The rest covers what peers send between two of their
 /// reports, and that the windows of a gateway and of a server begin at different moments.
 const USABLE_FRACTION: f64 = 0.75;
+/// Fraction of the bound up to which prompts are sent to separate prefill servers. A first prefill
+/// needs no budget, and counts as a retry when it has failed. The rest covers the prefills that are
+/// in progress.
+const PREFILL_FRACTION: f64 = 0.8;
 /// Largest age of the peers' counts, in report intervals: one report may be lost.
 const MAX_COUNT_AGE_REPORTS: u32 = 2;
 /// Number of buckets that a window is divided into.
@@ -59,6 +63,12 @@
     pub count: RetryCount,
 }
 
+/// Retries of all gateways in the last window, and their bound.
+struct RetryUsage {
+    bound: f64,
+    retries: f64,
+}
+
 #[derive(Debug)]
 struct Bucket {
     started_at: Instant,
@@ -115,12 +125,9 @@
         priority: RetryPriority,
         now: Instant,
     ) -> bool {
-        let local = self.count(service, now);
-        let requests = f64::from(local.requests + peers.count.requests);
-        let known = (peers.fresh_peers + 1).min(gateways.max(1));
-        let slack = self.slack * known as f64 / gateways.max(1) as f64 * self.uptime_fraction(now);
-        let bound = (self.ratio * requests + slack) * USABLE_FRACTION * priority.fraction();
-        let used = f64::from(local.repeats + peers.count.repeats);
+        let usage = self.usage(service, gateways, peers, now);
+        let bound = usage.bound * USABLE_FRACTION * priority.fraction();
+        let used = usage.retries;
         if used + 1.0 > bound.max(1.0)
             || !self.is_within_local_share(service, gateways, bound - used, now)
         {
@@ -130,6 +137,40 @@
         true
     }
 
+    /// Returns true if a prompt may be sent to a separate prefill server for the first time.
+    ///
+    /// Prevents prefill servers that reject or fail every prompt from adding an arrival to each
+    /// request, without any limit: the decode servers prefill the prompts meanwhile.
+    pub fn allows_first_prefill(
+        &mut self,
+        service: &ServiceName,
+        gateways: usize,
+        peers: PeerRetries,
+        now: Instant,
+    ) -> bool {
+        let usage = self.usage(service, gateways, peers, now);
+        usage.retries < (usage.bound * PREFILL_FRACTION).max(1.0)
+    }
+
+    /// Returns the bound on the retries in the last window, as far as this gateway knows the
+    /// requests, and the known retries.
+    fn usage(
+        &mut self,
+        service: &ServiceName,
+        gateways: usize,
+        peers: PeerRetries,
+        now: Instant,
+    ) -> RetryUsage {
+        let local = self.count(service, now);
+        let requests = f64::from(local.requests + peers.count.requests);
+        let known = (peers.fresh_peers + 1).min(gateways.max(1));
+        let slack = self.slack * known as f64 / gateways.max(1) as f64 * self.uptime_fraction(now);
+        RetryUsage {
+            bound: self.ratio * requests + slack,
+            retries: f64::from(local.repeats + peers.count.repeats),
+        }
+    }
+
     /// Returns true if one more retry keeps within this gateway's share of the remaining budget.
     ///
     /// Prevents many gateways from each consuming the remaining budget before they receive each
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -119,21 +119,15 @@
         }
         if self.unsent < self.count && !state.consume_retry(&call.service, RetryPriority::Needed) {
             metrics::counter!("umberglade_retries_denied_total").increment(1);
-            tracing::info!(
-                event = events::RETRY_DENIED,
-                request_id = call.id(),
-                service = %call.service,
-                sends = self.count,
-                gateways = state.members(),
-                "retry budget exhausted"
-            );
+            log_retry_denied(state, call, self.count, "retry");
             return None;
         }
         Some(AttemptPermit::settled(state, &call.service))
     }
 
-    /// Returns a permit to prefill the prompt at a separate server. The first needs no retry
-    /// budget; further ones are optional and need some. The prompt of a probe is prefilled
+    /// Returns a permit to prefill the prompt at a separate server. The first consumes no retry
+    /// budget, but is not allowed while failed ones have used it up; further ones are optional and
+    /// need some. The prompt of a probe is prefilled
     /// by the server that responds to it.
     pub fn permit_prefill(
         &mut self,
@@ -147,6 +141,11 @@
             let is_allowed = state.consume_retry(&call.service, RetryPriority::Helpful);
             return is_allowed.then(|| AttemptPermit::settled(state, &call.service));
         }
+        if !state.allows_first_prefill(&call.service) {
+            metrics::counter!("umberglade_prefills_denied_total").increment(1);
+            log_retry_denied(state, call, self.count, "prefill at a separate server");
+            return None;
+        }
         Some(AttemptPermit::first_prefill(state, &call.service))
     }
 
@@ -168,3 +167,16 @@
         self.count
     }
 }
+
+/// Logs that the retry budget allows no `purpose`.
+fn log_retry_denied(state: &GatewayState, call: &Call, sends: u32, purpose: &'static str) {
+    tracing::info!(
+        event = events::RETRY_DENIED,
+        request_id = call.id(),
+        service = %call.service,
+        purpose,
+        sends,
+        gateways = state.members(),
+        "retry budget exhausted"
+    );
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -168,6 +168,16 @@
         retries.consume(service, members, peer_retries, priority, now)
     }
 
+    /// Returns true if the retry limit allows to send a prompt to a separate prefill server for the
+    /// first time.
+    pub fn allows_first_prefill(&self, service: &ServiceName) -> bool {
+        let now = Instant::now();
+        let peer_retries = self.fleet().peers.retries(name_digest(service), now);
+        let members = self.members();
+        let mut retries = self.retries.lock().expect("retries lock");
+        retries.allows_first_prefill(service, members, peer_retries, now)
+    }
+
     /// Returns this gateway's counts of requests and retries, by service.
     pub fn local_retries(&self) -> Vec<(u64, RetryCount)> {
         self.retries.lock().expect("retries lock").local_counts(Instant::now())
