A request of which nothing was written on its new connection is unsent

Callers saw: 502 for a call that may run only once, and a crash on the record of a request that had reached no server, where a server that ends still accepted the connection and closed it at once.

Cause: on a pooled connection the client asks whether the request was written; on a new one it did not.

That the unsent ones are found is not tested by itself, as the moment can't be held.

--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -17,6 +17,10 @@
     /// The HTTP handshake failed: nothing was sent.
     #[snafu(display("HTTP handshake with {peer}: {source}"))]
     Handshake { peer: SocketAddr, source: hyper::Error },
+    /// The peer closed the new connection before anything was written on it: nothing was sent. So
+    /// does a server that is ending, whose listener still accepts.
+    #[snafu(display("new connection with {peer}: {source}"))]
+    ClosedAtOnce { peer: SocketAddr, source: hyper::Error },
     /// The connection failed when the request may already have been sent.
     #[snafu(display("waiting for the response of {peer}: {source}"))]
     Broken { peer: SocketAddr, source: hyper::Error },
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -19,7 +19,6 @@
 use super::ConnectionPool;
 use super::PooledConnection;
 use super::SendError;
-use super::send_error::BrokenSnafu;
 use super::send_error::ConnectSnafu;
 use super::send_error::ConnectTimeoutSnafu;
 use super::send_error::HandshakeSnafu;
@@ -66,9 +65,18 @@
         }
     }
     let mut new_connection = connect(target.address).await?;
-    let response =
-        new_connection.send_request(request).await.context(BrokenSnafu { peer: target.address })?;
-    Ok((response, new_connection))
+    match new_connection.try_send_request(request).await {
+        Ok(response) => Ok((response, new_connection)),
+        Err(mut error) => {
+            let is_unsent = error.take_message().is_some();
+            let (peer, source) = (target.address, error.into_error());
+            Err(if is_unsent {
+                SendError::ClosedAtOnce { peer, source }
+            } else {
+                SendError::Broken { peer, source }
+            })
+        }
+    }
 }
 
 async fn connect(peer: SocketAddr) -> Result<PooledConnection, SendError> {
