Probes avoid servers that ended for a peer, and explain nobody else's crashes

Cause: a probe of it went to an engine that had just ended for a peer, and its broken attempt counted as one more crash under it; and the crashes of a third poison request where such a probe ran were blamed on the probe, so that it ended eight engines before it was quarantined.

`undecided_probe_does_not_explain_crashes` failed without the change.

Change: probes avoid servers that broke for this gateway or a peer in the last three seconds; while it is undecided which of several requests is fatal, what their probes crash counts against everybody who was there.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -16,6 +16,7 @@
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
 use super::recent_completions::RecentCompletions;
+use super::server_outage::OUTAGE_WINDOW;
 use super::server_outage::ServerOutage;
 use crate::model::RequestFingerprint;
 use crate::model::ServerIncarnation;
@@ -46,6 +47,8 @@
     pub(super) records: CrashRecords,
     /// Server incarnations at which an attempt broke and that have not responded since.
     outages: FxHashMap<ServerIncarnation, ServerOutage>,
+    /// When peers saw server incarnations crash, for [`CrashDetector::is_down`].
+    peer_outages: FxHashMap<ServerIncarnation, Instant>,
     recent: RecentCompletions,
     pub(super) log: OutcomeLog,
     pub(super) row_changes: Vec<RowChange>,
@@ -102,6 +105,7 @@
         now: Instant,
     ) -> Option<QuarantineChange> {
         self.outages.remove(&incarnation);
+        self.peer_outages.remove(&incarnation);
         self.recent.record(fingerprint, now);
         let record = self.records.get_mut(fingerprint)?;
         if record.crashes() > 0 || record.quarantine.is_some() {
@@ -122,6 +126,7 @@
         let since = self.warm_up_start(now);
         match update.outcome {
             AttemptOutcome::Crashed(id) => {
+                self.peer_outages.insert(id, at);
                 let is_new = self.crash_record(update.content, at, now).record_peer_crash(id, at);
                 if !is_new || self.records.exclude_if_explained(update.content, id, now) {
                     return None;
@@ -207,8 +212,9 @@
     /// Starts the due probe without a claim.
     pub fn begin_unclaimed_probe(&mut self, fingerprint: RequestFingerprint, now: Instant) {
         self.change_quarantine(fingerprint, |quarantine| {
-            let was_shared = quarantine.was_shared;
+            let Quarantine { began_at, was_shared, .. } = *quarantine;
             *quarantine = Quarantine::new(quarantine.probes + 1, quarantine.stamp, now);
+            quarantine.began_at = began_at;
             quarantine.was_shared = was_shared;
             quarantine.begin_probe();
         });
@@ -240,10 +246,12 @@
         })
     }
 
-    /// Returns true while a server incarnation is known to be down: an attempt broke at it, and it
-    /// has not responded since.
+    /// Returns true while a server incarnation is known to be down: an attempt of this gateway or
+    /// of a peer broke at it, and it has not responded to this gateway since.
     pub fn is_down(&self, incarnation: ServerIncarnation, now: Instant) -> bool {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < OUTAGE_WINDOW;
         self.outages.get(&incarnation).is_some_and(|outage| outage.is_live(now))
+            || self.peer_outages.get(&incarnation).is_some_and(is_recent)
     }
 
     /// Returns the number of server crashes under `fingerprint` since its last completion.
@@ -268,6 +276,7 @@
         }
         self.records.retain(|record| record.is_live(now));
         self.outages.retain(|_, outage| outage.is_live(now));
+        self.peer_outages.retain(|_, at| now.saturating_duration_since(*at) < OUTAGE_WINDOW);
         if !forgotten.is_empty() {
             self.records.refresh_explained();
         }
--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -99,6 +99,19 @@
         self.crashes.iter().map(|(id, _)| *id)
     }
 
+    /// Returns the ids of the server crashes that the fingerprint explains for others while it is
+    /// quarantined.
+    ///
+    /// Prevents the crashes of a poison request from being blamed on probes of a harmless one that
+    /// is quarantined with others: a server that runs such a probe and another request may have
+    /// crashed under either.
+    pub fn explaining_crashes(&self) -> impl Iterator<Item = CrashId> {
+        let began_at = self.quarantine.map(|quarantine| quarantine.began_at);
+        let is_undecided = self.is_provisional();
+        let explains = move |at: Instant| !is_undecided || began_at.is_none_or(|began| at <= began);
+        self.crashes.iter().filter(move |(_, at)| explains(*at)).map(|(id, _)| *id)
+    }
+
     /// Removes the server crashes that other fingerprints explain, and returns true. Returns
     /// false and removes none if so many are shared with those that this may as well be the
     /// poison request, unless it completed or was released recently.
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -22,7 +22,7 @@
     /// Invariant: at most [`MAX_RECORDS`].
     records: FxHashMap<RequestFingerprint, CrashRecord>,
     /// Invariant: after [`refresh_explained`](Self::refresh_explained), the server crashes
-    /// under quarantined fingerprints.
+    /// that quarantined fingerprints explain.
     explained: FxHashSet<CrashId>,
 }
 
@@ -147,7 +147,7 @@
     /// their crashes.
     pub fn refresh_explained(&mut self) {
         let quarantined = self.records.values().filter(|record| record.quarantine.is_some());
-        self.explained = quarantined.flat_map(CrashRecord::crash_ids).collect();
+        self.explained = quarantined.flat_map(CrashRecord::explaining_crashes).collect();
     }
 
     /// Returns true if the server crash `id`, recorded for `fingerprint`, belongs to another
--- a/crates/gateway/src/cluster/quarantine.rs
+++ b/crates/gateway/src/cluster/quarantine.rs
@@ -56,6 +56,7 @@
 pub(super) struct Quarantine {
     /// Number of requests admitted as probes.
     pub probes: u32,
+    pub began_at: Instant,
     /// When the quarantine began, or the last probe was claimed.
     pub since: Instant,
     /// The version of the row in the store; 0 while there is none.
@@ -72,6 +73,7 @@
     pub fn new(probes: u32, stamp: StoreStamp, since: Instant) -> Self {
         Quarantine {
             probes,
+            began_at: since,
             since,
             stamp,
             was_shared: false,
--- a/crates/gateway/src/cluster/server_outage.rs
+++ b/crates/gateway/src/cluster/server_outage.rs
@@ -7,7 +7,7 @@
 
 /// An attempt that breaks this soon after another at the same server incarnation shows that
 /// the server has not recovered in between.
-const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
+pub(super) const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
 
 /// A server incarnation that has not responded since an attempt broke at it.
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -18,6 +18,7 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::ServerIncarnation;
+use crate::model::ServerKey;
 use crate::model::ServerStage;
 use crate::quarantine::claim_probe;
 use crate::quarantine::fingerprint_key;
@@ -38,7 +39,7 @@
     call: &Call,
 ) -> Result<Attempts, Response<GatewayBody>> {
     loop {
-        let has_probe_server = || has_probe_server(state, call);
+        let has_probe_server = || !probe_servers(state, call).up.is_empty();
         let verdict = state.quarantines.admit(call.fingerprint, has_probe_server);
         let (quarantine, outcome) = match verdict {
             QuarantineVerdict::Admitted => return Ok(Attempts::default()),
@@ -64,19 +65,37 @@
     }
 }
 
-/// Returns true when a server that is not known to be down may respond to `call`.
-fn has_probe_server(state: &GatewayState, call: &Call) -> bool {
+/// Servers that may respond to a call, by whether they are known to be down.
+#[derive(Debug, Default)]
+struct ProbeServers {
+    up: SmallVec<[ServerKey; 16]>,
+    down: SmallVec<[ServerKey; 4]>,
+}
+
+/// Returns the servers that may respond to `call` and may run its probe.
+fn probe_servers(state: &GatewayState, call: &Call) -> ProbeServers {
     let now = Instant::now();
-    let incarnations: SmallVec<[ServerIncarnation; 32]> = {
+    let candidates: Vec<(ServerKey, ServerIncarnation, bool)> = {
         let fleet = state.fleet();
         let servers = fleet.available_servers(&call.service, now);
-        let may_respond = servers.map(|(server_state, _)| server_state).filter(|server_state| {
-            let is_prefill = server_state.entry.stage == ServerStage::Prefill;
-            !is_prefill && !server_state.health.is_ejected(now)
-        });
-        may_respond.map(|server_state| server_state.incarnation).collect()
+        servers
+            .map(|(server_state, _)| server_state)
+            .filter(|server_state| server_state.entry.stage != ServerStage::Prefill)
+            .map(|server_state| {
+                let is_ejected = server_state.health.is_ejected(now);
+                (server_state.entry.server.clone(), server_state.incarnation, is_ejected)
+            })
+            .collect()
     };
-    incarnations.into_iter().any(|incarnation| !state.quarantines.is_down(incarnation))
+    let mut servers = ProbeServers::default();
+    for (server, incarnation, is_ejected) in candidates {
+        if is_ejected || state.quarantines.is_down(incarnation) {
+            servers.down.push(server);
+        } else {
+            servers.up.push(server);
+        }
+    }
+    servers
 }
 
 /// Waits for a change or one poll interval, after which `call` may be admitted or become the
@@ -97,7 +116,8 @@
 /// Returns the attempts of `call` as the probe of its quarantine.
 fn new_probe(state: &Arc<GatewayState>, call: &Call, quarantine: QuarantineStatus) -> Attempts {
     log_quarantined(call, quarantine, 0, "sent as a probe");
-    Attempts::probe(ProbeGuard::new(state, call.fingerprint))
+    let servers = probe_servers(state, call);
+    Attempts::probe(ProbeGuard::new(state, call.fingerprint), servers.down)
 }
 
 /// Returns the `Retry-After` of a quarantined request.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -26,7 +26,8 @@
 /// The attempts of one request so far.
 #[derive(Debug, Default)]
 pub struct Attempts {
-    /// The servers of all attempts, in order.
+    /// The servers that further attempts avoid: those of all attempts, in order, after those that a
+    /// probe avoids from the beginning.
     pub tried: SmallVec<[ServerKey; 4]>,
     /// Number of attempts whose server may have run the request.
     pub runs: u32,
@@ -40,9 +41,10 @@
 }
 
 impl Attempts {
-    /// Returns the attempts of a probe.
-    pub fn probe(guard: ProbeGuard) -> Self {
-        Attempts { probe: Some(guard), ..Attempts::default() }
+    /// Returns the attempts of a probe, which avoids the servers that are known to be down: it
+    /// would show nothing there.
+    pub fn probe(guard: ProbeGuard, down_servers: SmallVec<[ServerKey; 4]>) -> Self {
+        Attempts { probe: Some(guard), tried: down_servers, ..Attempts::default() }
     }
 
     /// Returns the quarantine of `call`; `None` for the only attempt of a probe.
--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -124,7 +124,7 @@
             is_reported = true;
         }
         if earliest_placement.is_some_and(|at| now >= at) && !is_provisional {
-            match try_place(state, call, spec, shape) {
+            match try_place(state, call, attempts, spec, shape) {
                 Ok(placed) => {
                     queue_ticket.is_placed = true;
                     return Ok(placed);
@@ -257,6 +257,7 @@
 fn try_place(
     state: &Arc<GatewayState>,
     call: &Call,
+    attempts: &Attempts,
     spec: &EngineSpec,
     shape: &PromptShape,
 ) -> Result<PlacedStream, PlacementError> {
@@ -268,7 +269,8 @@
         let service_digest = name_digest(&call.service);
         let queued_ahead =
             update.map_or(0, |update| fleet.peers.queued_ahead(service_digest, &update, now));
-        place_engine(&fleet, spec, shape, queued_ahead, &placement_request(state, call, &[]))?
+        let request = placement_request(state, call, &attempts.tried);
+        place_engine(&fleet, spec, shape, queued_ahead, &request)?
     };
     log_placed(state, call, &decode, prefill.as_ref(), 0, cost);
     let prefill = prefill
--- a/crates/gateway/tests/shared_crashes.rs
+++ b/crates/gateway/tests/shared_crashes.rs
@@ -251,3 +251,34 @@
         assert!(matches!(verdict, QuarantineVerdict::ProbeDue(_)), "{name}: {verdict:?}");
     }
 }
+
+/// Prevents a poison request from going unnoticed because its crashes are blamed on the probes of a
+/// harmless one that is quarantined with another poison request.
+#[test]
+fn undecided_probe_does_not_explain_crashes() {
+    const SECOND_POISON: u64 = 9;
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    crash_three(&mut detector, [0, 90, 0], 57, now);
+    detector.begin_unclaimed_probe(POPULAR, now + ms(10));
+    detector.record_crash(POPULAR, 50, ms(30), now + ms(60));
+    for (server, at) in [(50, 60), (51, 200), (52, 400)] {
+        detector.record_crash(SECOND_POISON, server, Duration::ZERO, now + ms(at));
+    }
+    assert!(detector.status(SECOND_POISON, now + ms(400)).is_some());
+}
+
+/// Prevents probes at servers that a peer has seen crash: until one responds to this gateway, or
+/// some seconds are over, it counts as down.
+#[test]
+fn server_that_crashed_for_a_peer_is_down() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    assert!(!detector.is_down(50, now));
+    let update = OutcomeUpdate { content: POISON, outcome: AttemptOutcome::Crashed(50), age_ms: 5 };
+    detector.apply_peer_outcome(update, now);
+    assert!(detector.is_down(50, now + ms(500)));
+    assert!(!detector.is_down(50, now + ms(5000)));
+    detector.record_completion(POPULAR, 50, now + ms(500));
+    assert!(!detector.is_down(50, now + ms(500)));
+}
