Another server for a silent stream is looked for four times a second

The first look at a silent stream's place elsewhere was repeated only after the whole silence again, 1.2 or 1.5 s later. It is repeated every 250 ms now, and a place is logged (5004) only once the permit to send to it is there.

--- a/crates/gateway/src/forward/next_server.rs
+++ b/crates/gateway/src/forward/next_server.rs
@@ -12,6 +12,9 @@
 use crate::load_guard::LoadGuard;
 use crate::state::GatewayState;
 
+/// Interval at which another server is looked for while a stream's server remains silent.
+pub const RESERVE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Another server for a stream, with the permit to send to it.
 #[derive(Debug)]
 pub struct NextServer {
@@ -29,8 +32,9 @@
     if !has_time || !attempts.allows_replacement(call) {
         return None;
     }
-    let load_guard = stream_run::place_retry(state, call, attempts)?;
+    let server = stream_run::choose_retry(state, call, attempts)?;
     let permit = attempts.permit_replacement(state, call)?;
+    let load_guard = stream_run::begin_retry(state, call, attempts, server);
     Some(NextServer { load_guard, permit })
 }
 
@@ -41,10 +45,11 @@
     call: &Call,
     attempts: &Attempts,
 ) -> NextServer {
+    smol::Timer::after(silence).await;
     loop {
-        smol::Timer::after(silence).await;
         if let Some(next) = reserve(state, call, attempts) {
             return next;
         }
+        smol::Timer::after(RESERVE_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -194,10 +194,12 @@
                     return Ok(StreamStop::Failed(AttemptFailure::Garbled, problem));
                 }
                 self.relay_event(event).await?;
+                is_stalled = false;
                 tokens += tokens_per_event;
                 stream.load_guard.record_progress(tokens);
             }
-            let until = (Instant::now() + stall_timeout).min(self.call.deadline);
+            let patience = if is_stalled { next_server::RESERVE_INTERVAL } else { stall_timeout };
+            let until = (Instant::now() + patience).min(self.call.deadline);
             match with_deadline(until, stream.reader.next_event()).await {
                 Some(Ok(Some(event))) => next = Some(event),
                 Some(Ok(None)) if stream.reader.is_complete() => return Ok(StreamStop::Ended),
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -166,14 +166,26 @@
     call: &Call,
     attempts: &Attempts,
 ) -> Option<LoadGuard> {
-    let shape = call.prompt_shape();
-    let server = {
-        let fleet = state.fleet();
-        let request = placement_request(state, call, &attempts.tried);
-        place_decode(&fleet, &call.engine_spec(), &shape, &request).ok()?
-    };
+    let server = choose_retry(state, call, attempts)?;
+    Some(begin_retry(state, call, attempts, server))
+}
+
+/// Returns another decode server with capacity for the stream.
+pub fn choose_retry(state: &GatewayState, call: &Call, attempts: &Attempts) -> Option<ServerKey> {
+    let fleet = state.fleet();
+    let request = placement_request(state, call, &attempts.tried);
+    place_decode(&fleet, &call.engine_spec(), &call.prompt_shape(), &request).ok()
+}
+
+/// Counts the stream's load at `server`, to which it goes next.
+pub fn begin_retry(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &Attempts,
+    server: ServerKey,
+) -> LoadGuard {
     log_placed(state, call, &server, None, attempts.count(), 0.0);
-    Some(LoadGuard::begin(state, server, LoadShare::of_stream(&shape)))
+    LoadGuard::begin(state, server, LoadShare::of_stream(&call.prompt_shape()))
 }
 
 /// Like [`place_retry`], with a prefill at a separate server where that is allowed.
