A request quarantined before another suspect is probed at once

Cause: the popular request reached its third crash before the poison request at the same servers. Only requests that are quarantined for the same crashes count as undecided; alone, it counted as decided.

Evidence: logs: the popular content is held back at 0.222 s, the poison one, with two of the same crashes on record, at 0.359 s; calls in between were rejected.

Change: while another request that is not quarantined shares two crashes, a quarantine is undecided until its first probe, which is due at once.

--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -18,7 +18,7 @@
 /// servers crash at one moment, a crash of an earlier moment may be dropped.
 const MAX_CRASHES: usize = 6;
 /// Maximum number of crashes shared with quarantined fingerprints that are excluded.
-const MAX_EXCLUDED: usize = 1;
+pub(super) const MAX_EXCLUDED: usize = 1;
 /// Attempts that break at one server within this time belong to a single crash, since no
 /// server restarts sooner. Peers report the crash within this time too.
 pub(super) const SAME_CRASH_WINDOW: Duration = Duration::from_secs(1);
@@ -91,7 +91,12 @@
 
     /// Returns true if a server crashed under both this fingerprint and `other`.
     pub fn shares_crash(&self, other: &CrashRecord) -> bool {
-        self.crash_ids().any(|id| other.crash_ids().any(|other_id| other_id == id))
+        self.shared_crashes(other) > 0
+    }
+
+    /// Returns the number of server crashes under both this fingerprint and `other`.
+    pub fn shared_crashes(&self, other: &CrashRecord) -> usize {
+        self.crash_ids().filter(|id| other.crash_ids().any(|other_id| other_id == *id)).count()
     }
 
     /// Returns the ids of the known server crashes under the fingerprint.
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -9,6 +9,7 @@
 
 use super::CrashId;
 use super::crash_record::CrashRecord;
+use super::crash_record::MAX_EXCLUDED;
 use crate::model::RequestFingerprint;
 use crate::model::StoreStamp;
 
@@ -100,12 +101,26 @@
         )
     }
 
-    /// Marks the fingerprints that are quarantined for the same server crashes as others.
+    /// Returns true if a fingerprint that is not quarantined shares so many server crashes with
+    /// `fingerprint` that it may be the poison request, and only was recorded later.
+    fn has_unquarantined_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+        let Some(record) = self.records.get(&fingerprint) else { return false };
+        self.records.iter().any(|(other, other_record)| {
+            *other != fingerprint
+                && other_record.quarantine.is_none()
+                && other_record.shared_crashes(record) > MAX_EXCLUDED
+        })
+    }
+
+    /// Marks the fingerprints that are quarantined for the same server crashes as others, or as
+    /// others that may be next.
     pub fn mark_shared(&mut self) {
         let quarantined: SmallVec<[RequestFingerprint; 4]> =
             self.quarantined().map(|(fingerprint, _)| fingerprint).collect();
         for fingerprint in quarantined {
-            if self.shared_crash_rank(fingerprint).is_none() {
+            let is_shared = self.shared_crash_rank(fingerprint).is_some()
+                || self.has_unquarantined_suspect(fingerprint);
+            if !is_shared {
                 continue;
             }
             let record = self.records.get_mut(&fingerprint);
--- a/crates/gateway/tests/shared_crashes.rs
+++ b/crates/gateway/tests/shared_crashes.rs
@@ -282,3 +282,20 @@
     detector.record_completion(POPULAR, 50, now + ms(500));
     assert!(!detector.is_down(50, now + ms(500)));
 }
+
+/// Prevents the rejection of a popular request that is quarantined before the poison request at the
+/// same crashes: its callers wait for a probe, which is due at once.
+#[test]
+fn request_quarantined_before_another_suspect_is_probed_at_once() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    for server in 1..=3 {
+        detector.record_crash(POPULAR, server, ms(40), now);
+        if server < 3 {
+            detector.record_crash(POISON, server, ms(50), now);
+        }
+    }
+    let popular = detector.status(POPULAR, now).expect("quarantined");
+    assert!(popular.is_provisional && popular.until_probe.is_zero(), "{popular:?}");
+    assert!(detector.status(POISON, now).is_none());
+}
