--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -17,7 +17,8 @@
 /// Maximum number of crashes kept for one fingerprint; the oldest are dropped. If many
 /// servers crash at one moment, a crash of an earlier moment may be dropped.
 const MAX_CRASHES: usize = 6;
-/// Maximum number of crashes shared with quarantined fingerprints that are excluded.
+/// Maximum number of crashes shared with quarantined fingerprints that are excluded. A fingerprint
+/// that shares more may be the poison request as well.
 pub(super) const MAX_EXCLUDED: usize = 1;
 /// Attempts that break at one server within this time belong to a single crash, since no
 /// server restarts sooner. Peers report the crash within this time too.
--- a/crates/gateway/src/cluster/quarantine.rs
+++ b/crates/gateway/src/cluster/quarantine.rs
@@ -56,6 +56,7 @@
 pub(super) struct Quarantine {
     /// Number of requests admitted as probes.
     pub probes: u32,
+    /// When the quarantine began.
     pub began_at: Instant,
     /// When the quarantine began, or the last probe was claimed.
     pub since: Instant,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -129,8 +129,7 @@
 
     /// Returns a permit to prefill the prompt at a separate server. The first consumes no retry
     /// budget, but is not allowed while failed ones have used it up; further ones are optional and
-    /// need some. The prompt of a probe is prefilled
-    /// by the server that responds to it.
+    /// need some. The prompt of a probe is prefilled by the server that responds to it.
     pub fn permit_prefill(
         &mut self,
         state: &Arc<GatewayState>,
