A request that shares a crash with a suspect is undecided; suspects are probed in turn

Callers of a popular request saw it rejected as quarantined at once. (2) Of several suspects the one with the longest run was probed up to five times, each ending an engine, before the others.

Crashes that another fingerprint explains are kept on record. A quarantined request that shares one with an untrusted request is undecided until its first probe: its callers wait; it is probed at once if servers crashed under the other more than once. Suspects are ranked by the number of their probes first.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -12,6 +12,7 @@
 use super::QuarantineVerdict;
 use super::RowChange;
 use super::crash_record::CrashRecord;
+use super::crash_record::Suspicion;
 use super::crash_records::CrashRecords;
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
@@ -90,6 +91,7 @@
         // A probe that met an already known crash gives no information and is not consumed.
         self.change_quarantine(fingerprint, Quarantine::consume_probe);
         if self.records.exclude_if_explained(fingerprint, id, now) {
+            self.records.mark_shared(now);
             return None;
         }
         self.log.push(fingerprint, AttemptOutcome::Crashed(id), now);
@@ -128,7 +130,11 @@
             AttemptOutcome::Crashed(id) => {
                 self.peer_outages.insert(id, at);
                 let is_new = self.crash_record(update.content, at, now).record_peer_crash(id, at);
-                if !is_new || self.records.exclude_if_explained(update.content, id, now) {
+                if !is_new {
+                    return None;
+                }
+                if self.records.exclude_if_explained(update.content, id, now) {
+                    self.records.mark_shared(now);
                     return None;
                 }
                 self.evaluate_crash(update.content, now)
@@ -236,13 +242,16 @@
         let age = self.started_at.map(|started_at| now.saturating_duration_since(started_at));
         let awaits_reports =
             record.crashes() == 0 && age.is_some_and(|age| age < FIRST_REPORTS_WINDOW);
+        // Another fingerprint may turn out to be the poison request before the first probe.
+        let awaits_suspects = quarantine.probes == 0
+            && self.records.suspicion_of_others(fingerprint, now) > Suspicion::None;
         Some(QuarantineStatus {
             crashes: record.crashes(),
             probes: quarantine.probes,
             stamp: quarantine.stamp,
             age: now.saturating_duration_since(quarantine.since),
             until_probe: quarantine.time_until_probe(rank, now),
-            is_provisional: is_shared || awaits_reports,
+            is_provisional: is_shared || awaits_reports || awaits_suspects,
         })
     }
 
@@ -308,7 +317,9 @@
         now: Instant,
     ) -> Option<QuarantineChange> {
         if self.records.get(fingerprint)?.quarantine.is_none() {
-            return self.quarantine_if_suspect(fingerprint, now);
+            let change = self.quarantine_if_suspect(fingerprint, now);
+            self.records.mark_shared(now);
+            return change;
         }
         self.exclude_explained_crashes(now);
         None
@@ -329,7 +340,7 @@
         let has_local_crash = record.has_local_crash;
         self.exclude_explained_crashes(now);
         self.release_long_running(now);
-        self.records.mark_shared();
+        self.records.mark_shared(now);
         // The fingerprint may just have been released as a long-running one.
         self.records.get(fingerprint)?.quarantine?;
         // Every gateway that saw one of the crashes itself writes the row; the store accepts the
--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -23,6 +23,11 @@
 /// Attempts that break at one server within this time belong to a single crash, since no
 /// server restarts sooner. Peers report the crash within this time too.
 pub(super) const SAME_CRASH_WINDOW: Duration = Duration::from_secs(1);
+/// Number of server crashes, counting those that others explain, from which on a fingerprint that
+/// shares one with a quarantined fingerprint may be the poison request.
+const SUSPECT_CRASHES: usize = 2;
+/// How long a crash that another fingerprint explains is kept: until the first probe of that one.
+const EXCLUDED_RETENTION: Duration = Duration::from_secs(3);
 /// A run that sent events this many times as long as a run of another request was past the
 /// point at which the other crashed its server.
 const LONG_RUN_FACTOR: u32 = 2;
@@ -33,12 +38,25 @@
 /// How long server crashes without a later completion are kept.
 const CRASH_RETENTION: Duration = Duration::from_secs(600);
 
+/// Whether an unquarantined fingerprint may be the poison request in place of a quarantined one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Suspicion {
+    None,
+    /// It ran at one of the servers that crashed, as others may have.
+    Possible,
+    /// Servers crashed under it more than once.
+    Likely,
+}
+
 /// The record of one fingerprint.
 #[derive(Debug, Default)]
 pub(super) struct CrashRecord {
     /// Server crashes under the fingerprint, oldest first. Invariant: none before
     /// `completed_at`.
     crashes: SmallVec<[(CrashId, Instant); QUARANTINE_THRESHOLD]>,
+    /// Server crashes under the fingerprint that another one, which is quarantined, explains.
+    /// Invariant: at most [`MAX_CRASHES`], none of which is in `crashes`.
+    excluded: SmallVec<[(CrashId, Instant); MAX_EXCLUDED]>,
     /// The last known completion.
     completed_at: Option<Instant>,
     /// The longest time for which a run sent events before its server crashed, as seen by this
@@ -129,10 +147,39 @@
         if shared > MAX_EXCLUDED && !self.is_trusted(now) {
             return false;
         }
+        let removed = self.crashes.iter().filter(|(id, _)| explained.contains(id)).copied();
+        self.excluded.extend(removed);
+        let surplus = self.excluded.len().saturating_sub(MAX_CRASHES);
+        self.excluded.drain(..surplus);
         self.remove_crashes(explained);
         true
     }
 
+    /// Returns whether servers may have crashed under this fingerprint, which is not quarantined,
+    /// and not under `other`, which is.
+    pub fn suspicion_beside(&self, other: &CrashRecord, now: Instant) -> Suspicion {
+        if self.quarantine.is_some() {
+            return Suspicion::None;
+        }
+        let is_shared = |id: &CrashId| other.crash_ids().any(|other_id| other_id == *id);
+        let shared = self.known_crash_ids().filter(is_shared).count();
+        let is_repeated = self.known_crash_ids().count() >= SUSPECT_CRASHES;
+        match shared {
+            0 => Suspicion::None,
+            // Its crashes stay on record beside the quarantined fingerprint.
+            _ if shared > MAX_EXCLUDED => Suspicion::Likely,
+            _ if self.is_trusted(now) => Suspicion::None,
+            _ if is_repeated => Suspicion::Likely,
+            _ => Suspicion::Possible,
+        }
+    }
+
+    /// Returns the ids of the server crashes under the fingerprint, with those that another one
+    /// explains.
+    fn known_crash_ids(&self) -> impl Iterator<Item = CrashId> {
+        self.crash_ids().chain(self.excluded.iter().map(|(id, _)| *id))
+    }
+
     /// Removes the server crashes that other fingerprints explain.
     pub fn remove_crashes(&mut self, explained: &FxHashSet<CrashId>) {
         self.crashes.retain(|(id, _)| !explained.contains(id));
@@ -160,6 +207,7 @@
         let at = self.completed_at.map_or(at, |known| known.max(at));
         self.completed_at = Some(at);
         self.crashes.retain(|(_, crashed_at)| *crashed_at > at);
+        self.excluded.retain(|(_, crashed_at)| *crashed_at > at);
         self.has_local_crash &= !self.crashes.is_empty();
     }
 
@@ -208,6 +256,7 @@
         let is_within = |at: &Instant, span| now.saturating_duration_since(*at) < span;
         self.quarantine.is_some()
             || self.crashes.iter().any(|(_, at)| is_within(at, CRASH_RETENTION))
+            || self.excluded.iter().any(|(_, at)| is_within(at, EXCLUDED_RETENTION))
             || self.is_trusted(now)
             || self.void_rows.is_some_and(|(_, at)| is_within(&at, COMPLETION_RETENTION))
     }
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -9,7 +9,7 @@
 
 use super::CrashId;
 use super::crash_record::CrashRecord;
-use super::crash_record::MAX_EXCLUDED;
+use super::crash_record::Suspicion;
 use crate::model::RequestFingerprint;
 use crate::model::StoreStamp;
 
@@ -77,10 +77,17 @@
     /// Returns the rank of `fingerprint` among the fingerprints that are quarantined for the
     /// same server crashes, or `None` if it shares none.
     ///
-    /// Those with the longest runs rank first, as the most likely to be harmless.
+    /// Those with the longest runs rank first, as the most likely to be harmless, and those that
+    /// have been probed less often before them.
+    ///
+    /// Prevents a poison request from being probed several times, each time crashing a server,
+    /// while a harmless one waits for its first probe.
     pub fn shared_crash_rank(&self, fingerprint: RequestFingerprint) -> Option<usize> {
         let record = self.records.get(&fingerprint)?;
-        let rank = |fingerprint, record: &CrashRecord| (Reverse(record.longest_run), fingerprint);
+        let rank = |fingerprint, record: &CrashRecord| {
+            let probes = record.quarantine.map_or(0, |quarantine| quarantine.probes);
+            (probes, Reverse(record.longest_run), fingerprint)
+        };
         let shares_crashes = |other: &&(RequestFingerprint, &CrashRecord)| {
             let (other, other_record) = **other;
             other != fingerprint
@@ -101,25 +108,23 @@
         )
     }
 
-    /// Returns true if a fingerprint that is not quarantined shares so many server crashes with
-    /// `fingerprint` that it may be the poison request, and only was recorded later.
-    fn has_unquarantined_suspect(&self, fingerprint: RequestFingerprint) -> bool {
-        let Some(record) = self.records.get(&fingerprint) else { return false };
-        self.records.iter().any(|(other, other_record)| {
-            *other != fingerprint
-                && other_record.quarantine.is_none()
-                && other_record.shared_crashes(record) > MAX_EXCLUDED
-        })
+    /// Returns how likely it is that a fingerprint that is not quarantined, rather than
+    /// `fingerprint`, is the poison request, and only was recorded later.
+    pub fn suspicion_of_others(&self, fingerprint: RequestFingerprint, now: Instant) -> Suspicion {
+        let Some(record) = self.records.get(&fingerprint) else { return Suspicion::None };
+        let others = self.records.iter().filter(|(other, _)| **other != fingerprint);
+        let suspicions = others.map(|(_, other_record)| other_record.suspicion_beside(record, now));
+        suspicions.max().unwrap_or(Suspicion::None)
     }
 
     /// Marks the fingerprints that are quarantined for the same server crashes as others, or as
     /// others that may be next.
-    pub fn mark_shared(&mut self) {
+    pub fn mark_shared(&mut self, now: Instant) {
         let quarantined: SmallVec<[RequestFingerprint; 4]> =
             self.quarantined().map(|(fingerprint, _)| fingerprint).collect();
         for fingerprint in quarantined {
             let is_shared = self.shared_crash_rank(fingerprint).is_some()
-                || self.has_unquarantined_suspect(fingerprint);
+                || self.suspicion_of_others(fingerprint, now) == Suspicion::Likely;
             if !is_shared {
                 continue;
             }
--- a/crates/gateway/src/cluster/quarantine.rs
+++ b/crates/gateway/src/cluster/quarantine.rs
@@ -133,12 +133,12 @@
     /// Returns the time from `now` until a probe may be claimed, or zero if it may be. Of
     /// several fingerprints that are quarantined for the same server crashes, the one at `rank`
     /// 0 is probed soon, on its own; each further one a little later, as nobody may be sending
-    /// those before it.
+    /// those before it, and one that was probed waits its turn in the same way.
     pub fn time_until_probe(&self, rank: Option<usize>, now: Instant) -> Duration {
         let delay = match rank {
             Some(0) if self.probes < ISOLATION_PROBES => ISOLATION_INTERVAL * self.probes.min(1),
             Some(0) => probe_delay(self.probes - ISOLATION_PROBES),
-            Some(rank) if self.probes == 0 => {
+            Some(rank) if self.probes < ISOLATION_PROBES => {
                 (ISOLATION_INTERVAL * rank as u32).min(probe_delay(self.probes))
             }
             _ => probe_delay(self.probes),
--- a/crates/gateway/tests/shared_crashes.rs
+++ b/crates/gateway/tests/shared_crashes.rs
@@ -299,3 +299,78 @@
     assert!(popular.is_provisional && popular.until_probe.is_zero(), "{popular:?}");
     assert!(detector.status(POISON, now).is_none());
 }
+
+struct SuspectCase {
+    name: &'static str,
+    /// The servers that crash under the poison request, beside servers 1 to 3 under the popular one.
+    poison_crashes: &'static [u64],
+    is_provisional: bool,
+    is_probed_at_once: bool,
+}
+
+/// Prevents the rejection of a popular request whose third crash is known before the second one of
+/// the poison request at the same servers.
+#[test]
+fn request_that_shares_one_crash_with_a_suspect_is_undecided() {
+    let cases = [
+        SuspectCase {
+            name: "shares no crash",
+            poison_crashes: &[50, 51],
+            is_provisional: false,
+            is_probed_at_once: false,
+        },
+        SuspectCase {
+            name: "a request that happened to run at one of the servers",
+            poison_crashes: &[3],
+            is_provisional: true,
+            is_probed_at_once: false,
+        },
+        SuspectCase {
+            name: "another server has crashed under it too",
+            poison_crashes: &[50, 3],
+            is_provisional: true,
+            is_probed_at_once: true,
+        },
+        SuspectCase {
+            name: "another server crashes under it later",
+            poison_crashes: &[3, 50],
+            is_provisional: true,
+            is_probed_at_once: true,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut detector = CrashDetector::default();
+        for server in 1..=3 {
+            detector.record_crash(POPULAR, server, ms(40), now);
+        }
+        for server in case.poison_crashes {
+            detector.record_crash(POISON, *server, ms(50), now + ms(5));
+        }
+        let popular = detector.status(POPULAR, now + ms(10)).expect(case.name);
+        assert_eq!(popular.is_provisional, case.is_provisional, "{}: {popular:?}", case.name);
+        let is_due = popular.until_probe.is_zero();
+        assert_eq!(is_due, case.is_probed_at_once, "{}: {popular:?}", case.name);
+        assert!(!popular.until_probe.is_zero() || popular.is_provisional, "{}", case.name);
+        // Once a probe has broken, its callers wait no longer.
+        detector.begin_unclaimed_probe(POPULAR, now + ms(1500));
+        let popular = detector.status(POPULAR, now + ms(2200)).expect(case.name);
+        assert!(!popular.is_provisional, "{}: {popular:?}", case.name);
+    }
+}
+
+/// Prevents a poison request from being probed again and again, each time ending a server, before
+/// the popular request that is quarantined with it is probed once.
+#[test]
+fn every_suspect_is_probed_once_before_one_is_probed_again() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    crash_three(&mut detector, [0; 3], 57, now);
+    assert!(detector.status(POISON, now).is_some_and(|poison| poison.until_probe.is_zero()));
+    detector.begin_unclaimed_probe(POISON, now + ms(10));
+    detector.record_crash(POISON, 50, ms(10), now + ms(60));
+    let popular = detector.status(POPULAR, now + ms(60)).expect("quarantined");
+    assert!(popular.is_provisional && popular.until_probe.is_zero(), "{popular:?}");
+    let poison = detector.status(POISON, now + ms(600)).expect("quarantined");
+    assert!(!poison.until_probe.is_zero(), "{poison:?}");
+}
