--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -161,16 +161,19 @@
         if self.quarantine.is_some() {
             return Suspicion::None;
         }
-        let is_shared = |id: &CrashId| other.crash_ids().any(|other_id| other_id == *id);
-        let shared = self.known_crash_ids().filter(is_shared).count();
-        let is_repeated = self.known_crash_ids().count() >= SUSPECT_CRASHES;
-        match shared {
-            0 => Suspicion::None,
+        if self.shared_crashes(other) > MAX_EXCLUDED {
             // Its crashes stay on record beside the quarantined fingerprint.
-            _ if shared > MAX_EXCLUDED => Suspicion::Likely,
-            _ if self.is_trusted(now) => Suspicion::None,
-            _ if is_repeated => Suspicion::Likely,
-            _ => Suspicion::Possible,
+            return Suspicion::Likely;
+        }
+        if self.is_trusted(now) {
+            return Suspicion::None;
+        }
+        let is_shared = |id: CrashId| other.crash_ids().any(|other_id| other_id == id);
+        let is_repeated = self.known_crash_ids().count() >= SUSPECT_CRASHES;
+        match self.known_crash_ids().any(is_shared) {
+            false => Suspicion::None,
+            true if is_repeated => Suspicion::Likely,
+            true => Suspicion::Possible,
         }
     }
 
