--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -53,6 +53,8 @@
     recent: RecentCompletions,
     pub(super) log: OutcomeLog,
     pub(super) row_changes: Vec<RowChange>,
+    /// True where not all gateways report to each other: what peers report is passed on.
+    is_relaying: bool,
     /// Fingerprints that were quarantined and then released because another one explains the
     /// crashes.
     released: Vec<RequestFingerprint>,
@@ -64,6 +66,11 @@
         CrashDetector { started_at: Some(started_at), ..CrashDetector::default() }
     }
 
+    /// Sets whether crashes and completions that peers report are reported to others too.
+    pub fn set_relaying(&mut self, is_relaying: bool) {
+        self.is_relaying = is_relaying;
+    }
+
     /// Records that an attempt of `fingerprint` broke at a server incarnation after it had sent
     /// events for `run_duration`.
     pub fn record_crash(
@@ -137,6 +144,7 @@
                     self.records.mark_shared(now);
                     return None;
                 }
+                self.relay(update, at);
                 self.evaluate_crash(update.content, now)
             }
             AttemptOutcome::Lived(lived_ms) => {
@@ -160,7 +168,12 @@
                     self.records.entry(update.content);
                 }
                 let record = self.records.get_mut(update.content)?;
+                let is_news = record.crashes() > 0;
                 record.record_completion(at);
+                if is_news {
+                    self.relay(update, at);
+                }
+                let record = self.records.get_mut(update.content)?;
                 let is_cleared = !record.is_poison_suspect(since, now)
                     && record
                         .quarantine
@@ -170,6 +183,14 @@
         }
     }
 
+    /// Reports an outcome that a peer has seen at `at` to others, if some hear this gateway and not
+    /// the peer.
+    fn relay(&mut self, update: OutcomeUpdate, at: Instant) {
+        if self.is_relaying {
+            self.log.push(update.content, update.outcome, at);
+        }
+    }
+
     /// Decides whether a new request may be sent. A due probe is reserved for this request until
     /// its claim has succeeded, failed or timed out.
     pub fn admit(&mut self, fingerprint: RequestFingerprint, now: Instant) -> QuarantineVerdict {
--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -59,6 +59,10 @@
     pub(super) servers: FxHashMap<ServerKey, ServerState>,
     /// Invariant: each id in `servers` is listed here once, under the service of its entry.
     pub(super) services: FxHashMap<ServiceName, Vec<ServerKey>>,
+    /// Servers that this gateway has used lately: of all others there is nothing to report.
+    ///
+    /// Invariant: includes each server with load, and each one that is ejected or outdated.
+    used: FxHashSet<ServerKey>,
     pub peers: PeerReports,
     pub limits: ServerLimits,
     pub departures: ServerDepartures,
@@ -221,6 +225,7 @@
     /// Removes servers whose grace period has ended. Must be called about once a second.
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.remove_expired(now);
+        self.retain_used(now);
         self.stage_changes.retain(|_, (_, until)| now < *until);
         if self.has_flow_control() {
             let listed: FxHashSet<ServerIncarnation> =
@@ -244,6 +249,21 @@
         expired.iter().filter_map(|(key, stamp)| self.drop_server(key, *stamp, now)).collect()
     }
 
+    fn retain_used(&mut self, now: Instant) {
+        let servers = &self.servers;
+        self.used.retain(|key| {
+            servers.get(key).is_some_and(|state| {
+                let is_set_aside = state.is_outdated(now) || state.health.is_ejected(now);
+                state.local_load.running > 0 || is_set_aside
+            })
+        });
+    }
+
+    /// Returns the servers that this gateway has used lately.
+    pub(super) fn used_servers(&self) -> impl Iterator<Item = &ServerState> {
+        self.used.iter().filter_map(|key| self.servers.get(key))
+    }
+
     /// Returns true if any limit, departure or backoff stated by a server is known.
     fn has_flow_control(&self) -> bool {
         !(self.limits.is_empty() && self.departures.is_empty() && self.backoffs.is_empty())
@@ -256,8 +276,9 @@
 
     /// Returns the engines that this gateway has ordered to change, for a report to its peers.
     pub fn local_stage_changes(&self, now: Instant) -> Vec<u64> {
-        self.servers
-            .values()
+        self.stage_changes
+            .keys()
+            .filter_map(|key| self.servers.get(key))
             .filter(|server_state| self.is_changing_stage(server_state, now))
             .map(|server_state| server_state.incarnation)
             .collect()
@@ -286,8 +307,7 @@
 
     /// Returns this gateway's load on each server that has any, for a report to its peers.
     pub fn local_loads(&self) -> Vec<(u64, LoadShare)> {
-        self.servers
-            .values()
+        self.used_servers()
             .filter(|server_state| server_state.local_load.running > 0)
             .map(|server_state| (server_state.incarnation, server_state.local_load))
             .collect()
@@ -296,8 +316,7 @@
     /// Returns the servers that this gateway has ejected, or that are not what their row describes,
     /// for a report to its peers.
     pub fn local_ejections(&self, now: Instant) -> Vec<u64> {
-        self.servers
-            .values()
+        self.used_servers()
             .filter(|state| state.is_outdated(now) || state.health.is_ejected(now))
             .map(|server_state| server_state.incarnation)
             .collect()
@@ -313,6 +332,7 @@
     ) -> Option<ServerIncarnation> {
         let server_state = self.servers.get_mut(key)?;
         server_state.health.record_attempt(now);
+        self.used.insert(server_state.entry.server.clone());
         server_state.local_load = server_state.local_load.plus(work);
         Some(server_state.incarnation)
     }
@@ -353,6 +373,8 @@
             server_state.outdated_until = Some(now + OUTDATED_TIMEOUT);
         }
         server_state.health.record(outcome, now);
+        let key = server_state.entry.server.clone();
+        self.used.insert(key);
     }
 
     /// Returns a server if `incarnation` is still its current one.
@@ -368,6 +390,7 @@
     pub fn record_malformed(&mut self, key: &str, now: Instant) {
         if let Some(server_state) = self.servers.get_mut(key) {
             server_state.health.record_malformed(now);
+            self.used.insert(server_state.entry.server.clone());
         }
     }
 
--- a/crates/gateway/src/cluster/fleet_change.rs
+++ b/crates/gateway/src/cluster/fleet_change.rs
@@ -17,6 +17,19 @@
     Restarted(ServerKey),
 }
 
+impl FleetChange {
+    /// Returns the server that changed.
+    pub fn server(&self) -> &ServerKey {
+        match self {
+            FleetChange::Joined(server)
+            | FleetChange::Leaving(server)
+            | FleetChange::Removed(server)
+            | FleetChange::Expired(server)
+            | FleetChange::Restarted(server) => server,
+        }
+    }
+}
+
 /// A complete listing of the servers' table.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServerListing {
--- a/crates/gateway/src/cluster/fleet_shards.rs
+++ b/crates/gateway/src/cluster/fleet_shards.rs
@@ -6,6 +6,7 @@
 use super::LoadShare;
 use super::ServerState;
 use super::ServerTotals;
+use super::server_shards::gateway_groups;
 use super::server_shards::shard_count;
 use super::server_shards::shares_shard;
 
@@ -21,11 +22,9 @@
         shard_count(self.gateways, servers)
     }
 
-    /// Returns the number of shards that decides which peers are in the local shard: the smallest
-    /// of all services that are sharded.
+    /// Returns the number of groups that the gateways form.
     pub fn peer_shards(&self) -> u64 {
-        let counts = self.services.keys().map(|service| self.shards(service));
-        counts.filter(|count| *count > 1).min().unwrap_or(1)
+        gateway_groups(self.gateways)
     }
 
     /// Returns the servers of `service` that are available to new work, each with the totals that
@@ -59,8 +58,7 @@
 
     /// Returns this gateway's load on servers that gateways of all shards use.
     pub fn local_loads_for_peers(&self) -> Vec<(u64, LoadShare)> {
-        self.servers
-            .values()
+        self.used_servers()
             .filter(|state| state.local_load.running > 0 && self.shards(&state.entry.service) == 1)
             .map(|server_state| (server_state.incarnation, server_state.local_load))
             .collect()
--- a/crates/gateway/src/cluster/peer_reports.rs
+++ b/crates/gateway/src/cluster/peer_reports.rs
@@ -22,7 +22,7 @@
 use super::shares_shard;
 use crate::model::ServerIncarnation;
 
-/// How long a peer counts as live after its last report.
+/// How long a peer counts as live after its last report, unless that is valid for longer.
 const PEER_RETENTION: Duration = Duration::from_secs(5);
 
 /// How long a peer's estimates are used. They are reported every two seconds and change slowly; a
@@ -52,7 +52,12 @@
 
 impl PeerReport {
     fn is_fresh(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.received_at) < self.update.reach.report_lifetime()
+        now.saturating_duration_since(self.received_at) < self.update.lifetime()
+    }
+
+    fn is_live(&self, now: Instant) -> bool {
+        let retention = self.update.lifetime().max(PEER_RETENTION);
+        now.saturating_duration_since(self.received_at) < retention
     }
 }
 
@@ -62,7 +67,28 @@
     peer: PeerDigest,
     serial: u64,
     received_at: Instant,
-    reach: PeerReach,
+    lifetime: Duration,
+}
+
+/// Reports of one class are valid for the same time, so that they expire in the order in which they
+/// were received.
+#[derive(Debug, Clone, Copy)]
+enum ReportClass {
+    Near,
+    Far,
+    Quiet,
+}
+
+impl ReportClass {
+    const COUNT: usize = 3;
+
+    fn of(update: &PeerUpdate) -> Self {
+        match (update.is_quiet, update.reach) {
+            (true, _) => ReportClass::Quiet,
+            (false, PeerReach::Near) => ReportClass::Near,
+            (false, PeerReach::Far) => ReportClass::Far,
+        }
+    }
 }
 
 /// A peer's estimates, by service.
@@ -74,7 +100,7 @@
 
 /// The newest report of each peer.
 ///
-/// A report is valid for its [`PeerReach::report_lifetime`]. Expired reports are subtracted from
+/// A report is valid for its [`PeerUpdate::lifetime`]. Expired reports are subtracted from
 /// the totals when the next report arrives or at the next tick; until then each lookup subtracts
 /// them, so that the result is exact at any moment.
 #[derive(Debug, Default)]
@@ -83,7 +109,7 @@
     totals: PeerTotals,
     /// Invariant: holds every report that is included in the totals, one queue per report lifetime,
     /// oldest first. Some entries belong to reports that newer ones have replaced.
-    by_age: [VecDeque<ReceivedReport>; 2],
+    by_age: [VecDeque<ReceivedReport>; ReportClass::COUNT],
     received: u64,
     /// When the newest report arrived.
     received_at: Option<Instant>,
@@ -117,12 +143,12 @@
         self.received_at = Some(now);
         let serial = self.received;
         self.totals.add(&update);
-        let reach = update.reach;
-        self.by_age[reach as usize].push_back(ReceivedReport {
+        let lifetime = update.lifetime();
+        self.by_age[ReportClass::of(&update) as usize].push_back(ReceivedReport {
             peer,
             serial,
             received_at: now,
-            reach,
+            lifetime,
         });
         let report = PeerReport {
             incarnation,
@@ -139,6 +165,11 @@
         true
     }
 
+    /// Returns true if a fresh report of the gateway with digest `peer` is known.
+    pub fn is_fresh(&self, peer: u64, now: Instant) -> bool {
+        self.reports.get(&peer).is_some_and(|report| report.is_fresh(now))
+    }
+
     /// Returns true if a report of this incarnation of `peer` is known.
     pub fn has_report(&self, peer: &str, incarnation: u64) -> bool {
         let known = self.reports.get(&name_digest(peer));
@@ -159,12 +190,11 @@
         self.server_lookups.get()
     }
 
-    /// Returns the retries that fresh reports count for the service with `digest`.
+    /// Returns the retries that fresh reports of the group count for the service with `digest`.
+    /// Each group keeps within its share of the limit by itself.
     pub fn retries(&self, digest: u64, now: Instant) -> PeerRetries {
-        PeerRetries {
-            fresh_peers: self.fresh_count(now),
-            count: self.service(digest, now).retries(),
-        }
+        let near = self.fresh(now).filter(|report| report.update.reach == PeerReach::Near);
+        PeerRetries { fresh_peers: near.count(), count: self.service(digest, now).retries() }
     }
 
     /// Returns how many requests for the service with `digest` are entitled to capacity at peers
@@ -293,18 +323,14 @@
 
     /// Returns the number of peers that have reported within `PEER_RETENTION`.
     pub fn live_peers(&self, now: Instant) -> usize {
-        self.reports
-            .values()
-            .filter(|report| now.saturating_duration_since(report.received_at) < PEER_RETENTION)
-            .count()
+        self.reports.values().filter(|report| report.is_live(now)).count()
     }
 
     /// Removes reports and estimates whose retention has passed.
     pub fn remove_expired(&mut self, now: Instant) {
         self.subtract_expired(now);
         self.estimates.retain(|_, peer| now.saturating_duration_since(peer.as_of) < ESTIMATES_TTL);
-        self.reports
-            .retain(|_, report| now.saturating_duration_since(report.received_at) < PEER_RETENTION);
+        self.reports.retain(|_, report| report.is_live(now));
     }
 
     fn service(&self, digest: u64, now: Instant) -> ServiceTotals {
@@ -343,5 +369,5 @@
 }
 
 fn has_expired(entry: &ReceivedReport, now: Instant) -> bool {
-    now.saturating_duration_since(entry.received_at) >= entry.reach.report_lifetime()
+    now.saturating_duration_since(entry.received_at) >= entry.lifetime
 }
--- a/crates/gateway/src/cluster/peer_update.rs
+++ b/crates/gateway/src/cluster/peer_update.rs
@@ -12,6 +12,9 @@
 use super::RetryCount;
 use crate::model::ConfigVersion;
 
+/// How long a report of a quiet peer is valid: three of them arrive within it.
+const QUIET_REPORT_LIFETIME: Duration = Duration::from_millis(6400);
+
 /// Whether the receiver of a report is in the sender's shard.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
@@ -56,9 +59,16 @@
     pub stage_changes: SmallVec<[u64; 4]>,
     /// Version of the configuration in force at the peer; 0 if it has none.
     pub config: ConfigVersion,
+    /// True if the peer has no work and reports to its group less often meanwhile.
+    pub is_quiet: bool,
 }
 
 impl PeerUpdate {
+    /// Returns how long the report is valid.
+    pub fn lifetime(&self) -> Duration {
+        if self.is_quiet { QUIET_REPORT_LIFETIME } else { self.reach.report_lifetime() }
+    }
+
     /// Returns the peer's queue for the service with `digest`.
     pub fn queue(&self, digest: u64) -> Option<QueueUpdate> {
         self.queues.iter().find(|(service, _)| *service == digest).map(|(_, queue)| *queue)
--- a/crates/gateway/src/cluster/report_interval.rs
+++ b/crates/gateway/src/cluster/report_interval.rs
@@ -13,11 +13,22 @@
 /// allows.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Interval of reports to gateways of other shards.
+/// Shortest interval of reports to each gateway of another group.
 pub const REMOTE_REPORT_INTERVAL: Duration = Duration::from_millis(1000);
-/// Interval of reports to other shards from table readers: their peers treat a read as fresh for
-/// half of a bound of a few seconds.
-pub const READER_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Maximum number of reports per second to gateways of other groups.
+const REMOTE_REPORTS_PER_S: u32 = 400;
+/// Interval at which a gateway without work reports to its group, where there are several groups.
+/// A report is valid for three times as long.
+pub const QUIET_REPORT_INTERVAL: Duration = Duration::from_millis(2000);
+/// Interval at which a gateway passes on what it knows to a random gateway of another group.
+pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Returns the time between two reports to each of `peers` gateways of other groups. Where there are
+/// more than a few hundred, it grows with their number, so that the traffic does not.
+pub fn remote_report_interval(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    REMOTE_REPORT_INTERVAL.max(Duration::from_secs(1) * peers / REMOTE_REPORTS_PER_S)
+}
 
 /// Returns the time between two regular reports to `peers` peers.
 pub fn report_interval(peers: usize) -> Duration {
--- a/crates/gateway/src/cluster/retry_budget.rs
+++ b/crates/gateway/src/cluster/retry_budget.rs
@@ -67,6 +67,8 @@
 struct RetryUsage {
     bound: f64,
     retries: f64,
+    /// Number of gateways whose requests and retries are known, including this one.
+    known_gateways: usize,
 }
 
 #[derive(Debug)]
@@ -129,7 +131,7 @@
         let bound = usage.bound * USABLE_FRACTION * priority.fraction();
         let used = usage.retries;
         if used + 1.0 > bound.max(1.0)
-            || !self.is_within_local_share(service, gateways, bound - used, now)
+            || !self.is_within_local_share(service, usage.known_gateways, bound - used, now)
         {
             return false;
         }
@@ -168,6 +170,7 @@
         RetryUsage {
             bound: self.ratio * requests + slack,
             retries: f64::from(local.repeats + peers.count.repeats),
+            known_gateways: known,
         }
     }
 
@@ -175,7 +178,8 @@
     ///
     /// Prevents many gateways from each consuming the remaining budget before they receive each
     /// other's reports: between reports each takes at most its share, and a share below one is
-    /// granted at random with that probability.
+    /// granted at random with that probability. What is left is that of the `gateways` whose counts
+    /// are known; the share of the others is not in it.
     fn is_within_local_share(
         &self,
         service: &ServiceName,
--- a/crates/gateway/src/cluster/server_shards.rs
+++ b/crates/gateway/src/cluster/server_shards.rs
@@ -15,11 +15,21 @@
 /// links make configuration, servers and loads stale at the same time. Only the gateways of one
 /// shard need each other's loads as they change.
 pub fn shard_count(gateways: usize, servers: usize) -> u64 {
+    let max_shards = (servers / MIN_SERVERS).max(1);
+    gateway_groups(gateways).min(1 << max_shards.ilog2())
+}
+
+/// Returns the number of groups into which `gateways` are divided, a power of two. The gateways of a
+/// group share their shard of each service that has as many shards; of other services, several
+/// groups share one.
+///
+/// It does not depend on the servers: at the start of a site few of them are known, and all gateways
+/// would be in one group.
+pub fn gateway_groups(gateways: usize) -> u64 {
     if gateways < MIN_SHARDED_GATEWAYS {
         return 1;
     }
-    let max_shards = (gateways / MIN_GATEWAYS).min(servers / MIN_SERVERS).max(1);
-    1 << max_shards.ilog2()
+    1 << (gateways / MIN_GATEWAYS).max(1).ilog2()
 }
 
 /// Returns true if two digests, of gateways or servers, fall into the same of `count` shards.
--- a/crates/gateway/src/cluster/table_readers.rs
+++ b/crates/gateway/src/cluster/table_readers.rs
@@ -12,6 +12,8 @@
 /// Number of gateways that read a table for their peers: two may die or be cut off at once, and all
 /// gateways are still up to date within a report.
 const TARGET_READERS: usize = 3;
+/// Number of readers that send the rows that they read. What is lost nevertheless is transferred.
+const ROW_SENDERS: usize = 2;
 /// With fewer peers than this, each gateway reads for itself: three of eight gateways that read
 /// twice as often save little.
 const MIN_PEERS: usize = 8;
@@ -24,6 +26,10 @@
 /// How much longer a gateway relies on its peers for content that they transfer to each other,
 /// where reading the store itself would fill its link.
 const TRANSFER_PATIENCE: f64 = 4.0;
+/// How much longer a gateway relies on its peers while some read the store and others offer the
+/// rows that it lacks. Prevents hundreds of gateways from reading the same rows when many change at
+/// once.
+const REPAIR_PATIENCE: f64 = 1.5;
 /// Delay for each gateway that ranks before this one, before this one replaces a missing reader. A
 /// read and a report take about 30 ms.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(150);
@@ -95,6 +101,14 @@
     cost: ReadCost,
     /// True if gateways transfer the table's content to each other.
     has_transfers: bool,
+    /// True once some content is held, from the store or from peers.
+    has_content: bool,
+    /// Until when a gateway that holds nothing leaves reading to its peers.
+    waits_until: Option<Instant>,
+    /// True if peers offer content that is newer than what is held here.
+    has_sources: bool,
+    /// Since when a peer's read is known that shows other content than is held here.
+    differs_since: Option<Instant>,
     /// Random number from 0 to 1, which spreads gateways that fall back to reading.
     jitter: f64,
 }
@@ -115,10 +129,22 @@
             shortage_since: None,
             cost: ReadCost::LIGHT,
             has_transfers: false,
+            has_content: false,
+            waits_until: None,
+            has_sources: false,
+            differs_since: None,
             jitter,
         }
     }
 
+    /// Makes a gateway that holds nothing leave reading to its peers until `until`.
+    ///
+    /// Prevents hundreds of gateways that start together from each listing a table of thousands of
+    /// rows: a few list it, and send it to the others.
+    pub fn wait_for_peers(&mut self, until: Instant) {
+        self.waits_until = Some(until);
+    }
+
     /// Returns the state for a table whose content gateways transfer to each other.
     pub fn with_transfers(self) -> Self {
         TableReaders { has_transfers: true, ..self }
@@ -131,7 +157,7 @@
         through: StoreStamp,
         now: Instant,
     ) {
-        self.fingerprint = fingerprint;
+        self.set_content(fingerprint);
         self.known_at = Some(now);
         self.known_through = self.known_through.max(Some(through));
         self.read_at = Some(now);
@@ -154,7 +180,7 @@
 
     /// Records that rows from a peer were applied, which leaves content with `fingerprint`.
     pub fn record_peer_rows(&mut self, fingerprint: TableFingerprint) {
-        self.fingerprint = fingerprint;
+        self.set_content(fingerprint);
         for notice in self.notices.values() {
             if notice.fingerprint == fingerprint {
                 self.known_at = self.known_at.max(Some(notice.read_at));
@@ -163,22 +189,86 @@
         }
     }
 
+    /// Records that content with `fingerprint` was received from a peer, which matched the store at
+    /// `known_at`, as of `through`.
+    pub fn record_peer_content(
+        &mut self,
+        fingerprint: TableFingerprint,
+        through: StoreStamp,
+        known_at: Instant,
+    ) {
+        self.record_peer_rows(fingerprint);
+        self.known_at = self.known_at.max(Some(known_at));
+        self.known_through = self.known_through.max(Some(through));
+    }
+
     /// Records that the gateway with digest `peer` has read the store.
     pub fn apply_peer_notice(&mut self, peer: u64, notice: ReaderNotice) {
+        if self.notices.get(&peer).is_some_and(|known| known.read_at > notice.read_at) {
+            return;
+        }
         self.notices.insert(peer, notice);
-        if notice.fingerprint == self.fingerprint && self.known_at.is_some() {
+        if self.holds(notice.fingerprint) {
             self.known_at = self.known_at.max(Some(notice.read_at));
             self.known_through = self.known_through.max(notice.through);
         }
     }
 
+    /// Returns true if the content held here has `fingerprint`.
+    pub fn holds(&self, fingerprint: TableFingerprint) -> bool {
+        self.has_content && self.fingerprint == fingerprint
+    }
+
+    /// Returns true if nothing is held here and peers are to send it, or if for `delay` the newest read of peers has shown
+    /// other content than is held here. A gateway that reads the store itself lacks nothing.
+    pub fn lacks_content(&mut self, delay: Duration, now: Instant) -> bool {
+        if !self.has_content {
+            return self.waits_until.is_some_and(|until| now < until);
+        }
+        let has_read = self.read_at.is_some_and(|at| is_within(at, self.freshness_window(), now));
+        if self.is_reader && has_read {
+            return false;
+        }
+        let newest = self.notices.values().max_by_key(|notice| notice.read_at);
+        let is_newer =
+            |notice: &&ReaderNotice| self.known_at.is_none_or(|known| notice.read_at > known);
+        let differs =
+            newest.filter(is_newer).is_some_and(|notice| notice.fingerprint != self.fingerprint);
+        if !differs {
+            self.differs_since = None;
+            return false;
+        }
+        now.saturating_duration_since(*self.differs_since.get_or_insert(now)) >= delay
+    }
+
+    /// Sets whether peers offer content that is newer than what is held here.
+    pub fn set_has_sources(&mut self, has_sources: bool) {
+        self.has_sources = has_sources;
+    }
+
+    fn set_content(&mut self, fingerprint: TableFingerprint) {
+        self.fingerprint = fingerprint;
+        self.has_content = true;
+    }
+
     /// Returns this gateway's role at `now`.
     pub fn role(&mut self, rank: ReaderRank, now: Instant) -> ReadRole {
         let freshness_window = self.freshness_window();
         self.notices.retain(|_, notice| is_within(notice.read_at, freshness_window, now));
-        let Some(known_at) = self.known_at else { return self.become_reader() };
+        let Some(known_at) = self.known_at else {
+            let Some(until) = self.waits_until.filter(|until| now < *until) else {
+                return self.become_reader();
+            };
+            self.is_reader = false;
+            return ReadRole::Receiver { until: until.min(now + POLL_INTERVAL) };
+        };
         let waits_for_transfers = self.has_transfers && self.cost.is_long();
-        let patience = if waits_for_transfers { TRANSFER_PATIENCE } else { 1.0 };
+        let repairs_from_peers = self.has_sources && !self.notices.is_empty();
+        let patience = match (waits_for_transfers, repairs_from_peers) {
+            (true, _) => TRANSFER_PATIENCE,
+            (false, true) => REPAIR_PATIENCE,
+            (false, false) => 1.0,
+        };
         let expires_at = known_at
             + freshness_window.mul_f64(patience)
             + self.bound.mul_f64(FALLBACK_SPREAD_FRACTION * self.jitter);
@@ -213,7 +303,7 @@
 
     /// Returns true if this gateway is one of the few that send rows to all their peers.
     pub fn sends_rows(&self, now: Instant) -> bool {
-        self.local_notice(now).is_some() && self.readers_before() < TARGET_READERS
+        self.local_notice(now).is_some() && self.readers_before() < ROW_SENDERS
     }
 
     /// Returns the number of peers that take precedence over this gateway as readers.
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -67,6 +67,9 @@
     /// Returns the path (`GET`) that lists `table` from `after` (exclusive).
     fn list_path(table: StoreTable, after: Option<&str>) -> String;
 
+    /// Returns the path (`GET`) that lists the first rows of `table`, `limit` at most.
+    fn first_rows_path(table: StoreTable, limit: u32) -> String;
+
     /// Returns the path (`GET`) that waits for changes of `table` after `version`.
     fn feed_path(table: StoreTable, version: StoreVersion, wait_ms: u64) -> String;
 
--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -37,6 +37,11 @@
         self.route_table().map_or(0, |table| table.version)
     }
 
+    /// Returns true if the configuration in force has organisations, which may have quotas.
+    pub fn has_organisations(&self) -> bool {
+        self.route_table().is_some_and(|table| !table.organisations.is_empty())
+    }
+
     /// Returns the configuration in force with its id, if there is one.
     pub fn config(&self) -> Option<Arc<HeldConfig>> {
         self.in_force.read().expect("in-force lock").current()
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -85,6 +85,16 @@
 pub const CONFIG_SENT: u32 = 6023;
 /// The store has come back from an older copy of itself.
 pub const STORE_ERA_CHANGED: u32 = 6024;
+/// A peer has sent the content of a table.
+pub const TABLE_RECEIVED: u32 = 6025;
+/// The content of a table was sent to a peer that asked for it.
+pub const TABLE_SENT: u32 = 6026;
+/// The content of a table was requested from a peer.
+pub const TABLE_REQUESTED: u32 = 6027;
+/// A peer has sent the list of gateways that it knows.
+pub const MEMBERS_RECEIVED: u32 = 6028;
+/// The first registered gateways were read from the store at the start.
+pub const PEERS_FOUND: u32 = 6029;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod forward;
 pub mod in_flight_count;
 pub mod ingress;
+mod join;
 pub mod leader;
 pub mod load_guard;
 pub mod model;
--- a/crates/gateway/src/model/gateway_settings.rs
+++ b/crates/gateway/src/model/gateway_settings.rs
@@ -29,6 +29,8 @@
     pub config_bound: Duration,
     /// How long a draining server may still get new work after it has announced its departure.
     pub drain_bound: Duration,
+    /// Interval at which servers renew their registrations.
+    pub server_heartbeat: Duration,
     /// How long a graceful stop may take before the process is killed.
     pub stop_grace: Duration,
     /// Maximum number of retries, as a fraction of a service's requests.
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -11,7 +11,9 @@
 use super::version_only;
 
 /// The tables that the gateway follows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum StoreTable {
     /// The operator's configuration.
--- a/crates/gateway/src/peers/config_messages.rs
+++ b/crates/gateway/src/peers/config_messages.rs
@@ -5,21 +5,18 @@
 
 use std::io;
 
-use futures_lite::AsyncReadExt;
-use futures_lite::AsyncWriteExt;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 
+use super::transfer_messages;
 use crate::cluster::ConfigPart;
 use crate::model::ConfigId;
 
 /// First bytes of each message. Gateways of the previous build send nothing, or a configuration
 /// without them.
-const MAGIC: [u8; 4] = *b"UGC2";
-/// Maximum size of a message without the part that follows it, in bytes.
-const MAX_MESSAGE_BYTES: usize = 4 * 1024;
+pub const MAGIC: [u8; 4] = *b"UGC2";
 
 /// Names a part that a gateway has received the beginning of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,21 +74,10 @@
 
 /// Sends one message.
 pub async fn write_message<M: Serialize>(stream: &mut TcpStream, message: &M) -> io::Result<()> {
-    let body = postcard::to_allocvec(message).expect("encoding plain fields");
-    let length = (body.len() as u32).to_le_bytes();
-    stream.write_all(&[&MAGIC[..], &length, &body].concat()).await
+    transfer_messages::write_message(stream, MAGIC, message).await
 }
 
 /// Receives one message.
 pub async fn read_message<M: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<M> {
-    let mut head = [0; 8];
-    stream.read_exact(&mut head).await?;
-    let (magic, length) = head.split_at(MAGIC.len());
-    let length = u32::from_le_bytes(length.try_into().expect("four bytes")) as usize;
-    if magic != MAGIC || length > MAX_MESSAGE_BYTES {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "not a message of this build"));
-    }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+    transfer_messages::read_message(stream, MAGIC).await
 }
--- a/crates/gateway/src/peers/config_server.rs
+++ b/crates/gateway/src/peers/config_server.rs
@@ -1,4 +1,5 @@
-//! Sends the configuration in force, or what changed in it, to peers that ask.
+//! Accepts peers that ask for a transfer, and sends the configuration in force, or what changed in
+//! it.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,11 +14,17 @@
 use smol::net::TcpStream;
 use umberglade_wire::pool;
 
+use super::PeerRegistry;
+use super::config_messages;
 use super::config_messages::ConfigReply;
 use super::config_messages::ConfigRequest;
 use super::config_messages::PartHead;
-use super::config_messages::read_message;
 use super::config_messages::write_message;
+use super::table_server;
+use super::transfer_messages;
+use super::transfer_messages::TransferRequest;
+use super::transfer_messages::invalid;
+use super::transfer_messages::read_frame;
 use crate::cluster::ConfigPart;
 use crate::events;
 use crate::model::encode_snapshot;
@@ -45,14 +52,14 @@
 /// Prevents this gateway's link from carrying so many copies that none of them arrives in time,
 /// and its memory from growing with the number of peers that ask at once.
 #[derive(Debug)]
-struct SendSlots {
+pub(super) struct SendSlots {
     max_sends: usize,
     sends: AtomicUsize,
     connections: AtomicUsize,
 }
 
 /// Counts one transfer or connection while it exists.
-struct SlotGuard<'a>(&'a AtomicUsize);
+pub(super) struct SlotGuard<'a>(&'a AtomicUsize);
 
 impl Drop for SlotGuard<'_> {
     fn drop(&mut self) {
@@ -73,7 +80,7 @@
         (counter.fetch_add(1, Ordering::AcqRel) < max).then_some(guard)
     }
 
-    fn take_send(&self) -> Option<SlotGuard<'_>> {
+    pub fn take_send(&self) -> Option<SlotGuard<'_>> {
         SendSlots::take(&self.sends, self.max_sends)
     }
 
@@ -83,12 +90,17 @@
 }
 
 /// Answers each gateway that connects, until the process stops.
-pub async fn serve_config(state: Arc<GatewayState>, listener: TcpListener) {
+pub async fn serve_transfers(
+    state: Arc<GatewayState>,
+    registry: Arc<PeerRegistry>,
+    listener: TcpListener,
+) {
     let slots = Arc::new(SendSlots::new(state.settings.link_bytes_per_s));
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                pool::spawn(serve_peer(Arc::clone(&state), Arc::clone(&slots), stream, peer));
+                let (state, registry) = (Arc::clone(&state), Arc::clone(&registry));
+                pool::spawn(serve_peer(state, registry, Arc::clone(&slots), stream, peer));
             }
             Err(error) => {
                 tracing::warn!(event = events::ACCEPT_FAILED, %error, "accept of a peer failed");
@@ -100,20 +112,41 @@
 
 async fn serve_peer(
     state: Arc<GatewayState>,
+    registry: Arc<PeerRegistry>,
     slots: Arc<SendSlots>,
     mut stream: TcpStream,
     peer: SocketAddr,
 ) {
     let Some(_connection) = slots.take_connection() else { return };
     let request_due = Instant::now() + REQUEST_TIMEOUT;
-    let result = match with_deadline(request_due, read_message(&mut stream)).await {
-        Some(Ok(request)) => answer(&state, &slots, &mut stream, peer, request).await,
+    let result = match with_deadline(request_due, read_request(&mut stream)).await {
+        Some(Ok(PeerRequest::Config(request))) => {
+            answer(&state, &slots, &mut stream, peer, request).await
+        }
+        Some(Ok(PeerRequest::Transfer(request))) => {
+            table_server::answer(&state, &registry, &slots, &mut stream, peer, request).await
+        }
         Some(Err(error)) => Err(error),
         None => send_snapshot(&state, &slots, &mut stream).await,
     };
     if let Err(error) = result {
         // The peer goes on at another gateway with what it has received.
-        tracing::debug!(%peer, %error, "transfer of the configuration failed");
+        tracing::debug!(%peer, %error, "transfer to a peer failed");
+    }
+}
+
+/// What a peer asks for.
+enum PeerRequest {
+    Config(ConfigRequest),
+    Transfer(TransferRequest),
+}
+
+async fn read_request(stream: &mut TcpStream) -> io::Result<PeerRequest> {
+    let (magic, body) = read_frame(stream).await?;
+    match magic {
+        config_messages::MAGIC => transfer_messages::decode(&body).map(PeerRequest::Config),
+        transfer_messages::MAGIC => transfer_messages::decode(&body).map(PeerRequest::Transfer),
+        _ => Err(invalid("not a message of this build")),
     }
 }
 
@@ -190,7 +223,7 @@
     write_chunks(stream, &bytes).await
 }
 
-async fn write_chunks(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+pub(super) async fn write_chunks(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     for chunk in bytes.chunks(CHUNK_BYTES) {
         let written = with_deadline(Instant::now() + STALL_TIMEOUT, stream.write_all(chunk)).await;
         written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,30 +5,42 @@
 //! absolute counts, so the next report makes up for a lost one.
 //!
 //! The few gateways that read the store's tables send their peers the rows whose content has
-//! changed. Reports include fingerprints of the sender's tables, by which a gateway that lacks a
-//! row notices it and reads the store itself.
+//! changed. Reports pass on notices of those reads with fingerprints of the tables, by which a
+//! gateway that lacks rows notices it and fetches them from a peer.
 
 mod config_fetcher;
 mod config_messages;
 mod config_server;
+mod member_fetcher;
 mod peer_registry;
 mod remote_peer_cycle;
 mod report;
-mod report_loop;
+mod report_content;
+mod report_receiver;
+mod report_sender;
 mod row_sender;
 mod send_budget;
+mod table_fetcher;
+mod table_server;
+mod transfer_messages;
 
 pub use self::config_fetcher::fetch_newer_configs;
-pub use self::config_server::serve_config;
+pub use self::config_server::serve_transfers;
+pub use self::member_fetcher::fetch_members;
+pub use self::peer_registry::MemberRecord;
+pub use self::peer_registry::MemberSummary;
 pub use self::peer_registry::PeerGroups;
 pub use self::peer_registry::PeerRegistry;
 pub use self::remote_peer_cycle::RemotePeerCycle;
+pub use self::report::Datagram;
 pub use self::report::LoadReport;
 pub use self::report::PeerMessage;
+pub use self::report::RelayPart;
 pub use self::report::ReportTail;
 pub use self::report::TableRows;
-pub use self::report_loop::receive_reports;
-pub use self::report_loop::remote_report;
-pub use self::report_loop::send_reports;
+pub use self::report_content::remote_report;
+pub use self::report_receiver::receive_reports;
+pub use self::report_sender::send_reports;
 pub use self::row_sender::send_rows;
 pub use self::send_budget::SendBudget;
+pub use self::table_fetcher::fetch_tables;
--- a/crates/gateway/src/peers/remote_peer_cycle.rs
+++ b/crates/gateway/src/peers/remote_peer_cycle.rs
@@ -19,6 +19,11 @@
         RemotePeerCycle { last: None, sent_at: now }
     }
 
+    /// Goes on from `now` after a time in which no reports were due.
+    pub fn restart(&mut self, now: Instant) {
+        self.sent_at = now;
+    }
+
     /// Returns which gateways of `remote`, which is sorted, get a report now. Each gets one per
     /// `interval`.
     pub fn next(
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::MemberRecord;
+use super::MemberSummary;
 use crate::cluster::BackoffUpdate;
 use crate::cluster::ChargeUpdate;
 use crate::cluster::EngineEstimates;
@@ -12,6 +14,7 @@
 use crate::cluster::OutcomeUpdate;
 use crate::cluster::PeerReach;
 use crate::cluster::QueueUpdate;
+use crate::cluster::RelayedNotice;
 use crate::cluster::RetryCount;
 use crate::model::ConfigId;
 use crate::model::ConfigVersion;
@@ -89,6 +92,35 @@
     pub written_eras: Vec<StoreEra>,
 }
 
+/// What follows the tail in a datagram: what gateways pass on for each other. Gateways of the
+/// previous build ignore it and send none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayPart {
+    /// Reads of tables, the sender's own ones among them.
+    pub notices: Vec<RelayedNotice>,
+    /// The gateways that the sender knows.
+    pub members: MemberSummary,
+    /// Gateways that have become known to the sender lately.
+    pub joined: Vec<MemberRecord>,
+    /// True if the sender has no work and reports to its group less often meanwhile.
+    pub is_quiet: bool,
+    /// Tables of which the sender can transfer the content, and the store's versions up to which it
+    /// knows them.
+    pub tables: Vec<(StoreTable, StoreStamp)>,
+    /// Set if the receiver is to pass the rows in the datagram on in its failure domain: the digest
+    /// of the gateway of that domain that got them first.
+    pub rows_from: Option<u64>,
+}
+
+/// A decoded datagram.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Datagram {
+    pub message: PeerMessage,
+    pub tail: ReportTail,
+    /// `None` from gateways of the previous build.
+    pub relay: Option<RelayPart>,
+}
+
 /// Content of a datagram between gateways.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -106,19 +138,16 @@
         bytes
     }
 
-    /// Decodes a datagram. The tail of a gateway of the previous build is missing: it is taken to
-    /// be in `era`.
+    /// Encodes the message, `tail` and `relay` as one datagram.
+    pub fn encode_with(&mut self, tail: &ReportTail, relay: &RelayPart) -> Vec<u8> {
+        let mut bytes = self.encode(tail);
+        bytes.extend(postcard::to_allocvec(relay).expect("encoding plain fields"));
+        bytes
+    }
+
+    /// Decodes a message and its tail, without what may follow.
     pub fn decode(bytes: &[u8], era: StoreEra) -> Result<(Self, ReportTail), postcard::Error> {
-        let (mut message, rest): (PeerMessage, _) = postcard::take_from_bytes(bytes)?;
-        let tail = match rest {
-            [] => ReportTail { era, ..ReportTail::default() },
-            rest => postcard::from_bytes(rest)?,
-        };
-        let written = tail.written_eras.iter().copied().chain(std::iter::repeat(tail.era));
-        for (stamp, written) in message.stamps().zip(written) {
-            *stamp = StoreStamp::new(tail.era, stamp.version()).written_in(written);
-        }
-        Ok((message, tail))
+        Datagram::decode(bytes, era).map(|datagram| (datagram.message, datagram.tail))
     }
 
     /// Iterates over the stamps whose eras the tail contains.
@@ -133,3 +162,24 @@
         of_rows.chain(of_outcomes)
     }
 }
+
+impl Datagram {
+    /// Decodes a datagram. The tail of a gateway of an older build is missing: it is taken to be in
+    /// `era`.
+    pub fn decode(bytes: &[u8], era: StoreEra) -> Result<Self, postcard::Error> {
+        let (mut message, rest): (PeerMessage, _) = postcard::take_from_bytes(bytes)?;
+        let (tail, rest): (ReportTail, _) = match rest {
+            [] => (ReportTail { era, ..ReportTail::default() }, rest),
+            rest => postcard::take_from_bytes(rest)?,
+        };
+        let relay = match rest {
+            [] => None,
+            rest => Some(postcard::from_bytes(rest)?),
+        };
+        let written = tail.written_eras.iter().copied().chain(std::iter::repeat(tail.era));
+        for (stamp, written) in message.stamps().zip(written) {
+            *stamp = StoreStamp::new(tail.era, stamp.version()).written_in(written);
+        }
+        Ok(Datagram { message, tail, relay })
+    }
+}
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -195,6 +195,11 @@
         self.detector().queue_row_change(change);
     }
 
+    /// Sets whether outcomes that peers report are reported to others too.
+    pub fn set_relaying(&self, is_relaying: bool) {
+        self.detector().set_relaying(is_relaying);
+    }
+
     /// Removes expired state, such as quarantines of fingerprints without requests. With
     /// `removes_rows`, this gateway removes their rows too.
     pub fn tick(&self, removes_rows: bool) {
--- a/crates/gateway/src/quota/quota_peers.rs
+++ b/crates/gateway/src/quota/quota_peers.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::cluster::QuotaView;
-use crate::cluster::REMOTE_REPORT_INTERVAL;
+use crate::cluster::remote_report_interval;
 use crate::cluster::report_interval;
 use crate::state::GatewayState;
 
@@ -37,8 +37,10 @@
         let now = Instant::now();
         let QuotaPeers { live_peers, has_remote, .. } = self.quota_peers(now);
         let since_last_report = self.fleet().peers.since_last_report(now);
-        let interval =
-            if has_remote { REMOTE_REPORT_INTERVAL } else { report_interval(live_peers) };
+        let interval = match has_remote {
+            true => remote_report_interval(self.members()),
+            false => report_interval(live_peers),
+        };
         let report_age = interval + REPORT_DELAY;
         QuotaView {
             live_peers,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use event_listener::EventListener;
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::net::TcpListener;
 use smol::net::UdpSocket;
@@ -17,11 +16,14 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::ingress;
+use crate::join::JOIN_TIMEOUT;
+use crate::join::join_peers;
 use crate::leader::run_stage_controller;
 use crate::model::GatewaySettings;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
 use crate::peers;
+use crate::peers::MemberRecord;
 use crate::peers::PeerRegistry;
 use crate::quarantine;
 use crate::state::GatewayState;
@@ -30,14 +32,12 @@
 use crate::stop::STOP_GRACE_MARGIN;
 use crate::store::ConfigSink;
 use crate::store::MemberRow;
-use crate::store::MemberSink;
 use crate::store::QuarantineSink;
 use crate::store::ServerSink;
 use crate::store::StoreClient;
 use crate::store::TableCoordinator;
 use crate::store::TableFollower;
 use crate::store::TableReader;
-use crate::timing::with_deadline;
 
 /// Fraction of the configuration's bound for which its feed waits at the store. Together with the
 /// call's margin and a new connection, a connection that has become silent hides a change for less
@@ -50,10 +50,6 @@
 const SERVER_READ_INTERVAL_FRACTION: f64 = 0.6;
 /// Fraction of the drain bound for which the servers' feed waits at the store.
 const SERVER_WAIT_FRACTION: f64 = 0.35;
-/// Interval between two reads of the registered gateways. A gateway that registers later has read
-/// this one's row and reports to it, so that this one knows it immediately. A gateway that missed
-/// both the row and the reports of another one finds its row with the next read.
-const MEMBER_READ_INTERVAL: Duration = Duration::from_secs(30);
 /// Interval between two reads of the configuration: short, since configurations may follow each
 /// other quickly and are read one by one.
 const CONFIG_READ_INTERVAL: Duration = Duration::from_millis(50);
@@ -64,8 +60,14 @@
 /// Interval between two reads of the quarantined requests, so that several simultaneous changes
 /// cost one call.
 const QUARANTINE_READ_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of heartbeats for which the store must have been unavailable for a server's row to have
+/// expired: it does after three, the first of which may have begun before.
+const EXPIRY_HEARTBEATS: f64 = 2.0;
 /// Mean delay between attempts to register with the store.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Mean delay until a registration that the store rejected as one too many is made again. A row
+/// only serves gateways that start later.
+const REGISTER_OVERLOAD_DELAY: Duration = Duration::from_secs(4);
 /// Timeout of the first attempt to register, doubled with each further one: the store may not
 /// respond, or respond slowly and perform attempts that were given up.
 const INITIAL_REGISTER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -73,9 +75,6 @@
 const MAX_REGISTER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Number of ports that are tried if any free one is requested.
 const MAX_PORT_ATTEMPTS: u32 = 8;
-/// How long the first read of the registered gateways waits for this gateway's own registration,
-/// which a slow store may delay.
-const REGISTRATION_WAIT: Duration = Duration::from_secs(2);
 /// Interval at which a stop checks whether anything is still in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which expired server state and expired pooled connections are dropped.
@@ -100,17 +99,23 @@
     let (socket, config_listener) = bind_peer(&mut settings.peer).await?;
     let state = GatewayState::new(settings, metrics);
     let registry = Arc::new(PeerRegistry::default());
+    let domain = Some(state.settings.domain.clone());
+    let (name, address) = (state.settings.instance.clone(), state.settings.peer);
+    registry.merge(vec![MemberRecord { name, address, domain }]);
+    state.shared_tables.wait_for_peers(Instant::now() + JOIN_TIMEOUT);
     follow_tables::<C>(&state);
     let registered = state.registered.listen();
-    pool::spawn(follow_members::<C>(Arc::clone(&state), Arc::clone(&registry), registered));
+    pool::spawn(join_peers::<C>(Arc::clone(&state), Arc::clone(&registry), registered));
     pool::spawn(keep_registered::<C>(Arc::clone(&state)));
     pool::spawn(peers::send_reports(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
     pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
-    pool::spawn(peers::receive_reports(Arc::clone(&state), registry, socket));
-    if let Some(config_listener) = config_listener {
-        pool::spawn(peers::serve_config(Arc::clone(&state), config_listener));
+    pool::spawn(peers::receive_reports(Arc::clone(&state), Arc::clone(&registry), socket));
+    if let Some(listener) = config_listener {
+        pool::spawn(peers::serve_transfers(Arc::clone(&state), Arc::clone(&registry), listener));
     }
     pool::spawn(peers::fetch_newer_configs(Arc::clone(&state)));
+    pool::spawn(peers::fetch_tables(Arc::clone(&state)));
+    pool::spawn(peers::fetch_members(Arc::clone(&state), registry));
     pool::spawn(run_stage_controller::<C>(Arc::clone(&state)));
     pool::spawn(quarantine::run_row_writer::<C>(Arc::clone(&state)));
     pool::spawn(run_maintenance(Arc::clone(&state)));
@@ -233,6 +238,7 @@
 }
 
 fn follow_tables<C: PlatformCodec>(state: &Arc<GatewayState>) {
+    let expiry_time = state.settings.server_heartbeat.mul_f64(EXPIRY_HEARTBEATS);
     let config = TableFollower {
         reader: TableReader::<C>::new(state, StoreTable::Configuration),
         table: StoreTable::Configuration,
@@ -240,6 +246,8 @@
         feed_wait: state.settings.config_bound.mul_f64(CONFIG_WAIT_FRACTION),
         min_interval: CONFIG_READ_INTERVAL,
         coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Configuration)),
+        expiry_time,
+        initial_position: None,
     };
     let servers = TableFollower {
         reader: TableReader::<C>::new(state, StoreTable::Servers),
@@ -248,6 +256,8 @@
         feed_wait: state.settings.drain_bound.mul_f64(SERVER_WAIT_FRACTION),
         min_interval: state.settings.drain_bound.mul_f64(SERVER_READ_INTERVAL_FRACTION),
         coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Servers)),
+        expiry_time,
+        initial_position: None,
     };
     let quarantines = TableFollower {
         reader: TableReader::<C>::new(state, StoreTable::Quarantines),
@@ -256,52 +266,37 @@
         feed_wait: QUARANTINE_WAIT,
         min_interval: QUARANTINE_READ_INTERVAL,
         coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Quarantines)),
+        expiry_time,
+        initial_position: None,
     };
     pool::spawn(config.run());
     pool::spawn(servers.run());
     pool::spawn(quarantines.run());
 }
 
-/// Follows the table of gateways until the process stops. The first read waits a moment for this
-/// gateway's registration: gateways that start together register one after the other, and would
-/// otherwise all report to all others at once.
-async fn follow_members<C: PlatformCodec>(
-    state: Arc<GatewayState>,
-    registry: Arc<PeerRegistry>,
-    registered: EventListener,
-) {
-    with_deadline(Instant::now() + REGISTRATION_WAIT, registered).await;
-    let members = TableFollower {
-        reader: TableReader::<C>::new(&state, StoreTable::Members),
-        table: StoreTable::Members,
-        sink: MemberSink::new(state, registry),
-        feed_wait: Duration::ZERO,
-        min_interval: MEMBER_READ_INTERVAL,
-        coordinator: None,
-    };
-    members.run().await;
-}
-
 /// Writes the address at which this gateway receives reports to the store, retrying until it
 /// succeeds. The row is the same for each start of the instance, so that writing it twice (after a
 /// lost response) changes nothing. The peers' rows are read again afterwards: of two gateways that
 /// start together, at least one reads the other's row.
 async fn register<C: PlatformCodec>(state: &GatewayState) {
-    let member = MemberRow { address: state.settings.peer };
-    let row = postcard::to_allocvec(&member).expect("encoding an address");
+    let row = MemberRow { address: state.settings.peer }.encode(&state.settings.domain);
     let mut timeout = INITIAL_REGISTER_TIMEOUT;
     loop {
         let mut client = StoreClient::<C>::with_timeout(state, timeout);
         match client.put(StoreTable::Members, &state.settings.instance, &row).await {
             Ok(()) => break,
             Err(error) => {
+                let delay = match error.is_overload() {
+                    true => REGISTER_OVERLOAD_DELAY,
+                    false => REGISTER_RETRY_DELAY,
+                };
                 tracing::info!(
                     event = events::STORE_UNAVAILABLE,
                     table = "members",
                     %error,
                     "cannot register with the store; retrying"
                 );
-                smol::Timer::after(REGISTER_RETRY_DELAY.mul_f64(0.5 + fastrand::f64())).await;
+                smol::Timer::after(delay.mul_f64(0.5 + fastrand::f64())).await;
             }
         }
         timeout = (timeout * 2).min(MAX_REGISTER_TIMEOUT);
@@ -339,6 +334,8 @@
         state.log_changes(&changes, StoreStamp::NONE);
         state.pool.remove_expired(now);
         let rank = state.fleet().peers.rank(state.digest, now);
+        let is_sharded = state.fleet().peer_shards() > 1;
+        state.quarantines.set_relaying(is_sharded);
         state.quarantines.tick(rank.peers_before == 0);
         state.quotas.tick(&state.quota_view());
         live_peers = log_peers(&state, live_peers, now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests of a gateway.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -62,6 +63,13 @@
     /// Digests of peers that have just started or from which reports have just started to arrive.
     /// Unless empty, the next report includes what most reports omit.
     pub new_peers: Mutex<Vec<u64>>,
+    /// Gateways of other groups to which a report is sent with the next one, since they have just
+    /// become known, or this gateway to them.
+    pub greeted_peers: Mutex<Vec<SocketAddr>>,
+    /// A gateway that knows others than this one does.
+    pub member_source: Mutex<Option<SocketAddr>>,
+    /// Notified when [`member_source`](Self::member_source) is set.
+    pub member_source_found: Event,
     /// Notified when the configuration should be read from the store immediately.
     pub config_read_requested: Event,
     /// Notified when a peer reports a newer configuration that it can transfer.
@@ -94,6 +102,11 @@
 /// Maximum time after its start that a process waits for the quarantined requests; reading them
 /// takes about 20 ms.
 const QUARANTINE_READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum number of servers that change at once and are logged individually; each line holds the
+/// total.
+const MAX_CHANGES_LOGGED: usize = 16;
+/// Upper bound of the number of failure domains, each of which is sent changed rows once.
+const MAX_ROW_RECIPIENTS: usize = 8;
 /// Number of gateways assumed until the members table is read. The more gateways, the smaller each
 /// one's share of the retry budget: this number is cautious for most sites.
 const INITIAL_MEMBERS: usize = 8;
@@ -121,6 +134,9 @@
             service_queues: ServiceQueues::default(),
             report_requested: Event::new(),
             new_peers: Mutex::default(),
+            greeted_peers: Mutex::default(),
+            member_source: Mutex::default(),
+            member_source_found: Event::new(),
             config_read_requested: Event::new(),
             config_offered: Event::new(),
             registered: Event::new(),
@@ -211,6 +227,11 @@
     /// removed or restarted.
     pub fn log_changes(&self, changes: &[FleetChange], stamp: StoreStamp) {
         for change in changes {
+            if !matches!(change, FleetChange::Joined(_) | FleetChange::Expired(_)) {
+                self.pool.remove_server(change.server());
+            }
+        }
+        for change in changes.iter().take(MAX_CHANGES_LOGGED) {
             let (server, outcome) = match change {
                 FleetChange::Joined(server) => (server, "joined"),
                 FleetChange::Leaving(server) => (server, "leaving"),
@@ -218,9 +239,6 @@
                 FleetChange::Expired(server) => (server, "lapsed"),
                 FleetChange::Restarted(server) => (server, "restarted"),
             };
-            if !matches!(change, FleetChange::Joined(_) | FleetChange::Expired(_)) {
-                self.pool.remove_server(server);
-            }
             let (version, era) = (stamp.version(), stamp.written_era());
             tracing::info!(
                 event = events::SERVER_CHANGED,
@@ -228,6 +246,7 @@
                 version,
                 era,
                 outcome,
+                changes = changes.len(),
                 "server changed"
             );
         }
@@ -271,6 +290,18 @@
         self.members.load(Ordering::Relaxed).max(1)
     }
 
+    /// Returns an upper bound of the number of gateways to which this one sends changed rows itself.
+    pub fn row_recipients(&self) -> usize {
+        let is_sharded = self.fleet().peer_shards() > 1;
+        if is_sharded { self.members().min(MAX_ROW_RECIPIENTS) } else { self.members() }
+    }
+
+    /// Sends a report to the gateway of another group at `address` with the next one.
+    pub fn greet(&self, address: SocketAddr) {
+        self.greeted_peers.lock().expect("greeted peers lock").push(address);
+        self.report_requested.notify(1);
+    }
+
     /// Sets the number of registered gateways.
     pub fn set_members(&self, count: usize) {
         self.members.store(count.max(1), Ordering::Relaxed);
--- a/crates/gateway/src/store/quarantine_sink.rs
+++ b/crates/gateway/src/store/quarantine_sink.rs
@@ -73,6 +73,10 @@
         Some(umberglade_wire::digest_seeded(&digest.to_le_bytes(), row.stamp.version()))
     }
 
+    fn content_received(&mut self) {
+        self.record_read();
+    }
+
     fn record_read(&mut self) {
         self.state.quarantines.mark_rows_read();
         self.state.capacity_changed.notify(usize::MAX);
--- a/crates/gateway/src/store/server_sink.rs
+++ b/crates/gateway/src/store/server_sink.rs
@@ -74,7 +74,10 @@
     }
 
     fn apply_changes(&mut self, rows: Vec<StoreRow>) {
+        let mut changes = Vec::new();
+        let mut newest = StoreStamp::NONE;
         for row in rows {
+            newest = newest.max(row.stamp);
             let now = Instant::now();
             let change = match Self::decode(&row) {
                 DecodedRow::Entry(entry) => self.state.fleet().upsert(entry, row.stamp),
@@ -85,8 +88,9 @@
                     None
                 }
             };
-            self.state.log_changes(change.as_slice(), row.stamp);
+            changes.extend(change);
         }
+        self.state.log_changes(&changes, newest);
     }
 
     /// Digests the decoded entry: a server's renewals change only a counter in its row.
--- a/crates/gateway/src/store/shared_table.rs
+++ b/crates/gateway/src/store/shared_table.rs
@@ -1,23 +1,33 @@
 //! A table of the store that a few gateways read for their peers.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use event_listener::Event;
 
+use super::TableImage;
+use super::table_image::encode_rows;
 use crate::cluster::ReadCost;
+use crate::cluster::RelayedNotice;
+use crate::cluster::TableFingerprint;
 use crate::cluster::TableReaders;
+use crate::cluster::TableRowSet;
+use crate::cluster::TableSources;
 use crate::model::StoreRow;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
 use crate::timing::boottime_clock;
 
-/// Maximum number of rows from peers that wait to be applied. Further rows are dropped: so many
-/// amount to a full table, which is read from the store instead.
-const MAX_PEER_ROWS: usize = 512;
+/// Maximum number of rows from peers that wait to be applied, of some 300 bytes each. Further rows
+/// are dropped, and transferred later.
+const MAX_PEER_ROWS: usize = 4096;
+/// Time for which peers hold other content before it is fetched: their rows may be on their way.
+const REPAIR_DELAY: Duration = Duration::from_millis(300);
 
 /// Notice in a gateway's report about a table that it reads for its peers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -42,15 +52,38 @@
     pub through: StoreStamp,
 }
 
-/// The readers of a table, and the rows received from them.
+/// The last local read of a table.
+#[derive(Debug, Clone, Copy, Default)]
+struct LocalRead {
+    /// When the store responded, by [`boottime_clock`].
+    at: Duration,
+    /// Number of reads of this process so far.
+    sequence: u64,
+}
+
+/// Encoded rows for a peer, with what the rows lead to.
+#[derive(Debug, Clone)]
+pub struct EncodedImage {
+    pub is_whole: bool,
+    pub fingerprint: TableFingerprint,
+    pub through: StoreStamp,
+    pub age: Duration,
+    pub bytes: Bytes,
+}
+
+/// The content of a table, its readers, and what was received from peers.
 #[derive(Debug)]
 pub struct SharedTable {
     pub table: StoreTable,
     readers: Mutex<TableReaders>,
+    row_set: Mutex<TableRowSet>,
+    sources: Mutex<TableSources>,
     peer_rows: Mutex<VecDeque<StoreRow>>,
-    /// When the store responded last, by [`boottime_clock`].
-    last_read: Mutex<Duration>,
-    /// Notified when rows from a peer arrive.
+    peer_image: Mutex<Option<TableImage>>,
+    /// All rows, encoded, and their fingerprint, since many peers ask for them in a row.
+    encoded: Mutex<Option<(TableFingerprint, Bytes)>>,
+    last_read: Mutex<LocalRead>,
+    /// Notified when rows or an image from a peer arrive, and when reading becomes due.
     pub rows_received: Event,
 }
 
@@ -64,33 +97,54 @@
         SharedTable {
             table,
             readers: Mutex::new(readers),
+            row_set: Mutex::default(),
+            sources: Mutex::default(),
             peer_rows: Mutex::default(),
+            peer_image: Mutex::default(),
+            encoded: Mutex::default(),
             last_read: Mutex::default(),
             rows_received: Event::new(),
         }
     }
 
+    /// Returns true if gateways transfer the table's rows to each other. Those of the configuration
+    /// hold keys, and have a transfer of their own.
+    pub fn has_images(&self) -> bool {
+        !self.table.holds_keys()
+    }
+
     /// Locks the table's readers. The lock is held briefly, never across an await.
     pub fn readers(&self) -> MutexGuard<'_, TableReaders> {
         self.readers.lock().expect("table readers lock")
     }
 
+    /// Locks the rows held here. The lock is held briefly, never across an await.
+    pub fn row_set(&self) -> MutexGuard<'_, TableRowSet> {
+        self.row_set.lock().expect("row set lock")
+    }
+
+    /// Locks the peers that offer the table's content.
+    pub fn sources(&self) -> MutexGuard<'_, TableSources> {
+        self.sources.lock().expect("table sources lock")
+    }
+
     /// Records that the store responded to a local read, after which the content held here has
     /// `fingerprint`.
     pub fn record_read(&self, fingerprint: u64, through: StoreStamp) {
-        *self.last_read.lock().expect("read time lock") = boottime_clock();
+        {
+            let mut last_read = self.last_read();
+            *last_read = LocalRead { at: boottime_clock(), sequence: last_read.sequence + 1 };
+        }
         self.readers().record_read(fingerprint, through, Instant::now());
     }
 
     /// Returns this table's notice for the peers, while this gateway reads for them.
     pub fn notice(&self, now: Instant) -> Option<TableReadNotice> {
         let local = self.readers().local_notice(now)?;
-        let last_read = *self.last_read.lock().expect("read time lock");
-        let age = boottime_clock().saturating_sub(last_read);
         Some(TableReadNotice {
             table: self.table,
             fingerprint: local.fingerprint,
-            age_ms: age.as_millis() as u64,
+            age_ms: self.read_age_ms(),
             is_heavy: local.cost.is_heavy(),
         })
     }
@@ -102,13 +156,38 @@
         Some(ReadNoticeDetail { table: self.table, cost: local.cost, through })
     }
 
+    /// Returns this table's notice as gateways pass it on. The process with `incarnation` of the
+    /// gateway with digest `reader` is this one.
+    pub fn relayed_notice(
+        &self,
+        reader: u64,
+        incarnation: u32,
+        now: Instant,
+    ) -> Option<RelayedNotice> {
+        let local = self.readers().local_notice(now)?;
+        let through = local.through?;
+        let sequence = self.last_read().sequence;
+        Some(RelayedNotice {
+            table: self.table,
+            reader,
+            incarnation,
+            sequence,
+            fingerprint: local.fingerprint,
+            age_ms: self.read_age_ms(),
+            cost: local.cost,
+            through,
+        })
+    }
+
     /// Queues rows that another gateway read.
     pub fn receive_rows(&self, rows: Vec<StoreRow>) {
         let mut peer_rows = self.peer_rows.lock().expect("peer rows lock");
+        let dropped = (peer_rows.len() + rows.len()).saturating_sub(MAX_PEER_ROWS);
         peer_rows.extend(rows);
-        // If rows are dropped, the fingerprint differs from the peers' and the store is read.
+        // If rows are dropped, the fingerprint differs from the peers', and the rows are fetched.
         peer_rows.truncate(MAX_PEER_ROWS);
         drop(peer_rows);
+        metrics::counter!("umberglade_peer_rows_dropped_total").increment(dropped as u64);
         self.rows_received.notify(usize::MAX);
     }
 
@@ -116,4 +195,79 @@
     pub fn take_peer_rows(&self) -> Vec<StoreRow> {
         self.peer_rows.lock().expect("peer rows lock").drain(..).collect()
     }
+
+    /// Queues the content that a peer has sent.
+    pub fn receive_image(&self, image: TableImage) {
+        *self.peer_image.lock().expect("peer image lock") = Some(image);
+        self.rows_received.notify(usize::MAX);
+    }
+
+    /// Removes and returns the content that a peer has sent.
+    pub fn take_peer_image(&self) -> Option<TableImage> {
+        self.peer_image.lock().expect("peer image lock").take()
+    }
+
+    /// Returns true if peers are known to hold content that this gateway lacks, and that it should
+    /// fetch from them.
+    pub fn wants_image(&self, now: Instant) -> bool {
+        self.has_images() && self.readers().lacks_content(REPAIR_DELAY, now)
+    }
+
+    /// Records that `peer` at `address` offers the table's content up to `through`, or does not.
+    pub fn apply_peer_offer(
+        &self,
+        peer: u64,
+        address: SocketAddr,
+        through: Option<StoreStamp>,
+        is_same_domain: bool,
+        now: Instant,
+    ) {
+        let held = self.readers().known_through();
+        let has_newer = {
+            let mut sources = self.sources();
+            match through {
+                Some(through) => sources.record(peer, address, through, is_same_domain, now),
+                None => sources.remove(peer),
+            }
+            sources.has_newer(held)
+        };
+        self.readers().set_has_sources(has_newer);
+    }
+
+    /// Returns the rows that a peer with content up to `held` lacks, or all rows; `None` if this
+    /// gateway does not know the table.
+    pub fn image(&self, held: Option<StoreStamp>, now: Instant) -> Option<EncodedImage> {
+        let (through, age) = {
+            let readers = self.readers();
+            let known_at = readers.known_at()?;
+            (readers.known_through()?, now.saturating_duration_since(known_at))
+        };
+        let (fingerprint, changed) = {
+            let row_set = self.row_set();
+            (row_set.fingerprint(), held.and_then(|held| row_set.rows_changed_after(held)))
+        };
+        if let Some(rows) = changed {
+            let bytes = encode_rows(rows);
+            return Some(EncodedImage { is_whole: false, fingerprint, through, age, bytes });
+        }
+        let encoded = self.encoded.lock().expect("encoded image lock").clone();
+        if let Some((_, bytes)) = encoded.filter(|(encoded, _)| *encoded == fingerprint) {
+            return Some(EncodedImage { is_whole: true, fingerprint, through, age, bytes });
+        }
+        let (fingerprint, rows) = {
+            let row_set = self.row_set();
+            (row_set.fingerprint(), row_set.all_rows()?)
+        };
+        let bytes = encode_rows(rows);
+        *self.encoded.lock().expect("encoded image lock") = Some((fingerprint, bytes.clone()));
+        Some(EncodedImage { is_whole: true, fingerprint, through, age, bytes })
+    }
+
+    fn last_read(&self) -> MutexGuard<'_, LocalRead> {
+        self.last_read.lock().expect("read time lock")
+    }
+
+    fn read_age_ms(&self) -> u64 {
+        boottime_clock().saturating_sub(self.last_read().at).as_millis() as u64
+    }
 }
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -130,7 +130,20 @@
 
     /// Returns the rows of `table` at one point in time. They must fit on one page of the listing.
     pub async fn read_small_table(&mut self, table: StoreTable) -> Result<RowBatch, StoreError> {
-        let (step, path) = ("store look", C::list_path(table, None));
+        self.read_rows(C::list_path(table, None)).await
+    }
+
+    /// Returns the first rows of `table`, `limit` at most.
+    pub async fn read_first_rows(
+        &mut self,
+        table: StoreTable,
+        limit: u32,
+    ) -> Result<RowBatch, StoreError> {
+        self.read_rows(C::first_rows_path(table, limit)).await
+    }
+
+    async fn read_rows(&mut self, path: String) -> Result<RowBatch, StoreError> {
+        let step = "store look";
         metrics::counter!("umberglade_store_calls_total", "call" => step).increment(1);
         let response =
             self.connection.get(step, &path, self.timeout).await.context(ExchangeSnafu)?;
--- a/crates/gateway/src/store/store_error.rs
+++ b/crates/gateway/src/store/store_error.rs
@@ -25,6 +25,11 @@
 }
 
 impl StoreError {
+    /// Returns true if the store rejected the call because there are too many.
+    pub fn is_overload(&self) -> bool {
+        matches!(self, StoreError::Status { status } if *status == StatusCode::TOO_MANY_REQUESTS)
+    }
+
     /// Returns true if the store does not keep the requested changes any more, so that the table
     /// must be listed again.
     pub fn is_history_expired(&self) -> bool {
--- a/crates/gateway/src/store/table_coordinator.rs
+++ b/crates/gateway/src/store/table_coordinator.rs
@@ -6,8 +6,10 @@
 use std::time::Instant;
 
 use event_listener::EventListener;
+use rustc_hash::FxHashSet;
 
 use super::SharedTable;
+use super::TableImage;
 use super::TableSink;
 use super::TransferableRow;
 use super::raw_digest::stamp_digest;
@@ -15,8 +17,9 @@
 use crate::cluster::ReadCost;
 use crate::cluster::ReadRole;
 use crate::cluster::ReaderRank;
+use crate::cluster::RowDigest;
+use crate::cluster::TableFingerprint;
 use crate::cluster::TableReaders;
-use crate::cluster::TableRowSet;
 use crate::events;
 use crate::model::RowValue;
 use crate::model::StoreEra;
@@ -39,7 +42,6 @@
 pub struct TableCoordinator {
     state: Arc<GatewayState>,
     table: StoreTable,
-    row_set: TableRowSet,
     /// When this gateway first read the table.
     first_read_at: Option<Instant>,
     /// The era in which this gateway last listed the table.
@@ -51,14 +53,7 @@
 impl TableCoordinator {
     /// Creates the coordinator of `table` for the gateway with `state`.
     pub fn new(state: Arc<GatewayState>, table: StoreTable) -> Self {
-        TableCoordinator {
-            state,
-            table,
-            row_set: TableRowSet::default(),
-            first_read_at: None,
-            read_era: 0,
-            is_receiver: false,
-        }
+        TableCoordinator { state, table, first_read_at: None, read_era: 0, is_receiver: false }
     }
 
     /// Decides whether this gateway reads the store next, and logs changes of that role.
@@ -105,13 +100,64 @@
     pub fn take_new_peer_rows(&mut self, sink: &impl TableSink) -> Vec<StoreRow> {
         let peer_rows = self.shared_table().take_peer_rows();
         let rows: Vec<StoreRow> =
-            peer_rows.into_iter().filter(|row| record_row(&mut self.row_set, sink, row)).collect();
+            peer_rows.into_iter().filter(|row| self.record_row(sink, row)).collect();
         if !rows.is_empty() {
-            self.shared_table().readers().record_peer_rows(self.row_set.fingerprint());
+            let fingerprint = self.fingerprint();
+            self.shared_table().readers().record_peer_rows(fingerprint);
         }
         rows
     }
 
+    /// Returns the content that a peer has sent, with the removal of the rows that it lacks, unless
+    /// it is from another era of the store.
+    pub fn take_peer_image(&mut self) -> Option<TableImage> {
+        let mut image = self.shared_table().take_peer_image()?;
+        if image.through.seen_era() != self.store_era() {
+            return None;
+        }
+        if image.is_whole {
+            let listed: FxHashSet<&str> = image.rows.iter().map(|row| row.key.as_str()).collect();
+            let is_listed = |key: &str| listed.contains(key);
+            let missing = self.shared_table().row_set().missing_from(is_listed, image.through);
+            let removed = |key| StoreRow { key, stamp: image.through, value: RowValue::Removed };
+            let removed: Vec<StoreRow> = missing.into_iter().map(removed).collect();
+            image.rows.extend(removed);
+        }
+        Some(image)
+    }
+
+    /// Records the rows of a peer's image, and returns those that change what is held here.
+    pub fn record_image(&mut self, image: TableImage, sink: &impl TableSink) -> Vec<StoreRow> {
+        let TableImage { fingerprint, through, age, rows, .. } = image;
+        let size = estimated_bytes(&rows);
+        let rows: Vec<StoreRow> =
+            rows.into_iter().filter(|row| self.record_row(sink, row)).collect();
+        let held = self.fingerprint();
+        let now = Instant::now();
+        let mut readers = self.shared_table().readers();
+        match now.checked_sub(age).filter(|_| held == fingerprint) {
+            Some(known_at) => readers.record_peer_content(held, through, known_at),
+            None => readers.record_peer_rows(held),
+        }
+        drop(readers);
+        tracing::info!(
+            event = events::TABLE_RECEIVED,
+            table = %self.table,
+            version = through.version(),
+            era = through.written_era(),
+            bytes = size,
+            changed = rows.len(),
+            is_complete = held == fingerprint,
+            "content of a table received from a peer"
+        );
+        rows
+    }
+
+    /// Returns true if no row is held here.
+    pub fn is_empty(&self) -> bool {
+        self.shared_table().row_set().is_empty()
+    }
+
     /// Records changes that the store returned, and sends peers the rows whose content is new.
     ///
     /// `through` is the version up to which all changes are known now.
@@ -124,7 +170,7 @@
         let may_send = !self.table.holds_keys();
         let mut updates = Vec::new();
         for row in rows {
-            if record_row(&mut self.row_set, sink, row) && may_send {
+            if self.record_row(sink, row) && may_send {
                 updates.push(row.clone());
             }
         }
@@ -133,8 +179,10 @@
 
     /// Records the row that the sink holds: it may have been transferred from a peer.
     pub fn record_transferable(&mut self, row: &TransferableRow, interval: Duration) {
-        if self.row_set.record(&row.key, row.stamp, Some(stamp_digest(row.stamp))) {
-            self.shared_table().readers().record_peer_rows(self.row_set.fingerprint());
+        let digest = Some(stamp_digest(row.stamp));
+        if self.shared_table().row_set().record(&row.key, row.stamp, digest) {
+            let fingerprint = self.fingerprint();
+            self.shared_table().readers().record_peer_rows(fingerprint);
         }
         self.record_size(row.bytes, interval);
     }
@@ -150,9 +198,18 @@
     ) {
         let is_same_era = through.seen_era() == self.read_era;
         self.read_era = through.seen_era();
-        let listed =
-            rows.iter().filter_map(|row| Some((row.key.as_str(), row.stamp, sink.digest(row)?)));
-        let mut removed_keys = self.row_set.replace(listed, through);
+        let listed: Vec<(&str, StoreStamp, RowDigest)> = rows
+            .iter()
+            .filter_map(|row| Some((row.key.as_str(), row.stamp, sink.digest(row)?)))
+            .collect();
+        let mut removed_keys = {
+            let mut row_set = self.shared_table().row_set();
+            let removed_keys = row_set.replace(listed.into_iter(), through);
+            if self.shared_table().has_images() {
+                rows.iter().for_each(|row| row_set.keep_value(row));
+            }
+            removed_keys
+        };
         removed_keys.retain(|_| is_same_era);
         let removed = |key| StoreRow { key, stamp: through, value: RowValue::Removed };
         self.record_read(removed_keys.into_iter().map(removed).collect(), through);
@@ -186,7 +243,7 @@
 
     fn record_read(&mut self, updates: Vec<StoreRow>, through: StoreStamp) {
         let now = Instant::now();
-        self.shared_table().record_read(self.row_set.fingerprint(), through);
+        self.shared_table().record_read(self.fingerprint(), through);
         let since = *self.first_read_at.get_or_insert(now);
         let may_send_yet = now.saturating_duration_since(since) >= SEND_DELAY;
         let sends_rows = may_send_yet && self.shared_table().readers().sends_rows(now);
@@ -202,10 +259,25 @@
             return false;
         }
         let Some(link) = self.state.settings.link_bytes_per_s else { return true };
-        let sent_bytes = (estimated_bytes(rows) * self.state.members()) as f64;
+        let sent_bytes = (estimated_bytes(rows) * self.state.row_recipients()) as f64;
         sent_bytes <= link * MAX_SEND_SECONDS
     }
 
+    /// Records `row`, with its value if peers may ask for it. Returns true if its content is new.
+    fn record_row(&self, sink: &impl TableSink, row: &StoreRow) -> bool {
+        let digest = sink.digest(row);
+        let mut row_set = self.shared_table().row_set();
+        let is_new = row_set.record(&row.key, row.stamp, digest);
+        if is_new && self.shared_table().has_images() {
+            row_set.keep_value(row);
+        }
+        is_new
+    }
+
+    fn fingerprint(&self) -> TableFingerprint {
+        self.shared_table().row_set().fingerprint()
+    }
+
     fn shared_table(&self) -> &SharedTable {
         self.state.shared_tables.table(self.table)
     }
@@ -214,8 +286,3 @@
         self.state.fleet().peers.rank(self.state.digest, now)
     }
 }
-
-/// Records `row` in `row_set`. Returns true if its content is new.
-fn record_row(row_set: &mut TableRowSet, sink: &impl TableSink, row: &StoreRow) -> bool {
-    row_set.record(&row.key, row.stamp, sink.digest(row))
-}
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -30,6 +30,9 @@
 /// Outages shorter than this let no entry expire: servers renew theirs about each second, and an
 /// entry expires after three missed renewals.
 const MIN_OUTAGE: Duration = Duration::from_millis(1000);
+/// Shortest delay before a table that peers may read is listed again: reads are known everywhere
+/// within about half a second.
+const RELIST_DELAY: Duration = Duration::from_millis(400);
 
 /// Keeps a sink up to date with one table until the process stops. The sink keeps its state while
 /// the store can't be read.
@@ -44,14 +47,19 @@
     /// Minimum interval between calls: the changes of tables that change all the time are read in
     /// batches, which saves calls and costs at most this delay.
     pub min_interval: Duration,
+    /// Outages of the store that are shorter let no row expire.
+    pub expiry_time: Duration,
     /// Set for tables that gateways read for each other.
     pub coordinator: Option<TableCoordinator>,
+    /// The version from which the feed goes on if the sink holds the table already.
+    pub initial_position: Option<StoreStamp>,
 }
 
 impl<C: PlatformCodec, S: TableSink> TableFollower<C, S> {
     /// Follows the table until the process stops.
     pub async fn run(mut self) {
         let mut progress = ReadProgress::new(Instant::now());
+        progress.position = self.initial_position;
         loop {
             if let Some(until) = self.listen_until() {
                 self.reader.abandon();
@@ -67,6 +75,9 @@
             if progress.position.is_none() && !progress.must_list {
                 progress.position = self.resume_position();
             }
+            if progress.must_list && self.leaves_listing_to_peers(&progress).await {
+                continue;
+            }
             self.read_once(&mut progress).await;
         }
     }
@@ -83,7 +94,8 @@
                     self.log_available(progress.failures, progress.known_at);
                 }
                 self.sink.record_read();
-                let has_expired_rows = outage >= MIN_OUTAGE && self.sink.has_expiring_rows();
+                let has_expired_rows =
+                    outage >= self.expiring_outage(progress) && self.sink.has_expiring_rows();
                 progress.record_read(through, has_expired_rows);
                 self.record_age(progress.known_at);
                 wait_until(started_at + self.read_interval(), read_trigger).await;
@@ -119,15 +131,36 @@
         }
     }
 
-    /// Returns the version from which the feed reports all that is not known here, where peers have
-    /// transferred the table's content; `None` if no number of the present era is known.
+    /// Returns the version from which the feed reports all that is not known here; `None` if no
+    /// number of the present era is known.
     fn resume_position(&self) -> Option<StoreStamp> {
-        let row = self.sink.transferable_row()?;
         let coordinator = self.coordinator.as_ref()?;
         let era = coordinator.store_era();
         let is_of_era = |stamp: &StoreStamp| stamp.written_era() == era;
         let known_through = coordinator.known_through().filter(is_of_era);
-        known_through.max(Some(row.stamp).filter(is_of_era))
+        let transferred = self.sink.transferable_row().map(|row| row.stamp);
+        known_through.max(transferred.filter(is_of_era))
+    }
+
+    /// Returns the time without content from which on rows may have expired unnoticed. Peers that
+    /// stop sending notices have mostly died, and rows expire only while the store is not
+    /// available.
+    fn expiring_outage(&self, progress: &ReadProgress) -> Duration {
+        if progress.is_out() { MIN_OUTAGE } else { MIN_OUTAGE.max(self.expiry_time) }
+    }
+
+    /// Waits a moment before the table is listed again, and returns true if peers read it by then.
+    ///
+    /// Prevents hundreds of gateways from listing thousands of rows at the end of an outage, in
+    /// which each of them has tried to read: the few that go on reading are enough.
+    async fn leaves_listing_to_peers(&mut self, progress: &ReadProgress) -> bool {
+        let Some(coordinator) = &self.coordinator else { return false };
+        let is_present_era = progress.last_era == Some(coordinator.store_era());
+        if !coordinator.is_shared() || !is_present_era {
+            return false;
+        }
+        smol::Timer::after(RELIST_DELAY.mul_f64(1.0 + fastrand::f64())).await;
+        self.listen_until().is_some()
     }
 
     /// Returns until when this gateway may rely on its peers' reads, or `None` if it reads the
@@ -169,12 +202,13 @@
         if let Some(row) = self.sink.transferable_row() {
             coordinator.record_transferable(&row, self.min_interval);
         }
+        let has_image = apply_image(coordinator, &mut self.sink);
         let rows = coordinator.take_new_peer_rows(&self.sink);
         let has_updates = !rows.is_empty();
         if has_updates {
             self.sink.apply_changes(rows);
         }
-        has_updates
+        has_image || has_updates
     }
 
     /// Makes one call to the store. `outage` is the time for which the table's content was not
@@ -325,6 +359,20 @@
     }
 }
 
+/// Applies the content that a peer has sent. Returns true if there was any.
+fn apply_image(coordinator: &mut TableCoordinator, sink: &mut impl TableSink) -> bool {
+    let Some(image) = coordinator.take_peer_image() else { return false };
+    let (is_first, through) = (coordinator.is_empty(), image.through);
+    let rows = coordinator.record_image(image, sink);
+    if is_first {
+        sink.apply_listing(rows, through);
+    } else {
+        sink.apply_changes(rows);
+    }
+    sink.content_received();
+    true
+}
+
 /// The outcome of one read.
 enum ReadStep {
     /// All changes up to this stamp are known.
--- a/crates/gateway/src/store/table_sink.rs
+++ b/crates/gateway/src/store/table_sink.rs
@@ -24,6 +24,8 @@
     }
     /// Called when the store has responded to a call, with or without changes.
     fn record_read(&mut self) {}
+    /// Called when a peer has sent the table's content.
+    fn content_received(&mut self) {}
     /// Returns a listener that resolves when the feed should be read at once, on a new connection.
     fn read_trigger(&self) -> Option<EventListener> {
         None
