Listings are left to a few readers with large links; readers are sources at once

Change: what reading costs a link is what a listing takes, so that gateways with large links read; who has relied on peers waits by its rank before it lists, and goes back to them if they have read; readers named by notices count as sources of the rows; a gateway that got rows tells its group at once. Modules split: transfer_server from config_server, registration from start, retry_state from state (one piece of code for the two ways to the budget).

--- a/crates/gateway/src/cluster/table_readers.rs
+++ b/crates/gateway/src/cluster/table_readers.rs
@@ -335,6 +335,11 @@
         self.known_through
     }
 
+    /// Returns the time within which a change must be known.
+    pub fn bound(&self) -> Duration {
+        self.bound
+    }
+
     /// Returns true while this gateway reads the store itself.
     pub fn is_reader(&self) -> bool {
         self.is_reader
--- a/crates/gateway/src/cluster/table_row_set.rs
+++ b/crates/gateway/src/cluster/table_row_set.rs
@@ -41,6 +41,8 @@
     fingerprint: TableFingerprint,
     /// Approximate number of deleted rows in `rows`.
     deleted: usize,
+    /// Total size of the values in `rows`.
+    value_bytes: usize,
     /// Deletions up to this stamp may have been forgotten.
     deletions_since: StoreStamp,
 }
@@ -58,6 +60,7 @@
             Some(known) => {
                 known.stamp = stamp;
                 if previous != digest {
+                    self.value_bytes -= value_size(known.value.as_ref());
                     *known = KnownRow { stamp, changed_at: stamp, digest, value: None };
                 }
             }
@@ -85,10 +88,17 @@
             && known.stamp == row.stamp
             && known.digest.is_some()
         {
+            self.value_bytes -= value_size(known.value.as_ref());
             known.value = Some(row.value.clone());
+            self.value_bytes += value_size(known.value.as_ref());
         }
     }
 
+    /// Returns the total size of the values that are kept, in bytes.
+    pub fn value_bytes(&self) -> usize {
+        self.value_bytes
+    }
+
     /// Forgets the older half of the deleted rows.
     fn forget_deleted(&mut self) {
         let deleted = self.rows.values().filter(|row| row.digest.is_none());
@@ -118,6 +128,7 @@
             {
                 row.changed_at = known.changed_at;
                 row.value = known.value;
+                self.value_bytes += value_size(row.value.as_ref());
             }
         }
         let mut deleted = Vec::new();
@@ -143,6 +154,7 @@
             self.fingerprint ^= keyed_digest(&key, digest);
         }
         self.deleted += usize::from(row.digest.is_none());
+        self.value_bytes += value_size(row.value.as_ref());
         self.rows.insert(key, row);
     }
 
@@ -189,6 +201,13 @@
     }
 }
 
+fn value_size(value: Option<&RowValue>) -> usize {
+    match value {
+        Some(RowValue::Held(bytes)) => bytes.len(),
+        Some(RowValue::Removed | RowValue::Unreadable(_)) | None => 0,
+    }
+}
+
 /// Returns a row with its value, or `None` if that is not known.
 fn stored_row(key: &str, row: &KnownRow) -> Option<StoreRow> {
     let value = match row.digest {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod peers;
 pub mod quarantine;
 pub mod quota;
+mod registration;
+mod retry_state;
 pub mod service_queues;
 pub mod start;
 pub mod state;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -23,9 +23,9 @@
 mod table_fetcher;
 mod table_server;
 mod transfer_messages;
+mod transfer_server;
 
 pub use self::config_fetcher::fetch_newer_configs;
-pub use self::config_server::serve_transfers;
 pub use self::member_fetcher::fetch_members;
 pub use self::peer_registry::MemberRecord;
 pub use self::peer_registry::MemberSummary;
@@ -44,3 +44,4 @@
 pub use self::row_sender::send_rows;
 pub use self::send_budget::SendBudget;
 pub use self::table_fetcher::fetch_tables;
+pub use self::transfer_server::serve_transfers;
--- a/crates/gateway/src/peers/peer_registry.rs
+++ b/crates/gateway/src/peers/peer_registry.rs
@@ -152,6 +152,13 @@
         changed_at.is_none_or(|at| now.saturating_duration_since(at) >= span)
     }
 
+    /// Returns the address and the failure domain, if known, of the gateway with `digest`.
+    pub fn find(&self, digest: u64) -> Option<(SocketAddr, Option<DomainKey>)> {
+        let entries = self.entries();
+        let entry = entries.by_name.values().find(|entry| entry.digest == digest)?;
+        Some((entry.address, entry.domain.clone()))
+    }
+
     /// Returns the failure domain of `peer`, if known.
     pub fn domain(&self, peer: &str) -> Option<DomainKey> {
         self.entries().by_name.get(peer)?.domain.clone()
--- a/crates/gateway/src/peers/report_receiver.rs
+++ b/crates/gateway/src/peers/report_receiver.rs
@@ -17,6 +17,7 @@
 use super::row_sender::pass_rows_on;
 use crate::cluster::PeerReach;
 use crate::cluster::PeerUpdate;
+use crate::cluster::RelayedNotice;
 use crate::cluster::name_digest;
 use crate::cluster::report_interval;
 use crate::events;
@@ -147,6 +148,9 @@
     state.shared_tables.apply_peer_offer(digest, address, &relay.tables, is_same_domain, now);
     for notice in &relay.notices {
         let held_at = state.shared_tables.apply_relayed_notice(*notice, report.reach, now);
+        if held_at.is_none() {
+            apply_reader_offer(state, registry, notice, now);
+        }
         if let Some(at) = held_at.filter(|_| notice.table == StoreTable::Configuration) {
             state.record_config_fresh(at);
         }
@@ -160,6 +164,30 @@
     }
 }
 
+/// Records that a reader, of which others have told, has what it read.
+fn apply_reader_offer(
+    state: &GatewayState,
+    registry: &PeerRegistry,
+    notice: &RelayedNotice,
+    now: Instant,
+) {
+    let RelayedNotice { table, reader, through, .. } = *notice;
+    if reader == state.digest || !state.shared_tables.lacks(table, through) {
+        return;
+    }
+    if let Some((address, domain)) = registry.find(reader) {
+        let is_same_domain = domain.as_ref() == Some(&state.settings.domain);
+        state.shared_tables.apply_reader_offer(
+            table,
+            reader,
+            address,
+            through,
+            is_same_domain,
+            now,
+        );
+    }
+}
+
 fn apply_report(
     state: &GatewayState,
     report: LoadReport,
--- a/crates/gateway/src/peers/table_server.rs
+++ b/crates/gateway/src/peers/table_server.rs
@@ -8,8 +8,6 @@
 use smol::net::TcpStream;
 
 use super::PeerRegistry;
-use super::config_server::SendSlots;
-use super::config_server::write_chunks;
 use super::transfer_messages::Content;
 use super::transfer_messages::MAGIC;
 use super::transfer_messages::PartialContent;
@@ -17,6 +15,8 @@
 use super::transfer_messages::TransferReply;
 use super::transfer_messages::TransferRequest;
 use super::transfer_messages::write_message;
+use super::transfer_server::SendSlots;
+use super::transfer_server::write_chunks;
 use crate::events;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,8 +21,6 @@
 use crate::cluster::InForce;
 use crate::cluster::PeerQueues;
 use crate::cluster::RetryBudget;
-use crate::cluster::RetryCount;
-use crate::cluster::RetryPriority;
 use crate::cluster::ServerOutcome;
 use crate::cluster::name_digest;
 use crate::events;
@@ -93,7 +91,7 @@
     /// The peers that hold configurations.
     pub(crate) config_sources: Mutex<ConfigSources>,
     fleet: Mutex<Fleet>,
-    retries: Mutex<RetryBudget>,
+    pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) quota_peers: Mutex<Option<QuotaPeers>>,
     /// Number of gateways registered in the store, including this one; at least 1.
     members: AtomicUsize,
@@ -164,41 +162,6 @@
         self.fleet.lock().expect("fleet lock")
     }
 
-    /// Counts a caller's request towards the retry budget.
-    pub fn record_request(&self, service: &ServiceName) {
-        self.retries.lock().expect("retries lock").record_request(service, Instant::now());
-    }
-
-    /// Counts a retry to `service` that did not consume budget: a prompt's first attempt, which its
-    /// server received but did not complete.
-    pub fn record_retry(&self, service: &ServiceName) {
-        self.retries.lock().expect("retries lock").record_retry(service, Instant::now());
-    }
-
-    /// Consumes one retry to `service`. Returns true if the retry budget permits it.
-    pub fn consume_retry(&self, service: &ServiceName, priority: RetryPriority) -> bool {
-        let now = Instant::now();
-        let peer_retries = self.fleet().peers.retries(name_digest(service), now);
-        let members = self.members();
-        let mut retries = self.retries.lock().expect("retries lock");
-        retries.consume(service, members, peer_retries, priority, now)
-    }
-
-    /// Returns true if the retry limit allows to send a prompt to a separate prefill server for the
-    /// first time.
-    pub fn allows_first_prefill(&self, service: &ServiceName) -> bool {
-        let now = Instant::now();
-        let peer_retries = self.fleet().peers.retries(name_digest(service), now);
-        let members = self.members();
-        let mut retries = self.retries.lock().expect("retries lock");
-        retries.allows_first_prefill(service, members, peer_retries, now)
-    }
-
-    /// Returns this gateway's counts of requests and retries, by service.
-    pub fn local_retries(&self) -> Vec<(u64, RetryCount)> {
-        self.retries.lock().expect("retries lock").local_counts(Instant::now())
-    }
-
     /// Records the outcome of an attempt, and logs if the server is ejected as a result.
     pub fn record_outcome(&self, target: &SendTarget, outcome: ServerOutcome) {
         let now = Instant::now();
--- a/crates/gateway/src/store/read_progress.rs
+++ b/crates/gateway/src/store/read_progress.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns true if this gateway has relied on its peers since the last response.
+    pub fn was_listener(&self) -> bool {
+        self.was_listener
+    }
+
     /// Returns true after a failed or late read.
     pub fn is_out(&self) -> bool {
         self.failures > 0 || self.is_late
--- a/crates/gateway/src/store/shared_tables.rs
+++ b/crates/gateway/src/store/shared_tables.rs
@@ -120,6 +120,27 @@
         }
     }
 
+    /// Returns true if peers can send `table` and this gateway does not know it up to `through`.
+    pub fn lacks(&self, table: StoreTable, through: StoreStamp) -> bool {
+        let shared_table = self.find(table).filter(|shared_table| shared_table.has_images());
+        shared_table.is_some_and(|table| table.readers().known_through() < Some(through))
+    }
+
+    /// Records that `reader` at `address` has read `table` up to `through`.
+    pub fn apply_reader_offer(
+        &self,
+        table: StoreTable,
+        reader: u64,
+        address: SocketAddr,
+        through: StoreStamp,
+        is_same_domain: bool,
+        now: Instant,
+    ) {
+        if let Some(shared_table) = self.find(table) {
+            shared_table.apply_peer_offer(reader, address, Some(through), is_same_domain, now);
+        }
+    }
+
     /// Returns the reads of which a report tells this gateway's group.
     pub fn notices_for_group(&self, now: Instant) -> Vec<RelayedNotice> {
         let own = self.own_notices(now);
--- a/crates/gateway/src/store/table_coordinator.rs
+++ b/crates/gateway/src/store/table_coordinator.rs
@@ -13,6 +13,7 @@
 use super::TableSink;
 use super::TransferableRow;
 use super::raw_digest::stamp_digest;
+use super::row_size::base64_length;
 use super::row_size::estimated_bytes;
 use crate::cluster::ReadCost;
 use crate::cluster::ReadRole;
@@ -140,6 +141,9 @@
             None => readers.record_peer_rows(held),
         }
         drop(readers);
+        self.record_size(size, Duration::ZERO);
+        // Tells peers from whom they can have the rows.
+        self.state.report_requested.notify(1);
         tracing::info!(
             event = events::TABLE_RECEIVED,
             table = %self.table,
@@ -153,6 +157,17 @@
         rows
     }
 
+    /// Returns the fraction of the peers heard that precede this gateway.
+    pub fn rank_fraction(&self) -> f64 {
+        let ReaderRank { peers, peers_before } = self.rank(Instant::now());
+        peers_before as f64 / peers.max(1) as f64
+    }
+
+    /// Returns the time within which a change of the table must be known.
+    pub fn bound(&self) -> Duration {
+        self.shared_table().readers().bound()
+    }
+
     /// Returns true if no row is held here.
     pub fn is_empty(&self) -> bool {
         self.shared_table().row_set().is_empty()
@@ -215,9 +230,15 @@
         self.record_read(removed_keys.into_iter().map(removed).collect(), through);
     }
 
-    /// Records that this gateway's link is loaded by a read of `bytes` in each `interval`.
+    /// Records that this gateway's link is loaded by a read of `bytes` in each `interval`, or by the
+    /// listing of the table, which may become necessary at any time.
+    ///
+    /// Prevents instances with small links from reading a table of thousands of rows for all others,
+    /// who would read it too before its listing has arrived.
     pub fn record_size(&self, bytes: usize, interval: Duration) {
         let Some(link) = self.state.settings.link_bytes_per_s else { return };
+        let listing_bytes = base64_length(self.shared_table().row_set().value_bytes());
+        let bytes = bytes.max(listing_bytes);
         self.shared_table().readers().set_cost(ReadCost::of(bytes, interval, link));
     }
 
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -30,6 +30,8 @@
 /// Outages shorter than this let no entry expire: servers renew theirs about each second, and an
 /// entry expires after three missed renewals.
 const MIN_OUTAGE: Duration = Duration::from_millis(1000);
+/// Fraction of a table's bound over which gateways that have relied on their peers spread.
+const RELIST_SPREAD: f64 = 0.35;
 /// Shortest delay before a table that peers may read is listed again: reads are known everywhere
 /// within about half a second.
 const RELIST_DELAY: Duration = Duration::from_millis(400);
@@ -150,16 +152,30 @@
     }
 
     /// Waits a moment before the table is listed again, and returns true if peers read it by then.
+    /// A gateway that has relied on its peers until now waits the longer the more of them precede
+    /// it.
     ///
     /// Prevents hundreds of gateways from listing thousands of rows at the end of an outage, in
-    /// which each of them has tried to read: the few that go on reading are enough.
+    /// which each of them has tried to read, or when the store has dropped its history: the few that
+    /// go on reading are enough.
     async fn leaves_listing_to_peers(&mut self, progress: &ReadProgress) -> bool {
         let Some(coordinator) = &self.coordinator else { return false };
         let is_present_era = progress.last_era == Some(coordinator.store_era());
         if !coordinator.is_shared() || !is_present_era {
             return false;
         }
-        smol::Timer::after(RELIST_DELAY.mul_f64(1.0 + fastrand::f64())).await;
+        let mut delay = RELIST_DELAY.mul_f64(1.0 + fastrand::f64());
+        if progress.was_listener() {
+            delay += coordinator.bound().mul_f64(RELIST_SPREAD * coordinator.rank_fraction());
+        }
+        let due = Instant::now() + delay;
+        while Instant::now() < due {
+            if self.listen_until().is_some() {
+                return true;
+            }
+            self.apply_peer_rows();
+            smol::Timer::after(RELIST_DELAY / 4).await;
+        }
         self.listen_until().is_some()
     }
 
--- a/crates/gateway/tests/fleet_exchange.rs
+++ b/crates/gateway/tests/fleet_exchange.rs
@@ -181,7 +181,8 @@
             for reader in 0..READERS {
                 let offset = READ_INTERVAL / READERS as u32 * reader as u32;
                 let since = now.checked_sub(offset);
-                let is_due = |since: Duration| since.as_millis() % READ_INTERVAL.as_millis() == 0;
+                let is_due =
+                    |since: Duration| since.as_millis().is_multiple_of(READ_INTERVAL.as_millis());
                 if let Some(since) = since.filter(|since| is_due(*since)) {
                     let sequence = since.div_duration_f64(READ_INTERVAL) as u64 + 1;
                     self.read(reader, sequence, now);
