A server's ejection says what other gateways see of it

It now names how many other gateways have ejected the server and how much work they have there: work elsewhere and no ejection elsewhere is a broken path.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -173,6 +173,7 @@
         let Some(server_state) = fleet.server(server) else { return };
         let failure_share = server_state.health.failure_fraction(now);
         let is_ejected = server_state.health.is_ejected(now);
+        let peers = fleet.peers.server(target.incarnation, now);
         drop(fleet);
         if is_ejected && !was_ejected {
             metrics::counter!("umberglade_server_aside_total").increment(1);
@@ -181,6 +182,8 @@
                 server,
                 outcome = %outcome,
                 failure_share,
+                ejected_elsewhere = peers.ejections,
+                running_elsewhere = peers.load.running,
                 "server ejected"
             );
         }
