--- a/crates/gateway/src/cluster/candidate.rs
+++ b/crates/gateway/src/cluster/candidate.rs
@@ -10,6 +10,7 @@
 use super::PlacementRequest;
 use super::ServerState;
 use super::ServerTotals;
+use super::fleet_paths::ServerReach;
 use crate::model::EngineSpec;
 use crate::model::PromptShape;
 use crate::model::ServerKey;
@@ -28,6 +29,9 @@
 const FAILURE_WEIGHT: f64 = 4.0;
 /// Cost of each peer that has ejected the server, for up to three peers.
 const PEER_EJECTION_WEIGHT: f64 = 0.7;
+/// Cost of a server that is reached only through another gateway: as for plain calls to another
+/// failure domain.
+const TUNNEL_WEIGHT: f64 = 0.3;
 /// Number of peers that must have ejected a server for it to count as ejected here too.
 const MIN_EJECTING_PEERS: u32 = 2;
 /// Prompt tokens that an engine prefills in a millisecond, for weighing a queue against a transfer
@@ -44,8 +48,9 @@
     pub peers: ServerTotals,
     /// False while a backoff or the server's rate limit keeps this gateway from sending to it.
     pub may_send: bool,
-    /// Cost of failures, both observed by this gateway and reported by peers, in multiples of a
-    /// full server.
+    pub reach: ServerReach,
+    /// Cost of failures, both observed by this gateway and reported by peers, and of a tunnel, in
+    /// multiples of a full server.
     pub failure_cost: f64,
 }
 
@@ -55,10 +60,12 @@
         self.server_state.local_load.plus(self.peers.load)
     }
 
-    /// Returns true if this gateway has ejected the server, or if so many peers have that their
-    /// network paths are hardly the cause.
+    /// Returns true if this gateway has ejected or does not reach the server, or if so many peers
+    /// have ejected it that their network paths are hardly the cause.
     pub fn is_ejected(&self, now: Instant) -> bool {
-        self.server_state.health.is_ejected(now) || self.peers.ejections >= MIN_EJECTING_PEERS
+        self.server_state.health.is_ejected(now)
+            || self.peers.ejections >= MIN_EJECTING_PEERS
+            || self.reach == ServerReach::None
     }
 
     /// Returns how full the engine would be with a stream of `shape`, from 0 to 1; `None` when it
@@ -108,11 +115,16 @@
         .available_servers(request.service, request.now)
         .filter(|(server_state, _)| suits(server_state.entry.stage))
         .filter(|(server_state, _)| !request.tried.contains(&server_state.entry.server))
-        .map(|(server_state, peers)| Candidate {
-            server_state,
-            peers,
-            may_send: fleet.may_send(server_state, request.now),
-            failure_cost: failure_cost(server_state, peers, request.now),
+        .map(|(server_state, peers)| {
+            let reach = fleet.reach(server_state, request.now);
+            let tunnel_cost = if reach == ServerReach::Direct { 0.0 } else { TUNNEL_WEIGHT };
+            Candidate {
+                server_state,
+                peers,
+                may_send: fleet.may_send(server_state, request.now),
+                reach,
+                failure_cost: failure_cost(server_state, peers, request.now) + tunnel_cost,
+            }
         })
         .collect()
 }
--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -16,7 +16,9 @@
 use super::ServerLimits;
 use super::ServerListing;
 use super::ServerOutcome;
+use super::ServerPaths;
 use super::ServerState;
+use super::TunnelRests;
 use crate::model::ServerEntry;
 use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
@@ -67,6 +69,9 @@
     pub limits: ServerLimits,
     pub departures: ServerDepartures,
     pub backoffs: ServerBackoffs,
+    /// This gateway's own paths to the servers that it has used lately.
+    pub paths: ServerPaths,
+    pub tunnel_rests: TunnelRests,
     /// This gateway's digest.
     pub(super) digest: u64,
     /// Number of gateways that share the servers, including this one.
@@ -226,6 +231,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.remove_expired(now);
         self.retain_used(now);
+        self.retain_paths(now);
         self.stage_changes.retain(|_, (_, until)| now < *until);
         if self.has_flow_control() {
             let listed: FxHashSet<ServerIncarnation> =
@@ -259,6 +265,15 @@
         });
     }
 
+    fn retain_paths(&mut self, now: Instant) {
+        if self.paths.is_empty() {
+            return;
+        }
+        let listed: FxHashSet<ServerIncarnation> =
+            self.servers.values().map(|server_state| server_state.incarnation).collect();
+        self.paths.tick(|server| listed.contains(&server), now);
+    }
+
     /// Returns the servers that this gateway has used lately.
     pub(super) fn used_servers(&self) -> impl Iterator<Item = &ServerState> {
         self.used.iter().filter_map(|key| self.servers.get(key))
@@ -315,9 +330,15 @@
 
     /// Returns the servers that this gateway has ejected, or that are not what their row describes,
     /// for a report to its peers.
+    ///
+    /// Those that may only be cut off from this gateway are left out. Prevents servers from counting
+    /// as down at all gateways because some have lost their paths to them.
     pub fn local_ejections(&self, now: Instant) -> Vec<u64> {
         self.used_servers()
-            .filter(|state| state.is_outdated(now) || state.health.is_ejected(now))
+            .filter(|state| {
+                let is_unclear = self.paths.is_unclear(state.incarnation, now);
+                state.is_outdated(now) || (state.health.is_ejected(now) && !is_unclear)
+            })
             .map(|server_state| server_state.incarnation)
             .collect()
     }
@@ -378,7 +399,7 @@
     }
 
     /// Returns a server if `incarnation` is still its current one.
-    fn current_server_mut(
+    pub(super) fn current_server_mut(
         &mut self,
         key: &str,
         incarnation: ServerIncarnation,
--- a/crates/gateway/src/cluster/peer_reports.rs
+++ b/crates/gateway/src/cluster/peer_reports.rs
@@ -18,6 +18,7 @@
 use super::ReaderRank;
 use super::ServerTotals;
 use super::ServiceTotals;
+use super::TunnelPeer;
 use super::rendezvous_score::rendezvous_score;
 use super::shares_shard;
 use crate::model::ServerIncarnation;
@@ -237,7 +238,7 @@
     }
 
     /// Returns true if this gateway, with digest `local`, should act for its whole shard: it has
-    /// the lowest digest of the gateways that have read the store for `stable_for`.
+    /// the lowest digest of the gateways that have read the store for `stable_for` and reach servers.
     ///
     /// Several gateways may get true at the same time, so a candidate must claim leadership before
     /// it acts.
@@ -246,9 +247,29 @@
             .iter()
             .filter(|(_, report)| report.is_fresh(now) && report.update.reach == PeerReach::Near)
             .filter(|(_, report)| report.update.store_stable_for >= stable_for)
+            .filter(|(_, report)| !report.update.is_cut())
             .all(|(peer, _)| local < *peer)
     }
 
+    /// Returns the peers that forward connections to `server`.
+    pub fn tunnel_peers(
+        &self,
+        server: ServerIncarnation,
+        now: Instant,
+    ) -> impl Iterator<Item = TunnelPeer> {
+        self.reports.iter().filter(move |(_, report)| report.is_fresh(now)).filter_map(
+            move |(peer, report)| {
+                let (address, offer) = report.update.tunnel.as_ref()?;
+                let is_usable = offer.is_open && offer.paths.reaches(server);
+                is_usable.then_some(TunnelPeer {
+                    peer: *peer,
+                    address: *address,
+                    tunnels: offer.tunnels,
+                })
+            },
+        )
+    }
+
     /// Records the estimates that the gateway named `peer` reports, by service.
     pub fn record_estimates(
         &mut self,
--- a/crates/gateway/src/cluster/peer_update.rs
+++ b/crates/gateway/src/cluster/peer_update.rs
@@ -1,5 +1,6 @@
 //! The content of one gateway's report.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -10,6 +11,7 @@
 use super::LoadShare;
 use super::QueueUpdate;
 use super::RetryCount;
+use super::TunnelOffer;
 use crate::model::ConfigVersion;
 
 /// How long a report of a quiet peer is valid: three of them arrive within it.
@@ -61,6 +63,9 @@
     pub config: ConfigVersion,
     /// True if the peer has no work and reports to its group less often meanwhile.
     pub is_quiet: bool,
+    /// The peer's offer of tunnels, and the address at which to ask for them; `None` from gateways
+    /// of the previous build.
+    pub tunnel: Option<(SocketAddr, TunnelOffer)>,
 }
 
 impl PeerUpdate {
@@ -69,6 +74,11 @@
         if self.is_quiet { QUIET_REPORT_LIFETIME } else { self.reach.report_lifetime() }
     }
 
+    /// Returns true if the peer reaches less than half of the servers that it uses.
+    pub fn is_cut(&self) -> bool {
+        self.tunnel.as_ref().is_some_and(|(_, offer)| offer.paths.is_cut)
+    }
+
     /// Returns the peer's queue for the service with `digest`.
     pub fn queue(&self, digest: u64) -> Option<QueueUpdate> {
         self.queues.iter().find(|(service, _)| *service == digest).map(|(_, queue)| *queue)
--- a/crates/gateway/src/cluster/server_health.rs
+++ b/crates/gateway/src/cluster/server_health.rs
@@ -91,6 +91,12 @@
         self.probe_until = None;
     }
 
+    /// Forgets failures that were not the server's. Connections that may hold stray bytes stay
+    /// suspect.
+    pub fn forgive(&mut self) {
+        *self = ServerHealth { suspect_until: self.suspect_until, ..ServerHealth::default() };
+    }
+
     /// Records that a request is being sent to the server. The first one after an ejection is a
     /// probe.
     ///
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -37,6 +37,12 @@
 pub const QUOTA_EXHAUSTED: u32 = 5018;
 /// A stream's server sends nothing, and no other server may continue the stream.
 pub const STREAM_STALLED: u32 = 5019;
+/// A request is sent to its server through another gateway.
+pub const TUNNEL_USED: u32 = 5020;
+/// Another gateway has asked for a tunnel to a server.
+pub const TUNNEL_SERVED: u32 = 5021;
+/// A tunnel for another gateway has ended.
+pub const TUNNEL_CLOSED: u32 = 5022;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
@@ -95,6 +101,10 @@
 pub const MEMBERS_RECEIVED: u32 = 6028;
 /// The first registered gateways were read from the store at the start.
 pub const PEERS_FOUND: u32 = 6029;
+/// No connection to a server can be opened, though another gateway opens them.
+pub const PATH_BROKEN: u32 = 6030;
+/// Connections to a server whose path was broken can be opened again.
+pub const PATH_OPEN: u32 = 6031;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -14,6 +14,7 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::CacheSource;
+use crate::paths::PathConnector;
 use crate::state::GatewayState;
 use crate::upstream;
 use crate::upstream::SendTarget;
@@ -21,6 +22,8 @@
 /// Time from the offer of a cache to a decode server until the server fetches it: a connection
 /// and a network hop.
 const FETCH_MARGIN: Duration = Duration::from_millis(30);
+/// Time after which a release has no use: the handle has expired.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Releases the KV cache of a finished prefill when dropped, unless it is disarmed.
 ///
@@ -102,7 +105,10 @@
         .header(http::header::HOST, target.address.to_string())
         .body(Full::new(Bytes::new()))
         .expect("a request built from a valid path");
-    let outcome = match upstream::send(&state.pool, target, request).await {
+    let deadline = Instant::now() + RELEASE_TIMEOUT;
+    let connector = PathConnector { state, request_id, deadline };
+    let sent = upstream::send_with(&connector, &state.pool, target, request, Some(deadline));
+    let outcome = match sent.await {
         Ok((response, _)) => {
             let status = response.status().as_u16();
             // Only the status is used; the body is read to complete the exchange.
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -4,26 +4,32 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_lite::FutureExt;
 use http::HeaderMap;
 use http::Response;
 use http::header;
 use hyper::body::Incoming;
 use strum::Display;
+use umberglade_wire::pool;
 
 use super::Call;
 use super::attempt_permit::AttemptPermit;
+use crate::cluster::PathVerdict;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
 use crate::model::ResponseHead;
+use crate::paths::PathConnector;
+use crate::paths::locate_failure;
+use crate::paths::watch_silence;
 use crate::quarantine::fingerprint_key;
 use crate::state::GatewayState;
 use crate::upstream;
-use crate::upstream::PooledConnection;
+use crate::upstream::SendError;
 use crate::upstream::SendTarget;
+use crate::upstream::ServerConnection;
+use crate::upstream::ServerPath;
 
 /// Why an attempt got no valid response from the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -45,6 +51,15 @@
 }
 
 impl AttemptFailure {
+    /// Returns the failure of an attempt without a response head.
+    fn of(error: &SendError) -> Self {
+        match error {
+            SendError::Broken { .. } => AttemptFailure::Broken,
+            SendError::Silent { .. } => AttemptFailure::Silent,
+            _ => AttemptFailure::Unsent,
+        }
+    }
+
     /// Returns true when the server has certainly not run the request.
     pub fn is_not_run(self) -> bool {
         matches!(
@@ -71,7 +86,7 @@
 pub struct OpenResponse {
     pub response: Response<Incoming>,
     pub head: ResponseHead,
-    pub connection: PooledConnection,
+    pub connection: ServerConnection,
     pub permit: AttemptPermit,
 }
 
@@ -91,7 +106,8 @@
         server: server_state.entry.server.clone(),
         incarnation: server_state.incarnation,
         address: server_state.entry.address,
-        may_reuse: !server_state.health.is_suspect(now),
+        may_reuse: !server_state.health.is_suspect(now)
+            && !fleet.paths.is_doubted(server_state.incarnation, now),
     };
     fleet.take_send_token(target.incarnation, now).then_some(target)
 }
@@ -112,26 +128,22 @@
     {
         charge.commit();
     }
-    let sent = async {
-        upstream::send(&state.pool, target, request).await.map_err(|error| {
-            let failure =
-                if error.is_unsent() { AttemptFailure::Unsent } else { AttemptFailure::Broken };
-            (failure, error.to_string())
-        })
-    };
-    let timed_out = async {
-        smol::Timer::after(timeout).await;
-        Err((AttemptFailure::Silent, format!("no response within {} ms", timeout.as_millis())))
-    };
-    let (response, connection) = match sent.or(timed_out).await {
+    let connector = PathConnector { state, request_id: call.id(), deadline: call.deadline };
+    let deadline = Some(sent_at + timeout);
+    let sent = upstream::send_with(&connector, &state.pool, target, request, deadline);
+    let (response, connection) = match watch_silence(state, target, sent).await {
         Ok(opened) => opened,
-        Err((failure, problem)) => {
+        Err(error) => {
+            let failure = AttemptFailure::of(&error);
             if failure == AttemptFailure::Unsent {
                 permit.settle();
             }
-            return Err(record_failure(state, call, target, failure, &problem));
+            return Err(record_failure(state, call, target, failure, &error.to_string()));
         }
     };
+    if connection.path == ServerPath::Direct {
+        state.fleet().paths.record_response(target.incarnation, Instant::now());
+    }
     let head = C::response_head(response.headers());
     let status = response.status();
     if head.request_id != call.head.request_id || head.is_encoded {
@@ -168,7 +180,7 @@
 
 /// Records and logs an attempt that failed before its first event.
 pub fn record_failure(
-    state: &GatewayState,
+    state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
     failure: AttemptFailure,
@@ -179,16 +191,20 @@
 
 /// Records and logs an attempt whose server failed after sending events for `run_duration`.
 pub fn record_midstream_failure(
-    state: &GatewayState,
+    state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
     failure: AttemptFailure,
     problem: &str,
     run_duration: Duration,
 ) -> AttemptFailure {
-    state.record_outcome(target, failure.outcome());
+    let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
+    let may_be_path = matches!(failure, AttemptFailure::Silent | AttemptFailure::Broken);
+    if !(is_path_broken && may_be_path) {
+        state.record_outcome(target, failure.outcome());
+    }
     if failure == AttemptFailure::Broken {
-        state.record_crash(call.id(), call.fingerprint, target, run_duration);
+        record_break(state, call, target, run_duration);
     }
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
@@ -199,9 +215,36 @@
         server = %target.server,
         peer = %target.address,
         failure = %failure,
+        is_path_broken,
         problem,
         elapsed_ms = call.age_ms(),
         "attempt failed"
     );
     failure
 }
+
+/// Records that the connection of an attempt broke: a crash of its server, unless other gateways
+/// still reach it and only the path of this one is broken.
+///
+/// Prevents the quarantine of requests that are in flight when a gateway loses its paths.
+fn record_break(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    target: &SendTarget,
+    run_duration: Duration,
+) {
+    let failed_at = Instant::now();
+    let fingerprint = call.fingerprint;
+    if !state.fleet().has_tunnel_peer(target.incarnation, failed_at) {
+        state.record_crash(call.id(), fingerprint, target, run_duration);
+        return;
+    }
+    let (state, target) = (Arc::clone(state), target.clone());
+    let request_id = call.id().to_owned();
+    pool::spawn(async move {
+        let verdict = locate_failure(&state, &target, failed_at).await;
+        if verdict != PathVerdict::Broken {
+            state.record_crash(&request_id, fingerprint, &target, run_duration);
+        }
+    });
+}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -33,6 +33,7 @@
 use crate::in_flight_count::InFlightGuard;
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
+use crate::paths::request_check;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
@@ -275,6 +276,7 @@
 
     /// Records that the server sends nothing, while no other may continue the stream.
     fn record_stall(&self, stream: &OpenStream, silence: Duration) {
+        request_check(&self.state, &stream.target);
         self.state.record_outcome(&stream.target, AttemptFailure::Silent.outcome());
         metrics::counter!("umberglade_stream_stalls_total").increment(1);
         tracing::info!(
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -26,8 +26,8 @@
 use crate::model::AttemptSpec;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
-use crate::upstream::PooledConnection;
 use crate::upstream::SendTarget;
+use crate::upstream::ServerConnection;
 
 /// A stream whose first event has arrived.
 #[derive(Debug)]
@@ -40,7 +40,7 @@
     pub reader: EventReader,
     pub target: SendTarget,
     /// Returned to the pool when the stream completes; `None` if the server closes it.
-    pub connection: Option<PooledConnection>,
+    pub connection: Option<ServerConnection>,
     pub keep_alive: Option<Duration>,
     /// False when the end of the stream cannot be distinguished from a crash of the server.
     pub is_delimited: bool,
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use snafu::OptionExt;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -92,7 +93,7 @@
     snafu::ensure!(is_within_window(), ClaimExpiredSnafu);
     let order_exchange = async {
         connection.ready().await.context(BodySnafu { step: SEND_ORDER, peer })?;
-        let sent = connection.send_request(request).await;
+        let sent = connection.send(request).await.map_err(TrySendError::into_error);
         let response = sent.context(BodySnafu { step: SEND_ORDER, peer })?;
         read_body(response, SEND_ORDER, peer).await
     };
--- a/crates/gateway/src/leader/stage_controller.rs
+++ b/crates/gateway/src/leader/stage_controller.rs
@@ -77,13 +77,15 @@
     StageSnapshot { target_prefill, ..snapshot }
 }
 
-/// Returns false also while a claim may be in force that the store has lost with its copy.
+/// Returns false also while a claim may be in force that the store has lost with its copy, and while
+/// this gateway reaches few engines: an order goes to its engine directly.
 fn is_leader_candidate(state: &GatewayState, now: Instant) -> bool {
     if state.store_eras.age().is_some_and(|age| age < LEASE_DURATION) {
         return false;
     }
     let fleet = state.fleet();
     fleet.store_stable_duration(now) >= MIN_STABLE_DURATION
+        && !fleet.paths.is_cut()
         && fleet.peers.is_leader_candidate(state.digest, MIN_STABLE_DURATION, now)
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //! force, through separate prefill and decode pools where the service has them.
 //!
 //! Modules, in the order in which a request passes them: [`ingress`] (connections, limits, routes),
-//! [`forward`] (one request end to end), [`upstream`] (connections to backend servers). [`cluster`]
+//! [`forward`] (one request end to end), [`paths`] and [`upstream`] (connections to backend servers,
+//! directly or by a [`tunnel`] through another gateway). [`cluster`]
 //! makes every decision, without I/O or clocks; [`store`] and [`peers`] supply its input. [`model`]
 //! defines the shared types, and [`codec`] the interface to a platform's names and formats.
 
@@ -12,12 +13,14 @@
 pub mod events;
 mod flow_state;
 pub mod forward;
+mod framing;
 pub mod in_flight_count;
 pub mod ingress;
 mod join;
 pub mod leader;
 pub mod load_guard;
 pub mod model;
+pub mod paths;
 pub mod peers;
 pub mod quarantine;
 pub mod quota;
@@ -29,4 +32,5 @@
 pub mod stop;
 pub mod store;
 pub mod timing;
+pub mod tunnel;
 pub mod upstream;
--- /dev/null
+++ b/crates/gateway/src/paths/mod.rs
@@ -0,0 +1,14 @@
+//! Paths from this gateway to servers: direct ones, and tunnels through other gateways where a
+//! direct one is broken.
+
+mod path_check;
+mod path_connector;
+mod path_recheck;
+mod staggered_race;
+
+pub use self::path_check::locate_failure;
+pub use self::path_check::request_check;
+pub use self::path_check::watch_silence;
+pub use self::path_connector::PathConnector;
+pub use self::path_recheck::recheck_broken_paths;
+pub use self::staggered_race::race_staggered;
--- /dev/null
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -0,0 +1,160 @@
+//! Connects to a server by the path that works.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+use snafu::ResultExt;
+
+use super::path_check::record_broken;
+use super::path_check::record_open;
+use super::path_check::request_check;
+use super::staggered_race::race_staggered;
+use crate::cluster::TunnelPeer;
+use crate::events;
+use crate::state::GatewayState;
+use crate::timing::with_deadline;
+use crate::tunnel::TunnelError;
+use crate::tunnel::TunnelRequest;
+use crate::tunnel::open_tunnel;
+use crate::upstream::Connect;
+use crate::upstream::HandshakeSnafu;
+use crate::upstream::SendError;
+use crate::upstream::SendTarget;
+use crate::upstream::ServerConnection;
+use crate::upstream::ServerPath;
+use crate::upstream::TunnelSnafu;
+use crate::upstream::connect_directly;
+
+/// Time without a connection after which the next path is tried too: several round trips between
+/// failure domains, and short against the latency targets of callers.
+const PATH_STAGGER: Duration = Duration::from_millis(50);
+/// Timeout of opening a tunnel: of connecting to the other gateway, and of its connecting to the
+/// server.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(350);
+/// Number of gateways that are asked for a tunnel.
+const MAX_TUNNEL_PEERS: usize = 2;
+/// Maximum number of characters of a request id that another gateway logs.
+const MAX_LOGGED_ID: usize = 128;
+/// Time for which a tunnel outlives its request at most.
+const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
+
+/// One way to connect.
+#[derive(Debug, Clone, Copy)]
+enum PathOption {
+    Direct,
+    Tunnel(TunnelPeer),
+}
+
+/// Opens the connections for one request: directly, or through another gateway where the direct
+/// path is broken or slow.
+///
+/// Nothing is sent before a connection is open, and only one of those that are tried is used.
+pub struct PathConnector<'a> {
+    pub state: &'a Arc<GatewayState>,
+    pub request_id: &'a str,
+    /// When the request's caller gives up.
+    pub deadline: Instant,
+}
+
+impl Connect for PathConnector<'_> {
+    async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
+        let has_direct_failed = AtomicBool::new(false);
+        let options = self.path_options(target);
+        let attempts =
+            options.into_iter().map(|option| self.open(target, option, &has_direct_failed));
+        let connection = race_staggered(attempts, PATH_STAGGER).await.expect("a direct path")?;
+        match connection.path {
+            ServerPath::Direct => record_open(self.state, target),
+            ServerPath::Tunnel(_) if has_direct_failed.load(Ordering::Relaxed) => {
+                record_broken(self.state, target);
+            }
+            ServerPath::Tunnel(_) => request_check(self.state, target),
+        }
+        Ok(connection)
+    }
+}
+
+/// Returns true if another gateway reaches `target`.
+pub(super) async fn opens_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
+    let connector = PathConnector { state, request_id: "-", deadline: Instant::now() };
+    let peers = state.fleet().tunnel_peers(target.incarnation, MAX_TUNNEL_PEERS, Instant::now());
+    let attempts = peers.into_iter().map(|peer| connector.open_tunnel(target, peer));
+    race_staggered(attempts, PATH_STAGGER).await.is_some_and(|opened| opened.is_ok())
+}
+
+impl PathConnector<'_> {
+    /// Returns the ways to connect to `target`, in the order in which to try them.
+    ///
+    /// A server that others have ejected is down rather than cut off from this gateway, so that
+    /// tunnels would only delay the next attempt at another server.
+    fn path_options(&self, target: &SendTarget) -> SmallVec<[PathOption; 3]> {
+        let now = Instant::now();
+        let fleet = self.state.fleet();
+        let is_broken = fleet.paths.is_broken(target.incarnation);
+        let is_down = fleet.peers.server(target.incarnation, now).ejections > 0;
+        let mut options: SmallVec<[PathOption; 3]> = SmallVec::new();
+        if is_broken || !is_down {
+            let peers = fleet.tunnel_peers(target.incarnation, MAX_TUNNEL_PEERS, now);
+            options.extend(peers.into_iter().map(PathOption::Tunnel));
+        }
+        options.insert(if is_broken { options.len() } else { 0 }, PathOption::Direct);
+        options
+    }
+
+    async fn open(
+        &self,
+        target: &SendTarget,
+        option: PathOption,
+        has_direct_failed: &AtomicBool,
+    ) -> Result<ServerConnection, SendError> {
+        match option {
+            PathOption::Direct => {
+                let connected = connect_directly(target.address).await;
+                has_direct_failed.store(connected.is_err(), Ordering::Relaxed);
+                connected
+            }
+            PathOption::Tunnel(peer) => self.open_tunnel(target, peer).await,
+        }
+    }
+
+    async fn open_tunnel(
+        &self,
+        target: &SendTarget,
+        peer: TunnelPeer,
+    ) -> Result<ServerConnection, SendError> {
+        let started_at = Instant::now();
+        let lifetime = self.deadline.saturating_duration_since(started_at) + LIFETIME_MARGIN;
+        let request = TunnelRequest {
+            request_id: self.request_id.chars().take(MAX_LOGGED_ID).collect(),
+            gateway: self.state.settings.instance.clone(),
+            server: target.server.clone(),
+            incarnation: target.incarnation,
+            lifetime_ms: lifetime.as_millis() as u64,
+        };
+        let opening = open_tunnel(peer.address, &request);
+        let opened = with_deadline(started_at + TUNNEL_TIMEOUT, opening).await;
+        let opened = opened.unwrap_or(Err(TunnelError::Timeout { peer: peer.address }));
+        if opened.as_ref().is_err_and(|error| !error.is_of_server()) {
+            self.state.fleet().tunnel_rests.record_failure(peer.peer, Instant::now());
+        }
+        let outcome = opened.as_ref().err().map_or("open".to_owned(), |error| error.to_string());
+        metrics::counter!("umberglade_tunnels_used_total").increment(1);
+        tracing::info!(
+            event = events::TUNNEL_USED,
+            request_id = self.request_id,
+            server = %target.server,
+            gateway = %peer.address,
+            elapsed_ms = started_at.elapsed().as_millis() as u64,
+            outcome,
+            "connection through another gateway"
+        );
+        let stream = opened.context(TunnelSnafu { peer: target.address })?;
+        let path = ServerPath::Tunnel(peer.peer);
+        let handshake = ServerConnection::open(stream, path).await;
+        handshake.context(HandshakeSnafu { peer: target.address })
+    }
+}
--- a/crates/gateway/src/peers/config_fetcher.rs
+++ b/crates/gateway/src/peers/config_fetcher.rs
@@ -22,6 +22,7 @@
 use crate::cluster::ConfigPart;
 use crate::cluster::SourceChoice;
 use crate::events;
+use crate::framing::invalid;
 use crate::model::ConfigId;
 use crate::model::StoreTable;
 use crate::state::GatewayState;
@@ -215,10 +216,6 @@
     }
 }
 
-fn invalid(problem: &'static str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, problem)
-}
-
 fn timed_out() -> io::Error {
     io::ErrorKind::TimedOut.into()
 }
--- a/crates/gateway/src/peers/config_messages.rs
+++ b/crates/gateway/src/peers/config_messages.rs
@@ -10,8 +10,8 @@
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 
-use super::transfer_messages;
 use crate::cluster::ConfigPart;
+use crate::framing;
 use crate::model::ConfigId;
 
 /// First bytes of each message. Gateways of the previous build send nothing, or a configuration
@@ -74,10 +74,10 @@
 
 /// Sends one message.
 pub async fn write_message<M: Serialize>(stream: &mut TcpStream, message: &M) -> io::Result<()> {
-    transfer_messages::write_message(stream, MAGIC, message).await
+    framing::write_message(stream, MAGIC, message).await
 }
 
 /// Receives one message.
 pub async fn read_message<M: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<M> {
-    transfer_messages::read_message(stream, MAGIC).await
+    framing::read_message(stream, MAGIC).await
 }
--- a/crates/gateway/src/peers/member_fetcher.rs
+++ b/crates/gateway/src/peers/member_fetcher.rs
@@ -11,10 +11,10 @@
 use super::transfer_messages::TransferReply;
 use super::transfer_messages::TransferRequest;
 use super::transfer_messages::ask;
-use super::transfer_messages::decode;
-use super::transfer_messages::invalid;
 use super::transfer_messages::receive;
 use crate::events;
+use crate::framing::decode;
+use crate::framing::invalid;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -16,6 +16,7 @@
 use crate::cluster::QueueUpdate;
 use crate::cluster::RelayedNotice;
 use crate::cluster::RetryCount;
+use crate::cluster::TunnelOffer;
 use crate::model::ConfigId;
 use crate::model::ConfigVersion;
 use crate::model::ServerIncarnation;
@@ -117,8 +118,10 @@
 pub struct Datagram {
     pub message: PeerMessage,
     pub tail: ReportTail,
-    /// `None` from gateways of the previous build.
+    /// `None` from gateways of older builds.
     pub relay: Option<RelayPart>,
+    /// `None` from gateways of the previous build.
+    pub tunnel: Option<TunnelOffer>,
 }
 
 /// Content of a datagram between gateways.
@@ -145,6 +148,19 @@
         bytes
     }
 
+    /// Encodes the message with all that may follow it as one datagram. Gateways of the previous
+    /// build ignore `tunnel`.
+    pub fn encode_report(
+        &mut self,
+        tail: &ReportTail,
+        relay: &RelayPart,
+        tunnel: &TunnelOffer,
+    ) -> Vec<u8> {
+        let mut bytes = self.encode_with(tail, relay);
+        bytes.extend(postcard::to_allocvec(tunnel).expect("encoding plain fields"));
+        bytes
+    }
+
     /// Decodes a message and its tail, without what may follow.
     pub fn decode(bytes: &[u8], era: StoreEra) -> Result<(Self, ReportTail), postcard::Error> {
         Datagram::decode(bytes, era).map(|datagram| (datagram.message, datagram.tail))
@@ -172,7 +188,11 @@
             [] => (ReportTail { era, ..ReportTail::default() }, rest),
             rest => postcard::take_from_bytes(rest)?,
         };
-        let relay = match rest {
+        let (relay, rest): (Option<RelayPart>, _) = match rest {
+            [] => (None, rest),
+            rest => postcard::take_from_bytes(rest).map(|(relay, rest)| (Some(relay), rest))?,
+        };
+        let tunnel = match rest {
             [] => None,
             rest => Some(postcard::from_bytes(rest)?),
         };
@@ -180,6 +200,6 @@
         for (stamp, written) in message.stamps().zip(written) {
             *stamp = StoreStamp::new(tail.era, stamp.version()).written_in(written);
         }
-        Ok(Datagram { message, tail, relay })
+        Ok(Datagram { message, tail, relay, tunnel })
     }
 }
--- a/crates/gateway/src/peers/report_receiver.rs
+++ b/crates/gateway/src/peers/report_receiver.rs
@@ -18,6 +18,7 @@
 use crate::cluster::PeerReach;
 use crate::cluster::PeerUpdate;
 use crate::cluster::RelayedNotice;
+use crate::cluster::TunnelOffer;
 use crate::cluster::name_digest;
 use crate::cluster::report_interval;
 use crate::events;
@@ -66,7 +67,7 @@
     datagram: Datagram,
     address: SocketAddr,
 ) {
-    let Datagram { message, tail, relay } = datagram;
+    let Datagram { message, tail, relay, tunnel } = datagram;
     match message {
         PeerMessage::Rows(rows) => {
             if let Some(first) = relay.and_then(|relay| relay.rows_from) {
@@ -82,7 +83,8 @@
             if let Some(relay) = &relay {
                 apply_relay(state, registry, &report, relay, address);
             }
-            apply_report(state, *report, tail, relay.as_ref(), address);
+            let tunnel = tunnel.map(|offer| (address, offer));
+            apply_report(state, *report, tail, relay.as_ref(), address, tunnel);
         }
     }
 }
@@ -194,6 +196,7 @@
     tail: ReportTail,
     relay: Option<&RelayPart>,
     address: SocketAddr,
+    tunnel: Option<(SocketAddr, TunnelOffer)>,
 ) {
     let is_near = report.reach == PeerReach::Near;
     let is_known = state.fleet().peers.has_report(&report.peer, report.incarnation);
@@ -218,6 +221,7 @@
         stage_changes: report.changing.into(),
         config: report.config,
         is_quiet: relay.is_some_and(|relay| relay.is_quiet),
+        tunnel,
     };
     let now = Instant::now();
     if !report.charges.is_empty() {
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -199,7 +199,8 @@
         peers: &[SocketAddr],
     ) {
         let reach: &'static str = report.reach.into();
-        let datagram = PeerMessage::Load(Box::new(report)).encode_with(tail, relay);
+        let tunnel = self.state.tunnel_offer();
+        let datagram = PeerMessage::Load(Box::new(report)).encode_report(tail, relay, &tunnel);
         if datagram.len() > MAX_DATAGRAM {
             metrics::counter!("umberglade_reports_oversize_total").increment(1);
             return;
--- a/crates/gateway/src/peers/transfer_server.rs
+++ b/crates/gateway/src/peers/transfer_server.rs
@@ -1,4 +1,5 @@
-//! Accepts peers that ask for a transfer, and bounds how many are served at a time.
+//! Accepts peers that ask for a transfer or a tunnel, and bounds how many transfers are sent at a
+//! time.
 
 use std::io;
 use std::net::SocketAddr;
@@ -20,11 +21,14 @@
 use super::table_server;
 use super::transfer_messages;
 use super::transfer_messages::TransferRequest;
-use super::transfer_messages::invalid;
-use super::transfer_messages::read_frame;
 use crate::events;
+use crate::framing::decode;
+use crate::framing::invalid;
+use crate::framing::read_frame;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
+use crate::tunnel;
+use crate::tunnel::TunnelRequest;
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -117,7 +121,7 @@
     mut stream: TcpStream,
     peer: SocketAddr,
 ) {
-    let Some(_connection) = slots.take_connection() else { return };
+    let Some(connection) = slots.take_connection() else { return };
     let request_due = Instant::now() + REQUEST_TIMEOUT;
     let result = match with_deadline(request_due, read_request(&mut stream)).await {
         Some(Ok(PeerRequest::Config(request))) => {
@@ -126,6 +130,11 @@
         Some(Ok(PeerRequest::Transfer(request))) => {
             table_server::answer(&state, &registry, &slots, &mut stream, peer, request).await
         }
+        Some(Ok(PeerRequest::Tunnel(request))) => {
+            // Tunnels are bounded by themselves.
+            drop(connection);
+            tunnel::serve_tunnel(&state, stream, request).await
+        }
         Some(Err(error)) => Err(error),
         None => config_server::send_snapshot(&state, &slots, &mut stream).await,
     };
@@ -139,13 +148,15 @@
 enum PeerRequest {
     Config(ConfigRequest),
     Transfer(TransferRequest),
+    Tunnel(TunnelRequest),
 }
 
 async fn read_request(stream: &mut TcpStream) -> io::Result<PeerRequest> {
     let (magic, body) = read_frame(stream).await?;
     match magic {
-        config_messages::MAGIC => transfer_messages::decode(&body).map(PeerRequest::Config),
-        transfer_messages::MAGIC => transfer_messages::decode(&body).map(PeerRequest::Transfer),
+        config_messages::MAGIC => decode(&body).map(PeerRequest::Config),
+        tunnel::MAGIC => decode(&body).map(PeerRequest::Tunnel),
+        transfer_messages::MAGIC => decode(&body).map(PeerRequest::Transfer),
         _ => Err(invalid("not a message of this build")),
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -22,6 +22,7 @@
 use crate::model::GatewaySettings;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
+use crate::paths::recheck_broken_paths;
 use crate::peers;
 use crate::peers::MemberRecord;
 use crate::peers::PeerRegistry;
@@ -105,6 +106,7 @@
     pool::spawn(peers::fetch_newer_configs(Arc::clone(&state)));
     pool::spawn(peers::fetch_tables(Arc::clone(&state)));
     pool::spawn(peers::fetch_members(Arc::clone(&state), registry));
+    pool::spawn(recheck_broken_paths(Arc::clone(&state)));
     pool::spawn(run_stage_controller::<C>(Arc::clone(&state)));
     pool::spawn(quarantine::run_row_writer::<C>(Arc::clone(&state)));
     pool::spawn(run_maintenance(Arc::clone(&state)));
@@ -291,6 +293,8 @@
         live_peers = log_peers(&state, live_peers, now);
         metrics::gauge!("umberglade_limited_servers")
             .set(state.fleet().limits.active_count() as f64);
+        metrics::gauge!("umberglade_broken_paths").set(state.fleet().paths.broken_count() as f64);
+        metrics::gauge!("umberglade_tunnels_served").set(f64::from(state.tunnel_slots.used()));
         metrics::gauge!("umberglade_in_flight").set(f64::from(state.in_flight.requests()));
         metrics::gauge!("umberglade_kept_connections").set(state.pool.len() as f64);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::cluster::PeerQueues;
 use crate::cluster::RetryBudget;
 use crate::cluster::ServerOutcome;
+use crate::cluster::TunnelOffer;
 use crate::cluster::name_digest;
 use crate::events;
 use crate::in_flight_count::InFlightCount;
@@ -38,6 +39,7 @@
 use crate::stop::StopSignal;
 use crate::store::SharedTables;
 use crate::store::StoreEras;
+use crate::tunnel::TunnelSlots;
 use crate::upstream::ConnectionPool;
 use crate::upstream::SendTarget;
 
@@ -77,6 +79,12 @@
     /// Notified when requests that wait should check again: a server may have capacity, or the
     /// configuration, the fleet, the quarantined requests or the peers' reports have changed.
     pub capacity_changed: Event,
+    /// Notified when a check of a path to a server has ended.
+    pub path_checked: Event,
+    /// Notified when a path to a server is found to be broken.
+    pub path_broken: Event,
+    /// Tunnels that this gateway serves for others.
+    pub tunnel_slots: TunnelSlots,
     /// The store's era.
     pub store_eras: Arc<StoreEras>,
     /// Store tables that gateways read for each other.
@@ -139,6 +147,9 @@
             config_offered: Event::new(),
             registered: Event::new(),
             capacity_changed: Event::new(),
+            path_checked: Event::new(),
+            path_broken: Event::new(),
+            tunnel_slots: TunnelSlots::default(),
             quarantines: Quarantines::new(started_at),
             quotas: Quotas::new(started_at),
             started_at,
@@ -279,6 +290,16 @@
         !self.stop.is_stopping() && self.is_initialized()
     }
 
+    /// Returns true if other gateways may send requests through this one.
+    pub fn accepts_tunnels(&self) -> bool {
+        !self.stop.is_stopping()
+    }
+
+    /// Returns this gateway's offer of tunnels to others.
+    pub fn tunnel_offer(&self) -> TunnelOffer {
+        self.fleet().tunnel_offer(self.accepts_tunnels(), self.tunnel_slots.used())
+    }
+
     /// Returns true if the stop has lasted so long that the process's end might cut a request
     /// forwarded now.
     pub fn is_past_forwarding_cutoff(&self) -> bool {
--- /dev/null
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -0,0 +1,177 @@
+//! Serves tunnels for other gateways.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
+use smol::net::TcpStream;
+use strum::Display;
+
+use super::TunnelReply;
+use super::TunnelRequest;
+use super::messages::CHUNK_HEAD_BYTES;
+use super::messages::MAGIC;
+use super::messages::MAX_CHUNK_BYTES;
+use crate::events;
+use crate::framing::write_message;
+use crate::state::GatewayState;
+use crate::timing::with_deadline;
+use crate::upstream::connect_tcp;
+
+/// Maximum number of tunnels that a gateway serves: two connections and 24 KB each.
+const MAX_TUNNELS: u32 = 256;
+/// Size of the buffer for bytes to the server, in bytes.
+const UPLOAD_BUFFER_BYTES: usize = 8 * 1024;
+/// Maximum time for which a tunnel stays open, whatever the gateway at its other end asks for.
+const MAX_LIFETIME: Duration = Duration::from_secs(300);
+
+/// The tunnels that this gateway serves.
+#[derive(Debug, Default)]
+pub struct TunnelSlots {
+    used: AtomicU32,
+}
+
+impl TunnelSlots {
+    /// Returns the number of tunnels.
+    pub fn used(&self) -> u32 {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    fn take(&self) -> Option<TunnelSlot<'_>> {
+        let slot = TunnelSlot { slots: self };
+        (self.used.fetch_add(1, Ordering::AcqRel) < MAX_TUNNELS).then_some(slot)
+    }
+}
+
+/// One tunnel, counted until dropped.
+struct TunnelSlot<'a> {
+    slots: &'a TunnelSlots,
+}
+
+impl Drop for TunnelSlot<'_> {
+    fn drop(&mut self) {
+        self.slots.used.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// How a tunnel ended.
+#[derive(Debug, Clone, Copy, Display)]
+#[strum(serialize_all = "snake_case")]
+enum TunnelEnd {
+    /// The server closed its connection.
+    ServerClosed,
+    /// The server's connection broke.
+    ServerBroken,
+    /// The gateway at the other end closed the tunnel.
+    GatewayClosed,
+    /// The lifetime is over.
+    Expired,
+}
+
+/// Serves the tunnel that the gateway at `stream` asks for, until either side closes it.
+pub async fn serve_tunnel(
+    state: &Arc<GatewayState>,
+    mut stream: TcpStream,
+    request: TunnelRequest,
+) -> io::Result<()> {
+    let started_at = Instant::now();
+    let slot = state.tunnel_slots.take().filter(|_| state.accepts_tunnels());
+    // A graceful stop waits for the request that the tunnel carries.
+    let _in_flight = state.in_flight.enter_request();
+    let server_stream = match slot {
+        None => Err(TunnelReply::Busy),
+        Some(_) => connect_server(state, &request).await,
+    };
+    let reply = server_stream.as_ref().err().copied().unwrap_or(TunnelReply::Open);
+    log_opened(&request, reply, started_at);
+    let _ = stream.set_nodelay(true);
+    write_message(&mut stream, MAGIC, &reply).await?;
+    let Ok(server_stream) = server_stream else { return stream.close().await };
+    metrics::counter!("umberglade_tunnels_served_total").increment(1);
+    let lifetime = Duration::from_millis(request.lifetime_ms).min(MAX_LIFETIME);
+    let upload = upload(stream.clone(), server_stream.clone());
+    let download = download(server_stream, stream);
+    let forwarded = with_deadline(started_at + lifetime, upload.or(download)).await;
+    let end = forwarded.unwrap_or(TunnelEnd::Expired);
+    tracing::info!(
+        event = events::TUNNEL_CLOSED,
+        request_id = request.request_id,
+        gateway = request.gateway,
+        server = %request.server,
+        outcome = %end,
+        elapsed_ms = started_at.elapsed().as_millis() as u64,
+        "tunnel closed"
+    );
+    Ok(())
+}
+
+/// Connects to the server of `request`.
+async fn connect_server(
+    state: &GatewayState,
+    request: &TunnelRequest,
+) -> Result<TcpStream, TunnelReply> {
+    let address = server_address(state, request).ok_or(TunnelReply::Unavailable)?;
+    connect_tcp(address).await.map_err(|_| TunnelReply::Unreachable)
+}
+
+/// Returns the address of the server of `request`, unless it is unknown here or gets no new work.
+fn server_address(state: &GatewayState, request: &TunnelRequest) -> Option<SocketAddr> {
+    let fleet = state.fleet();
+    let server_state = fleet.server(&request.server)?;
+    let is_same = server_state.incarnation == request.incarnation;
+    let is_usable = is_same && server_state.is_available(Instant::now());
+    is_usable.then_some(server_state.entry.address)
+}
+
+/// Forwards bytes to the server.
+async fn upload(mut from: TcpStream, mut to: TcpStream) -> TunnelEnd {
+    let mut buffer = [0; UPLOAD_BUFFER_BYTES];
+    loop {
+        match from.read(&mut buffer).await {
+            Ok(count) if count > 0 => {
+                if to.write_all(&buffer[..count]).await.is_err() {
+                    // The server may still send a response to what it has read.
+                    return std::future::pending().await;
+                }
+            }
+            _ => return TunnelEnd::GatewayClosed,
+        }
+    }
+}
+
+/// Forwards bytes of the server as chunks, as they arrive.
+async fn download(mut from: TcpStream, mut to: TcpStream) -> TunnelEnd {
+    let mut buffer = vec![0; CHUNK_HEAD_BYTES + MAX_CHUNK_BYTES];
+    loop {
+        let read = from.read(&mut buffer[CHUNK_HEAD_BYTES..]).await;
+        let Ok(count) = read else { return TunnelEnd::ServerBroken };
+        buffer[..CHUNK_HEAD_BYTES].copy_from_slice(&(count as u16).to_le_bytes());
+        if to.write_all(&buffer[..CHUNK_HEAD_BYTES + count]).await.is_err() {
+            return TunnelEnd::GatewayClosed;
+        }
+        if count == 0 {
+            // Fails if the gateway has closed the tunnel.
+            let _ = to.close().await;
+            return TunnelEnd::ServerClosed;
+        }
+    }
+}
+
+fn log_opened(request: &TunnelRequest, reply: TunnelReply, started_at: Instant) {
+    tracing::info!(
+        event = events::TUNNEL_SERVED,
+        request_id = request.request_id,
+        gateway = request.gateway,
+        server = %request.server,
+        outcome = %reply,
+        elapsed_ms = started_at.elapsed().as_millis() as u64,
+        "tunnel requested by another gateway"
+    );
+}
--- a/crates/gateway/src/upstream/connection_pool.rs
+++ b/crates/gateway/src/upstream/connection_pool.rs
@@ -5,11 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
-
 use super::SendTarget;
+use super::ServerConnection;
 use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
 
@@ -23,14 +20,11 @@
 /// gateways, and few are idle at once at the request rate of one gateway.
 const MAX_IDLE_PER_SERVER: usize = 6;
 
-/// A connection that sends requests one at a time.
-pub type PooledConnection = SendRequest<Full<Bytes>>;
-
 #[derive(Debug)]
 struct IdleConnection {
     /// The incarnation of the server that it is connected to.
     incarnation: ServerIncarnation,
-    connection: PooledConnection,
+    connection: ServerConnection,
     expires_at: Instant,
 }
 
@@ -43,7 +37,7 @@
 
 impl ConnectionPool {
     /// Takes a connection to `target` that is expected to be open.
-    pub fn take(&self, target: &SendTarget, now: Instant) -> Option<PooledConnection> {
+    pub fn take(&self, target: &SendTarget, now: Instant) -> Option<ServerConnection> {
         let mut idle = self.idle.lock().expect("pool lock");
         let connections = idle.get_mut(&target.server)?;
         while let Some(newest) = connections.pop() {
@@ -60,13 +54,13 @@
     pub fn put(
         &self,
         target: &SendTarget,
-        connection: PooledConnection,
+        connection: ServerConnection,
         server_keep_alive: Option<Duration>,
         now: Instant,
     ) {
         let keep_alive = server_keep_alive
             .map_or(DEFAULT_KEEP_ALIVE, |time| time.saturating_sub(KEEP_ALIVE_MARGIN));
-        if keep_alive.is_zero() || connection.is_closed() {
+        if keep_alive.is_zero() || !connection.is_reusable() {
             return;
         }
         let mut idle = self.idle.lock().expect("pool lock");
--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -4,6 +4,8 @@
 
 use snafu::Snafu;
 
+use crate::tunnel::TunnelError;
+
 /// Why a request got no response head.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -14,6 +16,9 @@
     /// No connection could be opened in time: nothing was sent.
     #[snafu(display("connecting to {peer}: no response within {timeout_ms} ms"))]
     ConnectTimeout { peer: SocketAddr, timeout_ms: u64 },
+    /// No other gateway opened a tunnel: nothing was sent.
+    #[snafu(display("tunnel to {peer}: {source}"))]
+    Tunnel { peer: SocketAddr, source: TunnelError },
     /// The HTTP handshake failed: nothing was sent.
     #[snafu(display("HTTP handshake with {peer}: {source}"))]
     Handshake { peer: SocketAddr, source: hyper::Error },
@@ -21,6 +26,9 @@
     /// does a server that is ending, whose listener still accepts.
     #[snafu(display("new connection with {peer}: {source}"))]
     ClosedAtOnce { peer: SocketAddr, source: hyper::Error },
+    /// The request may have been sent, and no response arrived in time.
+    #[snafu(display("no response within {timeout_ms} ms"))]
+    Silent { peer: SocketAddr, timeout_ms: u64 },
     /// The connection failed when the request may already have been sent.
     #[snafu(display("waiting for the response of {peer}: {source}"))]
     Broken { peer: SocketAddr, source: hyper::Error },
@@ -29,6 +37,6 @@
 impl SendError {
     /// Returns true when the server has certainly not received the request.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, SendError::Broken { .. })
+        !matches!(self, SendError::Broken { .. } | SendError::Silent { .. })
     }
 }
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -10,25 +10,24 @@
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use smol::net::TcpStream;
-use smol_hyper::rt::FuturesIo;
 use snafu::ResultExt;
-use umberglade_wire::pool;
 
 use super::ConnectionPool;
-use super::PooledConnection;
 use super::SendError;
+use super::ServerConnection;
+use super::ServerPath;
 use super::send_error::ConnectSnafu;
 use super::send_error::ConnectTimeoutSnafu;
 use super::send_error::HandshakeSnafu;
 use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
+use crate::timing::with_deadline;
 
 /// Timeout of opening a connection: some ten round trips between failure domains. A server
 /// behind a network partition does not respond at all, and the request has to reach another one
 /// while its latency target can still be met.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Where a request is sent.
 #[derive(Debug, Clone)]
@@ -37,39 +36,76 @@
     /// The incarnation of the server that the request is for.
     pub incarnation: ServerIncarnation,
     pub address: SocketAddr,
-    /// False when a pooled connection might contain stray bytes.
+    /// False when a pooled connection might contain stray bytes, or hang.
     pub may_reuse: bool,
 }
 
-/// Sends `request` and returns the response head and its connection. The body is not read yet.
+/// Opens new connections to servers.
+pub trait Connect: Sync {
+    /// Opens a connection to `target`. Nothing is sent to the server on failure.
+    fn connect(
+        &self,
+        target: &SendTarget,
+    ) -> impl Future<Output = Result<ServerConnection, SendError>> + Send;
+}
+
+/// Connects to servers directly only.
+#[derive(Debug, Clone, Copy)]
+pub struct DirectConnector;
+
+impl Connect for DirectConnector {
+    async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
+        connect_directly(target.address).await
+    }
+}
+
+/// Sends `request` on a direct connection and returns the response head and its connection. The
+/// body is not read yet.
 pub async fn send(
     pool: &ConnectionPool,
     target: &SendTarget,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+) -> Result<(Response<Incoming>, ServerConnection), SendError> {
+    send_with(&DirectConnector, pool, target, request, None).await
+}
+
+/// Like [`send`], on a connection of `connector`. Fails when the response head has not arrived at
+/// `deadline`: as not sent if no connection is open by then.
+pub async fn send_with<C: Connect>(
+    connector: &C,
+    pool: &ConnectionPool,
+    target: &SendTarget,
+    request: Request<Full<Bytes>>,
+    deadline: Option<Instant>,
+) -> Result<(Response<Incoming>, ServerConnection), SendError> {
+    let peer = target.address;
+    let started_at = Instant::now();
     let mut request = request;
     if target.may_reuse {
         while let Some(mut pooled) = pool.take(target, Instant::now()) {
-            match pooled.try_send_request(request).await {
-                Ok(response) => return Ok((response, pooled)),
+            match until(deadline, pooled.send(request)).await {
+                None => return Err(silent(peer, started_at)),
+                Some(Ok(response)) => return Ok((response, pooled)),
                 // The connection closed before anything was written on it, so the request can
                 // be sent again.
-                Err(mut error) => match error.take_message() {
+                Some(Err(mut error)) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => {
                         let source = error.into_error();
-                        return Err(SendError::Broken { peer: target.address, source });
+                        return Err(SendError::Broken { peer, source });
                     }
                 },
             }
         }
     }
-    let mut new_connection = connect(target.address).await?;
-    match new_connection.try_send_request(request).await {
-        Ok(response) => Ok((response, new_connection)),
-        Err(mut error) => {
+    let connected = until(deadline, connector.connect(target)).await;
+    let mut new_connection = connected.unwrap_or_else(|| connect_timeout(peer, started_at))?;
+    match until(deadline, new_connection.send(request)).await {
+        None => Err(silent(peer, started_at)),
+        Some(Ok(response)) => Ok((response, new_connection)),
+        Some(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
-            let (peer, source) = (target.address, error.into_error());
+            let source = error.into_error();
             Err(if is_unsent {
                 SendError::ClosedAtOnce { peer, source }
             } else {
@@ -79,22 +115,40 @@
     }
 }
 
-async fn connect(peer: SocketAddr) -> Result<PooledConnection, SendError> {
+/// Opens an HTTP connection to the server at `peer`.
+pub async fn connect_directly(peer: SocketAddr) -> Result<ServerConnection, SendError> {
     metrics::counter!("umberglade_connections_opened_total").increment(1);
+    let stream = connect_tcp(peer).await?;
+    ServerConnection::open(stream, ServerPath::Direct).await.context(HandshakeSnafu { peer })
+}
+
+/// Opens a TCP connection to `peer` within [`CONNECT_TIMEOUT`].
+pub async fn connect_tcp(peer: SocketAddr) -> Result<TcpStream, SendError> {
+    let started_at = Instant::now();
     let open = async { TcpStream::connect(peer).await.context(ConnectSnafu { peer }) };
     let timed_out = async {
         smol::Timer::after(CONNECT_TIMEOUT).await;
-        ConnectTimeoutSnafu { peer, timeout_ms: CONNECT_TIMEOUT.as_millis() as u64 }.fail()
+        connect_timeout(peer, started_at)
     };
     let stream = open.or(timed_out).await?;
     // Without `TCP_NODELAY`, the events of a stream wait for the acknowledgement of earlier
     // ones. A failure to set it only costs that delay.
     let _ = stream.set_nodelay(true);
-    let (sender, connection) =
-        http1::handshake(FuturesIo::new(stream)).await.context(HandshakeSnafu { peer })?;
-    pool::spawn(async move {
-        // The error also reaches the sender, which waits for the response.
-        let _ = connection.await;
-    });
-    Ok(sender)
+    Ok(stream)
+}
+
+/// Returns the output of `future`; `None` if it is still pending at `deadline`.
+async fn until<T>(deadline: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
+    match deadline {
+        None => Some(future.await),
+        Some(deadline) => with_deadline(deadline, future).await,
+    }
+}
+
+fn connect_timeout<T>(peer: SocketAddr, started_at: Instant) -> Result<T, SendError> {
+    ConnectTimeoutSnafu { peer, timeout_ms: started_at.elapsed().as_millis() as u64 }.fail()
+}
+
+fn silent(peer: SocketAddr, started_at: Instant) -> SendError {
+    SendError::Silent { peer, timeout_ms: started_at.elapsed().as_millis() as u64 }
 }
--- /dev/null
+++ b/crates/gateway/src/upstream/server_connection.rs
@@ -0,0 +1,67 @@
+//! An HTTP connection to a server, its own or through another gateway.
+
+use bytes::Bytes;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use smol_hyper::rt::FuturesIo;
+use umberglade_wire::pool;
+
+/// How a connection leads to its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerPath {
+    Direct,
+    /// Through the gateway whose name has this digest.
+    Tunnel(u64),
+}
+
+/// A connection that sends requests one at a time.
+#[derive(Debug)]
+pub struct ServerConnection {
+    sender: SendRequest<Full<Bytes>>,
+    pub path: ServerPath,
+}
+
+impl ServerConnection {
+    /// Begins to speak HTTP on `stream`.
+    pub async fn open<S>(stream: S, path: ServerPath) -> Result<Self, hyper::Error>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+        pool::spawn(async move {
+            // The error also reaches the sender, which waits for the response.
+            let _ = connection.await;
+        });
+        Ok(ServerConnection { sender, path })
+    }
+
+    /// Sends `request`. On failure the error contains it if nothing of it was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sender.try_send_request(request).await
+    }
+
+    /// Waits until the connection can send another request.
+    pub async fn ready(&mut self) -> Result<(), hyper::Error> {
+        self.sender.ready().await
+    }
+
+    /// Returns true if the connection may be kept for other requests. A tunnel carries only one, so
+    /// that the log of the other gateway tells of each.
+    pub fn is_reusable(&self) -> bool {
+        self.path == ServerPath::Direct && !self.is_closed()
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
