Paths are doubted from the first sign of a cut, and until they are proven

Between the first hung request and the proof that a path is broken (550 ms), and at paths that were idle for the first five seconds of a longer cut, requests could still be written to idle connections that hang. Now a path that is slower to open than one through another gateway makes all others doubted, and a doubted or broken path takes a new connection until one has opened or a response has arrived, for as long as any path is broken.

At most eight paths are checked at a time, and none by other gateways where they have ejected the server: an outage of many servers causes no crowd of checks.

--- a/crates/gateway/src/cluster/server_paths.rs
+++ b/crates/gateway/src/cluster/server_paths.rs
@@ -13,13 +13,15 @@
 use super::PathUpdate;
 use crate::model::ServerIncarnation;
 
-/// How long paths of which nothing is known since the last one broke are doubted: a gateway that
-/// loses one path often loses all.
+/// How long other paths are doubted after one was, unless that one is broken for longer: a gateway
+/// that loses one path often loses all.
 const DOUBT_WINDOW: Duration = Duration::from_secs(5);
 /// Minimum time between two checks of a path that nobody waits for.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// A check of a path takes less than this: two connection attempts one after the other.
 const MAX_CHECK_DURATION: Duration = Duration::from_secs(2);
+/// Maximum number of paths that are checked at a time while nobody waits for the outcome.
+const MAX_CHECKS: usize = 8;
 /// A server that was heard this recently needs no check of its path.
 const HEARD_WINDOW: Duration = Duration::from_millis(250);
 /// How long a path is remembered after it was last used.
@@ -86,8 +88,8 @@
 #[derive(Debug, Default)]
 pub struct ServerPaths {
     paths: FxHashMap<ServerIncarnation, PathHealth>,
-    /// When a path was last found to be broken.
-    broken_at: Option<Instant>,
+    /// When a path was last found to be broken, or to open no connection as soon as usual.
+    doubted_at: Option<Instant>,
     /// Invariant: number of paths in `paths` that are broken.
     broken_count: usize,
 }
@@ -117,40 +119,49 @@
         }
         path.broken_since = Some(now);
         self.broken_count += 1;
-        self.broken_at = Some(now);
+        self.record_doubt(now);
         true
     }
 
+    /// Records that a server opens connections of another gateway sooner than those of this one.
+    pub fn record_doubt(&mut self, now: Instant) {
+        self.doubted_at = Some(now);
+    }
+
     /// Returns true while the path to `server` is known to be broken.
     pub fn is_broken(&self, server: ServerIncarnation) -> bool {
         self.broken_count > 0
             && self.paths.get(&server).is_some_and(|path| path.broken_since.is_some())
     }
 
-    /// Returns true while the path to `server` may be broken, since another one broke after this one
-    /// was last known to be open.
+    /// Returns true while the path to `server` is or may be broken: nothing has proven it since it or
+    /// another one was doubted.
     ///
     /// Prevents requests from being written to idle connections that hang: those that may run only
     /// once are then lost.
     pub fn is_doubted(&self, server: ServerIncarnation, now: Instant) -> bool {
-        let Some(broken_at) = self.broken_at else { return false };
-        if now.saturating_duration_since(broken_at) >= DOUBT_WINDOW {
+        let Some(doubted_at) = self.doubted_at else { return false };
+        let is_over = now.saturating_duration_since(doubted_at) >= DOUBT_WINDOW;
+        if self.broken_count == 0 && is_over {
             return false;
         }
-        let proven_at = self.paths.get(&server).and_then(|path| path.proven_at);
-        proven_at.is_none_or(|at| at <= broken_at)
+        let path = self.paths.get(&server);
+        let proven_at = path.and_then(|path| path.proven_at);
+        self.is_broken(server) || proven_at.is_none_or(|at| at <= doubted_at)
     }
 
     /// Returns true while it is open whether a failure at `server` is the server's or its path's.
     pub fn is_unclear(&self, server: ServerIncarnation, now: Instant) -> bool {
-        self.is_broken(server)
-            || self.is_doubted(server, now)
+        self.is_doubted(server, now)
             || self.paths.get(&server).is_some_and(|path| path.is_checking(now))
     }
 
     /// Returns true if a check of a path that nobody waits for is useful now, because `server` has
     /// not been heard, or checked, lately.
     pub fn is_check_due(&self, server: ServerIncarnation, now: Instant) -> bool {
+        if self.paths.values().filter(|path| path.is_checking(now)).count() >= MAX_CHECKS {
+            return false;
+        }
         let Some(path) = self.paths.get(&server) else { return true };
         let age = |at: Instant| now.saturating_duration_since(at);
         let is_heard = path.proven_at.is_some_and(|at| age(at) < HEARD_WINDOW);
@@ -209,6 +220,9 @@
     /// Returns what a report tells of the paths. A list that would be too long counts as a cut from
     /// all servers.
     pub fn update(&self) -> PathUpdate {
+        if self.broken_count == 0 {
+            return PathUpdate::default();
+        }
         let is_listed = self.broken_count <= MAX_LISTED_PATHS;
         let broken: SmallVec<[ServerIncarnation; 4]> =
             if is_listed { self.broken().collect() } else { SmallVec::new() };
--- a/crates/gateway/src/paths/path_check.rs
+++ b/crates/gateway/src/paths/path_check.rs
@@ -8,6 +8,7 @@
 
 use umberglade_wire::pool;
 
+use super::path_connector::PATH_STAGGER;
 use super::path_connector::opens_tunnel;
 use crate::cluster::CheckStep;
 use crate::cluster::PathVerdict;
@@ -79,17 +80,41 @@
     }
 }
 
+/// Connects to `target` directly, and through other gateways if that takes longer than usual.
 async fn check(state: &Arc<GatewayState>, target: &SendTarget) -> PathVerdict {
-    if let Ok(connection) = connect_directly(target.address).await {
-        record_open(state, target);
-        state.pool.put(target, connection, None, Instant::now());
-        return PathVerdict::Open;
+    let mut direct = pin!(connect_directly(target.address));
+    let in_time = with_deadline(Instant::now() + PATH_STAGGER, direct.as_mut()).await;
+    let (is_reached, connected) = match in_time {
+        Some(Ok(connection)) => (false, Ok(connection)),
+        Some(Err(error)) => (reaches_by_tunnel(state, target).await, Err(error)),
+        None => smol::future::zip(reaches_by_tunnel(state, target), direct).await,
+    };
+    match connected {
+        Ok(connection) => {
+            record_open(state, target);
+            state.pool.put(target, connection, None, Instant::now());
+            PathVerdict::Open
+        }
+        Err(_) if is_reached => {
+            record_broken(state, target);
+            PathVerdict::Broken
+        }
+        Err(_) => PathVerdict::ServerDown,
+    }
+}
+
+/// Returns true if another gateway reaches `target`, and doubts this gateway's paths then. A server
+/// that others have ejected is taken to be down without asking them.
+async fn reaches_by_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
+    let now = Instant::now();
+    if state.fleet().peers.server(target.incarnation, now).ejections > 0 {
+        return false;
     }
-    if opens_tunnel(state, target).await {
-        record_broken(state, target);
-        return PathVerdict::Broken;
+    let is_reached = opens_tunnel(state, target).await;
+    if is_reached {
+        state.fleet().paths.record_doubt(Instant::now());
     }
-    PathVerdict::ServerDown
+    is_reached
 }
 
 /// Records that a direct connection to `target` was opened.
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -31,7 +31,7 @@
 
 /// Time without a connection after which the next path is tried too: several round trips between
 /// failure domains, and short against the latency targets of callers.
-const PATH_STAGGER: Duration = Duration::from_millis(50);
+pub(super) const PATH_STAGGER: Duration = Duration::from_millis(50);
 /// Timeout of opening a tunnel: of connecting to the other gateway, and of its connecting to the
 /// server.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(350);
@@ -72,7 +72,10 @@
             ServerPath::Tunnel(_) if has_direct_failed.load(Ordering::Relaxed) => {
                 record_broken(self.state, target);
             }
-            ServerPath::Tunnel(_) => request_check(self.state, target),
+            ServerPath::Tunnel(_) => {
+                self.state.fleet().paths.record_doubt(Instant::now());
+                request_check(self.state, target);
+            }
         }
         Ok(connection)
     }
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -2,14 +2,18 @@
 
 use umberglade_gateway::cluster::AttemptOutcome;
 use umberglade_gateway::cluster::OutcomeUpdate;
+use umberglade_gateway::cluster::PathUpdate;
 use umberglade_gateway::cluster::PeerReach;
+use umberglade_gateway::cluster::TunnelOffer;
 use umberglade_gateway::model::ConfigId;
 use umberglade_gateway::model::RowValue;
 use umberglade_gateway::model::StoreRow;
 use umberglade_gateway::model::StoreStamp;
 use umberglade_gateway::model::StoreTable;
+use umberglade_gateway::peers::Datagram;
 use umberglade_gateway::peers::LoadReport;
 use umberglade_gateway::peers::PeerMessage;
+use umberglade_gateway::peers::RelayPart;
 use umberglade_gateway::peers::ReportTail;
 use umberglade_gateway::peers::TableRows;
 
@@ -107,3 +111,22 @@
     assert_eq!(stamps(&decoded), [StoreStamp::new(LOCAL_ERA, 30)]);
     assert_eq!(tail.config, None);
 }
+
+/// Prevents reports that offer tunnels from being rejected by the previous build, and its reports,
+/// which offer none, from being rejected here.
+#[test]
+fn offers_of_tunnels_are_ignored_by_the_previous_build() {
+    let (relay, mut message) = (RelayPart::default(), report(Vec::new()));
+    let paths = PathUpdate { is_cut: true, broken: [3].into_iter().collect() };
+    let offer = TunnelOffer { is_open: true, tunnels: 4, paths };
+    let bytes = message.encode_report(&tail(), &relay, &offer);
+    let datagram = Datagram::decode(&bytes, LOCAL_ERA).expect("a report");
+    assert_eq!((datagram.relay, datagram.tunnel), (Some(relay.clone()), Some(offer)));
+    // The previous build decodes the last part that it knows, and ignores what follows.
+    let (_, rest): (PeerMessage, _) = postcard::take_from_bytes(&bytes).expect("a message");
+    let (_, rest): (ReportTail, _) = postcard::take_from_bytes(rest).expect("a tail");
+    assert_eq!(postcard::from_bytes::<RelayPart>(rest), Ok(relay.clone()));
+    let bytes = message.encode_with(&tail(), &relay);
+    let datagram = Datagram::decode(&bytes, LOCAL_ERA).expect("a report");
+    assert_eq!((datagram.relay, datagram.tunnel), (Some(relay), None));
+}
