A path that is known to be broken raises no further doubts

Each request that went through another gateway doubted all other paths anew, though nothing new was seen: where some paths are left, their idle connections were passed over and new ones opened. Found by reading; a_known_broken_path_raises_no_doubts fails before and passes.

--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -72,10 +72,7 @@
             ServerPath::Tunnel(_) if has_direct_failed.load(Ordering::Relaxed) => {
                 record_broken(self.state, target);
             }
-            ServerPath::Tunnel(_) => {
-                self.state.fleet().paths.record_doubt(Instant::now());
-                request_check(self.state, target);
-            }
+            ServerPath::Tunnel(_) => self.doubt_path(target),
         }
         Ok(connection)
     }
@@ -108,6 +105,16 @@
         options
     }
 
+    /// Doubts and checks the path to `target`, by which no connection has opened yet, unless it is
+    /// known to be broken.
+    fn doubt_path(&self, target: &SendTarget) {
+        if self.state.fleet().paths.is_broken(target.incarnation) {
+            return;
+        }
+        self.state.fleet().paths.record_doubt(Instant::now());
+        request_check(self.state, target);
+    }
+
     async fn open(
         &self,
         target: &SendTarget,
