A failure is returned once it is known whether the server may have crashed

Cause: crashes were recorded in the background, after the check of the path (up to 300 ms).

Change: record_failure and record_midstream_failure wait for the verdict; the check itself goes on if the caller leaves. Without other gateways the crash is recorded at once, as before.

--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -138,7 +138,7 @@
             if failure == AttemptFailure::Unsent {
                 permit.settle();
             }
-            return Err(record_failure(state, call, target, failure, &error.to_string()));
+            return Err(record_failure(state, call, target, failure, &error.to_string()).await);
         }
     };
     if connection.path == ServerPath::Direct {
@@ -149,7 +149,7 @@
     if head.request_id != call.head.request_id || head.is_encoded {
         state.fleet().record_malformed(&target.server, Instant::now());
         let problem = format!("status {status}, response to {:?}", head.request_id);
-        return Err(record_failure(state, call, target, AttemptFailure::Garbled, &problem));
+        return Err(record_failure(state, call, target, AttemptFailure::Garbled, &problem).await);
     }
     let is_misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
     if !is_misdirected {
@@ -161,12 +161,14 @@
         if !head.closes {
             state.pool.put(target, connection, head.keep_alive, Instant::now());
         }
-        return Err(record_failure(state, call, target, failure, &format!("status {status}")));
+        return Err(record_failure(state, call, target, failure, &format!("status {status}")).await);
     }
     // Servers sign only responses for callers; a prefill server's is for the gateway.
     let needs_signature = attempt_spec.purpose != AttemptPurpose::Prefill;
     if status.is_success() && needs_signature && !head.is_signed {
-        return Err(record_failure(state, call, target, AttemptFailure::Garbled, "not signed"));
+        return Err(
+            record_failure(state, call, target, AttemptFailure::Garbled, "not signed").await
+        );
     }
     Ok(OpenResponse { response, head, connection, permit })
 }
@@ -179,18 +181,21 @@
 }
 
 /// Records and logs an attempt that failed before its first event.
-pub fn record_failure(
+pub async fn record_failure(
     state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
     failure: AttemptFailure,
     problem: &str,
 ) -> AttemptFailure {
-    record_midstream_failure(state, call, target, failure, problem, Duration::ZERO)
+    record_midstream_failure(state, call, target, failure, problem, Duration::ZERO).await
 }
 
 /// Records and logs an attempt whose server failed after sending events for `run_duration`.
-pub fn record_midstream_failure(
+///
+/// Returns once it is known whether the server may have crashed. Prevents the caller from coming
+/// again, and its request from crashing another server, before the crash counts.
+pub async fn record_midstream_failure(
     state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
@@ -203,9 +208,6 @@
     if !(is_path_broken && may_be_path) {
         state.record_outcome(target, failure.outcome());
     }
-    if failure == AttemptFailure::Broken {
-        record_break(state, call, target, run_duration);
-    }
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
     tracing::info!(
@@ -220,6 +222,9 @@
         elapsed_ms = call.age_ms(),
         "attempt failed"
     );
+    if failure == AttemptFailure::Broken {
+        record_break(state, call, target, run_duration).await;
+    }
     failure
 }
 
@@ -227,7 +232,7 @@
 /// still reach it and only the path of this one is broken.
 ///
 /// Prevents the quarantine of requests that are in flight when a gateway loses its paths.
-fn record_break(
+async fn record_break(
     state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
@@ -241,10 +246,15 @@
     }
     let (state, target) = (Arc::clone(state), target.clone());
     let request_id = call.id().to_owned();
+    let (sender, recorded) = async_channel::bounded::<()>(1);
+    // Goes on if the caller leaves meanwhile.
     pool::spawn(async move {
         let verdict = locate_failure(&state, &target, failed_at).await;
         if verdict != PathVerdict::Broken {
             state.record_crash(&request_id, fingerprint, &target, run_duration);
         }
+        drop(sender);
     });
+    // Fails when the task has ended.
+    let _ = recorded.recv().await;
 }
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -244,9 +244,8 @@
     let body: Bytes = match read {
         Ok(body) => body,
         Err((failure, problem)) => {
-            return PlainOutcome::Failed(exchange::record_failure(
-                state, call, target, failure, &problem,
-            ));
+            let failure = exchange::record_failure(state, call, target, failure, &problem).await;
+            return PlainOutcome::Failed(failure);
         }
     };
     let is_error = parts.status.is_server_error();
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -85,18 +85,23 @@
         smol::Timer::at(started_at + timeout).await;
         Err((AttemptFailure::Silent, "the body did not arrive in time".to_owned()))
     };
-    let fail =
-        |failure, problem: &str| exchange::record_failure(state, call, &target, failure, problem);
-    let body = read.or(timed_out).await.map_err(|(failure, problem)| fail(failure, &problem))?;
-    let body = body.to_bytes();
+    let fail = async |failure, problem: &str| {
+        exchange::record_failure(state, call, &target, failure, problem).await
+    };
+    let body = match read.or(timed_out).await {
+        Ok(body) => body.to_bytes(),
+        Err((failure, problem)) => return Err(fail(failure, &problem).await),
+    };
     if !opened.head.closes {
         state.pool.put(&target, opened.connection, opened.head.keep_alive, Instant::now());
     }
     if !status.is_success() {
-        return Err(fail(AttemptFailure::Garbled, &format!("status {status}")));
+        return Err(fail(AttemptFailure::Garbled, &format!("status {status}")).await);
     }
-    let result = C::prefill_result(&body)
-        .map_err(|error| fail(AttemptFailure::Garbled, &error.to_string()))?;
+    let result = match C::prefill_result(&body) {
+        Ok(result) => result,
+        Err(error) => return Err(fail(AttemptFailure::Garbled, &error.to_string()).await),
+    };
     opened.permit.settle();
     let took = started_at.elapsed();
     state
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -164,7 +164,8 @@
                 failure,
                 &problem,
                 run_duration,
-            );
+            )
+            .await;
             self.attempts.runs += 1;
             // Closes the connection before another server starts, so that two servers never
             // run the same request at the same time.
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -76,7 +76,7 @@
     let replaced = async {
         let next = replacement.await;
         let problem = format!("no first event within {} ms", started_at.elapsed().as_millis());
-        exchange::record_failure(state, call, &target, AttemptFailure::Silent, &problem);
+        exchange::record_failure(state, call, &target, AttemptFailure::Silent, &problem).await;
         OpenOutcome::Replaced(next)
     };
     opened.or(replaced).await
@@ -97,8 +97,8 @@
             Ok(opened) => opened,
             Err(failure) => return OpenOutcome::Failed(failure),
         };
-    let fail = |failure, problem: &str| {
-        OpenOutcome::Failed(exchange::record_failure(state, call, target, failure, problem))
+    let fail = async |failure, problem: &str| {
+        OpenOutcome::Failed(exchange::record_failure(state, call, target, failure, problem).await)
     };
     let status = opened.response.status();
     if !status.is_success() {
@@ -107,8 +107,8 @@
                 state.record_outcome(target, ServerOutcome::Erred);
                 OpenOutcome::Responded(response)
             }
-            Some(Err(error)) => fail(AttemptFailure::Broken, &error.to_string()),
-            None => fail(AttemptFailure::Silent, "no response body in time"),
+            Some(Err(error)) => fail(AttemptFailure::Broken, &error.to_string()).await,
+            None => fail(AttemptFailure::Silent, "no response body in time").await,
         };
     }
     let OpenResponse { response, head, connection, .. } = opened;
@@ -116,8 +116,8 @@
     let mut reader = EventReader::new(body);
     let first = match with_deadline(deadline, reader.next_event()).await {
         Some(Ok(first)) => first,
-        Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()),
-        None => return fail(AttemptFailure::Silent, "no first event in time"),
+        Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
+        None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
     state.record_outcome(target, ServerOutcome::Fine);
     OpenOutcome::Stream(Box::new(OpenStream {
