Content that peers have of a copy replaces nothing that is held since before it

Cause, two races of one kind, whether content is from before the copy: 1. A gateway asked a peer for content while it knew of no new era, and got that of the copy when it did; the rows that the copy lacks counted as removed (log: image through era 1, held era 0, then the drop). 2. A gateway that had its content from peers only had no era of its own last read. So its first listing in the new era was no copy to it: it kept what peers had said of a store that they had read for long, and there was no grace period (log: grace 2.2 s, but stable at a peer).

Change: the era of what is held is asked in one place, whether it was read or received. Content of a peer is not taken by a gateway that holds some of another era; a listing is compared with the era of what is held.

Ruled out: expired grace period (2.2 s of it were left); tunnels (the old code has it).

--- a/crates/gateway/src/peers/table_fetcher.rs
+++ b/crates/gateway/src/peers/table_fetcher.rs
@@ -84,7 +84,7 @@
         }
         offered.await;
         let wants = |table: &SharedTable| {
-            table.wants_image(Instant::now()) && holds_present_era(&state, table)
+            table.wants_image(Instant::now()) && table.matches_era(state.store_eras.current())
         };
         if !state.shared_tables.with_images().any(wants) {
             smol::Timer::after(SETTLING_TIME).await;
@@ -92,16 +92,6 @@
     }
 }
 
-/// Returns false if the content held here is from before the store came back from a copy.
-///
-/// Prevents servers that are up from being dropped because the copy lacks their rows: what peers
-/// hold does not tell that from a removal, so each gateway lists the table of a copy itself.
-fn holds_present_era(state: &GatewayState, shared_table: &SharedTable) -> bool {
-    let era = state.store_eras.current();
-    let known_through = shared_table.readers().known_through();
-    known_through.is_none_or(|through| through.seen_era() == era)
-}
-
 impl TableFetcher {
     fn new(table: StoreTable) -> Self {
         TableFetcher { table, partial: None, expected: None }
@@ -111,7 +101,8 @@
     async fn fetch_if_wanted(&mut self, state: &GatewayState) -> bool {
         let now = Instant::now();
         let shared_table = state.shared_tables.table(self.table);
-        if !shared_table.wants_image(now) || !holds_present_era(state, shared_table) {
+        let era = state.store_eras.current();
+        if !shared_table.wants_image(now) || !shared_table.matches_era(era) {
             self.partial = None;
             return false;
         }
--- a/crates/gateway/src/store/read_progress.rs
+++ b/crates/gateway/src/store/read_progress.rs
@@ -14,8 +14,8 @@
     pub position: Option<StoreStamp>,
     /// True if only a listing tells what the table holds now.
     pub must_list: bool,
-    /// The store's era at the last read.
-    pub last_era: Option<StoreEra>,
+    /// The era of the store from which the content held here is; `None` before there is any.
+    pub held_era: Option<StoreEra>,
     /// When the table is listed again, since rows that are gone have been removed from the copy from
     /// which the store has come back.
     settles_at: Option<Instant>,
@@ -34,7 +34,7 @@
         ReadProgress {
             position: None,
             must_list: false,
-            last_era: None,
+            held_era: None,
             settles_at: None,
             known_at: now,
             failures: 0,
@@ -82,10 +82,10 @@
     pub fn record_read(&mut self, through: StoreStamp, has_expired_rows: bool) {
         let now = Instant::now();
         let era = through.seen_era();
-        if self.last_era.is_some_and(|last| last != era) {
+        if self.held_era.is_some_and(|held| held != era) {
             self.settles_at = Some(now + COPY_SETTLING_TIME);
         }
-        self.last_era = Some(era);
+        self.held_era = Some(era);
         let was_listing = self.position.is_none();
         self.position = Some(through);
         self.must_list = false;
--- a/crates/gateway/src/store/shared_table.rs
+++ b/crates/gateway/src/store/shared_table.rs
@@ -18,6 +18,7 @@
 use crate::cluster::TableReaders;
 use crate::cluster::TableRowSet;
 use crate::cluster::TableSources;
+use crate::model::StoreEra;
 use crate::model::StoreRow;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
@@ -213,6 +214,20 @@
         self.has_images() && self.readers().lacks_content(REPAIR_DELAY, now)
     }
 
+    /// Returns true unless what is held here is from another era of the store than `era`.
+    ///
+    /// Prevents servers that are up from being dropped because the copy from which the store has
+    /// come back lacks their rows: what peers hold does not tell that from a removal, so each gateway
+    /// lists the table of a copy itself.
+    pub fn matches_era(&self, era: StoreEra) -> bool {
+        self.held_era().is_none_or(|held| held == era)
+    }
+
+    /// Returns the era of the store from which the content held here is; `None` before there is any.
+    pub fn held_era(&self) -> Option<StoreEra> {
+        self.readers().known_through().map(|through| through.seen_era())
+    }
+
     /// Records that `peer` at `address` offers the table's content up to `through`, or does not.
     pub fn apply_peer_offer(
         &self,
--- a/crates/gateway/src/store/table_coordinator.rs
+++ b/crates/gateway/src/store/table_coordinator.rs
@@ -110,10 +110,11 @@
     }
 
     /// Returns the content that a peer has sent, with the removal of the rows that it lacks, unless
-    /// it is from another era of the store.
+    /// it, or what is held here, is from another era of the store.
     pub fn take_peer_image(&mut self) -> Option<TableImage> {
         let mut image = self.shared_table().take_peer_image()?;
-        if image.through.seen_era() != self.store_era() {
+        let era = self.store_era();
+        if image.through.seen_era() != era || !self.shared_table().matches_era(era) {
             return None;
         }
         if image.is_whole {
@@ -247,6 +248,11 @@
         self.shared_table().readers().known_through()
     }
 
+    /// Returns the era of the store from which the content held here is; `None` before there is any.
+    pub fn held_era(&self) -> Option<StoreEra> {
+        self.shared_table().held_era()
+    }
+
     /// Returns the store's present era.
     pub fn store_era(&self) -> StoreEra {
         self.state.store_eras.current()
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -16,6 +16,7 @@
 use crate::cluster::ReadRole;
 use crate::codec::PlatformCodec;
 use crate::events;
+use crate::model::StoreEra;
 use crate::model::StoreRow;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
@@ -87,6 +88,7 @@
     /// Makes one read of the store, and waits until the next one is due.
     async fn read_once(&mut self, progress: &mut ReadProgress) {
         let started_at = Instant::now();
+        progress.held_era = progress.held_era.or(self.held_era());
         // Listens from before the read, which may not show what fires the trigger.
         let read_trigger = self.sink.read_trigger();
         let outage = progress.outage();
@@ -160,7 +162,7 @@
     /// go on reading are enough.
     async fn leaves_listing_to_peers(&mut self, progress: &ReadProgress) -> bool {
         let Some(coordinator) = &self.coordinator else { return false };
-        let is_present_era = progress.last_era == Some(coordinator.store_era());
+        let is_present_era = progress.held_era == Some(coordinator.store_era());
         if !coordinator.is_shared() || !is_present_era {
             return false;
         }
@@ -234,13 +236,13 @@
         progress: &ReadProgress,
         outage: Duration,
     ) -> Result<ReadStep, StoreError> {
-        let ReadProgress { position, last_era, .. } = *progress;
+        let ReadProgress { position, held_era, .. } = *progress;
         let Some(read) = self.next_read(position).await? else { return Ok(ReadStep::Interrupted) };
         match read {
             TableRead::Late => Ok(ReadStep::Late),
             TableRead::EraChanged => Ok(ReadStep::EraChanged),
             TableRead::Listing { rows, through } => {
-                if last_era.is_some_and(|last| last != through.seen_era()) {
+                if held_era.is_some_and(|held| held != through.seen_era()) {
                     self.sink.store_copied();
                 } else {
                     self.notify_available(outage);
@@ -339,6 +341,11 @@
         self.coordinator.as_ref().and_then(TableCoordinator::known_at)
     }
 
+    /// Returns the era of the store from which the content is that peers have sent.
+    fn held_era(&self) -> Option<StoreEra> {
+        self.coordinator.as_ref().and_then(TableCoordinator::held_era)
+    }
+
     fn notify_available(&mut self, outage: Duration) {
         if outage >= MIN_OUTAGE {
             self.sink.store_available();
--- a/crates/gateway/tests/store_eras.rs
+++ b/crates/gateway/tests/store_eras.rs
@@ -9,6 +9,8 @@
 use umberglade_gateway::cluster::RowChange;
 use umberglade_gateway::model::ConfigId;
 use umberglade_gateway::model::StoreStamp;
+use umberglade_gateway::model::StoreTable;
+use umberglade_gateway::store::SharedTable;
 
 /// An answer of the store.
 #[derive(Debug, Clone, Copy)]
@@ -172,3 +174,38 @@
     detector.apply_missing_row(REQUEST, StoreStamp::new(1, 44), now);
     assert!(detector.status(REQUEST, now).is_none());
 }
+
+struct HeldCase {
+    name: &'static str,
+    /// Lets the table hold content of era 3.
+    receive: fn(&SharedTable),
+    is_other_held: bool,
+}
+
+/// Prevents content that peers have of a copy from being taken for changes of what is held since
+/// before it, whether that was read here or came from peers: servers that are up would be dropped.
+#[test]
+fn content_of_another_era_is_told_from_changes() {
+    let cases = [
+        HeldCase { name: "nothing is held", receive: |_| {}, is_other_held: false },
+        HeldCase {
+            name: "read here",
+            receive: |table| table.record_read(7, StoreStamp::new(3, 90)),
+            is_other_held: true,
+        },
+        HeldCase {
+            name: "received from peers",
+            receive: |table| {
+                let through = StoreStamp::new(3, 90);
+                table.readers().record_peer_content(7, through, Instant::now());
+            },
+            is_other_held: true,
+        },
+    ];
+    for HeldCase { name, receive, is_other_held } in cases {
+        let table = SharedTable::new(StoreTable::Servers, 1, Duration::from_secs(2));
+        receive(&table);
+        assert!(table.matches_era(3), "{name}");
+        assert_eq!(table.matches_era(4), !is_other_held, "{name}");
+    }
+}
