Paths: what the last read of the change found

- The sums of peers' reports about a server were looked up for each outcome, under the fleet's lock, and used only where a server is ejected: they are looked up there.
- The ids of all servers were collected twice a second for paths and for flow control: once now (Fleet::forget_unlisted).
- A connection that a check has opened was recorded and kept in two places: one function.
The gateway of a tunnel was carried along and never read; a timeout and a connector were public without a user.

--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -231,15 +231,9 @@
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.remove_expired(now);
         self.retain_used(now);
-        self.retain_paths(now);
         self.stage_changes.retain(|_, (_, until)| now < *until);
-        if self.has_flow_control() {
-            let listed: FxHashSet<ServerIncarnation> =
-                self.servers.values().map(|server_state| server_state.incarnation).collect();
-            self.limits.tick(|server| listed.contains(&server), now);
-            self.departures.tick(|server| listed.contains(&server), now);
-            self.backoffs.tick(|server| listed.contains(&server), now);
-            self.update_shares(now);
+        if self.has_flow_control() || !self.paths.is_empty() {
+            self.forget_unlisted(now);
         }
         let may_have_expired = self.expiry_grace_end(now).is_some();
         let expired: Vec<(ServerKey, StoreStamp)> = self
@@ -265,13 +259,17 @@
         });
     }
 
-    fn retain_paths(&mut self, now: Instant) {
-        if self.paths.is_empty() {
-            return;
-        }
+    /// Removes what is known of the paths and the flow control of servers that are gone.
+    fn forget_unlisted(&mut self, now: Instant) {
         let listed: FxHashSet<ServerIncarnation> =
             self.servers.values().map(|server_state| server_state.incarnation).collect();
         self.paths.tick(|server| listed.contains(&server), now);
+        if self.has_flow_control() {
+            self.limits.tick(|server| listed.contains(&server), now);
+            self.departures.tick(|server| listed.contains(&server), now);
+            self.backoffs.tick(|server| listed.contains(&server), now);
+            self.update_shares(now);
+        }
     }
 
     /// Returns the servers that this gateway has used lately.
--- a/crates/gateway/src/paths/path_check.rs
+++ b/crates/gateway/src/paths/path_check.rs
@@ -16,6 +16,7 @@
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
+use crate::upstream::ServerConnection;
 use crate::upstream::connect_directly;
 
 /// Time without a response after which the path to the server is checked.
@@ -91,8 +92,7 @@
     };
     match connected {
         Ok(connection) => {
-            record_open(state, target);
-            state.pool.put(target, connection, None, Instant::now());
+            keep_open(state, target, connection);
             PathVerdict::Open
         }
         Err(_) if is_reached => {
@@ -117,6 +117,12 @@
     is_reached
 }
 
+/// Records that a direct `connection` to `target` was opened, and keeps it for requests.
+pub(super) fn keep_open(state: &GatewayState, target: &SendTarget, connection: ServerConnection) {
+    record_open(state, target);
+    state.pool.put(target, connection, None, Instant::now());
+}
+
 /// Records that a direct connection to `target` was opened.
 pub(super) fn record_open(state: &GatewayState, target: &SendTarget) {
     let outage = state.fleet().paths.record_open(target.incarnation, Instant::now());
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -69,10 +69,10 @@
         let connection = race_staggered(attempts, PATH_STAGGER).await.expect("a direct path")?;
         match connection.path {
             ServerPath::Direct => record_open(self.state, target),
-            ServerPath::Tunnel(_) if has_direct_failed.load(Ordering::Relaxed) => {
+            ServerPath::Tunnel if has_direct_failed.load(Ordering::Relaxed) => {
                 record_broken(self.state, target);
             }
-            ServerPath::Tunnel(_) => self.doubt_path(target),
+            ServerPath::Tunnel => self.doubt_path(target),
         }
         Ok(connection)
     }
@@ -163,8 +163,7 @@
             "connection through another gateway"
         );
         let stream = opened.context(TunnelSnafu { peer: target.address })?;
-        let path = ServerPath::Tunnel(peer.peer);
-        let handshake = ServerConnection::open(stream, path).await;
+        let handshake = ServerConnection::open(stream, ServerPath::Tunnel).await;
         handshake.context(HandshakeSnafu { peer: target.address })
     }
 }
--- a/crates/gateway/src/paths/path_recheck.rs
+++ b/crates/gateway/src/paths/path_recheck.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use umberglade_wire::pool;
 
-use super::path_check::record_open;
+use super::path_check::keep_open;
 use crate::model::ServerIncarnation;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
@@ -63,8 +62,7 @@
     let Some(target) = target_of(&state, server) else { return false };
     match connect_directly(target.address).await {
         Ok(connection) => {
-            record_open(&state, &target);
-            state.pool.put(&target, connection, None, Instant::now());
+            keep_open(&state, &target, connection);
             true
         }
         Err(_) => false,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -184,9 +184,9 @@
         let Some(server_state) = fleet.server(server) else { return };
         let failure_share = server_state.health.failure_fraction(now);
         let is_ejected = server_state.health.is_ejected(now);
-        let peers = fleet.peers.server(target.incarnation, now);
-        drop(fleet);
         if is_ejected && !was_ejected {
+            let peers = fleet.peers.server(target.incarnation, now);
+            drop(fleet);
             metrics::counter!("umberglade_server_aside_total").increment(1);
             tracing::warn!(
                 event = events::SERVER_EJECTED,
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -27,7 +27,7 @@
 /// Timeout of opening a connection: some ten round trips between failure domains. A server
 /// behind a network partition does not respond at all, and the request has to reach another one
 /// while its latency target can still be met.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Where a request is sent.
 #[derive(Debug, Clone)]
@@ -51,7 +51,7 @@
 
 /// Connects to servers directly only.
 #[derive(Debug, Clone, Copy)]
-pub struct DirectConnector;
+struct DirectConnector;
 
 impl Connect for DirectConnector {
     async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
--- a/crates/gateway/src/upstream/server_connection.rs
+++ b/crates/gateway/src/upstream/server_connection.rs
@@ -17,8 +17,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerPath {
     Direct,
-    /// Through the gateway whose name has this digest.
-    Tunnel(u64),
+    /// Through another gateway.
+    Tunnel,
 }
 
 /// A connection that sends requests one at a time.
