--- a/crates/gateway/benches/decision.rs
+++ b/crates/gateway/benches/decision.rs
@@ -57,6 +57,7 @@
         domain: DOMAINS[at % DOMAINS.len()].into(),
         slots: 64,
         stage,
+        software: "v1".into(),
         is_leaving: false,
         started_at: None,
     }
@@ -93,8 +94,14 @@
         let mut group = criterion.benchmark_group(format!("{gateways} gateways {servers} servers"));
         let mut fleet = site(gateways, servers, now);
         let gateway = name_digest("gw-0");
-        let request =
-            |service| PlacementRequest { service, gateway, domain: &domain, tried: &[], now };
+        let request = |service| PlacementRequest {
+            service,
+            gateway,
+            domain: &domain,
+            tried: &[],
+            software: None,
+            now,
+        };
         group.bench_function("place_engine", |bench| {
             bench.iter(|| place_engine(black_box(&fleet), &spec(), &SHAPE, 0, &request("engine")));
         });
--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -18,6 +18,7 @@
 use super::ServerOutcome;
 use super::ServerPaths;
 use super::ServerState;
+use super::ServiceVersions;
 use super::TunnelRests;
 use crate::model::ServerEntry;
 use crate::model::ServerIncarnation;
@@ -61,6 +62,8 @@
     pub(super) servers: FxHashMap<ServerKey, ServerState>,
     /// Invariant: each id in `servers` is listed here once, under the service of its entry.
     pub(super) services: FxHashMap<ServiceName, Vec<ServerKey>>,
+    /// Invariant: counts each server in `servers` once, under the service of its entry.
+    pub(super) versions: FxHashMap<ServiceName, ServiceVersions>,
     /// Servers that this gateway has used lately: of all others there is nothing to report.
     ///
     /// Invariant: includes each server with load, and each one that is ejected or outdated.
@@ -79,13 +82,15 @@
     /// Engines that this gateway has ordered to change their stage: the new stage, and the time
     /// until which they count as changing at most.
     stage_changes: FxHashMap<ServerKey, (ServerStage, Instant)>,
+    /// Incarnations that were found to have been started again at another version, since last taken.
+    pub(super) replaced_versions: Vec<ServerIncarnation>,
     /// Recently removed servers, so that a late row from before the removal does not add one again.
     removed: FxHashMap<ServerKey, RemovedServer>,
     grace_until: Option<Instant>,
     /// Since when the table has been read without an outage.
     stable_since: Option<Instant>,
     /// When the table was last read.
-    read_at: Option<Instant>,
+    pub(super) read_at: Option<Instant>,
 }
 
 impl Fleet {
@@ -148,7 +153,13 @@
         match entry.started_at.cmp(&known.entry.started_at) {
             // A late row of an earlier incarnation.
             Ordering::Less => None,
-            Ordering::Equal if entry.service == known.entry.service => update(known, entry, stamp),
+            Ordering::Equal if is_same_process(&entry, &known.entry) => {
+                let change = update(known, entry, stamp);
+                if let Some(FleetChange::Leaving(key)) = &change {
+                    self.record_version_leaving(&key.clone());
+                }
+                change
+            }
             _ if stamp <= known.stamp => None,
             _ => Some(self.restart(entry, stamp)),
         }
@@ -160,7 +171,11 @@
         self.removed.remove(&key);
         self.services.entry(entry.service.clone()).or_default().push(key.clone());
         let is_leaving = entry.is_leaving;
-        self.servers.insert(key.clone(), ServerState::new(entry, stamp));
+        let service = entry.service.clone();
+        let server_state = ServerState::new(entry, stamp);
+        let versions = self.versions.entry(service).or_default();
+        versions.record_joined(server_state.software, is_leaving);
+        self.servers.insert(key.clone(), server_state);
         (!is_leaving).then_some(FleetChange::Joined(key))
     }
 
@@ -173,6 +188,9 @@
         let key = entry.server.clone();
         if let Some(before) = self.servers.remove(&key) {
             self.remove_from_service(&before);
+            if before.entry.software != entry.software {
+                self.replaced_versions.push(before.incarnation);
+            }
         }
         self.stage_changes.remove(&key);
         self.insert(entry, stamp);
@@ -231,6 +249,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<FleetChange> {
         self.peers.remove_expired(now);
         self.retain_used(now);
+        self.versions.values_mut().for_each(|versions| versions.tick(now));
         self.stage_changes.retain(|_, (_, until)| now < *until);
         if self.has_flow_control() || !self.paths.is_empty() {
             self.forget_unlisted(now);
@@ -392,6 +411,9 @@
             server_state.outdated_until = Some(now + OUTDATED_TIMEOUT);
         }
         server_state.health.record(outcome, now);
+        if matches!(outcome, ServerOutcome::Failed | ServerOutcome::Unreachable) {
+            server_state.broke_at = Some(now);
+        }
         let key = server_state.entry.server.clone();
         self.used.insert(key);
     }
@@ -431,10 +453,26 @@
     }
 
     fn remove_from_service(&mut self, server_state: &ServerState) {
-        if let Some(keys) = self.services.get_mut(&server_state.entry.service) {
-            keys.retain(|listed| listed != &server_state.entry.server);
+        let ServerEntry { service, server, is_leaving, .. } = &server_state.entry;
+        if let Some(keys) = self.services.get_mut(service) {
+            keys.retain(|listed| listed != server);
+        }
+        if let Some(versions) = self.versions.get_mut(service) {
+            versions.record_removed(server_state.software, *is_leaving);
         }
     }
+
+    fn record_version_leaving(&mut self, key: &str) {
+        let Some(server_state) = self.servers.get(key) else { return };
+        if let Some(versions) = self.versions.get_mut(&server_state.entry.service) {
+            versions.record_leaving(server_state.software);
+        }
+    }
+}
+
+/// Returns true if a row with the same start time describes the process that `known` describes.
+fn is_same_process(entry: &ServerEntry, known: &ServerEntry) -> bool {
+    entry.service == known.service && entry.software == known.software
 }
 
 /// Applies a newer row to a known server. A server that has announced its departure never counts as
--- a/crates/gateway/src/cluster/fleet_shards.rs
+++ b/crates/gateway/src/cluster/fleet_shards.rs
@@ -9,6 +9,7 @@
 use super::server_shards::gateway_groups;
 use super::server_shards::shard_count;
 use super::server_shards::shares_shard;
+use crate::model::SoftwareDigest;
 
 impl Fleet {
     /// Sets the number of gateways that share the servers, including this one.
@@ -34,10 +35,23 @@
         service: &str,
         now: Instant,
     ) -> impl Iterator<Item = (&'a ServerState, ServerTotals)> {
+        self.available_servers_of(service, None, now)
+    }
+
+    /// Like [`Fleet::available_servers`], those of one software version only if one is given.
+    pub fn available_servers_of<'a>(
+        &'a self,
+        service: &str,
+        software: Option<SoftwareDigest>,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a ServerState, ServerTotals)> {
+        let suits = move |state: &ServerState| software.is_none_or(|one| state.software == one);
+        let in_shard = |shards| {
+            self.available_in_shard(service, shards, now).filter(move |state| suits(state))
+        };
         let shards = self.shards(service);
-        let has_local_shard =
-            shards > 1 && self.available_in_shard(service, shards, now).next().is_some();
-        self.available_in_shard(service, if has_local_shard { shards } else { 1 }, now)
+        let has_local_shard = shards > 1 && in_shard(shards).next().is_some();
+        in_shard(if has_local_shard { shards } else { 1 })
             .map(move |state| (state, self.peers.server(state.incarnation, now)))
             .filter(|(_, peer_totals)| peer_totals.stage_changes == 0)
     }
--- a/crates/gateway/src/cluster/placement.rs
+++ b/crates/gateway/src/cluster/placement.rs
@@ -8,6 +8,7 @@
 use super::LoadShare;
 use super::ServerState;
 use super::candidate::Candidate;
+use super::candidate::Candidates;
 use super::candidate::FULL_SERVER_MS;
 use super::candidate::PREFILL_TOKENS_PER_MS;
 use super::candidate::available_candidates;
@@ -23,6 +24,7 @@
 use crate::model::PromptShape;
 use crate::model::ServerKey;
 use crate::model::ServerStage;
+use crate::model::SoftwareDigest;
 
 /// Cost of a server in another failure domain for plain calls, as a fraction of a full server.
 /// Weighs two extra hops of under 2 ms against queueing.
@@ -36,6 +38,10 @@
 /// event is 1.9 s and half of all streams miss their latency target.
 const SELF_PREFILL_QUEUE_FACTOR: f64 = 4.0;
 
+/// Cost of beginning a stream at a version with one decode server, as a fraction of a full one:
+/// nowhere else could it go on.
+const LAST_OF_VERSION_WEIGHT: f64 = 0.5;
+
 /// Constraints of a placement.
 #[derive(Debug)]
 pub struct PlacementRequest<'a> {
@@ -46,6 +52,9 @@
     pub domain: &'a DomainKey,
     /// Servers to which this request has already been sent.
     pub tried: &'a [ServerKey],
+    /// The only software version that may respond: that of the servers which wrote what the caller
+    /// has, or the KV cache. `None` if any may.
+    pub software: Option<SoftwareDigest>,
     pub now: Instant,
 }
 
@@ -111,6 +120,9 @@
         return Err(PlacementError::NoServer);
     }
     engines.retain(|candidate| candidate.may_send);
+    if request.software.is_none() {
+        retain_beginning_versions(fleet, request.service, &mut engines);
+    }
     let decode_servers =
         healthy_or_all(&engines, request.now, |stage| stage != ServerStage::Prefill);
     let prompt_ms = f64::from(shape.prompt_tokens) / PREFILL_TOKENS_PER_MS;
@@ -121,13 +133,14 @@
     let prefill_servers = DomainPrefillServers::new(&prefill_servers, prefill_cost);
     let max_queued_tokens = (f64::from(shape.prompt_tokens) * SELF_PREFILL_QUEUE_FACTOR) as u32;
     let stream_occupancy = LoadShare::of_stream(shape).peak_tokens() / usable_tokens(spec);
+    let version_costs = VersionCosts::new(fleet, request, &decode_servers);
     let mut options: SmallVec<[(f64, usize); 32]> = SmallVec::new();
     for (index, decode) in decode_servers.iter().enumerate() {
         let Some(occupancy) = decode.occupancy_with(spec, shape) else { continue };
         let occupancy = occupancy + tie_break(request, decode.server_state) * stream_occupancy;
-        let decode_cost = (occupancy + decode.failure_cost) * FULL_SERVER_MS;
-        let prefill_server =
-            prefill_servers.cheapest_for(&decode.server_state.entry.domain, max_queued_tokens);
+        let version_cost = version_costs.cost(decode.server_state.software);
+        let decode_cost = (occupancy + decode.failure_cost + version_cost) * FULL_SERVER_MS;
+        let prefill_server = prefill_servers.cheapest_for(decode.server_state, max_queued_tokens);
         let prefill_server_cost =
             prefill_server.map_or(prompt_ms * SELF_PREFILL_QUEUE_FACTOR, |(_, cost)| cost);
         options.push((decode_cost + prefill_server_cost, index));
@@ -137,11 +150,52 @@
     }
     let by_cost = |left: &(f64, usize), right: &(f64, usize)| left.0.total_cmp(&right.0);
     let (_, &mut (cost, index), _) = options.select_nth_unstable_by(requests_ahead, by_cost);
-    let decode = &decode_servers[index].server_state.entry;
-    let prefill = prefill_servers
-        .cheapest_for(&decode.domain, max_queued_tokens)
-        .map(|(server, _)| server.clone());
-    Ok(EnginePlacement { decode: decode.server.clone(), prefill, cost })
+    let decode = decode_servers[index].server_state;
+    let prefill =
+        prefill_servers.cheapest_for(decode, max_queued_tokens).map(|(server, _)| server.clone());
+    Ok(EnginePlacement { decode: decode.entry.server.clone(), prefill, cost })
+}
+
+/// Keeps the engines whose version may begin streams, or all where none of these can decode.
+fn retain_beginning_versions(fleet: &Fleet, service: &str, engines: &mut Candidates<'_>) {
+    let Some(versions) = fleet.service_versions(service) else { return };
+    let may_begin = |one: &Candidate<'_>| versions.may_begin(one.server_state.software);
+    let can_decode = |one: &Candidate<'_>| one.server_state.entry.stage != ServerStage::Prefill;
+    if engines.iter().any(|one| can_decode(one) && may_begin(one)) {
+        engines.retain(|one| may_begin(one));
+    }
+}
+
+/// Costs of beginning a stream at one of several versions, as fractions of a full server: streams
+/// begin so that their version has room left to take them up again.
+struct VersionCosts {
+    /// Empty unless there are several versions.
+    costs: SmallVec<[(SoftwareDigest, f64); 4]>,
+}
+
+impl VersionCosts {
+    fn new(
+        fleet: &Fleet,
+        request: &PlacementRequest<'_>,
+        decode_servers: &[Candidate<'_>],
+    ) -> Self {
+        let versions = fleet.service_versions(request.service);
+        let Some(versions) = versions.filter(|versions| versions.sole().is_none()) else {
+            return VersionCosts { costs: SmallVec::new() };
+        };
+        let cost = |software: SoftwareDigest| {
+            let of_version = |one: &&Candidate<'_>| one.server_state.software == software;
+            let is_last = decode_servers.iter().filter(of_version).count() == 1;
+            let last_cost = if is_last { LAST_OF_VERSION_WEIGHT } else { 0.0 };
+            last_cost + versions.leaving_share(software)
+        };
+        let costs = versions.recent().into_iter().map(|software| (software, cost(software)));
+        VersionCosts { costs: costs.collect() }
+    }
+
+    fn cost(&self, software: SoftwareDigest) -> f64 {
+        self.costs.iter().find(|(one, _)| *one == software).map_or(0.0, |(_, cost)| *cost)
+    }
 }
 
 /// Returns a decode server for a stream that must continue on another server. A server without
--- a/crates/gateway/src/cluster/server_state.rs
+++ b/crates/gateway/src/cluster/server_state.rs
@@ -6,7 +6,9 @@
 use crate::cluster::ServerHealth;
 use crate::model::ServerEntry;
 use crate::model::ServerIncarnation;
+use crate::model::SoftwareDigest;
 use crate::model::StoreStamp;
+use crate::model::software_digest;
 
 /// One server: its registration, this gateway's load on it, and its health.
 #[derive(Debug, Clone)]
@@ -16,6 +18,8 @@
     pub stamp: StoreStamp,
     /// This incarnation of the server, as identified in load reports.
     pub incarnation: ServerIncarnation,
+    /// Version of this incarnation's software.
+    pub software: SoftwareDigest,
     /// This gateway's load on the server.
     pub local_load: LoadShare,
     pub health: ServerHealth,
@@ -24,6 +28,8 @@
     pub expires_at: Option<Instant>,
     /// True while the server's row holds no valid registration.
     pub is_unreadable: bool,
+    /// When a connection to the server last broke or could not be opened.
+    pub broke_at: Option<Instant>,
     /// Set when the server at the address has stated that it is another one than the row describes.
     /// Applies until the next row or this time.
     pub outdated_until: Option<Instant>,
@@ -34,12 +40,14 @@
     pub fn new(entry: ServerEntry, stamp: StoreStamp) -> Self {
         ServerState {
             incarnation: entry.incarnation(),
+            software: software_digest(&entry.software),
             entry,
             stamp,
             local_load: LoadShare::default(),
             health: ServerHealth::default(),
             expires_at: None,
             is_unreadable: false,
+            broke_at: None,
             outdated_until: None,
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -43,6 +43,8 @@
 pub const TUNNEL_SERVED: u32 = 5021;
 /// A tunnel for another gateway has ended.
 pub const TUNNEL_CLOSED: u32 = 5022;
+/// A caller takes up a stream that an earlier attempt began.
+pub const STREAM_TAKEN_UP: u32 = 5023;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
@@ -105,6 +107,10 @@
 pub const PATH_BROKEN: u32 = 6030;
 /// Connections to a server whose path was broken can be opened again.
 pub const PATH_OPEN: u32 = 6031;
+/// The software versions of a service were announced in the store, or this failed.
+pub const VERSIONS_ANNOUNCED: u32 = 6032;
+/// The rows about software versions were read from the store, or this failed.
+pub const SOFTWARE_ROWS_READ: u32 = 6033;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -12,6 +12,7 @@
 use crate::cluster::QuarantineStatus;
 use crate::cluster::RetryPriority;
 use crate::events;
+use crate::model::PinnedVersion;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
 
@@ -31,6 +32,8 @@
     pub tried: SmallVec<[ServerKey; 4]>,
     /// Number of attempts whose server may have run the request.
     pub runs: u32,
+    /// The software version at which further attempts must run.
+    pub pinned_version: PinnedVersion,
     count: u32,
     /// Number of attempts that reached no server.
     unsent: u32,
--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -14,6 +14,7 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::CacheSource;
+use crate::model::SoftwareDigest;
 use crate::paths::PathConnector;
 use crate::state::GatewayState;
 use crate::upstream;
@@ -35,6 +36,7 @@
     state: Arc<GatewayState>,
     target: SendTarget,
     source: Option<CacheSource>,
+    software: SoftwareDigest,
     request_id: String,
     created_at: Instant,
     codec: std::marker::PhantomData<C>,
@@ -46,12 +48,14 @@
         state: &Arc<GatewayState>,
         target: SendTarget,
         source: CacheSource,
+        software: SoftwareDigest,
         request_id: &str,
     ) -> Self {
         CacheGuard {
             state: Arc::clone(state),
             target,
             source: Some(source),
+            software,
             request_id: request_id.to_owned(),
             created_at: Instant::now(),
             codec: std::marker::PhantomData,
@@ -63,6 +67,11 @@
         self.source.as_ref()
     }
 
+    /// Returns the version that wrote the cache.
+    pub fn software(&self) -> SoftwareDigest {
+        self.software
+    }
+
     /// Returns true while the prefill server, which keeps the cache for `ttl`, should still
     /// have it when a decode server fetches it. A restarted server has lost it.
     pub fn is_fresh(&self, ttl: Duration) -> bool {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 
 use super::QuotaCharge;
+use crate::cluster::OrganisationDigest;
 use crate::codec::PlatformCodec;
 use crate::model::AttemptSpec;
 use crate::model::ConfigVersion;
@@ -33,6 +34,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub head: RequestHead,
+    /// Digest of its organisation; 0 if there are none.
+    pub organisation: OrganisationDigest,
     /// The charge to the quota of its organisation, if there is one.
     pub charge: Option<QuotaCharge>,
     /// Identical for all attempts of the same request.
--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -27,10 +27,11 @@
 use crate::cluster::place_engine;
 use crate::events;
 use crate::load_guard::LoadGuard;
-use crate::model::EngineSpec;
+use crate::model::PinnedVersion;
 use crate::model::PromptShape;
 use crate::model::RequestRate;
 use crate::model::ServerKey;
+use crate::model::SoftwareDigest;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
@@ -38,13 +39,13 @@
 pub(super) const DEFAULT_FIRST_EVENT_TIME: Duration = FirstEventTime::DEFAULT;
 /// Poll interval of the head of the queue: a server may gain capacity without an event at
 /// this gateway.
-const POLL_INTERVAL: Duration = Duration::from_millis(40);
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time within which peers usually know the head of this queue: a report takes a network hop
 /// of under 2 ms and a wake-up at each end. A report of a sender with many other updates waits
 /// up to 50 ms for send budget, and two gateways may still collide.
 const REPORT_PROPAGATION_DELAY: Duration = Duration::from_millis(25);
 /// `Retry-After` while a service has no server: about the time in which a new one registers.
-const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(1000);
+pub(super) const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// Callers time out after the longest of this, four target latencies and eight target gaps
 /// without an event.
 const MIN_CALLER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -79,10 +80,9 @@
     state: &Arc<GatewayState>,
     call: &Call,
     attempts: &Attempts,
-    spec: &EngineSpec,
-    shape: &PromptShape,
 ) -> Result<PlacedStream, Response<GatewayBody>> {
     let now = Instant::now();
+    let shape = &call.prompt_shape();
     let estimates = state.estimates(&call.service);
     let generation_time = estimates.outputs.generation_time(shape.expected_output());
     let queue_request = QueueRequest {
@@ -124,18 +124,17 @@
             is_reported = true;
         }
         if earliest_placement.is_some_and(|at| now >= at) && !is_provisional {
-            match try_place(state, call, attempts, spec, shape) {
+            match try_place(state, call, attempts) {
                 Ok(placed) => {
                     queue_ticket.is_placed = true;
                     return Ok(placed);
                 }
                 Err(PlacementError::NoServer) => {
-                    return Err(reject_call(
-                        call,
-                        Rejection::NoServer,
-                        Some(NO_SERVER_RETRY_AFTER),
-                        0,
-                    ));
+                    let rejection = match attempts.pinned_version {
+                        PinnedVersion::Any => Rejection::NoServer,
+                        _ => Rejection::NoServerOfVersion,
+                    };
+                    return Err(reject_call(call, rejection, Some(NO_SERVER_RETRY_AFTER), 0));
                 }
                 Err(PlacementError::NoRoom) if is_rate_limited_until(state, call, deadline) => {
                     let retry_after = next_send_after(state, call, now);
@@ -195,6 +194,12 @@
     state.service_queues.with_queue(&call.service, |queue| queue.retry_after(peers, Instant::now()))
 }
 
+/// Returns when waiting for capacity ends; see [`queue_deadline`].
+pub(super) fn stream_deadline(state: &GatewayState, call: &Call) -> Instant {
+    let outputs = state.estimates(&call.service).outputs;
+    queue_deadline(call, outputs.generation_time(call.prompt_shape().expected_output()))
+}
+
 /// Logs that a request finds no capacity, with the load and the queues of its service.
 fn log_no_capacity(state: &GatewayState, call: &Call, peers: PeerQueues, predicted: Duration) {
     let waiting = state.service_queues.with_queue(&call.service, |queue| queue.len());
@@ -254,28 +259,38 @@
         - DEFAULT_FIRST_EVENT_TIME * 2
 }
 
+/// Places a stream at the head of this gateway's queue, behind those of peers that go first.
 fn try_place(
     state: &Arc<GatewayState>,
     call: &Call,
     attempts: &Attempts,
-    spec: &EngineSpec,
-    shape: &PromptShape,
 ) -> Result<PlacedStream, PlacementError> {
+    let now = Instant::now();
+    let update = state.service_queues.with_queue(&call.service, |queue| queue.queue_update(now));
+    let service_digest = name_digest(&call.service);
+    let queued_ahead =
+        update.map_or(0, |update| state.fleet().peers.queued_ahead(service_digest, &update, now));
+    place_stream(state, call, attempts, queued_ahead)
+}
+
+/// Places a stream, and counts its load. The `queued_ahead` best placements are left to others.
+pub(super) fn place_stream(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &Attempts,
+    queued_ahead: usize,
+) -> Result<PlacedStream, PlacementError> {
+    let shape = call.prompt_shape();
     let EnginePlacement { decode, prefill, cost } = {
-        let now = Instant::now();
-        let update =
-            state.service_queues.with_queue(&call.service, |queue| queue.queue_update(now));
         let fleet = state.fleet();
-        let service_digest = name_digest(&call.service);
-        let queued_ahead =
-            update.map_or(0, |update| fleet.peers.queued_ahead(service_digest, &update, now));
-        let request = placement_request(state, call, &attempts.tried);
-        place_engine(&fleet, spec, shape, queued_ahead, &request)?
+        let request =
+            placement_request(state, call, &attempts.tried, attempts.pinned_version.known());
+        place_engine(&fleet, &call.engine_spec(), &shape, queued_ahead, &request)?
     };
     log_placed(state, call, &decode, prefill.as_ref(), 0, cost);
     let prefill = prefill
         .map(|server| LoadGuard::begin(state, server, LoadShare::of_prompt(shape.prompt_tokens)));
-    let decode = LoadGuard::begin(state, decode, LoadShare::of_stream(shape));
+    let decode = LoadGuard::begin(state, decode, LoadShare::of_stream(&shape));
     Ok(PlacedStream { decode, prefill })
 }
 
@@ -292,9 +307,9 @@
     let Some(server_state) = fleet.server(decode) else { return };
     let load = fleet.load(server_state, now);
     let shape = call.prompt_shape();
-    let prefill_tokens = prefill
-        .and_then(|server| fleet.server(server))
-        .map_or(0, |server_state| fleet.load(server_state, now).prompt_tokens);
+    let prefill_state = prefill.and_then(|server| fleet.server(server));
+    let prefill_tokens =
+        prefill_state.map_or(0, |server_state| fleet.load(server_state, now).prompt_tokens);
     tracing::info!(
         event = events::ENGINE_PLACED,
         request_id = call.id(),
@@ -303,6 +318,8 @@
         config = call.config,
         decode = %decode,
         prefill = prefill.map(|server| &**server),
+        software = &*server_state.entry.software,
+        prefill_software = prefill_state.map(|server_state| &*server_state.entry.software),
         domain = %server_state.entry.domain,
         row_version = server_state.stamp.version(),
         own = server_state.local_load.running,
@@ -327,12 +344,14 @@
     state: &'a GatewayState,
     call: &'a Call,
     tried: &'a [ServerKey],
+    software: Option<SoftwareDigest>,
 ) -> PlacementRequest<'a> {
     PlacementRequest {
         service: &call.service,
         gateway: state.digest,
         domain: &state.settings.domain,
         tried,
+        software,
         now: Instant::now(),
     }
 }
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -20,6 +20,7 @@
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
 use crate::model::ResponseHead;
+use crate::model::SoftwareDigest;
 use crate::paths::PathConnector;
 use crate::paths::locate_failure;
 use crate::paths::watch_silence;
@@ -92,16 +93,23 @@
 
 /// Returns the current address of `server` for a request that is sent at once, and consumes a
 /// token of its rate limit. `None` when the server is unknown or unavailable, or has no token
-/// left.
+/// left, or when it has another version than `software`.
 ///
 /// A server that was chosen before the prefill may have announced its departure since, as a
 /// prefill takes seconds where prefill servers are slow or hang. Without this check, a stream
 /// can reach such a server 2.4 s after the announcement.
-pub fn send_target(state: &GatewayState, server: &str) -> Option<SendTarget> {
+pub fn send_target(
+    state: &GatewayState,
+    server: &str,
+    software: Option<SoftwareDigest>,
+) -> Option<SendTarget> {
     let now = Instant::now();
     let mut fleet = state.fleet();
     let server_state =
         fleet.server(server).filter(|server_state| server_state.is_available(now))?;
+    if software.is_some_and(|software| software != server_state.software) {
+        return None;
+    }
     let target = SendTarget {
         server: server_state.entry.server.clone(),
         incarnation: server_state.incarnation,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -18,6 +18,7 @@
 mod response_body;
 mod stream_open;
 mod stream_run;
+mod version_wait;
 
 pub use self::call::Call;
 pub use self::event_reader::EventReader;
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -182,7 +182,7 @@
 
 fn place_call(state: &GatewayState, call: &Call, attempts: &Attempts) -> Option<ServerKey> {
     let fleet = state.fleet();
-    let request = placement_request(state, call, &attempts.tried);
+    let request = placement_request(state, call, &attempts.tried, None);
     let placement = place_plain(&fleet, &request).ok()?;
     let server_state = fleet.server(&placement.server)?;
     tracing::info!(
@@ -211,7 +211,7 @@
     server: ServerKey,
     permit: AttemptPermit,
 ) -> PlainOutcome {
-    let Some(target) = exchange::send_target(state, &server) else {
+    let Some(target) = exchange::send_target(state, &server, None) else {
         return PlainOutcome::Failed(AttemptFailure::Unsent);
     };
     let _load_guard = LoadGuard::begin(state, server, LoadShare::of_call());
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -19,6 +19,7 @@
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
 use crate::model::CacheSource;
+use crate::model::SoftwareDigest;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
 
@@ -54,16 +55,19 @@
     server_state.map_or(0, |server_state| fleet.load(server_state, Instant::now()).prompt_tokens)
 }
 
-/// Prefills the prompt, and the response up to `resume_after`, at the server of `load_guard`.
+/// Prefills the prompt, and the response up to `resume_after`, at the server of `load_guard`, for a
+/// decode server of `software`, which can't read the KV cache of another version.
 /// Returns the guard of the KV cache.
 pub async fn prefill<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
     load_guard: LoadGuard,
     permit: AttemptPermit,
+    software: Option<SoftwareDigest>,
     resume_after: Option<u64>,
 ) -> Result<CacheGuard<C>, AttemptFailure> {
-    let target = exchange::send_target(state, &load_guard.server).ok_or(AttemptFailure::Unsent)?;
+    let target =
+        exchange::send_target(state, &load_guard.server, software).ok_or(AttemptFailure::Unsent)?;
     let started_at = Instant::now();
     let time_left = call.time_left(started_at);
     let tokens_ahead = queued_prompt_tokens(state, &target).max(call.prompt_shape().prompt_tokens);
@@ -117,6 +121,13 @@
         took_ms = took.as_millis() as u64,
         "prefill completed"
     );
+    let answering = state.fleet().answering_version(&target.server, target.incarnation);
     let source = CacheSource { server: target.address, handle: result.handle };
-    Ok(CacheGuard::new(state, target, source, call.id()))
+    let cache_version = software.unwrap_or_default();
+    let cache = CacheGuard::new(state, target, source, cache_version, call.id());
+    if software.is_none() || answering != software {
+        // Dropping the guard releases the cache.
+        return Err(AttemptFailure::Misdirected);
+    }
+    Ok(cache)
 }
--- a/crates/gateway/src/forward/reject.rs
+++ b/crates/gateway/src/forward/reject.rs
@@ -44,6 +44,10 @@
     BadRequest,
     /// The service has no available server.
     NoServer,
+    /// No server of the version that began the stream is available.
+    NoServerOfVersion,
+    /// The request takes up a stream, and which version began it is not known.
+    VersionUnknown,
     /// No server has capacity, and the admission queue is too long.
     NoRoom,
     /// The rate limits of the servers allow no request in time.
@@ -75,6 +79,8 @@
             Rejection::NoConfiguration
             | Rejection::ConfigUnsettled
             | Rejection::NoServer
+            | Rejection::NoServerOfVersion
+            | Rejection::VersionUnknown
             | Rejection::NoRoom
             | Rejection::RateLimited
             | Rejection::NotRun
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -17,6 +17,7 @@
 use super::StreamBroken;
 use super::StreamEvent;
 use super::attempts::Attempts;
+use super::cache_guard::CacheGuard;
 use super::exchange;
 use super::exchange::AttemptFailure;
 use super::next_server;
@@ -24,6 +25,7 @@
 use super::response_body;
 use super::response_body::BodyFrame;
 use super::stream_open;
+use super::stream_open::NeededVersion;
 use super::stream_open::OpenOutcome;
 use super::stream_open::OpenStream;
 use super::stream_run;
@@ -33,6 +35,9 @@
 use crate::in_flight_count::InFlightGuard;
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
+use crate::model::PinnedVersion;
+use crate::origins::is_contradictory;
+use crate::origins::record_origin;
 use crate::paths::request_check;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
@@ -42,6 +47,9 @@
 const STALL_TIMEOUT_GAPS: u32 = 4;
 /// Stall timeout of routes without a target gap.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Interval at which the version of a long stream is told again: well within the time for which it
+/// is kept.
+const ORIGIN_REFRESH_INTERVAL: Duration = Duration::from_secs(20);
 /// Time without a first event of a resumed stream after which another server is tried where there
 /// is one.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -95,6 +103,7 @@
         first_event,
         last_event_at: Instant::now(),
         longest_gap: Duration::ZERO,
+        origin_told_at: Instant::now(),
         codec: std::marker::PhantomData::<C>,
     };
     pool::spawn(relay.run(stream));
@@ -116,6 +125,8 @@
     /// When the last event was relayed.
     last_event_at: Instant,
     longest_gap: Duration,
+    /// When the stream's version was last told to other gateways.
+    origin_told_at: Instant,
     codec: std::marker::PhantomData<C>,
 }
 
@@ -170,6 +181,9 @@
             // Closes the connection before another server starts, so that two servers never
             // run the same request at the same time.
             drop(current);
+            if is_contradictory(&self.state, &self.call) {
+                self.attempts.pinned_version = PinnedVersion::Unknown;
+            }
             match self.resume(next).await {
                 Some(next) => current = next,
                 None => return RelayOutcome::Broken,
@@ -196,6 +210,7 @@
                     return Ok(StreamStop::Failed(AttemptFailure::Garbled, problem));
                 }
                 self.relay_event(event).await?;
+                self.refresh_origin(stream).await;
                 is_stalled = false;
                 tokens += tokens_per_event;
                 stream.load_guard.record_progress(tokens);
@@ -249,6 +264,15 @@
         Ok(())
     }
 
+    /// Tells the version of a stream again if that was long ago.
+    async fn refresh_origin(&mut self, stream: &OpenStream) {
+        let Some(software) = self.attempts.pinned_version.known() else { return };
+        if self.origin_told_at.elapsed() >= ORIGIN_REFRESH_INTERVAL {
+            self.origin_told_at = Instant::now();
+            record_origin(&self.state, &self.call, software, stream.target.incarnation).await;
+        }
+    }
+
     async fn send(&self, bytes: Bytes) -> Result<(), RelayOutcome> {
         let sent = self.sender.send(Ok(Frame::data(bytes))).await;
         sent.map_err(|_| RelayOutcome::CallerLeft)
@@ -326,6 +350,9 @@
                 "stream resumed at another server"
             );
             metrics::counter!("umberglade_streams_resumed_total").increment(1);
+            let cached = cache.as_ref().map(CacheGuard::software);
+            let pinned = self.attempts.pinned_version.known();
+            let needed = NeededVersion { pinned, cached };
             let replacement =
                 next_server::reserve_after(RESUME_TIMEOUT, &self.state, &self.call, &self.attempts);
             let outcome = stream_open::open::<C>(
@@ -334,6 +361,7 @@
                 load_guard,
                 permit,
                 &attempt_spec,
+                needed,
                 replacement,
             )
             .await;
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -24,6 +24,7 @@
 use crate::codec::PlatformCodec;
 use crate::load_guard::LoadGuard;
 use crate::model::AttemptSpec;
+use crate::model::SoftwareDigest;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
@@ -39,6 +40,9 @@
     pub first: Option<StreamEvent>,
     pub reader: EventReader,
     pub target: SendTarget,
+    /// Version of the server that sent the first event; `None` if it may have been started again at
+    /// another one.
+    pub software: Option<SoftwareDigest>,
     /// Returned to the pool when the stream completes; `None` if the server closes it.
     pub connection: Option<ServerConnection>,
     pub keep_alive: Option<Duration>,
@@ -47,6 +51,15 @@
     pub load_guard: LoadGuard,
 }
 
+/// The versions that a server must have to go on with a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct NeededVersion {
+    /// The version that wrote the caller's events.
+    pub pinned: Option<SoftwareDigest>,
+    /// The version that wrote the KV cache.
+    pub cached: Option<SoftwareDigest>,
+}
+
 /// The outcome of opening a stream.
 #[derive(Debug)]
 pub enum OpenOutcome {
@@ -66,13 +79,18 @@
     load_guard: LoadGuard,
     permit: AttemptPermit,
     attempt_spec: &AttemptSpec,
+    needed: NeededVersion,
     replacement: impl Future<Output = NextServer>,
 ) -> OpenOutcome {
-    let Some(target) = exchange::send_target(state, &load_guard.server) else {
+    let software = needed.pinned.or(needed.cached);
+    let is_conflict = needed.cached.is_some_and(|cached| Some(cached) != software);
+    let target = exchange::send_target(state, &load_guard.server, software);
+    let Some(target) = target.filter(|_| !is_conflict) else {
         return OpenOutcome::Failed(AttemptFailure::Unsent);
     };
     let started_at = Instant::now();
-    let opened = open_at::<C>(state, call, load_guard, permit, attempt_spec, &target);
+    let opened =
+        open_at::<C>(state, call, load_guard, permit, attempt_spec, &target, needed.pinned);
     let replaced = async {
         let next = replacement.await;
         let problem = format!("no first event within {} ms", started_at.elapsed().as_millis());
@@ -89,6 +107,7 @@
     permit: AttemptPermit,
     attempt_spec: &AttemptSpec,
     target: &SendTarget,
+    pinned: Option<SoftwareDigest>,
 ) -> OpenOutcome {
     let deadline = call.deadline;
     let timeout = call.time_left(Instant::now());
@@ -119,6 +138,10 @@
         Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
+    let software = state.fleet().answering_version(&target.server, target.incarnation);
+    if pinned.is_some() && software != pinned {
+        return fail(AttemptFailure::Garbled, "the server may have another version").await;
+    }
     state.record_outcome(target, ServerOutcome::Fine);
     OpenOutcome::Stream(Box::new(OpenStream {
         status,
@@ -126,6 +149,7 @@
         first,
         reader,
         target: target.clone(),
+        software,
         connection: (!head.closes).then_some(connection),
         keep_alive: head.keep_alive,
         is_delimited: exchange::is_delimited(&parts.headers),
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -24,7 +24,9 @@
 use super::reject::reject_failed;
 use super::relay;
 use super::stream_open;
+use super::stream_open::NeededVersion;
 use super::stream_open::OpenOutcome;
+use super::version_wait::wait_for_version;
 use crate::cluster::LoadShare;
 use crate::cluster::place_decode;
 use crate::cluster::place_prefill;
@@ -32,7 +34,11 @@
 use crate::load_guard::LoadGuard;
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
+use crate::model::PinnedVersion;
 use crate::model::ServerKey;
+use crate::model::SoftwareDigest;
+use crate::origins::find_version;
+use crate::origins::record_origin;
 use crate::state::GatewayState;
 use crate::stop::IDLE_CLOSE_DELAY;
 
@@ -40,6 +46,10 @@
 /// the typical time, after which the event is not expected to arrive.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// `Retry-After` of a request that takes up a stream of unknown version: gateways that know it may
+/// be reached by then.
+const VERSION_UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Returns the response to a streamed call.
 pub async fn run<C: PlatformCodec>(
     state: &Arc<GatewayState>,
@@ -50,9 +60,20 @@
     if state.stop.has_elapsed(IDLE_CLOSE_DELAY) {
         return reject_call(&call, Rejection::Stopping, Some(Duration::ZERO), 0);
     }
-    let shape = call.prompt_shape();
-    let spec = call.engine_spec();
-    let placed = match wait_for_capacity(state, &call, &attempts, &spec, &shape).await {
+    attempts.pinned_version = find_version::<C>(state, &call).await;
+    let placed = match attempts.pinned_version {
+        PinnedVersion::Unknown => {
+            let retry_after = Some(VERSION_UNKNOWN_RETRY_AFTER);
+            return reject_call(&call, Rejection::VersionUnknown, retry_after, 0);
+        }
+        PinnedVersion::Known(_) if state.fleet().sole_version(&call.service).is_none() => {
+            wait_for_version(state, &call, &attempts).await
+        }
+        PinnedVersion::Known(_) | PinnedVersion::Any => {
+            wait_for_capacity(state, &call, &attempts).await
+        }
+    };
+    let placed = match placed {
         Ok(placed) => placed,
         Err(rejection) => return rejection,
     };
@@ -62,8 +83,10 @@
         && let Some(permit) = attempts.permit_prefill(state, &call)
     {
         let resume_after = call.head.resume_after;
-        cache =
-            prefill_step::prefill::<C>(state, &call, load_guard, permit, resume_after).await.ok();
+        let software = software_of(state, &placed.decode);
+        let prefilled =
+            prefill_step::prefill::<C>(state, &call, load_guard, permit, software, resume_after);
+        cache = prefilled.await.ok();
     }
     open_with_retries::<C>(state, call, attempts, placed.decode, cache).await
 }
@@ -94,15 +117,31 @@
             purpose: source.map_or(AttemptPurpose::Respond, AttemptPurpose::Decode),
             resume_after: call.head.resume_after,
         };
+        let needed = NeededVersion {
+            pinned: attempts.pinned_version.known(),
+            cached: cache.as_ref().map(CacheGuard::software),
+        };
         let replacement = next_server::reserve_after(FIRST_EVENT_TIMEOUT, state, &call, &attempts);
-        let outcome =
-            stream_open::open::<C>(state, &call, load_guard, permit, &attempt_spec, replacement)
-                .await;
+        let outcome = stream_open::open::<C>(
+            state,
+            &call,
+            load_guard,
+            permit,
+            &attempt_spec,
+            needed,
+            replacement,
+        )
+        .await;
         match outcome {
             OpenOutcome::Stream(stream) => {
                 if let Some(cache) = cache {
                     cache.disarm();
                 }
+                attempts.pinned_version =
+                    stream.software.map_or(PinnedVersion::Unknown, PinnedVersion::Known);
+                if let Some(software) = stream.software {
+                    record_origin(state, &call, software, stream.target.incarnation).await;
+                }
                 return relay::relay::<C>(state, call, *stream, attempts);
             }
             OpenOutcome::Responded(response) => {
@@ -147,7 +186,7 @@
         if let Some(permit) = permit {
             let resume_after = call.head.resume_after;
             let found = match reusable_cache {
-                Some(cache) => place_retry(state, &call, &attempts).map(|load| (load, Some(cache))),
+                Some(cache) => place_with_cache(state, &call, &attempts, cache),
                 None => prefill_retry::<C>(state, &call, &mut attempts, resume_after).await,
             };
             next = found.map(|(load_guard, cache)| (permit, load_guard, cache));
@@ -170,10 +209,37 @@
     Some(begin_retry(state, call, attempts, server))
 }
 
+/// Places a stream whose KV cache is still offered: at a server that can read the cache, or else at
+/// any other without it.
+fn place_with_cache<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &Attempts,
+    cache: CacheGuard<C>,
+) -> Option<(LoadGuard, Option<CacheGuard<C>>)> {
+    let of_version = choose_decode(state, call, attempts, Some(cache.software()));
+    if let Some(server) = of_version {
+        return Some((begin_retry(state, call, attempts, server), Some(cache)));
+    }
+    place_retry(state, call, attempts).map(|load_guard| (load_guard, None))
+}
+
 /// Returns another decode server with capacity for the stream.
 pub fn choose_retry(state: &GatewayState, call: &Call, attempts: &Attempts) -> Option<ServerKey> {
+    if attempts.pinned_version == PinnedVersion::Unknown {
+        return None;
+    }
+    choose_decode(state, call, attempts, attempts.pinned_version.known())
+}
+
+fn choose_decode(
+    state: &GatewayState,
+    call: &Call,
+    attempts: &Attempts,
+    software: Option<SoftwareDigest>,
+) -> Option<ServerKey> {
     let fleet = state.fleet();
-    let request = placement_request(state, call, &attempts.tried);
+    let request = placement_request(state, call, &attempts.tried, software);
     place_decode(&fleet, &call.engine_spec(), &call.prompt_shape(), &request).ok()
 }
 
@@ -212,16 +278,27 @@
     decode: &LoadGuard,
     resume_after: Option<u64>,
 ) -> Option<CacheGuard<C>> {
-    let server = nearby_prefill(state, call, decode)?;
+    let software = software_of(state, decode);
+    let server = nearby_prefill(state, call, decode, software)?;
     let permit = attempts.permit_prefill(state, call)?;
     let load_share = LoadShare::of_prompt(call.prompt_shape().prompt_tokens);
     let prefill = LoadGuard::begin(state, server, load_share);
-    prefill_step::prefill::<C>(state, call, prefill, permit, resume_after).await.ok()
+    prefill_step::prefill::<C>(state, call, prefill, permit, software, resume_after).await.ok()
+}
+
+/// Returns the version of the server of `load_guard`, if it is still known.
+fn software_of(state: &GatewayState, load_guard: &LoadGuard) -> Option<SoftwareDigest> {
+    state.fleet().server(&load_guard.server).map(|server_state| server_state.software)
 }
 
-/// Returns a prefill server, preferably in the failure domain of the decode server.
-fn nearby_prefill(state: &Arc<GatewayState>, call: &Call, decode: &LoadGuard) -> Option<ServerKey> {
+/// Returns a prefill server of `software`, preferably in the failure domain of the decode server.
+fn nearby_prefill(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    decode: &LoadGuard,
+    software: Option<SoftwareDigest>,
+) -> Option<ServerKey> {
     let fleet = state.fleet();
     let domain = fleet.server(&decode.server)?.entry.domain.clone();
-    place_prefill(&fleet, &domain, &placement_request(state, call, &[])).ok()
+    place_prefill(&fleet, &domain, &placement_request(state, call, &[], software)).ok()
 }
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -82,6 +82,8 @@
     };
     let caller_identity = found.caller_identity();
     let FoundRoute { table, route, organisation } = found;
+    let organisation_digest =
+        organisation.as_deref().map_or(0, |organisation| organisation_digest(&organisation.name));
     let reject_too_large = || {
         let response = reject_request(request_id, Rejection::TooLarge, None, table.version);
         Ok(ReadOutcome::RejectedUnread(response))
@@ -128,6 +130,7 @@
         headers: parts.headers,
         body,
         head,
+        organisation: organisation_digest,
         charge,
         fingerprint,
         route: Arc::clone(&route),
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -29,6 +29,7 @@
 use crate::upstream;
 use crate::upstream::SendError;
 use crate::upstream::SendTarget;
+use crate::upstream::ServerConnection;
 
 /// Timeout of an engine's response: about a hundred times its usual response time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -72,14 +73,7 @@
     is_within_window: impl Fn() -> bool,
 ) -> Result<(), OrderError> {
     let peer = target.address;
-    let request = engine_request::<C>(target, Method::GET, C::REPORT_PATH, Bytes::new());
-    let report_exchange = async {
-        let sent = upstream::send(&state.pool, target, request).await;
-        let (response, connection) = sent.context(SendSnafu { step: FETCH_REPORT, peer })?;
-        Ok((read_body(response, FETCH_REPORT, peer).await?, connection))
-    };
-    let (body, mut connection) = with_timeout(report_exchange, FETCH_REPORT, peer).await?;
-    let report: EngineReport = C::engine_report(&body).context(ReportSnafu { peer })?;
+    let (report, mut connection) = fetch_report::<C>(state, target).await?;
     snafu::ensure!(is_same_incarnation(target, &report), RestartedSnafu { peer });
     snafu::ensure!(!report.is_changing, ChangingSnafu { peer });
     if report.stage == stage {
@@ -101,8 +95,25 @@
     Ok(())
 }
 
+/// Returns the report of the engine at `target`, and the connection on which it came.
+pub async fn fetch_report<C: PlatformCodec>(
+    state: &GatewayState,
+    target: &SendTarget,
+) -> Result<(EngineReport, ServerConnection), OrderError> {
+    let peer = target.address;
+    let request = engine_request::<C>(target, Method::GET, C::REPORT_PATH, Bytes::new());
+    let report_exchange = async {
+        let sent = upstream::send(&state.pool, target, request).await;
+        let (response, connection) = sent.context(SendSnafu { step: FETCH_REPORT, peer })?;
+        Ok((read_body(response, FETCH_REPORT, peer).await?, connection))
+    };
+    let (body, connection) = with_timeout(report_exchange, FETCH_REPORT, peer).await?;
+    let report = C::engine_report(&body).context(ReportSnafu { peer })?;
+    Ok((report, connection))
+}
+
 /// Returns false if the engine has restarted since `target` was looked up.
-fn is_same_incarnation(target: &SendTarget, report: &EngineReport) -> bool {
+pub fn is_same_incarnation(target: &SendTarget, report: &EngineReport) -> bool {
     report.started_at.is_none()
         || server_incarnation(&target.server, report.started_at) == target.incarnation
 }
--- a/crates/gateway/src/leader/stage_controller.rs
+++ b/crates/gateway/src/leader/stage_controller.rs
@@ -114,7 +114,7 @@
         if state.fleet().has_limit(&server) {
             continue;
         }
-        let Some(target) = send_target(state, &server) else { continue };
+        let Some(target) = send_target(state, &server, None) else { continue };
         // Uses a new connection, so that the report and the order reach the same process.
         let target = SendTarget { may_reuse: false, ..target };
         let is_within_window = || boottime_clock().saturating_sub(started_at) < ORDER_WINDOW;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! Modules, in the order in which a request passes them: [`ingress`] (connections, limits, routes),
 //! [`forward`] (one request end to end), [`paths`] and [`upstream`] (connections to backend servers,
-//! directly or by a [`tunnel`] through another gateway). [`cluster`]
+//! directly or by a [`tunnel`] through another gateway). [`origins`] finds which software version began
+//! a stream that a caller takes up. [`cluster`]
 //! makes every decision, without I/O or clocks; [`store`] and [`peers`] supply its input. [`model`]
 //! defines the shared types, and [`codec`] the interface to a platform's names and formats.
 
@@ -20,6 +21,7 @@
 pub mod leader;
 pub mod load_guard;
 pub mod model;
+pub mod origins;
 pub mod paths;
 pub mod peers;
 pub mod quarantine;
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -15,6 +15,7 @@
 mod organisation;
 mod organisation_registry;
 mod packed_routes;
+mod pinned_version;
 mod quota_limit;
 mod request_fingerprint;
 mod request_head;
@@ -46,6 +47,7 @@
 pub use self::organisation_registry::CallerLookup;
 pub use self::organisation_registry::OrganisationEntry;
 pub use self::organisation_registry::OrganisationRegistry;
+pub use self::pinned_version::PinnedVersion;
 pub use self::quota_limit::QuotaLimit;
 pub use self::quota_limit::QuotaUnit;
 pub use self::request_fingerprint::FingerprintParts;
@@ -65,6 +67,7 @@
 pub use self::server_entry::ServerEntry;
 pub use self::server_entry::ServerStage;
 pub use self::server_entry::server_incarnation;
+pub use self::server_entry::software_digest;
 pub use self::stage_order::EngineReport;
 pub use self::stage_order::StageOrder;
 pub use self::store_row::RowBatch;
@@ -97,5 +100,9 @@
 pub type OrganisationName = Arc<str>;
 /// A failure domain's name.
 pub type DomainKey = Arc<str>;
+/// The version of a server's software, as registered. Versions have no order.
+pub type SoftwareVersion = Arc<str>;
+/// Digest of a [`SoftwareVersion`], by which gateways refer to it.
+pub type SoftwareDigest = u64;
 /// The version of the configuration in force.
 pub type ConfigVersion = u64;
--- a/crates/gateway/src/model/request_head.rs
+++ b/crates/gateway/src/model/request_head.rs
@@ -36,4 +36,6 @@
     pub prompt: Option<PromptShape>,
     /// The last event that the caller has received, when it resumes a stream.
     pub resume_after: Option<u64>,
+    /// The id of the attempt that brought the caller its first event, when it takes up a stream.
+    pub resumes: Option<String>,
 }
--- a/crates/gateway/src/model/server_entry.rs
+++ b/crates/gateway/src/model/server_entry.rs
@@ -9,6 +9,8 @@
 use super::ServerIncarnation;
 use super::ServerKey;
 use super::ServiceName;
+use super::SoftwareDigest;
+use super::SoftwareVersion;
 
 /// The stage of a request that a model engine runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
@@ -32,6 +34,9 @@
     /// Number of requests that the server processes at a time.
     pub slots: u32,
     pub stage: ServerStage,
+    /// What servers of two versions write does not fit together: neither the events of one stream
+    /// nor the KV cache of one prompt.
+    pub software: SoftwareVersion,
     /// True once the server has announced its departure.
     pub is_leaving: bool,
     /// When the server started, by its own clock; `None` if it does not state it. A server may
@@ -46,6 +51,11 @@
     }
 }
 
+/// Returns the digest of a software version.
+pub fn software_digest(software: &str) -> SoftwareDigest {
+    umberglade_wire::digest(software.as_bytes())
+}
+
 /// Returns the digest of the incarnation of `server` that started at `started_at`.
 pub fn server_incarnation(server: &str, started_at: Option<SystemTime>) -> ServerIncarnation {
     let since_epoch = started_at.and_then(|at| at.duration_since(SystemTime::UNIX_EPOCH).ok());
--- a/crates/gateway/src/model/store_row.rs
+++ b/crates/gateway/src/model/store_row.rs
@@ -26,6 +26,8 @@
     Duties,
     /// Quarantined requests, by fingerprint.
     Quarantines,
+    /// Software versions of services that have several, and the streams that began at them.
+    Software,
 }
 
 impl StoreTable {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -12,6 +12,8 @@
 mod config_messages;
 mod config_server;
 mod member_fetcher;
+mod origin_messages;
+mod origin_teller;
 mod peer_registry;
 mod remote_peer_cycle;
 mod report;
@@ -27,6 +29,8 @@
 
 pub use self::config_fetcher::fetch_newer_configs;
 pub use self::member_fetcher::fetch_members;
+pub use self::origin_messages::ask_origin;
+pub use self::origin_teller::OriginTeller;
 pub use self::peer_registry::MemberRecord;
 pub use self::peer_registry::MemberSummary;
 pub use self::peer_registry::PeerGroups;
--- a/crates/gateway/src/peers/peer_registry.rs
+++ b/crates/gateway/src/peers/peer_registry.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::cluster::name_digest;
+use crate::cluster::rendezvous_score;
 use crate::cluster::shares_shard;
 use crate::model::DomainKey;
 
@@ -235,6 +236,20 @@
         children.map(|(_, address)| *address).collect()
     }
 
+    /// Returns the `count` gateways except `local` of highest rank for `digest`, by rendezvous
+    /// hashing: gateways that know the same others choose the same.
+    pub fn preferred(&self, digest: u64, local: u64, count: usize) -> Vec<SocketAddr> {
+        let entries = self.entries();
+        let others = entries.by_name.values().filter(|entry| entry.digest != local);
+        let mut ranked: Vec<(u32, SocketAddr)> =
+            others.map(|entry| (rendezvous_score(entry.digest, digest), entry.address)).collect();
+        if ranked.len() > count {
+            ranked.select_nth_unstable_by(count, |left, right| right.cmp(left));
+            ranked.truncate(count);
+        }
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Returns the number of known gateways.
     pub fn len(&self) -> usize {
         self.entries().by_name.len()
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -16,6 +16,7 @@
 use crate::cluster::QueueUpdate;
 use crate::cluster::RelayedNotice;
 use crate::cluster::RetryCount;
+use crate::cluster::StreamOrigin;
 use crate::cluster::TunnelOffer;
 use crate::model::ConfigId;
 use crate::model::ConfigVersion;
@@ -129,6 +130,8 @@
 pub enum PeerMessage {
     Load(Box<LoadReport>),
     Rows(TableRows),
+    /// The versions that began streams. Gateways of the previous build can't decode this.
+    Origins(Vec<StreamOrigin>),
 }
 
 impl PeerMessage {
@@ -171,6 +174,7 @@
         let (rows, outcomes) = match self {
             PeerMessage::Rows(table_rows) => (Some(&mut table_rows.rows), None),
             PeerMessage::Load(report) => (None, Some(&mut report.outcomes)),
+            PeerMessage::Origins(_) => (None, None),
         };
         let of_rows = rows.into_iter().flatten().map(|row| &mut row.stamp);
         let of_outcomes =
--- a/crates/gateway/src/peers/report_receiver.rs
+++ b/crates/gateway/src/peers/report_receiver.rs
@@ -75,6 +75,9 @@
             }
             state.shared_tables.apply_peer_rows(rows);
         }
+        PeerMessage::Origins(origins) => {
+            origins.into_iter().for_each(|origin| state.origins.record_told(origin));
+        }
         PeerMessage::Load(report) => {
             let is_new = add_peer(state, registry, &report.peer, address);
             if is_new && report.reach == PeerReach::Far {
--- a/crates/gateway/src/peers/transfer_server.rs
+++ b/crates/gateway/src/peers/transfer_server.rs
@@ -1,4 +1,4 @@
-//! Accepts peers that ask for a transfer or a tunnel, and bounds how many transfers are sent at a
+//! Accepts peers that ask for a transfer, a tunnel or the origin of a stream, and bounds how many transfers are sent at a
 //! time.
 
 use std::io;
@@ -18,6 +18,8 @@
 use super::config_messages;
 use super::config_messages::ConfigRequest;
 use super::config_server;
+use super::origin_messages;
+use super::origin_messages::OriginRequest;
 use super::table_server;
 use super::transfer_messages;
 use super::transfer_messages::TransferRequest;
@@ -135,6 +137,9 @@
             drop(connection);
             tunnel::serve_tunnel(&state, stream, request).await
         }
+        Some(Ok(PeerRequest::Origin(request))) => {
+            origin_messages::answer_origin_request(&state, &mut stream, request).await
+        }
         Some(Err(error)) => Err(error),
         None => config_server::send_snapshot(&state, &slots, &mut stream).await,
     };
@@ -149,6 +154,7 @@
     Config(ConfigRequest),
     Transfer(TransferRequest),
     Tunnel(TunnelRequest),
+    Origin(OriginRequest),
 }
 
 async fn read_request(stream: &mut TcpStream) -> io::Result<PeerRequest> {
@@ -156,6 +162,7 @@
     match magic {
         config_messages::MAGIC => decode(&body).map(PeerRequest::Config),
         tunnel::MAGIC => decode(&body).map(PeerRequest::Tunnel),
+        origin_messages::MAGIC => decode(&body).map(PeerRequest::Origin),
         transfer_messages::MAGIC => decode(&body).map(PeerRequest::Transfer),
         _ => Err(invalid("not a message of this build")),
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -22,9 +22,11 @@
 use crate::model::GatewaySettings;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
+use crate::origins;
 use crate::paths::recheck_broken_paths;
 use crate::peers;
 use crate::peers::MemberRecord;
+use crate::peers::OriginTeller;
 use crate::peers::PeerRegistry;
 use crate::quarantine;
 use crate::registration::keep_registered;
@@ -99,6 +101,11 @@
     pool::spawn(keep_registered::<C>(Arc::clone(&state)));
     pool::spawn(peers::send_reports(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
     pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
+    let teller = OriginTeller::new(state.digest, socket.clone(), Arc::clone(&registry));
+    state.origins.set_teller(teller);
+    pool::spawn(origins::run_announcements::<C>(Arc::clone(&state)));
+    pool::spawn(origins::run_restart_checks::<C>(Arc::clone(&state)));
+    pool::spawn(origins::run_journal::<C>(Arc::clone(&state)));
     pool::spawn(peers::receive_reports(Arc::clone(&state), Arc::clone(&registry), socket));
     if let Some(listener) = config_listener {
         pool::spawn(peers::serve_transfers(Arc::clone(&state), Arc::clone(&registry), listener));
@@ -285,12 +292,14 @@
         let changes = state.fleet().tick(now);
         state.log_changes(&changes, StoreStamp::NONE);
         state.pool.remove_expired(now);
+        state.origins.known().tick(now);
         let rank = state.fleet().peers.rank(state.digest, now);
         let is_sharded = state.fleet().peer_shards() > 1;
         state.quarantines.set_relaying(is_sharded);
         state.quarantines.tick(rank.peers_before == 0);
         state.quotas.tick(&state.quota_view());
         live_peers = log_peers(&state, live_peers, now);
+        metrics::gauge!("umberglade_stream_origins").set(state.origins.known().len() as f64);
         metrics::gauge!("umberglade_limited_servers")
             .set(state.fleet().limits.active_count() as f64);
         metrics::gauge!("umberglade_broken_paths").set(state.fleet().paths.broken_count() as f64);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
 use crate::model::RequestFingerprint;
 use crate::model::ServiceName;
 use crate::model::StoreStamp;
+use crate::origins::OriginState;
 use crate::quarantine::Quarantines;
 use crate::quota::QuotaPeers;
 use crate::quota::Quotas;
@@ -83,6 +84,8 @@
     pub path_checked: Event,
     /// Notified when a path to a server is found to be broken.
     pub path_broken: Event,
+    /// Which software versions began streams.
+    pub origins: OriginState,
     /// Tunnels that this gateway serves for others.
     pub tunnel_slots: TunnelSlots,
     /// The store's era.
@@ -149,6 +152,7 @@
             capacity_changed: Event::new(),
             path_checked: Event::new(),
             path_broken: Event::new(),
+            origins: OriginState::default(),
             tunnel_slots: TunnelSlots::default(),
             quarantines: Quarantines::new(started_at),
             quotas: Quotas::new(started_at),
@@ -182,6 +186,9 @@
             fleet.server(server).is_some_and(|server_state| server_state.health.is_ejected(now));
         fleet.record_outcome(server, target.incarnation, outcome, now);
         let Some(server_state) = fleet.server(server) else { return };
+        if !fleet.is_version_certain(server_state) {
+            self.origins.doubt_server(target);
+        }
         let failure_share = server_state.health.failure_fraction(now);
         let is_ejected = server_state.health.is_ejected(now);
         if is_ejected && !was_ejected {
@@ -217,16 +224,26 @@
                 FleetChange::Restarted(server) => (server, "restarted"),
             };
             let (version, era) = (stamp.version(), stamp.written_era());
+            let software =
+                self.fleet().server(server).map(|known| Arc::clone(&known.entry.software));
             tracing::info!(
                 event = events::SERVER_CHANGED,
                 %server,
                 version,
                 era,
+                software = software.as_deref(),
                 outcome,
                 changes = changes.len(),
                 "server changed"
             );
         }
+        let replaced = self.fleet().take_replaced_versions();
+        for incarnation in replaced {
+            self.origins.known().doubt(incarnation, Instant::now());
+        }
+        if !self.fleet().due_announcements().is_empty() {
+            self.origins.announcement_due.notify(1);
+        }
         if !changes.is_empty() {
             self.capacity_changed.notify(usize::MAX);
         }
--- a/crates/gateway/src/store/server_sink.rs
+++ b/crates/gateway/src/store/server_sink.rs
@@ -115,6 +115,9 @@
 
     fn store_copied(&mut self) {
         self.state.fleet().record_store_copied();
+        // Announcements and origins may be among what the copy lacks.
+        self.state.fleet().forget_announcements();
+        self.state.origins.announcement_due.notify(1);
         self.store_available();
     }
 
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -17,6 +17,7 @@
 use super::store_error::ExchangeSnafu;
 use crate::codec::PlatformCodec;
 use crate::model::RowBatch;
+use crate::model::StoreRow;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
 use crate::state::GatewayState;
@@ -142,6 +143,23 @@
         self.read_rows(C::first_rows_path(table, limit)).await
     }
 
+    /// Returns all rows of `table`, page by page: rows that change meanwhile may be of any moment.
+    pub async fn read_whole_table(
+        &mut self,
+        table: StoreTable,
+    ) -> Result<Vec<StoreRow>, StoreError> {
+        let mut rows: Vec<StoreRow> = Vec::new();
+        loop {
+            let after = rows.last().map(|row| row.key.as_str());
+            let batch = self.read_rows(C::list_path(table, after)).await?;
+            let is_last = !batch.has_more || batch.rows.is_empty();
+            rows.extend(batch.rows);
+            if is_last {
+                return Ok(rows);
+            }
+        }
+    }
+
     async fn read_rows(&mut self, path: String) -> Result<RowBatch, StoreError> {
         let step = "store look";
         metrics::counter!("umberglade_store_calls_total", "call" => step).increment(1);
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -27,6 +27,7 @@
         domain: "z".into(),
         slots: 6,
         stage: ServerStage::Plain,
+        software: "v1".into(),
         is_leaving,
         started_at: None,
     }
--- a/crates/gateway/tests/limit_division.rs
+++ b/crates/gateway/tests/limit_division.rs
@@ -57,6 +57,7 @@
         domain: "z".into(),
         slots: 6,
         stage: ServerStage::Plain,
+        software: "v1".into(),
         is_leaving: false,
         started_at: None,
     }
@@ -157,6 +158,7 @@
             gateway: gateway as u64,
             domain: &domain,
             tried: &[],
+            software: None,
             now: self.now,
         };
         let fleet = &mut self.fleets[gateway];
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -75,6 +75,7 @@
                 _ => None,
             })
             .collect(),
+        PeerMessage::Origins(_) => Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/peer_totals.rs
+++ b/crates/gateway/tests/peer_totals.rs
@@ -230,7 +230,14 @@
         }
         let domain: DomainKey = "z0".into();
         let gateway = name_digest("gw");
-        let need = PlacementRequest { service: "svc", gateway, domain: &domain, tried: &[], now };
+        let need = PlacementRequest {
+            service: "svc",
+            gateway,
+            domain: &domain,
+            tried: &[],
+            software: None,
+            now,
+        };
         let before = fleet.peers.server_lookups();
         place_engine(&fleet, &spec, &shape, 0, &need).expect("capacity");
         let engines = (case.decode + case.prefill) as u64;
@@ -249,6 +256,7 @@
         domain: format!("z{}", at % 4).into(),
         slots: 64,
         stage,
+        software: "v1".into(),
         is_leaving: false,
         started_at: None,
     }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -47,6 +47,7 @@
         domain: domain.into(),
         slots: 6,
         stage,
+        software: "v1".into(),
         is_leaving: false,
         started_at: None,
     }
@@ -65,7 +66,14 @@
     tried: &'a [ServerKey],
     now: Instant,
 ) -> PlacementRequest<'a> {
-    PlacementRequest { service: "svc", gateway: name_digest("gw-1"), domain, tried, now }
+    PlacementRequest {
+        service: "svc",
+        gateway: name_digest("gw-1"),
+        domain,
+        tried,
+        software: None,
+        now,
+    }
 }
 
 fn calls(running: u32) -> LoadShare {
--- a/crates/gateway/tests/server_backoffs.rs
+++ b/crates/gateway/tests/server_backoffs.rs
@@ -30,6 +30,7 @@
         domain: "z".into(),
         slots: 6,
         stage: ServerStage::Plain,
+        software: "v1".into(),
         is_leaving: false,
         started_at: None,
     }
@@ -46,8 +47,14 @@
 
 fn is_placed(fleet: &Fleet, now: Instant) -> bool {
     let domain: DomainKey = "z".into();
-    let request =
-        PlacementRequest { service: "svc", gateway: LOCAL, domain: &domain, tried: &[], now };
+    let request = PlacementRequest {
+        service: "svc",
+        gateway: LOCAL,
+        domain: &domain,
+        tried: &[],
+        software: None,
+        now,
+    };
     place_plain(fleet, &request).is_ok()
 }
 
--- a/crates/gateway/tests/stage_monitor.rs
+++ b/crates/gateway/tests/stage_monitor.rs
@@ -176,6 +176,7 @@
             domain: ["a", "b", "c"][at as usize % 3].into(),
             slots: 16,
             stage: if at < 9 { ServerStage::Prefill } else { ServerStage::Decode },
+            software: "v1".into(),
             is_leaving: false,
             started_at: None,
         };
