Soak: servers of several software versions (--versions)

Releases, ways back, servers that start again under their id at another version, and the end of all gateways at once, in series and together with the other faults; callers disconnect from streams and take them up at any gateway. Checks: one_version, version_known.

Cause of both: what a server's row says was taken for its process. A gateway now asks a server that states its start when it started, where no recent read of the table confirms it, before a stream counts as begun at its version, and before a stream goes on there.

--- a/crates/gateway/src/cluster/candidate.rs
+++ b/crates/gateway/src/cluster/candidate.rs
@@ -114,9 +114,6 @@
     fleet
         .available_servers_of(request.service, request.software, request.now)
         .filter(|(server_state, _)| suits(server_state.entry.stage))
-        .filter(|(server_state, _)| {
-            request.software.is_none() || fleet.is_version_certain(server_state)
-        })
         .filter(|(server_state, _)| !request.tried.contains(&server_state.entry.server))
         .map(|(server_state, peers)| {
             let reach = fleet.reach(server_state, request.now);
--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -91,6 +91,8 @@
     stable_since: Option<Instant>,
     /// When the table was last read.
     pub(super) read_at: Option<Instant>,
+    /// When another gateway last read the table, with the content that is known here.
+    pub(super) read_elsewhere_at: Option<Instant>,
 }
 
 impl Fleet {
--- a/crates/gateway/src/cluster/fleet_versions.rs
+++ b/crates/gateway/src/cluster/fleet_versions.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::Fleet;
+use super::ServerOutcome;
 use super::ServerState;
 use super::ServiceVersions;
 use crate::model::ServerIncarnation;
@@ -13,6 +14,9 @@
 /// Time within which the row of a server that starts again under its id is known: until then, the
 /// process that answers may have another version than its row.
 const RESTART_NOTICE_TIME: Duration = Duration::from_millis(2500);
+/// How long a server counts as the process that it was found to be: twice the time within which a
+/// row tells of a new one.
+const CONFIRMATION_VALIDITY: Duration = Duration::from_secs(5);
 
 impl Fleet {
     /// Returns the versions of `service`, if any server of it is or was known.
@@ -69,10 +73,17 @@
         &self,
         key: &str,
         incarnation: ServerIncarnation,
+        now: Instant,
     ) -> Option<SoftwareDigest> {
         let server_state = self.servers.get(key)?;
         let is_current = server_state.incarnation == incarnation;
-        (is_current && self.is_version_certain(server_state)).then_some(server_state.software)
+        let is_certain = is_current && self.is_version_certain(server_state, now);
+        is_certain.then_some(server_state.software)
+    }
+
+    /// Records that another gateway has read the table at `at`, and that it is as it is known here.
+    pub fn record_read_elsewhere(&mut self, at: Instant) {
+        self.read_elsewhere_at = self.read_elsewhere_at.max(Some(at));
     }
 
     /// Records that the process that answers for `incarnation` of the server `key` was found to be
@@ -83,21 +94,27 @@
         incarnation: ServerIncarnation,
         asked_at: Instant,
     ) {
-        if let Some(server_state) = self.current_server_mut(key, incarnation)
-            && server_state.broke_at.is_some_and(|broke_at| broke_at <= asked_at)
-        {
-            server_state.broke_at = None;
+        if let Some(server_state) = self.current_server_mut(key, incarnation) {
+            server_state.confirmed_at = server_state.confirmed_at.max(Some(asked_at));
         }
     }
 
-    /// Returns true if the process that answers for a server has the version of its row: none of the
-    /// server's connections has broken since, so that it may have been started again under its id.
-    /// One that states no start time never is.
-    pub fn is_version_certain(&self, server_state: &ServerState) -> bool {
-        let keeps_no_id = server_state.entry.started_at.is_none();
-        let is_sole = self.sole_version(&server_state.entry.service) == Some(server_state.software);
-        let is_read_since =
-            |broke_at: Instant| self.read_at.is_some_and(|at| at >= broke_at + RESTART_NOTICE_TIME);
-        keeps_no_id || is_sole || server_state.broke_at.is_none_or(is_read_since)
+    /// Records that the process that answers for `incarnation` of the server `key` is another one.
+    pub fn record_restarted(&mut self, key: &str, incarnation: ServerIncarnation, now: Instant) {
+        self.record_outcome(key, incarnation, ServerOutcome::Misdirected, now);
+    }
+
+    /// Returns true if the process that answers for a server has the version of its row: it was so
+    /// lately, and no connection has broken since. Only a server that states its start time may be
+    /// started again under its id.
+    pub fn is_version_certain(&self, server_state: &ServerState, now: Instant) -> bool {
+        if server_state.entry.started_at.is_none() {
+            return true;
+        }
+        let read_at = self.read_at.max(self.read_elsewhere_at);
+        let by_row = read_at.and_then(|at| at.checked_sub(RESTART_NOTICE_TIME));
+        let Some(confirmed_at) = by_row.max(server_state.confirmed_at) else { return false };
+        let has_broken = server_state.broke_at.is_some_and(|at| at >= confirmed_at);
+        !has_broken && now.saturating_duration_since(confirmed_at) < CONFIRMATION_VALIDITY
     }
 }
--- a/crates/gateway/src/cluster/server_state.rs
+++ b/crates/gateway/src/cluster/server_state.rs
@@ -30,6 +30,8 @@
     pub is_unreadable: bool,
     /// When a connection to the server last broke or could not be opened.
     pub broke_at: Option<Instant>,
+    /// When the server was last found to be the process of its row.
+    pub confirmed_at: Option<Instant>,
     /// Set when the server at the address has stated that it is another one than the row describes.
     /// Applies until the next row or this time.
     pub outdated_until: Option<Instant>,
@@ -48,6 +50,7 @@
             expires_at: None,
             is_unreadable: false,
             broke_at: None,
+            confirmed_at: None,
             outdated_until: None,
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -111,6 +111,8 @@
 pub const VERSIONS_ANNOUNCED: u32 = 6032;
 /// The rows about software versions were read from the store, or this failed.
 pub const SOFTWARE_ROWS_READ: u32 = 6033;
+/// A server whose connection broke was asked whether it was started again.
+pub const RESTART_CHECKED: u32 = 6034;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -20,6 +20,7 @@
 use crate::model::AttemptSpec;
 use crate::model::CacheSource;
 use crate::model::SoftwareDigest;
+use crate::origins::confirmed_version;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
 
@@ -121,7 +122,7 @@
         took_ms = took.as_millis() as u64,
         "prefill completed"
     );
-    let answering = state.fleet().answering_version(&target.server, target.incarnation);
+    let answering = confirmed_version::<C>(state, &target).await;
     let source = CacheSource { server: target.address, handle: result.handle };
     let cache_version = software.unwrap_or_default();
     let cache = CacheGuard::new(state, target, source, cache_version, call.id());
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -25,6 +25,7 @@
 use crate::load_guard::LoadGuard;
 use crate::model::AttemptSpec;
 use crate::model::SoftwareDigest;
+use crate::origins::confirmed_version;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
@@ -109,6 +110,13 @@
     target: &SendTarget,
     pinned: Option<SoftwareDigest>,
 ) -> OpenOutcome {
+    if pinned.is_some() && confirmed_version::<C>(state, target).await != pinned {
+        let problem = "the server may have another version";
+        let failure = AttemptFailure::NotRun;
+        return OpenOutcome::Failed(
+            exchange::record_failure(state, call, target, failure, problem).await,
+        );
+    }
     let deadline = call.deadline;
     let timeout = call.time_left(Instant::now());
     let opened =
@@ -138,7 +146,7 @@
         Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
-    let software = state.fleet().answering_version(&target.server, target.incarnation);
+    let software = confirmed_version::<C>(state, target).await;
     if pinned.is_some() && software != pinned {
         return fail(AttemptFailure::Garbled, "the server may have another version").await;
     }
--- a/crates/gateway/src/origins/restart_check.rs
+++ b/crates/gateway/src/origins/restart_check.rs
@@ -1,34 +1,72 @@
 //! Checks whether a server whose connection broke is still the process that its row describes.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use umberglade_wire::pool;
 
 use crate::codec::PlatformCodec;
+use crate::events;
 use crate::leader::fetch_report;
 use crate::leader::is_same_incarnation;
+use crate::model::SoftwareDigest;
 use crate::state::GatewayState;
+use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
 
+/// How long a stream waits for the answer of its server.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Checks the servers at which streams can't go on before it is known, until the process stops.
 ///
 /// Prevents each break of a connection from keeping a sound server from taking up streams until its
 /// row is read again.
 pub async fn run_restart_checks<C: PlatformCodec>(state: Arc<GatewayState>) {
     while let Ok(target) = state.origins.next_doubted().await {
-        pool::spawn(check_server::<C>(Arc::clone(&state), target));
+        let state = Arc::clone(&state);
+        pool::spawn(async move { check_server::<C>(&state, &target).await });
     }
 }
 
-async fn check_server<C: PlatformCodec>(state: Arc<GatewayState>, target: SendTarget) {
+/// Returns the version of the process that answers for `target`, asking it if need be; `None` if it
+/// does not tell in time or has been started again.
+pub async fn confirmed_version<C: PlatformCodec>(
+    state: &GatewayState,
+    target: &SendTarget,
+) -> Option<SoftwareDigest> {
+    let known = || {
+        let fleet = state.fleet();
+        fleet.answering_version(&target.server, target.incarnation, Instant::now())
+    };
+    if let Some(software) = known() {
+        return Some(software);
+    }
+    with_deadline(Instant::now() + ASK_TIMEOUT, check_server::<C>(state, target)).await;
+    known()
+}
+
+async fn check_server<C: PlatformCodec>(state: &GatewayState, target: &SendTarget) {
     // A connection from before the break may lead to the process before.
-    let target = SendTarget { may_reuse: false, ..target };
+    let target = SendTarget { may_reuse: false, ..target.clone() };
     let asked_at = Instant::now();
-    let report = fetch_report::<C>(&state, &target).await;
-    if let Ok((report, _)) = report
-        && is_same_incarnation(&target, &report)
-    {
-        state.fleet().confirm_version(&target.server, target.incarnation, asked_at);
-    }
+    let report = fetch_report::<C>(state, &target).await;
+    let outcome = match &report {
+        Ok((report, _)) if is_same_incarnation(&target, report) => {
+            state.fleet().confirm_version(&target.server, target.incarnation, asked_at);
+            "not started again".to_owned()
+        }
+        Ok(_) => {
+            state.fleet().record_restarted(&target.server, target.incarnation, asked_at);
+            "started again".to_owned()
+        }
+        Err(error) => error.to_string(),
+    };
+    tracing::info!(
+        event = events::RESTART_CHECKED,
+        server = %target.server,
+        peer = %target.address,
+        outcome,
+        "server asked when it started"
+    );
 }
--- a/crates/gateway/src/peers/report_receiver.rs
+++ b/crates/gateway/src/peers/report_receiver.rs
@@ -156,8 +156,10 @@
         if held_at.is_none() {
             apply_reader_offer(state, registry, notice, now);
         }
-        if let Some(at) = held_at.filter(|_| notice.table == StoreTable::Configuration) {
-            state.record_config_fresh(at);
+        match (held_at, notice.table) {
+            (Some(at), StoreTable::Configuration) => state.record_config_fresh(at),
+            (Some(at), StoreTable::Servers) => state.fleet().record_read_elsewhere(at),
+            _ => {}
         }
     }
     let (own, theirs) = (registry.summary(), relay.members);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -186,7 +186,7 @@
             fleet.server(server).is_some_and(|server_state| server_state.health.is_ejected(now));
         fleet.record_outcome(server, target.incarnation, outcome, now);
         let Some(server_state) = fleet.server(server) else { return };
-        if !fleet.is_version_certain(server_state) {
+        if !fleet.is_version_certain(server_state, now) {
             self.origins.doubt_server(target);
         }
         let failure_share = server_state.health.failure_fraction(now);
