--- a/crates/gateway/src/cluster/fleet_versions.rs
+++ b/crates/gateway/src/cluster/fleet_versions.rs
@@ -64,21 +64,40 @@
         std::mem::take(&mut self.replaced_versions)
     }
 
-    /// Returns the version of the process that answers for `incarnation` of the server `key`; `None`
-    /// if it is not known: the server has been started again since, or may have been.
+    /// Returns the version of the process that answers, to a request sent at `sent_at`, for
+    /// `incarnation` of the server `key`; `None` if it is not known: the server has been started again
+    /// since its row was read, or may have been.
     ///
     /// Prevents events of a server that starts again under its id, at another version, from counting
-    /// as those of the version before.
+    /// as those of the version before. While a service has several versions, such a server must have
+    /// been found to be the process of its row after the request was sent.
     pub fn answering_version(
         &self,
         key: &str,
         incarnation: ServerIncarnation,
+        sent_at: Instant,
         now: Instant,
     ) -> Option<SoftwareDigest> {
         let server_state = self.servers.get(key)?;
+        let is_certain = match self.sole_version(&server_state.entry.service) {
+            Some(_) => self.is_version_certain(server_state, now),
+            None => self.is_version_certain_since(server_state, sent_at),
+        };
         let is_current = server_state.incarnation == incarnation;
-        let is_certain = is_current && self.is_version_certain(server_state, now);
-        is_certain.then_some(server_state.software)
+        (is_current && is_certain).then_some(server_state.software)
+    }
+
+    fn is_version_certain_since(&self, server_state: &ServerState, since: Instant) -> bool {
+        let is_since = |at: Instant| at >= since;
+        server_state.entry.started_at.is_none()
+            || self.confirmed_at(server_state).is_some_and(is_since)
+    }
+
+    /// Returns when a server was last known to be the process of its row.
+    fn confirmed_at(&self, server_state: &ServerState) -> Option<Instant> {
+        let read_at = self.read_at.max(self.read_elsewhere_at);
+        let by_row = read_at.and_then(|at| at.checked_sub(RESTART_NOTICE_TIME));
+        by_row.max(server_state.confirmed_at)
     }
 
     /// Records that another gateway has read the table at `at`, and that it is as it is known here.
@@ -111,9 +130,7 @@
         if server_state.entry.started_at.is_none() {
             return true;
         }
-        let read_at = self.read_at.max(self.read_elsewhere_at);
-        let by_row = read_at.and_then(|at| at.checked_sub(RESTART_NOTICE_TIME));
-        let Some(confirmed_at) = by_row.max(server_state.confirmed_at) else { return false };
+        let Some(confirmed_at) = self.confirmed_at(server_state) else { return false };
         let has_broken = server_state.broke_at.is_some_and(|at| at >= confirmed_at);
         !has_broken && now.saturating_duration_since(confirmed_at) < CONFIRMATION_VALIDITY
     }
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -122,7 +122,7 @@
         took_ms = took.as_millis() as u64,
         "prefill completed"
     );
-    let answering = confirmed_version::<C>(state, &target).await;
+    let answering = confirmed_version::<C>(state, &target, started_at).await;
     let source = CacheSource { server: target.address, handle: result.handle };
     let cache_version = software.unwrap_or_default();
     let cache = CacheGuard::new(state, target, source, cache_version, call.id());
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -110,13 +110,7 @@
     target: &SendTarget,
     pinned: Option<SoftwareDigest>,
 ) -> OpenOutcome {
-    if pinned.is_some() && confirmed_version::<C>(state, target).await != pinned {
-        let problem = "the server may have another version";
-        let failure = AttemptFailure::NotRun;
-        return OpenOutcome::Failed(
-            exchange::record_failure(state, call, target, failure, problem).await,
-        );
-    }
+    let sent_at = Instant::now();
     let deadline = call.deadline;
     let timeout = call.time_left(Instant::now());
     let opened =
@@ -146,7 +140,7 @@
         Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
-    let software = confirmed_version::<C>(state, target).await;
+    let software = confirmed_version::<C>(state, target, sent_at).await;
     if pinned.is_some() && software != pinned {
         return fail(AttemptFailure::Garbled, "the server may have another version").await;
     }
--- a/crates/gateway/src/origins/restart_check.rs
+++ b/crates/gateway/src/origins/restart_check.rs
@@ -29,15 +29,16 @@
     }
 }
 
-/// Returns the version of the process that answers for `target`, asking it if need be; `None` if it
-/// does not tell in time or has been started again.
+/// Returns the version of the process that answers for `target` to a request sent at `sent_at`,
+/// asking it if need be; `None` if it does not tell in time or has been started again.
 pub async fn confirmed_version<C: PlatformCodec>(
     state: &GatewayState,
     target: &SendTarget,
+    sent_at: Instant,
 ) -> Option<SoftwareDigest> {
     let known = || {
         let fleet = state.fleet();
-        fleet.answering_version(&target.server, target.incarnation, Instant::now())
+        fleet.answering_version(&target.server, target.incarnation, sent_at, Instant::now())
     };
     if let Some(software) = known() {
         return Some(software);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
 use crate::in_flight_count::InFlightCount;
 use crate::model::GatewaySettings;
 use crate::model::RequestFingerprint;
+use crate::model::ServerStage;
 use crate::model::ServiceName;
 use crate::model::StoreStamp;
 use crate::origins::OriginState;
@@ -186,7 +187,8 @@
             fleet.server(server).is_some_and(|server_state| server_state.health.is_ejected(now));
         fleet.record_outcome(server, target.incarnation, outcome, now);
         let Some(server_state) = fleet.server(server) else { return };
-        if !fleet.is_version_certain(server_state, now) {
+        let is_engine = server_state.entry.stage != ServerStage::Plain;
+        if is_engine && !fleet.is_version_certain(server_state, now) {
             self.origins.doubt_server(target);
         }
         let failure_share = server_state.health.failure_fraction(now);
