A server that is gone when it answers has the version of its row

A stream whose server's row was removed between its sending and its first event had no known version: not recorded, and not continued. A server that states no start never shares its id with another process, so what its row said when the request was sent holds.

--- a/crates/gateway/src/cluster/fleet_versions.rs
+++ b/crates/gateway/src/cluster/fleet_versions.rs
@@ -18,6 +18,14 @@
 /// row tells of a new one.
 const CONFIRMATION_VALIDITY: Duration = Duration::from_secs(5);
 
+/// The version that a server's row states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RowVersion {
+    pub software: SoftwareDigest,
+    /// True if the server may be started again under its id, so that another process may answer.
+    pub may_restart: bool,
+}
+
 impl Fleet {
     /// Returns the versions of `service`, if any server of it is or was known.
     pub fn service_versions(&self, service: &str) -> Option<&ServiceVersions> {
@@ -100,6 +108,15 @@
         by_row.max(server_state.confirmed_at)
     }
 
+    /// Returns the version of the row of `incarnation` of the server `key`, to which a request is
+    /// being sent.
+    pub fn row_version(&self, key: &str, incarnation: ServerIncarnation) -> Option<RowVersion> {
+        let server_state = self.servers.get(key)?;
+        let is_current = server_state.incarnation == incarnation;
+        let may_restart = server_state.entry.started_at.is_some();
+        is_current.then_some(RowVersion { software: server_state.software, may_restart })
+    }
+
     /// Records that another gateway has read the table at `at`, and that it is as it is known here.
     pub fn record_read_elsewhere(&mut self, at: Instant) {
         self.read_elsewhere_at = self.read_elsewhere_at.max(Some(at));
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -93,6 +93,7 @@
 pub use self::fleet::Fleet;
 pub use self::fleet_change::FleetChange;
 pub use self::fleet_change::ServerListing;
+pub use self::fleet_versions::RowVersion;
 pub use self::in_force::HeldConfig;
 pub use self::in_force::InForce;
 pub use self::in_force::InForceChange;
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -20,7 +20,7 @@
 use crate::model::AttemptSpec;
 use crate::model::CacheSource;
 use crate::model::SoftwareDigest;
-use crate::origins::confirmed_version;
+use crate::origins::SentVersion;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
 
@@ -69,6 +69,7 @@
 ) -> Result<CacheGuard<C>, AttemptFailure> {
     let target =
         exchange::send_target(state, &load_guard.server, software).ok_or(AttemptFailure::Unsent)?;
+    let sent_version = SentVersion::of(state, &target);
     let started_at = Instant::now();
     let time_left = call.time_left(started_at);
     let tokens_ahead = queued_prompt_tokens(state, &target).max(call.prompt_shape().prompt_tokens);
@@ -122,7 +123,7 @@
         took_ms = took.as_millis() as u64,
         "prefill completed"
     );
-    let answering = confirmed_version::<C>(state, &target, started_at).await;
+    let answering = sent_version.confirm::<C>(state, &target).await;
     let source = CacheSource { server: target.address, handle: result.handle };
     let cache_version = software.unwrap_or_default();
     let cache = CacheGuard::new(state, target, source, cache_version, call.id());
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -25,7 +25,7 @@
 use crate::load_guard::LoadGuard;
 use crate::model::AttemptSpec;
 use crate::model::SoftwareDigest;
-use crate::origins::confirmed_version;
+use crate::origins::SentVersion;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
@@ -110,7 +110,7 @@
     target: &SendTarget,
     pinned: Option<SoftwareDigest>,
 ) -> OpenOutcome {
-    let sent_at = Instant::now();
+    let sent_version = SentVersion::of(state, target);
     let deadline = call.deadline;
     let timeout = call.time_left(Instant::now());
     let opened =
@@ -140,7 +140,7 @@
         Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
-    let software = confirmed_version::<C>(state, target, sent_at).await;
+    let software = sent_version.confirm::<C>(state, target).await;
     if pinned.is_some() && software != pinned {
         return fail(AttemptFailure::Garbled, "the server may have another version").await;
     }
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -17,5 +17,5 @@
 pub use self::origin_state::OriginState;
 pub use self::record::is_contradictory;
 pub use self::record::record_origin;
-pub use self::restart_check::confirmed_version;
+pub use self::restart_check::SentVersion;
 pub use self::restart_check::run_restart_checks;
--- a/crates/gateway/src/origins/restart_check.rs
+++ b/crates/gateway/src/origins/restart_check.rs
@@ -6,6 +6,7 @@
 
 use umberglade_wire::pool;
 
+use crate::cluster::RowVersion;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::leader::fetch_report;
@@ -29,22 +30,48 @@
     }
 }
 
-/// Returns the version of the process that answers for `target` to a request sent at `sent_at`,
-/// asking it if need be; `None` if it does not tell in time or has been started again.
-pub async fn confirmed_version<C: PlatformCodec>(
-    state: &GatewayState,
-    target: &SendTarget,
+/// What is known of a server's version when a request is sent to it.
+#[derive(Debug, Clone, Copy)]
+pub struct SentVersion {
+    row_version: Option<RowVersion>,
     sent_at: Instant,
-) -> Option<SoftwareDigest> {
-    let known = || {
+}
+
+impl SentVersion {
+    /// Returns what is known of the version of `target` now.
+    pub fn of(state: &GatewayState, target: &SendTarget) -> Self {
+        let row_version = state.fleet().row_version(&target.server, target.incarnation);
+        SentVersion { row_version, sent_at: Instant::now() }
+    }
+
+    /// Returns the version of the process that has answered for `target`, asking it if need be;
+    /// `None` if it does not tell in time or has been started again.
+    ///
+    /// A server whose id is never used again has the version of its row, also if that is gone since.
+    pub async fn confirm<C: PlatformCodec>(
+        self,
+        state: &GatewayState,
+        target: &SendTarget,
+    ) -> Option<SoftwareDigest> {
+        let row_version = self.row_version?;
+        if !row_version.may_restart {
+            return Some(row_version.software);
+        }
+        if let Some(software) = self.answering_version(state, target) {
+            return Some(software);
+        }
+        with_deadline(Instant::now() + ASK_TIMEOUT, check_server::<C>(state, target)).await;
+        self.answering_version(state, target)
+    }
+
+    fn answering_version(
+        self,
+        state: &GatewayState,
+        target: &SendTarget,
+    ) -> Option<SoftwareDigest> {
         let fleet = state.fleet();
-        fleet.answering_version(&target.server, target.incarnation, sent_at, Instant::now())
-    };
-    if let Some(software) = known() {
-        return Some(software);
+        fleet.answering_version(&target.server, target.incarnation, self.sent_at, Instant::now())
     }
-    with_deadline(Instant::now() + ASK_TIMEOUT, check_server::<C>(state, target)).await;
-    known()
 }
 
 async fn check_server<C: PlatformCodec>(state: &GatewayState, target: &SendTarget) {
