Origins that are told again take no more memory

Found by reading the change again: each read of the store's rows recorded every origin in them again and queued it once more, for 60 s. Callers who invent ids cause such reads, so a gateway's memory grew with them, whatever the bound on origins.

Change: a stream told again within 10 s updates its entry and is not queued again; it is kept for 50 to 60 s after it was last told. origins_that_are_told_again_and_again_take_no_more_memory fails before (20,000 recordings for 20 streams) and passes now.

--- a/crates/gateway/src/cluster/stream_origins.rs
+++ b/crates/gateway/src/cluster/stream_origins.rs
@@ -19,6 +19,9 @@
 pub const ORIGIN_RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of origins that a gateway keeps, of some 100 bytes each.
 pub const MAX_ORIGINS: usize = 32_768;
+/// Minimum time between two recordings of a stream: well under the interval at which long streams
+/// are told again.
+const RECORDING_INTERVAL: Duration = Duration::from_secs(10);
 /// Time within which the row of a server that starts again under its id is known.
 const RESTART_NOTICE_TIME: Duration = Duration::from_millis(2500);
 
@@ -53,6 +56,8 @@
     organisation: OrganisationDigest,
     known: KnownOrigin,
     incarnation: ServerIncarnation,
+    /// When it was last told.
+    told_at: Instant,
     /// When it was last recorded.
     at: Instant,
     /// True if the stream began at this gateway.
@@ -82,13 +87,24 @@
     /// to make room.
     pub fn record(&mut self, origin: StreamOrigin, is_own: bool, now: Instant) -> bool {
         let known = KnownOrigin::Version(origin.software);
-        let before = self.entries.get(&origin.stream);
-        let is_contradictory = before.is_some_and(|before| before.known != known);
-        let is_own = is_own || before.is_some_and(|before| before.is_own);
+        let before = self.entries.get_mut(&origin.stream);
+        let is_contradictory = before.as_ref().is_some_and(|before| before.known != known);
+        let known = if is_contradictory { KnownOrigin::Contradictory } else { known };
+        let is_own = is_own || before.as_ref().is_some_and(|before| before.is_own);
+        if let Some(before) = before
+            && before.known == known
+            && now.saturating_duration_since(before.at) < RECORDING_INTERVAL
+        {
+            before.is_own = is_own;
+            before.incarnation = origin.incarnation;
+            before.told_at = now;
+            return !is_contradictory;
+        }
         let entry = OriginEntry {
             organisation: origin.organisation,
-            known: if is_contradictory { KnownOrigin::Contradictory } else { known },
+            known,
             incarnation: origin.incarnation,
+            told_at: now,
             at: now,
             is_own,
         };
@@ -127,7 +143,8 @@
     pub fn doubt(&mut self, incarnation: ServerIncarnation, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < RESTART_NOTICE_TIME;
         let doubted = self.entries.values_mut();
-        for entry in doubted.filter(|entry| entry.incarnation == incarnation && is_recent(entry.at))
+        for entry in
+            doubted.filter(|entry| entry.incarnation == incarnation && is_recent(entry.told_at))
         {
             entry.known = KnownOrigin::Contradictory;
         }
@@ -147,6 +164,11 @@
         });
     }
 
+    /// Returns the number of recordings kept, by which tests bound the memory.
+    pub fn recordings(&self) -> usize {
+        self.by_organisation.values().map(VecDeque::len).sum()
+    }
+
     /// Returns the number of origins.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -117,6 +117,23 @@
     assert_ne!(stream_digest(quiet, "id"), stream_digest(hostile, "id"));
 }
 
+/// Prevents memory from growing with each read of the store's rows, which tell known origins again:
+/// callers who invent ids cause as many reads as they like.
+#[test]
+fn origins_that_are_told_again_and_again_take_no_more_memory() {
+    let start = Instant::now();
+    let mut origins = StreamOrigins::default();
+    for read in 0..1_000 {
+        let now = start + Duration::from_millis(10 * read);
+        for stream in 0..10 {
+            origins.record(origin(stream, 0, V1), false, now);
+            origins.record(origin(100 + stream, 0, [V1, V2][read as usize % 2]), false, now);
+        }
+    }
+    assert_eq!(origins.len(), 20);
+    assert!(origins.recordings() <= 4 * 20, "{} recordings", origins.recordings());
+}
+
 /// Origins that began here are written to the store once a second version appears; told ones are
 /// written by who told them.
 #[test]
