What a gateway process sent counts until the window is over

Callers saw servers that get more arrivals beyond the first of their requests than allowed, in windows in which gateways were killed. A gateway's counts were in its peers' sums only while its last report was fresh (600 ms); after that its retries were forgotten, its part of the slack was free again, and its successor began with slack by its age though the one before may have spent it.

Processes now report totals; the difference to the last known total enters a window over all gateways and leaves it by time. A process that starts asks the peer that has run for longest what all processes have used; until it knows the whole window it grants 0.08 of the bound.

The harness of tests/retries.rs delivers reports instead of sums; the counts of peers are no longer part of PeerTotals, whose property lost that part to each_count_is_counted_once.

--- a/crates/gateway/src/cluster/peer_reports.rs
+++ b/crates/gateway/src/cluster/peer_reports.rs
@@ -11,7 +11,6 @@
 use super::LimitRank;
 use super::PeerQueues;
 use super::PeerReach;
-use super::PeerRetries;
 use super::PeerTotals;
 use super::PeerUpdate;
 use super::QueueUpdate;
@@ -191,11 +190,9 @@
         self.server_lookups.get()
     }
 
-    /// Returns the retries that fresh reports of the group count for the service with `digest`.
-    /// Each group keeps within its share of the limit by itself.
-    pub fn retries(&self, digest: u64, now: Instant) -> PeerRetries {
-        let near = self.fresh(now).filter(|report| report.update.reach == PeerReach::Near);
-        PeerRetries { fresh_peers: near.count(), count: self.service(digest, now).retries() }
+    /// Returns the number of peers of the group with a fresh report.
+    pub fn fresh_near_count(&self, now: Instant) -> usize {
+        self.fresh(now).filter(|report| report.update.reach == PeerReach::Near).count()
     }
 
     /// Returns how many requests for the service with `digest` are entitled to capacity at peers
--- a/crates/gateway/src/cluster/peer_totals.rs
+++ b/crates/gateway/src/cluster/peer_totals.rs
@@ -6,7 +6,6 @@
 use super::PeerQueues;
 use super::PeerUpdate;
 use super::QueueUpdate;
-use super::RetryCount;
 
 /// Totals of all peers for one server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -36,8 +35,6 @@
 /// added.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServiceTotals {
-    requests: u64,
-    retries: u64,
     waiting: u64,
     on_time: u64,
     pace_milli: u64,
@@ -45,11 +42,6 @@
 }
 
 impl ServiceTotals {
-    /// Returns the requests and retries of all peers.
-    pub fn retries(&self) -> RetryCount {
-        RetryCount { requests: saturated(self.requests), repeats: saturated(self.retries) }
-    }
-
     /// Returns the combined queues of all peers.
     pub fn queues(&self) -> PeerQueues {
         PeerQueues {
@@ -63,24 +55,11 @@
     /// Subtracts what `update` reports of the service with `digest`.
     pub fn remove(&mut self, update: &PeerUpdate, digest: u64) {
         let is_this = |service: &u64| *service == digest;
-        for (_, count) in update.retries.iter().filter(|(service, _)| is_this(service)) {
-            self.remove_retries(*count);
-        }
         for (_, queue) in update.queues.iter().filter(|(service, _)| is_this(service)) {
             self.remove_queue(*queue);
         }
     }
 
-    fn add_retries(&mut self, count: RetryCount) {
-        self.requests += u64::from(count.requests);
-        self.retries += u64::from(count.repeats);
-    }
-
-    fn remove_retries(&mut self, count: RetryCount) {
-        self.requests -= u64::from(count.requests);
-        self.retries -= u64::from(count.repeats);
-    }
-
     fn add_queue(&mut self, queue: QueueUpdate) {
         self.waiting += u64::from(queue.waiting);
         self.on_time += u64::from(queue.on_time);
@@ -136,9 +115,6 @@
         for server in &update.stage_changes {
             self.servers.entry(*server).or_default().stage_changes += 1;
         }
-        for (service, count) in &update.retries {
-            self.services.entry(*service).or_default().add_retries(*count);
-        }
         for (service, queue) in &update.queues {
             self.services.entry(*service).or_default().add_queue(*queue);
         }
@@ -155,9 +131,6 @@
         for server in &update.stage_changes {
             self.change_server(*server, |totals| totals.stage_changes -= 1);
         }
-        for (service, count) in &update.retries {
-            self.change_service(*service, |totals| totals.remove_retries(*count));
-        }
         for (service, queue) in &update.queues {
             self.change_service(*service, |totals| totals.remove_queue(*queue));
         }
--- a/crates/gateway/src/cluster/peer_update.rs
+++ b/crates/gateway/src/cluster/peer_update.rs
@@ -10,7 +10,6 @@
 
 use super::LoadShare;
 use super::QueueUpdate;
-use super::RetryCount;
 use super::TunnelOffer;
 use crate::model::ConfigVersion;
 
@@ -49,8 +48,6 @@
     pub reach: PeerReach,
     /// Load at each server that has any.
     pub loads: Vec<(u64, LoadShare)>,
-    /// Requests and retries, by service.
-    pub retries: Vec<(u64, RetryCount)>,
     /// Servers that the peer has ejected.
     pub ejected: SmallVec<[u64; 4]>,
     /// Requests queued for engine capacity, by service.
--- a/crates/gateway/src/cluster/retry_budget.rs
+++ b/crates/gateway/src/cluster/retry_budget.rs
@@ -1,15 +1,18 @@
 //! Limits the retries of this gateway, so that all gateways together stay within a service's bound.
 
-use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-use serde::Serialize;
+use rustc_hash::FxHashMap;
 
 use super::name_digest;
 use super::report_interval;
+use super::retry_window::RetryCount;
+use super::retry_window::RetryUsage;
+use super::retry_window::RetryWindow;
+use super::usage_ledger::ProcessId;
+use super::usage_ledger::UsageLedger;
+use super::usage_ledger::UsageRecord;
 use crate::model::ServiceName;
 
 /// Fraction of the bound that is used. The rest covers what peers send between two of their
@@ -21,8 +24,13 @@
 const PREFILL_FRACTION: f64 = 0.8;
 /// Largest age of the peers' counts, in report intervals: one report may be lost.
 const MAX_COUNT_AGE_REPORTS: u32 = 2;
-/// Number of buckets that a window is divided into.
-const BUCKETS: u32 = 100;
+/// Fraction of the bound that gateways may use after a start of which nobody knows what was used in
+/// the window before. What the bound allows beyond [`USABLE_FRACTION`] covers three such starts in
+/// one window.
+const START_FRACTION: f64 = 0.08;
+
+/// Digest of the name of a service.
+type ServiceDigest = u64;
 
 /// What a retry is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,34 +55,20 @@
     }
 }
 
-/// Requests and retries for one service in the last window.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RetryCount {
-    pub requests: u32,
-    pub repeats: u32,
-}
-
-/// Counts of the peers for one service.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct PeerRetries {
-    /// Number of peers with a fresh report.
-    pub fresh_peers: usize,
-    /// Sum of their counts.
-    pub count: RetryCount,
-}
-
 /// Retries of all gateways in the last window, and their bound.
-struct RetryUsage {
+struct BudgetView {
     bound: f64,
     retries: f64,
     /// Number of gateways whose requests and retries are known, including this one.
     known_gateways: usize,
 }
 
+/// What is counted of one service.
 #[derive(Debug)]
-struct Bucket {
-    started_at: Instant,
-    count: RetryCount,
+struct ServiceRetries {
+    window: RetryWindow,
+    /// What this process has counted since its start.
+    local_total: RetryCount,
 }
 
 /// Limits retries to a bound that gateways share without a coordinator.
@@ -82,28 +76,37 @@
 /// Prevents retry storms: when servers fail, the remaining ones would get the failed work again and
 /// again. In any window all gateways together may retry `ratio` of the requests plus `slack`.
 /// Gateways report their counts to each other, so one whose servers fail may use what its peers do
-/// not. The share of a gateway that does not report stays reserved for it, so that gateways cut off
-/// from each other still keep within the bound.
+/// not. What a gateway process has reported counts until the window is over, also when the process
+/// has ended. The share of a gateway that does not report stays reserved for it, so that gateways
+/// cut off from each other still keep within the bound.
 #[derive(Debug)]
 pub struct RetryBudget {
     ratio: f64,
     slack: f64,
     window: Duration,
-    /// When the process started counting.
-    started_at: Instant,
-    counts: HashMap<ServiceName, VecDeque<Bucket>>,
+    /// Since when this process knows what all gateways have used.
+    known_since: Instant,
+    services: FxHashMap<ServiceDigest, ServiceRetries>,
+    processes: UsageLedger<ServiceDigest, RetryUsage>,
 }
 
 impl RetryBudget {
     /// Creates a budget of `ratio` of the requests plus `slack`, over all gateways, in any
     /// `window`.
     pub fn new(ratio: f64, slack: f64, window: Duration, now: Instant) -> Self {
-        RetryBudget { ratio, slack, window, started_at: now, counts: HashMap::new() }
+        RetryBudget {
+            ratio,
+            slack,
+            window,
+            known_since: now,
+            services: FxHashMap::default(),
+            processes: UsageLedger::default(),
+        }
     }
 
     /// Counts a caller's request for `service`.
     pub fn record_request(&mut self, service: &ServiceName, now: Instant) {
-        self.bucket(service, now).requests += 1;
+        self.add_local(name_digest(service), RetryCount { requests: 1, repeats: 0 }, now);
     }
 
     /// Counts an arrival at `service` that did not consume budget: a prompt's first attempt, at a
@@ -112,30 +115,32 @@
     /// Prevents the bound from being exceeded unnoticed: when servers come back under new ids, each
     /// prompt sent to an old id is rejected and counts.
     pub fn record_retry(&mut self, service: &ServiceName, now: Instant) {
-        self.bucket(service, now).repeats += 1;
+        self.add_local(name_digest(service), RetryCount { requests: 0, repeats: 1 }, now);
     }
 
     /// Returns true if one retry is allowed, and counts it.
     ///
-    /// `gateways` is the number of gateways, including this one. `priority` determines how much
-    /// must be left for other retries.
+    /// `gateways` is the number of gateways, including this one, and `fresh_peers` the number of
+    /// the others whose counts are current. `priority` determines how much must be left for other
+    /// retries.
     pub fn consume(
         &mut self,
         service: &ServiceName,
         gateways: usize,
-        peers: PeerRetries,
+        fresh_peers: usize,
         priority: RetryPriority,
         now: Instant,
     ) -> bool {
-        let usage = self.usage(service, gateways, peers, now);
+        let digest = name_digest(service);
+        let usage = self.usage(digest, gateways, fresh_peers, now);
         let bound = usage.bound * USABLE_FRACTION * priority.fraction();
         let used = usage.retries;
         if used + 1.0 > bound.max(1.0)
-            || !self.is_within_local_share(service, usage.known_gateways, bound - used, now)
+            || !self.is_within_local_share(digest, usage.known_gateways, bound - used, now)
         {
             return false;
         }
-        self.bucket(service, now).repeats += 1;
+        self.add_local(digest, RetryCount { requests: 0, repeats: 1 }, now);
         true
     }
 
@@ -147,29 +152,116 @@
         &mut self,
         service: &ServiceName,
         gateways: usize,
-        peers: PeerRetries,
+        fresh_peers: usize,
         now: Instant,
     ) -> bool {
-        let usage = self.usage(service, gateways, peers, now);
+        let usage = self.usage(name_digest(service), gateways, fresh_peers, now);
         usage.retries < (usage.bound * PREFILL_FRACTION).max(1.0)
     }
 
+    /// Applies what `process` reports to have counted.
+    pub fn apply_report(
+        &mut self,
+        process: ProcessId,
+        used: &[(ServiceDigest, RetryUsage)],
+        now: Instant,
+    ) {
+        for (service, usage) in used {
+            self.apply_usage(process, *service, *usage, now);
+        }
+    }
+
+    /// Applies what `process`, of the previous build, reports to have counted in the last window. It
+    /// does not report totals.
+    pub fn apply_window_counts(
+        &mut self,
+        process: ProcessId,
+        counts: &[(ServiceDigest, RetryCount)],
+        now: Instant,
+    ) {
+        for (service, recent) in counts {
+            let known = self.processes.used(process, service).unwrap_or_default();
+            let added = RetryCount {
+                requests: recent.requests.saturating_sub(known.recent.requests),
+                repeats: recent.repeats.saturating_sub(known.recent.repeats),
+            };
+            let mut total = known.total;
+            total += added;
+            self.apply_usage(process, *service, RetryUsage { total, recent: *recent }, now);
+        }
+    }
+
+    /// Applies what a peer tells of other processes, and that it knows of all of them since
+    /// `known_for`.
+    pub fn apply_records(
+        &mut self,
+        records: &[UsageRecord<ServiceDigest, RetryUsage>],
+        known_for: Duration,
+        now: Instant,
+    ) {
+        for record in records {
+            let age = Duration::from_millis(record.age_ms);
+            let Some(reported_at) = now.checked_sub(age) else { continue };
+            let known_at = self.processes.reported_at(record.process);
+            if age < self.window && known_at.is_none_or(|at| at < reported_at) {
+                self.apply_report(record.process, &record.used, reported_at);
+            }
+        }
+        let known_since = now.checked_sub(known_for).unwrap_or(now);
+        self.known_since = self.known_since.min(known_since);
+    }
+
+    /// Returns what other processes have counted in the last window.
+    pub fn records(&self, now: Instant) -> Vec<UsageRecord<ServiceDigest, RetryUsage>> {
+        self.processes.records(self.window, now)
+    }
+
+    /// Returns for how long this process has known what all gateways use, at most the window.
+    pub fn known_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.known_since).min(self.window)
+    }
+
+    /// Returns true if this process knows what all gateways have used in the last window.
+    pub fn knows_window(&self, now: Instant) -> bool {
+        self.known_for(now) >= self.window
+    }
+
+    /// Returns what all gateways have counted of `service` in the last window, as far as this one
+    /// knows.
+    pub fn window_count(&mut self, service: &ServiceName, now: Instant) -> RetryCount {
+        self.service(name_digest(service)).window.sum(now)
+    }
+
+    /// Returns what this process has counted of each service, for a report to its peers.
+    pub fn local_usage(&mut self, now: Instant) -> Vec<(ServiceDigest, RetryUsage)> {
+        let services = self.services.iter_mut().map(|(digest, service)| {
+            let recent = service.window.local_sum(now);
+            (*digest, RetryUsage { total: service.local_total, recent })
+        });
+        services.filter(|(_, usage)| usage.recent != RetryCount::default()).collect()
+    }
+
+    /// Forgets processes that have long been silent.
+    pub fn tick(&mut self, now: Instant) {
+        self.processes.tick(now);
+    }
+
     /// Returns the bound on the retries in the last window, as far as this gateway knows the
     /// requests, and the known retries.
     fn usage(
         &mut self,
-        service: &ServiceName,
+        service: ServiceDigest,
         gateways: usize,
-        peers: PeerRetries,
+        fresh_peers: usize,
         now: Instant,
-    ) -> RetryUsage {
-        let local = self.count(service, now);
-        let requests = f64::from(local.requests + peers.count.requests);
-        let known = (peers.fresh_peers + 1).min(gateways.max(1));
-        let slack = self.slack * known as f64 / gateways.max(1) as f64 * self.uptime_fraction(now);
-        RetryUsage {
-            bound: self.ratio * requests + slack,
-            retries: f64::from(local.repeats + peers.count.repeats),
+    ) -> BudgetView {
+        let known = (fresh_peers + 1).min(gateways.max(1));
+        let slack = self.slack * known as f64 / gateways.max(1) as f64;
+        let grantable = if self.knows_window(now) { 1.0 } else { START_FRACTION };
+        let count = self.service(service).window.sum(now);
+        BudgetView {
+            bound: (self.ratio * f64::from(count.requests) + slack) * grantable,
+            retries: f64::from(count.repeats),
             known_gateways: known,
         }
     }
@@ -181,64 +273,50 @@
     /// granted at random with that probability. What is left is that of the `gateways` whose counts
     /// are known; the share of the others is not in it.
     fn is_within_local_share(
-        &self,
-        service: &ServiceName,
+        &mut self,
+        service: ServiceDigest,
         gateways: usize,
         left: f64,
         now: Instant,
     ) -> bool {
         let lag = report_interval(gateways) * MAX_COUNT_AGE_REPORTS;
-        let recent = self.counts.get(service).map_or(0, |buckets| {
-            let is_recent =
-                |bucket: &&Bucket| now.saturating_duration_since(bucket.started_at) < lag;
-            buckets.iter().filter(is_recent).map(|bucket| bucket.count.repeats).sum()
-        });
+        let recent = self.service(service).window.local_retries_within(lag, now);
         let share = left / gateways.max(1) as f64;
         let available = share - f64::from(recent);
         available >= 1.0 || (available > 0.0 && fastrand::f64() < available)
     }
 
-    /// Returns this gateway's counts of each service, for a report to its peers.
-    pub fn local_counts(&mut self, now: Instant) -> Vec<(u64, RetryCount)> {
-        let services: Vec<ServiceName> = self.counts.keys().cloned().collect();
-        services
-            .iter()
-            .map(|service| (name_digest(service), self.count(service, now)))
-            .filter(|(_, count)| *count != RetryCount::default())
-            .collect()
+    fn apply_usage(
+        &mut self,
+        process: ProcessId,
+        service: ServiceDigest,
+        usage: RetryUsage,
+        reported_at: Instant,
+    ) {
+        // Datagrams overtake each other.
+        let known = self.processes.used(process, &service);
+        if known.is_some_and(|known| usage.is_before(known)) {
+            return;
+        }
+        let previous = self.processes.record(process, service, usage, reported_at);
+        let window = &mut self.service(service).window;
+        match previous {
+            Some(previous) => window.add(usage.since(previous), reported_at),
+            None => window.add_prior(usage.recent, reported_at),
+        }
     }
 
-    /// Returns the fraction of the slack that is available this long after the process started.
-    ///
-    /// Prevents the bound from being used twice: a new process does not know what the one before it
-    /// sent in the same window, so its slack grows over one window.
-    fn uptime_fraction(&self, now: Instant) -> f64 {
-        let uptime = now.saturating_duration_since(self.started_at).as_secs_f64();
-        (uptime / self.window.as_secs_f64().max(0.001)).min(1.0)
-    }
-
-    fn count(&mut self, service: &ServiceName, now: Instant) -> RetryCount {
-        let window = self.window;
-        let Some(buckets) = self.counts.get_mut(service) else { return RetryCount::default() };
-        buckets.retain(|bucket| now.saturating_duration_since(bucket.started_at) <= window);
-        buckets.iter().fold(RetryCount::default(), |sum, bucket| RetryCount {
-            requests: sum.requests + bucket.count.requests,
-            repeats: sum.repeats + bucket.count.repeats,
-        })
+    fn add_local(&mut self, service: ServiceDigest, count: RetryCount, now: Instant) {
+        let service = self.service(service);
+        service.local_total += count;
+        service.window.add_local(count, now);
     }
 
-    fn bucket(&mut self, service: &ServiceName, now: Instant) -> &mut RetryCount {
-        let bucket_length = self.window / BUCKETS;
-        let buckets = self.counts.entry(service.clone()).or_default();
-        let is_current = buckets
-            .back()
-            .is_some_and(|last| now.saturating_duration_since(last.started_at) < bucket_length);
-        if !is_current {
-            buckets.push_back(Bucket { started_at: now, count: RetryCount::default() });
-            if buckets.len() > BUCKETS as usize * 2 {
-                buckets.pop_front();
-            }
-        }
-        &mut buckets.back_mut().expect("a bucket was just added").count
+    fn service(&mut self, service: ServiceDigest) -> &mut ServiceRetries {
+        let length = self.window;
+        self.services.entry(service).or_insert_with(|| ServiceRetries {
+            window: RetryWindow::new(length),
+            local_total: RetryCount::default(),
+        })
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -113,6 +113,8 @@
 pub const SOFTWARE_ROWS_READ: u32 = 6033;
 /// A server whose connection broke was asked whether it was started again.
 pub const RESTART_CHECKED: u32 = 6034;
+/// A peer has sent what all gateways have used of the limits that they share.
+pub const USAGE_RECEIVED: u32 = 6035;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use super::MemberRecord;
 use super::MemberSummary;
@@ -114,6 +115,15 @@
     pub rows_from: Option<u64>,
 }
 
+/// What follows the offer of tunnels in a datagram. Gateways of the previous build ignore it and send
+/// none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsagePart {
+    /// Requests and retries since this incarnation started, in the order of
+    /// [`LoadReport::retries`].
+    pub retry_totals: Vec<RetryCount>,
+}
+
 /// A decoded datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Datagram {
@@ -123,6 +133,8 @@
     pub relay: Option<RelayPart>,
     /// `None` from gateways of the previous build.
     pub tunnel: Option<TunnelOffer>,
+    /// `None` from gateways of the previous build.
+    pub usage: Option<UsagePart>,
 }
 
 /// Content of a datagram between gateways.
@@ -152,15 +164,17 @@
     }
 
     /// Encodes the message with all that may follow it as one datagram. Gateways of the previous
-    /// build ignore `tunnel`.
+    /// build ignore `usage`.
     pub fn encode_report(
         &mut self,
         tail: &ReportTail,
         relay: &RelayPart,
         tunnel: &TunnelOffer,
+        usage: &UsagePart,
     ) -> Vec<u8> {
         let mut bytes = self.encode_with(tail, relay);
         bytes.extend(postcard::to_allocvec(tunnel).expect("encoding plain fields"));
+        bytes.extend(postcard::to_allocvec(usage).expect("encoding plain fields"));
         bytes
     }
 
@@ -192,18 +206,21 @@
             [] => (ReportTail { era, ..ReportTail::default() }, rest),
             rest => postcard::take_from_bytes(rest)?,
         };
-        let (relay, rest): (Option<RelayPart>, _) = match rest {
-            [] => (None, rest),
-            rest => postcard::take_from_bytes(rest).map(|(relay, rest)| (Some(relay), rest))?,
-        };
-        let tunnel = match rest {
-            [] => None,
-            rest => Some(postcard::from_bytes(rest)?),
-        };
+        let (relay, rest) = take_part(rest)?;
+        let (tunnel, rest) = take_part(rest)?;
+        let (usage, _) = take_part(rest)?;
         let written = tail.written_eras.iter().copied().chain(std::iter::repeat(tail.era));
         for (stamp, written) in message.stamps().zip(written) {
             *stamp = StoreStamp::new(tail.era, stamp.version()).written_in(written);
         }
-        Ok(Datagram { message, tail, relay, tunnel })
+        Ok(Datagram { message, tail, relay, tunnel, usage })
+    }
+}
+
+/// Decodes the next part of a datagram; `None` if its sender does not know such a part.
+fn take_part<P: DeserializeOwned>(rest: &[u8]) -> Result<(Option<P>, &[u8]), postcard::Error> {
+    if rest.is_empty() {
+        return Ok((None, rest));
     }
+    postcard::take_from_bytes(rest).map(|(part, rest)| (Some(part), rest))
 }
--- a/crates/gateway/src/peers/report_content.rs
+++ b/crates/gateway/src/peers/report_content.rs
@@ -6,27 +6,19 @@
 use super::PeerRegistry;
 use super::RelayPart;
 use super::ReportTail;
+use super::UsagePart;
 use crate::cluster::PeerReach;
 use crate::cluster::RelayedNotice;
 use crate::state::GatewayState;
 
-/// Identifies a report among those of a gateway.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ReportNumber {
-    /// Random number drawn at each start of the process.
-    pub incarnation: u64,
-    /// Increases with each report of an incarnation.
-    pub sequence: u64,
-}
-
-/// Returns the current report for gateways of the same shard. `is_full` adds what most reports
-/// omit.
+/// Returns the report with the number `sequence` for gateways of the same shard, with the part of it
+/// that follows in the datagram. `is_full` adds what most reports omit.
 pub(super) fn near_report(
     state: &GatewayState,
-    number: ReportNumber,
+    sequence: u64,
     is_full: bool,
     new_peers: &[u64],
-) -> LoadReport {
+) -> (LoadReport, UsagePart) {
     let now = Instant::now();
     // Each lock needs its own statement, because its guard lives until the statement ends.
     let loads = state.fleet().local_loads();
@@ -36,14 +28,16 @@
     let limits = state.fleet().limits.updates(is_full, now);
     let departures = state.fleet().departures.updates(is_full, now);
     let backoffs = state.fleet().backoff_updates(is_full, new_peers, now);
-    LoadReport {
+    let retries = state.local_retries();
+    let usage = UsagePart { retry_totals: retries.iter().map(|(_, usage)| usage.total).collect() };
+    let report = LoadReport {
         reach: PeerReach::Near,
         peer: state.settings.instance.clone(),
-        incarnation: number.incarnation,
-        sequence: number.sequence,
+        incarnation: state.process,
+        sequence,
         loads,
         store_calm_ms: store_stable_for.as_millis() as u64,
-        retries: state.local_retries(),
+        retries: retries.into_iter().map(|(service, usage)| (service, usage.recent)).collect(),
         aside,
         lines: state.service_queues.local_queues(now),
         changing,
@@ -56,7 +50,8 @@
         limits,
         departures,
         backoffs,
-    }
+    };
+    (report, usage)
 }
 
 /// Returns `report` for gateways of other shards, without what concerns only the local shard.
--- a/crates/gateway/src/peers/report_receiver.rs
+++ b/crates/gateway/src/peers/report_receiver.rs
@@ -13,11 +13,14 @@
 use super::PeerRegistry;
 use super::RelayPart;
 use super::ReportTail;
+use super::UsagePart;
+use super::UsageSource;
 use super::report_sender::MAX_DATAGRAM;
 use super::row_sender::pass_rows_on;
 use crate::cluster::PeerReach;
 use crate::cluster::PeerUpdate;
 use crate::cluster::RelayedNotice;
+use crate::cluster::RetryUsage;
 use crate::cluster::TunnelOffer;
 use crate::cluster::name_digest;
 use crate::cluster::report_interval;
@@ -67,7 +70,7 @@
     datagram: Datagram,
     address: SocketAddr,
 ) {
-    let Datagram { message, tail, relay, tunnel } = datagram;
+    let Datagram { message, tail, relay, tunnel, usage } = datagram;
     match message {
         PeerMessage::Rows(rows) => {
             if let Some(first) = relay.and_then(|relay| relay.rows_from) {
@@ -87,6 +90,9 @@
                 apply_relay(state, registry, &report, relay, address);
             }
             let tunnel = tunnel.map(|offer| (address, offer));
+            if report.reach == PeerReach::Near {
+                apply_retries(state, &report, usage, address);
+            }
             apply_report(state, *report, tail, relay.as_ref(), address, tunnel);
         }
     }
@@ -195,6 +201,32 @@
     }
 }
 
+/// Applies the requests and retries that `report`, of a gateway of the same shard, counts.
+fn apply_retries(
+    state: &GatewayState,
+    report: &LoadReport,
+    usage: Option<UsagePart>,
+    address: SocketAddr,
+) {
+    let now = Instant::now();
+    let was_isolated = state.fleet().peers.fresh_near_count(now) == 0;
+    let age = Duration::from_millis(report.age_ms);
+    state.offer_usage_source(UsageSource { address, age }, was_isolated);
+    let mut budget = state.retries.lock().expect("retries lock");
+    match usage {
+        Some(usage) if usage.retry_totals.len() == report.retries.len() => {
+            let counts = report.retries.iter().zip(&usage.retry_totals);
+            let used: Vec<(u64, RetryUsage)> = counts
+                .map(|((service, recent), total)| {
+                    (*service, RetryUsage { total: *total, recent: *recent })
+                })
+                .collect();
+            budget.apply_report(report.incarnation, &used, now);
+        }
+        _ => budget.apply_window_counts(report.incarnation, &report.retries, now),
+    }
+}
+
 fn apply_report(
     state: &GatewayState,
     report: LoadReport,
@@ -219,7 +251,6 @@
     let update = PeerUpdate {
         reach: report.reach,
         loads: report.loads,
-        retries: report.retries,
         ejected: report.aside.into(),
         queues: report.lines.into(),
         store_stable_for: Duration::from_millis(store_calm_ms),
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -15,7 +15,7 @@
 use super::RemotePeerCycle;
 use super::ReportTail;
 use super::SendBudget;
-use super::report_content::ReportNumber;
+use super::UsagePart;
 use super::report_content::is_quiet;
 use super::report_content::near_report;
 use super::report_content::relay_part;
@@ -62,7 +62,6 @@
     state: Arc<GatewayState>,
     registry: Arc<PeerRegistry>,
     socket: UdpSocket,
-    incarnation: u64,
     sequence: u64,
     budget: SendBudget,
     remote_peer_cycle: RemotePeerCycle,
@@ -90,7 +89,6 @@
             state,
             registry,
             socket,
-            incarnation: fastrand::u64(..),
             sequence: 0,
             budget: SendBudget::new(now),
             remote_peer_cycle: RemotePeerCycle::new(now),
@@ -127,8 +125,7 @@
         let now = Instant::now();
         let is_full = !new_peers.is_empty() || now >= self.full_report_due;
         self.sequence += 1;
-        let number = ReportNumber { incarnation: self.incarnation, sequence: self.sequence };
-        let report = near_report(&self.state, number, is_full, &new_peers);
+        let (report, usage) = near_report(&self.state, self.sequence, is_full, &new_peers);
         let is_sharded = !remote.is_empty();
         let is_quiet = is_sharded && is_quiet(&report) && !self.state.has_organisations();
         let notices = self.state.shared_tables.notices_for_group(now);
@@ -146,12 +143,12 @@
             self.last = this;
             let relay = relay_part(&self.state, &self.registry, notices);
             let relay = RelayPart { is_quiet, ..relay };
-            self.send(report, &tail, &relay, &local_shard).await;
+            self.send(report, &tail, &relay, &usage, &local_shard).await;
         }
         if let Some(report) = report_for_remote {
             let notices = self.state.shared_tables.notices_for_remote(now);
             let relay = relay_part(&self.state, &self.registry, notices);
-            self.send(report, &tail, &relay, &remote_recipients).await;
+            self.send(report, &tail, &relay, &UsagePart::default(), &remote_recipients).await;
         }
     }
 
@@ -196,11 +193,13 @@
         report: LoadReport,
         tail: &ReportTail,
         relay: &RelayPart,
+        usage: &UsagePart,
         peers: &[SocketAddr],
     ) {
         let reach: &'static str = report.reach.into();
         let tunnel = self.state.tunnel_offer();
-        let datagram = PeerMessage::Load(Box::new(report)).encode_report(tail, relay, &tunnel);
+        let mut message = PeerMessage::Load(Box::new(report));
+        let datagram = message.encode_report(tail, relay, &tunnel, usage);
         if datagram.len() > MAX_DATAGRAM {
             metrics::counter!("umberglade_reports_oversize_total").increment(1);
             return;
--- a/crates/gateway/src/peers/transfer_server.rs
+++ b/crates/gateway/src/peers/transfer_server.rs
@@ -1,5 +1,5 @@
-//! Accepts peers that ask for a transfer, a tunnel or the origin of a stream, and bounds how many transfers are sent at a
-//! time.
+//! Accepts peers that ask for a transfer, a tunnel, the origin of a stream or the use of shared
+//! limits, and bounds how many transfers are sent at a time.
 
 use std::io;
 use std::net::SocketAddr;
@@ -23,6 +23,8 @@
 use super::table_server;
 use super::transfer_messages;
 use super::transfer_messages::TransferRequest;
+use super::usage_messages;
+use super::usage_messages::UsageRequest;
 use crate::events;
 use crate::framing::decode;
 use crate::framing::invalid;
@@ -140,6 +142,9 @@
         Some(Ok(PeerRequest::Origin(request))) => {
             origin_messages::answer_origin_request(&state, &mut stream, request).await
         }
+        Some(Ok(PeerRequest::Usage(_))) => {
+            usage_messages::answer_usage_request(&state, &slots, &mut stream).await
+        }
         Some(Err(error)) => Err(error),
         None => config_server::send_snapshot(&state, &slots, &mut stream).await,
     };
@@ -155,6 +160,7 @@
     Transfer(TransferRequest),
     Tunnel(TunnelRequest),
     Origin(OriginRequest),
+    Usage(UsageRequest),
 }
 
 async fn read_request(stream: &mut TcpStream) -> io::Result<PeerRequest> {
@@ -163,6 +169,7 @@
         config_messages::MAGIC => decode(&body).map(PeerRequest::Config),
         tunnel::MAGIC => decode(&body).map(PeerRequest::Tunnel),
         origin_messages::MAGIC => decode(&body).map(PeerRequest::Origin),
+        usage_messages::MAGIC => decode(&body).map(PeerRequest::Usage),
         transfer_messages::MAGIC => decode(&body).map(PeerRequest::Transfer),
         _ => Err(invalid("not a message of this build")),
     }
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -2,11 +2,10 @@
 
 use std::time::Instant;
 
-use crate::cluster::PeerRetries;
 use crate::cluster::RetryBudget;
 use crate::cluster::RetryCount;
 use crate::cluster::RetryPriority;
-use crate::cluster::name_digest;
+use crate::cluster::RetryUsage;
 use crate::model::ServiceName;
 use crate::state::GatewayState;
 
@@ -24,34 +23,41 @@
 
     /// Consumes one retry to `service`. Returns true if the retry budget permits it.
     pub fn consume_retry(&self, service: &ServiceName, priority: RetryPriority) -> bool {
-        self.with_budget(service, |budget, gateways, peers, now| {
-            budget.consume(service, gateways, peers, priority, now)
+        self.with_budget(|budget, gateways, fresh_peers, now| {
+            budget.consume(service, gateways, fresh_peers, priority, now)
         })
     }
 
     /// Returns true if the retry limit allows to send a prompt to a separate prefill server for the
     /// first time.
     pub fn allows_first_prefill(&self, service: &ServiceName) -> bool {
-        self.with_budget(service, |budget, gateways, peers, now| {
-            budget.allows_first_prefill(service, gateways, peers, now)
+        self.with_budget(|budget, gateways, fresh_peers, now| {
+            budget.allows_first_prefill(service, gateways, fresh_peers, now)
         })
     }
 
+    /// Returns what all gateways have counted of `service` in the last window, and whether this one
+    /// knows all of it.
+    pub fn known_retries(&self, service: &ServiceName) -> (RetryCount, bool) {
+        let now = Instant::now();
+        let mut budget = self.retries.lock().expect("retries lock");
+        (budget.window_count(service, now), budget.knows_window(now))
+    }
+
     /// Returns this gateway's counts of requests and retries, by service.
-    pub fn local_retries(&self) -> Vec<(u64, RetryCount)> {
-        self.retries.lock().expect("retries lock").local_counts(Instant::now())
+    pub fn local_retries(&self) -> Vec<(u64, RetryUsage)> {
+        self.retries.lock().expect("retries lock").local_usage(Instant::now())
     }
 
-    /// Runs `decide` on the budget, with the number of gateways and what peers have used of the
-    /// budget of `service`.
+    /// Runs `decide` on the budget, with the number of gateways and that of the peers of the group
+    /// whose counts are current. Each group keeps within its share of the limit by itself.
     fn with_budget<T>(
         &self,
-        service: &ServiceName,
-        decide: impl FnOnce(&mut RetryBudget, usize, PeerRetries, Instant) -> T,
+        decide: impl FnOnce(&mut RetryBudget, usize, usize, Instant) -> T,
     ) -> T {
         let now = Instant::now();
-        let peer_retries = self.fleet().peers.retries(name_digest(service), now);
+        let fresh_peers = self.fleet().peers.fresh_near_count(now);
         let gateways = self.members();
-        decide(&mut self.retries.lock().expect("retries lock"), gateways, peer_retries, now)
+        decide(&mut self.retries.lock().expect("retries lock"), gateways, fresh_peers, now)
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -113,6 +113,7 @@
     pool::spawn(peers::fetch_newer_configs(Arc::clone(&state)));
     pool::spawn(peers::fetch_tables(Arc::clone(&state)));
     pool::spawn(peers::fetch_members(Arc::clone(&state), registry));
+    pool::spawn(peers::fetch_usage(Arc::clone(&state)));
     pool::spawn(recheck_broken_paths(Arc::clone(&state)));
     pool::spawn(run_stage_controller::<C>(Arc::clone(&state)));
     pool::spawn(quarantine::run_row_writer::<C>(Arc::clone(&state)));
@@ -298,6 +299,7 @@
         state.quarantines.set_relaying(is_sharded);
         state.quarantines.tick(rank.peers_before == 0);
         state.quotas.tick(&state.quota_view());
+        state.retries.lock().expect("retries lock").tick(now);
         live_peers = log_peers(&state, live_peers, now);
         metrics::gauge!("umberglade_stream_origins").set(state.origins.known().len() as f64);
         metrics::gauge!("umberglade_limited_servers")
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
 use crate::cluster::FleetChange;
 use crate::cluster::InForce;
 use crate::cluster::PeerQueues;
+use crate::cluster::ProcessId;
 use crate::cluster::RetryBudget;
 use crate::cluster::ServerOutcome;
 use crate::cluster::TunnelOffer;
@@ -32,6 +33,7 @@
 use crate::model::ServiceName;
 use crate::model::StoreStamp;
 use crate::origins::OriginState;
+use crate::peers::UsageSource;
 use crate::quarantine::Quarantines;
 use crate::quota::QuotaPeers;
 use crate::quota::Quotas;
@@ -54,6 +56,8 @@
     pub settings: GatewaySettings,
     /// Digest of this gateway's name.
     pub digest: u64,
+    /// Identifies this start of the process.
+    pub process: ProcessId,
     pub metrics: Option<PrometheusHandle>,
     pub pool: ConnectionPool,
     pub stop: StopSignal,
@@ -72,6 +76,10 @@
     pub member_source: Mutex<Option<SocketAddr>>,
     /// Notified when [`member_source`](Self::member_source) is set.
     pub member_source_found: Event,
+    /// A peer from which to take over what was used of shared limits.
+    pub usage_source: Mutex<Option<UsageSource>>,
+    /// Notified when [`usage_source`](Self::usage_source) is set.
+    pub usage_source_found: Event,
     /// Notified when the configuration should be read from the store immediately.
     pub config_read_requested: Event,
     /// Notified when a peer reports a newer configuration that it can transfer.
@@ -134,6 +142,7 @@
         let digest = name_digest(&settings.instance);
         Arc::new(GatewayState {
             digest,
+            process: fastrand::u64(..),
             store_eras: Arc::default(),
             shared_tables: SharedTables::new(digest, &settings),
             settings,
@@ -147,6 +156,8 @@
             greeted_peers: Mutex::default(),
             member_source: Mutex::default(),
             member_source_found: Event::new(),
+            usage_source: Mutex::default(),
+            usage_source_found: Event::new(),
             config_read_requested: Event::new(),
             config_offered: Event::new(),
             registered: Event::new(),
--- a/crates/gateway/tests/ended_gateways.rs
+++ b/crates/gateway/tests/ended_gateways.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use umberglade_gateway::cluster::PeerRetries;
+use umberglade_gateway::cluster::ProcessId;
 use umberglade_gateway::cluster::RetryBudget;
-use umberglade_gateway::cluster::RetryCount;
 use umberglade_gateway::cluster::RetryPriority;
 use umberglade_gateway::model::ServiceName;
 
@@ -40,8 +39,11 @@
     budget: RetryBudget,
     /// When it runs again after an end.
     away_until: Option<Duration>,
-    /// The last report that its peers have received.
-    reported: Option<(Duration, RetryCount)>,
+    /// True until it has asked a peer what was used before its start.
+    is_new: bool,
+    process: ProcessId,
+    /// When its last report was sent.
+    reported_at: Option<Duration>,
 }
 
 /// Gateways with one service in simulated time.
@@ -58,17 +60,20 @@
 impl Simulation {
     fn new(count: usize, seed: u64) -> Self {
         let started_at = Instant::now();
-        let gateway = || Gateway {
+        let mut draw = fastrand::Rng::with_seed(seed);
+        let mut gateway = || Gateway {
             budget: RetryBudget::new(RATIO, SLACK, WINDOW, started_at),
             away_until: None,
-            reported: None,
+            is_new: false,
+            process: draw.u64(..),
+            reported_at: None,
         };
         Simulation {
+            gateways: (0..count).map(|_| gateway()).collect(),
             started_at,
             now: Duration::ZERO,
-            gateways: (0..count).map(|_| gateway()).collect(),
             service: "svc".into(),
-            draw: fastrand::Rng::with_seed(seed),
+            draw,
             requests: Vec::new(),
             retries: Vec::new(),
         }
@@ -89,6 +94,8 @@
             gateway.away_until = Some(self.now + away);
             if how != End::Frozen {
                 gateway.budget = RetryBudget::new(RATIO, SLACK, WINDOW, at);
+                gateway.process = self.draw.u64(..);
+                gateway.is_new = true;
             }
         }
     }
@@ -134,26 +141,47 @@
 
     fn consume(&mut self, index: usize) -> bool {
         let now = self.started_at + self.now;
-        let mut peers = PeerRetries::default();
-        for (peer, gateway) in self.gateways.iter().enumerate() {
-            let Some((at, count)) = gateway.reported else { continue };
-            if peer != index && self.now - at < REPORT_LIFETIME {
-                peers.fresh_peers += 1;
-                peers.count.requests += count.requests;
-                peers.count.repeats += count.repeats;
-            }
-        }
+        let is_fresh = |at: Duration| self.now - at < REPORT_LIFETIME;
+        let others = self.gateways.iter().enumerate().filter(|(peer, _)| *peer != index);
+        let fresh_peers =
+            others.filter(|(_, gateway)| gateway.reported_at.is_some_and(is_fresh)).count();
         let gateways = self.gateways.len();
         let budget = &mut self.gateways[index].budget;
-        budget.consume(&self.service, gateways, peers, RetryPriority::Needed, now)
+        budget.consume(&self.service, gateways, fresh_peers, RetryPriority::Needed, now)
     }
 
+    /// Each gateway that runs reports to the others that do. One that has started asks one of them
+    /// what was used before.
     fn report(&mut self) {
         let now = self.started_at + self.now;
+        let mut reports = Vec::new();
         for gateway in self.gateways.iter_mut().filter(|gateway| gateway.away_until.is_none()) {
-            let counts = gateway.budget.local_counts(now);
-            let count = counts.first().map_or(RetryCount::default(), |(_, count)| *count);
-            gateway.reported = Some((self.now, count));
+            reports.push((gateway.process, gateway.budget.local_usage(now)));
+            gateway.reported_at = Some(self.now);
+        }
+        for gateway in self.gateways.iter_mut().filter(|gateway| gateway.away_until.is_none()) {
+            for (process, used) in reports.iter().filter(|(from, _)| *from != gateway.process) {
+                gateway.budget.apply_report(*process, used, now);
+            }
+        }
+        let old: Vec<usize> = (0..self.gateways.len())
+            .filter(|index| !self.gateways[*index].is_new)
+            .filter(|index| self.gateways[*index].away_until.is_none())
+            .collect();
+        for index in 0..self.gateways.len() {
+            let gateway = &self.gateways[index];
+            if !gateway.is_new || gateway.away_until.is_some() {
+                continue;
+            }
+            if let Some(source) = self.draw.choice(old.iter().copied()) {
+                let records = self.gateways[source].budget.records(now);
+                let known_for = self.gateways[source].budget.known_for(now);
+                let own = self.gateways[index].process;
+                let others: Vec<_> =
+                    records.into_iter().filter(|record| record.process != own).collect();
+                self.gateways[index].budget.apply_records(&others, known_for, now);
+            }
+            self.gateways[index].is_new = false;
         }
     }
 
@@ -180,25 +208,51 @@
         how: End,
         /// How many end, and how many seconds after the warm-up, each time.
         ends: &'static [(usize, u64)],
+        seeds: u64,
     }
     let cases = [
-        Case { name: "half once", gateways: 6, how: End::Killed, ends: &[(3, 0)] },
-        Case { name: "most twice", gateways: 7, how: End::Killed, ends: &[(4, 0), (4, 3)] },
-        Case { name: "all but one", gateways: 6, how: End::Killed, ends: &[(5, 0), (5, 4)] },
-        Case { name: "all twice", gateways: 6, how: End::Killed, ends: &[(6, 0), (6, 3)] },
+        Case { name: "half once", gateways: 6, how: End::Killed, ends: &[(3, 0)], seeds: 8 },
+        Case {
+            name: "most twice",
+            gateways: 7,
+            how: End::Killed,
+            ends: &[(4, 0), (4, 3)],
+            seeds: 8,
+        },
+        Case {
+            name: "all but one",
+            gateways: 6,
+            how: End::Killed,
+            ends: &[(5, 0), (5, 4)],
+            seeds: 8,
+        },
+        Case {
+            name: "all twice",
+            gateways: 6,
+            how: End::Killed,
+            ends: &[(6, 0), (6, 3)],
+            seeds: 8,
+        },
         Case {
             name: "in turn",
             gateways: 6,
             how: End::Killed,
             ends: &[(2, 0), (2, 1), (2, 2), (2, 3), (2, 4), (2, 5)],
+            seeds: 8,
+        },
+        Case {
+            name: "replaced",
+            gateways: 6,
+            how: End::Replaced,
+            ends: &[(4, 0), (4, 3)],
+            seeds: 8,
         },
-        Case { name: "replaced", gateways: 6, how: End::Replaced, ends: &[(4, 0), (4, 3)] },
-        Case { name: "frozen", gateways: 6, how: End::Frozen, ends: &[(4, 0), (3, 5)] },
-        Case { name: "many", gateways: 63, how: End::Killed, ends: &[(38, 0), (38, 3)] },
+        Case { name: "frozen", gateways: 6, how: End::Frozen, ends: &[(4, 0), (3, 5)], seeds: 8 },
+        Case { name: "many", gateways: 63, how: End::Killed, ends: &[(38, 0), (38, 3)], seeds: 3 },
     ];
     let mut exceeded = Vec::new();
     for case in cases {
-        for seed in 0..8 {
+        for seed in 0..case.seeds {
             fastrand::seed(seed);
             let mut simulation = Simulation::new(case.gateways, seed);
             for (count, at) in case.ends {
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -4,6 +4,7 @@
 use umberglade_gateway::cluster::OutcomeUpdate;
 use umberglade_gateway::cluster::PathUpdate;
 use umberglade_gateway::cluster::PeerReach;
+use umberglade_gateway::cluster::RetryCount;
 use umberglade_gateway::cluster::TunnelOffer;
 use umberglade_gateway::model::ConfigId;
 use umberglade_gateway::model::RowValue;
@@ -16,6 +17,7 @@
 use umberglade_gateway::peers::RelayPart;
 use umberglade_gateway::peers::ReportTail;
 use umberglade_gateway::peers::TableRows;
+use umberglade_gateway::peers::UsagePart;
 
 /// The store's era at the receiver.
 const LOCAL_ERA: u64 = 5;
@@ -120,14 +122,19 @@
     let (relay, mut message) = (RelayPart::default(), report(Vec::new()));
     let paths = PathUpdate { is_cut: true, broken: [3].into_iter().collect() };
     let offer = TunnelOffer { is_open: true, tunnels: 4, paths };
-    let bytes = message.encode_report(&tail(), &relay, &offer);
+    let usage = UsagePart { retry_totals: vec![RetryCount { requests: 9, repeats: 2 }] };
+    let bytes = message.encode_report(&tail(), &relay, &offer, &usage);
     let datagram = Datagram::decode(&bytes, LOCAL_ERA).expect("a report");
-    assert_eq!((datagram.relay, datagram.tunnel), (Some(relay.clone()), Some(offer)));
+    assert_eq!((datagram.relay, datagram.tunnel), (Some(relay.clone()), Some(offer.clone())));
+    assert_eq!(datagram.usage, Some(usage));
     // The previous build decodes the last part that it knows, and ignores what follows.
     let (_, rest): (PeerMessage, _) = postcard::take_from_bytes(&bytes).expect("a message");
     let (_, rest): (ReportTail, _) = postcard::take_from_bytes(rest).expect("a tail");
     assert_eq!(postcard::from_bytes::<RelayPart>(rest), Ok(relay.clone()));
+    let (_, rest): (RelayPart, _) = postcard::take_from_bytes(rest).expect("a relay part");
+    assert_eq!(postcard::from_bytes::<TunnelOffer>(rest), Ok(offer));
     let bytes = message.encode_with(&tail(), &relay);
     let datagram = Datagram::decode(&bytes, LOCAL_ERA).expect("a report");
     assert_eq!((datagram.relay, datagram.tunnel), (Some(relay), None));
+    assert_eq!(datagram.usage, None);
 }
--- a/crates/gateway/tests/peer_totals.rs
+++ b/crates/gateway/tests/peer_totals.rs
@@ -10,7 +10,6 @@
 use umberglade_gateway::cluster::PeerUpdate;
 use umberglade_gateway::cluster::PlacementRequest;
 use umberglade_gateway::cluster::QueueUpdate;
-use umberglade_gateway::cluster::RetryCount;
 use umberglade_gateway::cluster::ServerTotals;
 use umberglade_gateway::cluster::name_digest;
 use umberglade_gateway::cluster::place_engine;
@@ -51,8 +50,6 @@
             (server, LoadShare { running, prompt_tokens, output_tokens, made_tokens })
         },
     );
-    let retry = (0..SERVICES, count(), count())
-        .prop_map(|(service, requests, repeats)| (service, RetryCount { requests, repeats }));
     let queue = (0..SERVICES, count(), count(), count()).prop_map(
         |(service, waiting, on_time, pace_milli)| {
             let arrivals_milli = pace_milli / 2;
@@ -69,17 +66,9 @@
         },
     );
     let servers = || prop::collection::vec(0..SERVERS, 0..3);
-    let few = 0..3usize;
-    (
-        prop::collection::vec(load, few.clone()),
-        prop::collection::vec(retry, few),
-        prop::option::of(queue),
-        servers(),
-        servers(),
-    )
-        .prop_map(|(loads, retries, queue, ejected, stage_changes)| PeerUpdate {
+    (prop::collection::vec(load, 0..3usize), prop::option::of(queue), servers(), servers())
+        .prop_map(|(loads, queue, ejected, stage_changes)| PeerUpdate {
             loads,
-            retries,
             queues: queue.into_iter().collect(),
             ejected: ejected.into(),
             stage_changes: stage_changes.into(),
@@ -143,11 +132,6 @@
         sum
     }
 
-    fn requests(&self, digest: u64, now: Instant) -> u64 {
-        let counts = self.fresh(now).flat_map(|update| &update.retries);
-        counts.filter(|(of, _)| *of == digest).map(|(_, count)| u64::from(count.requests)).sum()
-    }
-
     fn waiting(&self, digest: u64, now: Instant) -> u64 {
         let queues = self.fresh(now).flat_map(|update| &update.queues);
         queues.filter(|(of, _)| *of == digest).map(|(_, queue)| u64::from(queue.waiting)).sum()
@@ -178,8 +162,6 @@
                 prop_assert_eq!(reports.server(server, now), reference.server(server, now));
             }
             for service in 0..SERVICES {
-                let requests = reference.requests(service, now).min(u64::from(u32::MAX));
-                prop_assert_eq!(u64::from(reports.retries(service, now).count.requests), requests);
                 let waiting = reference.waiting(service, now).min(u64::from(u32::MAX));
                 prop_assert_eq!(u64::from(reports.queues(service, now).waiting), waiting);
             }
--- a/crates/gateway/tests/retries.rs
+++ b/crates/gateway/tests/retries.rs
@@ -4,9 +4,7 @@
 use std::time::Instant;
 
 use proptest::prelude::*;
-use umberglade_gateway::cluster::PeerRetries;
 use umberglade_gateway::cluster::RetryBudget;
-use umberglade_gateway::cluster::RetryCount;
 use umberglade_gateway::cluster::RetryPriority;
 use umberglade_gateway::model::ServiceName;
 
@@ -17,8 +15,6 @@
 /// Gateways with one service, which exchange their counts by `report`.
 struct Gateways {
     budgets: Vec<RetryBudget>,
-    /// Last reported counts, by gateway.
-    reported: Vec<RetryCount>,
     /// Whether gateways receive each other's reports.
     are_connected: bool,
     service: ServiceName,
@@ -32,7 +28,6 @@
         let budget = || RetryBudget::new(RATIO, SLACK, WINDOW, started_at);
         Gateways {
             budgets: (0..count).map(|_| budget()).collect(),
-            reported: vec![RetryCount::default(); count],
             are_connected,
             service: "svc".into(),
             requests: Vec::new(),
@@ -47,12 +42,11 @@
 
     fn repeat(&mut self, gateway: usize, now: Instant) -> bool {
         let gateways = self.budgets.len();
-        let peers =
-            if self.are_connected { self.peer_retries(gateway) } else { PeerRetries::default() };
+        let fresh_peers = if self.are_connected { gateways - 1 } else { 0 };
         let is_allowed = self.budgets[gateway].consume(
             &self.service,
             gateways,
-            peers,
+            fresh_peers,
             RetryPriority::Needed,
             now,
         );
@@ -62,21 +56,18 @@
         is_allowed
     }
 
-    fn peer_retries(&self, gateway: usize) -> PeerRetries {
-        let peers = self.reported.iter().enumerate().filter(|(at, _)| *at != gateway);
-        peers.fold(PeerRetries::default(), |sum, (_, count)| PeerRetries {
-            fresh_peers: sum.fresh_peers + 1,
-            count: RetryCount {
-                requests: sum.count.requests + count.requests,
-                repeats: sum.count.repeats + count.repeats,
-            },
-        })
-    }
-
+    /// Each gateway reports to all others, if they are connected.
     fn report(&mut self, now: Instant) {
-        for (budget, reported) in self.budgets.iter_mut().zip(&mut self.reported) {
-            let counts = budget.local_counts(now);
-            *reported = counts.first().map_or(RetryCount::default(), |(_, count)| *count);
+        if !self.are_connected {
+            return;
+        }
+        for from in 0..self.budgets.len() {
+            let used = self.budgets[from].local_usage(now);
+            for (to, budget) in self.budgets.iter_mut().enumerate() {
+                if to != from {
+                    budget.apply_report(from as u64, &used, now);
+                }
+            }
         }
     }
 
@@ -225,10 +216,8 @@
     let now = started_at + WINDOW;
     let service: ServiceName = "svc".into();
     let mut budget = RetryBudget::new(RATIO, SLACK, WINDOW, started_at);
-    let mut consume = |priority| {
-        let peers = PeerRetries::default();
-        (0..1000).filter(|_| budget.consume(&service, 1, peers, priority, now)).count()
-    };
+    let mut consume =
+        |priority| (0..1000).filter(|_| budget.consume(&service, 1, 0, priority, now)).count();
     let helpful = consume(RetryPriority::Helpful);
     let needed = consume(RetryPriority::Needed);
     assert!((1..=38).contains(&helpful), "{helpful}");
@@ -272,7 +261,7 @@
         // Further apart than the maximum age of reports, all within one window.
         let consume = |at: u32| {
             let later = now + Duration::from_millis(120) * (at + 1);
-            budget.consume(&service, 1, PeerRetries::default(), RetryPriority::Needed, later)
+            budget.consume(&service, 1, 0, RetryPriority::Needed, later)
         };
         (0..75).map(consume).filter(|is_allowed| *is_allowed).count() as u32
     };
