--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -16,9 +16,9 @@
 use crate::codec::PlatformCodec;
 use crate::model::AttemptSpec;
 use crate::model::ConfigVersion;
+use crate::model::CrashSuspects;
 use crate::model::EngineSpec;
 use crate::model::PromptShape;
-use crate::model::RequestFingerprint;
 use crate::model::RequestHead;
 use crate::model::Route;
 use crate::model::ServiceName;
@@ -38,8 +38,8 @@
     pub organisation: OrganisationDigest,
     /// The charge to the quota of its organisation, if there is one.
     pub charge: Option<QuotaCharge>,
-    /// Identical for all attempts of the same request.
-    pub fingerprint: RequestFingerprint,
+    /// By what the request is recognised if servers crash while they run it.
+    pub suspects: CrashSuspects,
     pub route: Arc<Route>,
     pub service: ServiceName,
     pub spec: ServiceSpec,
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -221,7 +221,8 @@
     tracing::info!(
         event = events::ATTEMPT_FAILED,
         request_id = call.id(),
-        content = fingerprint_key(call.fingerprint),
+        content = fingerprint_key(call.suspects.content),
+        parts = call.suspects.parts_text(),
         server = %target.server,
         peer = %target.address,
         failure = %failure,
@@ -247,7 +248,7 @@
     run_duration: Duration,
 ) {
     let failed_at = Instant::now();
-    let fingerprint = call.fingerprint;
+    let fingerprint = call.suspects.content;
     if !state.fleet().has_tunnel_peer(target.incarnation, failed_at) {
         state.record_crash(call.id(), fingerprint, target, run_duration);
         return;
--- a/crates/gateway/src/forward/reject.rs
+++ b/crates/gateway/src/forward/reject.rs
@@ -129,7 +129,7 @@
 ) -> Response<GatewayBody> {
     let now = Instant::now();
     let is_expired = now >= call.deadline;
-    let quarantine = state.quarantines.status(call.fingerprint);
+    let quarantine = state.quarantines.status(call.suspects.content);
     let next_send_after = next_send_after(state, call, now);
     let (rejection, retry_after) = match (may_have_run, is_expired, quarantine) {
         (true, true, _) => (Rejection::Expired, None),
@@ -175,7 +175,7 @@
     tracing::info!(
         event = events::CALL_REJECTED,
         request_id = call.id(),
-        content = fingerprint_key(call.fingerprint),
+        content = fingerprint_key(call.suspects.content),
         route = %call.route.name,
         service = %call.service,
         config = call.config,
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -291,7 +291,7 @@
         });
         self.state.record_outcome(&stream.target, ServerOutcome::Fine);
         if stream.is_delimited {
-            self.state.record_completion(self.call.fingerprint, &stream.target);
+            self.state.record_completion(self.call.suspects.content, &stream.target);
         }
         if let Some(connection) = stream.connection {
             let target = &stream.target;
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -29,6 +29,7 @@
 use crate::forward::Rejection;
 use crate::forward::reject;
 use crate::model::CallerKey;
+use crate::model::CrashSuspects;
 use crate::model::FingerprintParts;
 use crate::model::Organisation;
 use crate::model::RequestHead;
@@ -97,7 +98,7 @@
         Some(body) => body,
         None => return reject_too_large(),
     };
-    let fingerprint = FingerprintParts {
+    let content = FingerprintParts {
         method: parts.method.as_str(),
         host: stated_host(&parts.headers, &parts.uri).unwrap_or_default(),
         target: parts.uri.path_and_query().map_or("/", |target| target.as_str()),
@@ -105,6 +106,7 @@
         body: &body,
     }
     .fingerprint();
+    let suspects = CrashSuspects { content, parts: std::mem::take(&mut head.prompt_parts) };
     let draw = umberglade_wire::digest(request_id.as_bytes());
     let service = route.service(draw).clone();
     let spec = service_spec(&table, &service);
@@ -132,7 +134,7 @@
         head,
         organisation: organisation_digest,
         charge,
-        fingerprint,
+        suspects,
         route: Arc::clone(&route),
         service,
         spec,
--- a/crates/gateway/src/model/request_head.rs
+++ b/crates/gateway/src/model/request_head.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::CallerKey;
+use super::PromptParts;
 
 /// The size of a prompt and of its response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +35,9 @@
     pub key: CallerKey,
     /// Present on requests to model engines.
     pub prompt: Option<PromptShape>,
+    /// The parts of the prompt that other requests may share, without the last, which belongs to the
+    /// request or its session.
+    pub prompt_parts: PromptParts,
     /// The last event that the caller has received, when it resumes a stream.
     pub resume_after: Option<u64>,
     /// The id of the attempt that brought the caller its first event, when it takes up a stream.
