A part of prompts that crashes servers is held back, and no other

Callers saw a third of their streams served while requests with one part in their prompts ended server after server: no two were alike, so the detector of poison requests, which knows contents, saw one crash under each.

The detector judges parts like contents: three crashes of servers that were about to answer a prompt with the part, none answered since, at every gateway; rows, reports and probes are the same. A stream that goes on for 250 ms shows that none of its parts is fatal, so parts that sound requests share are cleared all the time. What a quarantined content or part explains counts against no other part; of a crash of many servers at one moment a part must have been at most. A request of which two suspects are held back is no probe.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
 use super::AttemptOutcome;
 use super::OutcomeUpdate;
@@ -12,16 +13,21 @@
 use super::QuarantineVerdict;
 use super::RowChange;
 use super::crash_record::CrashRecord;
+use super::crash_record::MIN_LONG_RUN;
 use super::crash_record::Suspicion;
 use super::crash_records::CrashRecords;
+use super::known_crashes::KnownCrashes;
 use super::outcome_log::OutcomeLog;
 use super::quarantine::Quarantine;
 use super::recent_completions::RecentCompletions;
 use super::server_outage::OUTAGE_WINDOW;
 use super::server_outage::ServerOutage;
+use super::survival_watch::SurvivalWatch;
+use crate::model::CrashSuspects;
 use crate::model::RequestFingerprint;
 use crate::model::ServerIncarnation;
 use crate::model::StoreStamp;
+use crate::model::is_prompt_part;
 
 /// A completion that is known to precede a crash is dated this much before it.
 const MIN_COMPLETION_LEAD: Duration = Duration::from_millis(1);
@@ -32,6 +38,18 @@
 /// this time.
 const WARM_UP_WINDOW: Duration = Duration::from_secs(3);
 
+/// What a change of quarantines concerns.
+pub type SuspectChanges = SmallVec<[(RequestFingerprint, QuarantineChange); 1]>;
+
+/// An attempt that broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenRun {
+    /// Time from the start of the attempt until its last event; zero if there was none.
+    pub duration: Duration,
+    /// Time from its first event until its last one.
+    pub sent_events_for: Duration,
+}
+
 /// Crashes by request fingerprint, and the fingerprints that are quarantined.
 ///
 /// Prevents a single poison request from crashing server after server. Such a request
@@ -51,6 +69,11 @@
     /// When peers saw server incarnations crash, for [`CrashDetector::is_down`].
     peer_outages: FxHashMap<ServerIncarnation, Instant>,
     recent: RecentCompletions,
+    /// Kept apart, so that parts that callers invent do not displace contents.
+    recent_parts: RecentCompletions,
+    /// All crashes, whatever the servers ran.
+    known_crashes: KnownCrashes,
+    survival: SurvivalWatch,
     pub(super) log: OutcomeLog,
     pub(super) row_changes: Vec<RowChange>,
     /// True where not all gateways report to each other: what peers report is passed on.
@@ -71,6 +94,31 @@
         self.is_relaying = is_relaying;
     }
 
+    /// Records that an attempt of a request broke at a server incarnation. Returns what that
+    /// changes.
+    pub fn record_broken_run(
+        &mut self,
+        suspects: &CrashSuspects,
+        incarnation: ServerIncarnation,
+        run: BrokenRun,
+        now: Instant,
+    ) -> SuspectChanges {
+        if self.is_known_outage(incarnation, now) {
+            return SuspectChanges::new();
+        }
+        self.known_crashes.add(incarnation, now);
+        let mut changes = SuspectChanges::new();
+        for fingerprint in suspects.iter() {
+            // A part that crashes servers does so when its answer begins.
+            if is_prompt_part(fingerprint) && run.sent_events_for >= MIN_LONG_RUN {
+                continue;
+            }
+            let change = self.record_suspect(fingerprint, incarnation, run.duration, now);
+            changes.extend(change.map(|change| (fingerprint, change)));
+        }
+        changes
+    }
+
     /// Records that an attempt of `fingerprint` broke at a server incarnation after it had sent
     /// events for `run_duration`.
     pub fn record_crash(
@@ -80,16 +128,32 @@
         run_duration: Duration,
         now: Instant,
     ) -> Option<QuarantineChange> {
+        let suspects = CrashSuspects { content: fingerprint, ..CrashSuspects::default() };
+        let run = BrokenRun { duration: run_duration, sent_events_for: run_duration };
+        let changes = self.record_broken_run(&suspects, incarnation, run, now);
+        changes.first().map(|(_, change)| *change)
+    }
+
+    /// Returns true if the server incarnation broke off attempts before and has not responded
+    /// since.
+    fn is_known_outage(&mut self, incarnation: ServerIncarnation, now: Instant) -> bool {
         let outage = self
             .outages
             .entry(incarnation)
             .or_insert(ServerOutage { first_broken_at: now, last_broken_at: now });
-        if outage.extends(now) {
-            return None;
-        }
+        outage.extends(now)
+    }
+
+    fn record_suspect(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        incarnation: ServerIncarnation,
+        run_duration: Duration,
+        now: Instant,
+    ) -> Option<QuarantineChange> {
         let record = self.crash_record(fingerprint, now, now);
         let crash = record.record_local_crash(incarnation, now);
-        if run_duration > record.longest_run {
+        if run_duration > record.longest_run && !is_prompt_part(fingerprint) {
             record.longest_run = run_duration;
             self.log.push(fingerprint, AttemptOutcome::Lived(run_duration.as_millis() as u32), now);
             self.release_long_running(now);
@@ -115,7 +179,7 @@
     ) -> Option<QuarantineChange> {
         self.outages.remove(&incarnation);
         self.peer_outages.remove(&incarnation);
-        self.recent.record(fingerprint, now);
+        self.recent_of(fingerprint).record(fingerprint, now);
         let record = self.records.get_mut(fingerprint)?;
         if record.crashes() > 0 || record.quarantine.is_some() {
             self.log.push(fingerprint, AttemptOutcome::Whole, now);
@@ -124,6 +188,50 @@
         self.clear(fingerprint, now)
     }
 
+    /// Records that a server incarnation has answered requests with the parts of a prompt, and went
+    /// on with the answer.
+    pub fn record_answered_parts(
+        &mut self,
+        parts: &[RequestFingerprint],
+        incarnation: ServerIncarnation,
+        now: Instant,
+    ) -> SuspectChanges {
+        let mut changes = SuspectChanges::new();
+        for part in parts {
+            let change = self.record_completion(*part, incarnation, now);
+            changes.extend(change.map(|change| (*part, change)));
+        }
+        changes
+    }
+
+    /// Records that an answer has ended with its connection, which does not show whether the server
+    /// has survived.
+    pub fn record_undelimited_end(
+        &mut self,
+        suspects: &CrashSuspects,
+        incarnation: ServerIncarnation,
+        now: Instant,
+    ) {
+        for fingerprint in suspects.iter() {
+            self.survival.add(incarnation, fingerprint, now);
+        }
+    }
+
+    /// Records that a server incarnation responds to a request that was sent at `sent_at`.
+    pub fn record_response(
+        &mut self,
+        incarnation: ServerIncarnation,
+        sent_at: Instant,
+        now: Instant,
+    ) -> SuspectChanges {
+        let mut changes = SuspectChanges::new();
+        for fingerprint in self.survival.take_survived(incarnation, sent_at, now) {
+            let change = self.record_completion(fingerprint, incarnation, now);
+            changes.extend(change.map(|change| (fingerprint, change)));
+        }
+        changes
+    }
+
     /// Applies an outcome reported by a peer.
     pub fn apply_peer_outcome(
         &mut self,
@@ -136,6 +244,7 @@
         match update.outcome {
             AttemptOutcome::Crashed(id) => {
                 self.peer_outages.insert(id, at);
+                self.known_crashes.add(id, at);
                 let is_new = self.crash_record(update.content, at, now).record_peer_crash(id, at);
                 if !is_new {
                     return None;
@@ -258,6 +367,7 @@
         let awaits_first_probe = quarantine.awaits_first_probe(now);
         let shared_rank = self.records.shared_crash_rank(fingerprint);
         let rank = shared_rank.or(awaits_first_probe.then_some(0));
+        let is_part = is_prompt_part(fingerprint);
         let is_shared = awaits_first_probe || (shared_rank.is_some() && record.is_provisional());
         // Before peers have reported, this gateway may know no more than the row.
         let age = self.started_at.map(|started_at| now.saturating_duration_since(started_at));
@@ -267,11 +377,12 @@
         let awaits_suspects = quarantine.probes == 0
             && self.records.suspicion_of_others(fingerprint, now) > Suspicion::None;
         Some(QuarantineStatus {
+            fingerprint,
             crashes: record.crashes(),
             probes: quarantine.probes,
             stamp: quarantine.stamp,
             age: now.saturating_duration_since(quarantine.since),
-            until_probe: quarantine.time_until_probe(rank, now),
+            until_probe: quarantine.time_until_probe(is_part, rank, now),
             is_provisional: is_shared || awaits_reports || awaits_suspects,
         })
     }
@@ -306,6 +417,7 @@
         }
         self.records.retain(|record| record.is_live(now));
         self.outages.retain(|_, outage| outage.is_live(now));
+        self.known_crashes.tick(now);
         self.peer_outages.retain(|_, at| now.saturating_duration_since(*at) < OUTAGE_WINDOW);
         if !forgotten.is_empty() {
             self.records.refresh_explained();
@@ -353,10 +465,12 @@
         now: Instant,
     ) -> Option<QuarantineChange> {
         let since = self.warm_up_start(now);
-        let record = self.records.get_mut(fingerprint)?;
-        if record.quarantine.is_some() || !record.is_poison_suspect(since, now) {
+        if self.records.get(fingerprint)?.quarantine.is_some()
+            || !self.is_suspect(fingerprint, since, now)
+        {
             return None;
         }
+        let record = self.records.get_mut(fingerprint)?;
         record.quarantine = Some(Quarantine::new(0, StoreStamp::NONE, now));
         let has_local_crash = record.has_local_crash;
         self.exclude_explained_crashes(now);
@@ -372,6 +486,28 @@
         Some(QuarantineChange::HeldBack)
     }
 
+    /// Returns true if, as far as known, servers crash because of `fingerprint`. Only crashes later
+    /// than `since` count, if it is set.
+    fn is_suspect(
+        &self,
+        fingerprint: RequestFingerprint,
+        since: Option<Instant>,
+        now: Instant,
+    ) -> bool {
+        if !is_prompt_part(fingerprint) {
+            let record = self.records.get(fingerprint);
+            return record.is_some_and(|record| record.is_poison_suspect(since, now));
+        }
+        let count_all = |first, last| self.known_crashes.count_between(first, last);
+        let evidence = self.records.part_evidence(fingerprint, since, count_all, now);
+        evidence.is_some_and(|evidence| evidence.is_suspect())
+    }
+
+    /// Returns the recent completions among which `fingerprint` is.
+    fn recent_of(&mut self, fingerprint: RequestFingerprint) -> &mut RecentCompletions {
+        if is_prompt_part(fingerprint) { &mut self.recent_parts } else { &mut self.recent }
+    }
+
     /// Returns the start of this gateway while it warms up, and `None` later.
     ///
     /// From its start on, the gateway knows all that happened. Prevents the quarantine of
@@ -424,7 +560,7 @@
         at: Instant,
         now: Instant,
     ) -> &mut CrashRecord {
-        let is_recent = self.recent.contains(fingerprint, now);
+        let is_recent = self.recent_of(fingerprint).contains(fingerprint, now);
         let record = self.records.entry(fingerprint);
         if record.crashes() == 0 && record.quarantine.is_none() && is_recent {
             let before = at.checked_sub(MIN_COMPLETION_LEAD).unwrap_or(at);
--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use super::CrashId;
+use super::PartEvidence;
 use super::quarantine::ISOLATION_PROBES;
 use super::quarantine::Quarantine;
 use crate::model::StoreStamp;
@@ -32,7 +33,7 @@
 /// point at which the other crashed its server.
 const LONG_RUN_FACTOR: u32 = 2;
 /// A run that sent events for a shorter time may still have been at its beginning.
-const MIN_LONG_RUN: Duration = Duration::from_millis(120);
+pub(super) const MIN_LONG_RUN: Duration = Duration::from_millis(120);
 /// How long a completion counts in favour of a fingerprint.
 const COMPLETION_RETENTION: Duration = Duration::from_secs(60);
 /// How long server crashes without a later completion are kept.
@@ -214,6 +215,29 @@
         self.has_local_crash &= !self.crashes.is_empty();
     }
 
+    /// Returns what the crashes say of a part of prompts with this record. Only crashes later than
+    /// `since` count, if it is set. Those that others explain are in `explained`, and `count_all`
+    /// returns the number of all crashes between two moments.
+    pub fn part_evidence(
+        &self,
+        since: Option<Instant>,
+        explained: &FxHashSet<CrashId>,
+        count_all: impl FnOnce(Instant, Instant) -> usize,
+        now: Instant,
+    ) -> PartEvidence {
+        let is_counted = |at: Instant| since.is_none_or(|since| at >= since);
+        let counted = || self.crashes.iter().filter(|(_, at)| is_counted(*at));
+        let times = || counted().map(|(_, at)| *at);
+        let span = times().next().zip(times().last());
+        PartEvidence {
+            crashes: counted().count(),
+            moments: distinct_moments(times()),
+            unexplained: counted().filter(|(id, _)| !explained.contains(id)).count(),
+            all_crashes: span.map_or(0, |(first, last)| count_all(first, last)),
+            is_trusted: self.is_trusted(now),
+        }
+    }
+
     /// Returns the number of server crashes since the last completion.
     pub fn crashes(&self) -> usize {
         self.crashes.len()
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -8,10 +8,12 @@
 use smallvec::SmallVec;
 
 use super::CrashId;
+use super::PartEvidence;
 use super::crash_record::CrashRecord;
 use super::crash_record::Suspicion;
 use crate::model::RequestFingerprint;
 use crate::model::StoreStamp;
+use crate::model::is_prompt_part;
 
 /// Maximum number of records, of some 250 bytes each: enough for the requests on a hundred
 /// servers that crash at one moment. Beyond it, the least informative records are evicted.
@@ -91,6 +93,7 @@
         let shares_crashes = |other: &&(RequestFingerprint, &CrashRecord)| {
             let (other, other_record) = **other;
             other != fingerprint
+                && !is_prompt_part(fingerprint)
                 && other_record.is_provisional()
                 && other_record.shares_crash(record)
         };
@@ -112,7 +115,9 @@
     /// `fingerprint`, is the poison request, and only was recorded later.
     pub fn suspicion_of_others(&self, fingerprint: RequestFingerprint, now: Instant) -> Suspicion {
         let Some(record) = self.records.get(&fingerprint) else { return Suspicion::None };
-        let others = self.records.iter().filter(|(other, _)| **other != fingerprint);
+        let others = self.records.iter().filter(|(other, _)| {
+            **other != fingerprint && !is_prompt_part(**other) && !is_prompt_part(fingerprint)
+        });
         let suspicions = others.map(|(_, other_record)| other_record.suspicion_beside(record, now));
         suspicions.max().unwrap_or(Suspicion::None)
     }
@@ -163,6 +168,18 @@
         quarantine.map_or(StoreStamp::NONE, |ended| ended.stamp)
     }
 
+    /// Returns what is known of the part of prompts with `fingerprint`, which is not quarantined.
+    pub fn part_evidence(
+        &self,
+        fingerprint: RequestFingerprint,
+        since: Option<Instant>,
+        count_all: impl FnOnce(Instant, Instant) -> usize,
+        now: Instant,
+    ) -> Option<PartEvidence> {
+        let record = self.records.get(&fingerprint)?;
+        Some(record.part_evidence(since, &self.explained, count_all, now))
+    }
+
     /// Recomputes the explained crashes after a change of the quarantined fingerprints or of
     /// their crashes.
     pub fn refresh_explained(&mut self) {
@@ -181,7 +198,7 @@
         id: CrashId,
         now: Instant,
     ) -> bool {
-        if !self.explained.contains(&id) {
+        if !self.explained.contains(&id) || is_prompt_part(fingerprint) {
             return false;
         }
         let record = self.records.get_mut(&fingerprint);
@@ -196,7 +213,9 @@
         self.refresh_explained();
         let mut fingerprints = FxHashSet::default();
         for (fingerprint, record) in &mut self.records {
-            if record.quarantine.is_none() && record.exclude_crashes(&self.explained, now) {
+            let is_content = !is_prompt_part(*fingerprint);
+            let is_judged = is_content && record.quarantine.is_none();
+            if is_judged && record.exclude_crashes(&self.explained, now) {
                 fingerprints.insert(*fingerprint);
             }
         }
--- a/crates/gateway/src/cluster/quarantine.rs
+++ b/crates/gateway/src/cluster/quarantine.rs
@@ -18,6 +18,15 @@
     Duration::from_secs(600),
     Duration::from_secs(7200),
 ];
+/// The same for a part of prompts. The first delay is shorter, as it may be part of most prompts, and
+/// the others are longer, as no caller that sends the same again waits for them.
+const PART_PROBE_DELAYS: [Duration; 5] = [
+    Duration::from_millis(600),
+    Duration::from_secs(10),
+    Duration::from_secs(60),
+    Duration::from_secs(600),
+    Duration::from_secs(7200),
+];
 /// Number of probes that distinguish a fingerprint from others quarantined for the same
 /// server crashes, before it counts as poison like any other.
 pub(super) const ISOLATION_PROBES: u32 = 5;
@@ -35,9 +44,9 @@
 
 /// Returns how long a fingerprint that has been probed `probes` times is quarantined until
 /// the next probe.
-fn probe_delay(probes: u32) -> Duration {
-    let index = (probes as usize).min(PROBE_DELAYS.len() - 1);
-    PROBE_DELAYS[index]
+fn probe_delay(is_part: bool, probes: u32) -> Duration {
+    let delays = if is_part { PART_PROBE_DELAYS } else { PROBE_DELAYS };
+    delays[(probes as usize).min(delays.len() - 1)]
 }
 
 /// Whether this gateway may send a probe that it has claimed.
@@ -134,14 +143,14 @@
     /// several fingerprints that are quarantined for the same server crashes, the one at `rank`
     /// 0 is probed soon, on its own; each further one a little later, as nobody may be sending
     /// those before it, and one that was probed waits its turn in the same way.
-    pub fn time_until_probe(&self, rank: Option<usize>, now: Instant) -> Duration {
+    pub fn time_until_probe(&self, is_part: bool, rank: Option<usize>, now: Instant) -> Duration {
         let delay = match rank {
             Some(0) if self.probes < ISOLATION_PROBES => ISOLATION_INTERVAL * self.probes.min(1),
-            Some(0) => probe_delay(self.probes - ISOLATION_PROBES),
+            Some(0) => probe_delay(is_part, self.probes - ISOLATION_PROBES),
             Some(rank) if self.probes < ISOLATION_PROBES => {
-                (ISOLATION_INTERVAL * rank as u32).min(probe_delay(self.probes))
+                (ISOLATION_INTERVAL * rank as u32).min(probe_delay(is_part, self.probes))
             }
-            _ => probe_delay(self.probes),
+            _ => probe_delay(is_part, self.probes),
         };
         let due = self.since + delay;
         let due = self.claimed_until.map_or(due, |until| due.max(until));
@@ -170,6 +179,6 @@
     /// probe delay would have claimed a probe.
     pub fn is_idle(&self, now: Instant) -> bool {
         let idle = now.saturating_duration_since(self.since);
-        idle >= probe_delay(self.probes).saturating_mul(2) + IDLE_RETENTION
+        idle >= probe_delay(false, self.probes).saturating_mul(2) + IDLE_RETENTION
     }
 }
--- a/crates/gateway/src/cluster/quarantine_verdict.rs
+++ b/crates/gateway/src/cluster/quarantine_verdict.rs
@@ -4,11 +4,14 @@
 
 use strum::Display;
 
+use crate::model::RequestFingerprint;
 use crate::model::StoreStamp;
 
 /// The status of a quarantined fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineStatus {
+    /// The content, or the part of prompts, that is quarantined.
+    pub fingerprint: RequestFingerprint,
     /// Number of server crashes on record.
     pub crashes: usize,
     /// Number of requests admitted as probes.
--- a/crates/gateway/src/forward/admit.rs
+++ b/crates/gateway/src/forward/admit.rs
@@ -22,6 +22,7 @@
 use crate::model::ServerStage;
 use crate::quarantine::claim_probe;
 use crate::quarantine::fingerprint_key;
+use crate::quarantine::suspect_kind;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
@@ -40,13 +41,13 @@
 ) -> Result<Attempts, Response<GatewayBody>> {
     loop {
         let has_probe_server = || !probe_servers(state, call).up.is_empty();
-        let verdict = state.quarantines.admit(call.suspects.content, has_probe_server);
+        let verdict = state.quarantines.admit(&call.suspects, has_probe_server);
         let (quarantine, outcome) = match verdict {
             QuarantineVerdict::Admitted => return Ok(Attempts::default()),
             QuarantineVerdict::Quarantined(quarantine) => (quarantine, "refused".to_owned()),
             QuarantineVerdict::Probe(quarantine) => return Ok(new_probe(state, call, quarantine)),
             QuarantineVerdict::ProbeDue(quarantine) => {
-                match claim_probe::<C>(state, call.suspects.content, quarantine).await {
+                match claim_probe::<C>(state, quarantine).await {
                     Ok(true) => return Ok(new_probe(state, call, quarantine)),
                     Ok(false) => (quarantine, "refused; another gateway probes".to_owned()),
                     Err(error) => (quarantine, format!("refused; probe not claimed: {error}")),
@@ -117,7 +118,7 @@
 fn new_probe(state: &Arc<GatewayState>, call: &Call, quarantine: QuarantineStatus) -> Attempts {
     log_quarantined(call, quarantine, 0, "sent as a probe");
     let servers = probe_servers(state, call);
-    Attempts::probe(ProbeGuard::new(state, call.suspects.content), servers.down)
+    Attempts::probe(ProbeGuard::new(state, quarantine.fingerprint), servers.down)
 }
 
 /// Returns the `Retry-After` of a quarantined request.
@@ -132,11 +133,13 @@
     sends: u32,
     outcome: &str,
 ) {
-    metrics::counter!("umberglade_calls_held_total").increment(1);
+    let kind = suspect_kind(quarantine.fingerprint);
+    metrics::counter!("umberglade_calls_held_total", "kind" => kind).increment(1);
     tracing::info!(
         event = events::CALL_QUARANTINED,
         request_id = call.id(),
-        content = fingerprint_key(call.suspects.content),
+        content = fingerprint_key(quarantine.fingerprint),
+        kind,
         service = %call.service,
         crashes = quarantine.crashes,
         probes = quarantine.probes,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -59,7 +59,7 @@
         if self.probe.is_some() && self.count == 0 {
             return None;
         }
-        state.quarantines.status(call.suspects.content)
+        state.quarantines.status_of(&call.suspects)
     }
 
     /// Waits while the quarantine of `call` is provisional, because probes have yet to show whether
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -13,6 +13,7 @@
 
 use super::Call;
 use super::attempt_permit::AttemptPermit;
+use crate::cluster::BrokenRun;
 use crate::cluster::PathVerdict;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
@@ -32,6 +33,10 @@
 use crate::upstream::ServerConnection;
 use crate::upstream::ServerPath;
 
+/// An attempt that broke off before its first event.
+const NO_EVENTS: BrokenRun =
+    BrokenRun { duration: Duration::ZERO, sent_events_for: Duration::ZERO };
+
 /// Why an attempt got no valid response from the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -163,6 +168,9 @@
     if !is_misdirected {
         state.record_flow_control(target, status, head.flow_control, sent_at);
     }
+    if !is_misdirected {
+        state.record_response(target, sent_at);
+    }
     if head.is_not_run || is_misdirected {
         let failure =
             if is_misdirected { AttemptFailure::Misdirected } else { AttemptFailure::NotRun };
@@ -196,10 +204,10 @@
     failure: AttemptFailure,
     problem: &str,
 ) -> AttemptFailure {
-    record_midstream_failure(state, call, target, failure, problem, Duration::ZERO).await
+    record_midstream_failure(state, call, target, failure, problem, NO_EVENTS).await
 }
 
-/// Records and logs an attempt whose server failed after sending events for `run_duration`.
+/// Records and logs an attempt whose server failed after `run`.
 ///
 /// Returns once it is known whether the server may have crashed. Prevents the caller from coming
 /// again, and its request from crashing another server, before the crash counts.
@@ -209,7 +217,7 @@
     target: &SendTarget,
     failure: AttemptFailure,
     problem: &str,
-    run_duration: Duration,
+    run: BrokenRun,
 ) -> AttemptFailure {
     let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
     let may_be_path = matches!(failure, AttemptFailure::Silent | AttemptFailure::Broken);
@@ -232,7 +240,7 @@
         "attempt failed"
     );
     if failure == AttemptFailure::Broken {
-        record_break(state, call, target, run_duration).await;
+        record_break(state, call, target, run).await;
     }
     failure
 }
@@ -241,26 +249,20 @@
 /// still reach it and only the path of this one is broken.
 ///
 /// Prevents the quarantine of requests that are in flight when a gateway loses its paths.
-async fn record_break(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    target: &SendTarget,
-    run_duration: Duration,
-) {
+async fn record_break(state: &Arc<GatewayState>, call: &Call, target: &SendTarget, run: BrokenRun) {
     let failed_at = Instant::now();
-    let fingerprint = call.suspects.content;
     if !state.fleet().has_tunnel_peer(target.incarnation, failed_at) {
-        state.record_crash(call.id(), fingerprint, target, run_duration);
+        state.record_crash(call.id(), &call.suspects, target, run);
         return;
     }
     let (state, target) = (Arc::clone(state), target.clone());
-    let request_id = call.id().to_owned();
+    let (request_id, suspects) = (call.id().to_owned(), call.suspects.clone());
     let (sender, recorded) = async_channel::bounded::<()>(1);
     // Goes on if the caller leaves meanwhile.
     pool::spawn(async move {
         let verdict = locate_failure(&state, &target, failed_at).await;
         if verdict != PathVerdict::Broken {
-            state.record_crash(&request_id, fingerprint, &target, run_duration);
+            state.record_crash(&request_id, &suspects, &target, run);
         }
         drop(sender);
     });
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -251,7 +251,9 @@
     let is_error = parts.status.is_server_error();
     state.record_outcome(target, if is_error { ServerOutcome::Erred } else { ServerOutcome::Fine });
     if !is_error && is_delimited(&parts.headers) {
-        state.record_completion(call.suspects.content, target);
+        state.record_completion(&call.suspects, target);
+    } else if !is_error {
+        state.quarantines.record_undelimited_end(&call.suspects, target);
     }
     if !opened.head.closes {
         state.pool.put(target, opened.connection, opened.head.keep_alive, Instant::now());
--- a/crates/gateway/src/forward/reject.rs
+++ b/crates/gateway/src/forward/reject.rs
@@ -129,7 +129,7 @@
 ) -> Response<GatewayBody> {
     let now = Instant::now();
     let is_expired = now >= call.deadline;
-    let quarantine = state.quarantines.status(call.suspects.content);
+    let quarantine = state.quarantines.status_of(&call.suspects);
     let next_send_after = next_send_after(state, call, now);
     let (rejection, retry_after) = match (may_have_run, is_expired, quarantine) {
         (true, true, _) => (Rejection::Expired, None),
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -29,6 +29,7 @@
 use super::stream_open::OpenOutcome;
 use super::stream_open::OpenStream;
 use super::stream_run;
+use crate::cluster::BrokenRun;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
@@ -47,6 +48,8 @@
 const STALL_TIMEOUT_GAPS: u32 = 4;
 /// Stall timeout of routes without a target gap.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time from a server's first event until a later one shows that the prompt does not crash it.
+const SURVIVAL_TIME: Duration = Duration::from_millis(250);
 /// Interval at which the version of a long stream is told again: well within the time for which it
 /// is kept.
 const ORIGIN_REFRESH_INTERVAL: Duration = Duration::from_secs(20);
@@ -166,15 +169,18 @@
                     (AttemptFailure::Silent, problem, Some(next))
                 }
             };
-            let run_duration =
-                current.load_guard.age().saturating_sub(self.last_event_at.elapsed());
+            let since_last_event = self.last_event_at.elapsed();
+            let run = BrokenRun {
+                duration: current.load_guard.age().saturating_sub(since_last_event),
+                sent_events_for: current.first_event_at.elapsed().saturating_sub(since_last_event),
+            };
             exchange::record_midstream_failure(
                 &self.state,
                 &self.call,
                 &current.target,
                 failure,
                 &problem,
-                run_duration,
+                run,
             )
             .await;
             self.attempts.runs += 1;
@@ -211,6 +217,7 @@
                 }
                 self.relay_event(event).await?;
                 self.refresh_origin(stream).await;
+                self.record_survival(stream);
                 is_stalled = false;
                 tokens += tokens_per_event;
                 stream.load_guard.record_progress(tokens);
@@ -273,6 +280,15 @@
         }
     }
 
+    /// Records once, when the stream has gone on for a while, that its server answers prompts with
+    /// these parts.
+    fn record_survival(&self, stream: &mut OpenStream) {
+        let has_survived = stream.first_event_at.elapsed() >= SURVIVAL_TIME;
+        if has_survived && !std::mem::replace(&mut stream.has_survived, true) {
+            self.state.record_answered_parts(&self.call.suspects.parts, &stream.target);
+        }
+    }
+
     async fn send(&self, bytes: Bytes) -> Result<(), RelayOutcome> {
         let sent = self.sender.send(Ok(Frame::data(bytes))).await;
         sent.map_err(|_| RelayOutcome::CallerLeft)
@@ -291,7 +307,9 @@
         });
         self.state.record_outcome(&stream.target, ServerOutcome::Fine);
         if stream.is_delimited {
-            self.state.record_completion(self.call.suspects.content, &stream.target);
+            self.state.record_completion(&self.call.suspects, &stream.target);
+        } else {
+            self.state.quarantines.record_undelimited_end(&self.call.suspects, &stream.target);
         }
         if let Some(connection) = stream.connection {
             let target = &stream.target;
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -39,6 +39,9 @@
     pub headers: HeaderMap,
     /// `None` for a stream that ended without any event.
     pub first: Option<StreamEvent>,
+    pub first_event_at: Instant,
+    /// True once the server has gone on with the stream for a while.
+    pub has_survived: bool,
     pub reader: EventReader,
     pub target: SendTarget,
     /// Version of the server that sent the first event; `None` if it may have been started again at
@@ -140,6 +143,7 @@
         Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
+    let first_event_at = Instant::now();
     let software = sent_version.confirm::<C>(state, target).await;
     if pinned.is_some() && software != pinned {
         return fail(AttemptFailure::Garbled, "the server may have another version").await;
@@ -149,6 +153,8 @@
         status,
         headers: C::response_headers(&parts.headers),
         first,
+        first_event_at,
+        has_survived: false,
         reader,
         target: target.clone(),
         software,
--- a/crates/gateway/src/model/crash_suspects.rs
+++ b/crates/gateway/src/model/crash_suspects.rs
@@ -11,9 +11,20 @@
 /// Digests of the parts of a prompt that other requests may share, in their order.
 pub type PromptParts = SmallVec<[RequestFingerprint; 4]>;
 
+/// The low bits by which the digest of a part is told from that of a content. One content in 65,536
+/// has them too, and is judged like a part.
+const PART_TAG: u64 = 0x9a27;
+const PART_TAG_MASK: u64 = 0xffff;
+
 /// Returns the digest by which the part of a prompt named `id` is recognised.
 pub fn prompt_part(id: &str) -> RequestFingerprint {
-    umberglade_wire::digest_seeded(id.as_bytes(), umberglade_wire::digest(b"prompt part"))
+    let digest = umberglade_wire::digest_seeded(id.as_bytes(), PART_TAG);
+    (digest & !PART_TAG_MASK) | PART_TAG
+}
+
+/// Returns true if `fingerprint` is that of a part of prompts.
+pub fn is_prompt_part(fingerprint: RequestFingerprint) -> bool {
+    fingerprint & PART_TAG_MASK == PART_TAG
 }
 
 /// What of a request may be the reason why servers crash: its content, whoever sends it again, or a
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -13,4 +13,5 @@
 pub use self::quarantine_row::fingerprint_from_key;
 pub use self::quarantine_row::fingerprint_key;
 pub use self::quarantines::Quarantines;
+pub use self::quarantines::suspect_kind;
 pub use self::row_writer::run_row_writer;
--- a/crates/gateway/src/quarantine/probe_claim.rs
+++ b/crates/gateway/src/quarantine/probe_claim.rs
@@ -6,14 +6,12 @@
 use super::fingerprint_key;
 use crate::cluster::QuarantineStatus;
 use crate::codec::PlatformCodec;
-use crate::model::RequestFingerprint;
 use crate::model::StoreTable;
 use crate::state::GatewayState;
 use crate::store::StoreClient;
 use crate::store::StoreError;
 
-/// Returns true if this gateway may send one request of `fingerprint`, which is quarantined
-/// as `status` says.
+/// Returns true if this gateway may send one request that is quarantined as `status` says.
 ///
 /// Prevents a probe at each of hundreds of gateways, each of which may crash a server: the
 /// gateway that changes the row from the version known to all has claimed the probe, and
@@ -26,10 +24,10 @@
 /// for the store.
 pub async fn claim_probe<C: PlatformCodec>(
     state: &GatewayState,
-    fingerprint: RequestFingerprint,
     status: QuarantineStatus,
 ) -> Result<bool, StoreError> {
     let mut client = StoreClient::<C>::new(state);
+    let QuarantineStatus { fingerprint, .. } = status;
     let probes = status.probes + 1;
     let row = QuarantineRow { probes, claimed_by: state.quarantines.claimant };
     let key = fingerprint_key(fingerprint);
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -4,23 +4,27 @@
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 
 use event_listener::Event;
+use smallvec::SmallVec;
 
 use super::QuarantineRow;
 use super::fingerprint_key;
+use crate::cluster::BrokenRun;
 use crate::cluster::CrashDetector;
 use crate::cluster::OutcomeUpdate;
 use crate::cluster::QuarantineChange;
 use crate::cluster::QuarantineStatus;
 use crate::cluster::QuarantineVerdict;
 use crate::cluster::RowChange;
+use crate::cluster::SuspectChanges;
 use crate::events;
+use crate::model::CrashSuspects;
 use crate::model::RequestFingerprint;
 use crate::model::ServerIncarnation;
 use crate::model::StoreStamp;
+use crate::model::is_prompt_part;
 use crate::upstream::SendTarget;
 
 /// The quarantined fingerprints; logs each change.
@@ -47,41 +51,70 @@
         }
     }
 
-    /// Records that an attempt of request `request_id` broke at `target` after it had sent
-    /// events for `run_duration`. Returns true if that changes which requests are quarantined.
+    /// Records that an attempt of request `request_id` broke at `target`. Returns true if that
+    /// changes what is quarantined.
     pub fn record_crash(
         &self,
         request_id: &str,
-        fingerprint: RequestFingerprint,
+        suspects: &CrashSuspects,
         target: &SendTarget,
-        run_duration: Duration,
+        run: BrokenRun,
     ) -> bool {
         let now = Instant::now();
         let mut detector = self.detector();
-        let change = detector.record_crash(fingerprint, target.incarnation, run_duration, now);
-        let crashes = detector.crashes(fingerprint);
+        let changes = detector.record_broken_run(suspects, target.incarnation, run, now);
+        let crashes = detector.crashes(suspects.content);
         drop(detector);
         metrics::counter!("umberglade_crashed_sends_total").increment(1);
         tracing::info!(
             event = events::CRASH_SUSPECTED,
             request_id,
-            content = fingerprint_key(fingerprint),
+            content = fingerprint_key(suspects.content),
+            parts = suspects.parts_text(),
             server = %target.server,
             incarnation = target.incarnation,
             crashes,
-            lived_ms = run_duration.as_millis() as u64,
-            is_held_back = change.is_some(),
+            lived_ms = run.duration.as_millis() as u64,
+            sent_events_for_ms = run.sent_events_for.as_millis() as u64,
+            is_held_back = !changes.is_empty(),
             "a server may have crashed while it ran this request"
         );
-        self.log_change(fingerprint, change, "own")
+        self.log_changes(changes, "own")
+    }
+
+    /// Records that a request completed at `target`, which kept running. Returns true if that
+    /// changes what is quarantined.
+    pub fn record_completion(&self, suspects: &CrashSuspects, target: &SendTarget) -> bool {
+        let now = Instant::now();
+        let mut changes = SuspectChanges::new();
+        for fingerprint in suspects.iter() {
+            let change = self.detector().record_completion(fingerprint, target.incarnation, now);
+            changes.extend(change.map(|change| (fingerprint, change)));
+        }
+        self.log_changes(changes, "own")
+    }
+
+    /// Records that `target` answers a prompt with `parts`, and went on with the answer. Returns
+    /// true if that changes what is quarantined.
+    pub fn record_answered_parts(&self, parts: &[RequestFingerprint], target: &SendTarget) -> bool {
+        let now = Instant::now();
+        let changes = self.detector().record_answered_parts(parts, target.incarnation, now);
+        self.log_changes(changes, "own")
     }
 
-    /// Records that a request of `fingerprint` completed at `target`. Returns true if that
-    /// changes which requests are quarantined.
-    pub fn record_completion(&self, fingerprint: RequestFingerprint, target: &SendTarget) -> bool {
-        let change =
-            self.detector().record_completion(fingerprint, target.incarnation, Instant::now());
-        self.log_change(fingerprint, change, "own")
+    /// Records that an answer of `target` has ended with its connection, which does not show
+    /// whether the server has survived.
+    pub fn record_undelimited_end(&self, suspects: &CrashSuspects, target: &SendTarget) {
+        let now = Instant::now();
+        self.detector().record_undelimited_end(suspects, target.incarnation, now);
+    }
+
+    /// Records that `target` responds to a request that was sent at `sent_at`. Returns true if that
+    /// changes what is quarantined.
+    pub fn record_response(&self, target: &SendTarget, sent_at: Instant) -> bool {
+        let now = Instant::now();
+        let changes = self.detector().record_response(target.incarnation, sent_at, now);
+        self.log_changes(changes, "own")
     }
 
     /// Applies an outcome reported by a peer. Returns true if that changes which requests are
@@ -131,22 +164,27 @@
         self.has_read_rows.load(Ordering::Acquire)
     }
 
-    /// Decides whether a new request may be sent. First quarantines its fingerprint if reports
-    /// that were received while this process was still warming up show it to be suspect.
+    /// Decides whether a new request may be sent. First quarantines what reports show to be suspect
+    /// that were received while this process was still warming up.
     ///
-    /// Without `has_probe_server`, no probe is begun: it would find no server, and delay the next.
+    /// Only a request of which nothing else is quarantined may be a probe: its outcome would not
+    /// show which of them crashes servers. Without `has_probe_server`, no probe is begun: it would
+    /// find no server, and delay the next.
     pub fn admit(
         &self,
-        fingerprint: RequestFingerprint,
+        suspects: &CrashSuspects,
         has_probe_server: impl FnOnce() -> bool,
     ) -> QuarantineVerdict {
         let now = Instant::now();
-        let change = self.detector().quarantine_if_suspect(fingerprint, now);
-        self.log_change(fingerprint, change, "gateway");
-        match self.status(fingerprint) {
-            None => QuarantineVerdict::Admitted,
-            Some(quarantine) if !has_probe_server() => QuarantineVerdict::Quarantined(quarantine),
-            Some(_) => self.detector().admit(fingerprint, now),
+        for fingerprint in suspects.iter() {
+            let change = self.detector().quarantine_if_suspect(fingerprint, now);
+            self.log_change(fingerprint, change, "gateway");
+        }
+        let quarantined = self.quarantined(suspects);
+        match (decisive(&quarantined), quarantined.len()) {
+            (None, _) => QuarantineVerdict::Admitted,
+            (Some(known), 1) if has_probe_server() => self.detector().admit(known.fingerprint, now),
+            (Some(known), _) => QuarantineVerdict::Quarantined(known),
         }
     }
 
@@ -180,6 +218,17 @@
         self.detector().status(fingerprint, Instant::now())
     }
 
+    /// Returns the status of the quarantine that holds back a request, or `None` if none does.
+    pub fn status_of(&self, suspects: &CrashSuspects) -> Option<QuarantineStatus> {
+        decisive(&self.quarantined(suspects))
+    }
+
+    fn quarantined(&self, suspects: &CrashSuspects) -> SmallVec<[QuarantineStatus; 1]> {
+        let now = Instant::now();
+        let detector = self.detector();
+        suspects.iter().filter_map(|fingerprint| detector.status(fingerprint, now)).collect()
+    }
+
     /// Returns the outcomes for a report to peers.
     pub fn updates(&self, reports_all: bool) -> Vec<OutcomeUpdate> {
         self.detector().updates(reports_all, Instant::now())
@@ -234,6 +283,15 @@
         true
     }
 
+    /// Logs several changes. Returns true if there are any.
+    fn log_changes(&self, changes: SuspectChanges, known_by: &'static str) -> bool {
+        let mut is_changed = false;
+        for (fingerprint, change) in changes {
+            is_changed |= self.log_change(fingerprint, Some(change), known_by);
+        }
+        is_changed
+    }
+
     fn emit_change(
         &self,
         fingerprint: RequestFingerprint,
@@ -244,6 +302,7 @@
         tracing::warn!(
             event = events::QUARANTINE_CHANGED,
             content = fingerprint_key(fingerprint),
+            kind = suspect_kind(fingerprint),
             outcome = %change,
             known_by,
             crashes = status.map_or(0, |status| status.crashes),
@@ -254,3 +313,14 @@
         self.rows_due.notify(usize::MAX);
     }
 }
+
+/// Returns the status that decides how a request is treated of which all of `quarantined` hold: one
+/// that is certain before others, and the one that lasts longest.
+fn decisive(quarantined: &[QuarantineStatus]) -> Option<QuarantineStatus> {
+    quarantined.iter().copied().max_by_key(|known| (!known.is_provisional, known.until_probe))
+}
+
+/// Returns what `fingerprint` is of, for logs and metrics.
+pub fn suspect_kind(fingerprint: RequestFingerprint) -> &'static str {
+    if is_prompt_part(fingerprint) { "part" } else { "content" }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use event_listener::Event;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::cluster::BrokenRun;
 use crate::cluster::ConfigSources;
 use crate::cluster::ConfigWatch;
 use crate::cluster::EngineEstimates;
@@ -27,6 +28,7 @@
 use crate::cluster::name_digest;
 use crate::events;
 use crate::in_flight_count::InFlightCount;
+use crate::model::CrashSuspects;
 use crate::model::GatewaySettings;
 use crate::model::RequestFingerprint;
 use crate::model::ServerStage;
@@ -352,25 +354,42 @@
         }
     }
 
-    /// Records that `target` completed a request with `fingerprint`.
-    pub fn record_completion(&self, fingerprint: RequestFingerprint, target: &SendTarget) {
-        if self.quarantines.record_completion(fingerprint, target) {
-            self.capacity_changed.notify(usize::MAX);
-            // Peers quarantine the request until they receive the report.
-            self.report_requested.notify(1);
+    /// Records that `target` completed a request with `suspects`.
+    pub fn record_completion(&self, suspects: &CrashSuspects, target: &SendTarget) {
+        if self.quarantines.record_completion(suspects, target) {
+            self.tell_cleared_quarantine();
+        }
+    }
+
+    /// Records that `target` answers a prompt with `parts`, and went on with the answer.
+    pub fn record_answered_parts(&self, parts: &[RequestFingerprint], target: &SendTarget) {
+        if self.quarantines.record_answered_parts(parts, target) {
+            self.tell_cleared_quarantine();
+        }
+    }
+
+    /// Records that `target` responds to a request that was sent at `sent_at`.
+    pub fn record_response(&self, target: &SendTarget, sent_at: Instant) {
+        if self.quarantines.record_response(target, sent_at) {
+            self.tell_cleared_quarantine();
         }
     }
 
-    /// Records that an attempt broke off at `target`, which may have crashed while executing it,
-    /// after it had sent events for `run_duration`.
+    /// Lets requests that wait check again. Peers quarantine them until they receive the report.
+    fn tell_cleared_quarantine(&self) {
+        self.capacity_changed.notify(usize::MAX);
+        self.report_requested.notify(1);
+    }
+
+    /// Records that an attempt broke off at `target`, which may have crashed while executing it.
     pub fn record_crash(
         &self,
         request_id: &str,
-        fingerprint: RequestFingerprint,
+        suspects: &CrashSuspects,
         target: &SendTarget,
-        run_duration: Duration,
+        run: BrokenRun,
     ) {
-        if self.quarantines.record_crash(request_id, fingerprint, target, run_duration) {
+        if self.quarantines.record_crash(request_id, suspects, target, run) {
             self.capacity_changed.notify(usize::MAX);
         }
         self.report_requested.notify(1);
