Parts: a run that has gone on clears them; what is sent to a server that is down says nothing

Three causes: while a part was quarantined it explained its own crashes, so a peer's answer cleared it and the next request held it back again; streams that broke with their server after 120 ms of events did not speak for their parts; and requests sent to a server that had just crashed counted as being at its crash.

A server that responds to a request sent after its connections broke is up again at once (its outage ended with a whole answer before).

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -13,7 +13,7 @@
 use super::QuarantineVerdict;
 use super::RowChange;
 use super::crash_record::CrashRecord;
-use super::crash_record::MIN_LONG_RUN;
+use super::crash_record::SURVIVAL_TIME;
 use super::crash_record::Suspicion;
 use super::crash_records::CrashRecords;
 use super::known_crashes::KnownCrashes;
@@ -44,6 +44,7 @@
 /// An attempt that broke off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BrokenRun {
+    pub sent_at: Instant,
     /// Time from the start of the attempt until its last event; zero if there was none.
     pub duration: Duration,
     /// Time from its first event until its last one.
@@ -103,14 +104,21 @@
         run: BrokenRun,
         now: Instant,
     ) -> SuspectChanges {
+        let was_down = self.broke_before(incarnation, run.sent_at, now);
         if self.is_known_outage(incarnation, now) {
             return SuspectChanges::new();
         }
         self.known_crashes.add(incarnation, now);
+        let has_survived = run.sent_events_for >= SURVIVAL_TIME;
         let mut changes = SuspectChanges::new();
         for fingerprint in suspects.iter() {
-            // A part that crashes servers does so when its answer begins.
-            if is_prompt_part(fingerprint) && run.sent_events_for >= MIN_LONG_RUN {
+            // A part that crashes servers does so when its answer begins: another request did.
+            if has_survived && is_prompt_part(fingerprint) {
+                let change = self.record_survival(fingerprint, now);
+                changes.extend(change.map(|change| (fingerprint, change)));
+                continue;
+            }
+            if was_down && is_prompt_part(fingerprint) {
                 continue;
             }
             let change = self.record_suspect(fingerprint, incarnation, run.duration, now);
@@ -129,11 +137,21 @@
         now: Instant,
     ) -> Option<QuarantineChange> {
         let suspects = CrashSuspects { content: fingerprint, ..CrashSuspects::default() };
-        let run = BrokenRun { duration: run_duration, sent_events_for: run_duration };
+        let run = BrokenRun { sent_at: now, duration: run_duration, sent_events_for: run_duration };
         let changes = self.record_broken_run(&suspects, incarnation, run, now);
         changes.first().map(|(_, change)| *change)
     }
 
+    /// Returns true if the server incarnation broke off an attempt before `sent_at` and has not
+    /// responded since, as far as this gateway and its peers know: then no request that was sent
+    /// later has crashed it.
+    fn broke_before(&self, incarnation: ServerIncarnation, sent_at: Instant, now: Instant) -> bool {
+        let outage = self.outages.get(&incarnation).filter(|outage| outage.is_live(now));
+        let peer_outage = self.peer_outages.get(&incarnation);
+        outage.is_some_and(|outage| outage.first_broken_at < sent_at)
+            || peer_outage.is_some_and(|at| *at < sent_at)
+    }
+
     /// Returns true if the server incarnation broke off attempts before and has not responded
     /// since.
     fn is_known_outage(&mut self, incarnation: ServerIncarnation, now: Instant) -> bool {
@@ -179,6 +197,15 @@
     ) -> Option<QuarantineChange> {
         self.outages.remove(&incarnation);
         self.peer_outages.remove(&incarnation);
+        self.record_survival(fingerprint, now)
+    }
+
+    /// Records that no server crashed under a request of `fingerprint`.
+    fn record_survival(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: Instant,
+    ) -> Option<QuarantineChange> {
         self.recent_of(fingerprint).record(fingerprint, now);
         let record = self.records.get_mut(fingerprint)?;
         if record.crashes() > 0 || record.quarantine.is_some() {
@@ -224,6 +251,12 @@
         sent_at: Instant,
         now: Instant,
     ) -> SuspectChanges {
+        if self.outages.get(&incarnation).is_some_and(|outage| outage.last_broken_at < sent_at) {
+            self.outages.remove(&incarnation);
+        }
+        if self.peer_outages.get(&incarnation).is_some_and(|at| *at < sent_at) {
+            self.peer_outages.remove(&incarnation);
+        }
         let mut changes = SuspectChanges::new();
         for fingerprint in self.survival.take_survived(incarnation, sent_at, now) {
             let change = self.record_completion(fingerprint, incarnation, now);
@@ -282,11 +315,9 @@
                 if is_news {
                     self.relay(update, at);
                 }
-                let record = self.records.get_mut(update.content)?;
-                let is_cleared = !record.is_poison_suspect(since, now)
-                    && record
-                        .quarantine
-                        .is_some_and(|known| !known.stamp.exists() || known.since < at);
+                let quarantine = self.records.get(update.content)?.quarantine;
+                let is_cleared = !self.is_suspect(update.content, since, now)
+                    && quarantine.is_some_and(|known| !known.stamp.exists() || known.since < at);
                 if is_cleared { self.clear(update.content, now) } else { None }
             }
         }
--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -33,7 +33,10 @@
 /// point at which the other crashed its server.
 const LONG_RUN_FACTOR: u32 = 2;
 /// A run that sent events for a shorter time may still have been at its beginning.
-pub(super) const MIN_LONG_RUN: Duration = Duration::from_millis(120);
+const MIN_LONG_RUN: Duration = Duration::from_millis(120);
+/// Time from the first event of an answer from which on its server has survived the parts of its
+/// prompt.
+pub const SURVIVAL_TIME: Duration = MIN_LONG_RUN;
 /// How long a completion counts in favour of a fingerprint.
 const COMPLETION_RETENTION: Duration = Duration::from_secs(60);
 /// How long server crashes without a later completion are kept.
@@ -227,12 +230,14 @@
     ) -> PartEvidence {
         let is_counted = |at: Instant| since.is_none_or(|since| at >= since);
         let counted = || self.crashes.iter().filter(|(_, at)| is_counted(*at));
+        // While it is quarantined, it explains its crashes itself.
+        let is_explained = |id| self.quarantine.is_none() && explained.contains(&id);
         let times = || counted().map(|(_, at)| *at);
-        let span = times().next().zip(times().last());
+        let span = times().next().zip(times().next_back());
         PartEvidence {
             crashes: counted().count(),
             moments: distinct_moments(times()),
-            unexplained: counted().filter(|(id, _)| !explained.contains(id)).count(),
+            unexplained: counted().filter(|(id, _)| !is_explained(*id)).count(),
             all_crashes: span.map_or(0, |(first, last)| count_all(first, last)),
             is_trusted: self.is_trusted(now),
         }
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -93,6 +93,7 @@
 pub use self::crash_detector::BrokenRun;
 pub use self::crash_detector::CrashDetector;
 pub use self::crash_detector::SuspectChanges;
+pub use self::crash_record::SURVIVAL_TIME;
 pub use self::engine_estimates::EngineEstimates;
 pub use self::era_history::COPY_SETTLING_TIME;
 pub use self::era_history::EraHistory;
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -33,10 +33,6 @@
 use crate::upstream::ServerConnection;
 use crate::upstream::ServerPath;
 
-/// An attempt that broke off before its first event.
-const NO_EVENTS: BrokenRun =
-    BrokenRun { duration: Duration::ZERO, sent_events_for: Duration::ZERO };
-
 /// Why an attempt got no valid response from the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -94,6 +90,7 @@
     pub head: ResponseHead,
     pub connection: ServerConnection,
     pub permit: AttemptPermit,
+    pub sent_at: Instant,
 }
 
 /// Returns the current address of `server` for a request that is sent at once, and consumes a
@@ -151,7 +148,8 @@
             if failure == AttemptFailure::Unsent {
                 permit.settle();
             }
-            return Err(record_failure(state, call, target, failure, &error.to_string()).await);
+            let problem = error.to_string();
+            return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
         }
     };
     if connection.path == ServerPath::Direct {
@@ -162,7 +160,8 @@
     if head.request_id != call.head.request_id || head.is_encoded {
         state.fleet().record_malformed(&target.server, Instant::now());
         let problem = format!("status {status}, response to {:?}", head.request_id);
-        return Err(record_failure(state, call, target, AttemptFailure::Garbled, &problem).await);
+        let failure = AttemptFailure::Garbled;
+        return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
     }
     let is_misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
     if !is_misdirected {
@@ -177,16 +176,16 @@
         if !head.closes {
             state.pool.put(target, connection, head.keep_alive, Instant::now());
         }
-        return Err(record_failure(state, call, target, failure, &format!("status {status}")).await);
+        let problem = format!("status {status}");
+        return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
     }
     // Servers sign only responses for callers; a prefill server's is for the gateway.
     let needs_signature = attempt_spec.purpose != AttemptPurpose::Prefill;
     if status.is_success() && needs_signature && !head.is_signed {
-        return Err(
-            record_failure(state, call, target, AttemptFailure::Garbled, "not signed").await
-        );
+        let failure = AttemptFailure::Garbled;
+        return Err(record_failure(state, call, target, failure, "not signed", sent_at).await);
     }
-    Ok(OpenResponse { response, head, connection, permit })
+    Ok(OpenResponse { response, head, connection, permit, sent_at })
 }
 
 /// Returns true when the headers state where the body ends. A body that ends with its
@@ -196,15 +195,17 @@
     headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::CONTENT_LENGTH)
 }
 
-/// Records and logs an attempt that failed before its first event.
+/// Records and logs an attempt, sent at `sent_at`, that failed before its first event.
 pub async fn record_failure(
     state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
     failure: AttemptFailure,
     problem: &str,
+    sent_at: Instant,
 ) -> AttemptFailure {
-    record_midstream_failure(state, call, target, failure, problem, NO_EVENTS).await
+    let run = BrokenRun { sent_at, duration: Duration::ZERO, sent_events_for: Duration::ZERO };
+    record_midstream_failure(state, call, target, failure, problem, run).await
 }
 
 /// Records and logs an attempt whose server failed after `run`.
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -244,7 +244,9 @@
     let body: Bytes = match read {
         Ok(body) => body,
         Err((failure, problem)) => {
-            let failure = exchange::record_failure(state, call, target, failure, &problem).await;
+            let sent_at = opened.sent_at;
+            let failure =
+                exchange::record_failure(state, call, target, failure, &problem, sent_at).await;
             return PlainOutcome::Failed(failure);
         }
     };
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -92,7 +92,7 @@
         Err((AttemptFailure::Silent, "the body did not arrive in time".to_owned()))
     };
     let fail = async |failure, problem: &str| {
-        exchange::record_failure(state, call, &target, failure, problem).await
+        exchange::record_failure(state, call, &target, failure, problem, started_at).await
     };
     let body = match read.or(timed_out).await {
         Ok(body) => body.to_bytes(),
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -30,6 +30,7 @@
 use super::stream_open::OpenStream;
 use super::stream_run;
 use crate::cluster::BrokenRun;
+use crate::cluster::SURVIVAL_TIME;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
@@ -48,8 +49,6 @@
 const STALL_TIMEOUT_GAPS: u32 = 4;
 /// Stall timeout of routes without a target gap.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Time from a server's first event until a later one shows that the prompt does not crash it.
-const SURVIVAL_TIME: Duration = Duration::from_millis(250);
 /// Interval at which the version of a long stream is told again: well within the time for which it
 /// is kept.
 const ORIGIN_REFRESH_INTERVAL: Duration = Duration::from_secs(20);
@@ -171,6 +170,7 @@
             };
             let since_last_event = self.last_event_at.elapsed();
             let run = BrokenRun {
+                sent_at: current.sent_at,
                 duration: current.load_guard.age().saturating_sub(since_last_event),
                 sent_events_for: current.first_event_at.elapsed().saturating_sub(since_last_event),
             };
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -39,6 +39,7 @@
     pub headers: HeaderMap,
     /// `None` for a stream that ended without any event.
     pub first: Option<StreamEvent>,
+    pub sent_at: Instant,
     pub first_event_at: Instant,
     /// True once the server has gone on with the stream for a while.
     pub has_survived: bool,
@@ -98,7 +99,8 @@
     let replaced = async {
         let next = replacement.await;
         let problem = format!("no first event within {} ms", started_at.elapsed().as_millis());
-        exchange::record_failure(state, call, &target, AttemptFailure::Silent, &problem).await;
+        let failure = AttemptFailure::Silent;
+        exchange::record_failure(state, call, &target, failure, &problem, started_at).await;
         OpenOutcome::Replaced(next)
     };
     opened.or(replaced).await
@@ -114,6 +116,7 @@
     pinned: Option<SoftwareDigest>,
 ) -> OpenOutcome {
     let sent_version = SentVersion::of(state, target);
+    let sent_at = Instant::now();
     let deadline = call.deadline;
     let timeout = call.time_left(Instant::now());
     let opened =
@@ -122,7 +125,9 @@
             Err(failure) => return OpenOutcome::Failed(failure),
         };
     let fail = async |failure, problem: &str| {
-        OpenOutcome::Failed(exchange::record_failure(state, call, target, failure, problem).await)
+        let failure =
+            exchange::record_failure(state, call, target, failure, problem, sent_at).await;
+        OpenOutcome::Failed(failure)
     };
     let status = opened.response.status();
     if !status.is_success() {
@@ -153,6 +158,7 @@
         status,
         headers: C::response_headers(&parts.headers),
         first,
+        sent_at,
         first_event_at,
         has_survived: false,
         reader,
