--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -4,14 +4,15 @@
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
-use smallvec::SmallVec;
 
 use super::AttemptOutcome;
+use super::BrokenRun;
 use super::OutcomeUpdate;
 use super::QuarantineChange;
 use super::QuarantineStatus;
 use super::QuarantineVerdict;
 use super::RowChange;
+use super::SuspectChanges;
 use super::crash_record::CrashRecord;
 use super::crash_record::SURVIVAL_TIME;
 use super::crash_record::Suspicion;
@@ -38,19 +39,6 @@
 /// this time.
 const WARM_UP_WINDOW: Duration = Duration::from_secs(3);
 
-/// What a change of quarantines concerns.
-pub type SuspectChanges = SmallVec<[(RequestFingerprint, QuarantineChange); 1]>;
-
-/// An attempt that broke off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BrokenRun {
-    pub sent_at: Instant,
-    /// Time from the start of the attempt until its last event; zero if there was none.
-    pub duration: Duration,
-    /// Time from its first event until its last one.
-    pub sent_events_for: Duration,
-}
-
 /// Crashes by request fingerprint, and the fingerprints that are quarantined.
 ///
 /// Prevents a single poison request from crashing server after server. Such a request
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission_queue;
 mod backoff_update;
+mod broken_run;
 mod candidate;
 mod charge_update;
 mod config_log;
@@ -83,6 +84,8 @@
 pub use self::admission_queue::QueueUpdate;
 pub use self::admission_queue::Ticket;
 pub use self::backoff_update::BackoffUpdate;
+pub use self::broken_run::BrokenRun;
+pub use self::broken_run::SuspectChanges;
 pub use self::charge_update::ChargeTotal;
 pub use self::charge_update::ChargeUpdate;
 pub use self::config_log::ConfigLog;
@@ -90,9 +93,7 @@
 pub use self::config_sources::ConfigSources;
 pub use self::config_sources::SourceChoice;
 pub use self::config_watch::ConfigWatch;
-pub use self::crash_detector::BrokenRun;
 pub use self::crash_detector::CrashDetector;
-pub use self::crash_detector::SuspectChanges;
 pub use self::crash_record::SURVIVAL_TIME;
 pub use self::engine_estimates::EngineEstimates;
 pub use self::era_history::COPY_SETTLING_TIME;
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -174,7 +174,7 @@
 
 /// Logs that the retry budget allows no `purpose`.
 fn log_retry_denied(state: &GatewayState, call: &Call, sends: u32, purpose: &'static str) {
-    let (known, knows_window) = state.known_retries(&call.service);
+    let known = state.known_retries(&call.service);
     tracing::info!(
         event = events::RETRY_DENIED,
         request_id = call.id(),
@@ -182,9 +182,9 @@
         purpose,
         sends,
         gateways = state.members(),
-        requests_known = known.requests,
-        retries_known = known.repeats,
-        knows_window,
+        requests_known = known.count.requests,
+        retries_known = known.count.repeats,
+        knows_window = known.is_complete,
         "retry budget exhausted"
     );
 }
--- a/crates/gateway/src/peers/report_content.rs
+++ b/crates/gateway/src/peers/report_content.rs
@@ -11,14 +11,20 @@
 use crate::cluster::RelayedNotice;
 use crate::state::GatewayState;
 
-/// Returns the report with the number `sequence` for gateways of the same shard, with the part of it
-/// that follows in the datagram. `is_full` adds what most reports omit.
+/// A report for gateways of the same shard, and the part of it that follows in the datagram.
+#[derive(Debug)]
+pub(super) struct NearReport {
+    pub report: LoadReport,
+    pub usage: UsagePart,
+}
+
+/// Returns the report with the number `sequence` for gateways of the same shard. `is_full` adds what most reports omit.
 pub(super) fn near_report(
     state: &GatewayState,
     sequence: u64,
     is_full: bool,
     new_peers: &[u64],
-) -> (LoadReport, UsagePart) {
+) -> NearReport {
     let now = Instant::now();
     // Each lock needs its own statement, because its guard lives until the statement ends.
     let loads = state.fleet().local_loads();
@@ -51,7 +57,7 @@
         departures,
         backoffs,
     };
-    (report, usage)
+    NearReport { report, usage }
 }
 
 /// Returns `report` for gateways of other shards, without what concerns only the local shard.
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -16,6 +16,7 @@
 use super::ReportTail;
 use super::SendBudget;
 use super::UsagePart;
+use super::report_content::NearReport;
 use super::report_content::is_quiet;
 use super::report_content::near_report;
 use super::report_content::relay_part;
@@ -125,7 +126,8 @@
         let now = Instant::now();
         let is_full = !new_peers.is_empty() || now >= self.full_report_due;
         self.sequence += 1;
-        let (report, usage) = near_report(&self.state, self.sequence, is_full, &new_peers);
+        let NearReport { report, usage } =
+            near_report(&self.state, self.sequence, is_full, &new_peers);
         let is_sharded = !remote.is_empty();
         let is_quiet = is_sharded && is_quiet(&report) && !self.state.has_organisations();
         let notices = self.state.shared_tables.notices_for_group(now);
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -9,6 +9,14 @@
 use crate::model::ServiceName;
 use crate::state::GatewayState;
 
+/// The requests and retries of all gateways in the last window, as far as one knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownRetries {
+    pub count: RetryCount,
+    /// False while the gateway does not know what was used before its start.
+    pub is_complete: bool,
+}
+
 impl GatewayState {
     /// Counts a caller's request towards the retry budget.
     pub fn record_request(&self, service: &ServiceName) {
@@ -36,12 +44,14 @@
         })
     }
 
-    /// Returns what all gateways have counted of `service` in the last window, and whether this one
-    /// knows all of it.
-    pub fn known_retries(&self, service: &ServiceName) -> (RetryCount, bool) {
+    /// Returns what this gateway knows of the retries to `service`, for logs.
+    pub fn known_retries(&self, service: &ServiceName) -> KnownRetries {
         let now = Instant::now();
         let mut budget = self.retries.lock().expect("retries lock");
-        (budget.window_count(service, now), budget.knows_window(now))
+        KnownRetries {
+            count: budget.window_count(service, now),
+            is_complete: budget.knows_window(now),
+        }
     }
 
     /// Returns this gateway's counts of requests and retries, by service.
