A stream with neither a length nor chunks that ends before its first event is broken

Callers got an empty answer with status 200 and the server's signature when the server closed such a stream before its first event, and no crash was recorded. Such a stream is now a broken attempt: it is retried where the route allows it. a_stream_without_length_ends_whole_or_visibly_broken failed before (case 'before the first event': 200, complete); its other three cases held before.

--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -148,6 +148,10 @@
         Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
+    let is_delimited = exchange::is_delimited(&parts.headers);
+    if first.is_none() && !is_delimited {
+        return fail(AttemptFailure::Broken, "ended before its first event").await;
+    }
     let first_event_at = Instant::now();
     let software = sent_version.confirm::<C>(state, target).await;
     if pinned.is_some() && software != pinned {
@@ -166,7 +170,7 @@
         software,
         connection: (!head.closes).then_some(connection),
         keep_alive: head.keep_alive,
-        is_delimited: exchange::is_delimited(&parts.headers),
+        is_delimited,
         load_guard,
     }))
 }
