--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -77,7 +77,8 @@
     }
 
     /// Returns the rank of `fingerprint` among the fingerprints that are quarantined for the
-    /// same server crashes, or `None` if it shares none.
+    /// same server crashes, or `None` if it shares none. Parts of prompts have no rank: what else
+    /// explains their crashes is part of their evidence.
     ///
     /// Those with the longest runs rank first, as the most likely to be harmless, and those that
     /// have been probed less often before them.
@@ -85,6 +86,9 @@
     /// Prevents a poison request from being probed several times, each time crashing a server,
     /// while a harmless one waits for its first probe.
     pub fn shared_crash_rank(&self, fingerprint: RequestFingerprint) -> Option<usize> {
+        if is_prompt_part(fingerprint) {
+            return None;
+        }
         let record = self.records.get(&fingerprint)?;
         let rank = |fingerprint, record: &CrashRecord| {
             let probes = record.quarantine.map_or(0, |quarantine| quarantine.probes);
@@ -93,7 +97,6 @@
         let shares_crashes = |other: &&(RequestFingerprint, &CrashRecord)| {
             let (other, other_record) = **other;
             other != fingerprint
-                && !is_prompt_part(fingerprint)
                 && other_record.is_provisional()
                 && other_record.shares_crash(record)
         };
@@ -114,10 +117,13 @@
     /// Returns how likely it is that a fingerprint that is not quarantined, rather than
     /// `fingerprint`, is the poison request, and only was recorded later.
     pub fn suspicion_of_others(&self, fingerprint: RequestFingerprint, now: Instant) -> Suspicion {
+        if is_prompt_part(fingerprint) {
+            return Suspicion::None;
+        }
         let Some(record) = self.records.get(&fingerprint) else { return Suspicion::None };
-        let others = self.records.iter().filter(|(other, _)| {
-            **other != fingerprint && !is_prompt_part(**other) && !is_prompt_part(fingerprint)
-        });
+        let is_other_content =
+            |other: &RequestFingerprint| *other != fingerprint && !is_prompt_part(*other);
+        let others = self.records.iter().filter(|(other, _)| is_other_content(other));
         let suspicions = others.map(|(_, other_record)| other_record.suspicion_beside(record, now));
         suspicions.max().unwrap_or(Suspicion::None)
     }
