Crash records: a break that its server outlives is no crash

Contents and parts that most requests share are at each such break.

Change: a response to a request sent after a break, within the second in which no server is back, takes the crash off all records (OutlivedBreaks); what is quarantined for it, and not probed yet, is released, and reports of peers about it count no more. Local: peers find out by their own responses; nothing changes on the wire.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
 use super::AttemptOutcome;
 use super::BrokenRun;
@@ -19,6 +20,7 @@
 use super::crash_records::CrashRecords;
 use super::known_crashes::KnownCrashes;
 use super::outcome_log::OutcomeLog;
+use super::outlived_breaks::OutlivedBreaks;
 use super::quarantine::Quarantine;
 use super::recent_completions::RecentCompletions;
 use super::server_outage::OUTAGE_WINDOW;
@@ -62,6 +64,7 @@
     recent_parts: RecentCompletions,
     /// All crashes, whatever the servers ran.
     known_crashes: KnownCrashes,
+    outlived: OutlivedBreaks,
     survival: SurvivalWatch,
     pub(super) log: OutcomeLog,
     pub(super) row_changes: Vec<RowChange>,
@@ -92,6 +95,7 @@
         run: BrokenRun,
         now: Instant,
     ) -> SuspectChanges {
+        self.outlived.add(incarnation, now);
         let was_down = self.broke_before(incarnation, run.sent_at, now);
         if self.is_known_outage(incarnation, now) {
             return SuspectChanges::new();
@@ -246,6 +250,9 @@
             self.peer_outages.remove(&incarnation);
         }
         let mut changes = SuspectChanges::new();
+        if let Some(broke_at) = self.outlived.record_response(incarnation, sent_at, now) {
+            changes.extend(self.remove_crash(incarnation, broke_at, now));
+        }
         for fingerprint in self.survival.take_survived(incarnation, sent_at, now) {
             let change = self.record_completion(fingerprint, incarnation, now);
             changes.extend(change.map(|change| (fingerprint, change)));
@@ -253,6 +260,29 @@
         changes
     }
 
+    /// Removes the crash of a server incarnation in the second before `until`, which was none, and
+    /// releases what was quarantined for it.
+    fn remove_crash(
+        &mut self,
+        incarnation: ServerIncarnation,
+        until: Instant,
+        now: Instant,
+    ) -> SuspectChanges {
+        self.known_crashes.remove(incarnation, until);
+        let affected = self.records.remove_crash(incarnation, until);
+        self.log.retain_crashes(|_, id| id != incarnation);
+        let since = self.warm_up_start(now);
+        let is_unfounded = |of: &RequestFingerprint| !self.is_suspect(*of, since, now);
+        let unfounded: SmallVec<[RequestFingerprint; 2]> =
+            affected.into_iter().filter(is_unfounded).collect();
+        let mut changes = SuspectChanges::new();
+        for fingerprint in unfounded {
+            let change = self.clear(fingerprint, now);
+            changes.extend(change.map(|change| (fingerprint, change)));
+        }
+        changes
+    }
+
     /// Applies an outcome reported by a peer.
     pub fn apply_peer_outcome(
         &mut self,
@@ -264,6 +294,10 @@
         let since = self.warm_up_start(now);
         match update.outcome {
             AttemptOutcome::Crashed(id) => {
+                if self.outlived.contains(id, at) {
+                    return None;
+                }
+                self.outlived.add(id, at);
                 self.peer_outages.insert(id, at);
                 self.known_crashes.add(id, at);
                 let is_new = self.crash_record(update.content, at, now).record_peer_crash(id, at);
@@ -437,6 +471,7 @@
         self.records.retain(|record| record.is_live(now));
         self.outages.retain(|_, outage| outage.is_live(now));
         self.known_crashes.tick(now);
+        self.outlived.tick(now);
         self.peer_outages.retain(|_, at| now.saturating_duration_since(*at) < OUTAGE_WINDOW);
         if !forgotten.is_empty() {
             self.records.refresh_explained();
--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -88,7 +88,7 @@
             if now.saturating_duration_since(*at) < SAME_CRASH_WINDOW {
                 return None;
             }
-            id = umberglade_wire::digest_seeded(b"again", id);
+            id = next_crash_id(id);
         }
         self.add(id, now);
         Some(id)
@@ -112,6 +112,24 @@
         }
     }
 
+    /// Removes the crash of the server incarnation `incarnation` in the last second before `until`,
+    /// which was none. Returns true if it was on record.
+    pub fn remove_crash(&mut self, incarnation: CrashId, until: Instant) -> bool {
+        let ids: SmallVec<[CrashId; MAX_CRASHES]> =
+            std::iter::successors(Some(incarnation), |id| Some(next_crash_id(*id)))
+                .take(MAX_CRASHES)
+                .collect();
+        let is_kept = |(id, at): &(CrashId, Instant)| {
+            let is_in_time = *at <= until && until.duration_since(*at) < SAME_CRASH_WINDOW;
+            !(is_in_time && ids.contains(id))
+        };
+        let count = self.crashes.len() + self.excluded.len();
+        self.crashes.retain(|crash| is_kept(crash));
+        self.excluded.retain(|crash| is_kept(crash));
+        self.has_local_crash &= !self.crashes.is_empty();
+        self.crashes.len() + self.excluded.len() < count
+    }
+
     /// Returns true if a server crashed under both this fingerprint and `other`.
     pub fn shares_crash(&self, other: &CrashRecord) -> bool {
         self.shared_crashes(other) > 0
@@ -301,6 +319,11 @@
     }
 }
 
+/// Returns the id of the next crash of a server incarnation after the crash `id`.
+fn next_crash_id(id: CrashId) -> CrashId {
+    umberglade_wire::digest_seeded(b"again", id)
+}
+
 /// Counts the moments among `crashes`, oldest first, that are [`SAME_CRASH_WINDOW`] apart.
 fn distinct_moments(crashes: impl Iterator<Item = Instant>) -> usize {
     let mut count = 0;
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -186,6 +186,24 @@
         Some(record.part_evidence(since, &self.explained, count_all, now))
     }
 
+    /// Removes the crash of a server incarnation in the second before `until` from all records.
+    /// Returns the quarantined fingerprints that it was recorded for and that no probe has tested.
+    pub fn remove_crash(
+        &mut self,
+        incarnation: CrashId,
+        until: Instant,
+    ) -> SmallVec<[RequestFingerprint; 2]> {
+        let mut untested = SmallVec::new();
+        for (fingerprint, record) in &mut self.records {
+            let is_untested = record.quarantine.is_some_and(|known| known.probes == 0);
+            if record.remove_crash(incarnation, until) && is_untested {
+                untested.push(*fingerprint);
+            }
+        }
+        self.refresh_explained();
+        untested
+    }
+
     /// Recomputes the explained crashes after a change of the quarantined fingerprints or of
     /// their crashes.
     pub fn refresh_explained(&mut self) {
--- a/crates/gateway/src/cluster/known_crashes.rs
+++ b/crates/gateway/src/cluster/known_crashes.rs
@@ -39,6 +39,12 @@
         self.crashes.iter().filter(|(_, at)| (first..=last).contains(at)).count()
     }
 
+    /// Removes the crash `id` of the last second before `until`.
+    pub fn remove(&mut self, id: CrashId, until: Instant) {
+        let is_removed = |at: Instant| at <= until && until.duration_since(at) < SAME_CRASH_WINDOW;
+        self.crashes.retain(|(known, at)| *known != id || !is_removed(*at));
+    }
+
     /// Removes what is older than [`RETENTION`].
     pub fn tick(&mut self, now: Instant) {
         self.crashes.retain(|(_, at)| now.saturating_duration_since(*at) < RETENTION);
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -33,6 +33,7 @@
 mod notice_relay;
 mod outcome_log;
 mod outcome_update;
+mod outlived_breaks;
 mod output_estimate;
 mod part_suspicion;
 mod path_update;
