Crash records: what is sent to a server that is down crashes nothing

A killed server's address may go on accepting connections and breaking them (in the soak a proxy before it; a balancer or a port forwarder elsewhere). Requests that a gateway sent there within a second of the first break, or after an attempt that could not even connect (decode-7-1: unreachable at 52.0 s, broken sends to it counted at 52.6 and 53.4 s), counted as crashes of their contents; attempts that did not connect were no sign of an outage for parts either.

Change: a break of a request that was sent to a server which had not responded since an earlier break or failed connection counts for nobody (before: not for parts, after a break). Failed connections begin an outage (CrashDetector::record_unreachable).

Measured: new test requests_to_servers_that_are_down_crash_nothing fails before ("sent after another broke") and passes.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -15,6 +15,7 @@
 use super::RowChange;
 use super::SuspectChanges;
 use super::crash_record::CrashRecord;
+use super::crash_record::SAME_CRASH_WINDOW;
 use super::crash_record::SURVIVAL_TIME;
 use super::crash_record::Suspicion;
 use super::crash_records::CrashRecords;
@@ -97,7 +98,8 @@
     ) -> SuspectChanges {
         self.outlived.add(incarnation, now);
         let was_down = self.broke_before(incarnation, run.sent_at, now);
-        if self.is_known_outage(incarnation, now) {
+        let has_stayed_down = self.extend_outage(incarnation, now);
+        if was_down || has_stayed_down {
             return SuspectChanges::new();
         }
         self.known_crashes.add(incarnation, now);
@@ -110,17 +112,14 @@
                 changes.extend(change.map(|change| (fingerprint, change)));
                 continue;
             }
-            if was_down && is_prompt_part(fingerprint) {
-                continue;
-            }
             let change = self.record_suspect(fingerprint, incarnation, run.duration, now);
             changes.extend(change.map(|change| (fingerprint, change)));
         }
         changes
     }
 
-    /// Records that an attempt of `fingerprint` broke at a server incarnation after it had sent
-    /// events for `run_duration`.
+    /// Records that an attempt of `fingerprint` that was under way broke at a server incarnation
+    /// after it had sent events for `run_duration`.
     pub fn record_crash(
         &mut self,
         fingerprint: RequestFingerprint,
@@ -129,11 +128,20 @@
         now: Instant,
     ) -> Option<QuarantineChange> {
         let suspects = CrashSuspects { content: fingerprint, ..CrashSuspects::default() };
-        let run = BrokenRun { sent_at: now, duration: run_duration, sent_events_for: run_duration };
+        let sent_at = now.checked_sub(SAME_CRASH_WINDOW).unwrap_or(now);
+        let run = BrokenRun { sent_at, duration: run_duration, sent_events_for: run_duration };
         let changes = self.record_broken_run(&suspects, incarnation, run, now);
         changes.first().map(|(_, change)| *change)
     }
 
+    /// Records that no connection to a server incarnation could be opened.
+    ///
+    /// Prevents requests from being quarantined that are sent to a server that is down while
+    /// something before it still accepts connections.
+    pub fn record_unreachable(&mut self, incarnation: ServerIncarnation, now: Instant) {
+        self.extend_outage(incarnation, now);
+    }
+
     /// Returns true if the server incarnation broke off an attempt before `sent_at` and has not
     /// responded since, as far as this gateway and its peers know: then no request that was sent
     /// later has crashed it.
@@ -144,9 +152,9 @@
             || peer_outage.is_some_and(|at| *at < sent_at)
     }
 
-    /// Returns true if the server incarnation broke off attempts before and has not responded
-    /// since.
-    fn is_known_outage(&mut self, incarnation: ServerIncarnation, now: Instant) -> bool {
+    /// Records that a server incarnation does not respond. Returns true if it has not responded for
+    /// so long that it cannot have crashed again.
+    fn extend_outage(&mut self, incarnation: ServerIncarnation, now: Instant) -> bool {
         let outage = self
             .outages
             .entry(incarnation)
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -240,8 +240,10 @@
         elapsed_ms = call.age_ms(),
         "attempt failed"
     );
-    if failure == AttemptFailure::Broken {
-        record_break(state, call, target, run).await;
+    match failure {
+        AttemptFailure::Broken => record_break(state, call, target, run).await,
+        AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
+        _ => {}
     }
     failure
 }
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -82,6 +82,11 @@
         self.log_changes(changes, "own")
     }
 
+    /// Records that no connection to `target` could be opened.
+    pub fn record_unreachable(&self, target: &SendTarget) {
+        self.detector().record_unreachable(target.incarnation, Instant::now());
+    }
+
     /// Records that a request completed at `target`, which kept running. Returns true if that
     /// changes what is quarantined.
     pub fn record_completion(&self, suspects: &CrashSuspects, target: &SendTarget) -> bool {
--- a/crates/gateway/tests/false_crashes.rs
+++ b/crates/gateway/tests/false_crashes.rs
@@ -23,6 +23,10 @@
     Break { sent_at: u64, at: u64 },
     /// A peer reports that an attempt of the request broke.
     PeerBreak { at: u64 },
+    /// An attempt of another request, which no other has in common, breaks.
+    OtherBreak { sent_at: u64, at: u64 },
+    /// No connection to the server can be opened.
+    Unreachable { at: u64 },
     /// The server responds to another request.
     Response { sent_at: u64, at: u64 },
 }
@@ -86,6 +90,13 @@
                     detector.apply_peer_outcome(update, at(broke_at));
                 }
             }
+            Step::OtherBreak { sent_at, at: broke_at } => {
+                let other = CrashSuspects { content: (100 + server) << 16, ..Default::default() };
+                detector.record_broken_run(&other, server, run(sent_at), at(broke_at));
+            }
+            Step::Unreachable { at: failed_at } => {
+                detector.record_unreachable(server, at(failed_at));
+            }
             Step::Response { sent_at, at: head_at } => {
                 detector.record_response(server, at(sent_at), at(head_at));
             }
@@ -178,3 +189,46 @@
         },
     ]);
 }
+
+/// Prevents requests from being quarantined that are sent to servers which are down already, while
+/// something before them still accepts connections.
+#[test]
+fn requests_to_servers_that_are_down_crash_nothing() {
+    check(&[
+        Case {
+            name: "sent after another broke",
+            steps: &[
+                Step::OtherBreak { sent_at: 0, at: 100 },
+                Step::Break { sent_at: 300, at: 310 },
+            ],
+            is_quarantined: false,
+        },
+        Case {
+            name: "under way when another broke",
+            steps: &[
+                Step::OtherBreak { sent_at: 0, at: 100 },
+                Step::Break { sent_at: 50, at: 110 },
+            ],
+            is_quarantined: true,
+        },
+        Case {
+            name: "sent after the server was out of reach",
+            steps: &[Step::Unreachable { at: 100 }, Step::Break { sent_at: 300, at: 310 }],
+            is_quarantined: false,
+        },
+        Case {
+            name: "under way when the server went out of reach",
+            steps: &[Step::Unreachable { at: 100 }, Step::Break { sent_at: 50, at: 110 }],
+            is_quarantined: true,
+        },
+        Case {
+            name: "sent after the server responded again",
+            steps: &[
+                Step::Unreachable { at: 100 },
+                Step::Response { sent_at: 200, at: 250 },
+                Step::Break { sent_at: 300, at: 310 },
+            ],
+            is_quarantined: true,
+        },
+    ]);
+}
