Part suspicion: two crashes that nothing else explains do not make a part suspect

Two unexplained crashes at two moments were enough.

Change: where another part or content explains some of its crashes, a part is suspect at three others, as where nothing explains any; at two others once it was at five crashes, by which a fatal part must be known.

--- a/crates/gateway/src/cluster/part_suspicion.rs
+++ b/crates/gateway/src/cluster/part_suspicion.rs
@@ -12,7 +12,11 @@
 const COVERAGE: f64 = 0.6;
 const TRUSTED_COVERAGE: f64 = 0.8;
 /// Number of crashes that nothing else explains, where something else explains the others.
-const UNEXPLAINED_CRASHES: usize = 2;
+const UNEXPLAINED_CRASHES: usize = SUSPECT_CRASHES;
+/// Number of crashes by which a fatal part must be known, and of those among them that nothing else
+/// explains.
+const KNOWN_CRASHES: usize = 5;
+const UNEXPLAINED_OF_KNOWN: usize = 2;
 
 /// What speaks for and against one part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +42,7 @@
     /// back when servers lose power, and where another part or request explains the crashes.
     pub fn is_suspect(&self) -> bool {
         let is_explained = self.unexplained < self.crashes;
-        if is_explained && self.unexplained < UNEXPLAINED_CRASHES {
+        if is_explained && !self.has_enough_unexplained() {
             return false;
         }
         let coverage = self.crashes as f64 / self.all_crashes.max(self.crashes).max(1) as f64;
@@ -49,4 +53,9 @@
         let is_repeated = self.moments >= SUSPECT_MOMENTS || coverage >= COVERAGE;
         self.crashes >= SUSPECT_CRASHES && is_repeated
     }
+
+    fn has_enough_unexplained(&self) -> bool {
+        let is_overdue = self.crashes >= KNOWN_CRASHES && self.unexplained >= UNEXPLAINED_OF_KNOWN;
+        self.unexplained >= UNEXPLAINED_CRASHES || is_overdue
+    }
 }
--- a/crates/gateway/tests/part_suspicion.rs
+++ b/crates/gateway/tests/part_suspicion.rs
@@ -53,6 +53,16 @@
             evidence: PartEvidence { crashes: 4, unexplained: 1, all_crashes: 4, ..fatal },
             is_suspect: false,
         },
+        Case {
+            name: "another part explains one crash of three",
+            evidence: PartEvidence { unexplained: 2, moments: 2, all_crashes: 4, ..fatal },
+            is_suspect: false,
+        },
+        Case {
+            name: "another part explains one crash of four",
+            evidence: PartEvidence { crashes: 4, unexplained: 3, all_crashes: 4, ..fatal },
+            is_suspect: true,
+        },
         Case {
             name: "another part explains some crashes",
             evidence: PartEvidence { crashes: 5, unexplained: 2, all_crashes: 5, ..fatal },
@@ -367,6 +377,14 @@
             ..usual
         },
         Case { name: "other crashes", has_other_crashes: true, ..usual },
+        Case { name: "two parts, other crashes", fatal_parts: 2, has_other_crashes: true, ..usual },
+        Case {
+            name: "a cold start, two parts, other crashes",
+            fatal_parts: 2,
+            fatal_from: Duration::ZERO,
+            has_other_crashes: true,
+            ..usual
+        },
         Case { name: "sound before", is_known_as_sound: true, ..usual },
         Case { name: "a loss of power", power_loss_at: Some(Duration::from_millis(4990)), ..usual },
         Case {
