Restart checks go by the path that requests take

Change: fetch_report takes the connector; restart checks pass a PathConnector. Orders still go directly.

--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -27,6 +27,8 @@
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream;
+use crate::upstream::Connect;
+use crate::upstream::DirectConnector;
 use crate::upstream::SendError;
 use crate::upstream::SendTarget;
 use crate::upstream::ServerConnection;
@@ -73,7 +75,7 @@
     is_within_window: impl Fn() -> bool,
 ) -> Result<(), OrderError> {
     let peer = target.address;
-    let (report, mut connection) = fetch_report::<C>(state, target).await?;
+    let (report, mut connection) = fetch_report::<C>(state, &DirectConnector, target).await?;
     snafu::ensure!(is_same_incarnation(target, &report), RestartedSnafu { peer });
     snafu::ensure!(!report.is_changing, ChangingSnafu { peer });
     if report.stage == stage {
@@ -95,15 +97,16 @@
     Ok(())
 }
 
-/// Returns the report of the engine at `target`, and the connection on which it came.
+/// Returns the report of the engine at `target`, and the connection of `connector` on which it came.
 pub async fn fetch_report<C: PlatformCodec>(
     state: &GatewayState,
+    connector: &impl Connect,
     target: &SendTarget,
 ) -> Result<(EngineReport, ServerConnection), OrderError> {
     let peer = target.address;
     let request = engine_request::<C>(target, Method::GET, C::REPORT_PATH, Bytes::new());
     let report_exchange = async {
-        let sent = upstream::send(&state.pool, target, request).await;
+        let sent = upstream::send_with(connector, &state.pool, target, request, None).await;
         let (response, connection) = sent.context(SendSnafu { step: FETCH_REPORT, peer })?;
         Ok((read_body(response, FETCH_REPORT, peer).await?, connection))
     };
--- a/crates/gateway/src/origins/restart_check.rs
+++ b/crates/gateway/src/origins/restart_check.rs
@@ -12,6 +12,7 @@
 use crate::leader::fetch_report;
 use crate::leader::is_same_incarnation;
 use crate::model::SoftwareDigest;
+use crate::paths::PathConnector;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
@@ -50,7 +51,7 @@
     /// A server whose id is never used again has the version of its row, also if that is gone since.
     pub async fn confirm<C: PlatformCodec>(
         self,
-        state: &GatewayState,
+        state: &Arc<GatewayState>,
         target: &SendTarget,
     ) -> Option<SoftwareDigest> {
         let row_version = self.row_version?;
@@ -74,11 +75,13 @@
     }
 }
 
-async fn check_server<C: PlatformCodec>(state: &GatewayState, target: &SendTarget) {
+async fn check_server<C: PlatformCodec>(state: &Arc<GatewayState>, target: &SendTarget) {
     // A connection from before the break may lead to the process before.
     let target = SendTarget { may_reuse: false, ..target.clone() };
     let asked_at = Instant::now();
-    let report = fetch_report::<C>(state, &target).await;
+    let connector = PathConnector::for_check(state, asked_at + ASK_TIMEOUT);
+    // Boxed: the future is large, and every stream that opens contains it.
+    let report = Box::pin(fetch_report::<C>(state, &connector, &target)).await;
     let outcome = match &report {
         Ok((report, _)) if is_same_incarnation(&target, report) => {
             state.fleet().confirm_version(&target.server, target.incarnation, asked_at);
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -80,13 +80,19 @@
 
 /// Returns true if another gateway reaches `target`.
 pub(super) async fn opens_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
-    let connector = PathConnector { state, request_id: "-", deadline: Instant::now() };
+    let connector = PathConnector::for_check(state, Instant::now());
     let peers = state.fleet().tunnel_peers(target.incarnation, MAX_TUNNEL_PEERS, Instant::now());
     let attempts = peers.into_iter().map(|peer| connector.open_tunnel(target, peer));
     race_staggered(attempts, PATH_STAGGER).await.is_some_and(|opened| opened.is_ok())
 }
 
-impl PathConnector<'_> {
+impl<'a> PathConnector<'a> {
+    /// Returns the connector of a question that no caller's request asks and that is given up at
+    /// `deadline`.
+    pub fn for_check(state: &'a Arc<GatewayState>, deadline: Instant) -> Self {
+        PathConnector { state, request_id: "-", deadline }
+    }
+
     /// Returns the ways to connect to `target`, in the order in which to try them.
     ///
     /// A server that others have ejected is down rather than cut off from this gateway, so that
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 pub use self::connection_pool::ConnectionPool;
 pub use self::send_error::SendError;
 pub use self::sender::Connect;
+pub use self::sender::DirectConnector;
 pub use self::sender::SendTarget;
 pub use self::sender::connect_directly;
 pub use self::sender::connect_tcp;
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -51,7 +51,7 @@
 
 /// Connects to servers directly only.
 #[derive(Debug, Clone, Copy)]
-struct DirectConnector;
+pub struct DirectConnector;
 
 impl Connect for DirectConnector {
     async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
