--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 use super::AttemptOutcome;
@@ -24,8 +23,7 @@
 use super::outlived_breaks::OutlivedBreaks;
 use super::quarantine::Quarantine;
 use super::recent_completions::RecentCompletions;
-use super::server_outage::OUTAGE_WINDOW;
-use super::server_outage::ServerOutage;
+use super::server_outage::ServerOutages;
 use super::survival_watch::SurvivalWatch;
 use crate::model::CrashSuspects;
 use crate::model::RequestFingerprint;
@@ -56,10 +54,7 @@
     /// When the gateway began to receive reports from peers; `None` if that is long ago.
     started_at: Option<Instant>,
     pub(super) records: CrashRecords,
-    /// Server incarnations at which an attempt broke and that have not responded since.
-    outages: FxHashMap<ServerIncarnation, ServerOutage>,
-    /// When peers saw server incarnations crash, for [`CrashDetector::is_down`].
-    peer_outages: FxHashMap<ServerIncarnation, Instant>,
+    outages: ServerOutages,
     recent: RecentCompletions,
     /// Kept apart, so that parts that callers invent do not displace contents.
     recent_parts: RecentCompletions,
@@ -97,8 +92,8 @@
         now: Instant,
     ) -> SuspectChanges {
         self.outlived.add(incarnation, now);
-        let was_down = self.broke_before(incarnation, run.sent_at, now);
-        let has_stayed_down = self.extend_outage(incarnation, now);
+        let was_down = self.outages.began_before(incarnation, run.sent_at, now);
+        let has_stayed_down = self.outages.extend(incarnation, now);
         if was_down || has_stayed_down {
             return SuspectChanges::new();
         }
@@ -139,27 +134,7 @@
     /// Prevents requests from being quarantined that are sent to a server that is down while
     /// something before it still accepts connections.
     pub fn record_unreachable(&mut self, incarnation: ServerIncarnation, now: Instant) {
-        self.extend_outage(incarnation, now);
-    }
-
-    /// Returns true if the server incarnation broke off an attempt before `sent_at` and has not
-    /// responded since, as far as this gateway and its peers know: then no request that was sent
-    /// later has crashed it.
-    fn broke_before(&self, incarnation: ServerIncarnation, sent_at: Instant, now: Instant) -> bool {
-        let outage = self.outages.get(&incarnation).filter(|outage| outage.is_live(now));
-        let peer_outage = self.peer_outages.get(&incarnation);
-        outage.is_some_and(|outage| outage.first_broken_at < sent_at)
-            || peer_outage.is_some_and(|at| *at < sent_at)
-    }
-
-    /// Records that a server incarnation does not respond. Returns true if it has not responded for
-    /// so long that it cannot have crashed again.
-    fn extend_outage(&mut self, incarnation: ServerIncarnation, now: Instant) -> bool {
-        let outage = self
-            .outages
-            .entry(incarnation)
-            .or_insert(ServerOutage { first_broken_at: now, last_broken_at: now });
-        outage.extends(now)
+        self.outages.extend(incarnation, now);
     }
 
     fn record_suspect(
@@ -195,8 +170,7 @@
         incarnation: ServerIncarnation,
         now: Instant,
     ) -> Option<QuarantineChange> {
-        self.outages.remove(&incarnation);
-        self.peer_outages.remove(&incarnation);
+        self.outages.remove(incarnation);
         self.record_survival(fingerprint, now)
     }
 
@@ -251,12 +225,7 @@
         sent_at: Instant,
         now: Instant,
     ) -> SuspectChanges {
-        if self.outages.get(&incarnation).is_some_and(|outage| outage.last_broken_at < sent_at) {
-            self.outages.remove(&incarnation);
-        }
-        if self.peer_outages.get(&incarnation).is_some_and(|at| *at < sent_at) {
-            self.peer_outages.remove(&incarnation);
-        }
+        self.outages.record_response(incarnation, sent_at);
         let mut changes = SuspectChanges::new();
         if let Some(broke_at) = self.outlived.record_response(incarnation, sent_at, now) {
             changes.extend(self.remove_crash(incarnation, broke_at, now));
@@ -306,7 +275,7 @@
                     return None;
                 }
                 self.outlived.add(id, at);
-                self.peer_outages.insert(id, at);
+                self.outages.record_peer_crash(id, at);
                 self.known_crashes.add(id, at);
                 let is_new = self.crash_record(update.content, at, now).record_peer_crash(id, at);
                 if !is_new {
@@ -451,9 +420,7 @@
     /// Returns true while a server incarnation is known to be down: an attempt of this gateway or
     /// of a peer broke at it, and it has not responded to this gateway since.
     pub fn is_down(&self, incarnation: ServerIncarnation, now: Instant) -> bool {
-        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < OUTAGE_WINDOW;
-        self.outages.get(&incarnation).is_some_and(|outage| outage.is_live(now))
-            || self.peer_outages.get(&incarnation).is_some_and(is_recent)
+        self.outages.is_down(incarnation, now)
     }
 
     /// Returns the number of server crashes under `fingerprint` since its last completion.
@@ -477,10 +444,9 @@
             }
         }
         self.records.retain(|record| record.is_live(now));
-        self.outages.retain(|_, outage| outage.is_live(now));
+        self.outages.tick(now);
         self.known_crashes.tick(now);
         self.outlived.tick(now);
-        self.peer_outages.retain(|_, at| now.saturating_duration_since(*at) < OUTAGE_WINDOW);
         if !forgotten.is_empty() {
             self.records.refresh_explained();
         }
