A silent stream's server is kept until another one has sent an event

Callers saw streams cut in the middle, or answered 500, 502 or 504 before their first event, while the server that ran them was well and went on a little later.

Cause: a replacement was started by giving up what it was to replace. After four target gaps (1.5 s before the first event) the relay reserved another server, dropped the connection of the silent one, and only then prefilled and opened the stream elsewhere. Where that server rejected it, failed or was silent too, and route, budget or fleet allowed no third, nothing was left.

Change: StreamOpener holds the attempts in progress, two at most, the open silent stream (KeptStream) among them. The first to send an event goes on; the other is dropped at that moment, so that two runs are never joined and the loser's engine is free at once. The end of one leaves the caller where it was. Attempts counts a run from its start, so that the limit of the route holds over both.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -35,7 +35,7 @@
 pub const KEY_UNKNOWN: u32 = 5017;
 /// A request is rejected because its organisation's quota is exhausted.
 pub const QUOTA_EXHAUSTED: u32 = 5018;
-/// A stream's server sends nothing, and no other server may continue the stream.
+/// A stream's server sends nothing. It is kept until another one goes on with the stream.
 pub const STREAM_STALLED: u32 = 5019;
 /// A request is sent to its server through another gateway.
 pub const TUNNEL_USED: u32 = 5020;
@@ -45,6 +45,8 @@
 pub const TUNNEL_CLOSED: u32 = 5022;
 /// A caller takes up a stream that an earlier attempt began.
 pub const STREAM_TAKEN_UP: u32 = 5023;
+/// A stream's silent server has gone on before another one did.
+pub const STREAM_RECOVERED: u32 = 5024;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -30,8 +30,8 @@
     /// The servers that further attempts avoid: those of all attempts, in order, after those that a
     /// probe avoids from the beginning.
     pub tried: SmallVec<[ServerKey; 4]>,
-    /// Number of attempts whose server may have run the request.
-    pub runs: u32,
+    /// Number of attempts whose server may have run the request, those in progress included.
+    runs: u32,
     /// The software version at which further attempts must run.
     pub pinned_version: PinnedVersion,
     count: u32,
@@ -76,46 +76,29 @@
         {}
     }
 
-    /// Records an attempt at `server`.
+    /// Records that an attempt at `server` begins.
     pub fn record(&mut self, server: &ServerKey) {
         self.tried.push(server.clone());
         self.count += 1;
+        self.runs += 1;
     }
 
-    /// Records that the last attempt reached no server.
-    pub fn record_unsent(&mut self) {
-        self.unsent += 1;
+    /// Records that an attempt has ended without a run, and whether it reached no server at all.
+    pub fn record_not_run(&mut self, is_unsent: bool) {
+        self.runs -= 1;
+        self.unsent += u32::from(is_unsent);
+    }
+
+    /// Returns true if a server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.runs > 0
     }
 
     /// Returns a permit for another attempt if the route's limits allow it. Once an attempt
     /// has reached a server, this also consumes from the service's retry budget, which
     /// bounds the number of requests that arrive at servers.
     pub fn permit(&self, state: &Arc<GatewayState>, call: &Call) -> Option<AttemptPermit> {
-        self.permit_after(self.runs, state, call)
-    }
-
-    /// Like [`Attempts::permit`], for an attempt that replaces the one in progress, whose server
-    /// may have run the request.
-    pub fn permit_replacement(
-        &self,
-        state: &Arc<GatewayState>,
-        call: &Call,
-    ) -> Option<AttemptPermit> {
-        self.permit_after(self.runs + 1, state, call)
-    }
-
-    /// Returns true when the route's limits allow the attempt in progress to be replaced.
-    pub fn allows_replacement(&self, call: &Call) -> bool {
-        self.is_within_route_limits(self.runs + 1, call)
-    }
-
-    fn permit_after(
-        &self,
-        runs: u32,
-        state: &Arc<GatewayState>,
-        call: &Call,
-    ) -> Option<AttemptPermit> {
-        if !self.is_within_route_limits(runs, call) {
+        if !self.is_within_route_limits(call) {
             return None;
         }
         if let Some(quarantine) = self.quarantine_status(state, call) {
@@ -153,14 +136,13 @@
         Some(AttemptPermit::first_prefill(state, &call.service))
     }
 
-    /// Returns true when the route's limits allow another attempt after `runs` that may have run
-    /// the request.
-    fn is_within_route_limits(&self, runs: u32, call: &Call) -> bool {
+    /// Returns true when the route's limits allow another attempt.
+    pub fn is_within_route_limits(&self, call: &Call) -> bool {
         if self.count == 0 {
             return true;
         }
         let route = &call.route;
-        let runs_left = runs < route.max_attempts && (runs == 0 || route.is_retryable());
+        let runs_left = self.runs < route.max_attempts && (self.runs == 0 || route.is_retryable());
         runs_left
             && self.count
                 < route.max_attempts + MAX_NOT_RUN_RETRIES + self.unsent.min(MAX_UNSENT_RETRIES)
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -14,8 +14,10 @@
 use super::Call;
 use super::attempt_permit::AttemptPermit;
 use crate::cluster::BrokenRun;
+use crate::cluster::Fleet;
 use crate::cluster::PathVerdict;
 use crate::cluster::ServerOutcome;
+use crate::cluster::ServerState;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::AttemptPurpose;
@@ -112,14 +114,25 @@
     if software.is_some_and(|software| software != server_state.software) {
         return None;
     }
-    let target = SendTarget {
+    let target = target_of(&fleet, server_state, now);
+    fleet.take_send_token(target.incarnation, now).then_some(target)
+}
+
+fn target_of(fleet: &Fleet, server_state: &ServerState, now: Instant) -> SendTarget {
+    SendTarget {
         server: server_state.entry.server.clone(),
         incarnation: server_state.incarnation,
         address: server_state.entry.address,
         may_reuse: !server_state.health.is_suspect(now)
             && !fleet.paths.is_doubted(server_state.incarnation, now),
-    };
-    fleet.take_send_token(target.incarnation, now).then_some(target)
+    }
+}
+
+/// Returns the current address of `server`, whatever its state.
+pub(super) fn known_target(state: &GatewayState, server: &str) -> Option<SendTarget> {
+    let fleet = state.fleet();
+    let server_state = fleet.server(server)?;
+    Some(target_of(&fleet, server_state, Instant::now()))
 }
 
 /// Sends `call` as `attempt_spec` states and waits up to `timeout` for the response head.
@@ -220,6 +233,23 @@
     problem: &str,
     run: BrokenRun,
 ) -> AttemptFailure {
+    log_failure(state, call, target, failure, problem);
+    match failure {
+        AttemptFailure::Broken => record_break(state, call, target, run).await,
+        AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
+        _ => {}
+    }
+    failure
+}
+
+/// Counts and logs a failure, and records what it means for the server's health.
+pub(super) fn log_failure(
+    state: &GatewayState,
+    call: &Call,
+    target: &SendTarget,
+    failure: AttemptFailure,
+    problem: &str,
+) {
     let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
     let may_be_path = matches!(failure, AttemptFailure::Silent | AttemptFailure::Broken);
     if !(is_path_broken && may_be_path) {
@@ -240,12 +270,6 @@
         elapsed_ms = call.age_ms(),
         "attempt failed"
     );
-    match failure {
-        AttemptFailure::Broken => record_break(state, call, target, run).await,
-        AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
-        _ => {}
-    }
-    failure
 }
 
 /// Records that the connection of an attempt broke: a crash of its server, unless other gateways
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -2,13 +2,14 @@
 
 mod admit;
 mod attempt_permit;
+mod attempt_set;
 mod attempts;
 mod cache_guard;
 mod call;
 mod capacity_wait;
 mod event_reader;
 mod exchange;
-mod next_server;
+mod kept_stream;
 mod plain_run;
 mod prefill_step;
 mod probe_guard;
@@ -16,8 +17,11 @@
 mod reject;
 mod relay;
 mod response_body;
+mod stream_attempt;
 mod stream_open;
+mod stream_opener;
 mod stream_run;
+mod stream_silence;
 mod version_wait;
 
 pub use self::call::Call;
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -63,14 +63,9 @@
     }
 }
 
-/// What earlier attempts of a call mean for its response.
-#[derive(Default)]
-struct EarlierOutcomes {
-    /// A server's error response, which the caller gets rather than a rejection by the gateway.
-    error_response: Option<Response<GatewayBody>>,
-    /// True when a server may have run the request.
-    may_have_run: bool,
-}
+/// A server's error response to an earlier attempt, which the caller gets rather than a rejection
+/// by the gateway.
+type ErrorResponse = Option<Response<GatewayBody>>;
 
 /// Returns the response to a plain call.
 pub async fn run<C: PlatformCodec>(
@@ -78,7 +73,7 @@
     call: Arc<Call>,
     mut attempts: Attempts,
 ) -> Response<GatewayBody> {
-    let mut earlier = EarlierOutcomes::default();
+    let mut error_response = None;
     loop {
         attempts.wait_for_quarantine_decision(state, &call).await;
         let Some(permit) = attempts.permit(state, &call) else { break };
@@ -91,9 +86,8 @@
         let outcome = match hedge_delay(&call, &attempts) {
             None => first.await,
             Some(after) => {
-                match run_with_hedge::<C>(state, &call, first, after, &mut attempts, &mut earlier)
-                    .await
-                {
+                let errors = &mut error_response;
+                match run_with_hedge::<C>(state, &call, first, after, &mut attempts, errors).await {
                     Some(outcome) => outcome,
                     None => continue,
                 }
@@ -105,31 +99,29 @@
             };
             return complete(&call, response, &attempts);
         }
-        record_non_final(outcome, &mut attempts, &mut earlier);
+        record_non_final(outcome, &mut attempts, &mut error_response);
     }
-    finish(state, &call, &attempts, earlier)
+    finish(state, &call, &attempts, error_response)
 }
 
 /// Records an outcome that is not final.
-fn record_non_final(outcome: PlainOutcome, attempts: &mut Attempts, earlier: &mut EarlierOutcomes) {
+fn record_non_final(
+    outcome: PlainOutcome,
+    attempts: &mut Attempts,
+    error_response: &mut ErrorResponse,
+) {
     match outcome {
-        PlainOutcome::Responded(response) => {
-            attempts.runs += 1;
-            earlier.may_have_run = true;
-            earlier.error_response = Some(response);
-        }
-        PlainOutcome::Failed(AttemptFailure::Unsent) => attempts.record_unsent(),
-        PlainOutcome::Failed(failure) if failure.is_not_run() => {}
-        PlainOutcome::Failed(_) => {
-            attempts.runs += 1;
-            earlier.may_have_run = true;
+        PlainOutcome::Responded(response) => *error_response = Some(response),
+        PlainOutcome::Failed(failure) if failure.is_not_run() => {
+            attempts.record_not_run(failure == AttemptFailure::Unsent);
         }
+        PlainOutcome::Failed(_) => {}
     }
 }
 
 /// Returns the delay before the call is hedged; `None` for calls that may run only once.
 fn hedge_delay(call: &Call, attempts: &Attempts) -> Option<Duration> {
-    let may_run_twice = call.route.is_retryable() && attempts.runs + 2 <= call.route.max_attempts;
+    let may_run_twice = call.route.is_retryable() && attempts.is_within_route_limits(call);
     may_run_twice.then(|| {
         let target = call.route.target_latency.map(|target| target.mul_f64(HEDGE_LATENCY_FRACTION));
         target.unwrap_or(DEFAULT_HEDGE_DELAY).saturating_sub(call.arrived.elapsed())
@@ -147,7 +139,7 @@
     mut first: std::pin::Pin<&mut impl Future<Output = PlainOutcome>>,
     after: Duration,
     attempts: &mut Attempts,
-    earlier: &mut EarlierOutcomes,
+    error_response: &mut ErrorResponse,
 ) -> Option<PlainOutcome> {
     if let Some(outcome) = with_deadline(Instant::now() + after, first.as_mut()).await {
         return Some(outcome);
@@ -171,12 +163,12 @@
     if outcome.is_final(call) {
         return Some(outcome);
     }
-    record_non_final(outcome, attempts, earlier);
+    record_non_final(outcome, attempts, error_response);
     let outcome = if is_first { second.await } else { first.await };
     if outcome.is_final(call) {
         return Some(outcome);
     }
-    record_non_final(outcome, attempts, earlier);
+    record_non_final(outcome, attempts, error_response);
     None
 }
 
@@ -291,10 +283,10 @@
     state: &GatewayState,
     call: &Call,
     attempts: &Attempts,
-    earlier: EarlierOutcomes,
+    error_response: ErrorResponse,
 ) -> Response<GatewayBody> {
-    match earlier.error_response {
+    match error_response {
         Some(response) => complete(call, response, attempts),
-        None => reject_failed(state, call, attempts, earlier.may_have_run, || RETRY_AFTER),
+        None => reject_failed(state, call, attempts, || RETRY_AFTER),
     }
 }
--- a/crates/gateway/src/forward/reject.rs
+++ b/crates/gateway/src/forward/reject.rs
@@ -124,14 +124,13 @@
     state: &GatewayState,
     call: &Call,
     attempts: &Attempts,
-    may_have_run: bool,
     usual_delay: impl FnOnce() -> Duration,
 ) -> Response<GatewayBody> {
     let now = Instant::now();
     let is_expired = now >= call.deadline;
     let quarantine = state.quarantines.status_of(&call.suspects);
     let next_send_after = next_send_after(state, call, now);
-    let (rejection, retry_after) = match (may_have_run, is_expired, quarantine) {
+    let (rejection, retry_after) = match (attempts.may_have_run(), is_expired, quarantine) {
         (true, true, _) => (Rejection::Expired, None),
         (true, false, _) => (Rejection::OutcomeUnknown, None),
         (false, false, Some(quarantine)) => (Rejection::Quarantined, Some(retry_after(quarantine))),
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a stream to its caller event by event, and resumes it at other servers.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -7,6 +8,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use futures_lite::future::zip;
 use http::Response;
 use hyper::body::Frame;
 use strum::Display;
@@ -17,28 +19,22 @@
 use super::StreamBroken;
 use super::StreamEvent;
 use super::attempts::Attempts;
-use super::cache_guard::CacheGuard;
 use super::exchange;
 use super::exchange::AttemptFailure;
-use super::next_server;
-use super::next_server::NextServer;
+use super::kept_stream::KeptStream;
 use super::response_body;
 use super::response_body::BodyFrame;
-use super::stream_open;
-use super::stream_open::NeededVersion;
-use super::stream_open::OpenOutcome;
 use super::stream_open::OpenStream;
-use super::stream_run;
+use super::stream_opener::Opening;
+use super::stream_opener::StreamOpener;
+use super::stream_opener::StreamStart;
+use super::stream_silence;
 use crate::cluster::BrokenRun;
 use crate::cluster::SURVIVAL_TIME;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::in_flight_count::InFlightGuard;
-use crate::model::AttemptPurpose;
-use crate::model::AttemptSpec;
-use crate::model::PinnedVersion;
-use crate::origins::is_contradictory;
 use crate::origins::record_origin;
 use crate::paths::request_check;
 use crate::state::GatewayState;
@@ -52,9 +48,6 @@
 /// Interval at which the version of a long stream is told again: well within the time for which it
 /// is kept.
 const ORIGIN_REFRESH_INTERVAL: Duration = Duration::from_secs(20);
-/// Time without a first event of a resumed stream after which another server is tried where there
-/// is one.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// The outcome of a relayed stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -70,8 +63,10 @@
 enum StreamStop {
     Ended,
     Failed(AttemptFailure, String),
-    /// It is silent, and goes on at another server.
-    Replaced(NextServer, String),
+    /// It was silent, and another server has begun to go on with it.
+    Replaced(Box<OpenStream>),
+    /// It failed while it was silent, and this was recorded; another server has gone on if one may.
+    FailedSilent(Option<Box<OpenStream>>),
     Expired,
 }
 
@@ -112,6 +107,55 @@
     response
 }
 
+/// What a stream that was silent sent, or why it stopped.
+enum StalledRead {
+    Read(ReadEvent),
+    Stopped(StreamStop),
+}
+
+/// The next event of a stream; `None` at its end.
+type ReadEvent = Result<Option<StreamEvent>, hyper::Error>;
+
+/// Which server went on first.
+enum FirstToGoOn {
+    /// The one that was silent.
+    Kept(ReadEvent),
+    Other(Opening),
+}
+
+/// Returns how the server of `stream` has failed, if `read` shows that it has.
+fn break_problem(read: &ReadEvent, stream: &OpenStream) -> Option<String> {
+    match read {
+        Ok(Some(_)) => None,
+        Ok(None) if stream.reader.is_complete() => None,
+        Ok(None) => Some("ended within an event".to_owned()),
+        Err(error) => Some(error.to_string()),
+    }
+}
+
+/// Returns the run of a stream that broke after an event at `last_event_at`.
+fn broken_run(stream: &OpenStream, last_event_at: Instant) -> BrokenRun {
+    let since_last_event = last_event_at.elapsed();
+    BrokenRun {
+        sent_at: stream.sent_at,
+        duration: stream.load_guard.age().saturating_sub(since_last_event),
+        sent_events_for: stream.first_event_at.elapsed().saturating_sub(since_last_event),
+    }
+}
+
+/// Records that the server of `stream` has failed.
+async fn record_stop(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    stream: &OpenStream,
+    failure: AttemptFailure,
+    problem: &str,
+    run: BrokenRun,
+) {
+    let target = &stream.target;
+    exchange::record_midstream_failure(state, call, target, failure, problem, run).await;
+}
+
 struct Relay<C> {
     state: Arc<GatewayState>,
     /// Makes a graceful shutdown wait for the stream.
@@ -157,40 +201,29 @@
                 Ok(stop) => stop,
                 Err(outcome) => return outcome,
             };
-            let (failure, problem, next) = match stop {
+            let next = match stop {
                 StreamStop::Ended => {
                     self.record_completion(*current);
                     return RelayOutcome::Whole;
                 }
                 StreamStop::Expired => return RelayOutcome::Expired,
-                StreamStop::Failed(failure, problem) => (failure, problem, None),
-                StreamStop::Replaced(next, problem) => {
-                    (AttemptFailure::Silent, problem, Some(next))
+                StreamStop::Failed(failure, problem) => {
+                    let run = broken_run(&current, self.last_event_at);
+                    record_stop(&self.state, &self.call, &current, failure, &problem, run).await;
+                    // Closes the connection before another server starts, so that two servers
+                    // never run the same request at the same time.
+                    drop(current);
+                    self.resume().await
                 }
+                StreamStop::Replaced(next) => {
+                    let silence = self.last_event_at.elapsed();
+                    let target = &current.target;
+                    stream_silence::record_replacement(&self.state, &self.call, target, silence);
+                    Some(next)
+                }
+                StreamStop::FailedSilent(next) => next,
             };
-            let since_last_event = self.last_event_at.elapsed();
-            let run = BrokenRun {
-                sent_at: current.sent_at,
-                duration: current.load_guard.age().saturating_sub(since_last_event),
-                sent_events_for: current.first_event_at.elapsed().saturating_sub(since_last_event),
-            };
-            exchange::record_midstream_failure(
-                &self.state,
-                &self.call,
-                &current.target,
-                failure,
-                &problem,
-                run,
-            )
-            .await;
-            self.attempts.runs += 1;
-            // Closes the connection before another server starts, so that two servers never
-            // run the same request at the same time.
-            drop(current);
-            if is_contradictory(&self.state, &self.call) {
-                self.attempts.pinned_version = PinnedVersion::Unknown;
-            }
-            match self.resume(next).await {
+            match next {
                 Some(next) => current = next,
                 None => return RelayOutcome::Broken,
             }
@@ -200,7 +233,6 @@
     /// Relays the events of one server until it stops. Fails when the caller disconnects.
     async fn relay_one(&mut self, stream: &mut OpenStream) -> Result<StreamStop, RelayOutcome> {
         let mut next = stream.first.take();
-        let mut is_stalled = false;
         let tokens_per_event = self.call.engine_spec().tokens_per_event;
         // The server of a resumed stream prefilled the tokens of the earlier events.
         let mut tokens = self.relayed as u32 * tokens_per_event;
@@ -218,39 +250,78 @@
                 self.relay_event(event).await?;
                 self.refresh_origin(stream).await;
                 self.record_survival(stream);
-                is_stalled = false;
                 tokens += tokens_per_event;
                 stream.load_guard.record_progress(tokens);
             }
-            let patience = if is_stalled { next_server::RESERVE_INTERVAL } else { stall_timeout };
-            let until = (Instant::now() + patience).min(self.call.deadline);
-            match with_deadline(until, stream.reader.next_event()).await {
-                Some(Ok(Some(event))) => next = Some(event),
-                Some(Ok(None)) if stream.reader.is_complete() => return Ok(StreamStop::Ended),
-                Some(Ok(None)) => {
-                    let problem = "ended within an event".to_owned();
-                    return Ok(StreamStop::Failed(AttemptFailure::Broken, problem));
-                }
-                Some(Err(error)) => {
-                    return Ok(StreamStop::Failed(AttemptFailure::Broken, error.to_string()));
-                }
-                None if Instant::now() >= self.call.deadline => return Ok(StreamStop::Expired),
-                None => {
-                    let silence = self.last_event_at.elapsed();
-                    if let Some(next) =
-                        next_server::reserve(&self.state, &self.call, &self.attempts)
-                    {
-                        let problem = format!("no event for {} ms", silence.as_millis());
-                        return Ok(StreamStop::Replaced(next, problem));
-                    }
-                    if !std::mem::replace(&mut is_stalled, true) {
-                        self.record_stall(stream, silence);
-                    }
-                }
+            let until = (Instant::now() + stall_timeout).min(self.call.deadline);
+            let read = match with_deadline(until, stream.reader.next_event()).await {
+                Some(read) => read,
+                None => match self.wait_or_replace(stream).await {
+                    StalledRead::Read(read) => read,
+                    StalledRead::Stopped(stop) => return Ok(stop),
+                },
+            };
+            if let Some(problem) = break_problem(&read, stream) {
+                return Ok(StreamStop::Failed(AttemptFailure::Broken, problem));
             }
+            next = match read {
+                Ok(Some(event)) => Some(event),
+                Ok(None) | Err(_) => return Ok(StreamStop::Ended),
+            };
         }
     }
 
+    /// Waits for the silent server of `stream` while another one is opened, where that is allowed.
+    /// The first of them to send an event goes on with the stream.
+    async fn wait_or_replace(&mut self, stream: &mut OpenStream) -> StalledRead {
+        if Instant::now() >= self.call.deadline {
+            return StalledRead::Stopped(StreamStop::Expired);
+        }
+        let silent_since = self.last_event_at;
+        let server = stream.target.server.clone();
+        request_check(&self.state, &stream.target);
+        stream_silence::log_stall(&self.call, &server, self.relayed, silent_since.elapsed());
+        let start = self.continuation();
+        let read = {
+            let kept = KeptStream::open();
+            let opener =
+                StreamOpener::<C>::new(&self.state, &self.call, &mut self.attempts, start, &kept);
+            let mut opening = pin!(opener.open(None));
+            let kept_read = async { FirstToGoOn::Kept(stream.reader.next_event().await) };
+            let replaced = async { FirstToGoOn::Other(opening.as_mut().await) };
+            let read = match with_deadline(self.call.deadline, kept_read.or(replaced)).await {
+                None => return StalledRead::Stopped(StreamStop::Expired),
+                Some(FirstToGoOn::Other(opening)) => {
+                    return StalledRead::Stopped(match opening.into_stream() {
+                        Some(next) => StreamStop::Replaced(next),
+                        None => StreamStop::FailedSilent(None),
+                    });
+                }
+                Some(FirstToGoOn::Kept(read)) => read,
+            };
+            if let Some(problem) = break_problem(&read, stream) {
+                let run = broken_run(stream, silent_since);
+                let failure = AttemptFailure::Broken;
+                let recorded = async {
+                    record_stop(&self.state, &self.call, stream, failure, &problem, run).await;
+                    kept.end();
+                };
+                let ((), opening) = zip(recorded, opening).await;
+                return StalledRead::Stopped(StreamStop::FailedSilent(opening.into_stream()));
+            }
+            read
+        };
+        let silence = silent_since.elapsed();
+        let sends = self.attempts.count();
+        stream_silence::log_recovery(&self.call, &server, self.relayed, silence, sends);
+        StalledRead::Read(read)
+    }
+
+    /// Returns from where another server continues the stream.
+    fn continuation(&self) -> StreamStart {
+        StreamStart::Continues { last_id: self.last_id, relayed: self.relayed }
+    }
+
     /// Returns true when the id of `event` is the successor of the last one. Prevents missing
     /// or duplicate events after a stream is resumed.
     fn is_next(&self, event: &StreamEvent) -> bool {
@@ -317,100 +388,13 @@
         }
     }
 
-    /// Records that the server sends nothing, while no other may continue the stream.
-    fn record_stall(&self, stream: &OpenStream, silence: Duration) {
-        request_check(&self.state, &stream.target);
-        self.state.record_outcome(&stream.target, AttemptFailure::Silent.outcome());
-        metrics::counter!("umberglade_stream_stalls_total").increment(1);
-        tracing::info!(
-            event = events::STREAM_STALLED,
-            request_id = self.call.id(),
-            server = %stream.target.server,
-            relayed = self.relayed,
-            silent_ms = silence.as_millis() as u64,
-            elapsed_ms = self.call.age_ms(),
-            "stream is silent; waiting, as no other server may continue it"
-        );
-    }
-
-    /// Resumes the stream at another server after the last relayed event, first at `next`.
-    async fn resume(&mut self, next: Option<NextServer>) -> Option<Box<OpenStream>> {
-        let resume_after = self.last_id.or(self.call.head.resume_after);
-        let mut next = next;
-        loop {
-            let NextServer { load_guard, permit } = match next.take() {
-                Some(next) => next,
-                None => self.find_next().await?,
-            };
-            let cache = stream_run::prefill_nearby::<C>(
-                &self.state,
-                &self.call,
-                &mut self.attempts,
-                &load_guard,
-                resume_after,
-            )
-            .await;
-            self.attempts.record(&load_guard.server);
-            let source = cache.as_ref().and_then(|cache| cache.source().cloned());
-            let attempt_spec = AttemptSpec {
-                server: load_guard.server.clone(),
-                time_left: self.call.time_left(Instant::now()),
-                purpose: source.map_or(AttemptPurpose::Respond, AttemptPurpose::Decode),
-                resume_after,
-            };
-            tracing::info!(
-                event = events::STREAM_RESUMED,
-                request_id = self.call.id(),
-                server = %load_guard.server,
-                after = resume_after,
-                relayed = self.relayed,
-                elapsed_ms = self.call.age_ms(),
-                "stream resumed at another server"
-            );
-            metrics::counter!("umberglade_streams_resumed_total").increment(1);
-            let cached = cache.as_ref().map(CacheGuard::software);
-            let pinned = self.attempts.pinned_version.known();
-            let needed = NeededVersion { pinned, cached };
-            let replacement =
-                next_server::reserve_after(RESUME_TIMEOUT, &self.state, &self.call, &self.attempts);
-            let outcome = stream_open::open::<C>(
-                &self.state,
-                &self.call,
-                load_guard,
-                permit,
-                &attempt_spec,
-                needed,
-                replacement,
-            )
-            .await;
-            match outcome {
-                OpenOutcome::Stream(stream) => {
-                    if let Some(cache) = cache {
-                        cache.disarm();
-                    }
-                    return Some(stream);
-                }
-                OpenOutcome::Responded(_) => self.attempts.runs += 1,
-                OpenOutcome::Failed(AttemptFailure::Unsent) => self.attempts.record_unsent(),
-                OpenOutcome::Failed(failure) if failure.is_not_run() => {}
-                OpenOutcome::Failed(_) => self.attempts.runs += 1,
-                OpenOutcome::Replaced(other) => {
-                    self.attempts.runs += 1;
-                    next = Some(other);
-                }
-            }
-        }
-    }
-
-    /// Returns another server for the stream, whose server has stopped.
-    async fn find_next(&mut self) -> Option<NextServer> {
-        self.attempts.wait_for_quarantine_decision(&self.state, &self.call).await;
-        let permit = self.attempts.permit(&self.state, &self.call)?;
-        if self.call.time_left(Instant::now()).is_zero() {
-            return None;
-        }
-        let load_guard = stream_run::place_retry(&self.state, &self.call, &self.attempts)?;
-        Some(NextServer { load_guard, permit })
+    /// Resumes the stream, whose server has failed, at another one after the last relayed event.
+    async fn resume(&mut self) -> Option<Box<OpenStream>> {
+        let kept = KeptStream::default();
+        let start = self.continuation();
+        let opener =
+            StreamOpener::<C>::new(&self.state, &self.call, &mut self.attempts, start, &kept);
+        opener.open(None).await.into_stream()
     }
 
     fn log_end(&self, outcome: RelayOutcome) {
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_lite::FutureExt;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -18,7 +17,6 @@
 use super::exchange;
 use super::exchange::AttemptFailure;
 use super::exchange::OpenResponse;
-use super::next_server::NextServer;
 use super::response_body;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
@@ -72,12 +70,10 @@
     /// The server's complete error response.
     Responded(Response<GatewayBody>),
     Failed(AttemptFailure),
-    /// The server sent no event in time, and the stream may go on at another one.
-    Replaced(NextServer),
 }
 
 /// Sends `call` as `attempt_spec` states to the server of `load_guard` and waits for the first
-/// event: until the call's deadline, or until `replacement` returns the server to go on at.
+/// event until the call's deadline.
 pub async fn open<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
@@ -85,7 +81,6 @@
     permit: AttemptPermit,
     attempt_spec: &AttemptSpec,
     needed: NeededVersion,
-    replacement: impl Future<Output = NextServer>,
 ) -> OpenOutcome {
     let software = needed.pinned.or(needed.cached);
     let is_conflict = needed.cached.is_some_and(|cached| Some(cached) != software);
@@ -93,17 +88,7 @@
     let Some(target) = target.filter(|_| !is_conflict) else {
         return OpenOutcome::Failed(AttemptFailure::Unsent);
     };
-    let started_at = Instant::now();
-    let opened =
-        open_at::<C>(state, call, load_guard, permit, attempt_spec, &target, needed.pinned);
-    let replaced = async {
-        let next = replacement.await;
-        let problem = format!("no first event within {} ms", started_at.elapsed().as_millis());
-        let failure = AttemptFailure::Silent;
-        exchange::record_failure(state, call, &target, failure, &problem, started_at).await;
-        OpenOutcome::Replaced(next)
-    };
-    opened.or(replaced).await
+    open_at::<C>(state, call, load_guard, permit, attempt_spec, &target, needed.pinned).await
 }
 
 async fn open_at<C: PlatformCodec>(
--- /dev/null
+++ b/crates/gateway/src/forward/stream_silence.rs
@@ -0,0 +1,52 @@
+//! Streams whose servers send nothing for a while.
+
+use std::time::Duration;
+
+use super::Call;
+use super::exchange::AttemptFailure;
+use super::exchange::log_failure;
+use crate::events;
+use crate::model::ServerKey;
+use crate::state::GatewayState;
+use crate::upstream::SendTarget;
+
+/// Logs once for each silence that `server` has sent nothing for `silence`. It is waited for, at
+/// least until another one goes on with the stream.
+pub fn log_stall(call: &Call, server: &ServerKey, relayed: u64, silence: Duration) {
+    metrics::counter!("umberglade_stream_stalls_total").increment(1);
+    tracing::info!(
+        event = events::STREAM_STALLED,
+        request_id = call.id(),
+        %server,
+        relayed,
+        silent_ms = silence.as_millis() as u64,
+        elapsed_ms = call.age_ms(),
+        "stream is silent; its server is kept until another one goes on"
+    );
+}
+
+/// Logs that the silent `server` has gone on before another one did.
+pub fn log_recovery(call: &Call, server: &ServerKey, relayed: u64, silence: Duration, sends: u32) {
+    metrics::counter!("umberglade_stream_recoveries_total").increment(1);
+    tracing::info!(
+        event = events::STREAM_RECOVERED,
+        request_id = call.id(),
+        %server,
+        relayed,
+        silent_ms = silence.as_millis() as u64,
+        sends,
+        elapsed_ms = call.age_ms(),
+        "silent stream has gone on"
+    );
+}
+
+/// Records and logs that `target`, which has sent nothing for `silence`, is left for another one.
+pub fn record_replacement(
+    state: &GatewayState,
+    call: &Call,
+    target: &SendTarget,
+    silence: Duration,
+) {
+    let problem = format!("no event for {} ms", silence.as_millis());
+    log_failure(state, call, target, AttemptFailure::Silent, &problem);
+}
