A request that ends without a complete response is logged and counted with its reason

Cause: serve_connection discarded hyper's error, and a handler that hyper drops runs no further code.

Change: each connection holds the requests on it that may still end without a response (ingress/accepted_request.rs). The guard of a request goes from its handler into the body of its response (ingress/answer_body.rs); a response counts as written once the connection has flushed after its last frame. When the connection's task ends, however it does, what is left is logged: 5025 for complete requests, 5026 for those whose body had not arrived; with the stage (queued, sent, answering), the reason, from hyper's error (ingress/connection_end.rs), and the error's text. Streams in progress stay with the relay's 5009 and 5010, but for two ends that it can't see: its last event was passed on and not written, and the process ends. A stop that ends with requests in flight reports these before 7003.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -45,6 +45,10 @@
 pub const TUNNEL_CLOSED: u32 = 5022;
 /// A caller takes up a stream that an earlier attempt began.
 pub const STREAM_TAKEN_UP: u32 = 5023;
+/// A complete request ended without a complete response.
+pub const REQUEST_UNANSWERED: u32 = 5025;
+/// A connection ended before a request on it had arrived completely.
+pub const REQUEST_INCOMPLETE: u32 = 5026;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -12,6 +12,8 @@
 use http_body_util::Full;
 
 use super::QuotaCharge;
+use super::RequestProgress;
+use super::RequestStage;
 use crate::cluster::OrganisationDigest;
 use crate::codec::PlatformCodec;
 use crate::model::AttemptSpec;
@@ -50,6 +52,8 @@
     pub retrying_for: Duration,
     /// The caller's deadline or the operator's limit, whichever is earlier.
     pub deadline: Instant,
+    /// How far the gateway has come with it.
+    pub progress: Arc<RequestProgress>,
 }
 
 impl Call {
@@ -90,11 +94,12 @@
     }
 
     /// Returns the request that `attempt_spec` sends to a server, with unchanged method, path and
-    /// body.
+    /// body, and records that it is sent.
     pub fn upstream_request<C: PlatformCodec>(
         &self,
         attempt_spec: &AttemptSpec,
     ) -> Request<Full<Bytes>> {
+        self.progress.reach(RequestStage::Sent);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod quota_charge;
 mod reject;
 mod relay;
+mod request_stage;
 mod response_body;
 mod stream_open;
 mod stream_run;
@@ -28,6 +29,8 @@
 pub use self::quota_charge::QuotaCharge;
 pub use self::reject::Rejection;
 pub use self::reject::reject;
+pub use self::request_stage::RequestProgress;
+pub use self::request_stage::RequestStage;
 pub use self::response_body::GatewayBody;
 pub use self::response_body::StreamBroken;
 
--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -11,6 +11,7 @@
 use http::Request;
 use http::Response;
 use http::header;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -24,6 +25,11 @@
 use umberglade_wire::ordered_body::TrackedStream;
 use umberglade_wire::pool;
 
+use super::accepted_request::ConnectionRequests;
+use super::accepted_request::RequestTracker;
+use super::answer_body::AnswerBody;
+use super::connection_end::ConnectionEnd;
+use super::connection_end::EndReason;
 use super::read_call::CallAborted;
 use super::read_call::ReadOutcome;
 use super::read_call::read_call;
@@ -59,7 +65,10 @@
 
 async fn serve_connection<C: PlatformCodec>(stream: TcpStream, state: Arc<GatewayState>) {
     let limits = state.route_table().map(|table| table.limits).unwrap_or_default();
-    let context = ConnectionContext::new(&state);
+    let signal = FlushSignal::default();
+    // Declared before the connection, so dropped after its requests: reports them.
+    let mut requests = ConnectionRequests::new(signal.clone());
+    let context = ConnectionContext::new(&state, signal, requests.tracker());
     let tracked_stream = TrackedStream::new(stream.clone(), context.signal.clone());
     let service_context = context.clone();
     let service = service_fn(move |request| handle_request::<C>(service_context.clone(), request));
@@ -71,12 +80,6 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(FuturesIo::new(tracked_stream), service);
     let mut connection = pin!(connection);
-    let connection_ended = async {
-        // The error is that the caller's connection broke; each request on it has logged its own
-        // end.
-        let _ = connection.as_mut().await;
-        true
-    };
     // A connection opened later than `IDLE_CLOSE_DELAY` into a shutdown is not closed while idle:
     // its first request may be on its way, and the response to it closes the connection.
     let opened_after_idle_close = state.stop.has_elapsed(IDLE_CLOSE_DELAY);
@@ -87,12 +90,24 @@
             std::future::pending::<()>().await;
         }
         state.stop.wait_elapsed(IDLE_CLOSE_DELAY).await;
-        false
+        None
     };
-    if !connection_ended.or(idle_close_due).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
+    let served = async {
+        let connection_ended = async { Some(connection.as_mut().await) };
+        let result = match connection_ended.or(idle_close_due).await {
+            Some(result) => result,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        };
+        ConnectionEnd::of(result)
+    };
+    let process_stopped = async {
+        state.stop.wait_ended().await;
+        ConnectionEnd::without_error(EndReason::ProcessStopped)
+    };
+    requests.record_end(served.or(process_stopped).await);
     if context.has_unread_body.load(Ordering::Acquire) {
         lingering_close::close(stream).await;
     }
@@ -103,24 +118,28 @@
 struct ConnectionContext {
     state: Arc<GatewayState>,
     signal: FlushSignal,
+    tracker: RequestTracker,
     /// True when the last request was rejected before its body was read.
     has_unread_body: Arc<AtomicBool>,
 }
 
 impl ConnectionContext {
-    fn new(state: &Arc<GatewayState>) -> Self {
-        let signal = FlushSignal::default();
-        ConnectionContext { state: Arc::clone(state), signal, has_unread_body: Arc::default() }
+    fn new(state: &Arc<GatewayState>, signal: FlushSignal, tracker: RequestTracker) -> Self {
+        let state = Arc::clone(state);
+        ConnectionContext { state, signal, tracker, has_unread_body: Arc::default() }
     }
 }
 
 async fn handle_request<C: PlatformCodec>(
     context: ConnectionContext,
     request: Request<Incoming>,
-) -> Result<Response<OrderedBody<GatewayBody>>, CallAborted> {
-    let ConnectionContext { state, signal, has_unread_body } = context;
+) -> Result<Response<AnswerBody<OrderedBody<GatewayBody>>>, CallAborted> {
+    let ConnectionContext { state, signal, tracker, has_unread_body } = context;
     let _in_flight = state.in_flight.enter_request();
-    let outcome = read_call::<C>(&state, request).await?;
+    let mut guard = tracker.begin();
+    let method = request.method().clone();
+    let has_no_body = request.body().is_end_stream();
+    let outcome = read_call::<C>(&state, request, &mut guard).await?;
     let is_unread = matches!(outcome, ReadOutcome::RejectedUnread(_));
     has_unread_body.store(is_unread, Ordering::Release);
     let mut response = match outcome {
@@ -130,5 +149,10 @@
     if state.stop.has_elapsed(BALANCER_NOTICE_DELAY) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| OrderedBody::new(body, signal)))
+    if is_unread && !has_no_body {
+        // Not accepted: its caller may close the connection while it still sends the body.
+        guard.dismiss();
+    }
+    let response = response.map(|body| OrderedBody::new(body, signal));
+    Ok(AnswerBody::wrap(response, &method, guard))
 }
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -1,6 +1,9 @@
 //! HTTP servers of the gateway: callers' connections, the load balancer's readiness checks and
 //! operators' metrics.
 
+mod accepted_request;
+mod answer_body;
+mod connection_end;
 mod find_route;
 mod front_server;
 mod read_call;
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use snafu::Snafu;
 
+use super::accepted_request::RequestGuard;
 use super::find_route::CONFIG_UNSETTLED_RETRY_AFTER;
 use super::find_route::FoundRoute;
 use super::find_route::find_route;
@@ -27,6 +28,7 @@
 use crate::forward::GatewayBody;
 use crate::forward::QuotaCharge;
 use crate::forward::Rejection;
+use crate::forward::RequestStage;
 use crate::forward::reject;
 use crate::model::CallerKey;
 use crate::model::CrashSuspects;
@@ -63,15 +65,17 @@
     RejectedUnread(Response<GatewayBody>),
 }
 
-/// Reads `request` completely; rejects it where no route or limit allows it.
+/// Reads `request`, followed by `guard`, completely; rejects it where no route or limit allows it.
 pub async fn read_call<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     request: Request<Incoming>,
+    guard: &mut RequestGuard,
 ) -> Result<ReadOutcome, CallAborted> {
     let arrived = Instant::now();
     let mut head = C::request_head(request.headers());
     let request_id = head.request_id.clone();
     let request_id = request_id.as_deref().unwrap_or("-");
+    guard.identify(request_id);
     with_deadline(arrived + STARTUP_TIMEOUT, state.wait_until_initialized()).await;
     let host = stated_host(request.headers(), request.uri()).unwrap_or_default();
     let found = match find_route(state, host, request.uri().path(), &head.key).await {
@@ -98,6 +102,7 @@
         Some(body) => body,
         None => return reject_too_large(),
     };
+    guard.progress().reach(RequestStage::Queued);
     let content = FingerprintParts {
         method: parts.method.as_str(),
         host: stated_host(&parts.headers, &parts.uri).unwrap_or_default(),
@@ -126,7 +131,7 @@
     let requested_timeout = stated_timeout.unwrap_or(DEFAULT_TIMEOUT);
     let time_limit =
         route.timeout.map_or(requested_timeout, |timeout| timeout.min(requested_timeout));
-    Ok(ReadOutcome::Call(Arc::new(Call {
+    let call = Arc::new(Call {
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
@@ -142,7 +147,10 @@
         arrived,
         retrying_for: state.service_queues.retrying_for(&route.name, stated_timeout),
         deadline: arrived + time_limit,
-    })))
+        progress: Arc::clone(guard.progress()),
+    });
+    guard.record_call(&call);
+    Ok(ReadOutcome::Call(call))
 }
 
 fn service_spec(table: &RouteTable, service: &str) -> crate::model::ServiceSpec {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -31,6 +31,7 @@
 use crate::quarantine;
 use crate::registration::keep_registered;
 use crate::state::GatewayState;
+use crate::stop::END_REPORT_DELAY;
 use crate::stop::FLUSH_DELAY;
 use crate::stop::MIN_STOP_DURATION;
 use crate::stop::STOP_GRACE_MARGIN;
@@ -163,9 +164,14 @@
             break;
         }
     }
+    let in_flight = state.in_flight.requests();
+    if state.in_flight.is_busy() {
+        state.stop.end();
+        smol::Timer::after(END_REPORT_DELAY).await;
+    }
     tracing::info!(
         event = events::GATEWAY_STOPPED,
-        in_flight = state.in_flight.requests(),
+        in_flight,
         elapsed_ms = started_at.elapsed().as_millis() as u64,
         "gateway stopped"
     );
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,6 +1,8 @@
 //! The graceful stop: its start, and the delays and margins that follow from it.
 
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,12 +26,16 @@
 pub const FLUSH_DELAY: Duration = Duration::from_millis(100);
 /// Part of the grace period that is left when the process ends regardless of requests in flight.
 pub const STOP_GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Time for reporting the requests that the process's end cuts off.
+pub const END_REPORT_DELAY: Duration = Duration::from_millis(20);
 
 /// Whether this process is stopping, and since when.
 #[derive(Debug, Default)]
 pub struct StopSignal {
     started_at: OnceLock<Instant>,
     started: Event,
+    is_over: AtomicBool,
+    over: Event,
 }
 
 impl StopSignal {
@@ -48,6 +54,23 @@
         self.started_at.get().is_some_and(|started_at| started_at.elapsed() >= delay)
     }
 
+    /// Ends the stop: what is still in flight is cut off.
+    pub fn end(&self) {
+        self.is_over.store(true, Ordering::Release);
+        self.over.notify(usize::MAX);
+    }
+
+    /// Waits until the stop ends.
+    pub async fn wait_ended(&self) {
+        loop {
+            let listener = self.over.listen();
+            if self.is_over.load(Ordering::Acquire) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Waits until `delay` after the start of the stop; without a stop, waits for one.
     pub async fn wait_elapsed(&self, delay: Duration) {
         loop {
--- a/crates/wire/src/ordered_body.rs
+++ b/crates/wire/src/ordered_body.rs
@@ -7,6 +7,8 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -28,6 +30,19 @@
 #[derive(Debug, Clone, Default)]
 pub struct FlushSignal {
     flushed: Arc<Event>,
+    flush_count: Arc<AtomicU64>,
+}
+
+impl FlushSignal {
+    /// Returns how many times the connection has written all its buffered bytes.
+    pub fn flush_count(&self) -> u64 {
+        self.flush_count.load(Ordering::Acquire)
+    }
+
+    fn record_flush(&self) {
+        self.flush_count.fetch_add(1, Ordering::AcqRel);
+        self.flushed.notify(usize::MAX);
+    }
 }
 
 pin_project! {
@@ -78,7 +93,9 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.project();
         let flushed = ready!(this.stream.poll_flush(cx));
-        this.signal.flushed.notify(usize::MAX);
+        if flushed.is_ok() {
+            this.signal.record_flush();
+        }
         Poll::Ready(flushed)
     }
 
