--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -47,6 +47,10 @@
 pub const STREAM_TAKEN_UP: u32 = 5023;
 /// A stream's silent server has gone on before another one did.
 pub const STREAM_RECOVERED: u32 = 5024;
+/// A complete request ended without a complete response.
+pub const REQUEST_UNANSWERED: u32 = 5025;
+/// A connection ended before a request on it had arrived completely.
+pub const REQUEST_INCOMPLETE: u32 = 5026;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -16,6 +16,7 @@
 mod quota_charge;
 mod reject;
 mod relay;
+mod request_stage;
 mod response_body;
 mod stream_attempt;
 mod stream_open;
@@ -32,6 +33,8 @@
 pub use self::quota_charge::QuotaCharge;
 pub use self::reject::Rejection;
 pub use self::reject::reject;
+pub use self::request_stage::RequestProgress;
+pub use self::request_stage::RequestStage;
 pub use self::response_body::GatewayBody;
 pub use self::response_body::StreamBroken;
 
