Silence of a server is an outcome of its own, which ejects it after 2 s only

Cause: AttemptFailure::Silent counted as ServerOutcome::Failed, and two of those in a row eject a server. A sound server that pauses for a second or so under two requests was thus out of use at this gateway for 0.4 s or more, and told to all others as ejected, which then avoid it and open no tunnels to it. Change: ServerOutcome::Silent lowers the preference as a failure does, but ejects only once silences less than 2 s apart, without any response between them, span 2 s; once ejected, a silent probe ejects again. Every response head, rejections too, clears it (GatewayState::record_response). A silence still makes the version of a server that may be restarted uncertain, as it may hide a restart.

--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -413,7 +413,12 @@
             server_state.outdated_until = Some(now + OUTDATED_TIMEOUT);
         }
         server_state.health.record(outcome, now);
-        if matches!(outcome, ServerOutcome::Failed | ServerOutcome::Unreachable) {
+        // A silence may hide that the server has been started again.
+        let may_be_restarted = matches!(
+            outcome,
+            ServerOutcome::Failed | ServerOutcome::Silent | ServerOutcome::Unreachable
+        );
+        if may_be_restarted {
             server_state.broke_at = Some(now);
         }
         let key = server_state.entry.server.clone();
@@ -429,6 +434,13 @@
         self.servers.get_mut(key).filter(|server_state| server_state.incarnation == incarnation)
     }
 
+    /// Records that an incarnation of a server has sent something: what came before was a pause.
+    pub fn record_response(&mut self, key: &str, incarnation: ServerIncarnation) {
+        if let Some(server_state) = self.current_server_mut(key, incarnation) {
+            server_state.health.record_response();
+        }
+    }
+
     /// Records stray bytes on a connection to a server.
     pub fn record_malformed(&mut self, key: &str, now: Instant) {
         if let Some(server_state) = self.servers.get_mut(key) {
--- a/crates/gateway/src/cluster/server_health.rs
+++ b/crates/gateway/src/cluster/server_health.rs
@@ -17,9 +17,10 @@
     Misdirected,
     /// The server responded with an error of its own.
     Erred,
-    /// The server broke off the response, stopped sending, or sent something that is no response of
-    /// its own.
+    /// The server broke off the response, or sent something that is no response of its own.
     Failed,
+    /// The server sent nothing for longer than the attempt waited.
+    Silent,
     /// The server could not be reached.
     Unreachable,
 }
@@ -36,9 +37,19 @@
 const MAX_EJECTION: Duration = Duration::from_secs(3);
 /// How long a probe may take before another is sent.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Maximum time for which a sound server sends nothing. One that is silent for longer is ejected.
+const MAX_SOUND_SILENCE: Duration = Duration::from_secs(2);
 /// How long connections to a server are used only once after a malformed response.
 const SUSPECT_WINDOW: Duration = Duration::from_secs(8);
 
+/// A period in which attempts met only silence.
+#[derive(Debug, Clone, Copy)]
+struct SilentPeriod {
+    began_at: Instant,
+    /// When the last silence was recorded.
+    last_at: Instant,
+}
+
 /// Health of one server.
 #[derive(Debug, Clone, Default)]
 pub struct ServerHealth {
@@ -49,18 +60,28 @@
     ejected_until: Option<Instant>,
     /// Set while one request probes whether the server is back.
     probe_until: Option<Instant>,
+    /// `None` once the server has sent anything since.
+    silent_period: Option<SilentPeriod>,
     suspect_until: Option<Instant>,
 }
 
 impl ServerHealth {
     /// Records how an attempt ended.
     pub fn record(&mut self, outcome: ServerOutcome, now: Instant) {
+        match outcome {
+            ServerOutcome::Silent => self.extend_silence(now),
+            ServerOutcome::Failed | ServerOutcome::Unreachable => {}
+            ServerOutcome::Fine
+            | ServerOutcome::Refused
+            | ServerOutcome::Misdirected
+            | ServerOutcome::Erred => self.record_response(),
+        }
         let sample = match outcome {
             ServerOutcome::Fine => 0.0,
             ServerOutcome::Refused | ServerOutcome::Misdirected => return,
             // An error may be caused by the request itself; a transport failure never is.
             ServerOutcome::Erred => 0.5,
-            ServerOutcome::Failed | ServerOutcome::Unreachable => 1.0,
+            ServerOutcome::Failed | ServerOutcome::Silent | ServerOutcome::Unreachable => 1.0,
         };
         self.failure_fraction =
             self.failure_fraction(now) * (1.0 - SAMPLE_WEIGHT) + sample * SAMPLE_WEIGHT;
@@ -74,7 +95,38 @@
             ServerOutcome::Unreachable => self.eject(now),
             ServerOutcome::Failed if self.consecutive_failures > 0 => self.eject(now),
             ServerOutcome::Failed => self.consecutive_failures = 1,
-            ServerOutcome::Refused | ServerOutcome::Misdirected | ServerOutcome::Erred => {}
+            ServerOutcome::Silent if self.is_silence_conclusive(now) => self.eject(now),
+            ServerOutcome::Silent
+            | ServerOutcome::Refused
+            | ServerOutcome::Misdirected
+            | ServerOutcome::Erred => {}
+        }
+    }
+
+    /// Records that the server has sent something.
+    pub fn record_response(&mut self) {
+        self.silent_period = None;
+    }
+
+    /// Records a silence: part of the one before unless that is long ago, as the server may have
+    /// responded to others since.
+    fn extend_silence(&mut self, now: Instant) {
+        let is_recent = |period: &SilentPeriod| {
+            now.saturating_duration_since(period.last_at) < MAX_SOUND_SILENCE
+        };
+        let began_at = self.silent_period.filter(is_recent).map_or(now, |period| period.began_at);
+        self.silent_period = Some(SilentPeriod { began_at, last_at: now });
+    }
+
+    /// Returns true if a silence at `now` is to eject the server: it has been silent for longer than
+    /// a sound one may, or has been ejected and not responded since.
+    fn is_silence_conclusive(&self, now: Instant) -> bool {
+        let has_been_silent = |period: SilentPeriod| {
+            now.saturating_duration_since(period.began_at) >= MAX_SOUND_SILENCE
+        };
+        match self.ejected_until {
+            Some(until) => now >= until,
+            None => self.silent_period.is_some_and(has_been_silent),
         }
     }
 
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -76,9 +76,8 @@
             AttemptFailure::Unsent => ServerOutcome::Unreachable,
             AttemptFailure::NotRun => ServerOutcome::Refused,
             AttemptFailure::Misdirected => ServerOutcome::Misdirected,
-            AttemptFailure::Silent | AttemptFailure::Broken | AttemptFailure::Garbled => {
-                ServerOutcome::Failed
-            }
+            AttemptFailure::Silent => ServerOutcome::Silent,
+            AttemptFailure::Broken | AttemptFailure::Garbled => ServerOutcome::Failed,
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -370,6 +370,7 @@
 
     /// Records that `target` responds to a request that was sent at `sent_at`.
     pub fn record_response(&self, target: &SendTarget, sent_at: Instant) {
+        self.fleet().record_response(&target.server, target.incarnation);
         if self.quarantines.record_response(target, sent_at) {
             self.tell_cleared_quarantine();
         }
