A plain call's server is chosen before a retry is charged for it

Cause: run_with_hedge took a permit, which consumes a retry, before it looked for a second server. With no other server, each call that was silent for longer than the hedge delay used up a retry for nothing.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod event_reader;
 mod exchange;
 mod next_server;
+mod plain_placement;
 mod plain_run;
 mod prefill_step;
 mod probe_guard;
--- /dev/null
+++ b/crates/gateway/src/forward/plain_placement.rs
@@ -0,0 +1,54 @@
+//! Reserves the server and the permit of an attempt of a plain call.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::Call;
+use super::attempt_permit::AttemptPermit;
+use super::attempts::Attempts;
+use super::capacity_wait::placement_request;
+use crate::cluster::PlainPlacement;
+use crate::cluster::place_plain;
+use crate::events;
+use crate::model::RequestRate;
+use crate::model::ServerKey;
+use crate::state::GatewayState;
+
+/// Returns the server of the next attempt and its permit. Consumes retry budget only if there is a
+/// server.
+pub fn reserve_server(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &Attempts,
+) -> Option<(ServerKey, AttemptPermit)> {
+    let placement = {
+        let fleet = state.fleet();
+        place_plain(&fleet, &placement_request(state, call, &attempts.tried, None)).ok()?
+    };
+    let permit = attempts.permit(state, call)?;
+    log_placed(state, call, attempts, &placement);
+    Some((placement.server, permit))
+}
+
+fn log_placed(state: &GatewayState, call: &Call, attempts: &Attempts, placement: &PlainPlacement) {
+    let now = Instant::now();
+    let fleet = state.fleet();
+    let Some(server_state) = fleet.server(&placement.server) else { return };
+    tracing::info!(
+        event = events::PLAIN_PLACED,
+        request_id = call.id(),
+        route = %call.route.name,
+        service = %call.service,
+        config = call.config,
+        server = %placement.server,
+        domain = %server_state.entry.domain,
+        row_version = server_state.stamp.version(),
+        own = server_state.local_load.running,
+        all = fleet.load(server_state, now).running,
+        failure_share = server_state.health.failure_fraction(now),
+        limit = fleet.limits.limit(server_state.incarnation).map(RequestRate::per_second),
+        cost = placement.cost,
+        attempt = attempts.count(),
+        "placed"
+    );
+}
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -14,22 +14,20 @@
 use super::GatewayBody;
 use super::attempt_permit::AttemptPermit;
 use super::attempts::Attempts;
-use super::capacity_wait::placement_request;
 use super::exchange;
 use super::exchange::AttemptFailure;
 use super::exchange::OpenResponse;
 use super::exchange::is_delimited;
+use super::plain_placement::reserve_server;
 use super::reject::reject_failed;
 use super::response_body;
 use crate::cluster::LoadShare;
 use crate::cluster::ServerOutcome;
-use crate::cluster::place_plain;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::load_guard::LoadGuard;
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
-use crate::model::RequestRate;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
@@ -81,11 +79,10 @@
     let mut earlier = EarlierOutcomes::default();
     loop {
         attempts.wait_for_quarantine_decision(state, &call).await;
-        let Some(permit) = attempts.permit(state, &call) else { break };
         if Instant::now() >= call.deadline {
             break;
         }
-        let Some(server) = place_call(state, &call, &attempts) else { break };
+        let Some((server, permit)) = reserve_server(state, &call, &attempts) else { break };
         attempts.record(&server);
         let first = pin!(send_attempt::<C>(state, &call, server, permit));
         let outcome = match hedge_delay(&call, &attempts) {
@@ -152,8 +149,7 @@
     if let Some(outcome) = with_deadline(Instant::now() + after, first.as_mut()).await {
         return Some(outcome);
     }
-    let permit = attempts.permit(state, call);
-    let second = permit.and_then(|permit| Some((place_call(state, call, attempts)?, permit)));
+    let second = reserve_server(state, call, attempts);
     let Some((server, permit)) = second else { return Some(first.await) };
     tracing::info!(
         event = events::CALL_HEDGED,
@@ -180,31 +176,6 @@
     None
 }
 
-fn place_call(state: &GatewayState, call: &Call, attempts: &Attempts) -> Option<ServerKey> {
-    let fleet = state.fleet();
-    let request = placement_request(state, call, &attempts.tried, None);
-    let placement = place_plain(&fleet, &request).ok()?;
-    let server_state = fleet.server(&placement.server)?;
-    tracing::info!(
-        event = events::PLAIN_PLACED,
-        request_id = call.id(),
-        route = %call.route.name,
-        service = %call.service,
-        config = call.config,
-        server = %placement.server,
-        domain = %server_state.entry.domain,
-        row_version = server_state.stamp.version(),
-        own = server_state.local_load.running,
-        all = fleet.load(server_state, request.now).running,
-        failure_share = server_state.health.failure_fraction(request.now),
-        limit = fleet.limits.limit(server_state.incarnation).map(RequestRate::per_second),
-        cost = placement.cost,
-        attempt = attempts.count(),
-        "placed"
-    );
-    Some(placement.server)
-}
-
 async fn send_attempt<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Arc<Call>,
