A server that accepts no connection for a second counts as silent, not as unreachable

Cause: a connection that does not open within 250 ms was an Unsent attempt like a refused one: it ejected the server for 0.4 s and more, was told to peers, and counted towards an outage (record_unreachable), although a frozen server, or one whose accept queue is full, does the same for a second. Change: a connect timeout, of a tunnel too, is recorded as ServerOutcome::Silent and as no outage; the attempt goes on to the next server as before. Refused and reset connections are recorded as before.

--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -148,6 +148,10 @@
                 permit.settle();
             }
             let problem = error.to_string();
+            if error.is_connect_timeout() {
+                record_connect_timeout(state, call, target, &problem);
+                return Err(failure);
+            }
             return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
         }
     };
@@ -224,6 +228,32 @@
     if !(is_path_broken && may_be_path) {
         state.record_outcome(target, failure.outcome());
     }
+    log_attempt(state, call, target, failure, problem);
+    match failure {
+        AttemptFailure::Broken => record_break(state, call, target, run).await,
+        AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
+        _ => {}
+    }
+    failure
+}
+
+/// Records and logs that no connection to `target` opened in time. A server that is only slow to
+/// accept one is neither down nor unreachable: this counts as a silence.
+fn record_connect_timeout(state: &GatewayState, call: &Call, target: &SendTarget, problem: &str) {
+    if !state.fleet().paths.is_broken(target.incarnation) {
+        state.record_outcome(target, ServerOutcome::Silent);
+    }
+    log_attempt(state, call, target, AttemptFailure::Unsent, problem);
+}
+
+fn log_attempt(
+    state: &GatewayState,
+    call: &Call,
+    target: &SendTarget,
+    failure: AttemptFailure,
+    problem: &str,
+) {
+    let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
     tracing::info!(
@@ -239,12 +269,6 @@
         elapsed_ms = call.age_ms(),
         "attempt failed"
     );
-    match failure {
-        AttemptFailure::Broken => record_break(state, call, target, run).await,
-        AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
-        _ => {}
-    }
-    failure
 }
 
 /// Records that the connection of an attempt broke: a crash of its server, unless other gateways
--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -39,4 +39,11 @@
     pub fn is_unsent(&self) -> bool {
         !matches!(self, SendError::Broken { .. } | SendError::Silent { .. })
     }
+
+    /// Returns true when no connection opened in time, while none was refused.
+    pub fn is_connect_timeout(&self) -> bool {
+        let is_tunnel_timeout =
+            matches!(self, SendError::Tunnel { source: TunnelError::Timeout { .. }, .. });
+        is_tunnel_timeout || matches!(self, SendError::ConnectTimeout { .. })
+    }
 }
