--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod event_reader;
 mod exchange;
 mod kept_stream;
+mod plain_placement;
 mod plain_run;
 mod prefill_step;
 mod probe_guard;
