Open connections go by the callers' limits in force

Callers saw: a connection idle for a time that the configuration in force allows was closed under their next request, and a head larger than the limit in force when the connection opened got 431. Cause: front_server read the limits once, when a connection opened, and handed them to hyper.

Now LimitHistory keeps the limits that were in force recently; a caller may go by any that was in force since it began, or up to config_bound before. The HTTP server's timer (HeadTimer) ends each wait for a head by these: by the idle limit, or after the first byte by the header limit where that is later, so that a head begun just before the idle limit is read. A head that stalls gets 408; after either limit the connection lingers, so that a request that crosses the close sees a FIN and no reset. The size of a head is checked by the limit in force (431, event 5002 with reason head_too_large); connections can read 64 KiB or the limit at their opening, whichever is larger (this is also how much hyper buffers towards a slow caller: before, the limit, 16 KiB at most sites). The limit on bodies includes what was in force up to config_bound before.

Not covered: a head limit raised above 64 KiB applies to a connection opened before only after it is opened anew.

--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -13,6 +13,7 @@
 use crate::cluster::InForceChange;
 use crate::cluster::name_digest;
 use crate::events;
+use crate::model::CallerLimits;
 use crate::model::ConfigDelta;
 use crate::model::ConfigId;
 use crate::model::ConfigVersion;
@@ -42,6 +43,11 @@
         self.route_table().is_some_and(|table| !table.organisations.is_empty())
     }
 
+    /// Returns the largest of each limit that a caller may go by that began at `at`.
+    pub fn caller_limits_since(&self, at: Instant) -> CallerLimits {
+        self.limit_history.read().expect("limit history lock").largest_since(at)
+    }
+
     /// Returns the configuration in force with its id, if there is one.
     pub fn config(&self) -> Option<Arc<HeldConfig>> {
         self.in_force.read().expect("in-force lock").current()
@@ -191,6 +197,9 @@
             }
         };
         let version = id.version;
+        let mut limit_history = self.limit_history.write().expect("limit history lock");
+        limit_history.record(table.limits, Instant::now());
+        drop(limit_history);
         self.quotas.set_limits(&table.organisations, version, &self.quota_view());
         self.capacity_changed.notify(usize::MAX);
         // The follower of the table learns what is held, and peers learn who can transfer it.
--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -17,13 +17,16 @@
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 use umberglade_wire::lingering_close;
 use umberglade_wire::ordered_body::FlushSignal;
 use umberglade_wire::ordered_body::OrderedBody;
 use umberglade_wire::ordered_body::TrackedStream;
 use umberglade_wire::pool;
 
+use super::connection_limits;
+use super::head_stream::HeadProgress;
+use super::head_stream::HeadStream;
+use super::head_timer::HeadTimer;
 use super::read_call::CallAborted;
 use super::read_call::ReadOutcome;
 use super::read_call::read_call;
@@ -37,8 +40,6 @@
 
 /// Delay after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Minimum read buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Accepts callers until the process stops.
 pub async fn serve_front<C: PlatformCodec>(listener: TcpListener, state: Arc<GatewayState>) {
@@ -58,18 +59,19 @@
 }
 
 async fn serve_connection<C: PlatformCodec>(stream: TcpStream, state: Arc<GatewayState>) {
-    let limits = state.route_table().map(|table| table.limits).unwrap_or_default();
     let context = ConnectionContext::new(&state);
     let tracked_stream = TrackedStream::new(stream.clone(), context.signal.clone());
+    let progress = HeadProgress::default();
+    let head_stream = HeadStream::new(tracked_stream, progress.clone());
+    let head_capacity = connection_limits::head_capacity(&state);
     let service_context = context.clone();
     let service = service_fn(move |request| handle_request::<C>(service_context.clone(), request));
     let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
-        // Counted from when the connection becomes idle, so it must allow for the longest idle
-        // time, which is the larger of the two limits.
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(tracked_stream), service);
+        .timer(HeadTimer::new(Arc::clone(&state), progress.clone()))
+        // The timer ends waits by the limits in force, whatever this value.
+        .header_read_timeout(Duration::ZERO)
+        .max_buf_size(head_capacity)
+        .serve_connection(FuturesIo::new(head_stream), service);
     let mut connection = pin!(connection);
     let connection_ended = async {
         // The error is that the caller's connection broke; each request on it has logged its own
@@ -95,6 +97,8 @@
     }
     if context.has_unread_body.load(Ordering::Acquire) {
         lingering_close::close(stream).await;
+    } else {
+        connection_limits::close_expired(stream, &progress).await;
     }
 }
 
@@ -120,7 +124,10 @@
 ) -> Result<Response<OrderedBody<GatewayBody>>, CallAborted> {
     let ConnectionContext { state, signal, has_unread_body } = context;
     let _in_flight = state.in_flight.enter_request();
-    let outcome = read_call::<C>(&state, request).await?;
+    let outcome = match connection_limits::reject_large_head(&state, &request) {
+        Some(response) => ReadOutcome::RejectedUnread(response),
+        None => read_call::<C>(&state, request).await?,
+    };
     let is_unread = matches!(outcome, ReadOutcome::RejectedUnread(_));
     has_unread_body.store(is_unread, Ordering::Release);
     let mut response = match outcome {
--- /dev/null
+++ b/crates/gateway/src/ingress/head_stream.rs
@@ -0,0 +1,95 @@
+//! A caller's connection on which the arrival of a request's first bytes is seen.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+
+/// What a connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum HeadStage {
+    /// The first byte of a request.
+    Idle,
+    /// The rest of a request's head; or a request has been read.
+    Begun,
+    /// Nothing: its idle limit has passed.
+    IdleExpired,
+    /// Nothing: the time limit for a head that had begun has passed.
+    HeadExpired,
+}
+
+/// The stage of the head that is read on one connection.
+#[derive(Debug, Clone)]
+pub struct HeadProgress {
+    /// A [`HeadStage`].
+    stage: Arc<AtomicU8>,
+}
+
+impl Default for HeadProgress {
+    fn default() -> Self {
+        HeadProgress { stage: Arc::new(AtomicU8::new(HeadStage::Idle as u8)) }
+    }
+}
+
+impl HeadProgress {
+    pub fn set(&self, stage: HeadStage) {
+        self.stage.store(stage as u8, Ordering::Release);
+    }
+
+    pub fn is(&self, stage: HeadStage) -> bool {
+        self.stage.load(Ordering::Acquire) == stage as u8
+    }
+}
+
+/// A connection whose reads are noted in a [`HeadProgress`].
+#[derive(Debug)]
+pub struct HeadStream<S> {
+    stream: S,
+    progress: HeadProgress,
+}
+
+impl<S> HeadStream<S> {
+    pub fn new(stream: S, progress: HeadProgress) -> Self {
+        HeadStream { stream, progress }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for HeadStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if count > 0 {
+            self.progress.set(HeadStage::Begun);
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for HeadStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -1,8 +1,11 @@
 //! HTTP servers of the gateway: callers' connections, the load balancer's readiness checks and
 //! operators' metrics.
 
+mod connection_limits;
 mod find_route;
 mod front_server;
+mod head_stream;
+mod head_timer;
 mod read_call;
 mod ready_server;
 
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -89,12 +89,13 @@
         let response = reject_request(request_id, Rejection::TooLarge, None, table.version);
         Ok(ReadOutcome::RejectedUnread(response))
     };
-    if request.body().size_hint().lower() > table.limits.max_body_bytes as u64 {
+    let max_body_bytes = state.caller_limits_since(arrived).max_body_bytes;
+    if request.body().size_hint().lower() > max_body_bytes as u64 {
         return reject_too_large();
     }
     let (mut parts, body) = request.into_parts();
     C::set_caller_headers(&mut parts.headers, &caller_identity);
-    let body = match read_body(body, table.limits.max_body_bytes).await? {
+    let body = match read_body(body, max_body_bytes).await? {
         Some(body) => body,
         None => return reject_too_large(),
     };
--- a/crates/gateway/src/model/route_table.rs
+++ b/crates/gateway/src/model/route_table.rs
@@ -35,6 +35,23 @@
     pub idle_timeout: Duration,
 }
 
+impl CallerLimits {
+    /// Returns the larger of each limit.
+    pub fn max(self, other: CallerLimits) -> CallerLimits {
+        CallerLimits {
+            max_header_bytes: self.max_header_bytes.max(other.max_header_bytes),
+            max_body_bytes: self.max_body_bytes.max(other.max_body_bytes),
+            header_timeout: self.header_timeout.max(other.header_timeout),
+            idle_timeout: self.idle_timeout.max(other.idle_timeout),
+        }
+    }
+
+    /// Returns how long a connection may be idle and its next head may then take, together.
+    pub fn longest_time(&self) -> Duration {
+        self.idle_timeout.saturating_add(self.header_timeout)
+    }
+}
+
 impl Default for CallerLimits {
     /// Returns the limits that apply until a configuration is known; most deployments set these.
     fn default() -> Self {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
 use crate::cluster::Fleet;
 use crate::cluster::FleetChange;
 use crate::cluster::InForce;
+use crate::cluster::LimitHistory;
 use crate::cluster::PeerQueues;
 use crate::cluster::ProcessId;
 use crate::cluster::RetryBudget;
@@ -109,6 +110,8 @@
     pub quotas: Quotas,
     pub(crate) started_at: Instant,
     pub(crate) in_force: RwLock<InForce>,
+    /// The limits of callers that were in force recently.
+    pub(crate) limit_history: RwLock<LimitHistory>,
     pub(crate) config_watch: Mutex<ConfigWatch>,
     /// The peers that hold configurations.
     pub(crate) config_sources: Mutex<ConfigSources>,
@@ -142,6 +145,7 @@
             started_at,
         );
         let digest = name_digest(&settings.instance);
+        let limit_history = LimitHistory::new(settings.config_bound);
         Arc::new(GatewayState {
             digest,
             process: fastrand::u64(..),
@@ -172,6 +176,7 @@
             quotas: Quotas::new(started_at),
             started_at,
             in_force: RwLock::default(),
+            limit_history: RwLock::new(limit_history),
             config_watch: Mutex::default(),
             config_sources: Mutex::default(),
             fleet: Mutex::new(Fleet::new(digest)),
