--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -162,7 +162,10 @@
             }
             let problem = error.to_string();
             if error.is_connect_timeout() {
-                record_connect_timeout(state, call, target, &problem);
+                // A server that is only slow to accept a connection is neither down nor
+                // unreachable.
+                let outcome = ServerOutcome::Silent;
+                record_attempt(state, call, target, failure, outcome, &problem);
                 return Err(failure);
             }
             return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
@@ -236,7 +239,7 @@
     problem: &str,
     run: BrokenRun,
 ) -> AttemptFailure {
-    log_failure(state, call, target, failure, problem);
+    record_attempt(state, call, target, failure, failure.outcome(), problem);
     match failure {
         AttemptFailure::Broken => record_break(state, call, target, run).await,
         AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
@@ -245,45 +248,21 @@
     failure
 }
 
-/// Counts and logs a failure, and records what it means for the server's health.
-pub(super) fn log_failure(
+/// Counts and logs a failed attempt, and records its outcome for the server's health unless only the
+/// path of this gateway to the server may be broken.
+pub(super) fn record_attempt(
     state: &GatewayState,
     call: &Call,
     target: &SendTarget,
     failure: AttemptFailure,
+    outcome: ServerOutcome,
     problem: &str,
 ) {
     let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
-    let may_be_path = matches!(failure, AttemptFailure::Silent | AttemptFailure::Broken);
+    let may_be_path = failure == AttemptFailure::Broken || outcome == ServerOutcome::Silent;
     if !(is_path_broken && may_be_path) {
-        state.record_outcome(target, failure.outcome());
+        state.record_outcome(target, outcome);
     }
-    log_attempt(state, call, target, failure, problem);
-    match failure {
-        AttemptFailure::Broken => record_break(state, call, target, run).await,
-        AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
-        _ => {}
-    }
-    failure
-}
-
-/// Records and logs that no connection to `target` opened in time. A server that is only slow to
-/// accept one is neither down nor unreachable: this counts as a silence.
-fn record_connect_timeout(state: &GatewayState, call: &Call, target: &SendTarget, problem: &str) {
-    if !state.fleet().paths.is_broken(target.incarnation) {
-        state.record_outcome(target, ServerOutcome::Silent);
-    }
-    log_attempt(state, call, target, AttemptFailure::Unsent, problem);
-}
-
-fn log_attempt(
-    state: &GatewayState,
-    call: &Call,
-    target: &SendTarget,
-    failure: AttemptFailure,
-    problem: &str,
-) {
-    let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
     tracing::info!(
--- a/crates/gateway/src/forward/stream_silence.rs
+++ b/crates/gateway/src/forward/stream_silence.rs
@@ -4,7 +4,7 @@
 
 use super::Call;
 use super::exchange::AttemptFailure;
-use super::exchange::log_failure;
+use super::exchange::record_attempt;
 use crate::events;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
@@ -48,5 +48,6 @@
     silence: Duration,
 ) {
     let problem = format!("no event for {} ms", silence.as_millis());
-    log_failure(state, call, target, AttemptFailure::Silent, &problem);
+    let failure = AttemptFailure::Silent;
+    record_attempt(state, call, target, failure, failure.outcome(), &problem);
 }
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -4,8 +4,11 @@
 mod accepted_request;
 mod answer_body;
 mod connection_end;
+mod connection_limits;
 mod find_route;
 mod front_server;
+mod head_stream;
+mod head_timer;
 mod read_call;
 mod ready_server;
 
