--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -19,11 +19,12 @@
 mod relay;
 mod request_stage;
 mod response_body;
+mod silence_log;
+mod silent_stream;
 mod stream_attempt;
 mod stream_open;
 mod stream_opener;
 mod stream_run;
-mod stream_silence;
 mod version_wait;
 
 pub use self::call::Call;
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -1,6 +1,5 @@
 //! Relays a stream to its caller event by event, and resumes it at other servers.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,7 +7,6 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use futures_lite::future::zip;
 use http::Response;
 use hyper::body::Frame;
 use strum::Display;
@@ -19,24 +17,25 @@
 use super::StreamBroken;
 use super::StreamEvent;
 use super::attempts::Attempts;
-use super::exchange;
 use super::exchange::AttemptFailure;
 use super::kept_stream::KeptStream;
 use super::response_body;
 use super::response_body::BodyFrame;
+use super::silence_log;
+use super::silent_stream;
+use super::silent_stream::SilenceEnd;
+use super::silent_stream::StreamPosition;
+use super::silent_stream::break_problem;
+use super::silent_stream::wait_or_replace;
 use super::stream_open::OpenStream;
-use super::stream_opener::Opening;
 use super::stream_opener::StreamOpener;
 use super::stream_opener::StreamStart;
-use super::stream_silence;
-use crate::cluster::BrokenRun;
 use crate::cluster::SURVIVAL_TIME;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::in_flight_count::InFlightGuard;
 use crate::origins::record_origin;
-use crate::paths::request_check;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
@@ -107,55 +106,6 @@
     response
 }
 
-/// What a stream that was silent sent, or why it stopped.
-enum StalledRead {
-    Read(ReadEvent),
-    Stopped(StreamStop),
-}
-
-/// The next event of a stream; `None` at its end.
-type ReadEvent = Result<Option<StreamEvent>, hyper::Error>;
-
-/// Which server went on first.
-enum FirstToGoOn {
-    /// The one that was silent.
-    Kept(ReadEvent),
-    Other(Opening),
-}
-
-/// Returns how the server of `stream` has failed, if `read` shows that it has.
-fn break_problem(read: &ReadEvent, stream: &OpenStream) -> Option<String> {
-    match read {
-        Ok(Some(_)) => None,
-        Ok(None) if stream.reader.is_complete() => None,
-        Ok(None) => Some("ended within an event".to_owned()),
-        Err(error) => Some(error.to_string()),
-    }
-}
-
-/// Returns the run of a stream that broke after an event at `last_event_at`.
-fn broken_run(stream: &OpenStream, last_event_at: Instant) -> BrokenRun {
-    let since_last_event = last_event_at.elapsed();
-    BrokenRun {
-        sent_at: stream.sent_at,
-        duration: stream.load_guard.age().saturating_sub(since_last_event),
-        sent_events_for: stream.first_event_at.elapsed().saturating_sub(since_last_event),
-    }
-}
-
-/// Records that the server of `stream` has failed.
-async fn record_stop(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    stream: &OpenStream,
-    failure: AttemptFailure,
-    problem: &str,
-    run: BrokenRun,
-) {
-    let target = &stream.target;
-    exchange::record_midstream_failure(state, call, target, failure, problem, run).await;
-}
-
 struct Relay<C> {
     state: Arc<GatewayState>,
     /// Makes a graceful shutdown wait for the stream.
@@ -208,8 +158,17 @@
                 }
                 StreamStop::Expired => return RelayOutcome::Expired,
                 StreamStop::Failed(failure, problem) => {
-                    let run = broken_run(&current, self.last_event_at);
-                    record_stop(&self.state, &self.call, &current, failure, &problem, run).await;
+                    let last_event_at = self.last_event_at;
+                    let (state, call) = (&self.state, &self.call);
+                    silent_stream::record_stop(
+                        state,
+                        call,
+                        &current,
+                        failure,
+                        &problem,
+                        last_event_at,
+                    )
+                    .await;
                     // Closes the connection before another server starts, so that two servers
                     // never run the same request at the same time.
                     drop(current);
@@ -218,7 +177,7 @@
                 StreamStop::Replaced(next) => {
                     let silence = self.last_event_at.elapsed();
                     let target = &current.target;
-                    stream_silence::record_replacement(&self.state, &self.call, target, silence);
+                    silence_log::record_replacement(&self.state, &self.call, target, silence);
                     Some(next)
                 }
                 StreamStop::FailedSilent(next) => next,
@@ -256,9 +215,11 @@
             let until = (Instant::now() + stall_timeout).min(self.call.deadline);
             let read = match with_deadline(until, stream.reader.next_event()).await {
                 Some(read) => read,
-                None => match self.wait_or_replace(stream).await {
-                    StalledRead::Read(read) => read,
-                    StalledRead::Stopped(stop) => return Ok(stop),
+                None => match self.wait_while_silent(stream).await {
+                    SilenceEnd::WentOn(read) => read,
+                    SilenceEnd::Replaced(next) => return Ok(StreamStop::Replaced(next)),
+                    SilenceEnd::Failed(next) => return Ok(StreamStop::FailedSilent(next)),
+                    SilenceEnd::Expired => return Ok(StreamStop::Expired),
                 },
             };
             if let Some(problem) = break_problem(&read, stream) {
@@ -271,50 +232,17 @@
         }
     }
 
-    /// Waits for the silent server of `stream` while another one is opened, where that is allowed.
-    /// The first of them to send an event goes on with the stream.
-    async fn wait_or_replace(&mut self, stream: &mut OpenStream) -> StalledRead {
+    async fn wait_while_silent(&mut self, stream: &mut OpenStream) -> SilenceEnd {
         if Instant::now() >= self.call.deadline {
-            return StalledRead::Stopped(StreamStop::Expired);
+            return SilenceEnd::Expired;
         }
-        let silent_since = self.last_event_at;
-        let server = stream.target.server.clone();
-        request_check(&self.state, &stream.target);
-        stream_silence::log_stall(&self.call, &server, self.relayed, silent_since.elapsed());
-        let start = self.continuation();
-        let read = {
-            let kept = KeptStream::open();
-            let opener =
-                StreamOpener::<C>::new(&self.state, &self.call, &mut self.attempts, start, &kept);
-            let mut opening = pin!(opener.open(None));
-            let kept_read = async { FirstToGoOn::Kept(stream.reader.next_event().await) };
-            let replaced = async { FirstToGoOn::Other(opening.as_mut().await) };
-            let read = match with_deadline(self.call.deadline, kept_read.or(replaced)).await {
-                None => return StalledRead::Stopped(StreamStop::Expired),
-                Some(FirstToGoOn::Other(opening)) => {
-                    return StalledRead::Stopped(match opening.into_stream() {
-                        Some(next) => StreamStop::Replaced(next),
-                        None => StreamStop::FailedSilent(None),
-                    });
-                }
-                Some(FirstToGoOn::Kept(read)) => read,
-            };
-            if let Some(problem) = break_problem(&read, stream) {
-                let run = broken_run(stream, silent_since);
-                let failure = AttemptFailure::Broken;
-                let recorded = async {
-                    record_stop(&self.state, &self.call, stream, failure, &problem, run).await;
-                    kept.end();
-                };
-                let ((), opening) = zip(recorded, opening).await;
-                return StalledRead::Stopped(StreamStop::FailedSilent(opening.into_stream()));
-            }
-            read
+        let position = StreamPosition {
+            last_id: self.last_id,
+            relayed: self.relayed,
+            last_event_at: self.last_event_at,
         };
-        let silence = silent_since.elapsed();
-        let sends = self.attempts.count();
-        stream_silence::log_recovery(&self.call, &server, self.relayed, silence, sends);
-        StalledRead::Read(read)
+        let (state, call) = (&self.state, &self.call);
+        wait_or_replace::<C>(state, call, &mut self.attempts, stream, position).await
     }
 
     /// Returns from where another server continues the stream.
--- a/crates/gateway/src/forward/stream_silence.rs
+++ b/crates/gateway/src/forward/silence_log.rs
@@ -1,4 +1,4 @@
-//! Streams whose servers send nothing for a while.
+//! Log lines and counts of streams whose servers send nothing for a while.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/forward/stream_opener.rs
+++ b/crates/gateway/src/forward/stream_opener.rs
@@ -16,13 +16,13 @@
 use super::exchange;
 use super::exchange::AttemptFailure;
 use super::kept_stream::KeptStream;
+use super::silence_log;
 use super::stream_attempt::AttemptEnd;
 use super::stream_attempt::PromptSource;
 use super::stream_attempt::StreamAttempt;
 use super::stream_open::OpenOutcome;
 use super::stream_open::OpenStream;
 use super::stream_run;
-use super::stream_silence;
 use crate::codec::PlatformCodec;
 use crate::model::PinnedVersion;
 use crate::model::ServerKey;
@@ -249,7 +249,7 @@
 
     fn log_stall<F: Future>(&self, in_progress: &AttemptSet<F>) {
         for (server, age) in in_progress.silent_servers(FIRST_EVENT_TIMEOUT) {
-            stream_silence::log_stall(self.call, &server, 0, age);
+            silence_log::log_stall(self.call, &server, 0, age);
         }
     }
 
@@ -260,7 +260,7 @@
         }
         for (server, age) in in_progress.silent_servers(FIRST_EVENT_TIMEOUT) {
             if let Some(target) = exchange::known_target(self.state, &server) {
-                stream_silence::record_replacement(self.state, self.call, &target, age);
+                silence_log::record_replacement(self.state, self.call, &target, age);
             }
         }
     }
