Streams taken up at a gateway that still joins wait for the others

What callers saw: a stream taken up at a gateway that had just started was rejected as of unknown version, and went on at any other gateway half a second later (version_known).

At 6.90 s the store is back and its tables are read one by one; the configuration is applied at 6.935 s, so calls are admitted. The table of gateways is read at 7.35 s and the first report heard at 7.74 to 7.77 s. At 6.937 s gw-4 asks nobody, as it knows no other gateway, and finds no row, as the others could not write theirs; yet the version is known at all four.

Change: a gateway notes when it first knew of others. Until 0.6 s after that it asks again each 0.1 s, for 1 s at most and not beyond the caller's time, before a stream counts as unknown.

Test: streams_taken_up_at_a_gateway_that_still_joins_go_on; with a wait of zero it fails with 503 (1 of 10 tests of the file), with the change 10 of 10 pass.

--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -23,6 +23,13 @@
 
 /// How long other gateways are waited for: several times what a busy one takes.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Interval at which a gateway that is joining the others asks again.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a stream waits for its gateway to join the others: a store that has just come back is
+/// read again within this time.
+const MAX_JOIN_WAIT: Duration = Duration::from_secs(1);
+/// Waiting ends when the caller's deadline is this close.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(200);
 /// Maximum number of lookups at other gateways at a time. Ids come from callers, who may invent any
 /// number of them.
 const MAX_LOOKUPS: usize = 64;
@@ -79,7 +86,7 @@
     }
     if let Some(stream) = stream {
         let Some(_slot) = LookupSlot::take(state) else { return (OriginSource::Busy, None) };
-        if let Some(known) = ask_others(state, stream).await {
+        if let Some(known) = ask_while_joining(state, call, stream).await {
             return (OriginSource::Gateway, version(known));
         }
     }
@@ -105,6 +112,33 @@
     }
 }
 
+/// Asks the gateways that may know the origin of `stream`, and asks again while this gateway learns
+/// which others there are.
+///
+/// Prevents one that has read the configuration before it knows any other gateway from rejecting
+/// streams that all others know.
+async fn ask_while_joining(
+    state: &GatewayState,
+    call: &Call,
+    stream: StreamDigest,
+) -> Option<KnownOrigin> {
+    let call_ends_at = call.deadline.checked_sub(RESPONSE_RESERVE)?;
+    let deadline = call_ends_at.min(Instant::now() + MAX_JOIN_WAIT);
+    loop {
+        if let Some(known) = ask_others(state, stream).await {
+            return Some(known);
+        }
+        let next_at = Instant::now() + ASK_INTERVAL;
+        if !state.is_joining(next_at) || next_at >= deadline {
+            return None;
+        }
+        smol::Timer::at(next_at).await;
+        if let Some(known) = state.origins.known().find(stream) {
+            return Some(known);
+        }
+    }
+}
+
 /// Asks the gateways that may know the origin of `stream`, all at once. Returns the first answer of
 /// one that knows it.
 async fn ask_others(state: &GatewayState, stream: StreamDigest) -> Option<KnownOrigin> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -117,6 +118,8 @@
     pub(crate) quota_peers: Mutex<Option<QuotaPeers>>,
     /// Number of gateways registered in the store, including this one; at least 1.
     members: AtomicUsize,
+    /// When this process first knew which other gateways there are.
+    joined_at: OnceLock<Instant>,
 }
 
 /// Maximum time after its start that a process waits for the quarantined requests; reading them
@@ -127,6 +130,8 @@
 const MAX_CHANGES_LOGGED: usize = 16;
 /// Upper bound of the number of failure domains, each of which is sent changed rows once.
 const MAX_ROW_RECIPIENTS: usize = 8;
+/// Gateways that know this one have named all others within this time.
+const JOINING_TIME: Duration = Duration::from_millis(600);
 /// Number of gateways assumed until the members table is read. The more gateways, the smaller each
 /// one's share of the retry budget: this number is cautious for most sites.
 const INITIAL_MEMBERS: usize = 8;
@@ -178,6 +183,7 @@
             retries: Mutex::new(retries),
             quota_peers: Mutex::default(),
             members: AtomicUsize::new(INITIAL_MEMBERS),
+            joined_at: OnceLock::new(),
         })
     }
 
@@ -313,10 +319,17 @@
 
     /// Sets the number of registered gateways.
     pub fn set_members(&self, count: usize) {
+        self.joined_at.get_or_init(Instant::now);
         self.members.store(count.max(1), Ordering::Relaxed);
         self.fleet().set_gateways(count.max(1));
     }
 
+    /// Returns true while this process may not know yet whom of the other gateways to ask.
+    pub fn is_joining(&self, now: Instant) -> bool {
+        let age = |at: &Instant| now.saturating_duration_since(*at);
+        self.joined_at.get().map(age).is_none_or(|age| age < JOINING_TIME)
+    }
+
     /// Returns true if the balancer should send callers to this gateway.
     pub fn is_ready(&self) -> bool {
         !self.stop.is_stopping() && self.is_initialized()
