Probes of requests that share crashes are never made together

Change: while the outcome of a probe of one of them is awaited (its claim is under way, or it was sent within 0.6 s and no server has crashed since), no probe of another with the same crashes begins. A crash under the probed one ends the wait, so that the next follows at once as before (every_suspect_is_probed_once_before_one_is_probed_again, unchanged).

Two gateways that claim probes of two contents in the same few milliseconds are not kept apart by this.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -382,6 +382,7 @@
             *quarantine = Quarantine::new(quarantine.probes + 1, quarantine.stamp, now);
             quarantine.began_at = began_at;
             quarantine.was_shared = was_shared;
+            quarantine.await_outcome(now);
             quarantine.begin_probe();
         });
     }
@@ -406,13 +407,18 @@
         // Another fingerprint may turn out to be the poison request before the first probe.
         let awaits_suspects = quarantine.probes == 0
             && self.records.suspicion_of_others(fingerprint, now) > Suspicion::None;
+        // Two probes at one server would show nothing of either.
+        let until_other_outcomes = match shared_rank {
+            Some(_) => self.records.time_until_other_outcomes(fingerprint, now),
+            None => Duration::ZERO,
+        };
         Some(QuarantineStatus {
             fingerprint,
             crashes: record.crashes(),
             probes: quarantine.probes,
             stamp: quarantine.stamp,
             age: now.saturating_duration_since(quarantine.since),
-            until_probe: quarantine.time_until_probe(is_part, rank, now),
+            until_probe: quarantine.time_until_probe(is_part, rank, now).max(until_other_outcomes),
             is_provisional: is_shared || awaits_reports || awaits_suspects,
         })
     }
@@ -482,6 +488,7 @@
             self.records.mark_shared(now);
             return change;
         }
+        self.change_quarantine(fingerprint, Quarantine::end_outcome_wait);
         self.exclude_explained_crashes(now);
         None
     }
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -1,6 +1,7 @@
 //! The records of all fingerprints under which servers have crashed.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
@@ -128,6 +129,24 @@
         suspicions.max().unwrap_or(Suspicion::None)
     }
 
+    /// Returns the time from `now` until the outcome of probes of others is known that are quarantined
+    /// for the same server crashes as `fingerprint`.
+    pub fn time_until_other_outcomes(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: Instant,
+    ) -> Duration {
+        let Some(record) = self.records.get(&fingerprint) else { return Duration::ZERO };
+        let others = self.quarantined().filter(|(other, other_record)| {
+            *other != fingerprint
+                && other_record.is_provisional()
+                && other_record.shares_crash(record)
+        });
+        let quarantines = others.filter_map(|(_, other_record)| other_record.quarantine);
+        let times = quarantines.map(|quarantine| quarantine.time_until_outcome(now));
+        times.max().unwrap_or_default()
+    }
+
     /// Marks the fingerprints that are quarantined for the same server crashes as others, or as
     /// others that may be next.
     pub fn mark_shared(&mut self, now: Instant) {
--- a/crates/gateway/src/cluster/quarantine.rs
+++ b/crates/gateway/src/cluster/quarantine.rs
@@ -75,6 +75,8 @@
     /// when those are cleared, until a probe has shown the outcome for this one too.
     pub was_shared: bool,
     claimed_until: Option<Instant>,
+    /// Until when the outcome of a probe is awaited, this gateway's or another's.
+    outcome_until: Option<Instant>,
     permit: ProbePermit,
 }
 
@@ -88,6 +90,7 @@
             stamp,
             was_shared: false,
             claimed_until: None,
+            outcome_until: None,
             permit: ProbePermit::None,
         }
     }
@@ -107,7 +110,11 @@
         let permit = if is_local_claim { ProbePermit::Unused(0) } else { ProbePermit::None };
         // A claim by another gateway settles this gateway's.
         let claimed_until = self.claimed_until.filter(|_| is_local_claim);
-        Quarantine { probes, since: now, stamp, permit, claimed_until, ..self }
+        let mut renewed = Quarantine { probes, since: now, stamp, permit, claimed_until, ..self };
+        if probes > self.probes {
+            renewed.await_outcome(now);
+        }
+        renewed
     }
 
     /// Returns true if a request may be sent as the probe that this gateway has claimed.
@@ -165,14 +172,34 @@
         self.was_shared && (self.probes == 0 || is_in_flight)
     }
 
+    /// Returns the time from `now` until the outcome of the probe that is being claimed or was sent
+    /// is known at the latest; zero if none is awaited.
+    pub fn time_until_outcome(&self, now: Instant) -> Duration {
+        let until = self.outcome_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
+    /// Records that the probe that was sent may last for [`ISOLATION_INTERVAL`] until it shows its
+    /// outcome.
+    pub fn await_outcome(&mut self, now: Instant) {
+        self.outcome_until = Some(now + ISOLATION_INTERVAL);
+    }
+
+    /// Records that a server has crashed: the outcome of a probe is awaited no longer.
+    pub fn end_outcome_wait(&mut self) {
+        self.outcome_until = None;
+    }
+
     /// Records that a probe is being claimed; other requests wait for the result.
     pub fn begin_claim(&mut self, now: Instant) {
         self.claimed_until = Some(now + CLAIM_TIMEOUT);
+        self.outcome_until = self.claimed_until;
     }
 
     /// Records that the claim failed; it may be retried after a delay.
     pub fn fail_claim(&mut self, now: Instant) {
         self.claimed_until = Some(now + ISOLATION_INTERVAL);
+        self.outcome_until = None;
     }
 
     /// Returns true if no request of the fingerprint has arrived for long: a request after the
--- a/crates/gateway/tests/shared_crashes.rs
+++ b/crates/gateway/tests/shared_crashes.rs
@@ -374,3 +374,23 @@
     let poison = detector.status(POISON, now + ms(600)).expect("quarantined");
     assert!(!poison.until_probe.is_zero(), "{poison:?}");
 }
+
+/// Prevents two fingerprints that are quarantined for the same server crashes from being probed at
+/// one server in the same moment, after servers were down for so long that both probes are due: the
+/// crash says nothing of either, and the popular one stays quarantined.
+#[test]
+fn probes_of_shared_crashes_are_never_made_together() {
+    let began_at = Instant::now();
+    let mut detector = CrashDetector::default();
+    crash_three(&mut detector, [0; 3], 0, began_at);
+    let now = began_at + ms(5000);
+    let is_due = |verdict| matches!(verdict, QuarantineVerdict::ProbeDue(_));
+    let first = [POPULAR, POISON].into_iter().find(|one| is_due(detector.admit(*one, now)));
+    let first = first.expect("a due probe");
+    let second = if first == POPULAR { POISON } else { POPULAR };
+    assert!(!is_due(detector.admit(second, now)), "while the first probe is claimed");
+    detector.apply_row(first, 1, stamp(2), true, now + ms(10));
+    detector.begin_probe(first);
+    assert!(!is_due(detector.admit(second, now + ms(11))), "while the first probe runs");
+    assert!(is_due(detector.admit(second, now + ms(650))), "once the first probe has shown");
+}
