A path is broken only if a connection fails after another gateway's has opened

Cause: a direct connection that timed out, and a tunnel that opened a moment later, counted as a broken path. At the end of a silence of all servers that is what a sound server does: the direct attempt began while it accepted nothing, the tunnel when it accepted again. A broken path forgives the server's failures, raises doubts that keep all pooled connections from being used, and is told to peers. Change: a request whose direct connection timed out has the path checked, as it had when the tunnel was only faster; the check connects directly once more after a tunnel has opened, if the first attempt timed out. Refused connections are judged as before.

--- a/crates/gateway/src/paths/path_check.rs
+++ b/crates/gateway/src/paths/path_check.rs
@@ -90,6 +90,13 @@
         Some(Err(error)) => (reaches_by_tunnel(state, target).await, Err(error)),
         None => smol::future::zip(reaches_by_tunnel(state, target), direct).await,
     };
+    // A server that was silent until now has opened the tunnel only.
+    let connected = match connected {
+        Err(error) if is_reached && error.is_connect_timeout() => {
+            connect_directly(target.address).await
+        }
+        connected => connected,
+    };
     match connected {
         Ok(connection) => {
             keep_open(state, target, connection);
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -62,14 +62,14 @@
 
 impl Connect for PathConnector<'_> {
     async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
-        let has_direct_failed = AtomicBool::new(false);
+        let is_direct_refused = AtomicBool::new(false);
         let options = self.path_options(target);
         let attempts =
-            options.into_iter().map(|option| self.open(target, option, &has_direct_failed));
+            options.into_iter().map(|option| self.open(target, option, &is_direct_refused));
         let connection = race_staggered(attempts, PATH_STAGGER).await.expect("a direct path")?;
         match connection.path {
             ServerPath::Direct => record_open(self.state, target),
-            ServerPath::Tunnel if has_direct_failed.load(Ordering::Relaxed) => {
+            ServerPath::Tunnel if is_direct_refused.load(Ordering::Relaxed) => {
                 record_broken(self.state, target);
             }
             ServerPath::Tunnel => self.doubt_path(target),
@@ -125,12 +125,14 @@
         &self,
         target: &SendTarget,
         option: PathOption,
-        has_direct_failed: &AtomicBool,
+        is_direct_refused: &AtomicBool,
     ) -> Result<ServerConnection, SendError> {
         match option {
             PathOption::Direct => {
                 let connected = connect_directly(target.address).await;
-                has_direct_failed.store(connected.is_err(), Ordering::Relaxed);
+                // One that did not open in time may be that of a silent server, which responds now.
+                let is_refused = connected.as_ref().is_err_and(|error| !error.is_connect_timeout());
+                is_direct_refused.store(is_refused, Ordering::Relaxed);
                 connected
             }
             PathOption::Tunnel(peer) => self.open_tunnel(target, peer).await,
