A plain call goes on connecting to the last server left while it may be silent

Cause: each server that accepted nothing for 250 ms was given up. When all servers of a service were silent at once, calls had tried them all within 0.5 s and were refused (503, not run), although the servers went on within a second and the caller had time left. Change: an attempt at the only server left to try (connect_patience) opens connections again until one opens, one is refused, or a sound server's longest silence (2 s) is over. Nothing is sent meanwhile, so that nothing can run twice. Cost where all servers are dark in truth: a refusal after 2 s in place of 0.5 s (not run).

--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -160,6 +160,7 @@
 pub use self::row_change::RowChange;
 pub use self::server_backoffs::ServerBackoffs;
 pub use self::server_departures::ServerDepartures;
+pub use self::server_health::MAX_SOUND_SILENCE;
 pub use self::server_health::ServerHealth;
 pub use self::server_health::ServerOutcome;
 pub use self::server_limits::ServerLimitChange;
--- a/crates/gateway/src/cluster/server_health.rs
+++ b/crates/gateway/src/cluster/server_health.rs
@@ -38,7 +38,7 @@
 /// How long a probe may take before another is sent.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Maximum time for which a sound server sends nothing. One that is silent for longer is ejected.
-const MAX_SOUND_SILENCE: Duration = Duration::from_secs(2);
+pub const MAX_SOUND_SILENCE: Duration = Duration::from_secs(2);
 /// How long connections to a server are used only once after a malformed response.
 const SUSPECT_WINDOW: Duration = Duration::from_secs(8);
 
--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -115,7 +115,7 @@
         .body(Full::new(Bytes::new()))
         .expect("a request built from a valid path");
     let deadline = Instant::now() + RELEASE_TIMEOUT;
-    let connector = PathConnector { state, request_id, deadline };
+    let connector = PathConnector { state, request_id, deadline, patience: Duration::ZERO };
     let sent = upstream::send_with(&connector, &state.pool, target, request, Some(deadline));
     let outcome = match sent.await {
         Ok((response, _)) => {
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -12,12 +12,13 @@
 use umberglade_wire::pool;
 
 use super::Call;
+use super::attempt_log::log_attempt;
+use super::attempt_log::record_connect_timeout;
 use super::attempt_permit::AttemptPermit;
 use crate::cluster::BrokenRun;
 use crate::cluster::PathVerdict;
 use crate::cluster::ServerOutcome;
 use crate::codec::PlatformCodec;
-use crate::events;
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
 use crate::model::ResponseHead;
@@ -25,7 +26,6 @@
 use crate::paths::PathConnector;
 use crate::paths::locate_failure;
 use crate::paths::watch_silence;
-use crate::quarantine::fingerprint_key;
 use crate::state::GatewayState;
 use crate::upstream;
 use crate::upstream::SendError;
@@ -129,6 +129,20 @@
     attempt_spec: &AttemptSpec,
     permit: AttemptPermit,
     timeout: Duration,
+) -> Result<OpenResponse, AttemptFailure> {
+    let patience = Duration::ZERO;
+    exchange_patiently::<C>(state, call, target, attempt_spec, permit, timeout, patience).await
+}
+
+/// Like [`exchange`], but tries to connect for `patience` while connections do not open in time.
+pub async fn exchange_patiently<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    target: &SendTarget,
+    attempt_spec: &AttemptSpec,
+    permit: AttemptPermit,
+    timeout: Duration,
+    patience: Duration,
 ) -> Result<OpenResponse, AttemptFailure> {
     let request = call.upstream_request::<C>(attempt_spec);
     let sent_at = Instant::now();
@@ -137,7 +151,8 @@
     {
         charge.commit();
     }
-    let connector = PathConnector { state, request_id: call.id(), deadline: call.deadline };
+    let (request_id, deadline) = (call.id(), call.deadline);
+    let connector = PathConnector { state, request_id, deadline, patience };
     let deadline = Some(sent_at + timeout);
     let sent = upstream::send_with(&connector, &state.pool, target, request, deadline);
     let (response, connection) = match watch_silence(state, target, sent).await {
@@ -237,40 +252,6 @@
     failure
 }
 
-/// Records and logs that no connection to `target` opened in time. A server that is only slow to
-/// accept one is neither down nor unreachable: this counts as a silence.
-fn record_connect_timeout(state: &GatewayState, call: &Call, target: &SendTarget, problem: &str) {
-    if !state.fleet().paths.is_broken(target.incarnation) {
-        state.record_outcome(target, ServerOutcome::Silent);
-    }
-    log_attempt(state, call, target, AttemptFailure::Unsent, problem);
-}
-
-fn log_attempt(
-    state: &GatewayState,
-    call: &Call,
-    target: &SendTarget,
-    failure: AttemptFailure,
-    problem: &str,
-) {
-    let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
-    let kind = failure.to_string();
-    metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
-    tracing::info!(
-        event = events::ATTEMPT_FAILED,
-        request_id = call.id(),
-        content = fingerprint_key(call.suspects.content),
-        parts = call.suspects.parts_text(),
-        server = %target.server,
-        peer = %target.address,
-        failure = %failure,
-        is_path_broken,
-        problem,
-        elapsed_ms = call.age_ms(),
-        "attempt failed"
-    );
-}
-
 /// Records that the connection of an attempt broke: a crash of its server, unless other gateways
 /// still reach it and only the path of this one is broken.
 ///
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards one caller's request to servers and responds to it.
 
 mod admit;
+mod attempt_log;
 mod attempt_permit;
 mod attempts;
 mod cache_guard;
--- a/crates/gateway/src/forward/plain_placement.rs
+++ b/crates/gateway/src/forward/plain_placement.rs
@@ -1,12 +1,14 @@
 //! Reserves the server and the permit of an attempt of a plain call.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use super::Call;
 use super::attempt_permit::AttemptPermit;
 use super::attempts::Attempts;
 use super::capacity_wait::placement_request;
+use crate::cluster::MAX_SOUND_SILENCE;
 use crate::cluster::PlainPlacement;
 use crate::cluster::place_plain;
 use crate::events;
@@ -30,6 +32,16 @@
     Some((placement.server, permit))
 }
 
+/// Returns how long the last of `attempts` may try to connect: for as long as a sound server may be
+/// silent if there is no other one to try, and no longer than a single connection takes otherwise.
+///
+/// Prevents calls from being rejected because all servers are silent for a second.
+pub fn connect_patience(state: &GatewayState, call: &Call, attempts: &Attempts) -> Duration {
+    let fleet = state.fleet();
+    let other = place_plain(&fleet, &placement_request(state, call, &attempts.tried, None));
+    if other.is_ok() { Duration::ZERO } else { MAX_SOUND_SILENCE }
+}
+
 fn log_placed(state: &GatewayState, call: &Call, attempts: &Attempts, placement: &PlainPlacement) {
     let now = Instant::now();
     let fleet = state.fleet();
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -18,6 +18,7 @@
 use super::exchange::AttemptFailure;
 use super::exchange::OpenResponse;
 use super::exchange::is_delimited;
+use super::plain_placement::connect_patience;
 use super::plain_placement::reserve_server;
 use super::reject::reject_failed;
 use super::response_body;
@@ -84,7 +85,8 @@
         }
         let Some((server, permit)) = reserve_server(state, &call, &attempts) else { break };
         attempts.record(&server);
-        let first = pin!(send_attempt::<C>(state, &call, server, permit));
+        let patience = connect_patience(state, &call, &attempts);
+        let first = pin!(send_attempt::<C>(state, &call, server, permit, patience));
         let outcome = match hedge_delay(&call, &attempts) {
             None => first.await,
             Some(after) => {
@@ -161,7 +163,8 @@
     );
     metrics::counter!("umberglade_hedges_total").increment(1);
     attempts.record(&server);
-    let mut second = pin!(send_attempt::<C>(state, call, server, permit));
+    let patience = connect_patience(state, call, attempts);
+    let mut second = pin!(send_attempt::<C>(state, call, server, permit, patience));
     let (is_first, outcome) =
         async { (true, first.as_mut().await) }.or(async { (false, second.as_mut().await) }).await;
     if outcome.is_final(call) {
@@ -181,6 +184,7 @@
     call: &Arc<Call>,
     server: ServerKey,
     permit: AttemptPermit,
+    patience: Duration,
 ) -> PlainOutcome {
     let Some(target) = exchange::send_target(state, &server, None) else {
         return PlainOutcome::Failed(AttemptFailure::Unsent);
@@ -193,7 +197,16 @@
         purpose: AttemptPurpose::Respond,
         resume_after: call.head.resume_after,
     };
-    match exchange::exchange::<C>(state, call, &target, &attempt_spec, permit, time_left).await {
+    let opened = exchange::exchange_patiently::<C>(
+        state,
+        call,
+        &target,
+        &attempt_spec,
+        permit,
+        time_left,
+        patience,
+    );
+    match opened.await {
         Ok(opened) => read_response::<C>(state, call, &target, opened).await,
         Err(failure) => PlainOutcome::Failed(failure),
     }
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -58,10 +58,25 @@
     pub request_id: &'a str,
     /// When the request's caller gives up.
     pub deadline: Instant,
+    /// How long to try again while connections do not open in time and none is refused.
+    pub patience: Duration,
 }
 
 impl Connect for PathConnector<'_> {
     async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
+        let started_at = Instant::now();
+        loop {
+            let connected = self.connect_once(target).await;
+            let is_timeout = connected.as_ref().is_err_and(SendError::is_connect_timeout);
+            if !is_timeout || started_at.elapsed() >= self.patience {
+                return connected;
+            }
+        }
+    }
+}
+
+impl PathConnector<'_> {
+    async fn connect_once(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
         let is_direct_refused = AtomicBool::new(false);
         let options = self.path_options(target);
         let attempts =
@@ -90,7 +105,7 @@
     /// Returns the connector of a question that no caller's request asks and that is given up at
     /// `deadline`.
     pub fn for_check(state: &'a Arc<GatewayState>, deadline: Instant) -> Self {
-        PathConnector { state, request_id: "-", deadline }
+        PathConnector { state, request_id: "-", deadline, patience: Duration::ZERO }
     }
 
     /// Returns the ways to connect to `target`, in the order in which to try them.
