--- a/crates/gateway/src/forward/silence_log.rs
+++ b/crates/gateway/src/forward/silence_log.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::Call;
+use super::attempt_log::record_attempt;
 use super::exchange::AttemptFailure;
-use super::exchange::record_attempt;
 use crate::events;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
