--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -306,6 +306,7 @@
             "no_configuration",
             "no_route",
             "too_large",
+            "head_too_large",
             "bad_request",
             "no_server",
             "no_room",
