A stop closes connections that are idle, not those with a half-read head

Callers saw: a request whose head was on its way 3 s after the start of a stop ended with its connection, without an answer. Cause: graceful_shutdown closes a connection at once when its server counts it as idle, which hyper does until a head is complete, whatever bytes of it have been read. Now the close at IDLE_CLOSE_DELAY waits until no request is being read or served there; the response then closes the connection as before, and a head that stalls ends by its time limit (408).

--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -89,6 +89,7 @@
             std::future::pending::<()>().await;
         }
         state.stop.wait_elapsed(IDLE_CLOSE_DELAY).await;
+        progress.wait_idle().await;
         false
     };
     if !connection_ended.or(idle_close_due).await {
--- a/crates/gateway/src/ingress/head_stream.rs
+++ b/crates/gateway/src/ingress/head_stream.rs
@@ -8,10 +8,14 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 
+/// Interval at which a connection that is to be closed is checked for being idle.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What a connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
@@ -44,6 +48,14 @@
         self.stage.store(stage as u8, Ordering::Release);
     }
 
+    /// Waits until no request is being read or served. HTTP servers count a connection as idle
+    /// while a head is half read, and close it then.
+    pub async fn wait_idle(&self) {
+        while self.is(HeadStage::Begun) {
+            smol::Timer::after(IDLE_POLL_INTERVAL).await;
+        }
+    }
+
     pub fn is(&self, stage: HeadStage) -> bool {
         self.stage.load(Ordering::Acquire) == stage as u8
     }
