--- a/crates/gateway/src/cluster/limit_history.rs
+++ b/crates/gateway/src/cluster/limit_history.rs
@@ -6,6 +6,9 @@
 
 use crate::model::CallerLimits;
 
+/// Maximum time for which limits that are not in force any more are kept.
+const MAX_RETENTION: Duration = Duration::from_secs(600);
+
 /// Limits, and since when they are in force.
 #[derive(Debug, Clone, Copy)]
 struct LimitSpan {
@@ -55,9 +58,19 @@
         relevant.fold(last.limits, |largest, (span, _)| largest.max(span.limits))
     }
 
+    /// Returns the number of limits that are kept.
+    pub fn len(&self) -> usize {
+        self.spans.len()
+    }
+
+    /// Returns true if no limits are known yet.
+    pub fn is_empty(&self) -> bool {
+        self.spans.is_empty()
+    }
+
     /// Returns how long limits matter after their end: to what began before it.
     fn retention(&self) -> Duration {
         let longest = self.spans.iter().map(|span| span.limits.longest_time()).max();
-        self.notice_time.saturating_add(longest.unwrap_or_default())
+        self.notice_time.saturating_add(longest.unwrap_or_default()).min(MAX_RETENTION)
     }
 }
