Test: SIGHUPs and a changing settings file beside requests (guard)

reloads_end_no_request: 40 changes of the settings file in 2.4 s (valid, invalid, gone), every second with a SIGHUP, beside four callers on kept connections: each call 200 and complete. Calls of these tests now read the whole response, which they did not before.

--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -12,6 +12,8 @@
 use std::process::ChildStdout;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -88,15 +90,16 @@
         assert!(status.success());
     }
 
-    /// Sends one call and returns its status.
+    /// Sends one call, reads its response completely and returns the status.
     fn call(&self, agent: &ureq::Agent, path: &str, id: &str) -> u16 {
-        let response = agent
+        let mut response = agent
             .post(format!("http://{}{path}", self.front))
             .header("host", "site.example")
             .header("x-request-id", id)
             .header("x-timeout-ms", "3000")
             .send("hello")
             .expect("a response");
+        response.body_mut().read_to_string().expect("a complete response");
         response.status().as_u16()
     }
 }
@@ -208,6 +211,48 @@
     assert!(gateway.child.wait().expect("an ended process").success());
 }
 
+/// Signals to read the settings again, and a file that changes, breaks and vanishes without a
+/// signal, must not end or fail a request.
+#[test]
+fn reloads_end_no_request() {
+    const RELOADS: usize = 40;
+    const RELOAD_INTERVAL: Duration = Duration::from_millis(60);
+    let store = start_site();
+    let gateway = Gateway::start("reloads", &store, "400");
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let callers = ["/safe/x", "/once/x", "/stream/x", "/resumed/x"].map(|path| {
+            let (gateway, is_over) = (&gateway, &is_over);
+            scope.spawn(move || {
+                let agent = agent();
+                let mut calls = 0;
+                while !is_over.load(Ordering::Acquire) {
+                    let id = format!("{path}-{calls}");
+                    assert_eq!(gateway.call(&agent, path, &id), 200, "{id}");
+                    calls += 1;
+                }
+                calls
+            })
+        });
+        for number in 0..RELOADS {
+            match number % 3 {
+                0 => std::fs::write(&gateway.node_file, settings_text(&store)),
+                1 => std::fs::write(&gateway.node_file, "nodeName: ["),
+                _ => std::fs::remove_file(&gateway.node_file),
+            }
+            .expect("changing the settings file");
+            if number.is_multiple_of(2) {
+                gateway.signal("-HUP");
+            }
+            thread::sleep(RELOAD_INTERVAL);
+        }
+        is_over.store(true, Ordering::Release);
+        for caller in callers {
+            assert!(caller.join().expect("calls without failure") > 10);
+        }
+    });
+}
+
 #[test]
 fn failed_start_names_the_cause() {
     struct Case {
