A head's time limit writes no 408 into a response that is not sent yet

Found in reading, not seen: after an expired head the 408 was written on the socket although hyper may still hold a rest of the response before for a slow caller, which would then contain it; and the write could wait without end. Now only once all is flushed, and for a second at most. connection_limits 6 of 6 pass; no test holds the first.

--- a/crates/gateway/src/ingress/connection_limits.rs
+++ b/crates/gateway/src/ingress/connection_limits.rs
@@ -1,5 +1,6 @@
 //! Limits of callers' connections that change while connections are open.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use crate::events;
 use crate::forward::GatewayBody;
 use crate::state::GatewayState;
+use crate::timing::with_deadline;
 
 /// Size of heads that a connection can read whatever the limit was when it opened.
 const MIN_HEAD_CAPACITY_BYTES: usize = 64 * 1024;
@@ -26,6 +28,8 @@
 const HEADER_SEPARATOR_BYTES: usize = 4;
 /// Reason of a rejection in logs and metrics.
 const HEAD_TOO_LARGE: &str = "head_too_large";
+/// How long writing [`HEAD_TIMEOUT_RESPONSE`] may take.
+const REJECTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// The response to a head that did not arrive in time.
 const HEAD_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -73,9 +77,11 @@
 /// Closes a connection after a time limit, if one has passed: rejects a head that had begun, and
 /// prevents a request that crosses the close from resetting the connection.
 pub async fn close_expired(mut stream: TcpStream, progress: &HeadProgress) {
-    if progress.is(HeadStage::HeadExpired) {
-        // Fails if the caller has left.
-        let _ = stream.write_all(HEAD_TIMEOUT_RESPONSE).await;
+    // Written after an unsent rest of the response before, it would be part of that one.
+    if progress.is(HeadStage::HeadExpired) && progress.is_flushed() {
+        let deadline = Instant::now() + REJECTION_TIMEOUT;
+        // Fails if the caller has left or does not read.
+        let _ = with_deadline(deadline, stream.write_all(HEAD_TIMEOUT_RESPONSE)).await;
     }
     if progress.is(HeadStage::HeadExpired) || progress.is(HeadStage::IdleExpired) {
         lingering_close::close(stream).await;
--- a/crates/gateway/src/ingress/head_stream.rs
+++ b/crates/gateway/src/ingress/head_stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -35,11 +36,16 @@
 pub struct HeadProgress {
     /// A [`HeadStage`].
     stage: Arc<AtomicU8>,
+    /// Whether all that the HTTP server has written so far has been sent.
+    is_flushed: Arc<AtomicBool>,
 }
 
 impl Default for HeadProgress {
     fn default() -> Self {
-        HeadProgress { stage: Arc::new(AtomicU8::new(HeadStage::Idle as u8)) }
+        HeadProgress {
+            stage: Arc::new(AtomicU8::new(HeadStage::Idle as u8)),
+            is_flushed: Arc::new(AtomicBool::new(true)),
+        }
     }
 }
 
@@ -56,6 +62,11 @@
         }
     }
 
+    /// Returns whether all responses so far have been sent completely.
+    pub fn is_flushed(&self) -> bool {
+        self.is_flushed.load(Ordering::Acquire)
+    }
+
     pub fn is(&self, stage: HeadStage) -> bool {
         self.stage.load(Ordering::Acquire) == stage as u8
     }
@@ -94,11 +105,15 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.progress.is_flushed.store(false, Ordering::Release);
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // The HTTP server calls this only once its own buffer is empty.
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.progress.is_flushed.store(true, Ordering::Release);
+        Poll::Ready(Ok(()))
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
