--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -92,6 +92,7 @@
             std::future::pending::<()>().await;
         }
         state.stop.wait_elapsed(IDLE_CLOSE_DELAY).await;
+        progress.wait_idle().await;
         None
     };
     let served = async {
