A panic ends one request with a 502, or restarts its background task, and is logged

Callers saw: a panic while a request was handled ended the caller's connection without an answer; one in a background task (a table's follower, reports, maintenance) ended that task for the life of the process, with a line on standard error only.

Cause: async-executor catches a task's panic and drops its output, so a detached task that panics is just gone. The pool's threads go on.

Change: the handler's panic is caught; its caller gets a 502, as a server may have run the request (5027). Background tasks are started by panics::spawn_restarted, which starts them again after a second (7011). The number of the last report stands in the state, as peers drop reports with lower ones.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -49,6 +49,8 @@
 pub const REQUEST_UNANSWERED: u32 = 5025;
 /// A connection ended before a request on it had arrived completely.
 pub const REQUEST_INCOMPLETE: u32 = 5026;
+/// The handling of a request panicked; its caller gets an error response.
+pub const REQUEST_PANICKED: u32 = 5027;
 /// A configuration is in force.
 pub const CONFIG_APPLIED: u32 = 6001;
 /// A configuration could not be read, or is older than the one in force.
@@ -136,5 +138,9 @@
 /// The address for configuration transfers can't be bound: peers can't fetch the configuration from
 /// this gateway.
 pub const CONFIG_TRANSFER_BIND_FAILED: u32 = 7009;
+/// A thread panicked.
+pub const PANICKED: u32 = 7010;
+/// A background task panicked and starts again.
+pub const TASK_RESTARTED: u32 = 7011;
 /// A caller's connection could not be accepted.
 pub const ACCEPT_FAILED: u32 = 7007;
--- a/crates/gateway/src/ingress/accepted_request.rs
+++ b/crates/gateway/src/ingress/accepted_request.rs
@@ -160,6 +160,11 @@
         &self.progress
     }
 
+    /// Returns the request's id for logs.
+    pub fn request_id(&self) -> &str {
+        self.request_id.as_deref().unwrap_or("-")
+    }
+
     /// Records the request's id.
     pub fn identify(&mut self, request_id: &str) {
         self.request_id = Some(request_id.to_owned());
@@ -188,7 +193,7 @@
     fn to_dropped(&self) -> DroppedRequest {
         let route = self.call.as_ref().map(|call| &call.route);
         DroppedRequest {
-            request_id: self.request_id.clone().unwrap_or_else(|| "-".to_owned()),
+            request_id: self.request_id().to_owned(),
             route: route.map_or_else(|| "-".to_owned(), |route| route.name.to_string()),
             is_stream: route.is_some_and(|route| route.kind == CallKind::Stream),
             stage: self.progress.stage(),
--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -26,6 +26,7 @@
 use umberglade_wire::pool;
 
 use super::accepted_request::ConnectionRequests;
+use super::accepted_request::RequestGuard;
 use super::accepted_request::RequestTracker;
 use super::answer_body::AnswerBody;
 use super::connection_end::ConnectionEnd;
@@ -37,6 +38,11 @@
 use crate::events;
 use crate::forward;
 use crate::forward::GatewayBody;
+use crate::forward::Rejection;
+use crate::forward::RequestStage;
+use crate::forward::reject;
+use crate::panics;
+use crate::panics::PanicMessage;
 use crate::state::GatewayState;
 use crate::stop::BALANCER_NOTICE_DELAY;
 use crate::stop::IDLE_CLOSE_DELAY;
@@ -130,6 +136,13 @@
     }
 }
 
+/// The response to a request.
+struct RequestOutcome {
+    response: Response<GatewayBody>,
+    /// True when the request is rejected before its body was read.
+    is_unread: bool,
+}
+
 async fn handle_request<C: PlatformCodec>(
     context: ConnectionContext,
     request: Request<Incoming>,
@@ -139,13 +152,12 @@
     let mut guard = tracker.begin();
     let method = request.method().clone();
     let has_no_body = request.body().is_end_stream();
-    let outcome = read_call::<C>(&state, request, &mut guard).await?;
-    let is_unread = matches!(outcome, ReadOutcome::RejectedUnread(_));
-    has_unread_body.store(is_unread, Ordering::Release);
-    let mut response = match outcome {
-        ReadOutcome::Call(call) => forward::forward::<C>(&state, call).await,
-        ReadOutcome::Rejected(response) | ReadOutcome::RejectedUnread(response) => response,
+    let outcome = match panics::catch(respond::<C>(&state, request, &mut guard)).await {
+        Ok(outcome) => outcome?,
+        Err(message) => reject_panicked(&guard, &message),
     };
+    let RequestOutcome { mut response, is_unread } = outcome;
+    has_unread_body.store(is_unread, Ordering::Release);
     if state.stop.has_elapsed(BALANCER_NOTICE_DELAY) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -156,3 +168,34 @@
     let response = response.map(|body| OrderedBody::new(body, signal));
     Ok(AnswerBody::wrap(response, &method, guard))
 }
+
+/// Reads and forwards `request`.
+async fn respond<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    request: Request<Incoming>,
+    guard: &mut RequestGuard,
+) -> Result<RequestOutcome, CallAborted> {
+    let outcome = match read_call::<C>(state, request, guard).await? {
+        ReadOutcome::Call(call) => {
+            let response = forward::forward::<C>(state, call).await;
+            RequestOutcome { response, is_unread: false }
+        }
+        ReadOutcome::Rejected(response) => RequestOutcome { response, is_unread: false },
+        ReadOutcome::RejectedUnread(response) => RequestOutcome { response, is_unread: true },
+    };
+    Ok(outcome)
+}
+
+/// Rejects a request whose handling panicked: a server may have run it.
+fn reject_panicked(guard: &RequestGuard, message: &PanicMessage) -> RequestOutcome {
+    let stage = guard.progress().stage();
+    tracing::error!(
+        event = events::REQUEST_PANICKED,
+        request_id = guard.request_id(),
+        stage = %stage,
+        problem = message.as_str(),
+        "handling a request panicked"
+    );
+    let response = reject(Rejection::OutcomeUnknown, None);
+    RequestOutcome { response, is_unread: stage == RequestStage::Receiving }
+}
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -63,7 +64,6 @@
     state: Arc<GatewayState>,
     registry: Arc<PeerRegistry>,
     socket: UdpSocket,
-    sequence: u64,
     budget: SendBudget,
     remote_peer_cycle: RemotePeerCycle,
     full_report_due: Instant,
@@ -90,7 +90,6 @@
             state,
             registry,
             socket,
-            sequence: 0,
             budget: SendBudget::new(now),
             remote_peer_cycle: RemotePeerCycle::new(now),
             full_report_due: now,
@@ -125,9 +124,8 @@
         let PeerGroups { local_shard, remote } = self.groups();
         let now = Instant::now();
         let is_full = !new_peers.is_empty() || now >= self.full_report_due;
-        self.sequence += 1;
-        let NearReport { report, usage } =
-            near_report(&self.state, self.sequence, is_full, &new_peers);
+        let sequence = self.state.report_sequence.fetch_add(1, Ordering::AcqRel) + 1;
+        let NearReport { report, usage } = near_report(&self.state, sequence, is_full, &new_peers);
         let is_sharded = !remote.is_empty();
         let is_quiet = is_sharded && is_quiet(&report) && !self.state.has_organisations();
         let notices = self.state.shared_tables.notices_for_group(now);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -11,7 +11,6 @@
 use smol::net::UdpSocket;
 use snafu::ResultExt;
 use snafu::Snafu;
-use umberglade_wire::pool;
 
 use crate::codec::PlatformCodec;
 use crate::events;
@@ -21,8 +20,8 @@
 use crate::leader::run_stage_controller;
 use crate::model::GatewaySettings;
 use crate::model::StoreStamp;
-use crate::model::StoreTable;
 use crate::origins;
+use crate::panics::spawn_restarted;
 use crate::paths::recheck_broken_paths;
 use crate::peers;
 use crate::peers::MemberRecord;
@@ -35,37 +34,8 @@
 use crate::stop::FLUSH_DELAY;
 use crate::stop::MIN_STOP_DURATION;
 use crate::stop::STOP_GRACE_MARGIN;
-use crate::store::ConfigSink;
-use crate::store::QuarantineSink;
-use crate::store::ServerSink;
-use crate::store::TableCoordinator;
-use crate::store::TableFollower;
-use crate::store::TableReader;
+use crate::table_followers::follow_tables;
 
-/// Fraction of the configuration's bound for which its feed waits at the store. Together with the
-/// call's margin and a new connection, a connection that has become silent hides a change for less
-/// than the bound. Gateways that read the table for each other wait half as long, or rely on their
-/// peers' reads.
-const CONFIG_WAIT_FRACTION: f64 = 0.5;
-/// Fraction of the drain bound between two reads of the servers. They change continually, and the
-/// interval batches their changes. A draining server is known within the bound even if a call is
-/// lost and retried: 0.6 of two seconds, plus 0.8 s.
-const SERVER_READ_INTERVAL_FRACTION: f64 = 0.6;
-/// Fraction of the drain bound for which the servers' feed waits at the store.
-const SERVER_WAIT_FRACTION: f64 = 0.35;
-/// Interval between two reads of the configuration: short, since configurations may follow each
-/// other quickly and are read one by one.
-const CONFIG_READ_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for which the feed of quarantined requests waits at the store: its rows change rarely, and
-/// the feed reports changes immediately. Gateways that read the table for each other wait half as
-/// long.
-const QUARANTINE_WAIT: Duration = Duration::from_secs(8);
-/// Interval between two reads of the quarantined requests, so that several simultaneous changes
-/// cost one call.
-const QUARANTINE_READ_INTERVAL: Duration = Duration::from_millis(200);
-/// Number of heartbeats for which the store must have been unavailable for a server's row to have
-/// expired: it does after three, the first of which may have begun before.
-const EXPIRY_HEARTBEATS: f64 = 2.0;
 /// Number of ports that are tried if any free one is requested.
 const MAX_PORT_ATTEMPTS: u32 = 8;
 /// Interval at which a stop checks whether anything is still in flight.
@@ -97,33 +67,22 @@
     registry.merge(vec![MemberRecord { name, address, domain }]);
     state.shared_tables.wait_for_peers(Instant::now() + JOIN_TIMEOUT);
     follow_tables::<C>(&state);
-    let registered = state.registered.listen();
-    pool::spawn(join_peers::<C>(Arc::clone(&state), Arc::clone(&registry), registered));
-    pool::spawn(keep_registered::<C>(Arc::clone(&state)));
-    pool::spawn(peers::send_reports(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
-    pool::spawn(peers::send_rows(Arc::clone(&state), Arc::clone(&registry), socket.clone()));
+    let known = Arc::clone(&registry);
+    spawn_restarted("join_peers", &state, move |state| {
+        let registered = state.registered.listen();
+        join_peers::<C>(state, Arc::clone(&known), registered)
+    });
     let teller = OriginTeller::new(state.digest, socket.clone(), Arc::clone(&registry));
     state.origins.set_teller(teller);
-    pool::spawn(origins::run_announcements::<C>(Arc::clone(&state)));
-    pool::spawn(origins::run_restart_checks::<C>(Arc::clone(&state)));
-    pool::spawn(origins::run_journal::<C>(Arc::clone(&state)));
-    pool::spawn(peers::receive_reports(Arc::clone(&state), Arc::clone(&registry), socket));
-    if let Some(listener) = config_listener {
-        pool::spawn(peers::serve_transfers(Arc::clone(&state), Arc::clone(&registry), listener));
-    }
-    pool::spawn(peers::fetch_newer_configs(Arc::clone(&state)));
-    pool::spawn(peers::fetch_tables(Arc::clone(&state)));
-    pool::spawn(peers::fetch_members(Arc::clone(&state), registry));
-    pool::spawn(peers::fetch_usage(Arc::clone(&state)));
-    pool::spawn(recheck_broken_paths(Arc::clone(&state)));
-    pool::spawn(run_stage_controller::<C>(Arc::clone(&state)));
-    pool::spawn(quarantine::run_row_writer::<C>(Arc::clone(&state)));
-    pool::spawn(run_maintenance(Arc::clone(&state)));
-    pool::spawn(ingress::serve_front::<C>(front, Arc::clone(&state)));
+    run_peer_tasks(&state, &registry, &socket, config_listener);
+    run_own_tasks::<C>(&state);
+    spawn_restarted("front", &state, move |state| ingress::serve_front::<C>(front.clone(), state));
     for listener in [Some(ready), metrics_listener].into_iter().flatten() {
-        let state = Arc::clone(&state);
-        pool::spawn(async move {
-            ingress::serve_ready::<C>(listener, state).await;
+        spawn_restarted("ready", &state, move |state| {
+            let listener = listener.clone();
+            async move {
+                ingress::serve_ready::<C>(listener, state).await;
+            }
         });
     }
     let settings = &state.settings;
@@ -141,6 +100,53 @@
     Ok(state)
 }
 
+/// Starts the tasks that exchange messages with other gateways.
+fn run_peer_tasks(
+    state: &Arc<GatewayState>,
+    registry: &Arc<PeerRegistry>,
+    socket: &UdpSocket,
+    config_listener: Option<TcpListener>,
+) {
+    let peers_and_socket = (Arc::clone(registry), socket.clone());
+    let (registry, socket) = peers_and_socket.clone();
+    spawn_restarted("send_reports", state, move |state| {
+        peers::send_reports(state, Arc::clone(&registry), socket.clone())
+    });
+    let (registry, socket) = peers_and_socket.clone();
+    spawn_restarted("send_rows", state, move |state| {
+        peers::send_rows(state, Arc::clone(&registry), socket.clone())
+    });
+    let (registry, socket) = peers_and_socket.clone();
+    spawn_restarted("receive_reports", state, move |state| {
+        peers::receive_reports(state, Arc::clone(&registry), socket.clone())
+    });
+    if let Some(listener) = config_listener {
+        let registry = Arc::clone(&peers_and_socket.0);
+        spawn_restarted("serve_transfers", state, move |state| {
+            peers::serve_transfers(state, Arc::clone(&registry), listener.clone())
+        });
+    }
+    let (registry, _) = peers_and_socket;
+    spawn_restarted("fetch_members", state, move |state| {
+        peers::fetch_members(state, Arc::clone(&registry))
+    });
+    spawn_restarted("fetch_newer_configs", state, peers::fetch_newer_configs);
+    spawn_restarted("fetch_tables", state, peers::fetch_tables);
+    spawn_restarted("fetch_usage", state, peers::fetch_usage);
+}
+
+/// Starts the tasks that keep this gateway's own state and its rows in the store.
+fn run_own_tasks<C: PlatformCodec>(state: &Arc<GatewayState>) {
+    spawn_restarted("keep_registered", state, keep_registered::<C>);
+    spawn_restarted("announcements", state, origins::run_announcements::<C>);
+    spawn_restarted("restart_checks", state, origins::run_restart_checks::<C>);
+    spawn_restarted("journal", state, origins::run_journal::<C>);
+    spawn_restarted("recheck_broken_paths", state, recheck_broken_paths);
+    spawn_restarted("stage_controller", state, run_stage_controller::<C>);
+    spawn_restarted("quarantine_rows", state, quarantine::run_row_writer::<C>);
+    spawn_restarted("maintenance", state, run_maintenance);
+}
+
 /// Stops gracefully: callers are directed elsewhere, and requests in flight complete.
 pub async fn stop(state: &Arc<GatewayState>) {
     let started_at = Instant::now();
@@ -242,43 +248,6 @@
     }
 }
 
-fn follow_tables<C: PlatformCodec>(state: &Arc<GatewayState>) {
-    let expiry_time = state.settings.server_heartbeat.mul_f64(EXPIRY_HEARTBEATS);
-    let config = TableFollower {
-        reader: TableReader::<C>::new(state, StoreTable::Configuration),
-        table: StoreTable::Configuration,
-        sink: ConfigSink::<C>::new(Arc::clone(state)),
-        feed_wait: state.settings.config_bound.mul_f64(CONFIG_WAIT_FRACTION),
-        min_interval: CONFIG_READ_INTERVAL,
-        coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Configuration)),
-        expiry_time,
-        initial_position: None,
-    };
-    let servers = TableFollower {
-        reader: TableReader::<C>::new(state, StoreTable::Servers),
-        table: StoreTable::Servers,
-        sink: ServerSink::<C>::new(Arc::clone(state)),
-        feed_wait: state.settings.drain_bound.mul_f64(SERVER_WAIT_FRACTION),
-        min_interval: state.settings.drain_bound.mul_f64(SERVER_READ_INTERVAL_FRACTION),
-        coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Servers)),
-        expiry_time,
-        initial_position: None,
-    };
-    let quarantines = TableFollower {
-        reader: TableReader::<C>::new(state, StoreTable::Quarantines),
-        table: StoreTable::Quarantines,
-        sink: QuarantineSink::new(Arc::clone(state)),
-        feed_wait: QUARANTINE_WAIT,
-        min_interval: QUARANTINE_READ_INTERVAL,
-        coordinator: Some(TableCoordinator::new(Arc::clone(state), StoreTable::Quarantines)),
-        expiry_time,
-        initial_position: None,
-    };
-    pool::spawn(config.run());
-    pool::spawn(servers.run());
-    pool::spawn(quarantines.run());
-}
-
 /// Logs a change of the number of live peers from `before`, and returns the number.
 fn log_peers(state: &GatewayState, before: usize, now: Instant) -> usize {
     let live_peers = state.fleet().peers.live_peers(now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -108,6 +109,8 @@
     /// Remaining quotas of organisations.
     pub quotas: Quotas,
     pub(crate) started_at: Instant,
+    /// The number of the last report to peers, who drop reports with lower numbers.
+    pub(crate) report_sequence: AtomicU64,
     pub(crate) in_force: RwLock<InForce>,
     pub(crate) config_watch: Mutex<ConfigWatch>,
     /// The peers that hold configurations.
@@ -171,6 +174,7 @@
             quarantines: Quarantines::new(started_at),
             quotas: Quotas::new(started_at),
             started_at,
+            report_sequence: AtomicU64::new(0),
             in_force: RwLock::default(),
             config_watch: Mutex::default(),
             config_sources: Mutex::default(),
--- a/crates/umberglade/src/gateway.rs
+++ b/crates/umberglade/src/gateway.rs
@@ -10,6 +10,7 @@
 use futures_lite::StreamExt;
 use umberglade_gateway::events;
 use umberglade_gateway::model::GatewaySettings;
+use umberglade_gateway::panics;
 use umberglade_gateway::start;
 use umberglade_gateway::state::GatewayState;
 use umberglade_platform::UsersPlatform;
@@ -37,6 +38,7 @@
         1..=1_000_000,
     )?;
     let _log_guard = logging::init_json(lines_per_s);
+    panics::install_hook();
     let threads = setting::resolve_within(
         "threads",
         "UMBERGLADE_THREADS",
