A panic under a lock does not end all further requests

Cause: std's locks are poisoned by a panic, and 63 places (by grep) expect that they are not.

Change: StateLock and StateRwLock (state_lock.rs) go on with what they guard. Going on is chosen over ending the process, which cuts all requests in flight, and ends every gateway again and again where the same input panics everywhere. The edit of the places is mechanical (imports, types, `.expect("... lock")` dropped).

--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -29,7 +29,7 @@
 impl GatewayState {
     /// Returns the configuration in force, if there is one.
     pub fn route_table(&self) -> Option<Arc<RouteTable>> {
-        self.in_force.read().expect("in-force lock").table()
+        self.in_force.read().table()
     }
 
     /// Returns the version of the configuration in force; 0 if there is none.
@@ -44,7 +44,7 @@
 
     /// Returns the configuration in force with its id, if there is one.
     pub fn config(&self) -> Option<Arc<HeldConfig>> {
-        self.in_force.read().expect("in-force lock").current()
+        self.in_force.read().current()
     }
 
     /// Applies a report that the gateway `peer` at `address` has configuration `version` in force.
@@ -82,7 +82,7 @@
 
     /// Runs `change` on the record of the configurations that peers hold.
     pub fn with_config_sources<T>(&self, change: impl FnOnce(&mut ConfigSources) -> T) -> T {
-        change(&mut self.config_sources.lock().expect("config sources lock"))
+        change(&mut self.config_sources.lock())
     }
 
     fn is_newer_config_offered(&self) -> bool {
@@ -92,7 +92,7 @@
 
     /// Runs `change` on the record of whether the configuration in force is the newest.
     pub fn with_config_watch<T>(&self, change: impl FnOnce(&mut ConfigWatch) -> T) -> T {
-        change(&mut self.config_watch.lock().expect("config watch lock"))
+        change(&mut self.config_watch.lock())
     }
 
     /// Returns true if no newer configuration is known and the one in force matched the store
--- a/crates/gateway/src/ingress/accepted_request.rs
+++ b/crates/gateway/src/ingress/accepted_request.rs
@@ -2,7 +2,6 @@
 //! that end without one.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Instant;
 
 use smallvec::SmallVec;
@@ -15,6 +14,7 @@
 use crate::forward::RequestProgress;
 use crate::forward::RequestStage;
 use crate::model::CallKind;
+use crate::state_lock::StateLock;
 
 /// The requests of one connection that may still end without a response. Reports them when it is
 /// dropped.
@@ -22,7 +22,7 @@
 pub struct ConnectionRequests {
     signal: FlushSignal,
     /// Requests whose guards are dropped and whose responses may not have been written.
-    dropped: Arc<Mutex<SmallVec<[DroppedRequest; 1]>>>,
+    dropped: Arc<StateLock<SmallVec<[DroppedRequest; 1]>>>,
     end: ConnectionEnd,
 }
 
@@ -61,7 +61,7 @@
 impl Drop for ConnectionRequests {
     fn drop(&mut self) {
         let flush_count = self.signal.flush_count();
-        let dropped = std::mem::take(&mut *self.dropped.lock().expect("dropped requests lock"));
+        let dropped = std::mem::take(&mut *self.dropped.lock());
         for request in dropped {
             request.report(&self.end, flush_count);
         }
@@ -116,14 +116,14 @@
 #[derive(Debug, Clone)]
 pub struct RequestTracker {
     signal: FlushSignal,
-    dropped: Arc<Mutex<SmallVec<[DroppedRequest; 1]>>>,
+    dropped: Arc<StateLock<SmallVec<[DroppedRequest; 1]>>>,
 }
 
 impl RequestTracker {
     /// Returns the guard of a request that arrives.
     pub fn begin(&self) -> RequestGuard {
         let flush_count = self.signal.flush_count();
-        let mut dropped = self.dropped.lock().expect("dropped requests lock");
+        let mut dropped = self.dropped.lock();
         dropped.retain(|request| !request.is_written(flush_count));
         drop(dropped);
         RequestGuard {
@@ -208,7 +208,7 @@
     fn drop(&mut self) {
         if !self.is_dismissed {
             let request = self.to_dropped();
-            self.tracker.dropped.lock().expect("dropped requests lock").push(request);
+            self.tracker.dropped.lock().push(request);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod service_queues;
 pub mod start;
 pub mod state;
+pub mod state_lock;
 pub mod stop;
 pub mod store;
 mod table_followers;
--- a/crates/gateway/src/origins/origin_state.rs
+++ b/crates/gateway/src/origins/origin_state.rs
@@ -1,6 +1,5 @@
 //! The origins that a gateway knows, and what is due to be written of them.
 
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
@@ -17,6 +16,7 @@
 use crate::cluster::StreamOrigin;
 use crate::cluster::StreamOrigins;
 use crate::peers::OriginTeller;
+use crate::state_lock::StateLock;
 use crate::upstream::SendTarget;
 
 /// Maximum number of origins that wait to be written to the store.
@@ -28,9 +28,9 @@
 /// The origins of streams at one gateway.
 #[derive(Debug)]
 pub struct OriginState {
-    origins: Mutex<StreamOrigins>,
+    origins: StateLock<StreamOrigins>,
     /// Own origins that are to be written to the store.
-    pending: Mutex<Vec<StreamOrigin>>,
+    pending: StateLock<Vec<StreamOrigin>>,
     /// Notified when versions are to be announced in the store.
     pub announcement_due: Event,
     /// Notified when there is something to write to the store.
@@ -50,8 +50,8 @@
 impl Default for OriginState {
     fn default() -> Self {
         OriginState {
-            origins: Mutex::default(),
-            pending: Mutex::default(),
+            origins: StateLock::default(),
+            pending: StateLock::default(),
             announcement_due: Event::new(),
             write_due: Event::new(),
             teller: OnceLock::new(),
@@ -83,7 +83,7 @@
 
     /// Locks the known origins.
     pub fn known(&self) -> MutexGuard<'_, StreamOrigins> {
-        self.origins.lock().expect("origins lock")
+        self.origins.lock()
     }
 
     /// Records an origin that another gateway or the store tells.
@@ -108,7 +108,7 @@
 
     /// Takes the origins that are to be written.
     pub(super) fn take_pending(&self) -> Vec<StreamOrigin> {
-        std::mem::take(&mut *self.pending.lock().expect("pending origins lock"))
+        std::mem::take(&mut *self.pending.lock())
     }
 
     fn record(&self, origin: StreamOrigin, is_own: bool) {
@@ -119,7 +119,7 @@
     }
 
     fn queue(&self, origins: &[StreamOrigin]) {
-        let mut pending = self.pending.lock().expect("pending origins lock");
+        let mut pending = self.pending.lock();
         let room = MAX_PENDING.saturating_sub(pending.len());
         let dropped = origins.len().saturating_sub(room);
         pending.extend(origins.iter().take(room));
--- a/crates/gateway/src/peers/member_fetcher.rs
+++ b/crates/gateway/src/peers/member_fetcher.rs
@@ -29,7 +29,7 @@
 pub async fn fetch_members(state: Arc<GatewayState>, registry: Arc<PeerRegistry>) {
     loop {
         let found = state.member_source_found.listen();
-        let source = state.member_source.lock().expect("member source lock").take();
+        let source = state.member_source.lock().take();
         let Some(address) = source else {
             found.await;
             continue;
--- a/crates/gateway/src/peers/peer_registry.rs
+++ b/crates/gateway/src/peers/peer_registry.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,6 +13,7 @@
 use crate::cluster::rendezvous_score;
 use crate::cluster::shares_shard;
 use crate::model::DomainKey;
+use crate::state_lock::StateLock;
 
 /// How long reports include a gateway that has become known: until all have heard of it.
 const JOINED_WINDOW: Duration = Duration::from_secs(3);
@@ -96,7 +96,7 @@
 /// Names, addresses and failure domains of all gateways, including this one.
 #[derive(Debug, Default)]
 pub struct PeerRegistry {
-    entries: Mutex<PeerEntries>,
+    entries: StateLock<PeerEntries>,
 }
 
 impl PeerRegistry {
@@ -261,7 +261,7 @@
     }
 
     fn entries(&self) -> MutexGuard<'_, PeerEntries> {
-        self.entries.lock().expect("peer registry lock")
+        self.entries.lock()
     }
 }
 
--- a/crates/gateway/src/peers/report_receiver.rs
+++ b/crates/gateway/src/peers/report_receiver.rs
@@ -172,7 +172,7 @@
     let knows_many_more = theirs.count > own.count + own.count / 4;
     let is_settled = registry.is_settled(MEMBERS_SETTLING_TIME, now);
     if own != theirs && (knows_many_more || is_settled) {
-        *state.member_source.lock().expect("member source lock") = Some(address);
+        *state.member_source.lock() = Some(address);
         state.member_source_found.notify(1);
     }
 }
@@ -212,7 +212,7 @@
     let was_isolated = state.fleet().peers.fresh_near_count(now) == 0;
     let age = Duration::from_millis(report.age_ms);
     state.offer_usage_source(UsageSource { address, age }, was_isolated);
-    let mut budget = state.retries.lock().expect("retries lock");
+    let mut budget = state.retries.lock();
     match usage {
         Some(usage) if usage.retry_totals.len() == report.retries.len() => {
             let counts = report.retries.iter().zip(&usage.retry_totals);
@@ -239,7 +239,7 @@
     let is_known = state.fleet().peers.has_report(&report.peer, report.incarnation);
     if report.sequence <= STARTUP_REPORTS || (is_near && !is_known) {
         let digest = name_digest(&report.peer);
-        state.new_peers.lock().expect("new peers lock").push(digest);
+        state.new_peers.lock().push(digest);
         state.report_requested.notify(1);
     }
     let is_same_era = tail.era == state.store_eras.current();
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -119,7 +119,7 @@
 
     /// Sends the reports that are due.
     async fn send_due(&mut self, is_change: bool) {
-        let new_peers = std::mem::take(&mut *self.state.new_peers.lock().expect("new peers lock"));
+        let new_peers = std::mem::take(&mut *self.state.new_peers.lock());
         // Grouped again, since a gateway may have been added to the registry during the wait.
         let PeerGroups { local_shard, remote } = self.groups();
         let now = Instant::now();
@@ -169,7 +169,7 @@
         } else {
             self.remote_peer_cycle.restart(now);
         }
-        let mut greeted_peers = self.state.greeted_peers.lock().expect("greeted peers lock");
+        let mut greeted_peers = self.state.greeted_peers.lock();
         recipients.extend(std::mem::take(&mut *greeted_peers));
         drop(greeted_peers);
         if now >= self.gossip_due {
--- a/crates/gateway/src/peers/usage_fetcher.rs
+++ b/crates/gateway/src/peers/usage_fetcher.rs
@@ -27,7 +27,7 @@
 pub async fn fetch_usage(state: Arc<GatewayState>) {
     loop {
         let found = state.usage_source_found.listen();
-        let source = state.usage_source.lock().expect("usage source lock").take();
+        let source = state.usage_source.lock().take();
         let Some(source) = source else {
             found.await;
             continue;
@@ -57,7 +57,7 @@
 impl GatewayState {
     /// Returns true if this gateway knows what all processes have used in the last windows.
     fn knows_use(&self) -> bool {
-        self.retries.lock().expect("retries lock").knows_window(Instant::now())
+        self.retries.lock().knows_window(Instant::now())
             && (!self.has_organisations() || self.quotas.knows_window(&self.quota_view()))
     }
 
@@ -70,7 +70,7 @@
         if !was_isolated && (knows_window || !may_know_more) {
             return;
         }
-        let mut source = self.usage_source.lock().expect("usage source lock");
+        let mut source = self.usage_source.lock();
         if source.is_none_or(|known| known.age < offered.age) {
             *source = Some(offered);
         }
--- a/crates/gateway/src/peers/usage_messages.rs
+++ b/crates/gateway/src/peers/usage_messages.rs
@@ -53,7 +53,7 @@
 impl UsageSnapshot {
     /// Returns what this gateway knows.
     fn of(state: &GatewayState, now: Instant) -> Self {
-        let mut budget = state.retries.lock().expect("retries lock");
+        let mut budget = state.retries.lock();
         let own = UsageRecord { process: state.process, age_ms: 0, used: budget.local_usage(now) };
         let mut retries = budget.records(now);
         retries.push(own);
@@ -68,7 +68,7 @@
         let of_others = |record: &&UsageRecord<u64, RetryUsage>| record.process != state.process;
         let retries: Vec<_> = self.retries.iter().filter(of_others).cloned().collect();
         let known_for = Duration::from_millis(self.retries_known_ms);
-        state.retries.lock().expect("retries lock").apply_records(&retries, known_for, now);
+        state.retries.lock().apply_records(&retries, known_for, now);
         state.quotas.take_over(&self.quotas, state.process, &state.quota_view());
     }
 }
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -1,6 +1,5 @@
 //! This process's state of the fingerprints whose requests crash servers.
 
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -25,12 +24,13 @@
 use crate::model::ServerIncarnation;
 use crate::model::StoreStamp;
 use crate::model::is_prompt_part;
+use crate::state_lock::StateLock;
 use crate::upstream::SendTarget;
 
 /// The quarantined fingerprints; logs each change.
 #[derive(Debug)]
 pub struct Quarantines {
-    detector: Mutex<CrashDetector>,
+    detector: StateLock<CrashDetector>,
     /// Notified when rows of the store are to be written or removed.
     pub rows_due: Event,
     /// True once the rows of the store have been read.
@@ -44,7 +44,7 @@
     /// Returns the state of a process that began to receive reports from peers at `started_at`.
     pub fn new(started_at: Instant) -> Self {
         Quarantines {
-            detector: Mutex::new(CrashDetector::new(started_at)),
+            detector: StateLock::new(CrashDetector::new(started_at)),
             rows_due: Event::new(),
             has_read_rows: AtomicBool::new(false),
             claimant: fastrand::u64(1..),
@@ -268,7 +268,7 @@
     }
 
     fn detector(&self) -> MutexGuard<'_, CrashDetector> {
-        self.detector.lock().expect("detector lock")
+        self.detector.lock()
     }
 
     /// Logs the fingerprints that were released, then a change and how it became known. Returns
--- a/crates/gateway/src/quota/quota_peers.rs
+++ b/crates/gateway/src/quota/quota_peers.rs
@@ -56,7 +56,7 @@
     /// Returns the peers that share quotas with this gateway, counted again after
     /// [`COUNT_INTERVAL`].
     fn quota_peers(&self, now: Instant) -> QuotaPeers {
-        let last_count = *self.quota_peers.lock().expect("quota peers lock");
+        let last_count = *self.quota_peers.lock();
         let is_recent =
             |peers: &QuotaPeers| now.saturating_duration_since(peers.counted_at) < COUNT_INTERVAL;
         if let Some(peers) = last_count.filter(is_recent) {
@@ -67,7 +67,7 @@
             let live_peers = fleet.peers.reporting_within(QUOTA_PEER_TIMEOUT, now);
             QuotaPeers { counted_at: now, live_peers, has_remote: fleet.peers.has_remote_peer(now) }
         };
-        *self.quota_peers.lock().expect("quota peers lock") = Some(peers);
+        *self.quota_peers.lock() = Some(peers);
         peers
     }
 }
--- a/crates/gateway/src/quota/quotas.rs
+++ b/crates/gateway/src/quota/quotas.rs
@@ -1,6 +1,5 @@
 //! Charges requests to the quotas of organisations.
 
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,6 +17,7 @@
 use crate::model::ConfigVersion;
 use crate::model::Organisation;
 use crate::model::OrganisationRegistry;
+use crate::state_lock::StateLock;
 
 /// Maximum number of organisations with their own metrics label; the others share one label.
 const MAX_LABELS: usize = 32;
@@ -27,15 +27,15 @@
 /// The quotas, with log lines and metrics of the decisions.
 #[derive(Debug)]
 pub struct Quotas {
-    pool: Mutex<QuotaPool>,
+    pool: StateLock<QuotaPool>,
     /// Metrics labels by organisation.
-    labels: Mutex<FxHashMap<OrganisationDigest, String>>,
+    labels: StateLock<FxHashMap<OrganisationDigest, String>>,
 }
 
 impl Quotas {
     /// Creates the quotas of a process that started at `started_at`.
     pub fn new(started_at: Instant) -> Self {
-        Quotas { pool: Mutex::new(QuotaPool::new(started_at)), labels: Mutex::default() }
+        Quotas { pool: StateLock::new(QuotaPool::new(started_at)), labels: StateLock::default() }
     }
 
     /// Applies the limits of configuration `version` with `organisations`.
@@ -46,7 +46,7 @@
         view: &QuotaView,
     ) {
         let changed = self.pool().set_limits(organisations, view, Instant::now());
-        let mut labels = self.labels.lock().expect("labels lock");
+        let mut labels = self.labels.lock();
         for organisation in organisations.iter() {
             if labels.len() >= MAX_LABELS {
                 break;
@@ -153,7 +153,7 @@
     /// Removes expired charges, and sets the gauges of the used fraction of each quota.
     pub fn tick(&self, view: &QuotaView) {
         self.pool().tick(view, Instant::now());
-        let labels = self.labels.lock().expect("labels lock").clone();
+        let labels = self.labels.lock().clone();
         for (digest, label) in labels {
             if let Some((limit, left)) = self.pool().left(digest, view) {
                 let used = 1.0 - left / view.window_limit(&limit);
@@ -163,11 +163,11 @@
     }
 
     fn label(&self, organisation: OrganisationDigest) -> String {
-        let labels = self.labels.lock().expect("labels lock");
+        let labels = self.labels.lock();
         labels.get(&organisation).cloned().unwrap_or_else(|| OTHER_LABEL.to_owned())
     }
 
     fn pool(&self) -> MutexGuard<'_, QuotaPool> {
-        self.pool.lock().expect("quota lock")
+        self.pool.lock()
     }
 }
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -20,13 +20,13 @@
 impl GatewayState {
     /// Counts a caller's request towards the retry budget.
     pub fn record_request(&self, service: &ServiceName) {
-        self.retries.lock().expect("retries lock").record_request(service, Instant::now());
+        self.retries.lock().record_request(service, Instant::now());
     }
 
     /// Counts a retry to `service` that did not consume budget: a prompt's first attempt, which its
     /// server received but did not complete.
     pub fn record_retry(&self, service: &ServiceName) {
-        self.retries.lock().expect("retries lock").record_retry(service, Instant::now());
+        self.retries.lock().record_retry(service, Instant::now());
     }
 
     /// Consumes one retry to `service`. Returns true if the retry budget permits it.
@@ -47,7 +47,7 @@
     /// Returns what this gateway knows of the retries to `service`, for logs.
     pub fn known_retries(&self, service: &ServiceName) -> KnownRetries {
         let now = Instant::now();
-        let mut budget = self.retries.lock().expect("retries lock");
+        let mut budget = self.retries.lock();
         KnownRetries {
             count: budget.window_count(service, now),
             is_complete: budget.knows_window(now),
@@ -56,7 +56,7 @@
 
     /// Returns this gateway's counts of requests and retries, by service.
     pub fn local_retries(&self) -> Vec<(u64, RetryUsage)> {
-        self.retries.lock().expect("retries lock").local_usage(Instant::now())
+        self.retries.lock().local_usage(Instant::now())
     }
 
     /// Runs `decide` on the budget, with the number of gateways and that of the peers of the group
@@ -68,6 +68,6 @@
         let now = Instant::now();
         let fresh_peers = self.fleet().peers.fresh_near_count(now);
         let gateways = self.members();
-        decide(&mut self.retries.lock().expect("retries lock"), gateways, fresh_peers, now)
+        decide(&mut self.retries.lock(), gateways, fresh_peers, now)
     }
 }
--- a/crates/gateway/src/service_queues.rs
+++ b/crates/gateway/src/service_queues.rs
@@ -1,7 +1,6 @@
 //! Admission queues and estimates of each service, and typical timeouts of each route's callers.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,18 +13,19 @@
 use crate::cluster::TypicalTimeout;
 use crate::cluster::name_digest;
 use crate::model::ServiceName;
+use crate::state_lock::StateLock;
 
 /// This gateway's admission queues and its estimates from the requests that it forwards.
 ///
 /// Lock order: no two of these locks are held at the same time.
 #[derive(Debug, Default)]
 pub struct ServiceQueues {
-    queues: Mutex<HashMap<ServiceName, AdmissionQueue>>,
-    output_estimates: Mutex<HashMap<ServiceName, OutputEstimate>>,
-    stage_balances: Mutex<HashMap<ServiceName, StageBalance>>,
-    first_event_times: Mutex<HashMap<ServiceName, FirstEventTime>>,
+    queues: StateLock<HashMap<ServiceName, AdmissionQueue>>,
+    output_estimates: StateLock<HashMap<ServiceName, OutputEstimate>>,
+    stage_balances: StateLock<HashMap<ServiceName, StageBalance>>,
+    first_event_times: StateLock<HashMap<ServiceName, FirstEventTime>>,
     /// By route name.
-    typical_timeouts: Mutex<HashMap<String, TypicalTimeout>>,
+    typical_timeouts: StateLock<HashMap<String, TypicalTimeout>>,
 }
 
 impl ServiceQueues {
@@ -35,13 +35,13 @@
         service: &ServiceName,
         change: impl FnOnce(&mut AdmissionQueue) -> T,
     ) -> T {
-        let mut queues = self.queues.lock().expect("queues lock");
+        let mut queues = self.queues.lock();
         change(queues.entry(service.clone()).or_default())
     }
 
     /// Returns the state of this gateway's admission queues, by service digest.
     pub fn local_queues(&self, now: Instant) -> Vec<(u64, QueueUpdate)> {
-        let queues = self.queues.lock().expect("queues lock");
+        let queues = self.queues.lock();
         queues
             .iter()
             .filter_map(|(service, queue)| Some((name_digest(service), queue.queue_update(now)?)))
@@ -54,7 +54,7 @@
         service: &ServiceName,
         change: impl FnOnce(&mut OutputEstimate) -> T,
     ) -> T {
-        let mut output_estimates = self.output_estimates.lock().expect("output estimates lock");
+        let mut output_estimates = self.output_estimates.lock();
         change(output_estimates.entry(service.clone()).or_default())
     }
 
@@ -64,7 +64,7 @@
         service: &ServiceName,
         change: impl FnOnce(&mut StageBalance) -> T,
     ) -> T {
-        let mut stage_balances = self.stage_balances.lock().expect("stage balances lock");
+        let mut stage_balances = self.stage_balances.lock();
         change(stage_balances.entry(service.clone()).or_default())
     }
 
@@ -74,7 +74,7 @@
         service: &ServiceName,
         change: impl FnOnce(&mut FirstEventTime) -> T,
     ) -> T {
-        let mut first_event_times = self.first_event_times.lock().expect("first event times lock");
+        let mut first_event_times = self.first_event_times.lock();
         change(first_event_times.entry(service.clone()).or_default())
     }
 
@@ -91,7 +91,7 @@
     /// it states none.
     pub fn retrying_for(&self, route: &str, timeout: Option<Duration>) -> Duration {
         let Some(timeout) = timeout else { return Duration::ZERO };
-        let mut typical_timeouts = self.typical_timeouts.lock().expect("typical timeouts lock");
+        let mut typical_timeouts = self.typical_timeouts.lock();
         match typical_timeouts.get_mut(route) {
             Some(typical_timeout) => typical_timeout.record(timeout),
             None => typical_timeouts.entry(route.to_owned()).or_default().record(timeout),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -274,7 +274,7 @@
         state.quarantines.set_relaying(is_sharded);
         state.quarantines.tick(rank.peers_before == 0);
         state.quotas.tick(&state.quota_view());
-        state.retries.lock().expect("retries lock").tick(now);
+        state.retries.lock().tick(now);
         live_peers = log_peers(&state, live_peers, now);
         metrics::gauge!("umberglade_stream_origins").set(state.origins.known().len() as f64);
         metrics::gauge!("umberglade_limited_servers")
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::RwLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -41,6 +39,8 @@
 use crate::quota::QuotaPeers;
 use crate::quota::Quotas;
 use crate::service_queues::ServiceQueues;
+use crate::state_lock::StateLock;
+use crate::state_lock::StateRwLock;
 use crate::stop::FORWARDING_CUTOFF;
 use crate::stop::STOP_GRACE_MARGIN;
 use crate::stop::StopSignal;
@@ -71,16 +71,16 @@
     pub report_requested: Event,
     /// Digests of peers that have just started or from which reports have just started to arrive.
     /// Unless empty, the next report includes what most reports omit.
-    pub new_peers: Mutex<Vec<u64>>,
+    pub new_peers: StateLock<Vec<u64>>,
     /// Gateways of other groups to which a report is sent with the next one, since they have just
     /// become known, or this gateway to them.
-    pub greeted_peers: Mutex<Vec<SocketAddr>>,
+    pub greeted_peers: StateLock<Vec<SocketAddr>>,
     /// A gateway that knows others than this one does.
-    pub member_source: Mutex<Option<SocketAddr>>,
+    pub member_source: StateLock<Option<SocketAddr>>,
     /// Notified when [`member_source`](Self::member_source) is set.
     pub member_source_found: Event,
     /// A peer from which to take over what was used of shared limits.
-    pub usage_source: Mutex<Option<UsageSource>>,
+    pub usage_source: StateLock<Option<UsageSource>>,
     /// Notified when [`usage_source`](Self::usage_source) is set.
     pub usage_source_found: Event,
     /// Notified when the configuration should be read from the store immediately.
@@ -111,13 +111,13 @@
     pub(crate) started_at: Instant,
     /// The number of the last report to peers, who drop reports with lower numbers.
     pub(crate) report_sequence: AtomicU64,
-    pub(crate) in_force: RwLock<InForce>,
-    pub(crate) config_watch: Mutex<ConfigWatch>,
+    pub(crate) in_force: StateRwLock<InForce>,
+    pub(crate) config_watch: StateLock<ConfigWatch>,
     /// The peers that hold configurations.
-    pub(crate) config_sources: Mutex<ConfigSources>,
-    fleet: Mutex<Fleet>,
-    pub(crate) retries: Mutex<RetryBudget>,
-    pub(crate) quota_peers: Mutex<Option<QuotaPeers>>,
+    pub(crate) config_sources: StateLock<ConfigSources>,
+    fleet: StateLock<Fleet>,
+    pub(crate) retries: StateLock<RetryBudget>,
+    pub(crate) quota_peers: StateLock<Option<QuotaPeers>>,
     /// Number of gateways registered in the store, including this one; at least 1.
     members: AtomicUsize,
 }
@@ -157,11 +157,11 @@
             in_flight: InFlightCount::default(),
             service_queues: ServiceQueues::default(),
             report_requested: Event::new(),
-            new_peers: Mutex::default(),
-            greeted_peers: Mutex::default(),
-            member_source: Mutex::default(),
+            new_peers: StateLock::default(),
+            greeted_peers: StateLock::default(),
+            member_source: StateLock::default(),
             member_source_found: Event::new(),
-            usage_source: Mutex::default(),
+            usage_source: StateLock::default(),
             usage_source_found: Event::new(),
             config_read_requested: Event::new(),
             config_offered: Event::new(),
@@ -175,24 +175,24 @@
             quotas: Quotas::new(started_at),
             started_at,
             report_sequence: AtomicU64::new(0),
-            in_force: RwLock::default(),
-            config_watch: Mutex::default(),
-            config_sources: Mutex::default(),
-            fleet: Mutex::new(Fleet::new(digest)),
-            retries: Mutex::new(retries),
-            quota_peers: Mutex::default(),
+            in_force: StateRwLock::default(),
+            config_watch: StateLock::default(),
+            config_sources: StateLock::default(),
+            fleet: StateLock::new(Fleet::new(digest)),
+            retries: StateLock::new(retries),
+            quota_peers: StateLock::default(),
             members: AtomicUsize::new(INITIAL_MEMBERS),
         })
     }
 
     /// Runs `change` on the configuration in force.
     pub fn with_config<T>(&self, change: impl FnOnce(&mut InForce) -> T) -> T {
-        change(&mut self.in_force.write().expect("in-force lock"))
+        change(&mut self.in_force.write())
     }
 
     /// Locks the fleet. The lock is held briefly, never across an await.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
-        self.fleet.lock().expect("fleet lock")
+        self.fleet.lock()
     }
 
     /// Records the outcome of an attempt, and logs if the server is ejected as a result.
@@ -311,7 +311,7 @@
 
     /// Sends a report to the gateway of another group at `address` with the next one.
     pub fn greet(&self, address: SocketAddr) {
-        self.greeted_peers.lock().expect("greeted peers lock").push(address);
+        self.greeted_peers.lock().push(address);
         self.report_requested.notify(1);
     }
 
--- a/crates/gateway/src/store/shared_table.rs
+++ b/crates/gateway/src/store/shared_table.rs
@@ -2,7 +2,6 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +21,7 @@
 use crate::model::StoreRow;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
+use crate::state_lock::StateLock;
 use crate::timing::boottime_clock;
 
 /// Maximum number of rows from peers that wait to be applied, of some 300 bytes each. Further rows
@@ -76,14 +76,14 @@
 #[derive(Debug)]
 pub struct SharedTable {
     pub table: StoreTable,
-    readers: Mutex<TableReaders>,
-    row_set: Mutex<TableRowSet>,
-    sources: Mutex<TableSources>,
-    peer_rows: Mutex<VecDeque<StoreRow>>,
-    peer_image: Mutex<Option<TableImage>>,
+    readers: StateLock<TableReaders>,
+    row_set: StateLock<TableRowSet>,
+    sources: StateLock<TableSources>,
+    peer_rows: StateLock<VecDeque<StoreRow>>,
+    peer_image: StateLock<Option<TableImage>>,
     /// All rows, encoded, and their fingerprint, since many peers ask for them in a row.
-    encoded: Mutex<Option<(TableFingerprint, Bytes)>>,
-    last_read: Mutex<LocalRead>,
+    encoded: StateLock<Option<(TableFingerprint, Bytes)>>,
+    last_read: StateLock<LocalRead>,
     /// Notified when rows or an image from a peer arrive, and when reading becomes due.
     pub rows_received: Event,
 }
@@ -97,13 +97,13 @@
         let readers = if has_transfers { readers.with_transfers() } else { readers };
         SharedTable {
             table,
-            readers: Mutex::new(readers),
-            row_set: Mutex::default(),
-            sources: Mutex::default(),
-            peer_rows: Mutex::default(),
-            peer_image: Mutex::default(),
-            encoded: Mutex::default(),
-            last_read: Mutex::default(),
+            readers: StateLock::new(readers),
+            row_set: StateLock::default(),
+            sources: StateLock::default(),
+            peer_rows: StateLock::default(),
+            peer_image: StateLock::default(),
+            encoded: StateLock::default(),
+            last_read: StateLock::default(),
             rows_received: Event::new(),
         }
     }
@@ -116,17 +116,17 @@
 
     /// Locks the table's readers. The lock is held briefly, never across an await.
     pub fn readers(&self) -> MutexGuard<'_, TableReaders> {
-        self.readers.lock().expect("table readers lock")
+        self.readers.lock()
     }
 
     /// Locks the rows held here. The lock is held briefly, never across an await.
     pub fn row_set(&self) -> MutexGuard<'_, TableRowSet> {
-        self.row_set.lock().expect("row set lock")
+        self.row_set.lock()
     }
 
     /// Locks the peers that offer the table's content.
     pub fn sources(&self) -> MutexGuard<'_, TableSources> {
-        self.sources.lock().expect("table sources lock")
+        self.sources.lock()
     }
 
     /// Records that the store responded to a local read, after which the content held here has
@@ -182,7 +182,7 @@
 
     /// Queues rows that another gateway read.
     pub fn receive_rows(&self, rows: Vec<StoreRow>) {
-        let mut peer_rows = self.peer_rows.lock().expect("peer rows lock");
+        let mut peer_rows = self.peer_rows.lock();
         let dropped = (peer_rows.len() + rows.len()).saturating_sub(MAX_PEER_ROWS);
         peer_rows.extend(rows);
         // If rows are dropped, the fingerprint differs from the peers', and the rows are fetched.
@@ -194,18 +194,18 @@
 
     /// Removes and returns the rows received since the last call.
     pub fn take_peer_rows(&self) -> Vec<StoreRow> {
-        self.peer_rows.lock().expect("peer rows lock").drain(..).collect()
+        self.peer_rows.lock().drain(..).collect()
     }
 
     /// Queues the content that a peer has sent.
     pub fn receive_image(&self, image: TableImage) {
-        *self.peer_image.lock().expect("peer image lock") = Some(image);
+        *self.peer_image.lock() = Some(image);
         self.rows_received.notify(usize::MAX);
     }
 
     /// Removes and returns the content that a peer has sent.
     pub fn take_peer_image(&self) -> Option<TableImage> {
-        self.peer_image.lock().expect("peer image lock").take()
+        self.peer_image.lock().take()
     }
 
     /// Returns true if peers are known to hold content that this gateway lacks, and that it should
@@ -265,7 +265,7 @@
             let bytes = encode_rows(rows);
             return Some(EncodedImage { is_whole: false, fingerprint, through, age, bytes });
         }
-        let encoded = self.encoded.lock().expect("encoded image lock").clone();
+        let encoded = self.encoded.lock().clone();
         if let Some((_, bytes)) = encoded.filter(|(encoded, _)| *encoded == fingerprint) {
             return Some(EncodedImage { is_whole: true, fingerprint, through, age, bytes });
         }
@@ -274,12 +274,12 @@
             (row_set.fingerprint(), row_set.all_rows()?)
         };
         let bytes = encode_rows(rows);
-        *self.encoded.lock().expect("encoded image lock") = Some((fingerprint, bytes.clone()));
+        *self.encoded.lock() = Some((fingerprint, bytes.clone()));
         Some(EncodedImage { is_whole: true, fingerprint, through, age, bytes })
     }
 
     fn last_read(&self) -> MutexGuard<'_, LocalRead> {
-        self.last_read.lock().expect("read time lock")
+        self.last_read.lock()
     }
 
     fn read_age_ms(&self) -> u64 {
--- a/crates/gateway/src/store/shared_tables.rs
+++ b/crates/gateway/src/store/shared_tables.rs
@@ -1,7 +1,6 @@
 //! The tables that gateways read for each other, and the notices and rows they exchange about them.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,6 +23,7 @@
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
 use crate::peers::TableRows;
+use crate::state_lock::StateLock;
 use crate::timing::boottime_clock;
 
 /// Time within which a gateway that receives no reports knows of quarantined requests. Gateways
@@ -37,7 +37,7 @@
 pub struct SharedTables {
     tables: [SharedTable; 3],
     outgoing_rows: (Sender<TableRows>, Receiver<TableRows>),
-    relay: Mutex<NoticeRelay>,
+    relay: StateLock<NoticeRelay>,
     local_digest: u64,
     /// Random number that tells this process from the one before it.
     incarnation: u32,
@@ -55,7 +55,7 @@
             tables: [configuration, servers, quarantines]
                 .map(|(table, bound)| SharedTable::new(table, local_digest, bound)),
             outgoing_rows: async_channel::bounded(OUTGOING_ROWS_CAPACITY),
-            relay: Mutex::default(),
+            relay: StateLock::default(),
             local_digest,
             incarnation: fastrand::u32(..),
             image_offered: Event::new(),
@@ -145,7 +145,7 @@
     pub fn notices_for_group(&self, now: Instant) -> Vec<RelayedNotice> {
         let own = self.own_notices(now);
         let clock = boottime_clock();
-        let mut relay = self.relay.lock().expect("notice relay lock");
+        let mut relay = self.relay.lock();
         own.into_iter().for_each(|notice| relay.record_local(notice, clock));
         relay.take_for_group(clock)
     }
@@ -154,7 +154,7 @@
     pub fn notices_for_remote(&self, now: Instant) -> Vec<RelayedNotice> {
         let own = self.own_notices(now);
         let clock = boottime_clock();
-        let mut relay = self.relay.lock().expect("notice relay lock");
+        let mut relay = self.relay.lock();
         own.into_iter().for_each(|notice| relay.record_local(notice, clock));
         relay.for_remote(clock)
     }
@@ -178,8 +178,7 @@
             return None;
         }
         let shared_table = self.find(notice.table)?;
-        let is_news =
-            self.relay.lock().expect("notice relay lock").record(notice, from, boottime_clock());
+        let is_news = self.relay.lock().record(notice, from, boottime_clock());
         if !is_news {
             return None;
         }
--- a/crates/gateway/src/store/store_eras.rs
+++ b/crates/gateway/src/store/store_eras.rs
@@ -1,6 +1,5 @@
 //! The store's era, as the clients of this process see it.
 
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,11 +12,12 @@
 use crate::model::StoreEra;
 use crate::model::StoreStamp;
 use crate::model::StoreVersion;
+use crate::state_lock::StateLock;
 
 /// Records the era of each answer of the store, and stamps rows.
 #[derive(Debug, Default)]
 pub struct StoreEras {
-    history: Mutex<EraHistory>,
+    history: StateLock<EraHistory>,
     /// Notified when the store has come back from a copy.
     pub changed: Event,
 }
@@ -70,6 +70,6 @@
     }
 
     fn history(&self) -> MutexGuard<'_, EraHistory> {
-        self.history.lock().expect("era history lock")
+        self.history.lock()
     }
 }
--- a/crates/gateway/src/upstream/connection_pool.rs
+++ b/crates/gateway/src/upstream/connection_pool.rs
@@ -1,7 +1,6 @@
 //! A pool of idle connections to backend servers.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,6 +8,7 @@
 use super::ServerConnection;
 use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
+use crate::state_lock::StateLock;
 
 /// How long an idle connection is kept if the server states no keep-alive timeout: shorter than
 /// the idle timeouts that servers commonly use.
@@ -32,13 +32,13 @@
 /// connections are used often.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
-    idle: Mutex<HashMap<ServerKey, Vec<IdleConnection>>>,
+    idle: StateLock<HashMap<ServerKey, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
     /// Takes a connection to `target` that is expected to be open.
     pub fn take(&self, target: &SendTarget, now: Instant) -> Option<ServerConnection> {
-        let mut idle = self.idle.lock().expect("pool lock");
+        let mut idle = self.idle.lock();
         let connections = idle.get_mut(&target.server)?;
         while let Some(newest) = connections.pop() {
             let is_same_incarnation = newest.incarnation == target.incarnation;
@@ -63,7 +63,7 @@
         if keep_alive.is_zero() || !connection.is_reusable() {
             return;
         }
-        let mut idle = self.idle.lock().expect("pool lock");
+        let mut idle = self.idle.lock();
         let connections = idle.entry(target.server.clone()).or_default();
         connections.retain(|old| now < old.expires_at && !old.connection.is_closed());
         if connections.len() < MAX_IDLE_PER_SERVER {
@@ -78,12 +78,12 @@
 
     /// Closes the connections to a server that was removed.
     pub fn remove_server(&self, server: &str) {
-        self.idle.lock().expect("pool lock").remove(server);
+        self.idle.lock().remove(server);
     }
 
     /// Closes expired connections.
     pub fn remove_expired(&self, now: Instant) {
-        let mut idle = self.idle.lock().expect("pool lock");
+        let mut idle = self.idle.lock();
         idle.retain(|_, connections| {
             connections.retain(|old| now < old.expires_at && !old.connection.is_closed());
             !connections.is_empty()
@@ -92,7 +92,7 @@
 
     /// Returns the number of idle connections.
     pub fn len(&self) -> usize {
-        self.idle.lock().expect("pool lock").values().map(Vec::len).sum()
+        self.idle.lock().values().map(Vec::len).sum()
     }
 
     /// Returns true when there are no idle connections.
