A body that arrives slowly is served within its caller's time, or rejected as not run

Callers saw: a request whose body took over 10 s ended with a closed connection and no answer, also where the caller allowed more.

Cause: BODY_TIMEOUT bounded every body, below the caller's own time, and its end was handled like a broken connection.

--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_lite::FutureExt;
+use bytes::Bytes;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -47,9 +47,9 @@
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Timeout of a request when neither the caller nor the route states one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// How long a body may take to arrive: prevents a connection that stalls after its header from
-/// being held open.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a body may take to arrive where its request has no more time: prevents a connection
+/// that stalls after its header from being held open.
+const MIN_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The caller's connection broke or its body did not arrive: no response can reach it, and the
 /// connection is closed.
@@ -98,9 +98,19 @@
     }
     let (mut parts, body) = request.into_parts();
     C::set_caller_headers(&mut parts.headers, &caller_identity);
-    let body = match read_body(body, table.limits.max_body_bytes).await? {
-        Some(body) => body,
-        None => return reject_too_large(),
+    let stated_timeout = head.timeout;
+    let requested_timeout = stated_timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let time_limit =
+        route.timeout.map_or(requested_timeout, |timeout| timeout.min(requested_timeout));
+    let body_deadline = arrived + time_limit.max(MIN_BODY_TIMEOUT);
+    let body = match read_body(body, table.limits.max_body_bytes, body_deadline).await? {
+        BodyOutcome::Whole(body) => body,
+        BodyOutcome::TooLarge => return reject_too_large(),
+        BodyOutcome::Late => {
+            let response =
+                reject_request(request_id, Rejection::ExpiredUnsent, None, table.version);
+            return Ok(ReadOutcome::RejectedUnread(response));
+        }
     };
     guard.progress().reach(RequestStage::Queued);
     let content = FingerprintParts {
@@ -127,10 +137,6 @@
             return Ok(ReadOutcome::Rejected(response));
         }
     };
-    let stated_timeout = head.timeout;
-    let requested_timeout = stated_timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let time_limit =
-        route.timeout.map_or(requested_timeout, |timeout| timeout.min(requested_timeout));
     let call = Arc::new(Call {
         method: parts.method,
         uri: parts.uri,
@@ -222,20 +228,26 @@
     reject_request(request_id, rejection, retry_after, version)
 }
 
-/// Returns the complete body; `None` when it is longer than `limit`.
-async fn read_body(body: Incoming, limit: usize) -> Result<Option<bytes::Bytes>, CallAborted> {
-    let read = async {
-        match Limited::new(body, limit).collect().await {
-            Ok(collected) => Ok(Some(collected.to_bytes())),
-            Err(error) if error.is::<LengthLimitError>() => Ok(None),
-            Err(_) => Err(CallAborted),
-        }
-    };
-    let timeout = async {
-        smol::Timer::after(BODY_TIMEOUT).await;
-        Err(CallAborted)
-    };
-    read.or(timeout).await
+/// The outcome of reading a body.
+enum BodyOutcome {
+    Whole(Bytes),
+    TooLarge,
+    /// It has not arrived completely by the deadline.
+    Late,
+}
+
+/// Reads `body`, up to `limit` bytes, until `deadline`.
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<BodyOutcome, CallAborted> {
+    match with_deadline(deadline, Limited::new(body, limit).collect()).await {
+        None => Ok(BodyOutcome::Late),
+        Some(Ok(collected)) => Ok(BodyOutcome::Whole(collected.to_bytes())),
+        Some(Err(error)) if error.is::<LengthLimitError>() => Ok(BodyOutcome::TooLarge),
+        Some(Err(_)) => Err(CallAborted),
+    }
 }
 
 fn reject_request(
