--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -30,7 +30,7 @@
 impl GatewayState {
     /// Returns the configuration in force, if there is one.
     pub fn route_table(&self) -> Option<Arc<RouteTable>> {
-        self.in_force.read().expect("in-force lock").table()
+        self.in_force.read().table()
     }
 
     /// Returns the version of the configuration in force; 0 if there is none.
@@ -45,12 +45,12 @@
 
     /// Returns the largest of each limit that a caller may go by that began at `at`.
     pub fn caller_limits_since(&self, at: Instant) -> CallerLimits {
-        self.limit_history.read().expect("limit history lock").largest_since(at)
+        self.limit_history.read().largest_since(at)
     }
 
     /// Returns the configuration in force with its id, if there is one.
     pub fn config(&self) -> Option<Arc<HeldConfig>> {
-        self.in_force.read().expect("in-force lock").current()
+        self.in_force.read().current()
     }
 
     /// Applies a report that the gateway `peer` at `address` has configuration `version` in force.
@@ -88,7 +88,7 @@
 
     /// Runs `change` on the record of the configurations that peers hold.
     pub fn with_config_sources<T>(&self, change: impl FnOnce(&mut ConfigSources) -> T) -> T {
-        change(&mut self.config_sources.lock().expect("config sources lock"))
+        change(&mut self.config_sources.lock())
     }
 
     fn is_newer_config_offered(&self) -> bool {
@@ -98,7 +98,7 @@
 
     /// Runs `change` on the record of whether the configuration in force is the newest.
     pub fn with_config_watch<T>(&self, change: impl FnOnce(&mut ConfigWatch) -> T) -> T {
-        change(&mut self.config_watch.lock().expect("config watch lock"))
+        change(&mut self.config_watch.lock())
     }
 
     /// Returns true if no newer configuration is known and the one in force matched the store
@@ -197,7 +197,7 @@
             }
         };
         let version = id.version;
-        let mut limit_history = self.limit_history.write().expect("limit history lock");
+        let mut limit_history = self.limit_history.write();
         limit_history.record(table.limits, Instant::now());
         drop(limit_history);
         self.quotas.set_limits(&table.organisations, version, &self.quota_view());
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -63,7 +64,6 @@
     state: Arc<GatewayState>,
     registry: Arc<PeerRegistry>,
     socket: UdpSocket,
-    sequence: u64,
     budget: SendBudget,
     remote_peer_cycle: RemotePeerCycle,
     full_report_due: Instant,
@@ -90,7 +90,6 @@
             state,
             registry,
             socket,
-            sequence: 0,
             budget: SendBudget::new(now),
             remote_peer_cycle: RemotePeerCycle::new(now),
             full_report_due: now,
@@ -120,14 +119,13 @@
 
     /// Sends the reports that are due.
     async fn send_due(&mut self, is_change: bool) {
-        let new_peers = std::mem::take(&mut *self.state.new_peers.lock().expect("new peers lock"));
+        let new_peers = std::mem::take(&mut *self.state.new_peers.lock());
         // Grouped again, since a gateway may have been added to the registry during the wait.
         let PeerGroups { local_shard, remote } = self.groups();
         let now = Instant::now();
         let is_full = !new_peers.is_empty() || now >= self.full_report_due;
-        self.sequence += 1;
-        let NearReport { report, usage } =
-            near_report(&self.state, self.sequence, is_full, &new_peers);
+        let sequence = self.state.report_sequence.fetch_add(1, Ordering::AcqRel) + 1;
+        let NearReport { report, usage } = near_report(&self.state, sequence, is_full, &new_peers);
         let is_sharded = !remote.is_empty();
         let is_quiet = is_sharded && is_quiet(&report) && !self.state.has_organisations();
         let notices = self.state.shared_tables.notices_for_group(now);
@@ -171,7 +169,7 @@
         } else {
             self.remote_peer_cycle.restart(now);
         }
-        let mut greeted_peers = self.state.greeted_peers.lock().expect("greeted peers lock");
+        let mut greeted_peers = self.state.greeted_peers.lock();
         recipients.extend(std::mem::take(&mut *greeted_peers));
         drop(greeted_peers);
         if now >= self.gossip_due {
