Silent streams: a wrong first event wins nothing, and a server that lost may go on later

Found by the review, by reading; shown by tests that fail without each guard. - A replacement won before its first event was checked: with another id than the next one the kept server was dropped, and the stream then cut as garbled. Now it counts as failed, and the kept one goes on (case 'skips an event'). - A server that lost the race stayed among those that further attempts avoid, so that a stream whose first server failed later was cut beside a sound server (a_server_that_lost_goes_on_when_the_first_one_fails; limits of the route hold). - A prefill's cache had no guard while the version of its server was confirmed: a loser or a leaving caller dropped there left it until its time to live was over. - A rejection without a cache no longer releases the one kept for the next server.

--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -123,10 +123,10 @@
         took_ms = took.as_millis() as u64,
         "prefill completed"
     );
-    let answering = sent_version.confirm::<C>(state, &target).await;
     let source = CacheSource { server: target.address, handle: result.handle };
     let cache_version = software.unwrap_or_default();
-    let cache = CacheGuard::new(state, target, source, cache_version, call.id());
+    let cache = CacheGuard::new(state, target.clone(), source, cache_version, call.id());
+    let answering = sent_version.confirm::<C>(state, &target).await;
     if software.is_none() || answering != software {
         // Dropping the guard releases the cache.
         return Err(AttemptFailure::Misdirected);
--- a/crates/gateway/src/forward/silent_stream.rs
+++ b/crates/gateway/src/forward/silent_stream.rs
@@ -69,6 +69,7 @@
     request_check(state, &stream.target);
     silence_log::log_stall(call, &server, relayed, last_event_at.elapsed());
     let start = StreamStart::Continues { last_id, relayed };
+    let tried_before = attempts.tried.len();
     let read = {
         let kept = KeptStream::open();
         let opener = StreamOpener::<C>::new(state, call, attempts, start, &kept);
@@ -94,6 +95,8 @@
         }
         read
     };
+    // The other servers may go on with the stream when this one fails later.
+    attempts.tried.truncate(tried_before);
     state.fleet().record_response(&server, stream.target.incarnation);
     let silence = last_event_at.elapsed();
     silence_log::log_recovery(call, &server, relayed, silence, attempts.count());
--- a/crates/gateway/src/forward/stream_opener.rs
+++ b/crates/gateway/src/forward/stream_opener.rs
@@ -9,6 +9,7 @@
 
 use super::Call;
 use super::GatewayBody;
+use super::attempt_log::record_attempt;
 use super::attempt_set::AttemptSet;
 use super::attempts::Attempts;
 use super::cache_guard::CacheGuard;
@@ -71,6 +72,18 @@
     Continues { last_id: Option<u64>, relayed: u64 },
 }
 
+impl StreamStart {
+    /// Returns true unless `stream` begins with another event than the next one. Prevents a server
+    /// that goes on wrongly from being taken for one that is silent.
+    fn is_continued_by(self, stream: &OpenStream) -> bool {
+        let first_id = stream.first.as_ref().and_then(|event| event.id);
+        match (self, first_id) {
+            (StreamStart::Continues { last_id: Some(last_id), .. }, Some(id)) => id == last_id + 1,
+            _ => true,
+        }
+    }
+}
+
 /// Opens a stream. A server that is silent is left only for another one that has sent an event.
 pub struct StreamOpener<'a, C: PlatformCodec> {
     state: &'a Arc<GatewayState>,
@@ -218,7 +231,10 @@
     fn record_end(&mut self, end: AttemptEnd<C>) -> Option<Opening> {
         let AttemptEnd { outcome, cache } = end;
         match outcome {
-            OpenOutcome::Stream(stream) => return Some(Opening::Stream(stream)),
+            OpenOutcome::Stream(stream) if self.start.is_continued_by(&stream) => {
+                return Some(Opening::Stream(stream));
+            }
+            OpenOutcome::Stream(stream) => self.record_wrong_event(&stream),
             OpenOutcome::Responded(response) => {
                 let may_retry =
                     response.status().is_server_error() && self.call.route.is_retryable();
@@ -229,7 +245,9 @@
             }
             OpenOutcome::Failed(failure) if failure.is_not_run() => {
                 self.attempts.record_not_run(failure == AttemptFailure::Unsent);
-                self.keep_cache(failure, cache);
+                if let Some(cache) = cache {
+                    self.keep_cache(failure, cache);
+                }
             }
             OpenOutcome::Failed(_) => {}
         }
@@ -239,12 +257,20 @@
     /// Keeps the cache of an attempt that did not run for the next one: another prefill would cost
     /// as much as tens of tokens. A server that rejected the request may have found the cache
     /// missing, so only one more is offered it.
-    fn keep_cache(&mut self, failure: AttemptFailure, cache: Option<CacheGuard<C>>) {
+    fn keep_cache(&mut self, failure: AttemptFailure, cache: CacheGuard<C>) {
         let is_offered_again = failure == AttemptFailure::Unsent || self.rejected_with_cache == 0;
-        let is_rejection = cache.is_some() && failure == AttemptFailure::NotRun;
-        self.rejected_with_cache += u32::from(is_rejection);
+        self.rejected_with_cache += u32::from(failure == AttemptFailure::NotRun);
         let ttl = self.call.engine_spec().handle_ttl;
-        self.reusable_cache = cache.filter(|cache| is_offered_again && cache.is_fresh(ttl));
+        self.reusable_cache = Some(cache).filter(|cache| is_offered_again && cache.is_fresh(ttl));
+    }
+
+    /// Records that a server began `stream` with another event than the next one.
+    fn record_wrong_event(&self, stream: &OpenStream) {
+        let id = stream.first.as_ref().and_then(|event| event.id);
+        let problem = format!("first event {id:?}, {:?}", self.start);
+        let failure = AttemptFailure::Garbled;
+        let (state, call) = (self.state, self.call);
+        record_attempt(state, call, &stream.target, failure, failure.outcome(), &problem);
     }
 
     fn log_stall<F: Future>(&self, in_progress: &AttemptSet<F>) {
