A row by the tree leaves the next transfer of a table one of changes

Cause: `TableFetcher` compared the content held before a transfer with the fingerprint that the last transfer should have led to. Any row that arrived by the tree since made them differ, so that the transfer counted as failed and all rows were asked for.

--- a/crates/gateway/src/cluster/table_row_set.rs
+++ b/crates/gateway/src/cluster/table_row_set.rs
@@ -177,6 +177,11 @@
         changed.map(|(key, row)| stored_row(key, row)).collect()
     }
 
+    /// Returns true if a row's content has changed, or a row was deleted, after `stamp`.
+    pub fn has_changed_after(&self, stamp: StoreStamp) -> bool {
+        self.rows.values().any(|row| row.changed_at > stamp)
+    }
+
     /// Returns the keys of the rows up to `stamp` that are present and for which `is_listed` returns
     /// false.
     pub fn missing_from(&self, is_listed: impl Fn(&str) -> bool, stamp: StoreStamp) -> Vec<String> {
--- a/crates/gateway/src/peers/table_fetcher.rs
+++ b/crates/gateway/src/peers/table_fetcher.rs
@@ -63,9 +63,6 @@
 struct TableFetcher {
     table: StoreTable,
     partial: Option<ReceivedContent>,
-    /// The fingerprint that the last changes received should have led to: if they have not, all
-    /// rows are fetched next.
-    expected: Option<u64>,
 }
 
 /// Fetches content that peers have and this gateway lacks, until the process stops.
@@ -94,7 +91,7 @@
 
 impl TableFetcher {
     fn new(table: StoreTable) -> Self {
-        TableFetcher { table, partial: None, expected: None }
+        TableFetcher { table, partial: None }
     }
 
     /// Asks one peer if this gateway lacks content. Returns true if it does.
@@ -129,7 +126,6 @@
         let (outcome, rest) = match fetched {
             Ok(FetchOutcome::Image(image)) => {
                 self.partial = None;
-                self.expected = Some(image.fingerprint);
                 shared_table.receive_image(image);
                 ("received".to_owned(), RECEIVED_REST)
             }
@@ -160,9 +156,7 @@
         shared_table: &SharedTable,
         address: SocketAddr,
     ) -> io::Result<FetchOutcome> {
-        let fingerprint = shared_table.row_set().fingerprint();
-        let has_failed = self.expected.is_some_and(|expected| expected != fingerprint);
-        let held = shared_table.readers().known_through().filter(|_| !has_failed);
+        let held = shared_table.transfer_position();
         let partial = self.partial.as_ref().map(|partial| PartialContent {
             checksum: partial.checksum,
             received: partial.bytes.len() as u64,
--- a/crates/gateway/src/store/shared_table.rs
+++ b/crates/gateway/src/store/shared_table.rs
@@ -11,12 +11,14 @@
 
 use super::TableImage;
 use super::table_image::encode_rows;
+use crate::cluster::ChangeTransfers;
 use crate::cluster::ReadCost;
 use crate::cluster::RelayedNotice;
 use crate::cluster::TableFingerprint;
 use crate::cluster::TableReaders;
 use crate::cluster::TableRowSet;
 use crate::cluster::TableSources;
+use crate::cluster::TransferResult;
 use crate::model::StoreEra;
 use crate::model::StoreRow;
 use crate::model::StoreStamp;
@@ -81,6 +83,7 @@
     sources: StateLock<TableSources>,
     peer_rows: StateLock<VecDeque<StoreRow>>,
     peer_image: StateLock<Option<TableImage>>,
+    transfers: StateLock<ChangeTransfers>,
     /// All rows, encoded, and their fingerprint, since many peers ask for them in a row.
     encoded: StateLock<Option<(TableFingerprint, Bytes)>>,
     last_read: StateLock<LocalRead>,
@@ -102,6 +105,7 @@
             sources: StateLock::default(),
             peer_rows: StateLock::default(),
             peer_image: StateLock::default(),
+            transfers: StateLock::default(),
             encoded: StateLock::default(),
             last_read: StateLock::default(),
             rows_received: Event::new(),
@@ -208,6 +212,17 @@
         self.peer_image.lock().take()
     }
 
+    /// Records what applying the content has led to that a peer has sent.
+    pub fn record_transfer(&self, result: TransferResult) {
+        self.transfers.lock().record(result);
+    }
+
+    /// Returns the version after which changes are to be transferred next; `None` for all rows.
+    pub fn transfer_position(&self) -> Option<StoreStamp> {
+        let are_changes_enough = self.transfers.lock().are_enough();
+        self.readers().known_through().filter(|_| are_changes_enough)
+    }
+
     /// Returns true if peers are known to hold content that this gateway lacks, and that it should
     /// fetch from them.
     pub fn wants_image(&self, now: Instant) -> bool {
--- a/crates/gateway/src/store/table_coordinator.rs
+++ b/crates/gateway/src/store/table_coordinator.rs
@@ -21,6 +21,7 @@
 use crate::cluster::RowDigest;
 use crate::cluster::TableFingerprint;
 use crate::cluster::TableReaders;
+use crate::cluster::TransferResult;
 use crate::events;
 use crate::model::RowValue;
 use crate::model::StoreEra;
@@ -130,14 +131,18 @@
 
     /// Records the rows of a peer's image, and returns those that change what is held here.
     pub fn record_image(&mut self, image: TableImage, sink: &impl TableSink) -> Vec<StoreRow> {
-        let TableImage { fingerprint, through, age, rows, .. } = image;
+        let TableImage { is_whole, fingerprint, through, age, rows } = image;
         let size = estimated_bytes(&rows);
         let rows: Vec<StoreRow> =
             rows.into_iter().filter(|row| self.record_row(sink, row)).collect();
         let held = self.fingerprint();
+        let is_complete = held == fingerprint;
+        let holds_newer_rows = self.shared_table().row_set().has_changed_after(through);
+        let result = TransferResult { is_whole, is_complete, holds_newer_rows };
+        self.shared_table().record_transfer(result);
         let now = Instant::now();
         let mut readers = self.shared_table().readers();
-        match now.checked_sub(age).filter(|_| held == fingerprint) {
+        match now.checked_sub(age).filter(|_| is_complete) {
             Some(known_at) => readers.record_peer_content(held, through, known_at),
             None => readers.record_peer_rows(held),
         }
@@ -152,7 +157,7 @@
             era = through.written_era(),
             bytes = size,
             changed = rows.len(),
-            is_complete = held == fingerprint,
+            is_complete,
             "content of a table received from a peer"
         );
         rows
