Router: a silent decode server is kept until another one has gone on

Callers of `umberglade serve` saw their responses cut (error event, no `[DONE]`) when a decode server was silent for 2 s (urgent calls: 0.5 s) and would have gone on, while the other one rejected, failed or was silent too.

ResponseFeed::resume counted a failure, cancelled the silent server and only then looked for another one.

Now the silent stream is kept, another is opened beside it if other servers have room at once, and the first to send a line that continues the response goes on. The loser's connection is closed and its server gets a cancel order at that moment; no line of it is relayed. If the silent server breaks meanwhile, the one that was being opened takes over. All ends at the deadline.

Which of the two ways: two servers may work on one completion meanwhile. What is relayed stays single, as only the feed's own stream is read and each line must bear the next index. The silent server gets no second order of the request (it would answer 409).

A server that goes on gets no failure, and its request no attempt counted. The retry budget is charged for attempts for which orders were sent, since it bounds load; it is given back where no server had room. A server that lost is ejected for all only after 2 s of silence.

Tests: the engine stand-in can pause each stream once (pause_after_tokens, pause_ms); caller_disconnects names the two new fields in its constant.

--- a/crates/router/src/admission/retry_budget.rs
+++ b/crates/router/src/admission/retry_budget.rs
@@ -30,6 +30,12 @@
         *balance = (*balance + RETRIES_PER_REQUEST).min(MAX_BALANCE);
     }
 
+    /// Returns a consumed retry for which nothing was sent.
+    pub fn give_back(&self) {
+        let mut balance = self.balance.lock().expect("budget lock");
+        *balance = (*balance + 1.0).min(MAX_BALANCE);
+    }
+
     /// Consumes one retry; returns false when none is left.
     pub fn try_consume(&self) -> bool {
         let mut balance = self.balance.lock().expect("budget lock");
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -27,6 +27,10 @@
 pub const ATTEMPT_RETRIED: u32 = 1011;
 /// A decode stream broke, and the response continues from another server.
 pub const RESPONSE_RESUMED: u32 = 1012;
+/// A decode stream is silent: it is kept, and another server is looked for.
+pub const STREAM_SILENT: u32 = 1013;
+/// A silent stream went on before another server did.
+pub const STREAM_WENT_ON: u32 = 1014;
 /// A new preset version was applied.
 pub const PRESET_APPLIED: u32 = 2001;
 /// A preset row older than the active one was read and ignored.
--- a/crates/router/src/pipeline/cancel.rs
+++ b/crates/router/src/pipeline/cancel.rs
@@ -66,6 +66,21 @@
         }
     }
 
+    /// Sends cancel orders now, without waiting for them, to all registered servers but `holder`.
+    pub fn cancel_others(&mut self, holder: &str) {
+        let is_holder = |addr: &String| addr == holder;
+        let (kept, others) = self.servers.drain(..).partition(is_holder);
+        self.servers = kept;
+        self.spawn_cancels(others);
+    }
+
+    fn spawn_cancels(&self, servers: SmallVec<[String; 2]>) {
+        for addr in servers {
+            let request_id = self.request_id.clone();
+            pool::spawn(async move { cancel_with_retries(&addr, &request_id).await });
+        }
+    }
+
     /// Disables the cancel orders, because the response is complete.
     pub fn disarm(&mut self) {
         self.armed = false;
@@ -77,10 +92,8 @@
         if !self.armed {
             return;
         }
-        for addr in self.servers.drain(..) {
-            let request_id = self.request_id.clone();
-            pool::spawn(async move { cancel_with_retries(&addr, &request_id).await });
-        }
+        let servers = std::mem::take(&mut self.servers);
+        self.spawn_cancels(servers);
     }
 }
 
--- a/crates/router/src/pipeline/claim.rs
+++ b/crates/router/src/pipeline/claim.rs
@@ -65,7 +65,7 @@
             // Once every server of the role has been tried, waiting for another would last until
             // the deadline, so all become eligible again.
             if pool.iter().all(|slot| self.avoid.contains(&slot.entry.server)) {
-                self.avoid.clear();
+                self.clear_avoided();
             }
         }
         if !self.daemon.shared.placement.waits_for_capacity() {
@@ -78,6 +78,16 @@
             .map_err(|rejection| RunFailure::NoCapacity { retry_after_s: rejection.retry_after_s })
     }
 
+    /// Places the request on two servers that hold nothing of it, if they have room now.
+    pub fn place_pair_beside(&mut self) -> Option<ClaimedPair> {
+        let snapshot = self.daemon.shared.control.current();
+        let pool = snapshot.candidates(EngineRole::Decode, &self.admitted.model);
+        if pool.iter().all(|slot| self.avoid.contains(&slot.entry.server)) {
+            self.clear_avoided();
+        }
+        self.place_pair(PlacementMode::Normal)
+    }
+
     /// Places the request on both servers; `None` when either lacks capacity. Reads a new
     /// snapshot, because servers may have joined while the request was queued.
     fn place_pair(&self, mode: PlacementMode) -> Option<ClaimedPair> {
--- a/crates/router/src/pipeline/decode.rs
+++ b/crates/router/src/pipeline/decode.rs
@@ -48,6 +48,18 @@
     _notifier: CapacityNotifier,
 }
 
+impl DecodeStream {
+    /// Returns the next line, or why none will come.
+    pub async fn next_line(&mut self) -> Result<Bytes, String> {
+        let server = &self.slot.entry.server;
+        match self.reader.next_line().await {
+            Ok(Some(line)) => Ok(line),
+            Ok(None) => Err(format!("the stream from {server} ended early")),
+            Err(error) => Err(format!("the stream from {server} broke: {error}")),
+        }
+    }
+}
+
 impl<P: Placement> RequestRun<P> {
     /// Hands `export` to the claimed decode server, or to another. A full server rejects before it
     /// fetches the KV cache, so the finished prefill stays usable and is offered to others until
--- a/crates/router/src/pipeline/mod.rs
+++ b/crates/router/src/pipeline/mod.rs
@@ -12,6 +12,7 @@
 mod response_assembler;
 mod response_feed;
 mod run;
+mod silent_stream;
 
 use std::sync::Arc;
 
--- a/crates/router/src/pipeline/response_feed.rs
+++ b/crates/router/src/pipeline/response_feed.rs
@@ -1,5 +1,6 @@
 //! The tokens of one response, over one or more decode streams.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,14 +17,15 @@
 use super::RunFailure;
 use super::decode::DecodeStream;
 use super::run::RequestRun;
+use super::silent_stream::SilenceEnd;
 use crate::events;
 use crate::placement::Placement;
 
-/// The longest allowed gap between two lines of a decode stream. Prevents callers from waiting
-/// forever on a connection that stays silent: the response is resumed on another server.
-const STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The gap between two lines of a decode stream after which another server is looked for. Longer
+/// than a sound server is silent.
+pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The same for urgent requests, whose callers wait two seconds in total. At the 48 ms allowed per
-/// token, ten tokens in a row are missing by then.
+/// token, ten tokens in a row are missing by then; the server may still go on.
 const URGENT_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often a stream is checked for a stall. A single timer serves the whole response, because a
 /// timer per line costs more than reading the line.
@@ -43,11 +45,10 @@
 
 /// A response in progress. Dropping it cancels the work that servers still hold.
 pub(crate) struct ResponseFeed<P> {
-    run: RequestRun<P>,
-    stream: DecodeStream,
-    assembler: ResponseAssembler,
+    pub(super) run: RequestRun<P>,
+    pub(super) stream: DecodeStream,
+    pub(super) assembler: ResponseAssembler,
     stall_timer: Timer,
-    last_line: Instant,
 }
 
 impl<P: Placement> ResponseFeed<P> {
@@ -56,7 +57,7 @@
         let stream = run.start(0).await?;
         let assembler = ResponseAssembler::new(run.admitted.request_id.clone());
         let stall_timer = Timer::interval(STALL_CHECK_INTERVAL);
-        Ok(ResponseFeed { run, stream, assembler, stall_timer, last_line: Instant::now() })
+        Ok(ResponseFeed { run, stream, assembler, stall_timer })
     }
 
     /// Returns the request that is being served.
@@ -125,25 +126,41 @@
     }
 
     async fn next_line(&mut self) -> Result<Bytes, String> {
-        let server = &self.stream.slot.entry.server;
+        loop {
+            let waiting_since = Instant::now();
+            if let Some(line) = self.line_before_silence(waiting_since).await {
+                return line;
+            }
+            match self.outlast_silence(waiting_since).await {
+                SilenceEnd::Line(line) => return Ok(line),
+                SilenceEnd::Replaced => {}
+                SilenceEnd::Broken(message) => return Err(message),
+            }
+        }
+    }
+
+    /// Returns the next line, or `None` once the stream has been silent for the limit.
+    async fn line_before_silence(
+        &mut self,
+        waiting_since: Instant,
+    ) -> Option<Result<Bytes, String>> {
+        let limit = self.silence_limit();
         let timer = &mut self.stall_timer;
-        let last_line = self.last_line;
-        let limit = match self.run.admitted.priority {
-            Priority::Urgent => URGENT_STALL_TIMEOUT,
-            Priority::Standard => STALL_TIMEOUT,
-        };
-        let stalled = async {
-            while last_line.elapsed() < limit {
+        let silent = async {
+            while waiting_since.elapsed() < limit {
                 timer.next().await;
             }
-            Ok(None)
+            None
         };
-        let line = self.stream.reader.next_line().or(stalled).await;
-        self.last_line = Instant::now();
-        match line {
-            Ok(Some(line)) => Ok(line),
-            Ok(None) => Err(format!("the stream from {server} ended early or fell silent")),
-            Err(error) => Err(format!("the stream from {server} broke: {error}")),
+        let line = async { Some(self.stream.next_line().await) };
+        line.or(silent).await
+    }
+
+    /// Returns how long a stream may be silent before another server is looked for.
+    pub(super) fn silence_limit(&self) -> Duration {
+        match self.run.admitted.priority {
+            Priority::Urgent => URGENT_STALL_TIMEOUT,
+            Priority::Standard => STALL_TIMEOUT,
         }
     }
 
@@ -166,11 +183,14 @@
         }
     }
 
-    /// Resumes on another server. The previous server is cancelled first, so that no two servers
-    /// work on one request.
+    /// Resumes on another server after the stream broke or its time was over. The previous server
+    /// is cancelled first.
     async fn resume(&mut self, message: String) -> Result<(), String> {
-        let slot = std::sync::Arc::clone(&self.stream.slot);
+        let slot = Arc::clone(&self.stream.slot);
         self.run.record_failure(&slot);
+        if self.run.remaining().is_zero() {
+            return Err(message);
+        }
         self.run.cancel.cancel_and_confirm(&slot.entry.addr).await;
         if !self.run.try_next_attempt() {
             return Err(message);
@@ -181,7 +201,6 @@
         match self.run.start(resume_from).await {
             Ok(stream) => {
                 self.stream = stream;
-                self.last_line = Instant::now();
                 Ok(())
             }
             Err(failure) => Err(format!("{message}; then {failure}")),
--- a/crates/router/src/pipeline/run.rs
+++ b/crates/router/src/pipeline/run.rs
@@ -12,6 +12,7 @@
 use super::AdmittedRequest;
 use super::CancelOnDrop;
 use super::RunFailure;
+use super::claim::ClaimedPair;
 use super::decode::DecodeStream;
 use crate::admission::AdmissionQueue;
 use crate::control::ServerSlot;
@@ -33,6 +34,8 @@
     started_at: Instant,
     /// Servers that failed or rejected this request.
     pub(super) avoid: SmallVec<[ServerId; 4]>,
+    /// The server whose silent stream is kept. Never placed on meanwhile: it holds the request.
+    kept: Option<ServerId>,
     _admission: AdmissionGuard<P>,
 }
 
@@ -49,6 +52,7 @@
             attempt: 0,
             started_at,
             avoid: SmallVec::new(),
+            kept: None,
             _admission: admission,
         }
     }
@@ -90,6 +94,37 @@
         self.decode(pair.decode, export, resume_from).await
     }
 
+    /// Starts a decode stream beside a silent one. Returns `None` if other servers have no room now
+    /// or no further attempt is allowed: it does not queue, as the silent server may still go on.
+    pub async fn open_beside(
+        &mut self,
+        resume_from: u32,
+    ) -> Result<Option<DecodeStream>, RunFailure> {
+        let Some(pair) = self.try_claim_beside() else {
+            return Ok(None);
+        };
+        let export = self.prefill(pair.prefill, resume_from).await?;
+        self.decode(pair.decode, export, resume_from).await.map(Some)
+    }
+
+    /// Claims both servers for another attempt, and counts it, if they have room now.
+    fn try_claim_beside(&mut self) -> Option<ClaimedPair> {
+        if !self.try_next_attempt() {
+            return None;
+        }
+        let pair = self.place_pair_beside();
+        if pair.is_none() {
+            self.attempt -= 1;
+            self.daemon.shared.budget.give_back();
+        }
+        pair
+    }
+
+    /// Returns when the request must have ended.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// Returns the time left until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -116,9 +151,25 @@
         self.avoid.push(slot.entry.server.clone());
     }
 
-    /// Makes all excluded servers eligible again, as full ones may have capacity by now.
+    /// Makes all excluded servers eligible again, as full ones may have capacity by now, except the
+    /// one whose stream is kept.
     pub fn clear_avoided(&mut self) {
         self.avoid.clear();
+        self.avoid.extend(self.kept.clone());
+    }
+
+    /// Excludes the server while its silent stream is kept.
+    pub fn keep_server(&mut self, slot: &ServerSlot) {
+        self.kept = Some(slot.entry.server.clone());
+        self.avoid_server(slot);
+    }
+
+    /// Ends the exclusion of a kept server if it `went_on`; otherwise it has failed this request.
+    pub fn release_kept_server(&mut self, went_on: bool) {
+        let kept = self.kept.take();
+        if went_on {
+            self.avoid.retain(|server| kept.as_ref() != Some(server));
+        }
     }
 }
 
--- a/crates/standin/src/engine/decode.rs
+++ b/crates/standin/src/engine/decode.rs
@@ -26,6 +26,8 @@
 use super::STALL_DURATION;
 use super::SlotGuard;
 
+/// How often a paused stream checks whether it was cancelled.
+const PAUSE_STEP: Duration = Duration::from_millis(10);
 /// The timeout for fetching a KV cache from a prefill server.
 const KV_FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -97,6 +99,9 @@
             if is_reached(faults.silent_after_tokens, generated) {
                 smol::Timer::after(STALL_DURATION).await;
             }
+            if generated == faults.pause_after_tokens && faults.pause_ms > 0 {
+                pause(Duration::from_millis(faults.pause_ms), &cancelled).await;
+            }
             if !send_token(&sender, &order, index, &faults).await && !faults.ignores_hangup {
                 return;
             }
@@ -120,6 +125,14 @@
     }
 }
 
+/// Waits for `duration`, or until the request is cancelled.
+async fn pause(duration: Duration, cancelled: &AtomicBool) {
+    let end = Instant::now() + duration;
+    while Instant::now() < end && !cancelled.load(Ordering::Acquire) {
+        smol::Timer::after(PAUSE_STEP).await;
+    }
+}
+
 fn is_reached(limit: u32, generated: u32) -> bool {
     limit > 0 && generated >= limit
 }
--- a/crates/umberglade/tests/caller_disconnects.rs
+++ b/crates/umberglade/tests/caller_disconnects.rs
@@ -41,6 +41,8 @@
             down: false,
             cut_after_tokens: 0,
             silent_after_tokens: 0,
+            pause_after_tokens: 0,
+            pause_ms: 0,
             silent_prefill: false,
             stall_kv: false,
             duplicate_lines: false,
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -338,6 +338,11 @@
     /// The number of tokens after which every decode stream stalls with its connection open; 0 for
     /// never.
     pub silent_after_tokens: u32,
+    /// The number of tokens after which every decode stream pauses once for `pause_ms` and goes
+    /// on; 0 for before the first.
+    pub pause_after_tokens: u32,
+    /// Milliseconds of that pause; 0 for none.
+    pub pause_ms: u64,
     /// Leave every prefill order without a response.
     pub silent_prefill: bool,
     /// Stall every KV cache transfer before the first byte.
