Router: locks stay usable after a panic

A panic while a lock was held poisoned it, and every later request of the daemon panicked at `.lock().expect(..)`. Each lock is held for one change, which a panic leaves half made at worst, so the poison is ignored.

Evidence: `router state_locks`; with `unwrap()` in place of ignoring the poison the test fails (PoisonError in state_lock.rs), with it it passes.

--- a/crates/router/src/admission/admission_queue.rs
+++ b/crates/router/src/admission/admission_queue.rs
@@ -14,6 +14,7 @@
 use super::class_queue::ClassQueues;
 use super::class_queue::OUT_OF_ORDER_WINDOW;
 use super::class_queue::QueuedRequest;
+use crate::state_lock;
 
 /// How often the head of the queue retries without being woken: capacity that other daemons free
 /// raises no local event.
@@ -123,7 +124,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, ClassQueues> {
-        self.queues.lock().expect("admission queue lock")
+        state_lock::lock(&self.queues)
     }
 
     fn enqueue(&self, priority: Priority) -> QueueTicket<'_> {
--- a/crates/router/src/admission/retry_budget.rs
+++ b/crates/router/src/admission/retry_budget.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Mutex;
 
+use crate::state_lock;
+
 /// Retries added to the budget by each first attempt.
 const RETRIES_PER_REQUEST: f64 = 0.2;
 /// The capacity of the budget and its balance at start.
@@ -26,19 +28,19 @@
 impl RetryBudget {
     /// Adds the retries that a first attempt allows.
     pub fn deposit(&self) {
-        let mut balance = self.balance.lock().expect("budget lock");
+        let mut balance = state_lock::lock(&self.balance);
         *balance = (*balance + RETRIES_PER_REQUEST).min(MAX_BALANCE);
     }
 
     /// Returns a consumed retry for which nothing was sent.
     pub fn give_back(&self) {
-        let mut balance = self.balance.lock().expect("budget lock");
+        let mut balance = state_lock::lock(&self.balance);
         *balance = (*balance + 1.0).min(MAX_BALANCE);
     }
 
     /// Consumes one retry; returns false when none is left.
     pub fn try_consume(&self) -> bool {
-        let mut balance = self.balance.lock().expect("budget lock");
+        let mut balance = state_lock::lock(&self.balance);
         if *balance < 1.0 {
             return false;
         }
--- a/crates/router/src/control/server_counters.rs
+++ b/crates/router/src/control/server_counters.rs
@@ -9,6 +9,8 @@
 
 use umberglade_wire::engine::LoadSample;
 
+use crate::state_lock;
+
 /// How long a reported load counts. After that only the local count is used, so that a server
 /// reported as full is not avoided forever when no newer report arrives.
 const REPORT_RETENTION: Duration = Duration::from_secs(2);
@@ -91,11 +93,11 @@
             queued_tokens: sample.queued_tokens.saturating_sub(local_tokens),
             received_at: Instant::now(),
         };
-        *self.peer_load.lock().expect("peer load lock") = Some(peers);
+        *state_lock::lock(&self.peer_load) = Some(peers);
     }
 
     pub(super) fn load(&self) -> ServerLoad {
-        let peers = *self.peer_load.lock().expect("peer load lock");
+        let peers = *state_lock::lock(&self.peer_load);
         let mut load = ServerLoad {
             running: self.in_flight(),
             slots: peers.map_or(0, |peers| peers.slots),
@@ -112,21 +114,21 @@
     }
 
     pub(super) fn record_success(&self) {
-        *self.health.lock().expect("health lock") = HealthRecord::default();
+        *state_lock::lock(&self.health) = HealthRecord::default();
     }
 
     /// Ejects the server for a while. Covers a server that is leaving or dead while the instance
     /// list still shows it as live: its rejections and broken connections eject it at once,
     /// seconds before the list changes.
     pub(super) fn record_failure(&self) {
-        let mut health = self.health.lock().expect("health lock");
+        let mut health = state_lock::lock(&self.health);
         let doubled = MIN_EJECTION * 2u32.saturating_pow(health.consecutive_failures.min(6));
         health.consecutive_failures += 1;
         health.ejected_until = Some(Instant::now() + doubled.min(MAX_EJECTION));
     }
 
     pub(super) fn is_ejected(&self) -> bool {
-        let health = self.health.lock().expect("health lock");
+        let health = state_lock::lock(&self.health);
         health.ejected_until.is_some_and(|until| Instant::now() < until)
     }
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::membership::MemberView;
 use crate::platform::PlatformClient;
 use crate::settings::DaemonSettings;
+use crate::state_lock;
 
 /// How long a graceful stop waits at most for requests in flight.
 pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -179,7 +180,7 @@
     /// Returns the admission queue of `model`. Must be called only for models that have servers,
     /// because a queue is kept until the process stops.
     pub(crate) fn queue(&self, model: &str) -> Arc<AdmissionQueue> {
-        let mut queues = self.shared.queues.lock().expect("queues lock");
+        let mut queues = state_lock::lock(&self.shared.queues);
         if let Some(queue) = queues.get(model) {
             return Arc::clone(queue);
         }
@@ -188,7 +189,7 @@
 
     /// Returns the number of requests queued for capacity, over all models.
     pub fn waiting(&self) -> usize {
-        let queues = self.shared.queues.lock().expect("queues lock");
+        let queues = state_lock::lock(&self.shared.queues);
         queues.values().map(|queue| queue.len()).sum()
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod prompt;
 pub mod settings;
 pub mod start;
+mod state_lock;
 pub mod status;
--- a/crates/router/src/membership/view.rs
+++ b/crates/router/src/membership/view.rs
@@ -11,6 +11,7 @@
 use umberglade_wire::platform::RowList;
 
 use crate::events;
+use crate::state_lock;
 
 #[derive(Debug, Default)]
 struct ViewState {
@@ -39,7 +40,7 @@
 
     /// Returns the number of daemons whose lease was live at the last read.
     pub fn live_count(&self) -> usize {
-        self.state.lock().expect("view lock").live.len()
+        state_lock::lock(&self.state).live.len()
     }
 
     /// Returns true while this daemon's own lease is live.
@@ -48,13 +49,13 @@
     /// each call measures the age on this machine's monotonic clock, starting before the renewing
     /// write was sent, so the local lease never outlasts the stored one.
     pub fn is_local_lease_live(&self) -> bool {
-        let renewed_at = self.state.lock().expect("view lock").renewed_at;
+        let renewed_at = state_lock::lock(&self.state).renewed_at;
         renewed_at.is_some_and(|at| at.elapsed() < self.lease_duration)
     }
 
     /// Records that the call started at `started_at` renewed this daemon's row.
     pub fn record_renewal(&self, started_at: Instant) {
-        self.state.lock().expect("view lock").renewed_at = Some(started_at);
+        state_lock::lock(&self.state).renewed_at = Some(started_at);
     }
 
     /// Applies a read of the members table. Logs when the set of live daemons changed.
@@ -65,7 +66,7 @@
             .filter(|row| is_live(row, list.now_ms, self.lease_duration))
             .filter_map(|row| serde_json::from_value(row.value.clone()).ok())
             .collect();
-        let mut state = self.state.lock().expect("view lock");
+        let mut state = state_lock::lock(&self.state);
         let before: BTreeSet<&DaemonId> = state.live.iter().map(|member| &member.daemon).collect();
         let after: BTreeSet<&DaemonId> = live.iter().map(|member| &member.daemon).collect();
         let joined: Vec<&&DaemonId> = after.difference(&before).collect();
--- a/crates/router/src/placement/prefix_index.rs
+++ b/crates/router/src/placement/prefix_index.rs
@@ -8,6 +8,8 @@
 use smallvec::SmallVec;
 use umberglade_wire::ids::ServerId;
 
+use crate::state_lock;
+
 /// The number of prefixes above which those not used within the retention time are evicted.
 const MAX_PREFIXES: usize = 4096;
 
@@ -23,7 +25,7 @@
 impl PrefixIndex {
     /// Returns the servers that used `prefix_hash` within `retention`.
     pub fn holders(&self, prefix_hash: u64, retention: Duration) -> SmallVec<[ServerId; 4]> {
-        let holders = self.holders.lock().expect("prefix index lock");
+        let holders = state_lock::lock(&self.holders);
         let Some(entries) = holders.get(&prefix_hash) else {
             return SmallVec::new();
         };
@@ -37,7 +39,7 @@
     /// Records that `server` uses `prefix_hash` now and removes entries older than `retention`.
     pub fn record(&self, prefix_hash: u64, server: &str, retention: Duration) {
         let now = Instant::now();
-        let mut holders = self.holders.lock().expect("prefix index lock");
+        let mut holders = state_lock::lock(&self.holders);
         let entries = holders.entry(prefix_hash).or_default();
         entries.retain(|(holder, used)| holder != server && now.duration_since(*used) < retention);
         entries.push((server.to_owned(), now));
