Router: a panic ends its own request only, with an error

Callers whose request panicked in the daemon got a closed connection and no answer; a stream whose relay panicked ended as if it were complete on the wire (no error event). Nothing but the runtime's own line was logged.

Cause: nobody caught panics; the executor keeps those of detached tasks to itself.

Now the HTTP server catches a handler's panic and answers 504 `outcome_unknown` with Retry-After (event 9002), as a server may have run the request. The relay catches its own and sends the error event of a cut answer (1015). Unwinding drops the feed, which cancels what servers hold.

Without the catch in the server it fails with IncompleteMessage; without the one in the relay "resuming a stream" has no error event.

Left: background tasks (feeds, heartbeat, leadership) still end for good.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -31,6 +31,8 @@
 pub const STREAM_SILENT: u32 = 1013;
 /// A silent stream went on before another server did.
 pub const STREAM_WENT_ON: u32 = 1014;
+/// Relaying a response panicked: its caller gets the event of a truncated response.
+pub const RELAY_PANICKED: u32 = 1015;
 /// A new preset version was applied.
 pub const PRESET_APPLIED: u32 = 2001;
 /// A preset row older than the active one was read and ignored.
--- a/crates/router/src/pipeline/event_writer.rs
+++ b/crates/router/src/pipeline/event_writer.rs
@@ -13,6 +13,12 @@
 /// The last event of every complete stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
+/// Returns the event that ends a truncated response.
+pub(crate) fn error_event(message: &str) -> Bytes {
+    let error = serde_json::json!({ "error": { "message": message, "type": "answer_cut" } });
+    Bytes::from(format!("data: {error}\n\n"))
+}
+
 /// Buffers events until they are taken and sent as one chunk.
 ///
 /// All events of one response differ only in their text, so the JSON around it is serialised only
@@ -93,8 +99,7 @@
     /// Appends an error event for a truncated response. No `[DONE]` follows, so the caller cannot
     /// mistake the response for a complete one.
     pub fn truncated(&mut self, message: &str) {
-        let error = serde_json::json!({ "error": { "message": message, "type": "answer_cut" } });
-        self.buffer.put_slice(format!("data: {error}\n\n").as_bytes());
+        self.buffer.put_slice(&error_event(message));
     }
 
     /// Returns the events appended since the last call.
--- a/crates/router/src/pipeline/relay.rs
+++ b/crates/router/src/pipeline/relay.rs
@@ -9,6 +9,7 @@
 use umberglade_wire::caller::ChatCompletion;
 use umberglade_wire::caller::ChatMessage;
 use umberglade_wire::caller::Usage;
+use umberglade_wire::panics;
 use umberglade_wire::pool;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ChunkSender;
@@ -16,6 +17,7 @@
 
 use super::AdmittedRequest;
 use super::event_writer::EventWriter;
+use super::event_writer::error_event;
 use super::response_feed::FeedStep;
 use super::response_feed::ResponseFeed;
 use crate::events;
@@ -36,13 +38,26 @@
             sender.closed().await;
             false
         };
-        if !relay_events(feed, &sender).or(disconnected).await {
+        if !relay_or_break(feed, &sender).or(disconnected).await {
             tracing::info!(event = events::CALLER_DISCONNECTED, %request_id, "caller disconnected; cancelling the request");
         }
     });
     response
 }
 
+/// Relays events like [`relay_events`]. After a panic the caller gets the event of a truncated
+/// response: the body would otherwise end as if it were complete.
+async fn relay_or_break<P: Placement>(feed: ResponseFeed<P>, sender: &ChunkSender) -> bool {
+    let request_id = feed.admitted().request_id.clone();
+    match panics::catch(relay_events(feed, sender)).await {
+        Ok(is_connected) => is_connected,
+        Err(problem) => {
+            tracing::error!(event = events::RELAY_PANICKED, %request_id, problem, "relaying a response panicked");
+            reply::send_chunk(sender, error_event("an internal error")).await
+        }
+    }
+}
+
 /// Relays events until the response ends; returns false when the caller has disconnected.
 async fn relay_events<P: Placement>(mut feed: ResponseFeed<P>, sender: &ChunkSender) -> bool {
     let mut writer = EventWriter::new(feed.admitted(), unix_seconds());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod lines;
 pub mod lingering_close;
 pub mod ordered_body;
+pub mod panics;
 pub mod plain;
 pub mod platform;
 pub mod pool;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -20,6 +20,7 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::lingering_close;
+use crate::panics;
 use crate::pool;
 use crate::reply;
 use crate::reply::ReplyBody;
@@ -30,6 +31,10 @@
 /// The time limit for receiving the complete request body, for connections that stop sending
 /// after the headers.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// The log event of a request whose handling panicked.
+pub const HANDLING_PANICKED: u32 = 9002;
+/// The `Retry-After` of a request whose handling panicked, in seconds.
+const PANIC_RETRY_AFTER_S: u64 = 1;
 /// The largest request body that any umberglade server accepts, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -71,7 +76,7 @@
         pool::spawn(async move {
             let service = service_fn(move |request| {
                 let handler = handler.clone();
-                async move { Ok::<_, std::convert::Infallible>(handler.handle(request, peer).await) }
+                async move { Ok::<_, std::convert::Infallible>(respond(&*handler, request, peer).await) }
             });
             let _ = http1::Builder::new()
                 .timer(SmolTimer::new())
@@ -83,6 +88,22 @@
     }
 }
 
+/// Returns the response of `handler`. If it panics, its caller is told that the request may have
+/// run, and the connection and all other requests go on.
+async fn respond<H: RequestHandler>(
+    handler: &H,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<ReplyBody> {
+    let handled = panics::catch(handler.handle(request, peer)).await;
+    handled.unwrap_or_else(|problem| {
+        tracing::error!(event = HANDLING_PANICKED, %peer, problem, "handling a request panicked");
+        let message = "an internal error; whether the request ran is not known";
+        let retry_after_s = Some(PANIC_RETRY_AFTER_S);
+        reply::rejection(StatusCode::GATEWAY_TIMEOUT, "outcome_unknown", message, retry_after_s)
+    })
+}
+
 /// Reads a complete request body of at most [`MAX_BODY_BYTES`] within `BODY_READ_TIMEOUT`. The
 /// error is a message for the caller.
 pub async fn read_body(body: Incoming) -> Result<Bytes, String> {
