Router: each completion that ends unanswered is logged with its reason

A caller who left before the response began, or while one in one piece was collected, left no line: hyper drops the handler, and with it any line that code would have written. A rejection after admission (1002) names no request.

Now EndLog is made with the run of a completion and writes event 1016 on drop (caller_left, rejected, cut, panicked), unless the response was complete, and counts umberglade_unanswered_total by reason.

Left: calls of plain services have no such line; a complete response in one piece whose caller leaves while it is written counts as complete.

Tests: request_panics' site and event capture moved to tests/support; it checks the reason "panicked" too.

--- a/crates/bench/tests/request_panics.rs
+++ b/crates/bench/tests/request_panics.rs
@@ -1,22 +1,12 @@
 //! Panics while a request is handled or its response relayed.
 
+mod support;
+
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
-use bytes::Bytes;
-use http::Method;
-use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use tracing::Event;
-use tracing::Metadata;
-use tracing::Subscriber;
-use tracing::field::Field;
-use tracing::field::Visit;
-use tracing::span;
 use umberglade_bench::site::LocalSite;
 use umberglade_router::control::ServerSlot;
 use umberglade_router::events;
@@ -24,15 +14,14 @@
 use umberglade_router::placement::Choice;
 use umberglade_router::placement::Placement;
 use umberglade_router::placement::PlacementRequest;
-use umberglade_standin::engine::EngineConfig;
-use umberglade_wire::client::HttpClient;
 use umberglade_wire::engine::EngineFaults;
-use umberglade_wire::engine::EngineRole;
 use umberglade_wire::pool;
 use umberglade_wire::server::HANDLING_PANICKED;
 
-/// Longer than any request of this test takes, so that a time-out indicates a hang.
-const HANG_TIMEOUT: Duration = Duration::from_secs(8);
+use support::EventLog;
+use support::HANG_TIMEOUT;
+use support::send;
+use support::start_site;
 
 /// Panics in placements of the kind that is armed.
 #[derive(Debug, Default)]
@@ -74,51 +63,6 @@
     }
 }
 
-/// The numbers of all logged events.
-#[derive(Debug, Clone, Default)]
-struct EventNumbers {
-    numbers: Arc<Mutex<Vec<u32>>>,
-}
-
-impl EventNumbers {
-    fn count(&self, number: u32) -> usize {
-        let numbers = self.numbers.lock().expect("numbers lock");
-        numbers.iter().filter(|logged| **logged == number).count()
-    }
-}
-
-impl Subscriber for EventNumbers {
-    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn new_span(&self, _span: &span::Attributes<'_>) -> span::Id {
-        span::Id::from_u64(1)
-    }
-
-    fn record(&self, _span: &span::Id, _values: &span::Record<'_>) {}
-
-    fn record_follows_from(&self, _span: &span::Id, _follows: &span::Id) {}
-
-    fn event(&self, event: &Event<'_>) {
-        event.record(&mut self.clone());
-    }
-
-    fn enter(&self, _span: &span::Id) {}
-
-    fn exit(&self, _span: &span::Id) {}
-}
-
-impl Visit for EventNumbers {
-    fn record_u64(&mut self, field: &Field, value: u64) {
-        if field.name() == "event" {
-            self.numbers.lock().expect("numbers lock").push(value as u32);
-        }
-    }
-
-    fn record_debug(&mut self, _field: &Field, _value: &dyn std::fmt::Debug) {}
-}
-
 struct PanicCase {
     name: &'static str,
     is_streamed: bool,
@@ -169,47 +113,11 @@
     },
 ];
 
-async fn start_site() -> LocalSite {
-    let mut site = LocalSite::start(Duration::ZERO).await.expect("a site");
-    let engines = [
-        ("prefill-0", EngineRole::Prefill),
-        ("decode-0", EngineRole::Decode),
-        ("decode-1", EngineRole::Decode),
-    ];
-    for (server, role) in engines {
-        let config = EngineConfig::new(server, role, "brief-model");
-        site.add_engine(config).await.expect("an engine");
-    }
-    let ordinary = include_str!("../../../presets/ordinary.toml");
-    site.seed(&[("ordinary", ordinary)], &[("glenmorrow", "key-1")]).await.expect("seeding");
-    site
-}
-
-/// Sends a request and returns its status and body.
-async fn send(daemon: &str, is_streamed: bool) -> (StatusCode, String) {
-    let body = serde_json::json!({
-        "model": "brief-model",
-        "messages": [{ "role": "user", "content": "brief" }],
-        "max_tokens": 20,
-        "stream": is_streamed,
-    });
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri("/v1/chat/completions")
-        .header("authorization", "Bearer key-1");
-    let client = HttpClient::new(daemon, HANG_TIMEOUT);
-    let body = Bytes::from(body.to_string());
-    let response = client.send_with("chat", request, body).await.expect("a response");
-    let status = response.status();
-    let body = response.into_body().collect().await.expect("a whole body").to_bytes();
-    (status, String::from_utf8(body.to_vec()).expect("a text"))
-}
-
 /// Guards against a panic that ends its request without an answer, or a stream as if it were
 /// complete, or that ends more than its own request.
 #[test]
 fn a_panic_ends_its_own_request_with_an_error() {
-    let logged = EventNumbers::default();
+    let logged = EventLog::default();
     tracing::subscriber::set_global_default(logged.clone()).expect("the first subscriber");
     pool::start(2);
     pool::block_on(async {
@@ -231,6 +139,8 @@
             assert_eq!(status, case.status, "{name}: {body}");
             assert!(body.contains(case.error) && !body.contains("[DONE]"), "{name}: {body}");
             assert_eq!(logged.count(case.event), before + 1, "{name}: not logged");
+            let ends = logged.reasons(events::REQUEST_UNANSWERED);
+            assert_eq!(ends.last().map(String::as_str), Some("panicked"), "{name}: {ends:?}");
             switches.at_first.store(false, Ordering::Release);
             switches.at_resume.store(false, Ordering::Release);
             set_cut(&site, 0);
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -33,6 +33,8 @@
 pub const STREAM_WENT_ON: u32 = 1014;
 /// Relaying a response panicked: its caller gets the event of a truncated response.
 pub const RELAY_PANICKED: u32 = 1015;
+/// An admitted completion ended without a complete response (reason).
+pub const REQUEST_UNANSWERED: u32 = 1016;
 /// A new preset version was applied.
 pub const PRESET_APPLIED: u32 = 2001;
 /// A preset row older than the active one was read and ignored.
--- a/crates/router/src/pipeline/mod.rs
+++ b/crates/router/src/pipeline/mod.rs
@@ -4,6 +4,7 @@
 mod cancel;
 mod claim;
 mod decode;
+mod end_log;
 mod event_writer;
 mod failure;
 mod plain;
--- a/crates/router/src/pipeline/response_feed.rs
+++ b/crates/router/src/pipeline/response_feed.rs
@@ -16,6 +16,7 @@
 use super::ResponseAssembler;
 use super::RunFailure;
 use super::decode::DecodeStream;
+use super::end_log::EndReason;
 use super::run::RequestRun;
 use super::silent_stream::SilenceEnd;
 use crate::events;
@@ -54,7 +55,13 @@
 impl<P: Placement> ResponseFeed<P> {
     /// Starts the response to `run` and returns once its first decode stream has started.
     pub async fn start(mut run: RequestRun<P>) -> Result<Self, RunFailure> {
-        let stream = run.start(0).await?;
+        let stream = match run.start(0).await {
+            Ok(stream) => stream,
+            Err(failure) => {
+                run.end_log.set_reason(EndReason::Rejected);
+                return Err(failure);
+            }
+        };
         let assembler = ResponseAssembler::new(run.admitted.request_id.clone());
         let stall_timer = Timer::interval(STALL_CHECK_INTERVAL);
         Ok(ResponseFeed { run, stream, assembler, stall_timer })
@@ -80,6 +87,7 @@
             };
             if let Err(message) = self.resume(message).await {
                 tracing::warn!(event = events::REQUEST_FAILED, request_id = %self.run.admitted.request_id, %message, "response truncated");
+                self.run.end_log.set_reason(EndReason::Cut);
                 return FeedStep::Truncated(message);
             }
         }
@@ -104,6 +112,7 @@
     /// Records that the complete response was delivered, so that nothing is cancelled.
     pub fn mark_completed(&mut self, tokens: u32) {
         self.run.cancel.disarm();
+        self.run.end_log.complete();
         let admitted = &self.run.admitted;
         tracing::info!(
             event = events::REQUEST_COMPLETED,
--- a/crates/router/src/pipeline/run.rs
+++ b/crates/router/src/pipeline/run.rs
@@ -14,6 +14,7 @@
 use super::RunFailure;
 use super::claim::ClaimedPair;
 use super::decode::DecodeStream;
+use super::end_log::EndLog;
 use crate::admission::AdmissionQueue;
 use crate::control::ServerSlot;
 use crate::daemon::AdmissionGuard;
@@ -30,6 +31,7 @@
     pub admitted: AdmittedRequest,
     pub cancel: CancelOnDrop,
     pub attempt: u32,
+    pub end_log: EndLog,
     deadline: Instant,
     started_at: Instant,
     /// Servers that failed or rejected this request.
@@ -46,6 +48,7 @@
         let started_at = Instant::now();
         RequestRun {
             cancel: CancelOnDrop::new(admitted.request_id.clone()),
+            end_log: EndLog::new(admitted.request_id.clone()),
             deadline: started_at + Duration::from_millis(admitted.preset.deadline_ms),
             daemon,
             admitted,
