Router: a server opened beside a silent one gets 2 s for its first line

An urgent call whose server was gone waited on and on where the other one was silent for a while before its first token: that stream was given up after the urgent limit of 0.5 s and opened anew, each time.

Cause: the same class again, in the replacement. It now has 2 s, as a sound server may be silent for a second or so.

--- a/crates/router/src/pipeline/response_feed.rs
+++ b/crates/router/src/pipeline/response_feed.rs
@@ -166,7 +166,7 @@
     }
 
     /// Returns how long a stream may be silent before another server is looked for.
-    pub(super) fn silence_limit(&self) -> Duration {
+    fn silence_limit(&self) -> Duration {
         match self.run.admitted.priority {
             Priority::Urgent => URGENT_STALL_TIMEOUT,
             Priority::Standard => STALL_TIMEOUT,
--- a/crates/router/src/pipeline/silent_stream.rs
+++ b/crates/router/src/pipeline/silent_stream.rs
@@ -143,12 +143,12 @@
         silent_since: Instant,
     ) -> Option<SilenceEnd> {
         let opened_at = Instant::now();
-        let limit = self.silence_limit();
         let kept_line = next_useful_line(&mut self.stream, &self.assembler);
         let other_line = async {
             let silent = async {
-                Timer::after(limit).await;
-                Err(format!("no line within {limit:?}"))
+                // Also for urgent calls: a sound server may be silent for longer than their limit.
+                Timer::after(STALL_TIMEOUT).await;
+                Err(format!("no line within {STALL_TIMEOUT:?}"))
             };
             next_useful_line(&mut other, &self.assembler).or(silent).await
         };
