--- a/crates/router/src/pipeline/mod.rs
+++ b/crates/router/src/pipeline/mod.rs
@@ -4,6 +4,7 @@
 mod cancel;
 mod claim;
 mod decode;
+mod end_log;
 mod event_writer;
 mod failure;
 mod plain;
@@ -12,6 +13,7 @@
 mod response_assembler;
 mod response_feed;
 mod run;
+mod silent_stream;
 
 use std::sync::Arc;
 
