Soak: a server has one address for all gateways, cut paths are each gateway's own

Cause, a fault of the soak: to cut the paths of one gateway, the store showed each gateway links of its own by rewriting the rows of servers.

Rows now name one address for all. It applies where a TCP connection to a server is opened (requests, tunnels, checks, orders), and nowhere else: rows, logs and Host name the registered address.

The checks are untouched, and as strict as before: links still hang and refuse at the kernel, and every fault of a gateway that a cut showed still shows; only connections by another gateway's link are gone. Tunnels are opened by the serving gateway's own links, so a gateway that does not use them still fails its callers.

Tests: address_map (entries, mistakes), gateway_process servers_are_reached_at_the_addresses_of_the_setting (with the setting served, without it not).

--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,10 +1,12 @@
 //! Connections to backend servers.
 
+mod address_map;
 mod connection_pool;
 mod send_error;
 mod sender;
 mod server_connection;
 
+pub use self::address_map::AddressMap;
 pub use self::connection_pool::ConnectionPool;
 pub use self::send_error::SendError;
 pub use self::sender::Connect;
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -17,6 +17,7 @@
 use super::SendError;
 use super::ServerConnection;
 use super::ServerPath;
+use super::address_map;
 use super::send_error::ConnectSnafu;
 use super::send_error::ConnectTimeoutSnafu;
 use super::send_error::HandshakeSnafu;
@@ -122,10 +123,12 @@
     ServerConnection::open(stream, ServerPath::Direct).await.context(HandshakeSnafu { peer })
 }
 
-/// Opens a TCP connection to `peer` within [`CONNECT_TIMEOUT`].
+/// Opens a TCP connection to the server that has registered `peer` within [`CONNECT_TIMEOUT`].
 pub async fn connect_tcp(peer: SocketAddr) -> Result<TcpStream, SendError> {
     let started_at = Instant::now();
-    let open = async { TcpStream::connect(peer).await.context(ConnectSnafu { peer }) };
+    let open = async {
+        TcpStream::connect(address_map::reached(peer)).await.context(ConnectSnafu { peer })
+    };
     let timed_out = async {
         smol::Timer::after(CONNECT_TIMEOUT).await;
         connect_timeout(peer, started_at)
--- a/crates/umberglade/src/cli/gateway.rs
+++ b/crates/umberglade/src/cli/gateway.rs
@@ -20,4 +20,9 @@
     /// unset, metrics are served on the ready address only [UMBERGLADE_METRICS_PORT]
     #[argh(option)]
     pub metrics_port: Option<u16>,
+    /// addresses at which this instance reaches servers by port forwarding or address translation,
+    /// as REGISTERED=REACHED,...; other servers are reached at the address that they have registered
+    /// [UMBERGLADE_SERVER_ADDRESSES]
+    #[argh(option)]
+    pub server_addresses: Option<String>,
 }
--- a/crates/umberglade/src/gateway.rs
+++ b/crates/umberglade/src/gateway.rs
@@ -13,6 +13,7 @@
 use umberglade_gateway::panics;
 use umberglade_gateway::start;
 use umberglade_gateway::state::GatewayState;
+use umberglade_gateway::upstream::AddressMap;
 use umberglade_platform::UsersPlatform;
 use umberglade_platform::node_file;
 use umberglade_wire::pool;
@@ -50,6 +51,13 @@
     let path = PathBuf::from(path);
     let mut settings = node_file::read(&path).map_err(start_error)?;
     settings.metrics = metrics_address(args.metrics_port, &settings)?;
+    let server_addresses: AddressMap = setting::resolve_parsed(
+        "server-addresses",
+        "UMBERGLADE_SERVER_ADDRESSES",
+        args.server_addresses,
+        "",
+    )?;
+    server_addresses.install();
     pool::start(threads);
     pool::block_on(serve(path, settings))
 }
--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -5,6 +5,7 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
@@ -48,11 +49,17 @@
 impl Gateway {
     /// Starts a gateway that writes at most `log_lines` a second, and waits until it serves.
     fn start(name: &str, store: &str, log_lines: &str) -> Gateway {
+        Gateway::start_with(name, store, log_lines, "")
+    }
+
+    /// Like [`Gateway::start`], where servers are reached at `server_addresses`.
+    fn start_with(name: &str, store: &str, log_lines: &str, server_addresses: &str) -> Gateway {
         let file = format!("umberglade-node-{}-{name}.yaml", std::process::id());
         let node_file = std::env::temp_dir().join(file);
         std::fs::write(&node_file, settings_text(store)).expect("writing the settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_umberglade"))
             .args(["gateway", "--log-lines", log_lines, "--metrics-port", "0"])
+            .args(["--server-addresses", server_addresses])
             .env("UMBERGLADE_NODE_FILE", &node_file)
             .stdout(Stdio::piped())
             .spawn()
@@ -139,6 +146,44 @@
     receiver.recv_timeout(HANG_TIMEOUT).expect("a started site")
 }
 
+/// Starts a site whose servers have registered addresses at which nothing listens. Returns its
+/// store's address and the setting of those at which they are reached.
+fn start_forwarded_site() -> (String, String) {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        pool::block_on(async move {
+            let mut site = Site::start().await;
+            let mut entries = Vec::new();
+            for at in 0..site.servers.len() {
+                let unused = TcpListener::bind("127.0.0.1:0").expect("a free port");
+                let registered = unused.local_addr().expect("a bound address");
+                let (server, reached) = &mut site.servers[at];
+                entries.push(format!("{registered}={reached}"));
+                *reached = registered;
+                let id = server.id.clone();
+                site.register(&id, "ready");
+            }
+            let store = site.store_address.to_string();
+            sender.send((store, entries.join(","))).expect("a waiting test");
+            std::future::pending::<()>().await;
+        });
+    });
+    receiver.recv_timeout(HANG_TIMEOUT).expect("a started site")
+}
+
+/// Prevents requests from going to the registered addresses of servers that this instance reaches at
+/// others.
+#[test]
+fn servers_are_reached_at_the_addresses_of_the_setting() {
+    let (store, server_addresses) = start_forwarded_site();
+    let gateway = Gateway::start_with("forwarded", &store, "400", &server_addresses);
+    for path in ["/safe/x", "/stream/x"] {
+        assert_eq!(gateway.call(&agent(), path, &format!("to{path}")), 200, "{path}");
+    }
+    let direct = Gateway::start("not-forwarded", &store, "400");
+    assert_ne!(direct.call(&agent(), "/safe/x", "direct"), 200);
+}
+
 /// The reader of the log stops reading and the pipe fills up. Requests must still get responses:
 /// lines are dropped instead, and the log reports this once it is read again.
 #[test]
