Versions: a process is asked when it started once for each new connection

Cause: while all rows of a service state one version, `answering_version` took a server's row for true unless one of its connections had been seen to break.

All responses on a connection come from the process that accepted it. So a row is true for a connection if the process was known to be the row's at any time since the connection opened; connections now keep when they opened, and `SentVersion::confirm` asks the server when it started unless that is known already (by the table read 2.5 s later, or by another such question). If another process answers, the stream's version is unknown; if nobody answers in 100 ms, the row is taken as before while it is the only version, so that a silent server costs no stream. While there are several versions nothing changes. Servers whose ids are never used again are not asked. The cost is one question for a new connection to a server that states its start time.

--- a/crates/gateway/src/cluster/fleet_versions.rs
+++ b/crates/gateway/src/cluster/fleet_versions.rs
@@ -95,6 +95,23 @@
         (is_current && is_certain).then_some(server_state.software)
     }
 
+    /// Returns true if the process that answers for `incarnation` of the server `key` on a connection
+    /// opened at `opened_at` is known to be that incarnation: it was since then.
+    ///
+    /// Prevents the first streams of a server that starts again under its id, while all rows state one
+    /// version, from counting as those of the version before.
+    pub fn is_connection_confirmed(
+        &self,
+        key: &str,
+        incarnation: ServerIncarnation,
+        opened_at: Instant,
+    ) -> bool {
+        self.servers.get(key).is_some_and(|server_state| {
+            let is_current = server_state.incarnation == incarnation;
+            is_current && self.is_version_certain_since(server_state, opened_at)
+        })
+    }
+
     fn is_version_certain_since(&self, server_state: &ServerState, since: Instant) -> bool {
         let is_since = |at: Instant| at >= since;
         server_state.entry.started_at.is_none()
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -98,6 +98,7 @@
         Ok(body) => body.to_bytes(),
         Err((failure, problem)) => return Err(fail(failure, &problem).await),
     };
+    let opened_at = opened.connection.opened_at;
     if !opened.head.closes {
         state.pool.put(&target, opened.connection, opened.head.keep_alive, Instant::now());
     }
@@ -126,7 +127,7 @@
     let source = CacheSource { server: target.address, handle: result.handle };
     let cache_version = software.unwrap_or_default();
     let cache = CacheGuard::new(state, target.clone(), source, cache_version, call.id());
-    let answering = sent_version.confirm::<C>(state, &target).await;
+    let answering = sent_version.confirm::<C>(state, &target, opened_at).await;
     if software.is_none() || answering != software {
         // Dropping the guard releases the cache.
         return Err(AttemptFailure::Misdirected);
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -138,7 +138,7 @@
         return fail(AttemptFailure::Broken, "ended before its first event").await;
     }
     let first_event_at = Instant::now();
-    let software = sent_version.confirm::<C>(state, target).await;
+    let software = sent_version.confirm::<C>(state, target, connection.opened_at).await;
     if pinned.is_some() && software != pinned {
         return fail(AttemptFailure::Garbled, "the server may have another version").await;
     }
--- a/crates/gateway/src/origins/restart_check.rs
+++ b/crates/gateway/src/origins/restart_check.rs
@@ -27,7 +27,9 @@
 pub async fn run_restart_checks<C: PlatformCodec>(state: Arc<GatewayState>) {
     while let Ok(target) = state.origins.next_doubted().await {
         let state = Arc::clone(&state);
-        pool::spawn(async move { check_server::<C>(&state, &target).await });
+        pool::spawn(async move {
+            check_server::<C>(&state, &target).await;
+        });
     }
 }
 
@@ -45,24 +47,32 @@
         SentVersion { row_version, sent_at: Instant::now() }
     }
 
-    /// Returns the version of the process that has answered for `target`, asking it if need be;
-    /// `None` if it does not tell in time or has been started again.
+    /// Returns the version of the process that has answered for `target` on a connection opened at
+    /// `opened_at`, asking it if need be; `None` if it has been started again or may have been.
     ///
     /// A server whose id is never used again has the version of its row, also if that is gone since.
     pub async fn confirm<C: PlatformCodec>(
         self,
         state: &Arc<GatewayState>,
         target: &SendTarget,
+        opened_at: Instant,
     ) -> Option<SoftwareDigest> {
         let row_version = self.row_version?;
         if !row_version.may_restart {
             return Some(row_version.software);
         }
-        if let Some(software) = self.answering_version(state, target) {
-            return Some(software);
+        let is_confirmed =
+            state.fleet().is_connection_confirmed(&target.server, target.incarnation, opened_at);
+        let answering = self.answering_version(state, target);
+        if is_confirmed && answering.is_some() {
+            return answering;
+        }
+        let checked = check_server::<C>(state, target);
+        let checked = with_deadline(Instant::now() + ASK_TIMEOUT, checked).await;
+        match checked {
+            Some(CheckedProcess::Another) => None,
+            _ => self.answering_version(state, target),
         }
-        with_deadline(Instant::now() + ASK_TIMEOUT, check_server::<C>(state, target)).await;
-        self.answering_version(state, target)
     }
 
     fn answering_version(
@@ -75,23 +85,35 @@
     }
 }
 
-async fn check_server<C: PlatformCodec>(state: &Arc<GatewayState>, target: &SendTarget) {
+/// Which process answers for an incarnation of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CheckedProcess {
+    /// The one that the row describes.
+    Same,
+    Another,
+    Unknown,
+}
+
+async fn check_server<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    target: &SendTarget,
+) -> CheckedProcess {
     // A connection from before the break may lead to the process before.
     let target = SendTarget { may_reuse: false, ..target.clone() };
     let asked_at = Instant::now();
     let connector = PathConnector::for_check(state, asked_at + ASK_TIMEOUT);
     // Boxed: the future is large, and every stream that opens contains it.
     let report = Box::pin(fetch_report::<C>(state, &connector, &target)).await;
-    let outcome = match &report {
+    let (checked, outcome) = match &report {
         Ok((report, _)) if is_same_incarnation(&target, report) => {
             state.fleet().confirm_version(&target.server, target.incarnation, asked_at);
-            "not started again".to_owned()
+            (CheckedProcess::Same, "not started again".to_owned())
         }
         Ok(_) => {
             state.fleet().record_restarted(&target.server, target.incarnation, asked_at);
-            "started again".to_owned()
+            (CheckedProcess::Another, "started again".to_owned())
         }
-        Err(error) => error.to_string(),
+        Err(error) => (CheckedProcess::Unknown, error.to_string()),
     };
     tracing::info!(
         event = events::RESTART_CHECKED,
@@ -100,4 +122,5 @@
         outcome,
         "server asked when it started"
     );
+    checked
 }
--- a/crates/gateway/src/upstream/server_connection.rs
+++ b/crates/gateway/src/upstream/server_connection.rs
@@ -1,5 +1,7 @@
 //! An HTTP connection to a server, its own or through another gateway.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
@@ -26,6 +28,8 @@
 pub struct ServerConnection {
     sender: SendRequest<Full<Bytes>>,
     pub path: ServerPath,
+    /// All responses on the connection come from the process that had this address then.
+    pub opened_at: Instant,
 }
 
 impl ServerConnection {
@@ -39,7 +43,7 @@
             // The error also reaches the sender, which waits for the response.
             let _ = connection.await;
         });
-        Ok(ServerConnection { sender, path })
+        Ok(ServerConnection { sender, path, opened_at: Instant::now() })
     }
 
     /// Sends `request`. On failure the error contains it if nothing of it was written.
--- a/crates/gateway/tests/service_versions.rs
+++ b/crates/gateway/tests/service_versions.rs
@@ -336,5 +336,10 @@
         assert_eq!(version.is_some(), !case.states_start, "{}", case.name);
         fleet.confirm_version("d", incarnation, at(9_950));
         assert!(fleet.answering_version("d", incarnation, sent_at, now).is_some());
+        // A connection that was opened after that may lead to its successor.
+        let is_confirmed = |millis| fleet.is_connection_confirmed("d", incarnation, at(millis));
+        assert!(is_confirmed(9_950), "{}", case.name);
+        assert_eq!(is_confirmed(9_960), !case.states_start, "{}", case.name);
+        assert!(!fleet.is_connection_confirmed("d", incarnation + 1, at(9_950)));
     }
 }
