A silence that ends after a response begins with it

Cause: a silence was recorded when its attempt timed out, up to 350 ms after the pause was over and the server had responded to others. That began a new period of silence. Where the other server got all calls meanwhile, nothing ended it, and the next pause, less than 2 s later, was taken as part of it: 2 s of silence.

Mend: an attempt is recorded with the time since which it waited. If the server has responded since, its silence begins no period and ejects nothing. Preference for the server falls as before. Callers of Silent: the head of an exchange and connections (from the send), replaced streams (from their last event); bodies and first events, whose own head came later, count as before.

Result: test a_silence_that_ends_after_a_response_begins_with_it fails with the guard taken out.

--- a/crates/gateway/src/cluster/fleet.rs
+++ b/crates/gateway/src/cluster/fleet.rs
@@ -397,13 +397,25 @@
         }
     }
 
-    /// Records how an attempt at an incarnation of a server ended.
+    /// Records how an attempt at an incarnation of a server ended, as if it had begun at once.
     pub fn record_outcome(
         &mut self,
         key: &str,
         incarnation: ServerIncarnation,
         outcome: ServerOutcome,
         now: Instant,
+    ) {
+        self.record_outcome_since(key, incarnation, outcome, now, now);
+    }
+
+    /// Like [`Self::record_outcome`], for an attempt that has waited since `waited_since`.
+    pub fn record_outcome_since(
+        &mut self,
+        key: &str,
+        incarnation: ServerIncarnation,
+        outcome: ServerOutcome,
+        waited_since: Instant,
+        now: Instant,
     ) {
         let Some(server_state) = self.current_server_mut(key, incarnation) else { return };
         // Prevents prompts and streams from all going to a server that has been replaced at its
@@ -412,7 +424,7 @@
         if outcome == ServerOutcome::Misdirected {
             server_state.outdated_until = Some(now + OUTDATED_TIMEOUT);
         }
-        server_state.health.record(outcome, now);
+        server_state.health.record_since(outcome, waited_since, now);
         // A silence may hide that the server has been started again.
         let may_be_restarted = matches!(
             outcome,
@@ -435,9 +447,9 @@
     }
 
     /// Records that an incarnation of a server has sent something: what came before was a pause.
-    pub fn record_response(&mut self, key: &str, incarnation: ServerIncarnation) {
+    pub fn record_response(&mut self, key: &str, incarnation: ServerIncarnation, now: Instant) {
         if let Some(server_state) = self.current_server_mut(key, incarnation) {
-            server_state.health.record_response();
+            server_state.health.record_response(now);
         }
     }
 
--- a/crates/gateway/src/cluster/server_health.rs
+++ b/crates/gateway/src/cluster/server_health.rs
@@ -62,19 +62,31 @@
     probe_until: Option<Instant>,
     /// `None` once the server has sent anything since.
     silent_period: Option<SilentPeriod>,
+    responded_at: Option<Instant>,
     suspect_until: Option<Instant>,
 }
 
 impl ServerHealth {
-    /// Records how an attempt ended.
+    /// Records how an attempt ended, as if it had begun at once.
     pub fn record(&mut self, outcome: ServerOutcome, now: Instant) {
+        self.record_since(outcome, now, now);
+    }
+
+    /// Records how an attempt ended that has waited for the server since `waited_since`.
+    ///
+    /// If the server has responded to another one since, a silence is only the end of an earlier
+    /// one, and begins none. Prevents an attempt that times out just after a pause from making the
+    /// next pause count as part of it.
+    pub fn record_since(&mut self, outcome: ServerOutcome, waited_since: Instant, now: Instant) {
+        let has_responded = self.responded_at.is_some_and(|at| at > waited_since);
         match outcome {
+            ServerOutcome::Silent if has_responded => {}
             ServerOutcome::Silent => self.extend_silence(now),
             ServerOutcome::Failed | ServerOutcome::Unreachable => {}
             ServerOutcome::Fine
             | ServerOutcome::Refused
             | ServerOutcome::Misdirected
-            | ServerOutcome::Erred => self.record_response(),
+            | ServerOutcome::Erred => self.record_response(now),
         }
         let sample = match outcome {
             ServerOutcome::Fine => 0.0,
@@ -95,7 +107,9 @@
             ServerOutcome::Unreachable => self.eject(now),
             ServerOutcome::Failed if self.consecutive_failures > 0 => self.eject(now),
             ServerOutcome::Failed => self.consecutive_failures = 1,
-            ServerOutcome::Silent if self.is_silence_conclusive(now) => self.eject(now),
+            ServerOutcome::Silent if !has_responded && self.is_silence_conclusive(now) => {
+                self.eject(now);
+            }
             ServerOutcome::Silent
             | ServerOutcome::Refused
             | ServerOutcome::Misdirected
@@ -104,8 +118,9 @@
     }
 
     /// Records that the server has sent something.
-    pub fn record_response(&mut self) {
+    pub fn record_response(&mut self, now: Instant) {
         self.silent_period = None;
+        self.responded_at = Some(now);
     }
 
     /// Records a silence: part of the one before unless that is long ago, as the server may have
--- a/crates/gateway/src/forward/attempt_log.rs
+++ b/crates/gateway/src/forward/attempt_log.rs
@@ -1,5 +1,7 @@
 //! Records and logs attempts that failed.
 
+use std::time::Instant;
+
 use super::Call;
 use super::exchange::AttemptFailure;
 use crate::cluster::ServerOutcome;
@@ -9,7 +11,8 @@
 use crate::upstream::SendTarget;
 
 /// Counts and logs a failed attempt, and records its outcome for the server's health unless only the
-/// path of this gateway to the server may be broken.
+/// path of this gateway to the server may be broken. The attempt has waited for the server since
+/// `waited_since`.
 pub fn record_attempt(
     state: &GatewayState,
     call: &Call,
@@ -17,11 +20,12 @@
     failure: AttemptFailure,
     outcome: ServerOutcome,
     problem: &str,
+    waited_since: Instant,
 ) {
     let is_path_broken = state.fleet().paths.is_broken(target.incarnation);
     let may_be_path = failure == AttemptFailure::Broken || outcome == ServerOutcome::Silent;
     if !(is_path_broken && may_be_path) {
-        state.record_outcome(target, outcome);
+        state.record_outcome_since(target, outcome, waited_since);
     }
     let kind = failure.to_string();
     metrics::counter!("umberglade_send_failures_total", "failure" => kind).increment(1);
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -175,11 +175,10 @@
                 permit.settle();
             }
             let problem = error.to_string();
-            if error.is_connect_timeout() {
-                // A server that is only slow to accept a connection is neither down nor
-                // unreachable.
+            // A server that is only slow to accept a connection is neither down nor unreachable.
+            if error.is_connect_timeout() || failure == AttemptFailure::Silent {
                 let outcome = ServerOutcome::Silent;
-                record_attempt(state, call, target, failure, outcome, &problem);
+                record_attempt(state, call, target, failure, outcome, &problem, sent_at);
                 return Err(failure);
             }
             return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
@@ -253,7 +252,8 @@
     problem: &str,
     run: BrokenRun,
 ) -> AttemptFailure {
-    record_attempt(state, call, target, failure, failure.outcome(), problem);
+    let now = Instant::now();
+    record_attempt(state, call, target, failure, failure.outcome(), problem, now);
     match failure {
         AttemptFailure::Broken => record_break(state, call, target, run).await,
         AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
--- a/crates/gateway/src/forward/silence_log.rs
+++ b/crates/gateway/src/forward/silence_log.rs
@@ -1,6 +1,7 @@
 //! Log lines and counts of streams whose servers send nothing for a while.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use super::Call;
 use super::attempt_log::record_attempt;
@@ -49,5 +50,7 @@
 ) {
     let problem = format!("no event for {} ms", silence.as_millis());
     let failure = AttemptFailure::Silent;
-    record_attempt(state, call, target, failure, failure.outcome(), &problem);
+    let now = Instant::now();
+    let silent_since = now.checked_sub(silence).unwrap_or(now);
+    record_attempt(state, call, target, failure, failure.outcome(), &problem, silent_since);
 }
--- a/crates/gateway/src/forward/silent_stream.rs
+++ b/crates/gateway/src/forward/silent_stream.rs
@@ -97,7 +97,7 @@
     };
     // The other servers may go on with the stream when this one fails later.
     attempts.tried.truncate(tried_before);
-    state.fleet().record_response(&server, stream.target.incarnation);
+    state.fleet().record_response(&server, stream.target.incarnation, Instant::now());
     let silence = last_event_at.elapsed();
     silence_log::log_recovery(call, &server, relayed, silence, attempts.count());
     SilenceEnd::WentOn(read)
--- a/crates/gateway/src/forward/stream_opener.rs
+++ b/crates/gateway/src/forward/stream_opener.rs
@@ -270,7 +270,8 @@
         let problem = format!("first event {id:?}, {:?}", self.start);
         let failure = AttemptFailure::Garbled;
         let (state, call) = (self.state, self.call);
-        record_attempt(state, call, &stream.target, failure, failure.outcome(), &problem);
+        let (outcome, now) = (failure.outcome(), Instant::now());
+        record_attempt(state, call, &stream.target, failure, outcome, &problem, now);
     }
 
     fn log_stall<F: Future>(&self, in_progress: &AttemptSet<F>) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -208,12 +208,22 @@
 
     /// Records the outcome of an attempt, and logs if the server is ejected as a result.
     pub fn record_outcome(&self, target: &SendTarget, outcome: ServerOutcome) {
+        self.record_outcome_since(target, outcome, Instant::now());
+    }
+
+    /// Like [`Self::record_outcome`], for an attempt that has waited since `waited_since`.
+    pub fn record_outcome_since(
+        &self,
+        target: &SendTarget,
+        outcome: ServerOutcome,
+        waited_since: Instant,
+    ) {
         let now = Instant::now();
         let server = &*target.server;
         let mut fleet = self.fleet();
         let was_ejected =
             fleet.server(server).is_some_and(|server_state| server_state.health.is_ejected(now));
-        fleet.record_outcome(server, target.incarnation, outcome, now);
+        fleet.record_outcome_since(server, target.incarnation, outcome, waited_since, now);
         let Some(server_state) = fleet.server(server) else { return };
         let is_engine = server_state.entry.stage != ServerStage::Plain;
         if is_engine && !fleet.is_version_certain(server_state, now) {
@@ -392,7 +402,7 @@
 
     /// Records that `target` responds to a request that was sent at `sent_at`.
     pub fn record_response(&self, target: &SendTarget, sent_at: Instant) {
-        self.fleet().record_response(&target.server, target.incarnation);
+        self.fleet().record_response(&target.server, target.incarnation, Instant::now());
         if self.quarantines.record_response(target, sent_at) {
             self.tell_cleared_quarantine();
         }
--- a/crates/gateway/tests/server_health.rs
+++ b/crates/gateway/tests/server_health.rs
@@ -95,6 +95,34 @@
     }
 }
 
+struct LateSilenceCase {
+    name: &'static str,
+    /// When the attempt that ends 250 ms after the pause began, in milliseconds.
+    waited_since_ms: u64,
+    is_ejected: bool,
+}
+
+const LATE_SILENCE_CASES: [LateSilenceCase; 2] = [
+    LateSilenceCase { name: "begun in the pause", waited_since_ms: 1300, is_ejected: false },
+    LateSilenceCase { name: "begun after the response", waited_since_ms: 1450, is_ejected: true },
+];
+
+/// Prevents a connection that times out just after a pause from joining it to the next one.
+#[test]
+fn a_silence_that_ends_after_a_response_begins_with_it() {
+    for case in &LATE_SILENCE_CASES {
+        let start = Instant::now();
+        let at = |millis| start + Duration::from_millis(millis);
+        let mut health = ServerHealth::default();
+        health.record(Silent, at(250));
+        health.record(Fine, at(1400));
+        health.record_since(Silent, at(case.waited_since_ms), at(1650));
+        health.record(Silent, at(3400));
+        health.record(Silent, at(3700));
+        assert_eq!(health.is_ejected(at(3700)), case.is_ejected, "{}", case.name);
+    }
+}
+
 /// Prevents a pause from leaving a server as preferred as those that respond.
 #[test]
 fn a_silence_lowers_the_preference_for_a_server() {
