A server counts as unreachable only if a path shows that it refuses

Cause: of several paths tried, the first error in time counted. A peer that was busy or gone fails at once, before the direct connection times out, and its error counts as unreachable. A peer's own timeout was told as Unreachable, too.

Mend: a refusal by the server outweighs all, then a connection that did not open in time, then the first error. A peer tells in its answer what its attempt showed (ConnectSign). Builds: the sign follows the reply in the same frame; postcard ignores trailing bytes, so the build before reads its reply as ever, and an answer without a sign is read as "unknown", which is no refusal.

--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -10,5 +10,6 @@
 pub use self::path_check::request_check;
 pub use self::path_check::watch_silence;
 pub use self::path_connector::PathConnector;
+pub use self::path_connector::most_telling;
 pub use self::path_recheck::recheck_broken_paths;
 pub use self::staggered_race::race_staggered;
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -81,7 +81,8 @@
         let options = self.path_options(target);
         let attempts =
             options.into_iter().map(|option| self.open(target, option, &is_direct_refused));
-        let connection = race_staggered(attempts, PATH_STAGGER).await.expect("a direct path")?;
+        let raced = race_staggered(attempts, PATH_STAGGER).await;
+        let connection = raced.map_err(|errors| most_telling(errors).expect("a direct path"))?;
         match connection.path {
             ServerPath::Direct => record_open(self.state, target),
             ServerPath::Tunnel if is_direct_refused.load(Ordering::Relaxed) => {
@@ -93,12 +94,24 @@
     }
 }
 
+/// Returns the one of `errors` that tells most of the server: that it refuses connections, else that
+/// it opened none in time, else the first.
+///
+/// Prevents a server that is silent for a second from counting as unreachable because another
+/// gateway had no room for a tunnel.
+pub fn most_telling(errors: Vec<SendError>) -> Option<SendError> {
+    let refusal = errors.iter().position(SendError::is_refusal);
+    let silence = || errors.iter().position(SendError::is_connect_timeout);
+    let index = refusal.or_else(silence).unwrap_or(0);
+    errors.into_iter().nth(index)
+}
+
 /// Returns true if another gateway reaches `target`.
 pub(super) async fn opens_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
     let connector = PathConnector::for_check(state, Instant::now());
     let peers = state.fleet().tunnel_peers(target.incarnation, MAX_TUNNEL_PEERS, Instant::now());
     let attempts = peers.into_iter().map(|peer| connector.open_tunnel(target, peer));
-    race_staggered(attempts, PATH_STAGGER).await.is_some_and(|opened| opened.is_ok())
+    race_staggered(attempts, PATH_STAGGER).await.is_ok()
 }
 
 impl<'a> PathConnector<'a> {
--- a/crates/gateway/src/paths/staggered_race.rs
+++ b/crates/gateway/src/paths/staggered_race.rs
@@ -10,24 +10,24 @@
 use smallvec::SmallVec;
 
 /// Runs `alternatives` until one succeeds, and returns its output: the first one at once, each
-/// further one `stagger` after the one before, or as soon as all that run have failed. Returns the
-/// error of the first alternative if all fail; `None` if there are none.
+/// further one `stagger` after the one before, or as soon as all that run have failed. Returns all
+/// errors, in the order in which they came, if none succeeds.
 ///
 /// Like the connection attempts of "Happy Eyeballs" (RFC 8305).
 pub async fn race_staggered<F, T, E>(
     alternatives: impl IntoIterator<Item = F>,
     stagger: Duration,
-) -> Option<Result<T, E>>
+) -> Result<T, Vec<E>>
 where
     F: Future<Output = Result<T, E>>,
 {
     let mut waiting = alternatives.into_iter();
     let mut running: SmallVec<[Pin<Box<F>>; 3]> = SmallVec::new();
-    let mut first_error = None;
+    let mut errors = Vec::new();
     loop {
         match waiting.next() {
             Some(next) => running.push(Box::pin(next)),
-            None if running.is_empty() => return first_error.map(Err),
+            None if running.is_empty() => return Err(errors),
             None => {}
         }
         let has_more = waiting.size_hint().1 != Some(0);
@@ -41,10 +41,8 @@
         };
         let finished = async { Some(poll_fn(|context| poll_any(&mut running, context)).await) };
         match finished.or(next_due).await {
-            Some(Ok(output)) => return Some(Ok(output)),
-            Some(Err(error)) => {
-                first_error.get_or_insert(error);
-            }
+            Some(Ok(output)) => return Ok(output),
+            Some(Err(error)) => errors.push(error),
             None => {}
         }
     }
--- a/crates/gateway/src/tunnel/messages.rs
+++ b/crates/gateway/src/tunnel/messages.rs
@@ -1,8 +1,12 @@
 //! Messages with which a gateway asks a peer for a tunnel, over TCP.
 
+use std::io;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::framing::decode;
+use crate::framing::invalid;
 use crate::model::ServerIncarnation;
 use crate::model::ServerKey;
 
@@ -36,6 +40,27 @@
     Busy,
 }
 
+/// What the peer's attempt to connect showed of the server. Follows the [`TunnelReply`] in its
+/// message; gateways of the previous build ignore it and send none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum ConnectSign {
+    /// Nothing.
+    Unknown,
+    /// The server did not open a connection in time.
+    Silent,
+    /// The server refused the connection.
+    Refused,
+}
+
+/// Decodes the answer to a [`TunnelRequest`].
+pub fn decode_answer(magic: [u8; 4], body: &[u8]) -> io::Result<(TunnelReply, ConnectSign)> {
+    if magic != MAGIC {
+        return Err(invalid("not a message of this build"));
+    }
+    decode(body).or_else(|_| Ok((decode(body)?, ConnectSign::Unknown)))
+}
+
 /// Size of the length that precedes each chunk of the server's bytes, in bytes. A chunk without
 /// bytes shows that the server has closed the connection properly; a connection that ends without
 /// one was broken somewhere.
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -11,9 +11,11 @@
 mod serve;
 mod stream;
 
+pub use self::messages::ConnectSign;
 pub use self::messages::MAGIC;
 pub use self::messages::TunnelReply;
 pub use self::messages::TunnelRequest;
+pub use self::messages::decode_answer;
 pub use self::open::TunnelError;
 pub use self::open::open_tunnel;
 pub use self::serve::TunnelSlots;
--- a/crates/gateway/src/tunnel/open.rs
+++ b/crates/gateway/src/tunnel/open.rs
@@ -7,11 +7,13 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use super::ConnectSign;
 use super::TunnelReply;
 use super::TunnelRequest;
 use super::TunnelStream;
 use super::messages::MAGIC;
-use crate::framing::read_message;
+use super::messages::decode_answer;
+use crate::framing::read_frame;
 use crate::framing::write_message;
 
 /// Why a peer opened no tunnel. Nothing was sent to the server.
@@ -21,8 +23,8 @@
     Peer { step: &'static str, peer: SocketAddr, source: io::Error },
     #[snafu(display("no tunnel from gateway {peer} in time"))]
     Timeout { peer: SocketAddr },
-    #[snafu(display("gateway {peer} opened no tunnel: {reply}"))]
-    Rejected { peer: SocketAddr, reply: TunnelReply },
+    #[snafu(display("gateway {peer} opened no tunnel: {reply} ({sign})"))]
+    Rejected { peer: SocketAddr, reply: TunnelReply, sign: ConnectSign },
 }
 
 impl TunnelError {
@@ -36,6 +38,19 @@
             }
         )
     }
+
+    /// Returns true if no connection opened in time.
+    pub fn is_timeout(&self) -> bool {
+        matches!(
+            self,
+            TunnelError::Timeout { .. } | TunnelError::Rejected { sign: ConnectSign::Silent, .. }
+        )
+    }
+
+    /// Returns true if the server refused the peer's connection.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, TunnelError::Rejected { sign: ConnectSign::Refused, .. })
+    }
 }
 
 /// Opens a tunnel at the gateway `peer`.
@@ -50,11 +65,11 @@
     write_message(&mut stream, MAGIC, request)
         .await
         .context(PeerSnafu { step: "asking for a tunnel", peer })?;
-    let reply: TunnelReply = read_message(&mut stream, MAGIC)
-        .await
-        .context(PeerSnafu { step: "awaiting a tunnel", peer })?;
-    match reply {
-        TunnelReply::Open => Ok(TunnelStream::new(stream)),
-        reply => RejectedSnafu { peer, reply }.fail(),
+    let (magic, body) =
+        read_frame(&mut stream).await.context(PeerSnafu { step: "awaiting a tunnel", peer })?;
+    let answer = decode_answer(magic, &body);
+    match answer.context(PeerSnafu { step: "reading the answer", peer })? {
+        (TunnelReply::Open, _) => Ok(TunnelStream::new(stream)),
+        (reply, sign) => RejectedSnafu { peer, reply, sign }.fail(),
     }
 }
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -14,6 +14,7 @@
 use smol::net::TcpStream;
 use strum::Display;
 
+use super::ConnectSign;
 use super::TunnelReply;
 use super::TunnelRequest;
 use super::messages::CHUNK_HEAD_BYTES;
@@ -86,13 +87,14 @@
     // A graceful stop waits for the request that the tunnel carries.
     let _in_flight = state.in_flight.enter_request();
     let server_stream = match slot {
-        None => Err(TunnelReply::Busy),
+        None => Err((TunnelReply::Busy, ConnectSign::Unknown)),
         Some(_) => connect_server(state, &request).await,
     };
-    let reply = server_stream.as_ref().err().copied().unwrap_or(TunnelReply::Open);
-    log_opened(&request, reply, started_at);
+    let opened = (TunnelReply::Open, ConnectSign::Unknown);
+    let answer = server_stream.as_ref().err().copied().unwrap_or(opened);
+    log_opened(&request, answer, started_at);
     let _ = stream.set_nodelay(true);
-    write_message(&mut stream, MAGIC, &reply).await?;
+    write_message(&mut stream, MAGIC, &answer).await?;
     let Ok(server_stream) = server_stream else { return stream.close().await };
     metrics::counter!("umberglade_tunnels_served_total").increment(1);
     let lifetime = Duration::from_millis(request.lifetime_ms).min(MAX_LIFETIME);
@@ -116,9 +118,14 @@
 async fn connect_server(
     state: &GatewayState,
     request: &TunnelRequest,
-) -> Result<TcpStream, TunnelReply> {
-    let address = server_address(state, request).ok_or(TunnelReply::Unavailable)?;
-    connect_tcp(address).await.map_err(|_| TunnelReply::Unreachable)
+) -> Result<TcpStream, (TunnelReply, ConnectSign)> {
+    let unavailable = (TunnelReply::Unavailable, ConnectSign::Unknown);
+    let address = server_address(state, request).ok_or(unavailable)?;
+    connect_tcp(address).await.map_err(|error| {
+        let is_timeout = error.is_connect_timeout();
+        let sign = if is_timeout { ConnectSign::Silent } else { ConnectSign::Refused };
+        (TunnelReply::Unreachable, sign)
+    })
 }
 
 /// Returns the address of the server of `request`, unless it is unknown here or gets no new work.
@@ -164,13 +171,18 @@
     }
 }
 
-fn log_opened(request: &TunnelRequest, reply: TunnelReply, started_at: Instant) {
+fn log_opened(
+    request: &TunnelRequest,
+    (reply, sign): (TunnelReply, ConnectSign),
+    started_at: Instant,
+) {
     tracing::info!(
         event = events::TUNNEL_SERVED,
         request_id = request.request_id,
         gateway = request.gateway,
         server = %request.server,
         outcome = %reply,
+        %sign,
         elapsed_ms = started_at.elapsed().as_millis() as u64,
         "tunnel requested by another gateway"
     );
--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -42,8 +42,19 @@
 
     /// Returns true when no connection opened in time, while none was refused.
     pub fn is_connect_timeout(&self) -> bool {
-        let is_tunnel_timeout =
-            matches!(self, SendError::Tunnel { source: TunnelError::Timeout { .. }, .. });
-        is_tunnel_timeout || matches!(self, SendError::ConnectTimeout { .. })
+        match self {
+            SendError::ConnectTimeout { .. } => true,
+            SendError::Tunnel { source, .. } => source.is_timeout(),
+            _ => false,
+        }
+    }
+
+    /// Returns true when the attempt shows that the server refuses connections.
+    pub fn is_refusal(&self) -> bool {
+        match self {
+            SendError::Connect { .. } => true,
+            SendError::Tunnel { source, .. } => source.is_refusal(),
+            _ => false,
+        }
     }
 }
