Plain calls look for a second server only once a connection has not opened in time

Each plain attempt was placed a second time, on the hot path and growing with the fleet, to learn how long it may try to connect. PathConnector now gets a function, evaluated once, after the first connection that does not open in time. The servers tried are those known when the attempt was sent, as before; the fleet is looked at later than before. exchange and exchange_patiently are one function.

The time saved was not measured.

--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -15,6 +15,7 @@
 use crate::events;
 use crate::model::CacheSource;
 use crate::model::SoftwareDigest;
+use crate::paths::NO_PATIENCE;
 use crate::paths::PathConnector;
 use crate::state::GatewayState;
 use crate::upstream;
@@ -115,7 +116,7 @@
         .body(Full::new(Bytes::new()))
         .expect("a request built from a valid path");
     let deadline = Instant::now() + RELEASE_TIMEOUT;
-    let connector = PathConnector { state, request_id, deadline, patience: Duration::ZERO };
+    let connector = PathConnector { state, request_id, deadline, patience: NO_PATIENCE };
     let sent = upstream::send_with(&connector, &state.pool, target, request, Some(deadline));
     let outcome = match sent.await {
         Ok((response, _)) => {
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -25,6 +25,7 @@
 use crate::model::ResponseHead;
 use crate::model::SoftwareDigest;
 use crate::paths::PathConnector;
+use crate::paths::Patience;
 use crate::paths::locate_failure;
 use crate::paths::watch_silence;
 use crate::state::GatewayState;
@@ -141,20 +142,7 @@
     attempt_spec: &AttemptSpec,
     permit: AttemptPermit,
     timeout: Duration,
-) -> Result<OpenResponse, AttemptFailure> {
-    let patience = Duration::ZERO;
-    exchange_patiently::<C>(state, call, target, attempt_spec, permit, timeout, patience).await
-}
-
-/// Like [`exchange`], but tries to connect for `patience` while connections do not open in time.
-pub async fn exchange_patiently<C: PlatformCodec>(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    target: &SendTarget,
-    attempt_spec: &AttemptSpec,
-    permit: AttemptPermit,
-    timeout: Duration,
-    patience: Duration,
+    patience: Patience<'_>,
 ) -> Result<OpenResponse, AttemptFailure> {
     let request = call.upstream_request::<C>(attempt_spec);
     let sent_at = Instant::now();
--- a/crates/gateway/src/forward/plain_placement.rs
+++ b/crates/gateway/src/forward/plain_placement.rs
@@ -32,13 +32,14 @@
     Some((placement.server, permit))
 }
 
-/// Returns how long the last of `attempts` may try to connect: for as long as a sound server may be
-/// silent if there is no other one to try, and no longer than a single connection takes otherwise.
+/// Returns how long an attempt may try to connect, where `tried` were tried, its server included: for
+/// as long as a sound server may be silent if there is no other one to try, and no longer than a
+/// single connection takes otherwise.
 ///
 /// Prevents calls from being rejected because all servers are silent for a second.
-pub fn connect_patience(state: &GatewayState, call: &Call, attempts: &Attempts) -> Duration {
+pub fn connect_patience(state: &GatewayState, call: &Call, tried: &[ServerKey]) -> Duration {
     let fleet = state.fleet();
-    let other = place_plain(&fleet, &placement_request(state, call, &attempts.tried, None));
+    let other = place_plain(&fleet, &placement_request(state, call, tried, None));
     if other.is_ok() { Duration::ZERO } else { MAX_SOUND_SILENCE }
 }
 
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -9,6 +9,7 @@
 use futures_lite::FutureExt;
 use http::Response;
 use http_body_util::BodyExt;
+use smallvec::SmallVec;
 
 use super::Call;
 use super::GatewayBody;
@@ -80,8 +81,8 @@
         }
         let Some((server, permit)) = reserve_server(state, &call, &attempts) else { break };
         attempts.record(&server);
-        let patience = connect_patience(state, &call, &attempts);
-        let first = pin!(send_attempt::<C>(state, &call, server, permit, patience));
+        let tried = attempts.tried.clone();
+        let first = pin!(send_attempt::<C>(state, &call, server, permit, tried));
         let outcome = match hedge_delay(&call, &attempts) {
             None => first.await,
             Some(after) => {
@@ -155,8 +156,8 @@
     );
     metrics::counter!("umberglade_hedges_total").increment(1);
     attempts.record(&server);
-    let patience = connect_patience(state, call, attempts);
-    let mut second = pin!(send_attempt::<C>(state, call, server, permit, patience));
+    let tried = attempts.tried.clone();
+    let mut second = pin!(send_attempt::<C>(state, call, server, permit, tried));
     let (is_first, outcome) =
         async { (true, first.as_mut().await) }.or(async { (false, second.as_mut().await) }).await;
     if outcome.is_final(call) {
@@ -171,17 +172,19 @@
     None
 }
 
+/// Sends `call` to `server`, the last of `tried`.
 async fn send_attempt<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Arc<Call>,
     server: ServerKey,
     permit: AttemptPermit,
-    patience: Duration,
+    tried: SmallVec<[ServerKey; 4]>,
 ) -> PlainOutcome {
     let Some(target) = exchange::send_target(state, &server, None) else {
         return PlainOutcome::Failed(AttemptFailure::Unsent);
     };
     let _load_guard = LoadGuard::begin(state, server, LoadShare::of_call());
+    let patience = || connect_patience(state, call, &tried);
     let time_left = call.time_left(Instant::now());
     let attempt_spec = AttemptSpec {
         server: target.server.clone(),
@@ -189,15 +192,8 @@
         purpose: AttemptPurpose::Respond,
         resume_after: call.head.resume_after,
     };
-    let opened = exchange::exchange_patiently::<C>(
-        state,
-        call,
-        &target,
-        &attempt_spec,
-        permit,
-        time_left,
-        patience,
-    );
+    let opened =
+        exchange::exchange::<C>(state, call, &target, &attempt_spec, permit, time_left, &patience);
     match opened.await {
         Ok(opened) => read_response::<C>(state, call, &target, opened).await,
         Err(failure) => PlainOutcome::Failed(failure),
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -21,6 +21,7 @@
 use crate::model::CacheSource;
 use crate::model::SoftwareDigest;
 use crate::origins::SentVersion;
+use crate::paths::NO_PATIENCE;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
 
@@ -80,8 +81,10 @@
         purpose: AttemptPurpose::Prefill,
         resume_after,
     };
+    let patience = NO_PATIENCE;
     let opened =
-        exchange::exchange::<C>(state, call, &target, &attempt_spec, permit, timeout).await?;
+        exchange::exchange::<C>(state, call, &target, &attempt_spec, permit, timeout, patience)
+            .await?;
     let status = opened.response.status();
     let read = async {
         let collected = opened.response.into_body().collect().await;
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -24,6 +24,7 @@
 use crate::model::AttemptSpec;
 use crate::model::SoftwareDigest;
 use crate::origins::SentVersion;
+use crate::paths::NO_PATIENCE;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
@@ -104,11 +105,13 @@
     let sent_at = Instant::now();
     let deadline = call.deadline;
     let timeout = call.time_left(Instant::now());
-    let opened =
-        match exchange::exchange::<C>(state, call, target, attempt_spec, permit, timeout).await {
-            Ok(opened) => opened,
-            Err(failure) => return OpenOutcome::Failed(failure),
-        };
+    let patience = NO_PATIENCE;
+    let exchanged =
+        exchange::exchange::<C>(state, call, target, attempt_spec, permit, timeout, patience);
+    let opened = match exchanged.await {
+        Ok(opened) => opened,
+        Err(failure) => return OpenOutcome::Failed(failure),
+    };
     let fail = async |failure, problem: &str| {
         let failure =
             exchange::record_failure(state, call, target, failure, problem, sent_at).await;
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -42,6 +42,13 @@
 /// Time for which a tunnel outlives its request at most.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
 
+/// How long to try again while connections do not open in time and none is refused. Evaluated only
+/// once one did not.
+pub type Patience<'a> = &'a (dyn Fn() -> Duration + Sync);
+
+/// Gives up after the first connection that does not open in time.
+pub const NO_PATIENCE: Patience<'static> = &|| Duration::ZERO;
+
 /// One way to connect.
 #[derive(Debug, Clone, Copy)]
 enum PathOption {
@@ -58,17 +65,19 @@
     pub request_id: &'a str,
     /// When the request's caller gives up.
     pub deadline: Instant,
-    /// How long to try again while connections do not open in time and none is refused.
-    pub patience: Duration,
+    pub patience: Patience<'a>,
 }
 
 impl Connect for PathConnector<'_> {
     async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
         let started_at = Instant::now();
+        let mut patience = None;
         loop {
             let connected = self.connect_once(target).await;
             let is_timeout = connected.as_ref().is_err_and(SendError::is_connect_timeout);
-            if !is_timeout || started_at.elapsed() >= self.patience {
+            if !is_timeout
+                || started_at.elapsed() >= *patience.get_or_insert_with(|| (self.patience)())
+            {
                 return connected;
             }
         }
@@ -118,7 +127,7 @@
     /// Returns the connector of a question that no caller's request asks and that is given up at
     /// `deadline`.
     pub fn for_check(state: &'a Arc<GatewayState>, deadline: Instant) -> Self {
-        PathConnector { state, request_id: "-", deadline, patience: Duration::ZERO }
+        PathConnector { state, request_id: "-", deadline, patience: NO_PATIENCE }
     }
 
     /// Returns the ways to connect to `target`, in the order in which to try them.
