A call whose second server fails is sent to a third while the first is silent

Callers saw: 504 at the end of their time where a third server would have answered.

Cause: after the second server had rejected the call, only the silent first one was waited for. Mend: while the first is kept, further servers are tried, one at a time, each with a reservation and a permit (route limits, retry budget, quarantine) as before; only routes whose calls may be repeated get there. If none is allowed, the first is waited for; it is not looked again later.

--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -87,10 +87,7 @@
             None => first.await,
             Some(after) => {
                 let errors = &mut error_response;
-                match run_with_hedge::<C>(state, &call, first, after, &mut attempts, errors).await {
-                    Some(outcome) => outcome,
-                    None => continue,
-                }
+                run_with_hedge::<C>(state, &call, first, after, &mut attempts, errors).await
             }
         };
         if outcome.is_final(&call) {
@@ -129,7 +126,8 @@
 }
 
 /// Waits for `first`; after the delay `after`, sends the call to a second server too and
-/// returns the first final outcome. Records both and returns `None` when neither is final.
+/// returns the first final outcome. If that server fails first, sends the call to a further one.
+/// The outcome that is returned is not recorded yet.
 ///
 /// Prevents a caller from waiting until its deadline for a server that stopped responding
 /// while others would respond at once.
@@ -140,36 +138,39 @@
     after: Duration,
     attempts: &mut Attempts,
     error_response: &mut ErrorResponse,
-) -> Option<PlainOutcome> {
+) -> PlainOutcome {
     if let Some(outcome) = with_deadline(Instant::now() + after, first.as_mut()).await {
-        return Some(outcome);
+        return outcome;
+    }
+    let first_server = attempts.tried.last().cloned();
+    while let Some((server, permit)) = reserve_server(state, call, attempts) {
+        log_hedged(call, first_server.as_deref(), &server, after);
+        attempts.record(&server);
+        let tried = attempts.tried.clone();
+        let mut next = pin!(send_attempt::<C>(state, call, server, permit, tried));
+        let of_first = async { (true, first.as_mut().await) };
+        let (is_first, outcome) = of_first.or(async { (false, next.as_mut().await) }).await;
+        if outcome.is_final(call) {
+            return outcome;
+        }
+        record_non_final(outcome, attempts, error_response);
+        if is_first {
+            return next.await;
+        }
     }
-    let second = reserve_server(state, call, attempts);
-    let Some((server, permit)) = second else { return Some(first.await) };
+    first.await
+}
+
+fn log_hedged(call: &Call, first: Option<&str>, second: &ServerKey, after: Duration) {
+    metrics::counter!("umberglade_hedges_total").increment(1);
     tracing::info!(
         event = events::CALL_HEDGED,
         request_id = call.id(),
-        first = attempts.tried.last().map(|server| &**server),
-        second = %server,
+        first,
+        %second,
         after_ms = after.as_millis() as u64,
         "sent to a second server"
     );
-    metrics::counter!("umberglade_hedges_total").increment(1);
-    attempts.record(&server);
-    let tried = attempts.tried.clone();
-    let mut second = pin!(send_attempt::<C>(state, call, server, permit, tried));
-    let (is_first, outcome) =
-        async { (true, first.as_mut().await) }.or(async { (false, second.as_mut().await) }).await;
-    if outcome.is_final(call) {
-        return Some(outcome);
-    }
-    record_non_final(outcome, attempts, error_response);
-    let outcome = if is_first { second.await } else { first.await };
-    if outcome.is_final(call) {
-        return Some(outcome);
-    }
-    record_non_final(outcome, attempts, error_response);
-    None
 }
 
 /// Sends `call` to `server`, the last of `tried`.
