--- a/crates/gateway/src/forward/silence_log.rs
+++ b/crates/gateway/src/forward/silence_log.rs
@@ -15,29 +15,35 @@
 /// least until another one goes on with the stream.
 pub fn log_stall(call: &Call, server: &ServerKey, relayed: u64, silence: Duration) {
     metrics::counter!("umberglade_stream_stalls_total").increment(1);
-    tracing::info!(
-        event = events::STREAM_STALLED,
-        request_id = call.id(),
-        %server,
-        relayed,
-        silent_ms = silence.as_millis() as u64,
-        elapsed_ms = call.age_ms(),
-        "stream is silent; its server is kept until another one goes on"
-    );
+    let message = "stream is silent; its server is kept until another one goes on";
+    log_silence(call, events::STREAM_STALLED, message, server, relayed, silence, None);
 }
 
 /// Logs that the silent `server` has gone on before another one did.
 pub fn log_recovery(call: &Call, server: &ServerKey, relayed: u64, silence: Duration, sends: u32) {
     metrics::counter!("umberglade_stream_recoveries_total").increment(1);
+    let (event, message) = (events::STREAM_RECOVERED, "silent stream has gone on");
+    log_silence(call, event, message, server, relayed, silence, Some(sends));
+}
+
+fn log_silence(
+    call: &Call,
+    event: u32,
+    message: &str,
+    server: &ServerKey,
+    relayed: u64,
+    silence: Duration,
+    sends: Option<u32>,
+) {
     tracing::info!(
-        event = events::STREAM_RECOVERED,
+        event,
         request_id = call.id(),
         %server,
         relayed,
         silent_ms = silence.as_millis() as u64,
         sends,
         elapsed_ms = call.age_ms(),
-        "silent stream has gone on"
+        "{message}"
     );
 }
 
