--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -25,6 +25,7 @@
 use crate::model::ResponseHead;
 use crate::model::SoftwareDigest;
 use crate::paths::PathConnector;
+use crate::paths::Patience;
 use crate::paths::locate_failure;
 use crate::paths::watch_silence;
 use crate::state::GatewayState;
@@ -141,20 +142,7 @@
     attempt_spec: &AttemptSpec,
     permit: AttemptPermit,
     timeout: Duration,
-) -> Result<OpenResponse, AttemptFailure> {
-    let patience = Duration::ZERO;
-    exchange_patiently::<C>(state, call, target, attempt_spec, permit, timeout, patience).await
-}
-
-/// Like [`exchange`], but tries to connect for `patience` while connections do not open in time.
-pub async fn exchange_patiently<C: PlatformCodec>(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    target: &SendTarget,
-    attempt_spec: &AttemptSpec,
-    permit: AttemptPermit,
-    timeout: Duration,
-    patience: Duration,
+    patience: Patience<'_>,
 ) -> Result<OpenResponse, AttemptFailure> {
     let request = call.upstream_request::<C>(attempt_spec);
     let sent_at = Instant::now();
@@ -175,11 +163,10 @@
                 permit.settle();
             }
             let problem = error.to_string();
-            if error.is_connect_timeout() {
-                // A server that is only slow to accept a connection is neither down nor
-                // unreachable.
+            // A server that is only slow to accept a connection is neither down nor unreachable.
+            if error.is_connect_timeout() || failure == AttemptFailure::Silent {
                 let outcome = ServerOutcome::Silent;
-                record_attempt(state, call, target, failure, outcome, &problem);
+                record_attempt(state, call, target, failure, outcome, &problem, sent_at);
                 return Err(failure);
             }
             return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
@@ -253,7 +240,8 @@
     problem: &str,
     run: BrokenRun,
 ) -> AttemptFailure {
-    record_attempt(state, call, target, failure, failure.outcome(), problem);
+    let now = Instant::now();
+    record_attempt(state, call, target, failure, failure.outcome(), problem, now);
     match failure {
         AttemptFailure::Broken => record_break(state, call, target, run).await,
         AttemptFailure::Unsent => state.quarantines.record_unreachable(target),
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -42,6 +42,13 @@
 /// Time for which a tunnel outlives its request at most.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
 
+/// How long to try again while connections do not open in time and none is refused. Evaluated only
+/// once one did not.
+pub type Patience<'a> = &'a (dyn Fn() -> Duration + Sync);
+
+/// Gives up after the first connection that does not open in time.
+pub const NO_PATIENCE: Patience<'static> = &|| Duration::ZERO;
+
 /// One way to connect.
 #[derive(Debug, Clone, Copy)]
 enum PathOption {
@@ -58,17 +65,19 @@
     pub request_id: &'a str,
     /// When the request's caller gives up.
     pub deadline: Instant,
-    /// How long to try again while connections do not open in time and none is refused.
-    pub patience: Duration,
+    pub patience: Patience<'a>,
 }
 
 impl Connect for PathConnector<'_> {
     async fn connect(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
         let started_at = Instant::now();
+        let mut patience = None;
         loop {
             let connected = self.connect_once(target).await;
             let is_timeout = connected.as_ref().is_err_and(SendError::is_connect_timeout);
-            if !is_timeout || started_at.elapsed() >= self.patience {
+            if !is_timeout
+                || started_at.elapsed() >= *patience.get_or_insert_with(|| (self.patience)())
+            {
                 return connected;
             }
         }
@@ -81,7 +90,8 @@
         let options = self.path_options(target);
         let attempts =
             options.into_iter().map(|option| self.open(target, option, &is_direct_refused));
-        let connection = race_staggered(attempts, PATH_STAGGER).await.expect("a direct path")?;
+        let raced = race_staggered(attempts, PATH_STAGGER).await;
+        let connection = raced.map_err(|errors| most_telling(errors).expect("a direct path"))?;
         match connection.path {
             ServerPath::Direct => record_open(self.state, target),
             ServerPath::Tunnel if is_direct_refused.load(Ordering::Relaxed) => {
@@ -93,19 +103,31 @@
     }
 }
 
+/// Returns the one of `errors` that tells most of the server: that it refuses connections, else that
+/// it opened none in time, else the first.
+///
+/// Prevents a server that is silent for a second from counting as unreachable because another
+/// gateway had no room for a tunnel.
+pub fn most_telling(errors: Vec<SendError>) -> Option<SendError> {
+    let refusal = errors.iter().position(SendError::is_refusal);
+    let silence = || errors.iter().position(SendError::is_connect_timeout);
+    let index = refusal.or_else(silence).unwrap_or(0);
+    errors.into_iter().nth(index)
+}
+
 /// Returns true if another gateway reaches `target`.
 pub(super) async fn opens_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
     let connector = PathConnector::for_check(state, Instant::now());
     let peers = state.fleet().tunnel_peers(target.incarnation, MAX_TUNNEL_PEERS, Instant::now());
     let attempts = peers.into_iter().map(|peer| connector.open_tunnel(target, peer));
-    race_staggered(attempts, PATH_STAGGER).await.is_some_and(|opened| opened.is_ok())
+    race_staggered(attempts, PATH_STAGGER).await.is_ok()
 }
 
 impl<'a> PathConnector<'a> {
     /// Returns the connector of a question that no caller's request asks and that is given up at
     /// `deadline`.
     pub fn for_check(state: &'a Arc<GatewayState>, deadline: Instant) -> Self {
-        PathConnector { state, request_id: "-", deadline, patience: Duration::ZERO }
+        PathConnector { state, request_id: "-", deadline, patience: NO_PATIENCE }
     }
 
     /// Returns the ways to connect to `target`, in the order in which to try them.
