A probe whose server crashed under another suspect too is made again

Cause, as traced there: the popular content alone is quarantined first and explains the crashes of the fatal one, which goes on and crashes the server of the popular one's only probe. That probe counted against the popular content: it was decided, its calls were refused at once, and the next probe was due only after 6 s.

Now a probe whose server crashed under another suspect too (a content at two crashes or more, of which nothing was answered whole in the last minute) says nothing: the next is due 0.6 s after it, up to the five that isolate contents anyway, and requests wait for it. An answer in the last minute rules a content out, so a popular one keeps no fatal one in this state for long.

--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -397,7 +397,8 @@
         let quarantine = record.quarantine?;
         let awaits_first_probe = quarantine.awaits_first_probe(now);
         let shared_rank = self.records.shared_crash_rank(fingerprint);
-        let rank = shared_rank.or(awaits_first_probe.then_some(0));
+        let awaits_another = self.records.is_probe_inconclusive(fingerprint, now);
+        let rank = shared_rank.or((awaits_first_probe || awaits_another).then_some(0));
         let is_part = is_prompt_part(fingerprint);
         let is_shared = awaits_first_probe || (shared_rank.is_some() && record.is_provisional());
         // Before peers have reported, this gateway may know no more than the row.
@@ -419,7 +420,7 @@
             stamp: quarantine.stamp,
             age: now.saturating_duration_since(quarantine.since),
             until_probe: quarantine.time_until_probe(is_part, rank, now).max(until_other_outcomes),
-            is_provisional: is_shared || awaits_reports || awaits_suspects,
+            is_provisional: is_shared || awaits_another || awaits_reports || awaits_suspects,
         })
     }
 
--- a/crates/gateway/src/cluster/crash_record.rs
+++ b/crates/gateway/src/cluster/crash_record.rs
@@ -205,6 +205,22 @@
         self.crash_ids().chain(self.excluded.iter().map(|(id, _)| *id))
     }
 
+    /// Returns the last server crash since the quarantine began, while probes are to distinguish the
+    /// fingerprint from others.
+    pub fn last_probe_crash(&self) -> Option<CrashId> {
+        let quarantine = self.quarantine.filter(|known| known.probes > 0)?;
+        let (id, at) = self.crashes.last()?;
+        (self.is_provisional() && *at > quarantine.began_at).then_some(*id)
+    }
+
+    /// Returns true if the server crash `id` may be due to this fingerprint, whatever else ran there:
+    /// another server has crashed under it too, and it has not completed recently.
+    pub fn may_have_caused(&self, id: CrashId, now: Instant) -> bool {
+        self.known_crash_ids().any(|known| known == id)
+            && self.known_crash_ids().count() >= SUSPECT_CRASHES
+            && !self.is_trusted(now)
+    }
+
     /// Removes the server crashes that other fingerprints explain.
     pub fn remove_crashes(&mut self, explained: &FxHashSet<CrashId>) {
         self.crashes.retain(|(id, _)| !explained.contains(id));
--- a/crates/gateway/src/cluster/crash_records.rs
+++ b/crates/gateway/src/cluster/crash_records.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Iterates over all records.
+    pub fn iter(&self) -> impl Iterator<Item = (RequestFingerprint, &CrashRecord)> {
+        self.records.iter().map(|(fingerprint, record)| (*fingerprint, record))
+    }
+
     /// Iterates over all records mutably.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (RequestFingerprint, &mut CrashRecord)> {
         self.records.iter_mut().map(|(fingerprint, record)| (*fingerprint, record))
@@ -69,8 +74,7 @@
 
     /// Returns the quarantined fingerprints.
     pub fn quarantined(&self) -> impl Iterator<Item = (RequestFingerprint, &CrashRecord)> {
-        let all = self.records.iter().map(|(fingerprint, record)| (*fingerprint, record));
-        all.filter(|(_, record)| record.quarantine.is_some())
+        self.iter().filter(|(_, record)| record.quarantine.is_some())
     }
 
     pub fn len(&self) -> usize {
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod config_sources;
 mod config_watch;
 mod crash_detector;
+mod crash_probes;
 mod crash_record;
 mod crash_records;
 mod crash_rows;
--- a/crates/gateway/tests/shared_crashes.rs
+++ b/crates/gateway/tests/shared_crashes.rs
@@ -394,3 +394,97 @@
     assert!(!is_due(detector.admit(second, now + ms(11))), "while the first probe runs");
     assert!(is_due(detector.admit(second, now + ms(650))), "once the first probe has shown");
 }
+
+struct ProbeCase {
+    name: &'static str,
+    /// The servers that crash under the poison request before the popular one is probed at server
+    /// 50, and those at the same time or later.
+    before_probe: &'static [u64],
+    from_probe: &'static [u64],
+    is_inconclusive: bool,
+}
+
+/// Prevents the rejection of a popular request whose only probe ran at a server that a poison
+/// request crashed, which is not quarantined yet: the crash says nothing, and another probe follows
+/// while callers wait.
+#[test]
+fn probe_that_crashed_beside_another_suspect_is_made_again() {
+    let cases = [
+        ProbeCase {
+            name: "crashed under the probe alone",
+            before_probe: &[2, 3],
+            from_probe: &[],
+            is_inconclusive: false,
+        },
+        ProbeCase {
+            name: "its crashes were explained by the popular request",
+            before_probe: &[3],
+            from_probe: &[50],
+            is_inconclusive: true,
+        },
+        ProbeCase {
+            name: "other servers crashed under it",
+            before_probe: &[60],
+            from_probe: &[50],
+            is_inconclusive: true,
+        },
+        ProbeCase {
+            name: "a request that happened to run at the server",
+            before_probe: &[],
+            from_probe: &[50],
+            is_inconclusive: false,
+        },
+        ProbeCase {
+            name: "another server crashed later",
+            before_probe: &[60],
+            from_probe: &[61],
+            is_inconclusive: false,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut detector = CrashDetector::default();
+        for server in 1..=3 {
+            detector.record_crash(POPULAR, server, ms(40), now);
+        }
+        for server in case.before_probe {
+            detector.record_crash(POISON, *server, Duration::ZERO, now + ms(5));
+        }
+        detector.begin_unclaimed_probe(POPULAR, now + ms(10));
+        detector.record_crash(POPULAR, 50, ms(30), now + ms(90));
+        for server in case.from_probe {
+            detector.record_crash(POISON, *server, Duration::ZERO, now + ms(90));
+        }
+        let popular = detector.status(POPULAR, now + ms(700)).expect(case.name);
+        assert_eq!(popular.is_provisional, case.is_inconclusive, "{}: {popular:?}", case.name);
+        let is_due = popular.until_probe.is_zero();
+        assert_eq!(is_due, case.is_inconclusive, "{}: {popular:?}", case.name);
+    }
+}
+
+/// Prevents probes without end where each ends a server: after five, the popular request counts as
+/// decided, whatever else ran at their servers.
+#[test]
+fn inconclusive_probes_are_limited() {
+    let mut now = Instant::now();
+    let mut detector = CrashDetector::default();
+    for server in 1..=3 {
+        detector.record_crash(POPULAR, server, ms(40), now);
+    }
+    detector.record_crash(POISON, 3, Duration::ZERO, now + ms(5));
+    let mut probes = 0;
+    for server in 50..70 {
+        now += ms(1500);
+        let popular = detector.status(POPULAR, now).expect("quarantined");
+        if !popular.until_probe.is_zero() {
+            break;
+        }
+        probes += 1;
+        detector.begin_unclaimed_probe(POPULAR, now);
+        detector.record_crash(POPULAR, server, ms(30), now + ms(80));
+        detector.record_crash(POISON, server, Duration::ZERO, now + ms(80));
+    }
+    assert_eq!(probes, 5);
+    let popular = detector.status(POPULAR, now).expect("quarantined");
+    assert!(!popular.is_provisional, "{popular:?}");
+}
