Quotas: the draw goes by how late reports of peers are

Cause: the draw by which gateways share what is left took reports to be as old as in normal times (some 0.2 s). While many gateways start they are 0.5 to 1 s old, and gateways granted what others had already spent. Besides, what peers' callers request decayed while no report could tell of it, so that the draw let more through the later reports were.

Change: each report contains for how long its sender has run, so its delay beyond the shortest one of late follows (`ReportAges`). The draw goes by the mean age of what peers have told, at least that of normal times; the demand of peers decays up to the moment of which they have told.

--- a/crates/gateway/src/cluster/quota_account.rs
+++ b/crates/gateway/src/cluster/quota_account.rs
@@ -9,13 +9,12 @@
 
 use super::charge_update::ChargeTotal;
 use super::charge_update::ChargeUpdate;
+use super::demand_estimate::DemandEstimate;
 use super::quota_view::QuotaView;
 use crate::model::QuotaLimit;
 
 /// Length of the time slots in which charges are recorded.
 const SLOT: Duration = Duration::from_millis(100);
-/// Time constant of the exponential decay by which the rate of demand is estimated.
-const DEMAND_TIME_CONSTANT: Duration = Duration::from_millis(300);
 /// Factor by which the unreported demand is multiplied, since demand may be rising and reports may
 /// be lost.
 const DEMAND_MARGIN: f64 = 1.3;
@@ -64,14 +63,15 @@
     local_sum: f64,
     /// What this gateway has charged since its start.
     local_total: ChargeTotal,
-    /// True while `local_total` or `local_demand` has a change that was not reported.
+    /// True while `local_total` or `local_asked` has a change that was not reported.
     is_unreported: bool,
-    /// Units that callers of all gateways requested, granted or not. Decays exponentially with
-    /// [`DEMAND_TIME_CONSTANT`].
-    demand: f64,
-    decayed_at: Instant,
+    /// What callers of this gateway request, granted or not.
+    local_demand: DemandEstimate,
+    /// What callers of its peers request. Decays only up to the moment up to which it is known, so
+    /// that it does not vanish while reports are late.
+    peer_demand: DemandEstimate,
     /// Units that callers of this gateway have requested since its start.
-    local_demand: u64,
+    local_asked: u64,
     /// Units counted as used though no peer reported them, since this gateway does not know what
     /// was charged before its start.
     assumed: f64,
@@ -91,9 +91,9 @@
             local_sum: 0.0,
             local_total: 0,
             is_unreported: false,
-            demand: 0.0,
-            decayed_at: now,
-            local_demand: 0,
+            local_demand: DemandEstimate::new(now),
+            peer_demand: DemandEstimate::new(now),
+            local_asked: 0,
             assumed: 0.0,
             deferred: 0.0,
         };
@@ -130,8 +130,8 @@
         now: Instant,
     ) -> Result<(), Duration> {
         self.expire(view, now);
-        self.demand += cost;
-        self.local_demand += cost as u64;
+        self.local_demand.add(cost);
+        self.local_asked += cost as u64;
         self.is_unreported = true;
         let need = cost.min(view.window_limit(&self.limit));
         let left = self.left(view);
@@ -160,9 +160,9 @@
     }
 
     /// Applies units that callers of a peer have requested.
-    pub fn apply_demand(&mut self, units: f64, now: Instant) {
-        self.decay_demand(now);
-        self.demand += units;
+    pub fn apply_demand(&mut self, units: f64, view: &QuotaView, now: Instant) {
+        self.decay_demand(view, now);
+        self.peer_demand.add(units);
     }
 
     /// Applies units that a peer has charged.
@@ -215,7 +215,7 @@
 
     /// Removes the slots that have left the window.
     pub fn expire(&mut self, view: &QuotaView, now: Instant) {
-        self.decay_demand(now);
+        self.decay_demand(view, now);
         while let Some(slot) = self.slots.front()
             && now.saturating_duration_since(slot.started_at) >= view.window + SLOT
         {
@@ -242,7 +242,7 @@
         ChargeUpdate {
             total: self.local_total,
             recent: self.local_sum.max(0.0) as u64,
-            asked: self.local_demand,
+            asked: self.local_asked,
         }
     }
 
@@ -257,9 +257,10 @@
         view.grantable(&self.limit, self.unreported_demand(view)) - self.sum
     }
 
-    /// Returns the units that callers of all gateways request before reports include them.
+    /// Returns the units that callers of all gateways request before reports include them. What
+    /// this gateway's own callers request is known to it, however late reports of peers are.
     fn unreported_demand(&self, view: &QuotaView) -> f64 {
-        self.demand / DEMAND_TIME_CONSTANT.as_secs_f64() * view.report_age.as_secs_f64()
+        self.local_demand.units_in(view.report_age) + self.peer_demand.units_in(view.known_age)
     }
 
     fn add(&mut self, units: f64, local: f64, now: Instant) {
@@ -303,9 +304,10 @@
         MAX_RETRY_AFTER
     }
 
-    fn decay_demand(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.decayed_at).as_secs_f64();
-        self.decayed_at = now;
-        self.demand *= (-elapsed / DEMAND_TIME_CONSTANT.as_secs_f64()).exp();
+    fn decay_demand(&mut self, view: &QuotaView, now: Instant) {
+        self.local_demand.decay(now);
+        if let Some(known_until) = now.checked_sub(view.known_age) {
+            self.peer_demand.decay(known_until);
+        }
     }
 }
--- a/crates/gateway/src/cluster/quota_pool.rs
+++ b/crates/gateway/src/cluster/quota_pool.rs
@@ -11,6 +11,7 @@
 use super::quota_account::QuotaAccount;
 use super::quota_account::QuotaSlot;
 use super::quota_view::QuotaView;
+use super::report_ages::ReportAges;
 use super::usage_ledger::ProcessId;
 use super::usage_ledger::UsageLedger;
 use super::usage_ledger::UsageRecord;
@@ -56,6 +57,7 @@
     known_since: Instant,
     accounts: FxHashMap<OrganisationDigest, QuotaAccount>,
     processes: UsageLedger<OrganisationDigest, ChargeUpdate>,
+    report_ages: ReportAges,
 }
 
 impl QuotaPool {
@@ -66,6 +68,7 @@
             known_since: started_at,
             accounts: FxHashMap::default(),
             processes: UsageLedger::default(),
+            report_ages: ReportAges::default(),
         }
     }
 
@@ -122,7 +125,7 @@
         }
     }
 
-    /// Applies what `process`, which has run for `age`, reports to have charged.
+    /// Applies what `process`, which has run for `age`, reports to have charged, which may be none.
     pub fn apply_peer_charges(
         &mut self,
         process: ProcessId,
@@ -131,6 +134,7 @@
         view: &QuotaView,
         now: Instant,
     ) {
+        self.report_ages.record(process, age, now);
         let started_before =
             age > now.saturating_duration_since(self.started_at) + PRIOR_START_MARGIN;
         let is_prior = started_before && !self.knows_window(view, now);
@@ -141,7 +145,8 @@
             let Some(account) = self.accounts.get_mut(organisation) else { continue };
             match previous {
                 Some(previous) => {
-                    account.apply_demand(update.asked.saturating_sub(previous.asked) as f64, now);
+                    let asked = update.asked.saturating_sub(previous.asked);
+                    account.apply_demand(asked as f64, view, now);
                     let units = (update.total - previous.total) as f64;
                     if is_late {
                         account.apply_late_charge(units, view, now);
@@ -151,7 +156,7 @@
                 }
                 None if is_prior => account.apply_prior_charge(update.recent as f64, now),
                 None => {
-                    account.apply_demand(update.asked as f64, now);
+                    account.apply_demand(update.asked as f64, view, now);
                     account.apply_charge(update.recent as f64, now);
                 }
             }
@@ -275,6 +280,12 @@
             account.expire(view, now);
         }
         self.processes.tick(now);
+        self.report_ages.tick(now);
+    }
+
+    /// Returns the moment up to which what peers did is known, in the mean, if any reports.
+    pub fn known_until(&self, now: Instant) -> Option<Instant> {
+        self.report_ages.known_until(now)
     }
 
     /// Returns the limit of `organisation` and what is left of it; `None` if it has no limit.
--- a/crates/gateway/src/cluster/quota_view.rs
+++ b/crates/gateway/src/cluster/quota_view.rs
@@ -23,6 +23,9 @@
     pub gateways: usize,
     /// Maximum age of what peers report, under normal conditions.
     pub report_age: Duration,
+    /// Age of what peers have reported, in the mean: longer than `report_age` while reports are
+    /// late, and never shorter.
+    pub known_age: Duration,
     /// Time since the last report of any peer, at least `report_age`. Peers may not know what this
     /// gateway has charged since.
     pub since_last_report: Duration,
--- a/crates/gateway/src/peers/report_receiver.rs
+++ b/crates/gateway/src/peers/report_receiver.rs
@@ -260,7 +260,7 @@
         tunnel,
     };
     let now = Instant::now();
-    if !report.charges.is_empty() {
+    if state.has_organisations() {
         let view = state.quota_view();
         let age = Duration::from_millis(report.age_ms);
         state.quotas.apply_peer_charges(report.incarnation, age, &report.charges, &view);
--- a/crates/gateway/src/quota/quota_peers.rs
+++ b/crates/gateway/src/quota/quota_peers.rs
@@ -24,6 +24,8 @@
     /// True when some peers belong to another shard, with which reports are exchanged at longer
     /// intervals.
     has_remote: bool,
+    /// Up to when what peers did is known, in the mean.
+    known_until: Option<Instant>,
 }
 
 impl GatewayState {
@@ -35,17 +37,19 @@
     /// Returns this gateway's view of its peers for granting units of a quota.
     pub fn quota_view(&self) -> QuotaView {
         let now = Instant::now();
-        let QuotaPeers { live_peers, has_remote, .. } = self.quota_peers(now);
+        let QuotaPeers { live_peers, has_remote, known_until, .. } = self.quota_peers(now);
         let since_last_report = self.fleet().peers.since_last_report(now);
         let interval = match has_remote {
             true => remote_report_interval(self.members()),
             false => report_interval(live_peers),
         };
         let report_age = interval + REPORT_DELAY;
+        let known_age = known_until.map(|at| now.saturating_duration_since(at));
         QuotaView {
             live_peers,
             gateways: self.members(),
             report_age,
+            known_age: known_age.unwrap_or_default().max(report_age),
             since_last_report: since_last_report.unwrap_or(Duration::MAX).max(report_age),
             window: self.settings.quota_window,
             overage: self.settings.quota_overage,
@@ -62,10 +66,12 @@
         if let Some(peers) = last_count.filter(is_recent) {
             return peers;
         }
+        let known_until = self.quotas.known_until(now);
         let peers = {
             let fleet = self.fleet();
             let live_peers = fleet.peers.reporting_within(QUOTA_PEER_TIMEOUT, now);
-            QuotaPeers { counted_at: now, live_peers, has_remote: fleet.peers.has_remote_peer(now) }
+            let has_remote = fleet.peers.has_remote_peer(now);
+            QuotaPeers { counted_at: now, live_peers, has_remote, known_until }
         };
         *self.quota_peers.lock() = Some(peers);
         peers
--- a/crates/gateway/src/quota/quotas.rs
+++ b/crates/gateway/src/quota/quotas.rs
@@ -101,6 +101,7 @@
             part = view.fraction(),
             gateways_heard = view.live_peers,
             gateways = view.gateways,
+            known_age_ms = view.known_age.as_millis() as u64,
             unheard_ms = view.since_last_report.as_millis() as u64,
             retry_after_ms = retry_after.as_millis() as u64,
             "request rejected by quota"
@@ -139,6 +140,12 @@
         self.pool().apply_peer_charges(process, age, charges, view, Instant::now());
     }
 
+    /// Returns the moment up to which what peers did is known, in the mean; `None` if that is not
+    /// known of any.
+    pub fn known_until(&self, now: Instant) -> Option<Instant> {
+        self.pool().known_until(now)
+    }
+
     /// Returns the charges that a report includes: those that have changed since the last report,
     /// or with `reports_all` all.
     pub fn updates(&self, reports_all: bool) -> Vec<(OrganisationDigest, ChargeUpdate)> {
