A refusal on a broken path, or a lack of this process, ejects no server

Found by a reviewer by reading; not seen by callers. A server that is silent for a second was ejected for everybody at once where the gateway's own path to it, known to be broken, refuses connections while other gateways report a silence; or where a gateway has no descriptor, port or memory for a connection, which looked like a refusal of every server that it tried. A gateway that serves a tunnel told its own lack as the server's refusal, too.

Change: of a path known to be broken the error counts only if there is no other; an error of this process (EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL, ENOMEM) counts as a silence, breaks no path, and is told to peers as "unknown".

No run with exhausted descriptors.

--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -163,8 +163,10 @@
                 permit.settle();
             }
             let problem = error.to_string();
-            // A server that is only slow to accept a connection is neither down nor unreachable.
-            if error.is_connect_timeout() || failure == AttemptFailure::Silent {
+            // A server that is only slow to accept a connection, or to which this process could open
+            // none, is neither down nor unreachable.
+            let is_unanswered = error.is_connect_timeout() || error.is_local();
+            if is_unanswered || failure == AttemptFailure::Silent {
                 let outcome = ServerOutcome::Silent;
                 record_attempt(state, call, target, failure, outcome, &problem, sent_at);
                 return Err(failure);
--- a/crates/gateway/src/paths/path_connector.rs
+++ b/crates/gateway/src/paths/path_connector.rs
@@ -87,11 +87,13 @@
 impl PathConnector<'_> {
     async fn connect_once(&self, target: &SendTarget) -> Result<ServerConnection, SendError> {
         let is_direct_refused = AtomicBool::new(false);
-        let options = self.path_options(target);
+        let is_broken = self.state.fleet().paths.is_broken(target.incarnation);
+        let options = self.path_options(target, is_broken);
         let attempts =
             options.into_iter().map(|option| self.open(target, option, &is_direct_refused));
         let raced = race_staggered(attempts, PATH_STAGGER).await;
-        let connection = raced.map_err(|errors| most_telling(errors).expect("a direct path"))?;
+        let connection =
+            raced.map_err(|errors| most_telling(errors, is_broken).expect("a direct path"))?;
         match connection.path {
             ServerPath::Direct => record_open(self.state, target),
             ServerPath::Tunnel if is_direct_refused.load(Ordering::Relaxed) => {
@@ -104,11 +106,15 @@
 }
 
 /// Returns the one of `errors` that tells most of the server: that it refuses connections, else that
-/// it opened none in time, else the first.
+/// it opened none in time, else the first. With `is_last_broken`, the last is of a path that is known
+/// to be broken, and tells nothing if there are others.
 ///
 /// Prevents a server that is silent for a second from counting as unreachable because another
 /// gateway had no room for a tunnel.
-pub fn most_telling(errors: Vec<SendError>) -> Option<SendError> {
+pub fn most_telling(mut errors: Vec<SendError>, is_last_broken: bool) -> Option<SendError> {
+    if is_last_broken && errors.len() > 1 {
+        errors.pop();
+    }
     let refusal = errors.iter().position(SendError::is_refusal);
     let silence = || errors.iter().position(SendError::is_connect_timeout);
     let index = refusal.or_else(silence).unwrap_or(0);
@@ -130,14 +136,14 @@
         PathConnector { state, request_id: "-", deadline, patience: NO_PATIENCE }
     }
 
-    /// Returns the ways to connect to `target`, in the order in which to try them.
+    /// Returns the ways to connect to `target`, in the order in which to try them: directly last if
+    /// that path `is_broken`.
     ///
     /// A server that others have ejected is down rather than cut off from this gateway, so that
     /// tunnels would only delay the next attempt at another server.
-    fn path_options(&self, target: &SendTarget) -> SmallVec<[PathOption; 3]> {
+    fn path_options(&self, target: &SendTarget, is_broken: bool) -> SmallVec<[PathOption; 3]> {
         let now = Instant::now();
         let fleet = self.state.fleet();
-        let is_broken = fleet.paths.is_broken(target.incarnation);
         let is_down = fleet.peers.server(target.incarnation, now).ejections > 0;
         let mut options: SmallVec<[PathOption; 3]> = SmallVec::new();
         if is_broken || !is_down {
@@ -168,7 +174,9 @@
             PathOption::Direct => {
                 let connected = connect_directly(target.address).await;
                 // One that did not open in time may be that of a silent server, which responds now.
-                let is_refused = connected.as_ref().is_err_and(|error| !error.is_connect_timeout());
+                let is_of_path =
+                    |error: &SendError| !error.is_connect_timeout() && !error.is_local();
+                let is_refused = connected.as_ref().is_err_and(is_of_path);
                 is_direct_refused.store(is_refused, Ordering::Relaxed);
                 connected
             }
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -122,8 +122,11 @@
     let unavailable = (TunnelReply::Unavailable, ConnectSign::Unknown);
     let address = server_address(state, request).ok_or(unavailable)?;
     connect_tcp(address).await.map_err(|error| {
-        let is_timeout = error.is_connect_timeout();
-        let sign = if is_timeout { ConnectSign::Silent } else { ConnectSign::Refused };
+        let sign = match error {
+            _ if error.is_connect_timeout() => ConnectSign::Silent,
+            _ if error.is_refusal() => ConnectSign::Refused,
+            _ => ConnectSign::Unknown,
+        };
         (TunnelReply::Unreachable, sign)
     })
 }
--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -1,11 +1,15 @@
 //! Errors of requests that got no response head from a server.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use snafu::Snafu;
 
 use crate::tunnel::TunnelError;
 
+/// Linux's error numbers `ENFILE`, `EMFILE` and `ENOBUFS`, for which there is no [`ErrorKind`].
+const OUT_OF_RESOURCES: [i32; 3] = [23, 24, 105];
+
 /// Why a request got no response head.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -49,10 +53,18 @@
         }
     }
 
+    /// Returns true when this process had no descriptor, memory or port for a connection, which tells
+    /// nothing of the server.
+    pub fn is_local(&self) -> bool {
+        let SendError::Connect { source, .. } = self else { return false };
+        matches!(source.kind(), ErrorKind::AddrNotAvailable | ErrorKind::OutOfMemory)
+            || source.raw_os_error().is_some_and(|number| OUT_OF_RESOURCES.contains(&number))
+    }
+
     /// Returns true when the attempt shows that the server refuses connections.
     pub fn is_refusal(&self) -> bool {
         match self {
-            SendError::Connect { .. } => true,
+            SendError::Connect { .. } => !self.is_local(),
             SendError::Tunnel { source, .. } => source.is_refusal(),
             _ => false,
         }
--- a/crates/gateway/tests/tunnel_answers.rs
+++ b/crates/gateway/tests/tunnel_answers.rs
@@ -130,15 +130,60 @@
 fn only_a_refusal_outweighs_a_silence() {
     for case in &CONCLUSION_CASES {
         let errors = case.failures.iter().map(|failure| failure.error()).collect();
-        let error = most_telling(errors).expect("an error");
-        let conclusion = match error {
-            error if error.is_connect_timeout() => Conclusion::Silent,
-            error if error.is_refusal() => Conclusion::Refuses,
-            _ => Conclusion::Unreached,
-        };
+        let conclusion = conclusion(most_telling(errors, false).expect("an error"));
         assert_eq!(conclusion, case.conclusion, "{}", case.name);
     }
-    assert!(most_telling(Vec::new()).is_none());
+    assert!(most_telling(Vec::new(), false).is_none());
+}
+
+fn conclusion(error: SendError) -> Conclusion {
+    match error {
+        error if error.is_connect_timeout() => Conclusion::Silent,
+        error if error.is_refusal() => Conclusion::Refuses,
+        _ => Conclusion::Unreached,
+    }
+}
+
+const BROKEN_PATH_CASES: [ConclusionCase; 3] = [
+    ConclusionCase {
+        name: "silent for others, refused on the broken path",
+        failures: &[SILENT_THERE, PathFailure::DirectRefused],
+        conclusion: Conclusion::Silent,
+    },
+    ConclusionCase {
+        name: "refused for others too",
+        failures: &[REFUSED_THERE, PathFailure::DirectRefused],
+        conclusion: Conclusion::Refuses,
+    },
+    ConclusionCase {
+        name: "no other path",
+        failures: &[PathFailure::DirectRefused],
+        conclusion: Conclusion::Refuses,
+    },
+];
+
+/// Prevents a server that is silent for a second from being ejected because this gateway's own path,
+/// which is known to be broken, refuses connections.
+#[test]
+fn a_broken_path_tells_nothing_of_its_server() {
+    for case in &BROKEN_PATH_CASES {
+        let errors = case.failures.iter().map(|failure| failure.error()).collect();
+        let conclusion = conclusion(most_telling(errors, true).expect("an error"));
+        assert_eq!(conclusion, case.conclusion, "{}", case.name);
+    }
+}
+
+/// Prevents a gateway that has run out of descriptors or ports from ejecting all servers.
+#[test]
+fn what_this_process_lacks_is_no_refusal() {
+    /// `EMFILE`, `ENFILE`, `EADDRNOTAVAIL`, `ENOBUFS`, `ENOMEM`.
+    const LACKING: [i32; 5] = [24, 23, 99, 105, 12];
+    for number in LACKING {
+        let source = io::Error::from_raw_os_error(number);
+        let error = SendError::Connect { peer: PEER, source };
+        assert!(error.is_local() && !error.is_refusal(), "{error}");
+    }
+    assert!(!PathFailure::DirectRefused.error().is_local());
 }
 
 /// Prevents gateways of this build and of the previous one from misreading each other's answers.
