A hedged call takes no further server after its deadline

By reading (review): after the second server's end the loop reserved a third without looking at the deadline, which in a race of a few microseconds used a retry and sent a call whose time was over. No test shows the race; the loop's condition holds it.

--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -143,7 +143,9 @@
         return outcome;
     }
     let first_server = attempts.tried.last().cloned();
-    while let Some((server, permit)) = reserve_server(state, call, attempts) {
+    while Instant::now() < call.deadline
+        && let Some((server, permit)) = reserve_server(state, call, attempts)
+    {
         log_hedged(call, first_server.as_deref(), &server, after);
         attempts.record(&server);
         let tried = attempts.tried.clone();
