A plain call goes back to a server that opened no connection in time

What callers saw: 503 "not run" some 300 ms after a call began, though a server that accepted no connection for a second would have served it in time.

A server whose connection did not open was excluded for the rest of the call; where the only other one then rejected, none was left. (With no other server from the start, the call waited.)

Change: a connect timeout is a failure of its own, `Unopened`, which names the server; once no other server is left, a call goes back to those, once. It waits there as long as a sound server may be silent. Nothing was sent to that server before, so that this holds for calls that may run once too.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -37,6 +37,9 @@
     count: u32,
     /// Number of attempts that reached no server.
     unsent: u32,
+    /// Servers that opened no connection in time.
+    unopened: SmallVec<[ServerKey; 2]>,
+    has_readmitted: bool,
     /// True once the prompt was sent to a prefill server.
     has_sent_prefill: bool,
     /// Set for a probe, which is sent to one server only, once.
@@ -89,6 +92,23 @@
         self.unsent += u32::from(is_unsent);
     }
 
+    /// Records that an attempt has ended since `server` opened no connection in time.
+    pub fn record_unopened(&mut self, server: ServerKey) {
+        self.record_not_run(true);
+        self.unopened.push(server);
+    }
+
+    /// Lets further attempts go to the servers again that opened no connection in time. Returns false
+    /// if there are none, or if this was done before.
+    pub fn readmit_unopened(&mut self) -> bool {
+        let unopened = std::mem::take(&mut self.unopened);
+        if unopened.is_empty() || std::mem::replace(&mut self.has_readmitted, true) {
+            return false;
+        }
+        self.tried.retain(|server| !unopened.contains(server));
+        true
+    }
+
     /// Returns true if a server may have run the request.
     pub fn may_have_run(&self) -> bool {
         self.runs > 0
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -41,6 +41,9 @@
 pub enum AttemptFailure {
     /// The server never received the request.
     Unsent,
+    /// Like [`AttemptFailure::Unsent`], since no connection opened in time: the server may only be
+    /// silent.
+    Unopened,
     /// The server states that it did not run it.
     NotRun,
     /// Like [`AttemptFailure::NotRun`], since the server is not the intended one or has another
@@ -60,16 +63,20 @@
         match error {
             SendError::Broken { .. } => AttemptFailure::Broken,
             SendError::Silent { .. } => AttemptFailure::Silent,
+            // Nor does it show anything of the server that this process could open no connection.
+            error if error.is_connect_timeout() || error.is_local() => AttemptFailure::Unopened,
             _ => AttemptFailure::Unsent,
         }
     }
 
+    /// Returns true when the server has certainly not received the request.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, AttemptFailure::Unsent | AttemptFailure::Unopened)
+    }
+
     /// Returns true when the server has certainly not run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(
-            self,
-            AttemptFailure::Unsent | AttemptFailure::NotRun | AttemptFailure::Misdirected
-        )
+        self.is_unsent() || matches!(self, AttemptFailure::NotRun | AttemptFailure::Misdirected)
     }
 
     /// Returns what the failure means for the server's health.
@@ -78,7 +85,7 @@
             AttemptFailure::Unsent => ServerOutcome::Unreachable,
             AttemptFailure::NotRun => ServerOutcome::Refused,
             AttemptFailure::Misdirected => ServerOutcome::Misdirected,
-            AttemptFailure::Silent => ServerOutcome::Silent,
+            AttemptFailure::Unopened | AttemptFailure::Silent => ServerOutcome::Silent,
             AttemptFailure::Broken | AttemptFailure::Garbled => ServerOutcome::Failed,
         }
     }
@@ -159,15 +166,12 @@
         Ok(opened) => opened,
         Err(error) => {
             let failure = AttemptFailure::of(&error);
-            if failure == AttemptFailure::Unsent {
+            if failure.is_unsent() {
                 permit.settle();
             }
             let problem = error.to_string();
-            // A server that is only slow to accept a connection, or to which this process could open
-            // none, is neither down nor unreachable.
-            let is_unanswered = error.is_connect_timeout() || error.is_local();
-            if is_unanswered || failure == AttemptFailure::Silent {
-                let outcome = ServerOutcome::Silent;
+            let outcome = failure.outcome();
+            if outcome == ServerOutcome::Silent {
                 record_attempt(state, call, target, failure, outcome, &problem, sent_at);
                 return Err(failure);
             }
--- a/crates/gateway/src/forward/plain_placement.rs
+++ b/crates/gateway/src/forward/plain_placement.rs
@@ -32,6 +32,19 @@
     Some((placement.server, permit))
 }
 
+/// Returns a server that opened no connection in time, and a permit for another attempt there, once
+/// there is no other server to try.
+///
+/// Prevents a call from being rejected because the server that was tried in place of a silent one
+/// rejected it: the silent one may respond again by now.
+pub fn reserve_unopened(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &mut Attempts,
+) -> Option<(ServerKey, AttemptPermit)> {
+    attempts.readmit_unopened().then(|| reserve_server(state, call, attempts))?
+}
+
 /// Returns how long an attempt may try to connect, where `tried` were tried, its server included: for
 /// as long as a sound server may be silent if there is no other one to try, and no longer than a
 /// single connection takes otherwise.
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -21,6 +21,7 @@
 use super::exchange::is_delimited;
 use super::plain_placement::connect_patience;
 use super::plain_placement::reserve_server;
+use super::plain_placement::reserve_unopened;
 use super::reject::reject_failed;
 use super::response_body;
 use crate::cluster::LoadShare;
@@ -50,6 +51,8 @@
     /// The server's complete response.
     Responded(Response<GatewayBody>),
     Failed(AttemptFailure),
+    /// No connection to the server opened in time: nothing was sent.
+    Unopened(ServerKey),
 }
 
 impl PlainOutcome {
@@ -58,7 +61,7 @@
             PlainOutcome::Responded(response) => {
                 !(call.route.is_retryable() && response.status().is_server_error())
             }
-            PlainOutcome::Failed(_) => false,
+            PlainOutcome::Failed(_) | PlainOutcome::Unopened(_) => false,
         }
     }
 }
@@ -79,7 +82,9 @@
         if Instant::now() >= call.deadline {
             break;
         }
-        let Some((server, permit)) = reserve_server(state, &call, &attempts) else { break };
+        let reserved = reserve_server(state, &call, &attempts)
+            .or_else(|| reserve_unopened(state, &call, &mut attempts));
+        let Some((server, permit)) = reserved else { break };
         attempts.record(&server);
         let tried = attempts.tried.clone();
         let first = pin!(send_attempt::<C>(state, &call, server, permit, tried));
@@ -110,8 +115,9 @@
     match outcome {
         PlainOutcome::Responded(response) => *error_response = Some(response),
         PlainOutcome::Failed(failure) if failure.is_not_run() => {
-            attempts.record_not_run(failure == AttemptFailure::Unsent);
+            attempts.record_not_run(failure.is_unsent());
         }
+        PlainOutcome::Unopened(server) => attempts.record_unopened(server),
         PlainOutcome::Failed(_) => {}
     }
 }
@@ -199,6 +205,7 @@
         exchange::exchange::<C>(state, call, &target, &attempt_spec, permit, time_left, &patience);
     match opened.await {
         Ok(opened) => read_response::<C>(state, call, &target, opened).await,
+        Err(AttemptFailure::Unopened) => PlainOutcome::Unopened(target.server),
         Err(failure) => PlainOutcome::Failed(failure),
     }
 }
--- a/crates/gateway/src/forward/stream_opener.rs
+++ b/crates/gateway/src/forward/stream_opener.rs
@@ -244,7 +244,7 @@
                 self.error_response = Some(response);
             }
             OpenOutcome::Failed(failure) if failure.is_not_run() => {
-                self.attempts.record_not_run(failure == AttemptFailure::Unsent);
+                self.attempts.record_not_run(failure.is_unsent());
                 if let Some(cache) = cache {
                     self.keep_cache(failure, cache);
                 }
@@ -258,7 +258,7 @@
     /// as much as tens of tokens. A server that rejected the request may have found the cache
     /// missing, so only one more is offered it.
     fn keep_cache(&mut self, failure: AttemptFailure, cache: CacheGuard<C>) {
-        let is_offered_again = failure == AttemptFailure::Unsent || self.rejected_with_cache == 0;
+        let is_offered_again = failure.is_unsent() || self.rejected_with_cache == 0;
         self.rejected_with_cache += u32::from(failure == AttemptFailure::NotRun);
         let ttl = self.call.engine_spec().handle_ttl;
         self.reusable_cache = Some(cache).filter(|cache| is_offered_again && cache.is_fresh(ttl));
