A short silence at the deadline no longer ejects a sound server

What callers saw: an urgent stream fell silent and its deadline passed after some 0.6 s of silence. Its server, which was sound, then got no requests of any caller for 0.5 s or longer.

Cause: the passed deadline came to `ResponseFeed::resume` as a broken stream, and resume recorded a failure before it looked at the remaining time.

Fix: resume looks at the remaining time first.

Shown by a_short_silence_at_the_deadline_ejects_no_server, which fails without the change of resume. The test's short preset is now set by a method that the dark server's test uses too.

--- a/crates/router/src/pipeline/response_feed.rs
+++ b/crates/router/src/pipeline/response_feed.rs
@@ -195,11 +195,12 @@
     /// Resumes on another server after the stream broke or its time was over. The previous server
     /// is cancelled first.
     async fn resume(&mut self, message: String) -> Result<(), String> {
-        let slot = Arc::clone(&self.stream.slot);
-        self.run.record_failure(&slot);
         if self.run.remaining().is_zero() {
+            // Not a failure of the server: it may be sound and silent, or have stopped in time.
             return Err(message);
         }
+        let slot = Arc::clone(&self.stream.slot);
+        self.run.record_failure(&slot);
         self.run.cancel.cancel_and_confirm(&slot.entry.addr).await;
         if !self.run.try_next_attempt() {
             return Err(message);
--- a/crates/router/src/pipeline/silent_stream.rs
+++ b/crates/router/src/pipeline/silent_stream.rs
@@ -81,7 +81,7 @@
         let attempts_before = self.run.attempt;
         let mut delay = FIRST_ATTEMPT_DELAY;
         loop {
-            match self.open_beside().await {
+            match self.open_beside(silent_since).await {
                 OpenOutcome::Opened(other) => {
                     if let Some(end) = self.race_streams(other, silent_since).await {
                         return end;
@@ -93,25 +93,29 @@
                 OpenOutcome::SilenceEnded(end) => return end,
             }
             self.run.attempt = attempts_before;
-            if let Some(end) = self.wait_before_attempt(delay).await {
+            if let Some(end) = self.wait_before_attempt(delay, silent_since).await {
                 return end;
             }
         }
     }
 
     /// Waits for `delay` before another attempt. Returns the end of the silence if it ends before.
-    async fn wait_before_attempt(&mut self, delay: Duration) -> Option<SilenceEnd> {
+    async fn wait_before_attempt(
+        &mut self,
+        delay: Duration,
+        silent_since: Instant,
+    ) -> Option<SilenceEnd> {
         let kept_line = next_useful_line(&mut self.stream, &self.assembler);
         match first_of(kept_line, Timer::after(delay), self.run.deadline()).await {
             FirstResult::Other(_) => None,
             FirstResult::Kept(Ok(line)) => Some(SilenceEnd::Line(line)),
             FirstResult::Kept(Err(message)) => Some(SilenceEnd::Broken(message)),
-            FirstResult::DeadlinePassed => Some(self.deadline_passed()),
+            FirstResult::DeadlinePassed => Some(self.deadline_passed(silent_since)),
         }
     }
 
     /// Opens another stream, if other servers have room now and the silence does not end before.
-    async fn open_beside(&mut self) -> OpenOutcome {
+    async fn open_beside(&mut self, silent_since: Instant) -> OpenOutcome {
         let deadline = self.run.deadline();
         let request_id = self.run.admitted.request_id.clone();
         let mut opening = Box::pin(self.run.open_beside(self.assembler.next_index()));
@@ -130,7 +134,7 @@
             }
             FirstResult::DeadlinePassed => {
                 drop(opening);
-                OpenOutcome::SilenceEnded(self.deadline_passed())
+                OpenOutcome::SilenceEnded(self.deadline_passed(silent_since))
             }
         }
     }
@@ -167,7 +171,7 @@
             }
             FirstResult::Kept(Ok(line)) => Some(SilenceEnd::Line(line)),
             FirstResult::Kept(Err(message)) => Some(self.end_broken(message, Some(other))),
-            FirstResult::DeadlinePassed => Some(self.deadline_passed()),
+            FirstResult::DeadlinePassed => Some(self.deadline_passed(silent_since)),
         }
     }
 
@@ -189,7 +193,8 @@
         metrics::counter!("umberglade_resumed_total").increment(1);
     }
 
-    fn deadline_passed(&self) -> SilenceEnd {
+    fn deadline_passed(&self, silent_since: Instant) -> SilenceEnd {
+        record_silence(&self.stream.slot, silent_since);
         let server = &self.stream.slot.entry.server;
         SilenceEnd::Broken(format!("the stream from {server} was silent until the deadline"))
     }
--- a/crates/umberglade/tests/paused_stream.rs
+++ b/crates/umberglade/tests/paused_stream.rs
@@ -88,12 +88,27 @@
         text.lines().any(|line| line.contains(&format!("\"event\":{event},")))
     }
 
-    /// Returns true while the first decode server gets no requests because it failed.
-    fn is_first_ejected(&self) -> bool {
+    /// Makes the preset with `deadline_ms` the one in force.
+    fn set_deadline(&self, deadline_ms: u64) {
+        let presets = concat!(env!("CARGO_MANIFEST_DIR"), "/../../presets/ordinary.toml");
+        let ordinary = std::fs::read_to_string(presets).expect("the preset");
+        let short = format!("deadline_ms = {deadline_ms}\n{ordinary}");
+        let actions = actions(&self.platform.addr);
+        run(async {
+            actions.put_preset("short", &short, 0).await.expect("a preset");
+            actions.activate("short", 1).await.expect("an activation");
+        });
+        let is_applied = || status(&self.daemon.addr).expect("a status")["fence"] == 2;
+        assert!(eventually(Duration::from_secs(3), is_applied));
+    }
+
+    /// Returns true while the decode server gets no requests because it failed.
+    fn is_ejected(&self, index: usize) -> bool {
         let status = status(&self.daemon.addr).expect("a status");
         let servers = status["servers"].as_array().expect("servers").clone();
-        let first = servers.iter().find(|server| server["server"] == "decode-0");
-        first.expect("the first server")["set_aside"] == true
+        let name = format!("decode-{index}");
+        let server = servers.iter().find(|server| server["server"] == *name);
+        server.expect("the server")["set_aside"] == true
     }
 
     fn holds_nothing(&self) -> bool {
@@ -197,7 +212,7 @@
         Second::Frozen => site.decode[SECOND].pause(),
     }
     let (text, is_complete) = site.send(case.priority);
-    let is_first_ejected = site.is_first_ejected();
+    let is_first_ejected = site.is_ejected(FIRST);
     if case.second == Second::Frozen {
         site.decode[SECOND].resume();
     }
@@ -239,16 +254,7 @@
 fn a_dark_server_holds_no_caller_beyond_the_deadline() {
     const DEADLINE_MS: u64 = 1500;
     let site = PausedSite::start("dark", false);
-    let presets = concat!(env!("CARGO_MANIFEST_DIR"), "/../../presets/ordinary.toml");
-    let ordinary = std::fs::read_to_string(presets).expect("the preset");
-    let short = format!("deadline_ms = {DEADLINE_MS}\n{ordinary}");
-    let actions = actions(&site.platform.addr);
-    run(async {
-        actions.put_preset("short", &short, 0).await.expect("a preset");
-        actions.activate("short", 1).await.expect("an activation");
-    });
-    let is_applied = || status(&site.daemon.addr).expect("a status")["fence"] == 2;
-    assert!(eventually(Duration::from_secs(3), is_applied));
+    site.set_deadline(DEADLINE_MS);
     engine_faults(&site.decode[FIRST].addr, &paused(3, FOREVER_MS));
     let freezer = std::thread::spawn({
         let addr = site.decode[FIRST].addr.clone();
@@ -269,3 +275,17 @@
     assert!(elapsed >= deadline, "given up after {elapsed:?}");
     assert!(elapsed < deadline + Duration::from_millis(400), "held for {elapsed:?}");
 }
+
+/// Guards against a sound server that is ejected for all callers because the deadline of one of
+/// them came during a short silence.
+#[test]
+fn a_short_silence_at_the_deadline_ejects_no_server() {
+    const DEADLINE_MS: u64 = 1000;
+    let site = PausedSite::start("short", false);
+    site.set_deadline(DEADLINE_MS);
+    engine_faults(&site.decode[FIRST].addr, &paused(7, SHORT_PAUSE_MS));
+    let (_, is_complete) = site.send("urgent");
+    assert!(!is_complete);
+    assert!(site.has_logged(events::STREAM_SILENT));
+    assert!(!site.is_ejected(FIRST));
+}
