A server that breaks beside a silent stream is ejected

What callers saw: a server was opened beside a silent one and broke before its first line. Only that request avoided it; all others still went there.

Cause: its end was recorded as a silence, and a silence below 2 s ejects no server. A stream that broke was not told from one that was only silent.

Fix: whatever loses here has failed: it broke, or was silent for the 2 s that no sound server is. Both are recorded as failures.

Shown by a_server_that_dies_beside_a_silent_one_is_ejected, which fails without the fix (`is_ejected`). It kills the server's process: a cut by the stand-in's `cut_after_tokens` comes only after a first token, when the stream has won.

--- a/crates/router/src/pipeline/silent_stream.rs
+++ b/crates/router/src/pipeline/silent_stream.rs
@@ -146,7 +146,6 @@
         mut other: DecodeStream,
         silent_since: Instant,
     ) -> Option<SilenceEnd> {
-        let opened_at = Instant::now();
         let kept_line = next_useful_line(&mut self.stream, &self.assembler);
         let other_line = async {
             let silent = async {
@@ -164,8 +163,8 @@
             }
             FirstResult::Other(Err(message)) => {
                 tracing::warn!(event = events::SERVER_STEP_FAILED, request_id = %self.run.admitted.request_id, server = %other.slot.entry.server, error = %message, "stream beside a silent one failed");
-                record_silence(&other.slot, opened_at);
-                self.run.avoid_server(&other.slot);
+                // It broke, or was silent for longer than a sound server.
+                self.run.record_failure(&other.slot);
                 self.run.cancel.cancel_others(&self.stream.slot.entry.addr);
                 None
             }
--- a/crates/umberglade/tests/paused_stream.rs
+++ b/crates/umberglade/tests/paused_stream.rs
@@ -289,3 +289,28 @@
     assert!(site.has_logged(events::STREAM_SILENT));
     assert!(!site.is_ejected(FIRST));
 }
+
+/// Guards against a server that gets further requests though it broke, because it did so before
+/// its first line and beside a silent stream.
+#[test]
+fn a_server_that_dies_beside_a_silent_one_is_ejected() {
+    const DIES_AFTER: Duration = Duration::from_millis(1300);
+    /// Shorter than the first ejection of a server.
+    const NOTICE_TIMEOUT: Duration = Duration::from_millis(400);
+    let mut site = PausedSite::start("dies beside", true);
+    engine_faults(&site.decode[FIRST].addr, &paused(7, LONG_PAUSE_MS));
+    engine_faults(&site.decode[SECOND].addr, &paused(0, FOREVER_MS));
+    let mut second = site.decode.remove(SECOND);
+    let (is_opened, is_ejected, (text, is_complete)) = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| site.send("urgent"));
+        std::thread::sleep(DIES_AFTER);
+        let is_opened = engine_stats(&second.addr).held_requests == 1;
+        second.kill();
+        let is_ejected = eventually(NOTICE_TIMEOUT, || site.is_ejected(SECOND));
+        (is_opened, is_ejected, caller.join().expect("the caller"))
+    });
+    assert!(is_opened);
+    assert!(is_ejected);
+    assert!(is_complete, "cut: {text}");
+    assert_eq!(text, expected());
+}
