No caller waits beyond the deadline when a silent server dies in an opening

Cause: once the silent stream broke, `open_beside` waited for the opening alone, up to the 3 s that a server has for the head of its response.

Fix: that wait ends at the deadline too. The run does not resume then, so the broken server is recorded there. As servers end streams by themselves at the deadline, an end that comes after it counts as silence, not as a failure (this last part is by reading; no test hits the moment).

Shown by an_opening_holds_no_caller_beyond_the_deadline_when_the_silent_server_dies, which fails without the fix.

--- a/crates/router/src/pipeline/silent_stream.rs
+++ b/crates/router/src/pipeline/silent_stream.rs
@@ -129,8 +129,13 @@
             }
             FirstResult::Kept(Ok(line)) => OpenOutcome::SilenceEnded(SilenceEnd::Line(line)),
             FirstResult::Kept(Err(message)) => {
-                let opened = opening.await;
-                OpenOutcome::SilenceEnded(self.end_broken(message, opened.ok().flatten()))
+                let opened = async { opening.await.ok().flatten() };
+                let expired = async {
+                    Timer::at(deadline).await;
+                    None
+                };
+                let opened = opened.or(expired).await;
+                OpenOutcome::SilenceEnded(self.end_broken(message, opened))
             }
             FirstResult::DeadlinePassed => {
                 drop(opening);
@@ -177,6 +182,10 @@
     /// Ends the silence of a stream that broke: `other` takes its place, if there is one.
     fn end_broken(&mut self, message: String, other: Option<DecodeStream>) -> SilenceEnd {
         let Some(other) = other else {
+            if self.run.remaining().is_zero() {
+                // The run does not resume, which would record it.
+                self.stream.slot.record_failure();
+            }
             return SilenceEnd::Broken(message);
         };
         self.stream.slot.record_failure();
@@ -229,7 +238,13 @@
     other: impl Future<Output = T>,
     deadline: Instant,
 ) -> FirstResult<T> {
-    let kept_line = async { FirstResult::Kept(kept_line.await) };
+    let kept_line = async {
+        match kept_line.await {
+            // Sound servers end their streams at the deadline.
+            Err(_) if Instant::now() >= deadline => FirstResult::DeadlinePassed,
+            result => FirstResult::Kept(result),
+        }
+    };
     let other = async { FirstResult::Other(other.await) };
     let expired = async {
         Timer::at(deadline).await;
--- a/crates/umberglade/tests/paused_stream.rs
+++ b/crates/umberglade/tests/paused_stream.rs
@@ -314,3 +314,31 @@
     assert!(is_complete, "cut: {text}");
     assert_eq!(text, expected());
 }
+
+/// Guards against callers who are held beyond their deadline by an opening that gets no answer,
+/// after the silent stream broke meanwhile.
+#[test]
+fn an_opening_holds_no_caller_beyond_the_deadline_when_the_silent_server_dies() {
+    const DEADLINE_MS: u64 = 1800;
+    const DIES_AFTER: Duration = Duration::from_millis(1300);
+    let mut site = PausedSite::start("dies at opening", true);
+    site.set_deadline(DEADLINE_MS);
+    engine_faults(&site.decode[FIRST].addr, &paused(7, FOREVER_MS));
+    site.decode[SECOND].pause();
+    let mut first = site.decode.remove(FIRST);
+    let (is_ejected, elapsed, is_complete) = std::thread::scope(|scope| {
+        let started_at = Instant::now();
+        let caller = scope.spawn(|| site.send("urgent"));
+        std::thread::sleep(DIES_AFTER);
+        first.kill();
+        let (_, is_complete) = caller.join().expect("the caller");
+        (site.is_ejected(FIRST), started_at.elapsed(), is_complete)
+    });
+    site.decode[0].resume();
+    assert!(!is_complete);
+    assert!(site.has_logged(events::STREAM_SILENT));
+    let deadline = Duration::from_millis(DEADLINE_MS);
+    assert!(elapsed >= deadline, "given up after {elapsed:?}");
+    assert!(elapsed < deadline + Duration::from_millis(400), "held for {elapsed:?}");
+    assert!(is_ejected);
+}
