Test that a long silence which the deadline ends ejects the server

The other side of a_short_silence_at_the_deadline_ejects_no_server: with a deadline of 3 s the silence lasts longer than 2 s. It fails when `deadline_passed` records nothing.

--- a/crates/umberglade/tests/paused_stream.rs
+++ b/crates/umberglade/tests/paused_stream.rs
@@ -342,3 +342,16 @@
     assert!(elapsed < deadline + Duration::from_millis(400), "held for {elapsed:?}");
     assert!(is_ejected);
 }
+
+/// Guards against a server that gets further requests though it was silent for longer than a
+/// sound one, because the deadline of its caller ended the silence.
+#[test]
+fn a_long_silence_at_the_deadline_ejects_the_server() {
+    const DEADLINE_MS: u64 = 3000;
+    let site = PausedSite::start("long", false);
+    site.set_deadline(DEADLINE_MS);
+    engine_faults(&site.decode[FIRST].addr, &paused(7, FOREVER_MS));
+    let (_, is_complete) = site.send("urgent");
+    assert!(!is_complete);
+    assert!(site.is_ejected(FIRST));
+}
