--- a/crates/router/src/pipeline/silent_stream.rs
+++ b/crates/router/src/pipeline/silent_stream.rs
@@ -81,7 +81,7 @@
         let attempts_before = self.run.attempt;
         let mut delay = FIRST_ATTEMPT_DELAY;
         loop {
-            match self.open_beside().await {
+            match self.open_beside(silent_since).await {
                 OpenOutcome::Opened(other) => {
                     if let Some(end) = self.race_streams(other, silent_since).await {
                         return end;
@@ -93,25 +93,29 @@
                 OpenOutcome::SilenceEnded(end) => return end,
             }
             self.run.attempt = attempts_before;
-            if let Some(end) = self.wait_before_attempt(delay).await {
+            if let Some(end) = self.wait_before_attempt(delay, silent_since).await {
                 return end;
             }
         }
     }
 
     /// Waits for `delay` before another attempt. Returns the end of the silence if it ends before.
-    async fn wait_before_attempt(&mut self, delay: Duration) -> Option<SilenceEnd> {
+    async fn wait_before_attempt(
+        &mut self,
+        delay: Duration,
+        silent_since: Instant,
+    ) -> Option<SilenceEnd> {
         let kept_line = next_useful_line(&mut self.stream, &self.assembler);
         match first_of(kept_line, Timer::after(delay), self.run.deadline()).await {
             FirstResult::Other(_) => None,
             FirstResult::Kept(Ok(line)) => Some(SilenceEnd::Line(line)),
             FirstResult::Kept(Err(message)) => Some(SilenceEnd::Broken(message)),
-            FirstResult::DeadlinePassed => Some(self.deadline_passed()),
+            FirstResult::DeadlinePassed => Some(self.deadline_passed(silent_since)),
         }
     }
 
     /// Opens another stream, if other servers have room now and the silence does not end before.
-    async fn open_beside(&mut self) -> OpenOutcome {
+    async fn open_beside(&mut self, silent_since: Instant) -> OpenOutcome {
         let deadline = self.run.deadline();
         let request_id = self.run.admitted.request_id.clone();
         let mut opening = Box::pin(self.run.open_beside(self.assembler.next_index()));
@@ -125,12 +129,17 @@
             }
             FirstResult::Kept(Ok(line)) => OpenOutcome::SilenceEnded(SilenceEnd::Line(line)),
             FirstResult::Kept(Err(message)) => {
-                let opened = opening.await;
-                OpenOutcome::SilenceEnded(self.end_broken(message, opened.ok().flatten()))
+                let opened = async { opening.await.ok().flatten() };
+                let expired = async {
+                    Timer::at(deadline).await;
+                    None
+                };
+                let opened = opened.or(expired).await;
+                OpenOutcome::SilenceEnded(self.end_broken(message, opened))
             }
             FirstResult::DeadlinePassed => {
                 drop(opening);
-                OpenOutcome::SilenceEnded(self.deadline_passed())
+                OpenOutcome::SilenceEnded(self.deadline_passed(silent_since))
             }
         }
     }
@@ -142,7 +151,6 @@
         mut other: DecodeStream,
         silent_since: Instant,
     ) -> Option<SilenceEnd> {
-        let opened_at = Instant::now();
         let kept_line = next_useful_line(&mut self.stream, &self.assembler);
         let other_line = async {
             let silent = async {
@@ -160,20 +168,24 @@
             }
             FirstResult::Other(Err(message)) => {
                 tracing::warn!(event = events::SERVER_STEP_FAILED, request_id = %self.run.admitted.request_id, server = %other.slot.entry.server, error = %message, "stream beside a silent one failed");
-                record_silence(&other.slot, opened_at);
-                self.run.avoid_server(&other.slot);
+                // It broke, or was silent for longer than a sound server.
+                self.run.record_failure(&other.slot);
                 self.run.cancel.cancel_others(&self.stream.slot.entry.addr);
                 None
             }
             FirstResult::Kept(Ok(line)) => Some(SilenceEnd::Line(line)),
             FirstResult::Kept(Err(message)) => Some(self.end_broken(message, Some(other))),
-            FirstResult::DeadlinePassed => Some(self.deadline_passed()),
+            FirstResult::DeadlinePassed => Some(self.deadline_passed(silent_since)),
         }
     }
 
     /// Ends the silence of a stream that broke: `other` takes its place, if there is one.
     fn end_broken(&mut self, message: String, other: Option<DecodeStream>) -> SilenceEnd {
         let Some(other) = other else {
+            if self.run.remaining().is_zero() {
+                // The run does not resume, which would record it.
+                self.stream.slot.record_failure();
+            }
             return SilenceEnd::Broken(message);
         };
         self.stream.slot.record_failure();
@@ -189,7 +201,8 @@
         metrics::counter!("umberglade_resumed_total").increment(1);
     }
 
-    fn deadline_passed(&self) -> SilenceEnd {
+    fn deadline_passed(&self, silent_since: Instant) -> SilenceEnd {
+        record_silence(&self.stream.slot, silent_since);
         let server = &self.stream.slot.entry.server;
         SilenceEnd::Broken(format!("the stream from {server} was silent until the deadline"))
     }
@@ -225,7 +238,13 @@
     other: impl Future<Output = T>,
     deadline: Instant,
 ) -> FirstResult<T> {
-    let kept_line = async { FirstResult::Kept(kept_line.await) };
+    let kept_line = async {
+        match kept_line.await {
+            // Sound servers end their streams at the deadline.
+            Err(_) if Instant::now() >= deadline => FirstResult::DeadlinePassed,
+            result => FirstResult::Kept(result),
+        }
+    };
     let other = async { FirstResult::Other(other.await) };
     let expired = async {
         Timer::at(deadline).await;
