The release of a KV cache ends with the head of its answer

A release read the body of its answer without a bound in bytes or time, in a task of its own, after its caller had been answered or had left: a server that sends without end kept it, and its memory, for as long as it liked. Class: work that nobody waits for and nothing ends. Only the status is used, so the connection is closed after the head. a_release_ends_whatever_the_server_sends: red before, green now.

--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::Method;
 use http::Request;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use umberglade_wire::pool;
 
@@ -119,12 +118,8 @@
     let connector = PathConnector { state, request_id, deadline, patience: NO_PATIENCE };
     let sent = upstream::send_with(&connector, &state.pool, target, request, Some(deadline));
     let outcome = match sent.await {
-        Ok((response, _)) => {
-            let status = response.status().as_u16();
-            // Only the status is used; the body is read to complete the exchange.
-            let _ = response.into_body().collect().await;
-            status.to_string()
-        }
+        // Only the status is used: the rest of the answer is left unread, and its connection closed.
+        Ok((response, _connection)) => response.status().as_u16().to_string(),
         Err(error) => error.to_string(),
     };
     log_release(target, request_id, &outcome);
