What a server sends is read up to a bound; a long answer is passed on

A server in trouble that sent bytes without end (a head, interim responses, a body of any kind, an event) was read whole, by each gateway that its requests and their repeats reached, until their time was over: hundreds of MB where an instance has 88. Class: reads bounded in time only, by a peer's good will. Now all client connections (servers, tunnels, store, peers over HTTP, the other daemon) are wire::ClientConnection: heads of 64 KiB, 256 KiB on the wire without progress of the answer, closed as soon as nobody holds the connection or its body. Bodies that are held have limits in one place (upstream::answer_limits); a plain success of more than 64 KiB is passed on with backpressure, up to 16 MiB, and then ends visibly broken. Two tests held single events of 2 and 24 MB to fill the buffers of a connection, which are no events any more: they now send as many of 48 KB as the system takes of a connection, measured, and eight more.

--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -20,6 +20,7 @@
 use umberglade_wire::engine::PrefillOrder;
 use umberglade_wire::engine::PrefillReply;
 use umberglade_wire::engine::Priority;
+use umberglade_wire::lines::LineError;
 use umberglade_wire::lines::LineReader;
 
 use crate::site::LocalSite;
@@ -43,7 +44,7 @@
     #[snafu(display("{source}"))]
     Exchange { source: WireError },
     #[snafu(display("reading a response: {source}"))]
-    Body { source: hyper::Error },
+    Body { source: LineError },
 }
 
 /// Latencies of one path to the engines, in milliseconds: until the first token, and until the
--- a/crates/bench/src/load/caller.rs
+++ b/crates/bench/src/load/caller.rs
@@ -125,7 +125,7 @@
 }
 
 async fn record_rejection(
-    response: Response<hyper::body::Incoming>,
+    response: Response<umberglade_wire::client_connection::ResponseBody>,
     wait: Option<u64>,
     outcome: &mut CallOutcome,
 ) {
@@ -151,7 +151,8 @@
     target: &LoadTarget,
     arrival: &Arrival,
     daemon: &str,
-) -> Result<Response<hyper::body::Incoming>, umberglade_wire::WireError> {
+) -> Result<Response<umberglade_wire::client_connection::ResponseBody>, umberglade_wire::WireError>
+{
     let class = &workload.class[arrival.class];
     let key = &target.keys[arrival.number as usize % target.keys.len()];
     let client = HttpClient::new(daemon, class.deadline());
@@ -178,7 +179,7 @@
 
 async fn read_response(
     class: &RequestClass,
-    response: Response<hyper::body::Incoming>,
+    response: Response<umberglade_wire::client_connection::ResponseBody>,
     started_at: Instant,
     outcome: &mut CallOutcome,
 ) {
--- a/crates/gateway/src/forward/event_reader.rs
+++ b/crates/gateway/src/forward/event_reader.rs
@@ -3,7 +3,11 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use umberglade_wire::client_connection::BodyError;
+use umberglade_wire::client_connection::ResponseBody;
+use umberglade_wire::client_connection::TooLongSnafu;
+
+use crate::upstream::answer_limits::MAX_EVENT_BYTES;
 
 /// One complete event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,6 +18,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns true when no line of the event has a field.
+    fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// Splits bytes into complete events.
 ///
 /// A server may stop in the middle of an event. Forwarding only complete events prevents
@@ -44,6 +56,11 @@
         Some(StreamEvent { id: event_id(&bytes), bytes })
     }
 
+    /// Returns the number of bytes of the event that has not arrived completely.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns true when no part of a further event has arrived.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
@@ -73,25 +90,38 @@
 /// Reads events from the body of a response.
 #[derive(Debug)]
 pub struct EventReader {
-    body: Incoming,
+    body: ResponseBody,
     splitter: EventSplitter,
+    /// Size of the comments since the last event with a field, in bytes.
+    comment_bytes: usize,
 }
 
 impl EventReader {
     /// Returns a reader of `body`.
-    pub fn new(body: Incoming) -> Self {
-        EventReader { body, splitter: EventSplitter::default() }
+    pub fn new(body: ResponseBody) -> Self {
+        EventReader { body, splitter: EventSplitter::default(), comment_bytes: 0 }
     }
 
     /// Returns the next complete event; `None` at the end of the body.
-    pub async fn next_event(&mut self) -> Result<Option<StreamEvent>, hyper::Error> {
+    pub async fn next_event(&mut self) -> Result<Option<StreamEvent>, BodyError> {
         loop {
             if let Some(event) = self.splitter.next_event() {
+                let is_comment = event.is_comment();
+                self.comment_bytes =
+                    if is_comment { self.comment_bytes + event.bytes.len() } else { 0 };
+                snafu::ensure!(
+                    self.comment_bytes <= MAX_EVENT_BYTES,
+                    TooLongSnafu { limit: MAX_EVENT_BYTES }
+                );
                 return Ok(Some(event));
             }
+            if self.splitter.buffered() > MAX_EVENT_BYTES {
+                return TooLongSnafu { limit: MAX_EVENT_BYTES }.fail();
+            }
             match self.body.frame().await {
                 Some(frame) => {
-                    if let Ok(data) = frame?.into_data() {
+                    let frame = frame.map_err(|source| BodyError::Broken { source })?;
+                    if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
                     }
                 }
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -7,8 +7,9 @@
 use http::HeaderMap;
 use http::Response;
 use http::header;
-use hyper::body::Incoming;
 use strum::Display;
+use umberglade_wire::client_connection::BodyError;
+use umberglade_wire::client_connection::ResponseBody;
 use umberglade_wire::pool;
 
 use super::Call;
@@ -62,6 +63,7 @@
     fn of(error: &SendError) -> Self {
         match error {
             SendError::Broken { .. } => AttemptFailure::Broken,
+            SendError::Malformed { .. } => AttemptFailure::Garbled,
             SendError::Silent { .. } => AttemptFailure::Silent,
             // Nor does it show anything of the server that this process could open no connection.
             error if error.is_connect_timeout() || error.is_local() => AttemptFailure::Unopened,
@@ -69,6 +71,11 @@
         }
     }
 
+    /// Returns the failure of an attempt whose body was not read to its end.
+    pub fn of_body(error: &BodyError) -> Self {
+        if error.is_malformed() { AttemptFailure::Garbled } else { AttemptFailure::Broken }
+    }
+
     /// Returns true when the server has certainly not received the request.
     pub fn is_unsent(self) -> bool {
         matches!(self, AttemptFailure::Unsent | AttemptFailure::Unopened)
@@ -94,7 +101,7 @@
 /// A response with a valid head, whose body is not read yet.
 #[derive(Debug)]
 pub struct OpenResponse {
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
     pub head: ResponseHead,
     pub connection: ServerConnection,
     pub permit: AttemptPermit,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod event_reader;
 mod exchange;
 mod kept_stream;
+mod long_response;
 mod plain_placement;
 mod plain_run;
 mod prefill_step;
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -5,10 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Response;
-use http_body_util::BodyExt;
+use http::response::Parts;
 use smallvec::SmallVec;
 
 use super::Call;
@@ -19,6 +18,10 @@
 use super::exchange::AttemptFailure;
 use super::exchange::OpenResponse;
 use super::exchange::is_delimited;
+use super::long_response::BodyStart;
+use super::long_response::LongResponse;
+use super::long_response::pass_on;
+use super::long_response::read_start;
 use super::plain_placement::connect_patience;
 use super::plain_placement::reserve_server;
 use super::plain_placement::reserve_unopened;
@@ -31,10 +34,13 @@
 use crate::load_guard::LoadGuard;
 use crate::model::AttemptPurpose;
 use crate::model::AttemptSpec;
+use crate::model::ResponseHead;
 use crate::model::ServerKey;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
+use crate::upstream::ServerConnection;
+use crate::upstream::answer_limits::MAX_HELD_BYTES;
 
 /// `Retry-After` of rejected plain calls: servers work on a call for tens of milliseconds, so
 /// their capacity changes that fast.
@@ -192,7 +198,7 @@
     let Some(target) = exchange::send_target(state, &server, None) else {
         return PlainOutcome::Failed(AttemptFailure::Unsent);
     };
-    let _load_guard = LoadGuard::begin(state, server, LoadShare::of_call());
+    let load_guard = LoadGuard::begin(state, server, LoadShare::of_call());
     let patience = || connect_patience(state, call, &tried);
     let time_left = call.time_left(Instant::now());
     let attempt_spec = AttemptSpec {
@@ -204,34 +210,56 @@
     let opened =
         exchange::exchange::<C>(state, call, &target, &attempt_spec, permit, time_left, &patience);
     match opened.await {
-        Ok(opened) => read_response::<C>(state, call, &target, opened).await,
+        Ok(opened) => read_response::<C>(state, call, &target, opened, load_guard).await,
         Err(AttemptFailure::Unopened) => PlainOutcome::Unopened(target.server),
         Err(failure) => PlainOutcome::Failed(failure),
     }
 }
 
-/// Reads the body of the response, which must be complete.
+/// Reads the body of the response, which must be complete unless it is passed on.
 async fn read_response<C: PlatformCodec>(
     state: &Arc<GatewayState>,
-    call: &Call,
+    call: &Arc<Call>,
     target: &SendTarget,
     opened: OpenResponse,
+    load_guard: LoadGuard,
 ) -> PlainOutcome {
-    let (parts, body) = opened.response.into_parts();
-    let read = match with_deadline(call.deadline, body.collect()).await {
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) => Err((AttemptFailure::Broken, error.to_string())),
-        None => Err((AttemptFailure::Silent, "the body did not arrive in time".to_owned())),
-    };
-    let body: Bytes = match read {
-        Ok(body) => body,
-        Err((failure, problem)) => {
-            let sent_at = opened.sent_at;
-            let failure =
-                exchange::record_failure(state, call, target, failure, &problem, sent_at).await;
-            return PlainOutcome::Failed(failure);
+    let OpenResponse { response, head, connection, sent_at, .. } = opened;
+    let (parts, mut body) = response.into_parts();
+    let is_error = parts.status.is_server_error();
+    let (failure, problem) = match with_deadline(call.deadline, read_start(&mut body)).await {
+        Some(Ok(BodyStart::Whole(bytes))) => {
+            record_whole(state, call, target, &parts, connection, &head);
+            let mut response = Response::new(response_body::full(bytes));
+            *response.status_mut() = parts.status;
+            *response.headers_mut() = C::response_headers(&parts.headers);
+            return PlainOutcome::Responded(response);
+        }
+        Some(Ok(BodyStart::Long(start))) if !is_error => {
+            let long = LongResponse { head, parts, start, body, connection, sent_at, load_guard };
+            return PlainOutcome::Responded(pass_on::<C>(state, call, target, long));
+        }
+        Some(Ok(BodyStart::Long(_))) => {
+            (AttemptFailure::Garbled, format!("an error of more than {MAX_HELD_BYTES} bytes"))
         }
+        Some(Err(error)) => (AttemptFailure::of_body(&error), error.to_string()),
+        None => (AttemptFailure::Silent, "the body did not arrive in time".to_owned()),
     };
+    // Closes the connection: the server may still be sending.
+    drop((body, connection));
+    let failure = exchange::record_failure(state, call, target, failure, &problem, sent_at).await;
+    PlainOutcome::Failed(failure)
+}
+
+/// Records a response that was read to its end, and keeps its connection.
+pub(super) fn record_whole(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    target: &SendTarget,
+    parts: &Parts,
+    connection: ServerConnection,
+    head: &ResponseHead,
+) {
     let is_error = parts.status.is_server_error();
     state.record_outcome(target, if is_error { ServerOutcome::Erred } else { ServerOutcome::Fine });
     if !is_error && is_delimited(&parts.headers) {
@@ -239,13 +267,9 @@
     } else if !is_error {
         state.quarantines.record_undelimited_end(&call.suspects, target);
     }
-    if !opened.head.closes {
-        state.pool.put(target, opened.connection, opened.head.keep_alive, Instant::now());
+    if !head.closes {
+        state.pool.put(target, connection, head.keep_alive, Instant::now());
     }
-    let mut response = Response::new(response_body::full(body));
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = C::response_headers(&parts.headers);
-    PlainOutcome::Responded(response)
 }
 
 fn complete(
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use futures_lite::FutureExt;
-use http_body_util::BodyExt;
+use umberglade_wire::client_connection::read_whole;
 
 use super::Call;
 use super::attempt_permit::AttemptPermit;
@@ -24,6 +24,7 @@
 use crate::paths::NO_PATIENCE;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
+use crate::upstream::answer_limits::MAX_HANDLE_BYTES;
 
 /// Time allowed for a prefill beyond a multiple of the typical time, so that a short pause of
 /// an engine does not cause a time-out.
@@ -87,8 +88,8 @@
             .await?;
     let status = opened.response.status();
     let read = async {
-        let collected = opened.response.into_body().collect().await;
-        collected.map_err(|error| (AttemptFailure::Broken, error.to_string()))
+        let read = read_whole(opened.response.into_body(), MAX_HANDLE_BYTES).await;
+        read.map_err(|error| (AttemptFailure::of_body(&error), error.to_string()))
     };
     let timed_out = async {
         smol::Timer::at(started_at + timeout).await;
@@ -98,7 +99,7 @@
         exchange::record_failure(state, call, &target, failure, problem, started_at).await
     };
     let body = match read.or(timed_out).await {
-        Ok(body) => body.to_bytes(),
+        Ok(body) => body,
         Err((failure, problem)) => return Err(fail(failure, &problem).await),
     };
     let opened_at = opened.connection.opened_at;
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -24,8 +24,9 @@
 use super::silence_log;
 use super::silent_stream;
 use super::silent_stream::SilenceEnd;
+use super::silent_stream::StreamBreak;
 use super::silent_stream::StreamPosition;
-use super::silent_stream::break_problem;
+use super::silent_stream::stream_break;
 use super::silent_stream::wait_or_replace;
 use super::stream_open::OpenStream;
 use super::stream_opener::StreamOpener;
@@ -230,8 +231,8 @@
                     SilenceEnd::Expired => return Ok(StreamStop::Expired),
                 },
             };
-            if let Some(problem) = break_problem(&read, stream) {
-                return Ok(StreamStop::Failed(AttemptFailure::Broken, problem));
+            if let Some(StreamBreak { failure, problem }) = stream_break(&read, stream) {
+                return Ok(StreamStop::Failed(failure, problem));
             }
             next = match read {
                 Ok(Some(event)) => Some(event),
--- a/crates/gateway/src/forward/response_body.rs
+++ b/crates/gateway/src/forward/response_body.rs
@@ -26,7 +26,12 @@
 /// Returns a streamed body and the sender of its frames. Dropping the sender completes the
 /// body; sending [`StreamBroken`] aborts it.
 pub fn streamed() -> (async_channel::Sender<BodyFrame>, GatewayBody) {
-    let (sender, receiver) = async_channel::bounded(MAX_BUFFERED_FRAMES);
+    streamed_with(MAX_BUFFERED_FRAMES)
+}
+
+/// Like [`streamed`], with at most `max_buffered` frames that the caller has not taken.
+pub fn streamed_with(max_buffered: usize) -> (async_channel::Sender<BodyFrame>, GatewayBody) {
+    let (sender, receiver) = async_channel::bounded(max_buffered);
     (sender, Either::Right(StreamBody::new(receiver)))
 }
 
--- a/crates/gateway/src/forward/silent_stream.rs
+++ b/crates/gateway/src/forward/silent_stream.rs
@@ -6,6 +6,7 @@
 
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
+use umberglade_wire::client_connection::BodyError;
 
 use super::Call;
 use super::StreamEvent;
@@ -25,7 +26,7 @@
 use crate::timing::with_deadline;
 
 /// The next event of a stream; `None` at its end.
-pub type ReadEvent = Result<Option<StreamEvent>, hyper::Error>;
+pub type ReadEvent = Result<Option<StreamEvent>, BodyError>;
 
 /// How the silence of a stream's server ended.
 pub enum SilenceEnd {
@@ -84,9 +85,8 @@
             }
             Some(FirstToGoOn::Kept(read)) => read,
         };
-        if let Some(problem) = break_problem(&read, stream) {
+        if let Some(StreamBreak { failure, problem }) = stream_break(&read, stream) {
             let recorded = async {
-                let failure = AttemptFailure::Broken;
                 record_stop(state, call, stream, failure, &problem, last_event_at).await;
                 kept.end();
             };
@@ -103,13 +103,25 @@
     SilenceEnd::WentOn(read)
 }
 
+/// How a server's stream has broken off.
+pub struct StreamBreak {
+    pub failure: AttemptFailure,
+    pub problem: String,
+}
+
 /// Returns how the server of `stream` has failed, if `read` shows that it has.
-pub fn break_problem(read: &ReadEvent, stream: &OpenStream) -> Option<String> {
+pub fn stream_break(read: &ReadEvent, stream: &OpenStream) -> Option<StreamBreak> {
     match read {
         Ok(Some(_)) => None,
         Ok(None) if stream.reader.is_complete() => None,
-        Ok(None) => Some("ended within an event".to_owned()),
-        Err(error) => Some(error.to_string()),
+        Ok(None) => Some(StreamBreak {
+            failure: AttemptFailure::Broken,
+            problem: "ended within an event".to_owned(),
+        }),
+        Err(error) => Some(StreamBreak {
+            failure: AttemptFailure::of_body(error),
+            problem: error.to_string(),
+        }),
     }
 }
 
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -7,7 +7,8 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
+use umberglade_wire::client_connection::BodyError;
+use umberglade_wire::client_connection::read_whole;
 
 use super::Call;
 use super::EventReader;
@@ -29,6 +30,7 @@
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
 use crate::upstream::ServerConnection;
+use crate::upstream::answer_limits::MAX_HELD_BYTES;
 
 /// A stream whose first event has arrived.
 #[derive(Debug)]
@@ -124,7 +126,7 @@
                 state.record_outcome(target, ServerOutcome::Erred);
                 OpenOutcome::Responded(response)
             }
-            Some(Err(error)) => fail(AttemptFailure::Broken, &error.to_string()).await,
+            Some(Err(error)) => fail(AttemptFailure::of_body(&error), &error.to_string()).await,
             None => fail(AttemptFailure::Silent, "no response body in time").await,
         };
     }
@@ -133,7 +135,9 @@
     let mut reader = EventReader::new(body);
     let first = match with_deadline(deadline, reader.next_event()).await {
         Some(Ok(first)) => first,
-        Some(Err(error)) => return fail(AttemptFailure::Broken, &error.to_string()).await,
+        Some(Err(error)) => {
+            return fail(AttemptFailure::of_body(&error), &error.to_string()).await;
+        }
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
     let is_delimited = exchange::is_delimited(&parts.headers);
@@ -165,9 +169,9 @@
 
 async fn read_error_response<C: PlatformCodec>(
     opened: OpenResponse,
-) -> Result<Response<GatewayBody>, hyper::Error> {
+) -> Result<Response<GatewayBody>, BodyError> {
     let (parts, body) = opened.response.into_parts();
-    let body = body.collect().await?.to_bytes();
+    let body = read_whole(body, MAX_HELD_BYTES).await?;
     let mut response = Response::new(response_body::full(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = C::response_headers(&parts.headers);
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -9,13 +9,14 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use snafu::OptionExt;
 use snafu::ResultExt;
 use snafu::Snafu;
+use umberglade_wire::client_connection::BodyError;
+use umberglade_wire::client_connection::ResponseBody;
+use umberglade_wire::client_connection::read_whole;
 
 use crate::codec::CodecError;
 use crate::codec::PlatformCodec;
@@ -32,6 +33,7 @@
 use crate::upstream::SendError;
 use crate::upstream::SendTarget;
 use crate::upstream::ServerConnection;
+use crate::upstream::answer_limits::MAX_REPORT_BYTES;
 
 /// Timeout of an engine's response: about a hundred times its usual response time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -47,7 +49,9 @@
     #[snafu(display("{step} at {peer}: no response within {} ms", RESPONSE_TIMEOUT.as_millis()))]
     Timeout { step: &'static str, peer: SocketAddr },
     #[snafu(display("{step} at {peer}: {source}"))]
-    Body { step: &'static str, peer: SocketAddr, source: hyper::Error },
+    Exchange { step: &'static str, peer: SocketAddr, source: hyper::Error },
+    #[snafu(display("{step} at {peer}: {source}"))]
+    Body { step: &'static str, peer: SocketAddr, source: BodyError },
     #[snafu(display("{step} at {peer}: status {status}"))]
     Status { step: &'static str, peer: SocketAddr, status: StatusCode },
     #[snafu(display("report of {peer}: {source}"))]
@@ -88,9 +92,9 @@
     let request = engine_request::<C>(target, Method::POST, &path, body);
     snafu::ensure!(is_within_window(), ClaimExpiredSnafu);
     let order_exchange = async {
-        connection.ready().await.context(BodySnafu { step: SEND_ORDER, peer })?;
+        connection.ready().await.context(ExchangeSnafu { step: SEND_ORDER, peer })?;
         let sent = connection.send(request).await.map_err(TrySendError::into_error);
-        let response = sent.context(BodySnafu { step: SEND_ORDER, peer })?;
+        let response = sent.context(ExchangeSnafu { step: SEND_ORDER, peer })?;
         read_body(response, SEND_ORDER, peer).await
     };
     with_timeout(order_exchange, SEND_ORDER, peer).await?;
@@ -138,14 +142,14 @@
 }
 
 async fn read_body(
-    response: Response<Incoming>,
+    response: Response<ResponseBody>,
     step: &'static str,
     peer: SocketAddr,
 ) -> Result<Bytes, OrderError> {
     let status = response.status();
     snafu::ensure!(status.is_success(), StatusSnafu { step, peer, status });
-    let body = response.into_body().collect().await.context(BodySnafu { step, peer })?;
-    Ok(body.to_bytes())
+    let read = read_whole(response.into_body(), MAX_REPORT_BYTES).await;
+    read.context(BodySnafu { step, peer })
 }
 
 async fn with_timeout<T>(
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers.
 
 mod address_map;
+pub mod answer_limits;
 mod connection_pool;
 mod send_error;
 mod sender;
--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -33,6 +33,9 @@
     /// The request may have been sent, and no response arrived in time.
     #[snafu(display("no response within {timeout_ms} ms"))]
     Silent { peer: SocketAddr, timeout_ms: u64 },
+    /// The peer sent bytes that are no answer; the request may have run.
+    #[snafu(display("{peer} sent no answer: {source}"))]
+    Malformed { peer: SocketAddr, source: hyper::Error },
     /// The connection failed when the request may already have been sent.
     #[snafu(display("waiting for the response of {peer}: {source}"))]
     Broken { peer: SocketAddr, source: hyper::Error },
@@ -41,7 +44,10 @@
 impl SendError {
     /// Returns true when the server has certainly not received the request.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, SendError::Broken { .. } | SendError::Silent { .. })
+        !matches!(
+            self,
+            SendError::Broken { .. } | SendError::Malformed { .. } | SendError::Silent { .. }
+        )
     }
 
     /// Returns true when no connection opened in time, while none was refused.
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -9,9 +9,10 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use smol::net::TcpStream;
 use snafu::ResultExt;
+use umberglade_wire::client_connection::ResponseBody;
+use umberglade_wire::client_connection::is_malformed;
 
 use super::ConnectionPool;
 use super::SendError;
@@ -66,7 +67,7 @@
     pool: &ConnectionPool,
     target: &SendTarget,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, ServerConnection), SendError> {
+) -> Result<(Response<ResponseBody>, ServerConnection), SendError> {
     send_with(&DirectConnector, pool, target, request, None).await
 }
 
@@ -78,7 +79,7 @@
     target: &SendTarget,
     request: Request<Full<Bytes>>,
     deadline: Option<Instant>,
-) -> Result<(Response<Incoming>, ServerConnection), SendError> {
+) -> Result<(Response<ResponseBody>, ServerConnection), SendError> {
     let peer = target.address;
     let started_at = Instant::now();
     let mut request = request;
@@ -91,10 +92,7 @@
                 // be sent again.
                 Some(Err(mut error)) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => {
-                        let source = error.into_error();
-                        return Err(SendError::Broken { peer, source });
-                    }
+                    None => return Err(failed(peer, error.into_error())),
                 },
             }
         }
@@ -110,7 +108,7 @@
             Err(if is_unsent {
                 SendError::ClosedAtOnce { peer, source }
             } else {
-                SendError::Broken { peer, source }
+                failed(peer, source)
             })
         }
     }
@@ -152,6 +150,15 @@
     ConnectTimeoutSnafu { peer, timeout_ms: started_at.elapsed().as_millis() as u64 }.fail()
 }
 
+/// Returns the error of a request that may have been sent.
+fn failed(peer: SocketAddr, source: hyper::Error) -> SendError {
+    if is_malformed(&source) {
+        SendError::Malformed { peer, source }
+    } else {
+        SendError::Broken { peer, source }
+    }
+}
+
 fn silent(peer: SocketAddr, started_at: Instant) -> SendError {
     SendError::Silent { peer, timeout_ms: started_at.elapsed().as_millis() as u64 }
 }
--- a/crates/gateway/src/upstream/server_connection.rs
+++ b/crates/gateway/src/upstream/server_connection.rs
@@ -8,12 +8,9 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use smol_hyper::rt::FuturesIo;
-use umberglade_wire::pool;
+use umberglade_wire::client_connection::ClientConnection;
+use umberglade_wire::client_connection::ResponseBody;
 
 /// How a connection leads to its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,7 +23,7 @@
 /// A connection that sends requests one at a time.
 #[derive(Debug)]
 pub struct ServerConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: ClientConnection,
     pub path: ServerPath,
     /// All responses on the connection come from the process that had this address then.
     pub opened_at: Instant,
@@ -38,25 +35,21 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
-        pool::spawn(async move {
-            // The error also reaches the sender, which waits for the response.
-            let _ = connection.await;
-        });
-        Ok(ServerConnection { sender, path, opened_at: Instant::now() })
+        let connection = ClientConnection::open(stream).await?;
+        Ok(ServerConnection { connection, path, opened_at: Instant::now() })
     }
 
     /// Sends `request`. On failure the error contains it if nothing of it was written.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.sender.try_send_request(request).await
+    ) -> Result<Response<ResponseBody>, TrySendError<Request<Full<Bytes>>>> {
+        self.connection.send(request).await
     }
 
     /// Waits until the connection can send another request.
     pub async fn ready(&mut self) -> Result<(), hyper::Error> {
-        self.sender.ready().await
+        self.connection.ready().await
     }
 
     /// Returns true if the connection may be kept for other requests. A tunnel carries only one, so
@@ -66,6 +59,6 @@
     }
 
     pub fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        self.connection.is_closed()
     }
 }
--- a/crates/router/src/pipeline/decode.rs
+++ b/crates/router/src/pipeline/decode.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use http::Method;
 use http::Response;
-use hyper::body::Incoming;
 use umberglade_wire::WireError;
 use umberglade_wire::client::HttpClient;
+use umberglade_wire::client_connection::ResponseBody;
 use umberglade_wire::engine::DecodeOrder;
 use umberglade_wire::engine::EngineRole;
 use umberglade_wire::engine::Priority;
@@ -191,7 +191,7 @@
 async fn send_decode(
     slot: &ServerSlot,
     order: &DecodeOrder,
-) -> Result<Response<Incoming>, WireError> {
+) -> Result<Response<ResponseBody>, WireError> {
     let client = HttpClient::new(slot.entry.addr.clone(), DECODE_START_TIMEOUT);
     let body = Bytes::from(serde_json::to_vec(order).expect("serialising an order"));
     let response = client.send(STEP, Method::POST, "/v1/decode", Some(body)).await?;
--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -23,6 +23,7 @@
 use umberglade_platform_standin::DEFAULT_SERVERS;
 use umberglade_platform_standin::ServerOptions;
 use umberglade_platform_standin::Site;
+use umberglade_platform_standin::loopback_capacity;
 use umberglade_wire::pool;
 
 /// Longer than any step of these tests takes, so that exceeding it means a hang.
@@ -337,8 +338,16 @@
 /// get the complete response.
 #[test]
 fn stop_waits_until_responses_are_written() {
-    const EVENT_BYTES: usize = 2_000_000;
-    let options = ServerOptions { padding: EVENT_BYTES, ..ServerOptions::default() };
+    const EVENT_BYTES: usize = 48 * 1024;
+    /// Events beyond what the system buffers of a connection, which the gateway holds.
+    const HELD_EVENTS: usize = 8;
+    let events = loopback_capacity(EVENT_BYTES) / EVENT_BYTES + HELD_EVENTS;
+    let options = ServerOptions {
+        padding: EVENT_BYTES,
+        events: events as u32,
+        step_delay: Duration::from_millis(1),
+        ..ServerOptions::default()
+    };
     let store = start_site_with(options);
     let gateway = Gateway::start("slow-reader", &store, "400");
     thread::sleep(Duration::from_millis(500));
@@ -354,7 +363,7 @@
     let mut response = Vec::new();
     caller.read_to_end(&mut response).expect("a response until the connection closes");
     assert!(response.ends_with(b"0\r\n\r\n"), "cut after {} bytes", response.len());
-    assert!(response.len() > 8 * EVENT_BYTES, "only {} bytes", response.len());
+    assert!(response.len() > events * EVENT_BYTES, "only {} bytes", response.len());
 }
 
 /// Operators scrape an instance whose callers send arbitrary paths and ids. A label whose value
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -12,22 +12,25 @@
 use http::Request;
 use http::Response;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
+use hyper::client::conn::TrySendError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
-use smol_hyper::rt::FuturesIo;
 use snafu::ResultExt;
 
+use crate::client_connection::ClientConnection;
+use crate::client_connection::ResponseBody;
+use crate::client_connection::read_whole;
+use crate::error::BodySnafu;
 use crate::error::ConnectSnafu;
 use crate::error::DecodeSnafu;
 use crate::error::HttpSnafu;
 use crate::error::WireError;
-use crate::pool;
+
+/// Maximum size of the body of a response that is held whole, in bytes: twice the largest object of
+/// the platform's store.
+pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// An HTTP client for one peer, with a timeout per exchange.
 #[derive(Debug, Clone)]
@@ -52,7 +55,7 @@
         method: Method,
         path: &str,
         body: Option<Bytes>,
-    ) -> Result<Response<Incoming>, WireError> {
+    ) -> Result<Response<ResponseBody>, WireError> {
         let request = Request::builder().method(method).uri(path);
         self.send_with(step, request, body.unwrap_or_default()).await
     }
@@ -64,25 +67,17 @@
         step: &'static str,
         request: http::request::Builder,
         body: Bytes,
-    ) -> Result<Response<Incoming>, WireError> {
+    ) -> Result<Response<ResponseBody>, WireError> {
         let exchange = self.exchange(step, request, body);
         with_timeout(step, &self.peer, self.timeout, exchange).await
     }
 
-    /// Opens a connection to the peer. A task on the worker pool drives it until it closes.
-    pub(crate) async fn connect(
-        &self,
-        step: &'static str,
-    ) -> Result<SendRequest<Full<Bytes>>, WireError> {
+    /// Opens a connection to the peer.
+    pub(crate) async fn connect(&self, step: &'static str) -> Result<ClientConnection, WireError> {
         let peer = self.peer.as_str();
         let stream = TcpStream::connect(peer).await.context(ConnectSnafu { step, peer })?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) =
-            http1::handshake(FuturesIo::new(stream)).await.context(HttpSnafu { step, peer })?;
-        pool::spawn(async move {
-            let _ = connection.await;
-        });
-        Ok(sender)
+        ClientConnection::open(stream).await.context(HttpSnafu { step, peer })
     }
 
     async fn exchange(
@@ -90,15 +85,16 @@
         step: &'static str,
         request: http::request::Builder,
         body: Bytes,
-    ) -> Result<Response<Incoming>, WireError> {
+    ) -> Result<Response<ResponseBody>, WireError> {
         let peer = self.peer.as_str();
-        let mut sender = self.connect(step).await?;
+        let mut connection = self.connect(step).await?;
         let request = request
             .header(header::HOST, peer)
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .expect("a request built from a valid path");
-        sender.send_request(request).await.context(HttpSnafu { step, peer })
+        let sent = connection.send(request).await.map_err(TrySendError::into_error);
+        sent.context(HttpSnafu { step, peer })
     }
 
     /// Sends `body` as JSON and decodes the JSON body of a response with a 2xx status. Any other
@@ -122,13 +118,17 @@
     pub async fn read_full_body(
         &self,
         step: &'static str,
-        response: Response<Incoming>,
+        response: Response<ResponseBody>,
     ) -> Result<Bytes, WireError> {
         let status = response.status();
         let retry_after_s = retry_after(&response);
         let peer = self.peer.as_str();
-        let body = async { response.into_body().collect().await.context(HttpSnafu { step, peer }) };
-        let bytes = with_timeout(step, peer, self.timeout, body).await?.to_bytes();
+        let body = async {
+            read_whole(response.into_body(), MAX_RESPONSE_BYTES)
+                .await
+                .context(BodySnafu { step, peer })
+        };
+        let bytes = with_timeout(step, peer, self.timeout, body).await?;
         if !status.is_success() {
             return Err(WireError::Status {
                 step,
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -2,6 +2,8 @@
 
 use snafu::Snafu;
 
+use crate::client_connection::BodyError;
+
 /// The failure of an HTTP exchange with another process.
 ///
 /// Every variant holds the `step` (the operation that was in progress) and the `peer` (the
@@ -15,6 +17,9 @@
     /// The HTTP exchange failed after the connection had been opened.
     #[snafu(display("{step}: HTTP with {peer}: {source}"))]
     Http { step: &'static str, peer: String, source: hyper::Error },
+    /// The body of the response broke off or is too long.
+    #[snafu(display("{step}: body of {peer}: {source}"))]
+    Body { step: &'static str, peer: String, source: BodyError },
     /// The peer did not respond within `timeout_ms` milliseconds.
     #[snafu(display("{step}: {peer} gave no answer within {timeout_ms} ms"))]
     Timeout { step: &'static str, peer: String, timeout_ms: u64 },
@@ -62,6 +67,7 @@
         matches!(
             self,
             WireError::Http { .. }
+                | WireError::Body { .. }
                 | WireError::Timeout { .. }
                 | WireError::Silent { .. }
                 | WireError::Decode { .. }
--- a/crates/wire/src/keep_alive.rs
+++ b/crates/wire/src/keep_alive.rs
@@ -15,12 +15,17 @@
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
+use hyper::client::conn::TrySendError;
 use snafu::ResultExt;
 
 use crate::client::HttpClient;
+use crate::client::MAX_RESPONSE_BYTES;
 use crate::client::with_timeout;
+use crate::client_connection::BodyError;
+use crate::client_connection::ClientConnection;
+use crate::client_connection::ResponseBody;
+use crate::client_connection::read_whole;
+use crate::error::BodySnafu;
 use crate::error::HttpSnafu;
 use crate::error::WireError;
 
@@ -40,13 +45,13 @@
 #[derive(Debug)]
 pub struct KeepAliveClient {
     http: HttpClient,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<ClientConnection>,
 }
 
 impl KeepAliveClient {
     /// Creates an unconnected client for `peer` (for example `"127.0.0.1:7100"`).
     pub fn new(peer: impl Into<String>) -> Self {
-        KeepAliveClient { http: HttpClient::new(peer, Duration::MAX), sender: None }
+        KeepAliveClient { http: HttpClient::new(peer, Duration::MAX), connection: None }
     }
 
     /// Returns the address of the peer as `host:port`.
@@ -74,11 +79,11 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<BufferedResponse, WireError> {
-        let open_sender = self.take_sender();
+        let open_connection = self.take_connection();
         let request = self.request(method, path, body);
-        let exchange = exchange(&self.http, open_sender, step, request);
-        let (sender, reply) = with_timeout(step, &self.http.peer, timeout, exchange).await?;
-        self.sender = Some(sender);
+        let exchange = exchange(&self.http, open_connection, step, request);
+        let (connection, reply) = with_timeout(step, &self.http.peer, timeout, exchange).await?;
+        self.connection = Some(connection);
         Ok(reply)
     }
 
@@ -94,11 +99,11 @@
         limits: SilenceLimits,
         received: &AtomicUsize,
     ) -> Result<BufferedResponse, WireError> {
-        let open_sender = self.take_sender();
+        let open_connection = self.take_connection();
         let request = self.request(Method::GET, path, Bytes::new());
         let peer = self.http.peer.as_str();
-        let head = receive_head(&self.http, open_sender, step, request);
-        let (sender, response) = with_timeout(step, peer, limits.head, head).await?;
+        let head = receive_head(&self.http, open_connection, step, request);
+        let (connection, response) = with_timeout(step, peer, limits.head, head).await?;
         let (head, mut body) = response.into_parts();
         let mut bytes = Vec::with_capacity(expected_length(&body));
         while let Some(frame) = next_frame(&mut body, limits.body).await.ok_or_else(|| {
@@ -107,14 +112,18 @@
         })? {
             let frame = frame.context(HttpSnafu { step, peer })?;
             bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+            if bytes.len() > MAX_RESPONSE_BYTES {
+                let source = BodyError::TooLong { limit: MAX_RESPONSE_BYTES };
+                return Err(WireError::Body { step, peer: peer.to_owned(), source });
+            }
             received.store(bytes.len(), Ordering::Relaxed);
         }
-        self.sender = Some(sender);
+        self.connection = Some(connection);
         Ok(BufferedResponse { status: head.status, headers: head.headers, body: bytes.into() })
     }
 
-    fn take_sender(&mut self) -> Option<SendRequest<Full<Bytes>>> {
-        self.sender.take().filter(|sender| !sender.is_closed())
+    fn take_connection(&mut self) -> Option<ClientConnection> {
+        self.connection.take().filter(|connection| !connection.is_closed())
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
@@ -137,16 +146,13 @@
     pub body: Duration,
 }
 
-/// Maximum memory reserved on the word of a response's head, in bytes.
-const MAX_RESERVED_BYTES: u64 = 16 * 1024 * 1024;
-
-fn expected_length(body: &Incoming) -> usize {
-    body.size_hint().exact().unwrap_or(0).min(MAX_RESERVED_BYTES) as usize
+fn expected_length(body: &ResponseBody) -> usize {
+    body.size_hint().exact().unwrap_or(0).min(MAX_RESPONSE_BYTES as u64) as usize
 }
 
 /// Returns the next frame of `body`, or `None` if nothing arrives for `silence`.
 async fn next_frame(
-    body: &mut Incoming,
+    body: &mut ResponseBody,
     silence: Duration,
 ) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
     let expired = async {
@@ -158,29 +164,30 @@
 
 async fn exchange(
     http: &HttpClient,
-    open_sender: Option<SendRequest<Full<Bytes>>>,
+    open_connection: Option<ClientConnection>,
     step: &'static str,
     request: Request<Full<Bytes>>,
-) -> Result<(SendRequest<Full<Bytes>>, BufferedResponse), WireError> {
+) -> Result<(ClientConnection, BufferedResponse), WireError> {
     let peer = http.peer.as_str();
-    let (sender, response) = receive_head(http, open_sender, step, request).await?;
+    let (connection, response) = receive_head(http, open_connection, step, request).await?;
     let (head, body) = response.into_parts();
-    let body = body.collect().await.context(HttpSnafu { step, peer })?.to_bytes();
-    Ok((sender, BufferedResponse { status: head.status, headers: head.headers, body }))
+    let body = read_whole(body, MAX_RESPONSE_BYTES).await.context(BodySnafu { step, peer })?;
+    Ok((connection, BufferedResponse { status: head.status, headers: head.headers, body }))
 }
 
 /// Sends `request` and receives the head of the response.
 async fn receive_head(
     http: &HttpClient,
-    open_sender: Option<SendRequest<Full<Bytes>>>,
+    open_connection: Option<ClientConnection>,
     step: &'static str,
     request: Request<Full<Bytes>>,
-) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), WireError> {
+) -> Result<(ClientConnection, Response<ResponseBody>), WireError> {
     let peer = http.peer.as_str();
-    let mut sender = match open_sender {
-        Some(sender) => sender,
+    let mut connection = match open_connection {
+        Some(connection) => connection,
         None => http.connect(step).await?,
     };
-    let response = sender.send_request(request).await.context(HttpSnafu { step, peer })?;
-    Ok((sender, response))
+    let sent = connection.send(request).await.map_err(TrySendError::into_error);
+    let response = sent.context(HttpSnafu { step, peer })?;
+    Ok((connection, response))
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod client;
+pub mod client_connection;
 pub mod engine;
 pub mod error;
 pub mod ids;
@@ -18,6 +19,7 @@
 pub mod plain;
 pub mod platform;
 pub mod pool;
+pub mod read_allowance;
 pub mod reply;
 pub mod server;
 
--- a/crates/wire/src/lines.rs
+++ b/crates/wire/src/lines.rs
@@ -3,18 +3,32 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use snafu::Snafu;
+
+use crate::client_connection::ResponseBody;
+
+/// Maximum size of a line, in bytes: a line holds some tokens of text.
+const MAX_LINE_BYTES: usize = 64 * 1024;
+
+/// Why no further line can be read.
+#[derive(Debug, Snafu)]
+pub enum LineError {
+    #[snafu(display("{source}"), context(false))]
+    Broken { source: hyper::Error },
+    #[snafu(display("a line is longer than {MAX_LINE_BYTES} bytes"))]
+    TooLong,
+}
 
 /// Splits a streamed body into lines without their newline characters.
 #[derive(Debug)]
 pub struct LineReader {
-    body: Incoming,
+    body: ResponseBody,
     buffer: BytesMut,
 }
 
 impl LineReader {
     /// Creates a reader of the lines of `body`.
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: ResponseBody) -> Self {
         LineReader { body, buffer: BytesMut::new() }
     }
 
@@ -35,11 +49,14 @@
 
     /// Waits for the next complete line and returns it, or `None` at the end of the body. A last
     /// line that has no newline is returned too.
-    pub async fn next_line(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+    pub async fn next_line(&mut self) -> Result<Option<Bytes>, LineError> {
         loop {
             if let Some(line) = self.buffered_line() {
                 return Ok(Some(line));
             }
+            if self.buffer.len() > MAX_LINE_BYTES {
+                return TooLongSnafu.fail();
+            }
             match self.body.frame().await {
                 Some(frame) => {
                     if let Ok(data) = frame?.into_data() {
