A tunnel blocked in a write ends with the gateway that asked for it

The far end of a tunnel did not see that the near one had closed it while it wrote to a server that reads nothing: the tunnel, its slot and the server's connection stayed for the rest of the request's time. Same cause as for callers: a close is looked for only where bytes are read. The far end now asks for it while it writes; the near end resets a tunnel that it leaves, as a close would arrive only behind the bytes that nobody reads. blocked_tunnel: red before (2 s), green now.

--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -47,6 +47,7 @@
 use crate::forward::reject;
 use crate::panics;
 use crate::panics::PanicMessage;
+use crate::peer_close::is_closed_by_peer;
 use crate::state::GatewayState;
 use crate::stop::BALANCER_NOTICE_DELAY;
 use crate::stop::IDLE_CLOSE_DELAY;
@@ -196,7 +197,7 @@
         return Ok(RequestOutcome { response, is_unread: true });
     }
     let outcome = match read_call::<C>(state, request, guard).await? {
-        ReadOutcome::Call(_) if caller_watch::has_left(stream) => return Err(CallAborted),
+        ReadOutcome::Call(_) if is_closed_by_peer(stream) => return Err(CallAborted),
         ReadOutcome::Call(call) => {
             let response = forward::forward::<C>(state, call).await;
             RequestOutcome { response, is_unread: false }
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -22,6 +22,7 @@
 use super::messages::MAX_CHUNK_BYTES;
 use crate::events;
 use crate::framing::write_message;
+use crate::peer_close::wait_closed;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::connect_tcp;
@@ -146,9 +147,15 @@
     loop {
         match from.read(&mut buffer).await {
             Ok(count) if count > 0 => {
-                if to.write_all(&buffer[..count]).await.is_err() {
+                let written = async { to.write_all(&buffer[..count]).await.is_ok() };
+                let closed = async {
+                    wait_closed(&from).await;
+                    false
+                };
+                if !written.or(closed).await {
                     // The server may still send a response to what it has read.
-                    return std::future::pending().await;
+                    wait_closed(&from).await;
+                    return TunnelEnd::GatewayClosed;
                 }
             }
             _ => return TunnelEnd::GatewayClosed,
--- a/crates/gateway/src/tunnel/stream.rs
+++ b/crates/gateway/src/tunnel/stream.rs
@@ -5,9 +5,11 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
+use rustix::net::sockopt;
 use smol::net::TcpStream;
 
 use super::messages::CHUNK_HEAD_BYTES;
@@ -45,6 +47,17 @@
     }
 }
 
+impl Drop for TunnelStream {
+    /// Resets a tunnel that is left before its server has closed it: a close would arrive only behind
+    /// the bytes that a server, and so the peer, does not read.
+    fn drop(&mut self) {
+        if !matches!(self.state, ReadState::Ended) {
+            // Without it the peer sees the close later, at the end of the tunnel's lifetime at most.
+            let _ = sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for TunnelStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
