Comments of a stream reach a caller only with an event after them

A server that sent comments without end had them passed on: its caller's stream went on for as long, with bytes that are no answer, and could not go on at another server. Comments now wait for the next event, within the bound of one, and end with the stream.

--- a/crates/gateway/src/forward/event_reader.rs
+++ b/crates/gateway/src/forward/event_reader.rs
@@ -18,14 +18,6 @@
     pub bytes: Bytes,
 }
 
-impl StreamEvent {
-    /// Returns true when no line of the event has a field.
-    fn is_comment(&self) -> bool {
-        let mut lines = self.bytes.split(|byte| *byte == b'\n');
-        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
-    }
-}
-
 /// Splits bytes into complete events.
 ///
 /// A server may stop in the middle of an event. Forwarding only complete events prevents
@@ -35,6 +27,8 @@
     buffer: BytesMut,
     /// Number of bytes already searched for the end of the event.
     searched: usize,
+    /// Number of bytes of complete comments at the start of the buffer.
+    comments: usize,
 }
 
 impl EventSplitter {
@@ -43,17 +37,35 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Returns the next complete event.
+    /// Returns the next complete event, with the comments before it: these alone are no part of an
+    /// answer, and so reach a caller only with an event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let from = self.searched.saturating_sub(3);
-        let window = &self.buffer[from..];
-        let Some(end) = event_end(window) else {
-            self.searched = self.buffer.len();
-            return None;
-        };
+        loop {
+            let from = self.searched.saturating_sub(3).max(self.comments);
+            let Some(length) = event_end(&self.buffer[from..]) else {
+                self.searched = self.buffer.len();
+                return None;
+            };
+            let end = from + length;
+            self.searched = end;
+            if !is_comment(&self.buffer[self.comments..end]) {
+                return Some(self.take(end));
+            }
+            self.comments = end;
+        }
+    }
+
+    /// Returns the comments after the last event, if nothing follows them.
+    pub fn last_comments(&mut self) -> Option<StreamEvent> {
+        let has_only_comments = self.comments > 0 && self.comments == self.buffer.len();
+        has_only_comments.then(|| self.take(self.comments))
+    }
+
+    fn take(&mut self, end: usize) -> StreamEvent {
         self.searched = 0;
-        let bytes = self.buffer.split_to(from + end).freeze();
-        Some(StreamEvent { id: event_id(&bytes), bytes })
+        self.comments = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        StreamEvent { id: event_id(&bytes), bytes }
     }
 
     /// Returns the number of bytes of the event that has not arrived completely.
@@ -81,6 +93,12 @@
     None
 }
 
+/// Returns true when no line of `event` has a field.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the value of the event's `id` field.
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
@@ -92,27 +110,18 @@
 pub struct EventReader {
     body: ResponseBody,
     splitter: EventSplitter,
-    /// Size of the comments since the last event with a field, in bytes.
-    comment_bytes: usize,
 }
 
 impl EventReader {
     /// Returns a reader of `body`.
     pub fn new(body: ResponseBody) -> Self {
-        EventReader { body, splitter: EventSplitter::default(), comment_bytes: 0 }
+        EventReader { body, splitter: EventSplitter::default() }
     }
 
     /// Returns the next complete event; `None` at the end of the body.
     pub async fn next_event(&mut self) -> Result<Option<StreamEvent>, BodyError> {
         loop {
             if let Some(event) = self.splitter.next_event() {
-                let is_comment = event.is_comment();
-                self.comment_bytes =
-                    if is_comment { self.comment_bytes + event.bytes.len() } else { 0 };
-                snafu::ensure!(
-                    self.comment_bytes <= MAX_EVENT_BYTES,
-                    TooLongSnafu { limit: MAX_EVENT_BYTES }
-                );
                 return Ok(Some(event));
             }
             if self.splitter.buffered() > MAX_EVENT_BYTES {
@@ -125,7 +134,7 @@
                         self.splitter.push(&data);
                     }
                 }
-                None => return Ok(None),
+                None => return Ok(self.splitter.last_comments()),
             }
         }
     }
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -44,6 +44,18 @@
             ids: &[Some(1)],
             rest_is_empty: false,
         },
+        Case {
+            name: "comments go with the event after them",
+            bytes: "id: 1\ndata: a\n\n: a\n\n\n\n: b\n\nid: 2\ndata: b\n\n",
+            ids: &[Some(1), Some(2)],
+            rest_is_empty: true,
+        },
+        Case {
+            name: "comments alone are no event",
+            bytes: ": a\n\n: b\n\n",
+            ids: &[],
+            rest_is_empty: false,
+        },
         Case { name: "no id", bytes: "data: a\n\n", ids: &[None], rest_is_empty: true },
     ];
     for case in cases {
