A caller's leaving is seen by the other daemon too, by the same code

Same cause as at the gateway, looked for elsewhere: umberglade serve did not see callers that left with bytes behind their requests; engines held them to the end of their time. wire::caller_watch now serves both; the gateway's own copy is gone. caller_disconnects, two cases: red without the guard (mid-prefill, a blank line behind: still held after 2 s), green with it.

--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -18,6 +18,10 @@
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use umberglade_wire::caller_watch::ReadWatch;
+use umberglade_wire::caller_watch::WatchedStream;
+use umberglade_wire::caller_watch::is_closed_by_peer;
+use umberglade_wire::caller_watch::wait_left;
 use umberglade_wire::lingering_close;
 use umberglade_wire::ordered_body::FlushSignal;
 use umberglade_wire::ordered_body::OrderedBody;
@@ -28,7 +32,6 @@
 use super::accepted_request::RequestGuard;
 use super::accepted_request::RequestTracker;
 use super::answer_body::AnswerBody;
-use super::caller_watch;
 use super::connection_end::ConnectionEnd;
 use super::connection_end::EndReason;
 use super::connection_limits;
@@ -47,7 +50,6 @@
 use crate::forward::reject;
 use crate::panics;
 use crate::panics::PanicMessage;
-use crate::peer_close::is_closed_by_peer;
 use crate::state::GatewayState;
 use crate::stop::BALANCER_NOTICE_DELAY;
 use crate::stop::IDLE_CLOSE_DELAY;
@@ -78,8 +80,10 @@
     let mut requests = ConnectionRequests::new(signal.clone());
     let context = ConnectionContext::new(&state, &stream, signal, requests.tracker());
     let tracked_stream = TrackedStream::new(stream.clone(), context.signal.clone());
+    let read_watch = ReadWatch::default();
+    let watched_stream = WatchedStream::new(tracked_stream, read_watch.clone());
     let progress = HeadProgress::default();
-    let head_stream = HeadStream::new(tracked_stream, progress.clone());
+    let head_stream = HeadStream::new(watched_stream, progress.clone());
     let head_capacity = connection_limits::head_capacity(&state);
     let service_context = context.clone();
     let service = service_fn(move |request| handle_request::<C>(service_context.clone(), request));
@@ -119,7 +123,7 @@
         ConnectionEnd::without_error(EndReason::ProcessStopped)
     };
     let caller_left = async {
-        caller_watch::wait_left(&stream, &progress).await;
+        wait_left(&stream, &read_watch).await;
         ConnectionEnd::without_error(EndReason::CallerLeft)
     };
     requests.record_end(served.or(caller_left).or(process_stopped).await);
--- a/crates/gateway/src/ingress/head_stream.rs
+++ b/crates/gateway/src/ingress/head_stream.rs
@@ -38,8 +38,6 @@
     stage: Arc<AtomicU8>,
     /// Whether all that the HTTP server has written so far has been sent.
     is_flushed: Arc<AtomicBool>,
-    /// Whether the HTTP server waits for the caller's bytes.
-    is_read_awaited: Arc<AtomicBool>,
 }
 
 impl Default for HeadProgress {
@@ -47,7 +45,6 @@
         HeadProgress {
             stage: Arc::new(AtomicU8::new(HeadStage::Idle as u8)),
             is_flushed: Arc::new(AtomicBool::new(true)),
-            is_read_awaited: Arc::new(AtomicBool::new(true)),
         }
     }
 }
@@ -70,11 +67,6 @@
         self.is_flushed.load(Ordering::Acquire)
     }
 
-    /// Returns whether the HTTP server waits for the caller's bytes, and so sees when it leaves.
-    pub fn is_read_awaited(&self) -> bool {
-        self.is_read_awaited.load(Ordering::Acquire)
-    }
-
     pub fn is(&self, stage: HeadStage) -> bool {
         self.stage.load(Ordering::Acquire) == stage as u8
     }
@@ -99,9 +91,7 @@
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        self.progress.is_read_awaited.store(read.is_pending(), Ordering::Release);
-        let count = ready!(read)?;
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         if count > 0 {
             self.progress.set(HeadStage::Begun);
         }
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -3,7 +3,6 @@
 
 mod accepted_request;
 mod answer_body;
-mod caller_watch;
 mod connection_end;
 mod connection_limits;
 mod find_route;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod origins;
 pub mod panics;
 pub mod paths;
-mod peer_close;
 pub mod peers;
 pub mod quarantine;
 pub mod quota;
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -13,6 +13,7 @@
 use futures_lite::FutureExt;
 use smol::net::TcpStream;
 use strum::Display;
+use umberglade_wire::caller_watch::wait_closed;
 
 use super::ConnectSign;
 use super::TunnelReply;
@@ -22,7 +23,6 @@
 use super::messages::MAX_CHUNK_BYTES;
 use crate::events;
 use crate::framing::write_message;
-use crate::peer_close::wait_closed;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::connect_tcp;
--- a/crates/standin/src/engine/decode.rs
+++ b/crates/standin/src/engine/decode.rs
@@ -97,7 +97,7 @@
                 return;
             }
             if is_reached(faults.silent_after_tokens, generated) {
-                smol::Timer::after(STALL_DURATION).await;
+                stay_silent(&sender, faults.ignores_hangup).await;
             }
             if generated == faults.pause_after_tokens && faults.pause_ms > 0 {
                 pause(Duration::from_millis(faults.pause_ms), &cancelled).await;
@@ -125,6 +125,20 @@
     }
 }
 
+/// Waits for [`STALL_DURATION`], or until the connection is closed unless that is ignored.
+async fn stay_silent(sender: &ChunkSender, ignores_hangup: bool) {
+    let over = async {
+        smol::Timer::after(STALL_DURATION).await;
+    };
+    let closed = async {
+        if ignores_hangup {
+            std::future::pending::<()>().await;
+        }
+        sender.closed().await;
+    };
+    over.or(closed).await;
+}
+
 /// Waits for `duration`, or until the request is cancelled.
 async fn pause(duration: Duration, cancelled: &AtomicBool) {
     let end = Instant::now() + duration;
--- a/crates/umberglade/tests/caller_disconnects.rs
+++ b/crates/umberglade/tests/caller_disconnects.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::io::Write;
 use std::time::Duration;
 
 use umberglade_wire::engine::EngineFaults;
@@ -17,12 +18,17 @@
 /// How soon after the disconnect the engines must hold nothing.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in which the daemon reads what is behind a request.
+const BEHIND_DELAY: Duration = Duration::from_millis(100);
+
 /// How and when a request loses its caller.
 struct DisconnectCase {
     name: &'static str,
     prefill_faults: EngineFaults,
     decode_faults: EngineFaults,
     prompt_words: usize,
+    /// What the caller sends behind its request before it leaves.
+    behind: &'static str,
     /// Which engine must hold the request before its caller disconnects.
     held_at: HeldAt,
     /// The daemon is killed instead of the caller hanging up.
@@ -55,6 +61,7 @@
             prefill_faults: NONE,
             decode_faults: NONE,
             prompt_words: 20,
+            behind: "",
             held_at,
             kill_daemon: false,
         }
@@ -90,9 +97,19 @@
         },
         DisconnectCase::new("caller, mid-decode", HeldAt::Decode),
         DisconnectCase {
-            decode_faults: silent,
+            decode_faults: silent.clone(),
             ..DisconnectCase::new("caller, silent stream", HeldAt::Decode)
         },
+        DisconnectCase {
+            prompt_words: 200_000,
+            behind: "\r\n",
+            ..DisconnectCase::new("caller, mid-prefill, a blank line behind", HeldAt::Prefill)
+        },
+        DisconnectCase {
+            decode_faults: silent,
+            behind: "\r\n",
+            ..DisconnectCase::new("caller, silent stream, a blank line behind", HeldAt::Decode)
+        },
         DisconnectCase {
             prompt_words: 40_000,
             kill_daemon: true,
@@ -113,7 +130,7 @@
         let engines: Vec<String> = site.engines.iter().map(|engine| engine.addr.clone()).collect();
         engine_faults(&engines[0], &case.prefill_faults);
         engine_faults(&engines[1], &case.decode_faults);
-        let socket = raw_request(&site.daemon.addr, &chat(case.prompt_words, 500));
+        let mut socket = raw_request(&site.daemon.addr, &chat(case.prompt_words, 500));
         let holder = &engines[if case.held_at == HeldAt::Prefill { 0 } else { 1 }];
         let held = || engine_stats(holder).held_requests == 1;
         assert!(
@@ -124,6 +141,10 @@
         if case.kill_daemon {
             site.daemon.kill();
         }
+        socket.write_all(case.behind.as_bytes()).unwrap();
+        if !case.behind.is_empty() {
+            std::thread::sleep(BEHIND_DELAY);
+        }
         drop(socket);
         let freed = eventually(RELEASE_TIMEOUT, || {
             engines.iter().all(|engine| {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! client helpers that send and receive them.
 
 pub mod caller;
+pub mod caller_watch;
 pub mod client;
 pub mod client_connection;
 pub mod engine;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -19,6 +19,9 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use crate::caller_watch::ReadWatch;
+use crate::caller_watch::WatchedStream;
+use crate::caller_watch::wait_left;
 use crate::lingering_close;
 use crate::panics;
 use crate::pool;
@@ -78,11 +81,16 @@
                 let handler = handler.clone();
                 async move { Ok::<_, std::convert::Infallible>(respond(&*handler, request, peer).await) }
             });
-            let _ = http1::Builder::new()
-                .timer(SmolTimer::new())
-                .header_read_timeout(HEADER_READ_TIMEOUT)
-                .serve_connection(FuturesIo::new(stream.clone()), service)
-                .await;
+            let watch = ReadWatch::default();
+            let watched_stream = WatchedStream::new(stream.clone(), watch.clone());
+            let served = async {
+                let _ = http1::Builder::new()
+                    .timer(SmolTimer::new())
+                    .header_read_timeout(HEADER_READ_TIMEOUT)
+                    .serve_connection(FuturesIo::new(watched_stream), service)
+                    .await;
+            };
+            served.or(wait_left(&stream, &watch)).await;
             lingering_close::close(stream).await;
         });
     }
