Reads of a connection go through one kind of filter

The watch on callers and the allowance of answers each had a stream type of their own with the same pass-through of writes; one `FilteredStream` takes either. A spent allowance is reported as invalid data, so that one look at the error's kind tells it: the look for its type could never match, and the one inside the I/O error stood beside it. A doc comment named the release, whose answer is not read any more.

--- a/crates/gateway/src/upstream/answer_limits.rs
+++ b/crates/gateway/src/upstream/answer_limits.rs
@@ -10,7 +10,7 @@
 pub const MAX_PASSED_BYTES: usize = 16 * 1024 * 1024;
 /// An event of a stream with the comments before it, in bytes. It holds the text of some tokens.
 pub const MAX_EVENT_BYTES: usize = 64 * 1024;
-/// The answer to a prefill or a release, in bytes: the name of a handle and two numbers.
+/// The answer to a prefill, in bytes: the name of a handle and two numbers.
 pub const MAX_HANDLE_BYTES: usize = 16 * 1024;
 /// A report of an engine or the answer to an order, in bytes: a hundred for each of 2,000 runs.
 pub const MAX_REPORT_BYTES: usize = 256 * 1024;
--- a/crates/wire/src/caller_watch.rs
+++ b/crates/wire/src/caller_watch.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 
 use futures_lite::AsyncRead;
-use futures_lite::AsyncWrite;
 use rustix::event::PollFd;
 use rustix::event::PollFlags;
 use rustix::event::Timespec;
 use smol::Timer;
 use smol::net::TcpStream;
 
+use crate::filtered_stream::ReadFilter;
+
 /// Interval at which a connection is checked that is not read.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -58,49 +59,20 @@
     }
 }
 
-/// A caller's connection whose reads are noted in a [`ReadWatch`].
-#[derive(Debug)]
-pub struct WatchedStream<S> {
-    stream: S,
-    watch: ReadWatch,
-}
-
-impl<S> WatchedStream<S> {
-    pub fn new(stream: S, watch: ReadWatch) -> Self {
-        WatchedStream { stream, watch }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for WatchedStream<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+impl ReadFilter for ReadWatch {
+    /// Notes whether the read has to wait.
+    fn poll_read<S: AsyncRead + Unpin>(
+        &self,
+        stream: &mut S,
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        self.watch.is_read_awaited.store(read.is_pending(), Ordering::Release);
+        let read = Pin::new(stream).poll_read(cx, buffer);
+        self.is_read_awaited.store(read.is_pending(), Ordering::Release);
         read
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for WatchedStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
-
 /// Waits until the caller at `stream` leaves while its HTTP server does not wait for its bytes: HTTP
 /// servers see that only while nothing lies unread behind a request.
 ///
--- a/crates/wire/src/client_connection.rs
+++ b/crates/wire/src/client_connection.rs
@@ -27,9 +27,8 @@
 use smol_hyper::rt::FuturesIo;
 use snafu::Snafu;
 
+use crate::filtered_stream::FilteredStream;
 use crate::pool;
-use crate::read_allowance::AllowanceSpent;
-use crate::read_allowance::BoundedStream;
 use crate::read_allowance::ReadAllowance;
 
 /// Maximum size of the head of an answer, and of what is read of its body at once, in bytes.
@@ -52,7 +51,7 @@
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let allowance = ReadAllowance::default();
-        let stream = FuturesIo::new(BoundedStream::new(stream, allowance.clone()));
+        let stream = FuturesIo::new(FilteredStream::new(stream, allowance.clone()));
         let (sender, connection) =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await?;
         let task = pool::spawn_joined(async move {
@@ -123,9 +122,6 @@
     }
     let mut source = std::error::Error::source(error);
     while let Some(cause) = source {
-        if cause.is::<AllowanceSpent>() {
-            return true;
-        }
         let io_error = cause.downcast_ref::<io::Error>();
         if io_error.is_some_and(is_malformed_io) {
             return true;
@@ -135,10 +131,9 @@
     false
 }
 
-/// Returns true for what a body's decoder and a [`BoundedStream`] report.
+/// Returns true for what a body's decoder and a spent [`ReadAllowance`] report.
 fn is_malformed_io(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
-        || error.get_ref().is_some_and(|inner| inner.is::<AllowanceSpent>())
 }
 
 /// Why a body was not read to its end.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod client_connection;
 pub mod engine;
 pub mod error;
+pub mod filtered_stream;
 pub mod ids;
 pub mod keep_alive;
 pub mod lines;
--- a/crates/wire/src/read_allowance.rs
+++ b/crates/wire/src/read_allowance.rs
@@ -10,9 +10,10 @@
 use std::task::ready;
 
 use futures_lite::AsyncRead;
-use futures_lite::AsyncWrite;
 use snafu::Snafu;
 
+use crate::filtered_stream::ReadFilter;
+
 /// Maximum number of bytes that are read of an answer until its head, and then until each further
 /// piece of its body, is complete. Larger than what an HTTP client reads ahead.
 ///
@@ -23,7 +24,7 @@
 /// The peer has sent more bytes than any answer needs.
 #[derive(Debug, Clone, Copy, Snafu)]
 #[snafu(display("{MAX_BYTES_WITHOUT_PROGRESS} bytes were no part of an answer"))]
-pub struct AllowanceSpent;
+struct AllowanceSpent;
 
 /// The bytes that may still be read from one connection.
 #[derive(Debug, Clone)]
@@ -53,57 +54,20 @@
     }
 }
 
-/// A connection whose reads fail once its [`ReadAllowance`] is spent.
-#[derive(Debug)]
-pub struct BoundedStream<S> {
-    stream: S,
-    allowance: ReadAllowance,
-}
-
-impl<S> BoundedStream<S> {
-    pub fn new(stream: S, allowance: ReadAllowance) -> Self {
-        BoundedStream { stream, allowance }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for BoundedStream<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+impl ReadFilter for ReadAllowance {
+    /// Fails once the allowance is spent.
+    fn poll_read<S: AsyncRead + Unpin>(
+        &self,
+        stream: &mut S,
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let wanted = buffer.len().min(self.allowance.left());
+        let wanted = buffer.len().min(self.left());
         if wanted == 0 && !buffer.is_empty() {
-            return Poll::Ready(Err(io::Error::other(AllowanceSpent)));
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, AllowanceSpent)));
         }
-        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer[..wanted]))?;
-        self.allowance.spend(count);
+        let count = ready!(Pin::new(stream).poll_read(cx, &mut buffer[..wanted]))?;
+        self.spend(count);
         Poll::Ready(Ok(count))
     }
 }
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for BoundedStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -20,8 +20,8 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::caller_watch::ReadWatch;
-use crate::caller_watch::WatchedStream;
 use crate::caller_watch::wait_left;
+use crate::filtered_stream::FilteredStream;
 use crate::lingering_close;
 use crate::panics;
 use crate::pool;
@@ -82,7 +82,7 @@
                 async move { Ok::<_, std::convert::Infallible>(respond(&*handler, request, peer).await) }
             });
             let watch = ReadWatch::default();
-            let watched_stream = WatchedStream::new(stream.clone(), watch.clone());
+            let watched_stream = FilteredStream::new(stream.clone(), watch.clone());
             let served = async {
                 let _ = http1::Builder::new()
                     .timer(SmolTimer::new())
