--- a/crates/gateway/benches/decision.rs
+++ b/crates/gateway/benches/decision.rs
@@ -12,6 +12,7 @@
 use umberglade_gateway::cluster::LoadShare;
 use umberglade_gateway::cluster::PeerUpdate;
 use umberglade_gateway::cluster::PlacementRequest;
+use umberglade_gateway::cluster::PlacementTurn;
 use umberglade_gateway::cluster::name_digest;
 use umberglade_gateway::cluster::place_engine;
 use umberglade_gateway::cluster::place_plain;
@@ -103,7 +104,15 @@
             now,
         };
         group.bench_function("place_engine", |bench| {
-            bench.iter(|| place_engine(black_box(&fleet), &spec(), &SHAPE, 0, &request("engine")));
+            bench.iter(|| {
+                place_engine(
+                    black_box(&fleet),
+                    &spec(),
+                    &SHAPE,
+                    PlacementTurn::Ranked(0),
+                    &request("engine"),
+                )
+            });
         });
         group.bench_function("place_plain", |bench| {
             bench.iter(|| place_plain(black_box(&fleet), &request("plain")));
--- a/crates/gateway/src/cluster/admission_queue.rs
+++ b/crates/gateway/src/cluster/admission_queue.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use super::RateEstimate;
+use super::UnreportedPlacements;
 
 /// Identifies a request in the queue.
 pub type Ticket = u64;
@@ -119,6 +120,7 @@
     is_blocked: bool,
     /// The head of the queue at the last check, and since when.
     last_head: Option<(Ticket, Instant)>,
+    pub unreported: UnreportedPlacements,
 }
 
 impl AdmissionQueue {
--- a/crates/gateway/src/cluster/candidate.rs
+++ b/crates/gateway/src/cluster/candidate.rs
@@ -72,15 +72,32 @@
     /// has no capacity for it.
     pub fn occupancy_with(&self, spec: &EngineSpec, shape: &PromptShape) -> Option<f64> {
         let load = self.load();
-        let slots = if spec.slots > 0 { spec.slots } else { self.server_state.entry.slots };
         let load_after = load.plus(LoadShare::of_stream(shape));
-        let by_slots = f64::from(load_after.running) / f64::from(slots.max(1));
+        let by_slots = f64::from(load_after.running) / f64::from(self.slots(spec));
         let by_memory = load_after.peak_tokens() / usable_tokens(spec);
         let is_alone = load.running == 0;
         let occupancy = by_slots.max(if is_alone { by_memory.min(1.0) } else { by_memory });
         (occupancy <= 1.0).then_some(occupancy)
     }
 
+    /// Returns how many more streams of `shape` the engine has capacity for.
+    pub fn places(&self, spec: &EngineSpec, shape: &PromptShape) -> u32 {
+        if self.occupancy_with(spec, shape).is_none() {
+            return 0;
+        }
+        let load = self.load();
+        let by_slots = self.slots(spec).saturating_sub(load.running);
+        let free_tokens = usable_tokens(spec) - load.peak_tokens();
+        let by_memory = (free_tokens / LoadShare::of_stream(shape).peak_tokens().max(1.0)) as u32;
+        by_slots.min(by_memory).max(1)
+    }
+
+    /// Returns how many requests the engine runs at once.
+    fn slots(&self, spec: &EngineSpec) -> u32 {
+        let slots = if spec.slots > 0 { spec.slots } else { self.server_state.entry.slots };
+        slots.max(1)
+    }
+
     /// Returns how long a prompt is queued behind others at the server, in milliseconds, plus the
     /// cost of failures.
     pub fn prefill_cost(&self) -> f64 {
--- a/crates/gateway/src/cluster/peer_reports.rs
+++ b/crates/gateway/src/cluster/peer_reports.rs
@@ -221,6 +221,12 @@
         self.service(digest, now).queues()
     }
 
+    /// Returns the number of peers with a fresh report in which requests wait for the service with
+    /// `digest`.
+    pub fn queue_count(&self, digest: u64, now: Instant) -> u32 {
+        self.service(digest, now).queue_count()
+    }
+
     /// Forgets for how long peers have read the store without an outage, until they report again.
     pub fn forget_store_stability(&mut self) {
         for report in self.reports.values_mut() {
--- a/crates/gateway/src/cluster/peer_totals.rs
+++ b/crates/gateway/src/cluster/peer_totals.rs
@@ -35,6 +35,8 @@
 /// added.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServiceTotals {
+    /// Number of peers with waiting requests.
+    queues: u32,
     waiting: u64,
     on_time: u64,
     pace_milli: u64,
@@ -52,6 +54,11 @@
         }
     }
 
+    /// Returns the number of peers with waiting requests.
+    pub fn queue_count(&self) -> u32 {
+        self.queues
+    }
+
     /// Subtracts what `update` reports of the service with `digest`.
     pub fn remove(&mut self, update: &PeerUpdate, digest: u64) {
         let is_this = |service: &u64| *service == digest;
@@ -61,6 +68,7 @@
     }
 
     fn add_queue(&mut self, queue: QueueUpdate) {
+        self.queues += u32::from(queue.waiting > 0);
         self.waiting += u64::from(queue.waiting);
         self.on_time += u64::from(queue.on_time);
         self.pace_milli += u64::from(queue.pace_milli);
@@ -68,6 +76,7 @@
     }
 
     fn remove_queue(&mut self, queue: QueueUpdate) {
+        self.queues -= u32::from(queue.waiting > 0);
         self.waiting -= u64::from(queue.waiting);
         self.on_time -= u64::from(queue.on_time);
         self.pace_milli -= u64::from(queue.pace_milli);
--- a/crates/gateway/src/cluster/placement.rs
+++ b/crates/gateway/src/cluster/placement.rs
@@ -100,17 +100,55 @@
     Ok(PlainPlacement { server, cost })
 }
 
+/// Which of the free places a request may take.
+#[derive(Debug, Clone, Copy)]
+pub enum PlacementTurn<'a> {
+    /// Those left by the given number of requests at peers, which go first.
+    Ranked(usize),
+    /// This gateway's share of the places at each server.
+    Shared(PlaceShare<'a>),
+}
+
+/// What a gateway may take of free places without knowing what its peers take at the same time.
+///
+/// Prevents gateways with many waiting requests from placing one after the other, each after a
+/// report of the one before, while engines are empty.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceShare<'a> {
+    /// Number of gateways with waiting requests, this one included.
+    pub queues: u32,
+    /// The servers of this gateway's placements that peers may not know of yet.
+    pub unreported: &'a [ServerKey],
+}
+
+impl PlaceShare<'_> {
+    /// Returns true if this gateway may take one more of `places` at `server`.
+    fn allows(&self, server: &ServerKey, places: u32) -> bool {
+        let taken = self.unreported.iter().filter(|one| *one == server).count() as u32;
+        // `places` are what the taken ones have left.
+        places > 0 && (taken + 1) * self.queues <= places + taken
+    }
+}
+
+/// A decode server with capacity.
+#[derive(Debug, Clone, Copy)]
+struct DecodeOption {
+    cost: f64,
+    /// Its position among the candidates.
+    index: usize,
+    /// How many more such streams it has capacity for.
+    places: u32,
+}
+
 /// Returns a decode server with capacity for `shape`, and the prefill server for its prompt.
-/// `requests_ahead` is the number of requests at peers that go first: that many of the
-/// best placements are left to them.
 ///
-/// Prevents gateways from all taking the same capacity when it becomes free: without communication,
-/// each takes the placement at its own rank.
+/// Prevents gateways from all taking the same capacity when it becomes free: each takes the
+/// placement at its own rank, or no more than its share.
 pub fn place_engine(
     fleet: &Fleet,
     spec: &EngineSpec,
     shape: &PromptShape,
-    requests_ahead: usize,
+    turn: PlacementTurn<'_>,
     request: &PlacementRequest<'_>,
 ) -> Result<EnginePlacement, PlacementError> {
     let can_decode =
@@ -134,7 +172,7 @@
     let max_queued_tokens = (f64::from(shape.prompt_tokens) * SELF_PREFILL_QUEUE_FACTOR) as u32;
     let stream_occupancy = LoadShare::of_stream(shape).peak_tokens() / usable_tokens(spec);
     let version_costs = VersionCosts::new(fleet, request, &decode_servers);
-    let mut options: SmallVec<[(f64, usize); 32]> = SmallVec::new();
+    let mut options: SmallVec<[DecodeOption; 32]> = SmallVec::new();
     for (index, decode) in decode_servers.iter().enumerate() {
         let Some(occupancy) = decode.occupancy_with(spec, shape) else { continue };
         let occupancy = occupancy + tie_break(request, decode.server_state) * stream_occupancy;
@@ -143,19 +181,42 @@
         let prefill_server = prefill_servers.cheapest_for(decode.server_state, max_queued_tokens);
         let prefill_server_cost =
             prefill_server.map_or(prompt_ms * SELF_PREFILL_QUEUE_FACTOR, |(_, cost)| cost);
-        options.push((decode_cost + prefill_server_cost, index));
-    }
-    if requests_ahead >= options.len() {
-        return Err(PlacementError::NoRoom);
+        let cost = decode_cost + prefill_server_cost;
+        options.push(DecodeOption { cost, index, places: decode.places(spec, shape) });
     }
-    let by_cost = |left: &(f64, usize), right: &(f64, usize)| left.0.total_cmp(&right.0);
-    let (_, &mut (cost, index), _) = options.select_nth_unstable_by(requests_ahead, by_cost);
+    let server = |option: &DecodeOption| &decode_servers[option.index].server_state.entry.server;
+    let DecodeOption { cost, index, .. } = choose_option(options, turn, server)?;
     let decode = decode_servers[index].server_state;
     let prefill =
         prefill_servers.cheapest_for(decode, max_queued_tokens).map(|(server, _)| server.clone());
     Ok(EnginePlacement { decode: decode.entry.server.clone(), prefill, cost })
 }
 
+/// Returns the cheapest option that `turn` leaves; `server` names that of an option.
+fn choose_option<'a>(
+    mut options: SmallVec<[DecodeOption; 32]>,
+    turn: PlacementTurn<'_>,
+    server: impl Fn(&DecodeOption) -> &'a ServerKey,
+) -> Result<DecodeOption, PlacementError> {
+    let by_cost = |left: &DecodeOption, right: &DecodeOption| left.cost.total_cmp(&right.cost);
+    match turn {
+        PlacementTurn::Ranked(requests_ahead) => {
+            let places: usize = options.iter().map(|option| option.places as usize).sum();
+            if requests_ahead >= places {
+                return Err(PlacementError::NoRoom);
+            }
+            // Those ahead take one place at each server, and then the next at each.
+            let rank = requests_ahead % options.len();
+            let (_, chosen, _) = options.select_nth_unstable_by(rank, by_cost);
+            Ok(*chosen)
+        }
+        PlacementTurn::Shared(share) => {
+            options.retain(|option| share.allows(server(option), option.places));
+            options.into_iter().min_by(by_cost).ok_or(PlacementError::NoRoom)
+        }
+    }
+}
+
 /// Keeps the engines whose version may begin streams, or all where none of these can decode.
 fn retain_beginning_versions(fleet: &Fleet, service: &str, engines: &mut Candidates<'_>) {
     let Some(versions) = fleet.service_versions(service) else { return };
--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -19,8 +19,10 @@
 use crate::cluster::FirstEventTime;
 use crate::cluster::LoadShare;
 use crate::cluster::PeerQueues;
+use crate::cluster::PlaceShare;
 use crate::cluster::PlacementError;
 use crate::cluster::PlacementRequest;
+use crate::cluster::PlacementTurn;
 use crate::cluster::QueueRequest;
 use crate::cluster::Ticket;
 use crate::cluster::name_digest;
@@ -123,8 +125,13 @@
             state.report_requested.notify(1);
             is_reported = true;
         }
-        if earliest_placement.is_some_and(|at| now >= at) && !is_provisional {
-            match try_place(state, call, attempts) {
+        if let Some(earliest_placement) = earliest_placement.filter(|_| !is_provisional) {
+            let placed = if now >= earliest_placement {
+                place_ranked(state, call, attempts)
+            } else {
+                place_within_share(state, call, attempts)
+            };
+            match placed {
                 Ok(placed) => {
                     queue_ticket.is_placed = true;
                     return Ok(placed);
@@ -136,6 +143,7 @@
                     };
                     return Err(reject_call(call, rejection, Some(NO_SERVER_RETRY_AFTER), 0));
                 }
+                Err(PlacementError::NoRoom) if now < earliest_placement => {}
                 Err(PlacementError::NoRoom) if is_rate_limited_until(state, call, deadline) => {
                     let retry_after = next_send_after(state, call, now);
                     return Err(reject_call(call, Rejection::RateLimited, retry_after, 0));
@@ -166,8 +174,9 @@
     }
 }
 
-/// Returns when a request that became the head of the queue at `since` may be placed: at `since`
-/// while no peer has queued requests, [`REPORT_PROPAGATION_DELAY`] later otherwise.
+/// Returns when a request that became the head of the queue at `since` may be placed beyond this
+/// gateway's share: at `since` while no peer has queued requests, [`REPORT_PROPAGATION_DELAY`] later
+/// otherwise.
 ///
 /// Prevents gateways from competing for the last slot of an engine. At 250 requests per second
 /// a request checks for capacity every 4 ms, and each counts as the head of all queues until
@@ -259,8 +268,28 @@
         - DEFAULT_FIRST_EVENT_TIME * 2
 }
 
+/// Places a stream at the head of this gateway's queue within this gateway's share of the free
+/// places, whatever peers place at the same time.
+fn place_within_share(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &Attempts,
+) -> Result<PlacedStream, PlacementError> {
+    let now = Instant::now();
+    let service_digest = name_digest(&call.service);
+    let queues = 1 + state.fleet().peers.queue_count(service_digest, now);
+    if queues > call.engine_spec().slots.max(1) {
+        // No server has a place for each gateway.
+        return Err(PlacementError::NoRoom);
+    }
+    let unreported =
+        state.service_queues.with_queue(&call.service, |queue| queue.unreported.servers(now));
+    let share = PlaceShare { queues, unreported: &unreported };
+    place_stream(state, call, attempts, PlacementTurn::Shared(share))
+}
+
 /// Places a stream at the head of this gateway's queue, behind those of peers that go first.
-fn try_place(
+fn place_ranked(
     state: &Arc<GatewayState>,
     call: &Call,
     attempts: &Attempts,
@@ -270,24 +299,27 @@
     let service_digest = name_digest(&call.service);
     let queued_ahead =
         update.map_or(0, |update| state.fleet().peers.queued_ahead(service_digest, &update, now));
-    place_stream(state, call, attempts, queued_ahead)
+    place_stream(state, call, attempts, PlacementTurn::Ranked(queued_ahead))
 }
 
-/// Places a stream, and counts its load. The `queued_ahead` best placements are left to others.
+/// Places a stream where `turn` allows it, and counts its load.
 pub(super) fn place_stream(
     state: &Arc<GatewayState>,
     call: &Call,
     attempts: &Attempts,
-    queued_ahead: usize,
+    turn: PlacementTurn<'_>,
 ) -> Result<PlacedStream, PlacementError> {
     let shape = call.prompt_shape();
     let EnginePlacement { decode, prefill, cost } = {
         let fleet = state.fleet();
         let request =
             placement_request(state, call, &attempts.tried, attempts.pinned_version.known());
-        place_engine(&fleet, &call.engine_spec(), &shape, queued_ahead, &request)?
+        place_engine(&fleet, &call.engine_spec(), &shape, turn, &request)?
     };
     log_placed(state, call, &decode, prefill.as_ref(), 0, cost);
+    state.service_queues.with_queue(&call.service, |queue| {
+        queue.unreported.record(decode.clone(), Instant::now());
+    });
     let prefill = prefill
         .map(|server| LoadGuard::begin(state, server, LoadShare::of_prompt(shape.prompt_tokens)));
     let decode = LoadGuard::begin(state, decode, LoadShare::of_stream(&shape));
--- a/crates/gateway/src/forward/version_wait.rs
+++ b/crates/gateway/src/forward/version_wait.rs
@@ -17,6 +17,7 @@
 use super::capacity_wait::stream_deadline;
 use super::reject::reject_call;
 use crate::cluster::PlacementError;
+use crate::cluster::PlacementTurn;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
@@ -33,7 +34,7 @@
     let deadline = stream_deadline(state, call);
     loop {
         let wakeup = state.capacity_changed.listen();
-        match place_stream(state, call, attempts, 0) {
+        match place_stream(state, call, attempts, PlacementTurn::Ranked(0)) {
             Ok(placed) => return Ok(placed),
             Err(PlacementError::NoServer) => {
                 let retry_after = Some(NO_SERVER_RETRY_AFTER);
--- a/crates/gateway/tests/peer_totals.rs
+++ b/crates/gateway/tests/peer_totals.rs
@@ -9,6 +9,7 @@
 use umberglade_gateway::cluster::PeerReports;
 use umberglade_gateway::cluster::PeerUpdate;
 use umberglade_gateway::cluster::PlacementRequest;
+use umberglade_gateway::cluster::PlacementTurn;
 use umberglade_gateway::cluster::QueueUpdate;
 use umberglade_gateway::cluster::ServerTotals;
 use umberglade_gateway::cluster::name_digest;
@@ -221,7 +222,7 @@
             now,
         };
         let before = fleet.peers.server_lookups();
-        place_engine(&fleet, &spec, &shape, 0, &need).expect("capacity");
+        place_engine(&fleet, &spec, &shape, PlacementTurn::Ranked(0), &need).expect("capacity");
         let engines = (case.decode + case.prefill) as u64;
         assert_eq!(fleet.peers.server_lookups() - before, engines, "{}: engines", case.name);
         let before = fleet.peers.server_lookups();
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -8,8 +8,10 @@
 use umberglade_gateway::cluster::Fleet;
 use umberglade_gateway::cluster::LoadShare;
 use umberglade_gateway::cluster::PeerUpdate;
+use umberglade_gateway::cluster::PlaceShare;
 use umberglade_gateway::cluster::PlacementError;
 use umberglade_gateway::cluster::PlacementRequest;
+use umberglade_gateway::cluster::PlacementTurn;
 use umberglade_gateway::cluster::ServerOutcome;
 use umberglade_gateway::cluster::name_digest;
 use umberglade_gateway::cluster::place_engine;
@@ -235,7 +237,13 @@
         let mut fleet = fleet(ServerStage::Decode, &[("d", "own")]);
         fleet.add_load("d", case.load, now);
         let domain: DomainKey = "own".into();
-        let placed = place_engine(&fleet, &spec(), &SHAPE, 0, &request(&domain, &[], now));
+        let placed = place_engine(
+            &fleet,
+            &spec(),
+            &SHAPE,
+            PlacementTurn::Ranked(0),
+            &request(&domain, &[], now),
+        );
         assert_eq!(placed.is_ok(), case.has_capacity, "{}: {placed:?}", case.name);
         if !case.has_capacity {
             assert_eq!(placed, Err(PlacementError::NoRoom));
@@ -249,7 +257,10 @@
     let fleet = fleet(ServerStage::Decode, &[("d", "own")]);
     let domain: DomainKey = "own".into();
     let huge = PromptShape { prompt_tokens: 75_000, ..SHAPE };
-    assert!(place_engine(&fleet, &spec(), &huge, 0, &request(&domain, &[], now)).is_ok());
+    assert!(
+        place_engine(&fleet, &spec(), &huge, PlacementTurn::Ranked(0), &request(&domain, &[], now))
+            .is_ok()
+    );
 }
 
 #[test]
@@ -271,7 +282,14 @@
         fleet.upsert(entry("p-far", "far", ServerStage::Prefill), stamp(11));
         fleet.add_load("p-near", LoadShare::of_prompt(case.queued_locally), now);
         let domain: DomainKey = "own".into();
-        let place = place_engine(&fleet, &spec(), &SHAPE, 0, &request(&domain, &[], now)).unwrap();
+        let place = place_engine(
+            &fleet,
+            &spec(),
+            &SHAPE,
+            PlacementTurn::Ranked(0),
+            &request(&domain, &[], now),
+        )
+        .unwrap();
         assert_eq!(place.prefill.as_deref(), Some(case.expected), "{}", case.name);
     }
 }
@@ -287,7 +305,7 @@
     record(&mut fleet, "dead", ServerOutcome::Unreachable, start);
     let domain: DomainKey = "own".into();
     let place = |fleet: &Fleet, now| {
-        place_engine(fleet, &spec(), &SHAPE, 0, &request(&domain, &[], now))
+        place_engine(fleet, &spec(), &SHAPE, PlacementTurn::Ranked(0), &request(&domain, &[], now))
             .map(|place| place.decode)
     };
     assert_eq!(place(&fleet, start).as_deref(), Ok("busy"), "during its ejection");
@@ -347,7 +365,8 @@
         for at in 0..case.gateways {
             let gateway = name_digest(&format!("front-{at}"));
             let request = PlacementRequest { gateway, ..request(&domain, &[], now) };
-            let place = place_engine(&fleet, &spec(), &SHAPE, 0, &request).unwrap();
+            let place =
+                place_engine(&fleet, &spec(), &SHAPE, PlacementTurn::Ranked(0), &request).unwrap();
             *decodes.entry(place.decode).or_default() += 1;
             *prefills.entry(place.prefill.unwrap()).or_default() += 1;
         }
@@ -369,7 +388,8 @@
         fleet.peers.record("peer", 1, 1, PeerUpdate { loads, ..PeerUpdate::default() }, now);
         let gateway = name_digest(&format!("front-{at}"));
         let request = PlacementRequest { gateway, ..request(&domain, &[], now) };
-        let place = place_engine(&fleet, &spec(), &SHAPE, 0, &request).unwrap();
+        let place =
+            place_engine(&fleet, &spec(), &SHAPE, PlacementTurn::Ranked(0), &request).unwrap();
         assert_eq!(&*place.decode, "idle", "gateway {at}");
     }
 }
@@ -402,7 +422,70 @@
             fleet.add_load(&format!("p-{at}"), LoadShare::of_prompt(queued), now);
         }
         let domain: DomainKey = "a".into();
-        let place = place_engine(&fleet, &spec(), &SHAPE, 0, &request(&domain, &[], now)).unwrap();
+        let place = place_engine(
+            &fleet,
+            &spec(),
+            &SHAPE,
+            PlacementTurn::Ranked(0),
+            &request(&domain, &[], now),
+        )
+        .unwrap();
         assert_eq!(place.prefill.as_deref(), case.prefill_server, "{}", case.name);
     }
 }
+
+/// Prevents requests from being placed one after the other, each after a report of the one before,
+/// while engines have capacity for all that wait.
+#[test]
+fn requests_ahead_take_places_and_not_servers() {
+    struct AheadCase {
+        name: &'static str,
+        /// Streams at each of two engines, which hold eight.
+        running: [u32; 2],
+        requests_ahead: usize,
+        is_placed: bool,
+    }
+    let cases = [
+        AheadCase { name: "first", running: [0, 0], requests_ahead: 0, is_placed: true },
+        AheadCase { name: "third", running: [0, 0], requests_ahead: 2, is_placed: true },
+        AheadCase { name: "last place", running: [0, 0], requests_ahead: 15, is_placed: true },
+        AheadCase { name: "no place", running: [0, 0], requests_ahead: 16, is_placed: false },
+        AheadCase { name: "one place each", running: [7, 7], requests_ahead: 1, is_placed: true },
+        AheadCase { name: "both taken", running: [7, 7], requests_ahead: 2, is_placed: false },
+        AheadCase { name: "one full", running: [8, 6], requests_ahead: 1, is_placed: true },
+        AheadCase { name: "one full, taken", running: [8, 6], requests_ahead: 2, is_placed: false },
+    ];
+    let now = Instant::now();
+    let domain: DomainKey = "own".into();
+    for case in cases {
+        let mut fleet = fleet(ServerStage::Decode, &[("d-0", "own"), ("d-1", "own")]);
+        for (at, running) in case.running.into_iter().enumerate() {
+            fleet.add_load(&format!("d-{at}"), streams(running, 0), now);
+        }
+        let turn = PlacementTurn::Ranked(case.requests_ahead);
+        let placed = place_engine(&fleet, &spec(), &SHAPE, turn, &request(&domain, &[], now));
+        assert_eq!(placed.is_ok(), case.is_placed, "{}: {placed:?}", case.name);
+    }
+}
+
+/// Prevents gateways that place at the same time, without knowing of each other, from overfilling an
+/// engine, and from leaving its places empty.
+#[test]
+fn shares_of_all_gateways_fit_into_an_engine() {
+    let now = Instant::now();
+    let domain: DomainKey = "own".into();
+    let shape = PromptShape { prompt_tokens: 10, output_limit: 10, output_estimate: Some(10) };
+    for queues in 1..=20 {
+        let mut fleet = fleet(ServerStage::Decode, &[("d", "own")]);
+        let mut unreported: Vec<ServerKey> = Vec::new();
+        loop {
+            let share = PlaceShare { queues, unreported: &unreported };
+            let turn = PlacementTurn::Shared(share);
+            let placed = place_engine(&fleet, &spec(), &shape, turn, &request(&domain, &[], now));
+            let Ok(placement) = placed else { break };
+            unreported.push(placement.decode);
+            fleet.add_load("d", LoadShare::of_stream(&shape), now);
+        }
+        assert_eq!(unreported.len() as u32, spec().slots / queues, "{queues} gateways");
+    }
+}
--- a/crates/gateway/tests/queue_order.rs
+++ b/crates/gateway/tests/queue_order.rs
@@ -107,3 +107,21 @@
         assert_eq!(ahead, case.ahead, "{}", case.name);
     }
 }
+
+/// Prevents a gateway's share of free places from being divided among queues that are empty.
+#[test]
+fn only_gateways_with_waiting_requests_count() {
+    let now = Instant::now();
+    let mut peers = PeerReports::default();
+    let mut report = |peer: &str, sequence: u64, waiting: u32| {
+        let queue = QueueUpdate { waiting, ..past_target(2000, 0) };
+        let queues = [(SERVICE, queue)].into_iter().collect();
+        let update = PeerUpdate { queues, ..PeerUpdate::default() };
+        peers.record(peer, 1, sequence, update, now);
+        peers.queue_count(SERVICE, now)
+    };
+    assert_eq!(report("peer-0", 1, 5), 1);
+    assert_eq!(report("peer-1", 1, 0), 1, "an empty queue");
+    assert_eq!(report("peer-2", 1, 1), 2);
+    assert_eq!(report("peer-0", 2, 0), 1, "the first has become empty");
+}
--- a/crates/gateway/tests/service_versions.rs
+++ b/crates/gateway/tests/service_versions.rs
@@ -7,6 +7,7 @@
 use umberglade_gateway::cluster::Fleet;
 use umberglade_gateway::cluster::PlacementError;
 use umberglade_gateway::cluster::PlacementRequest;
+use umberglade_gateway::cluster::PlacementTurn;
 use umberglade_gateway::cluster::ServerOutcome;
 use umberglade_gateway::cluster::ServiceVersions;
 use umberglade_gateway::cluster::place_decode;
@@ -194,7 +195,14 @@
     let domain: DomainKey = "a".into();
     // All four decode servers are chosen in turn.
     for ahead in 0..4 {
-        let placed = place_engine(&fleet, &SPEC, &SHAPE, ahead, &request(&domain, None)).unwrap();
+        let placed = place_engine(
+            &fleet,
+            &SPEC,
+            &SHAPE,
+            PlacementTurn::Ranked(ahead),
+            &request(&domain, None),
+        )
+        .unwrap();
         let software =
             |server: &str| server.split_once('-').map(|(_, software)| software.to_owned());
         let prefill = placed.prefill.expect("a prefill server of each version");
@@ -210,14 +218,15 @@
     let domain: DomainKey = "a".into();
     for _ in 0..100 {
         let pinned = request(&domain, Some(software_digest("v2")));
-        let placed = place_engine(&fleet, &SPEC, &SHAPE, 0, &pinned).unwrap();
+        let placed =
+            place_engine(&fleet, &SPEC, &SHAPE, PlacementTurn::Ranked(0), &pinned).unwrap();
         assert!(placed.decode.ends_with("-v2"));
         assert!(placed.prefill.is_some_and(|server| server.ends_with("-v2")));
         assert!(place_decode(&fleet, &SPEC, &SHAPE, &pinned).unwrap().ends_with("-v2"));
         assert!(place_prefill(&fleet, &domain, &pinned).unwrap().ends_with("-v2"));
     }
     let pinned = request(&domain, Some(software_digest("v3")));
-    let placed = place_engine(&fleet, &SPEC, &SHAPE, 0, &pinned);
+    let placed = place_engine(&fleet, &SPEC, &SHAPE, PlacementTurn::Ranked(0), &pinned);
     assert_eq!(placed, Err(PlacementError::NoServer));
 }
 
@@ -229,7 +238,9 @@
     fleet.upsert(leaving, StoreStamp::new(0, 20));
     let domain: DomainKey = "a".into();
     for _ in 0..50 {
-        let placed = place_engine(&fleet, &SPEC, &SHAPE, 0, &request(&domain, None)).unwrap();
+        let placed =
+            place_engine(&fleet, &SPEC, &SHAPE, PlacementTurn::Ranked(0), &request(&domain, None))
+                .unwrap();
         assert!(placed.decode.ends_with("-v2"), "{}", placed.decode);
     }
 }
