A request that waits for its quarantine's decision holds up no other

Cause: the head of a gateway's queue is the one request that is tried for capacity. A request whose quarantine is not decided yet stays at the head without being tried, and all behind it wait until it is probed and cleared, 1 to 3 s, or until its time is over, whatever capacity engines have.

Change: such a request is held in the queue, and the next one is the head.

Found by reading, beside the queue that does not drain. Test a_held_request_lets_others_pass. How often it acted is not measured.

--- a/crates/gateway/src/cluster/admission_queue.rs
+++ b/crates/gateway/src/cluster/admission_queue.rs
@@ -35,6 +35,8 @@
     first_requested_at: Instant,
     /// A request that is placed before this time is expected to be within its latency target.
     target_deadline: Instant,
+    /// See [`AdmissionQueue::set_held`].
+    is_held: bool,
 }
 
 /// State of a queue as reported to peers.
@@ -149,11 +151,19 @@
         let first_requested_at = now.checked_sub(retrying_for).unwrap_or(now);
         self.queued.insert(
             self.next_ticket,
-            QueuedRequest { occupancy, first_requested_at, target_deadline },
+            QueuedRequest { occupancy, first_requested_at, target_deadline, is_held: false },
         );
         Ok(self.next_ticket)
     }
 
+    /// Sets whether the holder of `ticket` may not be placed yet, whatever capacity there is. Others go
+    /// before it meanwhile. Returns true if it was not held until now, so that another may be the head.
+    pub fn set_held(&mut self, ticket: Ticket, is_held: bool) -> bool {
+        let Some(request) = self.queued.get_mut(&ticket) else { return false };
+        let was_held = std::mem::replace(&mut request.is_held, is_held);
+        is_held && !was_held
+    }
+
     /// Returns since when the holder of `ticket` has been the head of the queue, and so the one to
     /// try for capacity; `None` while it is not the head.
     pub fn head_since(&mut self, ticket: Ticket, now: Instant) -> Option<Instant> {
@@ -194,12 +204,11 @@
     }
 
     fn head(&self, now: Instant) -> Option<(Ticket, QueuedRequest)> {
-        let within_target = self
-            .queued
-            .iter()
+        let ready = || self.queued.iter().filter(|(_, request)| !request.is_held);
+        let within_target = ready()
             .filter(|(_, request)| now < request.target_deadline)
             .min_by_key(|(_, request)| request.occupancy);
-        let oldest = || self.queued.iter().min_by_key(|(_, request)| request.first_requested_at);
+        let oldest = || ready().min_by_key(|(_, request)| request.first_requested_at);
         let head = within_target.or_else(oldest);
         head.map(|(ticket, request)| (*ticket, *request))
     }
--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -118,14 +118,19 @@
             ));
         }
         let now = Instant::now();
-        let head_since =
-            state.service_queues.with_queue(&call.service, |queue| queue.head_since(ticket, now));
+        let (lets_others_pass, head_since) =
+            state.service_queues.with_queue(&call.service, |queue| {
+                (queue.set_held(ticket, is_provisional), queue.head_since(ticket, now))
+            });
+        if lets_others_pass {
+            state.capacity_changed.notify(usize::MAX);
+        }
         let earliest_placement = head_since.map(|since| earliest_placement(state, call, since));
         if earliest_placement.is_some_and(|at| now < at) && !is_reported {
             state.report_requested.notify(1);
             is_reported = true;
         }
-        if let Some(earliest_placement) = earliest_placement.filter(|_| !is_provisional) {
+        if let Some(earliest_placement) = earliest_placement {
             let placed = if now >= earliest_placement {
                 place_ranked(state, call, attempts)
             } else {
--- a/crates/gateway/tests/admission_queue.rs
+++ b/crates/gateway/tests/admission_queue.rs
@@ -481,3 +481,23 @@
         assert_eq!(rejected > 0, case.is_rejected, "{}: {rejected} rejected", case.name);
     }
 }
+
+/// Prevents a request that waits for the decision on its quarantine from holding up sound ones behind
+/// it.
+#[test]
+fn a_held_request_lets_others_pass() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    let mut join = || queue.join(new_request(now), MAX_WAIT, PeerQueues::default(), now).unwrap();
+    let tickets = [join(), join()];
+    let [first, second] = tickets;
+    assert_eq!(head(&mut queue, &tickets, now), Some(first));
+    assert!(queue.set_held(first, true), "another may be the head");
+    assert!(!queue.set_held(first, true), "it was held before");
+    assert_eq!(head(&mut queue, &tickets, now), Some(second));
+    assert!(!queue.set_held(first, false));
+    assert_eq!(head(&mut queue, &tickets, now), Some(first));
+    queue.set_held(first, true);
+    queue.leave(second, true, now);
+    assert_eq!(head(&mut queue, &tickets, now), None, "only the held one is left");
+}
