Ranks count servers again; a gateway's share of the places stays

Counting the requests ahead against places, where they had been counted against servers, let all gateways of a large site place at once by loads that are a report old.

It acts where each gateway with waiting requests has a place at a server, so not in the overload of a large site, where the ranks leave one placement a server and report, which is enough.

--- a/crates/gateway/src/cluster/placement.rs
+++ b/crates/gateway/src/cluster/placement.rs
@@ -103,7 +103,8 @@
 /// Which of the free places a request may take.
 #[derive(Debug, Clone, Copy)]
 pub enum PlacementTurn<'a> {
-    /// Those left by the given number of requests at peers, which go first.
+    /// One at a server that is left by the given number of requests at peers, which go first and
+    /// take the best server each.
     Ranked(usize),
     /// This gateway's share of the places at each server.
     Shared(PlaceShare<'a>),
@@ -201,13 +202,10 @@
     let by_cost = |left: &DecodeOption, right: &DecodeOption| left.cost.total_cmp(&right.cost);
     match turn {
         PlacementTurn::Ranked(requests_ahead) => {
-            let places: usize = options.iter().map(|option| option.places as usize).sum();
-            if requests_ahead >= places {
+            if requests_ahead >= options.len() {
                 return Err(PlacementError::NoRoom);
             }
-            // Those ahead take one place at each server, and then the next at each.
-            let rank = requests_ahead % options.len();
-            let (_, chosen, _) = options.select_nth_unstable_by(rank, by_cost);
+            let (_, chosen, _) = options.select_nth_unstable_by(requests_ahead, by_cost);
             Ok(*chosen)
         }
         PlacementTurn::Shared(share) => {
--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -131,12 +131,8 @@
             is_reported = true;
         }
         if let Some(earliest_placement) = earliest_placement {
-            let placed = if now >= earliest_placement {
-                place_ranked(state, call, attempts)
-            } else {
-                place_within_share(state, call, attempts)
-            };
-            match placed {
+            let has_turn = now >= earliest_placement;
+            match place_head(state, call, attempts, has_turn) {
                 Ok(placed) => {
                     queue_ticket.is_placed = true;
                     return Ok(placed);
@@ -148,7 +144,7 @@
                     };
                     return Err(reject_call(call, rejection, Some(NO_SERVER_RETRY_AFTER), 0));
                 }
-                Err(PlacementError::NoRoom) if now < earliest_placement => {}
+                Err(PlacementError::NoRoom) if !has_turn => {}
                 Err(PlacementError::NoRoom) if is_rate_limited_until(state, call, deadline) => {
                     let retry_after = next_send_after(state, call, now);
                     return Err(reject_call(call, Rejection::RateLimited, retry_after, 0));
@@ -273,27 +269,40 @@
         - DEFAULT_FIRST_EVENT_TIME * 2
 }
 
-/// Places a stream at the head of this gateway's queue within this gateway's share of the free
-/// places, whatever peers place at the same time.
+/// Places the stream at the head of this gateway's queue: within this gateway's share of the free
+/// places, or, if `has_turn`, behind those of peers that go first.
+fn place_head(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    attempts: &Attempts,
+    has_turn: bool,
+) -> Result<PlacedStream, PlacementError> {
+    match place_within_share(state, call, attempts) {
+        Err(PlacementError::NoRoom) if has_turn => place_ranked(state, call, attempts),
+        placed => placed,
+    }
+}
+
+/// Places a stream within this gateway's share of the free places, whatever peers place at the same
+/// time.
 fn place_within_share(
     state: &Arc<GatewayState>,
     call: &Call,
     attempts: &Attempts,
 ) -> Result<PlacedStream, PlacementError> {
     let now = Instant::now();
-    let service_digest = name_digest(&call.service);
-    let queues = 1 + state.fleet().peers.queue_count(service_digest, now);
-    if queues > call.engine_spec().slots.max(1) {
-        // No server has a place for each gateway.
+    let waiting_peers = state.fleet().peers.queue_count(name_digest(&call.service), now);
+    if waiting_peers == 0 || waiting_peers >= call.engine_spec().slots {
+        // There is nothing to share, or no server has a place for each gateway.
         return Err(PlacementError::NoRoom);
     }
     let unreported =
         state.service_queues.with_queue(&call.service, |queue| queue.unreported.servers(now));
-    let share = PlaceShare { queues, unreported: &unreported };
+    let share = PlaceShare { queues: 1 + waiting_peers, unreported: &unreported };
     place_stream(state, call, attempts, PlacementTurn::Shared(share))
 }
 
-/// Places a stream at the head of this gateway's queue, behind those of peers that go first.
+/// Places a stream behind those at the heads of peers' queues that go first.
 fn place_ranked(
     state: &Arc<GatewayState>,
     call: &Call,
