--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -12,28 +12,20 @@
 use super::admit::log_quarantined;
 use super::admit::retry_after;
 use super::attempts::Attempts;
+use super::queue_turn::earliest_placement;
+use super::queue_turn::place_head;
 use super::reject::next_send_after;
 use super::reject::reject_call;
+use super::stream_placement::PlacedStream;
 use crate::cluster::AdmissionQueue;
-use crate::cluster::EnginePlacement;
 use crate::cluster::FirstEventTime;
-use crate::cluster::LoadShare;
 use crate::cluster::PeerQueues;
-use crate::cluster::PlaceShare;
 use crate::cluster::PlacementError;
-use crate::cluster::PlacementRequest;
-use crate::cluster::PlacementTurn;
 use crate::cluster::QueueRequest;
 use crate::cluster::Ticket;
-use crate::cluster::name_digest;
-use crate::cluster::place_engine;
 use crate::events;
-use crate::load_guard::LoadGuard;
 use crate::model::PinnedVersion;
 use crate::model::PromptShape;
-use crate::model::RequestRate;
-use crate::model::ServerKey;
-use crate::model::SoftwareDigest;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
@@ -42,22 +34,12 @@
 /// Poll interval of the head of the queue: a server may gain capacity without an event at
 /// this gateway.
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// Time within which peers usually know the head of this queue: a report takes a network hop
-/// of under 2 ms and a wake-up at each end. A report of a sender with many other updates waits
-/// up to 50 ms for send budget, and two gateways may still collide.
-const REPORT_PROPAGATION_DELAY: Duration = Duration::from_millis(25);
 /// `Retry-After` while a service has no server: about the time in which a new one registers.
 pub(super) const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// Callers time out after the longest of this, four target latencies and eight target gaps
 /// without an event.
 const MIN_CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The placement of a stream, whose load is counted at both servers.
-pub(super) struct PlacedStream {
-    pub decode: LoadGuard,
-    pub prefill: Option<LoadGuard>,
-}
-
 /// A place in the admission queue, left when dropped.
 struct QueueTicket<'a> {
     state: &'a Arc<GatewayState>,
@@ -175,22 +157,6 @@
     }
 }
 
-/// Returns when a request that became the head of the queue at `since` may be placed beyond this
-/// gateway's share: at `since` while no peer has queued requests, [`REPORT_PROPAGATION_DELAY`] later
-/// otherwise.
-///
-/// Prevents gateways from competing for the last slot of an engine. At 250 requests per second
-/// a request checks for capacity every 4 ms, and each counts as the head of all queues until
-/// reports of peers show otherwise. Without the delay, full engines reject a quarter of the
-/// requests that 79 gateways place in a burst, after a wasted prefill.
-fn earliest_placement(state: &GatewayState, call: &Call, since: Instant) -> Instant {
-    if state.peer_queues(&call.service).waiting == 0 {
-        since
-    } else {
-        since + REPORT_PROPAGATION_DELAY
-    }
-}
-
 /// Returns true when the rate limits allow this gateway no request to a decode server
 /// until after `until`.
 fn is_rate_limited_until(state: &GatewayState, call: &Call, until: Instant) -> bool {
@@ -268,136 +234,3 @@
     (call.arrived + caller_timeout).min(call.deadline - generation_time)
         - DEFAULT_FIRST_EVENT_TIME * 2
 }
-
-/// Places the stream at the head of this gateway's queue: within this gateway's share of the free
-/// places, or, if `has_turn`, behind those of peers that go first.
-fn place_head(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    attempts: &Attempts,
-    has_turn: bool,
-) -> Result<PlacedStream, PlacementError> {
-    match place_within_share(state, call, attempts) {
-        Err(PlacementError::NoRoom) if has_turn => place_ranked(state, call, attempts),
-        placed => placed,
-    }
-}
-
-/// Places a stream within this gateway's share of the free places, whatever peers place at the same
-/// time.
-fn place_within_share(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    attempts: &Attempts,
-) -> Result<PlacedStream, PlacementError> {
-    let now = Instant::now();
-    let waiting_peers = state.fleet().peers.queue_count(name_digest(&call.service), now);
-    if waiting_peers == 0 || waiting_peers >= call.engine_spec().slots {
-        // There is nothing to share, or no server has a place for each gateway.
-        return Err(PlacementError::NoRoom);
-    }
-    let unreported =
-        state.service_queues.with_queue(&call.service, |queue| queue.unreported.servers(now));
-    let share = PlaceShare { queues: 1 + waiting_peers, unreported: &unreported };
-    place_stream(state, call, attempts, PlacementTurn::Shared(share))
-}
-
-/// Places a stream behind those at the heads of peers' queues that go first.
-fn place_ranked(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    attempts: &Attempts,
-) -> Result<PlacedStream, PlacementError> {
-    let now = Instant::now();
-    let update = state.service_queues.with_queue(&call.service, |queue| queue.queue_update(now));
-    let service_digest = name_digest(&call.service);
-    let queued_ahead =
-        update.map_or(0, |update| state.fleet().peers.queued_ahead(service_digest, &update, now));
-    place_stream(state, call, attempts, PlacementTurn::Ranked(queued_ahead))
-}
-
-/// Places a stream where `turn` allows it, and counts its load.
-pub(super) fn place_stream(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    attempts: &Attempts,
-    turn: PlacementTurn<'_>,
-) -> Result<PlacedStream, PlacementError> {
-    let shape = call.prompt_shape();
-    let EnginePlacement { decode, prefill, cost } = {
-        let fleet = state.fleet();
-        let request =
-            placement_request(state, call, &attempts.tried, attempts.pinned_version.known());
-        place_engine(&fleet, &call.engine_spec(), &shape, turn, &request)?
-    };
-    log_placed(state, call, &decode, prefill.as_ref(), 0, cost);
-    state.service_queues.with_queue(&call.service, |queue| {
-        queue.unreported.record(decode.clone(), Instant::now());
-    });
-    let prefill = prefill
-        .map(|server| LoadGuard::begin(state, server, LoadShare::of_prompt(shape.prompt_tokens)));
-    let decode = LoadGuard::begin(state, decode, LoadShare::of_stream(&shape));
-    Ok(PlacedStream { decode, prefill })
-}
-
-pub(super) fn log_placed(
-    state: &GatewayState,
-    call: &Call,
-    decode: &ServerKey,
-    prefill: Option<&ServerKey>,
-    attempt: u32,
-    cost: f64,
-) {
-    let now = Instant::now();
-    let fleet = state.fleet();
-    let Some(server_state) = fleet.server(decode) else { return };
-    let load = fleet.load(server_state, now);
-    let shape = call.prompt_shape();
-    let prefill_state = prefill.and_then(|server| fleet.server(server));
-    let prefill_tokens =
-        prefill_state.map_or(0, |server_state| fleet.load(server_state, now).prompt_tokens);
-    tracing::info!(
-        event = events::ENGINE_PLACED,
-        request_id = call.id(),
-        route = %call.route.name,
-        service = %call.service,
-        config = call.config,
-        decode = %decode,
-        prefill = prefill.map(|server| &**server),
-        software = &*server_state.entry.software,
-        prefill_software = prefill_state.map(|server_state| &*server_state.entry.software),
-        domain = %server_state.entry.domain,
-        row_version = server_state.stamp.version(),
-        own = server_state.local_load.running,
-        all = load.running,
-        prompt_tokens = load.prompt_tokens,
-        output_tokens = load.output_tokens,
-        made_tokens = load.made_tokens,
-        prefill_tokens,
-        own_prompt = shape.prompt_tokens,
-        own_output = shape.expected_output(),
-        own_limit = shape.output_limit,
-        failure_share = server_state.health.failure_fraction(now),
-        limit = fleet.limits.limit(server_state.incarnation).map(RequestRate::per_second),
-        cost,
-        attempt,
-        waited_ms = call.age_ms(),
-        "placed"
-    );
-}
-
-pub(super) fn placement_request<'a>(
-    state: &'a GatewayState,
-    call: &'a Call,
-    tried: &'a [ServerKey],
-    software: Option<SoftwareDigest>,
-) -> PlacementRequest<'a> {
-    PlacementRequest {
-        service: &call.service,
-        gateway: state.digest,
-        domain: &state.settings.domain,
-        tried,
-        software,
-        now: Instant::now(),
-    }
-}
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -16,6 +16,7 @@
 mod plain_run;
 mod prefill_step;
 mod probe_guard;
+mod queue_turn;
 mod quota_charge;
 mod reject;
 mod relay;
@@ -26,6 +27,7 @@
 mod stream_attempt;
 mod stream_open;
 mod stream_opener;
+mod stream_placement;
 mod stream_run;
 mod version_wait;
 
--- a/crates/gateway/src/forward/plain_placement.rs
+++ b/crates/gateway/src/forward/plain_placement.rs
@@ -7,7 +7,7 @@
 use super::Call;
 use super::attempt_permit::AttemptPermit;
 use super::attempts::Attempts;
-use super::capacity_wait::placement_request;
+use super::stream_placement::placement_request;
 use crate::cluster::MAX_SOUND_SILENCE;
 use crate::cluster::PlainPlacement;
 use crate::cluster::place_plain;
