--- a/crates/gateway/src/cluster/placement.rs
+++ b/crates/gateway/src/cluster/placement.rs
@@ -42,6 +42,9 @@
 /// nowhere else could it go on.
 const LAST_OF_VERSION_WEIGHT: f64 = 0.5;
 
+/// How full an engine may be, with the stream, that is shared without turns, from 0 to 1.
+const MAX_SHARED_OCCUPANCY: f64 = 0.5;
+
 /// Constraints of a placement.
 #[derive(Debug)]
 pub struct PlacementRequest<'a> {
@@ -106,7 +109,8 @@
     /// One at a server that is left by the given number of requests at peers, which go first and
     /// take the best server each.
     Ranked(usize),
-    /// This gateway's share of the places at each server.
+    /// This gateway's share of the places at each server that is at most half full. Where capacity is
+    /// short, who goes first matters.
     Shared(PlaceShare<'a>),
 }
 
@@ -137,6 +141,8 @@
     cost: f64,
     /// Its position among the candidates.
     index: usize,
+    /// How full it would be with the stream, from 0 to 1.
+    occupancy: f64,
     /// How many more such streams it has capacity for.
     places: u32,
 }
@@ -176,14 +182,16 @@
     let mut options: SmallVec<[DecodeOption; 32]> = SmallVec::new();
     for (index, decode) in decode_servers.iter().enumerate() {
         let Some(occupancy) = decode.occupancy_with(spec, shape) else { continue };
-        let occupancy = occupancy + tie_break(request, decode.server_state) * stream_occupancy;
+        let tie_break = tie_break(request, decode.server_state) * stream_occupancy;
         let version_cost = version_costs.cost(decode.server_state.software);
-        let decode_cost = (occupancy + decode.failure_cost + version_cost) * FULL_SERVER_MS;
+        let decode_cost =
+            (occupancy + tie_break + decode.failure_cost + version_cost) * FULL_SERVER_MS;
         let prefill_server = prefill_servers.cheapest_for(decode.server_state, max_queued_tokens);
         let prefill_server_cost =
             prefill_server.map_or(prompt_ms * SELF_PREFILL_QUEUE_FACTOR, |(_, cost)| cost);
         let cost = decode_cost + prefill_server_cost;
-        options.push(DecodeOption { cost, index, places: decode.places(spec, shape) });
+        let places = decode.places(spec, shape);
+        options.push(DecodeOption { cost, index, occupancy, places });
     }
     let server = |option: &DecodeOption| &decode_servers[option.index].server_state.entry.server;
     let DecodeOption { cost, index, .. } = choose_option(options, turn, server)?;
@@ -209,7 +217,10 @@
             Ok(*chosen)
         }
         PlacementTurn::Shared(share) => {
-            options.retain(|option| share.allows(server(option), option.places));
+            options.retain(|option| {
+                option.occupancy <= MAX_SHARED_OCCUPANCY
+                    && share.allows(server(option), option.places)
+            });
             options.into_iter().min_by(by_cost).ok_or(PlacementError::NoRoom)
         }
     }
