--- a/crates/gateway/src/cluster/admission_queue.rs
+++ b/crates/gateway/src/cluster/admission_queue.rs
@@ -122,6 +122,7 @@
     is_blocked: bool,
     /// The head of the queue at the last check, and since when.
     last_head: Option<(Ticket, Instant)>,
+    /// Placements of this gateway, queued before or not, that peers may not know of yet.
     pub unreported: UnreportedPlacements,
 }
 
--- a/crates/gateway/src/cluster/placement.rs
+++ b/crates/gateway/src/cluster/placement.rs
@@ -106,8 +106,8 @@
 /// Which of the free places a request may take.
 #[derive(Debug, Clone, Copy)]
 pub enum PlacementTurn<'a> {
-    /// One at a server that is left by the given number of requests at peers, which go first and
-    /// take the best server each.
+    /// One at the best server that is left when the given number of requests at peers, which go
+    /// first, have taken one each.
     Ranked(usize),
     /// This gateway's share of the places at each server that is at most half full. Where capacity is
     /// short, who goes first matters.
@@ -131,7 +131,7 @@
     fn allows(&self, server: &ServerKey, places: u32) -> bool {
         let taken = self.unreported.iter().filter(|one| *one == server).count() as u32;
         // `places` are what the taken ones have left.
-        places > 0 && (taken + 1) * self.queues <= places + taken
+        (taken + 1) * self.queues <= places + taken
     }
 }
 
@@ -182,10 +182,10 @@
     let mut options: SmallVec<[DecodeOption; 32]> = SmallVec::new();
     for (index, decode) in decode_servers.iter().enumerate() {
         let Some(occupancy) = decode.occupancy_with(spec, shape) else { continue };
-        let tie_break = tie_break(request, decode.server_state) * stream_occupancy;
+        let preference = tie_break(request, decode.server_state) * stream_occupancy;
         let version_cost = version_costs.cost(decode.server_state.software);
         let decode_cost =
-            (occupancy + tie_break + decode.failure_cost + version_cost) * FULL_SERVER_MS;
+            (occupancy + preference + decode.failure_cost + version_cost) * FULL_SERVER_MS;
         let prefill_server = prefill_servers.cheapest_for(decode.server_state, max_queued_tokens);
         let prefill_server_cost =
             prefill_server.map_or(prompt_ms * SELF_PREFILL_QUEUE_FACTOR, |(_, cost)| cost);
