Placement: one choice for ranks and shares

Reading the change again: the share was checked on a list of options with a struct, a closure and a second way to choose of its own, and the free places of every engine were counted on each placement, which ranks never use. Shares now leave out servers where the options are made, and the one choice by rank serves both. `places` no longer asks whether there is capacity, which its one caller has just asked.

--- a/crates/gateway/src/cluster/candidate.rs
+++ b/crates/gateway/src/cluster/candidate.rs
@@ -80,11 +80,8 @@
         (occupancy <= 1.0).then_some(occupancy)
     }
 
-    /// Returns how many more streams of `shape` the engine has capacity for.
+    /// Returns how many more streams of `shape` the engine has capacity for, if it has any.
     pub fn places(&self, spec: &EngineSpec, shape: &PromptShape) -> u32 {
-        if self.occupancy_with(spec, shape).is_none() {
-            return 0;
-        }
         let load = self.load();
         let by_slots = self.slots(spec).saturating_sub(load.running);
         let free_tokens = usable_tokens(spec) - load.peak_tokens();
--- a/crates/gateway/src/cluster/placement.rs
+++ b/crates/gateway/src/cluster/placement.rs
@@ -127,26 +127,17 @@
 }
 
 impl PlaceShare<'_> {
-    /// Returns true if this gateway may take one more of `places` at `server`.
-    fn allows(&self, server: &ServerKey, places: u32) -> bool {
+    /// Returns true if this gateway may place one more stream of `shape` at `decode`, which has
+    /// capacity for it.
+    fn allows(&self, decode: &Candidate<'_>, spec: &EngineSpec, shape: &PromptShape) -> bool {
+        let server = &decode.server_state.entry.server;
         let taken = self.unreported.iter().filter(|one| *one == server).count() as u32;
-        // `places` are what the taken ones have left.
+        // What the taken places have left.
+        let places = decode.places(spec, shape);
         (taken + 1) * self.queues <= places + taken
     }
 }
 
-/// A decode server with capacity.
-#[derive(Debug, Clone, Copy)]
-struct DecodeOption {
-    cost: f64,
-    /// Its position among the candidates.
-    index: usize,
-    /// How full it would be with the stream, from 0 to 1.
-    occupancy: f64,
-    /// How many more such streams it has capacity for.
-    places: u32,
-}
-
 /// Returns a decode server with capacity for `shape`, and the prefill server for its prompt.
 ///
 /// Prevents gateways from all taking the same capacity when it becomes free: each takes the
@@ -179,53 +170,37 @@
     let max_queued_tokens = (f64::from(shape.prompt_tokens) * SELF_PREFILL_QUEUE_FACTOR) as u32;
     let stream_occupancy = LoadShare::of_stream(shape).peak_tokens() / usable_tokens(spec);
     let version_costs = VersionCosts::new(fleet, request, &decode_servers);
-    let mut options: SmallVec<[DecodeOption; 32]> = SmallVec::new();
+    let mut options: SmallVec<[(f64, usize); 32]> = SmallVec::new();
     for (index, decode) in decode_servers.iter().enumerate() {
         let Some(occupancy) = decode.occupancy_with(spec, shape) else { continue };
-        let preference = tie_break(request, decode.server_state) * stream_occupancy;
+        if let PlacementTurn::Shared(share) = turn
+            && (occupancy > MAX_SHARED_OCCUPANCY || !share.allows(decode, spec, shape))
+        {
+            continue;
+        }
+        let occupancy = occupancy + tie_break(request, decode.server_state) * stream_occupancy;
         let version_cost = version_costs.cost(decode.server_state.software);
-        let decode_cost =
-            (occupancy + preference + decode.failure_cost + version_cost) * FULL_SERVER_MS;
+        let decode_cost = (occupancy + decode.failure_cost + version_cost) * FULL_SERVER_MS;
         let prefill_server = prefill_servers.cheapest_for(decode.server_state, max_queued_tokens);
         let prefill_server_cost =
             prefill_server.map_or(prompt_ms * SELF_PREFILL_QUEUE_FACTOR, |(_, cost)| cost);
-        let cost = decode_cost + prefill_server_cost;
-        let places = decode.places(spec, shape);
-        options.push(DecodeOption { cost, index, occupancy, places });
+        options.push((decode_cost + prefill_server_cost, index));
+    }
+    let rank = match turn {
+        PlacementTurn::Ranked(requests_ahead) => requests_ahead,
+        PlacementTurn::Shared(_) => 0,
+    };
+    if rank >= options.len() {
+        return Err(PlacementError::NoRoom);
     }
-    let server = |option: &DecodeOption| &decode_servers[option.index].server_state.entry.server;
-    let DecodeOption { cost, index, .. } = choose_option(options, turn, server)?;
+    let by_cost = |left: &(f64, usize), right: &(f64, usize)| left.0.total_cmp(&right.0);
+    let (_, &mut (cost, index), _) = options.select_nth_unstable_by(rank, by_cost);
     let decode = decode_servers[index].server_state;
     let prefill =
         prefill_servers.cheapest_for(decode, max_queued_tokens).map(|(server, _)| server.clone());
     Ok(EnginePlacement { decode: decode.entry.server.clone(), prefill, cost })
 }
 
-/// Returns the cheapest option that `turn` leaves; `server` names that of an option.
-fn choose_option<'a>(
-    mut options: SmallVec<[DecodeOption; 32]>,
-    turn: PlacementTurn<'_>,
-    server: impl Fn(&DecodeOption) -> &'a ServerKey,
-) -> Result<DecodeOption, PlacementError> {
-    let by_cost = |left: &DecodeOption, right: &DecodeOption| left.cost.total_cmp(&right.cost);
-    match turn {
-        PlacementTurn::Ranked(requests_ahead) => {
-            if requests_ahead >= options.len() {
-                return Err(PlacementError::NoRoom);
-            }
-            let (_, chosen, _) = options.select_nth_unstable_by(requests_ahead, by_cost);
-            Ok(*chosen)
-        }
-        PlacementTurn::Shared(share) => {
-            options.retain(|option| {
-                option.occupancy <= MAX_SHARED_OCCUPANCY
-                    && share.allows(server(option), option.places)
-            });
-            options.into_iter().min_by(by_cost).ok_or(PlacementError::NoRoom)
-        }
-    }
-}
-
 /// Keeps the engines whose version may begin streams, or all where none of these can decode.
 fn retain_beginning_versions(fleet: &Fleet, service: &str, engines: &mut Candidates<'_>) {
     let Some(versions) = fleet.service_versions(service) else { return };
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use umberglade_gateway::cluster::EnginePlacement;
 use umberglade_gateway::cluster::Fleet;
 use umberglade_gateway::cluster::LoadShare;
 use umberglade_gateway::cluster::PeerUpdate;
@@ -78,6 +79,15 @@
     }
 }
 
+/// Places a stream that goes before those of all peers.
+fn place_first(
+    fleet: &Fleet,
+    shape: &PromptShape,
+    request: &PlacementRequest<'_>,
+) -> Result<EnginePlacement, PlacementError> {
+    place_engine(fleet, &spec(), shape, PlacementTurn::Ranked(0), request)
+}
+
 fn calls(running: u32) -> LoadShare {
     LoadShare { running, ..LoadShare::default() }
 }
@@ -237,13 +247,7 @@
         let mut fleet = fleet(ServerStage::Decode, &[("d", "own")]);
         fleet.add_load("d", case.load, now);
         let domain: DomainKey = "own".into();
-        let placed = place_engine(
-            &fleet,
-            &spec(),
-            &SHAPE,
-            PlacementTurn::Ranked(0),
-            &request(&domain, &[], now),
-        );
+        let placed = place_first(&fleet, &SHAPE, &request(&domain, &[], now));
         assert_eq!(placed.is_ok(), case.has_capacity, "{}: {placed:?}", case.name);
         if !case.has_capacity {
             assert_eq!(placed, Err(PlacementError::NoRoom));
@@ -257,10 +261,7 @@
     let fleet = fleet(ServerStage::Decode, &[("d", "own")]);
     let domain: DomainKey = "own".into();
     let huge = PromptShape { prompt_tokens: 75_000, ..SHAPE };
-    assert!(
-        place_engine(&fleet, &spec(), &huge, PlacementTurn::Ranked(0), &request(&domain, &[], now))
-            .is_ok()
-    );
+    assert!(place_first(&fleet, &huge, &request(&domain, &[], now)).is_ok());
 }
 
 #[test]
@@ -282,14 +283,7 @@
         fleet.upsert(entry("p-far", "far", ServerStage::Prefill), stamp(11));
         fleet.add_load("p-near", LoadShare::of_prompt(case.queued_locally), now);
         let domain: DomainKey = "own".into();
-        let place = place_engine(
-            &fleet,
-            &spec(),
-            &SHAPE,
-            PlacementTurn::Ranked(0),
-            &request(&domain, &[], now),
-        )
-        .unwrap();
+        let place = place_first(&fleet, &SHAPE, &request(&domain, &[], now)).unwrap();
         assert_eq!(place.prefill.as_deref(), Some(case.expected), "{}", case.name);
     }
 }
@@ -305,8 +299,7 @@
     record(&mut fleet, "dead", ServerOutcome::Unreachable, start);
     let domain: DomainKey = "own".into();
     let place = |fleet: &Fleet, now| {
-        place_engine(fleet, &spec(), &SHAPE, PlacementTurn::Ranked(0), &request(&domain, &[], now))
-            .map(|place| place.decode)
+        place_first(fleet, &SHAPE, &request(&domain, &[], now)).map(|place| place.decode)
     };
     assert_eq!(place(&fleet, start).as_deref(), Ok("busy"), "during its ejection");
     let later = start + Duration::from_secs(30);
@@ -365,8 +358,7 @@
         for at in 0..case.gateways {
             let gateway = name_digest(&format!("front-{at}"));
             let request = PlacementRequest { gateway, ..request(&domain, &[], now) };
-            let place =
-                place_engine(&fleet, &spec(), &SHAPE, PlacementTurn::Ranked(0), &request).unwrap();
+            let place = place_first(&fleet, &SHAPE, &request).unwrap();
             *decodes.entry(place.decode).or_default() += 1;
             *prefills.entry(place.prefill.unwrap()).or_default() += 1;
         }
@@ -388,8 +380,7 @@
         fleet.peers.record("peer", 1, 1, PeerUpdate { loads, ..PeerUpdate::default() }, now);
         let gateway = name_digest(&format!("front-{at}"));
         let request = PlacementRequest { gateway, ..request(&domain, &[], now) };
-        let place =
-            place_engine(&fleet, &spec(), &SHAPE, PlacementTurn::Ranked(0), &request).unwrap();
+        let place = place_first(&fleet, &SHAPE, &request).unwrap();
         assert_eq!(&*place.decode, "idle", "gateway {at}");
     }
 }
@@ -422,14 +413,7 @@
             fleet.add_load(&format!("p-{at}"), LoadShare::of_prompt(queued), now);
         }
         let domain: DomainKey = "a".into();
-        let place = place_engine(
-            &fleet,
-            &spec(),
-            &SHAPE,
-            PlacementTurn::Ranked(0),
-            &request(&domain, &[], now),
-        )
-        .unwrap();
+        let place = place_first(&fleet, &SHAPE, &request(&domain, &[], now)).unwrap();
         assert_eq!(place.prefill.as_deref(), case.prefill_server, "{}", case.name);
     }
 }
