--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -123,6 +123,8 @@
 pub const RESTART_CHECKED: u32 = 6034;
 /// A peer has sent what all gateways have used of the limits that they share.
 pub const USAGE_RECEIVED: u32 = 6035;
+/// Much of the network link was used in the last second.
+pub const LINK_LOADED: u32 = 6036;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -159,6 +159,7 @@
     patience: Patience<'_>,
 ) -> Result<OpenResponse, AttemptFailure> {
     let request = call.upstream_request::<C>(attempt_spec);
+    state.link_use.requests.add(call.body.len());
     let sent_at = Instant::now();
     if attempt_spec.purpose != AttemptPurpose::Prefill
         && let Some(charge) = &call.charge
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -298,6 +298,7 @@
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), RelayOutcome> {
+        self.state.link_use.events.add(bytes.len());
         let sent = self.sender.send(Ok(Frame::data(bytes))).await;
         sent.map_err(|_| RelayOutcome::CallerLeft)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ingress;
 mod join;
 pub mod leader;
+pub mod link_use;
 pub mod load_guard;
 pub mod model;
 pub mod origins;
--- a/crates/gateway/src/peers/config_server.rs
+++ b/crates/gateway/src/peers/config_server.rs
@@ -42,6 +42,7 @@
         write_message(stream, &ConfigReply::Part(head)).await?;
         write_chunks(stream, &part.bytes[offset..]).await
     };
+    state.link_use.tables.add(part.bytes.len().saturating_sub(offset));
     let sent = sent.await;
     tracing::info!(
         event = events::CONFIG_SENT,
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -28,6 +28,7 @@
 use crate::cluster::REMOTE_REPORT_INTERVAL;
 use crate::cluster::remote_report_interval;
 use crate::cluster::report_interval;
+use crate::link_use::DATAGRAM_HEADERS;
 use crate::model::ConfigVersion;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
@@ -208,6 +209,7 @@
             .increment(peers.len() as u64);
         metrics::counter!("umberglade_report_bytes_total", "reach" => reach)
             .increment((datagram.len() * peers.len()) as u64);
+        self.state.link_use.reports.add((datagram.len() + DATAGRAM_HEADERS) * peers.len());
         for address in peers {
             // The next report makes up for a lost one.
             let _ = self.socket.send_to(&datagram, address).await;
--- a/crates/gateway/src/peers/row_sender.rs
+++ b/crates/gateway/src/peers/row_sender.rs
@@ -67,7 +67,8 @@
     let members = registry.summary();
     let relay = RelayPart { members, rows_from: Some(first), ..RelayPart::default() };
     for mut message in messages(table_rows) {
-        send_message(socket, &mut message, tail, &relay, &children).await;
+        let sent = send_message(socket, &mut message, tail, &relay, &children).await;
+        state.link_use.tables.add(sent);
     }
 }
 
@@ -82,6 +83,7 @@
 ) {
     for mut message in messages(table_rows) {
         let sent = send_message(socket, &mut message, tail, relay, peers).await;
+        state.link_use.tables.add(sent);
         if let Some(link) = state.settings.link_bytes_per_s {
             let pause = Duration::from_secs_f64(sent as f64 / (link * LINK_FRACTION).max(1.0));
             smol::Timer::after(pause).await;
--- a/crates/gateway/src/peers/table_server.rs
+++ b/crates/gateway/src/peers/table_server.rs
@@ -69,6 +69,7 @@
     };
     let content = Content::new(image.bytes);
     let (bytes, offset) = (content.bytes.len(), content.offset_after(partial));
+    state.link_use.tables.add(bytes.saturating_sub(offset));
     let sent = send(stream, Some(head), content, offset).await;
     tracing::info!(
         event = events::TABLE_SENT,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -18,6 +18,7 @@
 use crate::join::JOIN_TIMEOUT;
 use crate::join::join_peers;
 use crate::leader::run_stage_controller;
+use crate::link_use::watch_link_use;
 use crate::model::GatewaySettings;
 use crate::model::StoreStamp;
 use crate::origins;
@@ -145,6 +146,7 @@
     spawn_restarted("stage_controller", state, run_stage_controller::<C>);
     spawn_restarted("quarantine_rows", state, quarantine::run_row_writer::<C>);
     spawn_restarted("maintenance", state, run_maintenance);
+    spawn_restarted("link_use", state, watch_link_use);
 }
 
 /// Stops gracefully: callers are directed elsewhere, and requests in flight complete.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
 use crate::cluster::name_digest;
 use crate::events;
 use crate::in_flight_count::InFlightCount;
+use crate::link_use::LinkUse;
 use crate::model::CrashSuspects;
 use crate::model::GatewaySettings;
 use crate::model::RequestFingerprint;
@@ -67,6 +68,7 @@
     pub pool: ConnectionPool,
     pub stop: StopSignal,
     pub in_flight: InFlightCount,
+    pub link_use: LinkUse,
     pub service_queues: ServiceQueues,
     /// Notified when the peers are to receive a report immediately, as when streams start, end or
     /// queue.
@@ -164,6 +166,7 @@
             pool: ConnectionPool::default(),
             stop: StopSignal::default(),
             in_flight: InFlightCount::default(),
+            link_use: LinkUse::default(),
             service_queues: ServiceQueues::default(),
             report_requested: Event::new(),
             new_peers: StateLock::default(),
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -23,6 +23,7 @@
 use super::messages::MAX_CHUNK_BYTES;
 use crate::events;
 use crate::framing::write_message;
+use crate::link_use::SentBytes;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::connect_tcp;
@@ -99,8 +100,9 @@
     let Ok(server_stream) = server_stream else { return stream.close().await };
     metrics::counter!("umberglade_tunnels_served_total").increment(1);
     let lifetime = Duration::from_millis(request.lifetime_ms).min(MAX_LIFETIME);
-    let upload = upload(stream.clone(), server_stream.clone());
-    let download = download(server_stream, stream);
+    let sent = &state.link_use.tunnels;
+    let upload = upload(stream.clone(), server_stream.clone(), sent);
+    let download = download(server_stream, stream, sent);
     let forwarded = with_deadline(started_at + lifetime, upload.or(download)).await;
     let end = forwarded.unwrap_or(TunnelEnd::Expired);
     tracing::info!(
@@ -142,11 +144,12 @@
 }
 
 /// Forwards bytes to the server.
-async fn upload(mut from: TcpStream, mut to: TcpStream) -> TunnelEnd {
+async fn upload(mut from: TcpStream, mut to: TcpStream, sent: &SentBytes) -> TunnelEnd {
     let mut buffer = [0; UPLOAD_BUFFER_BYTES];
     loop {
         match from.read(&mut buffer).await {
             Ok(count) if count > 0 => {
+                sent.add(count);
                 let written = async { to.write_all(&buffer[..count]).await.is_ok() };
                 let closed = async {
                     wait_closed(&from).await;
@@ -164,12 +167,13 @@
 }
 
 /// Forwards bytes of the server as chunks, as they arrive.
-async fn download(mut from: TcpStream, mut to: TcpStream) -> TunnelEnd {
+async fn download(mut from: TcpStream, mut to: TcpStream, sent: &SentBytes) -> TunnelEnd {
     let mut buffer = vec![0; CHUNK_HEAD_BYTES + MAX_CHUNK_BYTES];
     loop {
         let read = from.read(&mut buffer[CHUNK_HEAD_BYTES..]).await;
         let Ok(count) = read else { return TunnelEnd::ServerBroken };
         buffer[..CHUNK_HEAD_BYTES].copy_from_slice(&(count as u16).to_le_bytes());
+        sent.add(count);
         if to.write_all(&buffer[..CHUNK_HEAD_BYTES + count]).await.is_err() {
             return TunnelEnd::GatewayClosed;
         }
