Reports between gateways take half of the link at most

Cause: reports of changes were bounded in datagrams (1,600 a second), whatever their size and the link's. Class: a bound in messages where the resource is bytes. Change: all reports, regular ones too, count against half of the link; a change waits until that share is free, or is told with the next regular report.

--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -87,11 +87,12 @@
 impl ReportSender {
     fn new(state: Arc<GatewayState>, registry: Arc<PeerRegistry>, socket: UdpSocket) -> Self {
         let now = Instant::now();
+        let link = state.settings.link_bytes_per_s;
         ReportSender {
             state,
             registry,
             socket,
-            budget: SendBudget::new(now),
+            budget: SendBudget::new(link, now),
             remote_peer_cycle: RemotePeerCycle::new(now),
             full_report_due: now,
             quiet_report_due: now,
@@ -190,7 +191,7 @@
     }
 
     async fn send(
-        &self,
+        &mut self,
         report: LoadReport,
         tail: &ReportTail,
         relay: &RelayPart,
@@ -209,7 +210,9 @@
             .increment(peers.len() as u64);
         metrics::counter!("umberglade_report_bytes_total", "reach" => reach)
             .increment((datagram.len() * peers.len()) as u64);
-        self.state.link_use.reports.add((datagram.len() + DATAGRAM_HEADERS) * peers.len());
+        let bytes = (datagram.len() + DATAGRAM_HEADERS) * peers.len();
+        self.state.link_use.reports.add(bytes);
+        self.budget.record_sent(bytes, Instant::now());
         for address in peers {
             // The next report makes up for a lost one.
             let _ = self.socket.send_to(&datagram, address).await;
--- a/crates/gateway/src/peers/send_budget.rs
+++ b/crates/gateway/src/peers/send_budget.rs
@@ -9,24 +9,52 @@
 const DATAGRAMS_PER_S: f64 = 1600.0;
 /// Number of reports that may be sent in a row.
 const BURST_REPORTS: f64 = 4.0;
+/// Fraction of this gateway's link that reports may take.
+const LINK_FRACTION: f64 = 0.5;
+/// Longest time for which changes wait for what regular reports, which are sent in any case, have
+/// taken of the link.
+const MAX_LINK_DEBT: Duration = Duration::from_millis(500);
 
-/// A token bucket of datagrams.
+/// A token bucket of datagrams, and what reports may take of the link.
 ///
-/// Immediate reports keep the peers' view about as old as the network delay. The bucket bounds
-/// their cost when there are many gateways or many changes; the view is then as old as the regular
-/// reports.
+/// Immediate reports keep the peers' view about as old as the network delay. The budget bounds
+/// their cost when there are many gateways or many changes, or when reports are large; the view is
+/// then as old as the regular reports.
 #[derive(Debug)]
 pub struct SendBudget {
     /// Invariant: at most [`BURST_REPORTS`] times the last number of peers; negative while a report
     /// that has consumed its tokens is delayed.
     tokens: f64,
     refilled_at: Instant,
+    /// `None` if the link's bandwidth is not known.
+    link: Option<LinkShare>,
+}
+
+/// The share of the link that reports may take.
+#[derive(Debug)]
+struct LinkShare {
+    bytes_per_s: f64,
+    /// When the share has carried all reports that were sent.
+    free_at: Instant,
 }
 
 impl SendBudget {
-    /// Creates an empty budget, refilled from `now` on.
-    pub fn new(now: Instant) -> Self {
-        SendBudget { tokens: 0.0, refilled_at: now }
+    /// Creates an empty budget, refilled from `now` on, of a gateway with this link.
+    pub fn new(link_bytes_per_s: Option<f64>, now: Instant) -> Self {
+        let link = link_bytes_per_s
+            .map(|link| LinkShare { bytes_per_s: (link * LINK_FRACTION).max(1.0), free_at: now });
+        SendBudget { tokens: 0.0, refilled_at: now, link }
+    }
+
+    /// Records that reports of `bytes` in all, regular ones too, were sent at `now`.
+    ///
+    /// Prevents reports from filling a small link, in which requests would wait behind them until
+    /// their callers have left.
+    pub fn record_sent(&mut self, bytes: usize, now: Instant) {
+        if let Some(link) = &mut self.link {
+            let duration = Duration::from_secs_f64(bytes as f64 / link.bytes_per_s);
+            link.free_at = (link.free_at.max(now) + duration).min(now + MAX_LINK_DEBT);
+        }
     }
 
     /// Returns when to report a change to `peers` gateways: now, once the budget allows it, or at
@@ -40,7 +68,8 @@
         let max_tokens = BURST_REPORTS * peers as f64;
         self.tokens = (self.tokens + elapsed * DATAGRAMS_PER_S).min(max_tokens);
         let missing = (peers as f64 - self.tokens).max(0.0);
-        let at = now + Duration::from_secs_f64(missing / DATAGRAMS_PER_S);
+        let allowed_at = now + Duration::from_secs_f64(missing / DATAGRAMS_PER_S);
+        let at = self.link.as_ref().map_or(allowed_at, |link| link.free_at.max(allowed_at));
         if at >= due {
             return due;
         }
--- a/crates/gateway/tests/peer_traffic.rs
+++ b/crates/gateway/tests/peer_traffic.rs
@@ -82,7 +82,7 @@
     let shards = shard_count(gateways, gateways * SERVERS_PER_GATEWAY);
     let PeerGroups { local_shard, remote } = registry(gateways).groups("front-0", shards);
     let started_at = Instant::now();
-    let mut budget = SendBudget::new(started_at);
+    let mut budget = SendBudget::new(None, started_at);
     let mut remote_peer_cycle = RemotePeerCycle::new(started_at);
     let mut change = started_at;
     let change_interval = Duration::from_secs(1) / (STREAMS_PER_S * CHANGES_PER_STREAM) as u32;
--- a/crates/gateway/tests/report_budget.rs
+++ b/crates/gateway/tests/report_budget.rs
@@ -56,7 +56,7 @@
     let seconds = 10;
     for case in cases {
         let started_at = Instant::now();
-        let mut budget = SendBudget::new(started_at);
+        let mut budget = SendBudget::new(None, started_at);
         let interval = report_interval(case.peers);
         let mut due = started_at + interval;
         let mut sent_at = started_at;
