Reports name the gateways that have joined once in each regular interval

Class: something told once for all is repeated with everything that changes. Change: one report in each regular interval names up to 8, drawn anew each time; reports to other groups as before.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -33,6 +33,7 @@
 pub use self::member_fetcher::fetch_members;
 pub use self::origin_messages::ask_origin;
 pub use self::origin_teller::OriginTeller;
+pub use self::peer_registry::MAX_JOINED_NEAR;
 pub use self::peer_registry::MemberRecord;
 pub use self::peer_registry::MemberSummary;
 pub use self::peer_registry::PeerGroups;
--- a/crates/gateway/src/peers/peer_registry.rs
+++ b/crates/gateway/src/peers/peer_registry.rs
@@ -19,8 +19,11 @@
 const JOINED_WINDOW: Duration = Duration::from_secs(3);
 /// Number of gateways to which each one passes rows on: a few thousand are reached in six steps.
 pub(super) const ROW_FAN_OUT: usize = 4;
-/// Maximum number of gateways that a report names as having joined, of some 40 bytes each.
-const MAX_JOINED: usize = 24;
+/// Maximum number of gateways that a report to the sender's own group names as having joined, of some
+/// 40 bytes each: all of the group hear such reports from each other.
+pub const MAX_JOINED_NEAR: usize = 8;
+/// Maximum number of gateways that a report to another group names as having joined.
+pub const MAX_JOINED_FAR: usize = 24;
 
 /// The peers' addresses.
 #[derive(Debug, Default)]
@@ -128,8 +131,9 @@
         self.entries().by_name.iter().map(|(name, entry)| record(name, entry)).collect()
     }
 
-    /// Returns the gateways that have become known lately; a random sample if there are too many.
-    pub fn joined(&self, now: Instant) -> Vec<MemberRecord> {
+    /// Returns the gateways that have become known lately; a random sample if there are more than
+    /// `limit`.
+    pub fn joined(&self, limit: usize, now: Instant) -> Vec<MemberRecord> {
         let entries = self.entries();
         let is_recent = |at: Instant| now.saturating_duration_since(at) < JOINED_WINDOW;
         if !entries.changed_at.is_some_and(is_recent) {
@@ -138,7 +142,7 @@
         let recent = entries.by_name.iter().filter(|(_, entry)| is_recent(entry.learned_at));
         let mut joined: Vec<(&String, &PeerEntry)> = recent.collect();
         fastrand::shuffle(&mut joined);
-        joined.truncate(MAX_JOINED);
+        joined.truncate(limit);
         joined.into_iter().map(|(name, entry)| record(name, entry)).collect()
     }
 
--- a/crates/gateway/src/peers/report_content.rs
+++ b/crates/gateway/src/peers/report_content.rs
@@ -99,16 +99,17 @@
     }
 }
 
-/// Returns what a report passes on, with `notices`.
+/// Returns what a report passes on, with `notices` and up to `max_joined` gateways that have joined.
 pub(super) fn relay_part(
     state: &GatewayState,
     registry: &PeerRegistry,
     notices: Vec<RelayedNotice>,
+    max_joined: usize,
 ) -> RelayPart {
     RelayPart {
         notices,
         members: registry.summary(),
-        joined: registry.joined(Instant::now()),
+        joined: registry.joined(max_joined, Instant::now()),
         is_quiet: false,
         tables: state.shared_tables.offered(),
         rows_from: None,
--- a/crates/gateway/src/peers/report_sender.rs
+++ b/crates/gateway/src/peers/report_sender.rs
@@ -17,6 +17,8 @@
 use super::ReportTail;
 use super::SendBudget;
 use super::UsagePart;
+use super::peer_registry::MAX_JOINED_FAR;
+use super::peer_registry::MAX_JOINED_NEAR;
 use super::report_content::NearReport;
 use super::report_content::is_quiet;
 use super::report_content::near_report;
@@ -71,6 +73,8 @@
     /// When the next report to the group is due if nothing happens.
     quiet_report_due: Instant,
     gossip_due: Instant,
+    /// When the group is next told which gateways have joined.
+    joined_due: Instant,
     /// The last report to the group, as far as it matters while there is no work.
     last: LastReport,
     /// Until when the gateways of all other groups get reports: those that heard of work are to
@@ -97,6 +101,7 @@
             full_report_due: now,
             quiet_report_due: now,
             gossip_due: now,
+            joined_due: now,
             last: LastReport::default(),
             tells_all_until: now,
         }
@@ -143,17 +148,28 @@
             }
             self.quiet_report_due = now + QUIET_REPORT_INTERVAL;
             self.last = this;
-            let relay = relay_part(&self.state, &self.registry, notices);
+            let max_joined = self.max_joined(local_shard.len(), now);
+            let relay = relay_part(&self.state, &self.registry, notices, max_joined);
             let relay = RelayPart { is_quiet, ..relay };
             self.send(report, &tail, &relay, &usage, &local_shard).await;
         }
         if let Some(report) = report_for_remote {
             let notices = self.state.shared_tables.notices_for_remote(now);
-            let relay = relay_part(&self.state, &self.registry, notices);
+            let relay = relay_part(&self.state, &self.registry, notices, MAX_JOINED_FAR);
             self.send(report, &tail, &relay, &UsagePart::default(), &remote_recipients).await;
         }
     }
 
+    /// Returns how many gateways that have joined the report to `peers` gateways of the group names:
+    /// one report in each regular interval does, whatever the number of changes.
+    fn max_joined(&mut self, peers: usize, now: Instant) -> usize {
+        if now < self.joined_due {
+            return 0;
+        }
+        self.joined_due = now + report_interval(peers);
+        MAX_JOINED_NEAR
+    }
+
     /// Returns the gateways of other groups that get a report now.
     fn remote_recipients(
         &mut self,
--- a/crates/gateway/tests/row_tree.rs
+++ b/crates/gateway/tests/row_tree.rs
@@ -72,10 +72,13 @@
     right.insert(&newcomer.name, newcomer.address);
     assert_ne!(left.summary(), right.summary());
     let now = Instant::now();
-    assert!(right.joined(now).iter().any(|joined| joined.name == newcomer.name));
+    assert!(right.joined(GATEWAYS + 1, now).iter().any(|joined| joined.name == newcomer.name));
     assert_eq!(left.merge(right.records()), 1);
     assert_eq!(left.summary(), right.summary());
-    assert!(left.joined(now + Duration::from_secs(4)).is_empty(), "told for some seconds only");
+    assert!(
+        left.joined(GATEWAYS + 1, now + Duration::from_secs(4)).is_empty(),
+        "told for some seconds only"
+    );
     right.remove(&newcomer.name);
     assert_eq!(right.summary(), registry(GATEWAYS).summary());
 }
