The wait for peers before a listing includes the delay after a failed call

Cause: two waits, each within the bound, one after the other; a listing that was late was waited for once more. Class: waits in series under one bound. Change: one wait from the failed call on; a listing under way is waited for at once.

--- a/crates/gateway/src/store/read_progress.rs
+++ b/crates/gateway/src/store/read_progress.rs
@@ -23,8 +23,12 @@
     pub known_at: Instant,
     /// Number of failed reads since the last response.
     pub failures: u32,
+    /// When the last of them failed.
+    pub failed_at: Option<Instant>,
     /// True if a response was late since the last one.
     pub is_late: bool,
+    /// True while a listing that was due is under way and late.
+    pub is_listing_late: bool,
     /// True if this gateway relied on its peers since the last response.
     was_listener: bool,
 }
@@ -38,7 +42,9 @@
             settles_at: None,
             known_at: now,
             failures: 0,
+            failed_at: None,
             is_late: false,
+            is_listing_late: false,
             was_listener: false,
         }
     }
@@ -53,6 +59,7 @@
     pub fn list_next(&mut self) {
         self.position = None;
         self.must_list = true;
+        self.is_listing_late = false;
     }
 
     /// Lists the table next if what a copy has kept of it counts from now on.
@@ -78,6 +85,19 @@
         if self.is_out() || self.was_listener { self.known_at.elapsed() } else { Duration::ZERO }
     }
 
+    /// Records that a read failed.
+    pub fn record_failure(&mut self, now: Instant) {
+        self.failures += 1;
+        self.failed_at = Some(now);
+        self.is_listing_late = false;
+    }
+
+    /// Records that a response is late.
+    pub fn record_late(&mut self) {
+        self.is_late = true;
+        self.is_listing_late = self.must_list;
+    }
+
     /// Records that all changes up to `through` are known.
     pub fn record_read(&mut self, through: StoreStamp, has_expired_rows: bool) {
         let now = Instant::now();
@@ -94,7 +114,9 @@
         }
         self.known_at = now;
         self.failures = 0;
+        self.failed_at = None;
         self.is_late = false;
+        self.is_listing_late = false;
         self.was_listener = false;
     }
 }
--- a/crates/gateway/src/store/table_follower.rs
+++ b/crates/gateway/src/store/table_follower.rs
@@ -11,6 +11,9 @@
 use super::TableReader;
 use super::TableSink;
 use super::read_progress::ReadProgress;
+use super::relist_wait::POLL_INTERVAL;
+use super::relist_wait::RelistWait;
+use super::relist_wait::retry_delay;
 use super::row_size::estimated_bytes;
 use super::table_reader::TableRead;
 use crate::cluster::ReadRole;
@@ -22,20 +25,9 @@
 use crate::model::StoreTable;
 use crate::timing::with_deadline;
 
-/// Delay after a first failed call, doubled with each further failure in a row.
-const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Maximum delay between failed calls: short compared with the time in which a configuration must
-/// be in force once the store is available again.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(700);
-
 /// Outages shorter than this let no entry expire: servers renew theirs about each second, and an
 /// entry expires after three missed renewals.
 const MIN_OUTAGE: Duration = Duration::from_millis(1000);
-/// Fraction of a table's bound over which gateways that have relied on their peers spread.
-const RELIST_SPREAD: f64 = 0.35;
-/// Shortest delay before a table that peers may read is listed again: reads are known everywhere
-/// within about half a second.
-const RELIST_DELAY: Duration = Duration::from_millis(400);
 
 /// Keeps a sink up to date with one table until the process stops. The sink keeps its state while
 /// the store can't be read.
@@ -108,7 +100,7 @@
                 if !progress.is_out() {
                     self.log_unavailable(&StoreError::Late, progress);
                 }
-                progress.is_late = true;
+                progress.record_late();
                 self.record_age(progress.known_at);
             }
             Ok(ReadStep::Interrupted) => {}
@@ -123,13 +115,13 @@
         if !progress.is_out() {
             self.log_unavailable(error, progress);
         }
-        progress.failures += 1;
+        progress.record_failure(Instant::now());
         self.record_age(progress.known_at);
         metrics::counter!("umberglade_store_failures_total").increment(1);
         if let Some(coordinator) = &self.coordinator {
             coordinator.record_failure();
         }
-        smol::Timer::after(retry_delay(progress.failures)).await;
+        smol::Timer::after(retry_delay(progress.failures, fastrand::f64())).await;
         if progress.failures > 1 && self.sink.has_expiring_rows() {
             progress.list_next();
         }
@@ -166,17 +158,22 @@
         if !coordinator.is_shared() || !is_present_era {
             return false;
         }
-        let mut delay = RELIST_DELAY.mul_f64(1.0 + fastrand::f64());
-        if progress.was_listener() {
-            delay += coordinator.bound().mul_f64(RELIST_SPREAD * coordinator.rank_fraction());
+        if progress.is_listing_late {
+            // The listing is under way, and each further call waits for its pace.
+            return self.listen_until().is_some();
         }
-        let due = Instant::now() + delay;
+        let relist_wait = RelistWait {
+            bound: coordinator.bound(),
+            rank_fraction: progress.was_listener().then(|| coordinator.rank_fraction()),
+            failed_at: progress.failed_at,
+        };
+        let due = relist_wait.ends_at(fastrand::f64(), Instant::now());
         while Instant::now() < due {
             if self.listen_until().is_some() {
                 return true;
             }
             self.apply_peer_rows();
-            smol::Timer::after(RELIST_DELAY / 4).await;
+            smol::Timer::at(due.min(Instant::now() + POLL_INTERVAL)).await;
         }
         self.listen_until().is_some()
     }
@@ -415,8 +412,3 @@
         None => drop(smol::Timer::at(due).await),
     }
 }
-
-fn retry_delay(failures: u32) -> Duration {
-    let doubled = INITIAL_RETRY_DELAY * 2u32.pow(failures.saturating_sub(1).min(4));
-    doubled.min(MAX_RETRY_DELAY).mul_f64(0.75 + fastrand::f64() * 0.5)
-}
