A long body without a length ends visibly broken if its server has ended within it

Cause: such a body ends with its connection, and the system ends a killed process's connections properly. Class: an end that is taken for a completion. Change: before the end is passed on, the server is asked for a connection; if it refuses, and no other gateway reaches it, the body is broken off. Leaving and silent servers are not taken to have ended.

--- a/crates/gateway/src/forward/long_response.rs
+++ b/crates/gateway/src/forward/long_response.rs
@@ -23,6 +23,7 @@
 use super::StreamBroken;
 use super::exchange;
 use super::exchange::AttemptFailure;
+use super::exchange::is_delimited;
 use super::plain_run;
 use super::response_body;
 use super::response_body::BodyFrame;
@@ -30,6 +31,7 @@
 use crate::load_guard::LoadGuard;
 use crate::model::ResponseHead;
 use crate::panics;
+use crate::paths::has_ended;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
@@ -121,6 +123,9 @@
     let pieces = pass_pieces(std::mem::take(&mut long.start), &mut long.body, sender);
     let passed = with_deadline(call.deadline, pieces).await;
     let (failure, problem) = match passed {
+        Some(Ok(())) if is_cut_off(state, call, target, &long.parts).await => {
+            (AttemptFailure::Broken, "the server ended within the body".to_owned())
+        }
         Some(Ok(())) => {
             let LongResponse { head, parts, connection, load_guard, .. } = long;
             drop(load_guard);
@@ -134,6 +139,20 @@
     false
 }
 
+/// Returns true if a body has ended because its server's process has: without a length, its end looks
+/// the same.
+async fn is_cut_off(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    target: &SendTarget,
+    parts: &Parts,
+) -> bool {
+    if is_delimited(&parts.headers) {
+        return false;
+    }
+    with_deadline(call.deadline, has_ended(state, target)).await.unwrap_or(false)
+}
+
 async fn pass_pieces(
     start: Bytes,
     body: &mut ResponseBody,
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -6,6 +6,7 @@
 mod path_recheck;
 mod staggered_race;
 
+pub use self::path_check::has_ended;
 pub use self::path_check::locate_failure;
 pub use self::path_check::request_check;
 pub use self::path_check::watch_silence;
--- a/crates/gateway/src/paths/path_check.rs
+++ b/crates/gateway/src/paths/path_check.rs
@@ -110,6 +110,29 @@
     }
 }
 
+/// Returns true if the process of `target` has ended: it refuses connections, and other gateways don't
+/// reach it either. A server that leaves is not asked, as it may end once it has responded.
+pub async fn has_ended(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
+    let asked_at = Instant::now();
+    let is_expected_to_run = state
+        .fleet()
+        .server(&target.server)
+        .is_some_and(|server| server.incarnation == target.incarnation && !server.entry.is_leaving);
+    if !is_expected_to_run {
+        return false;
+    }
+    match connect_directly(target.address).await {
+        Ok(connection) => {
+            keep_open(state, target, connection);
+            false
+        }
+        Err(error) => {
+            error.is_refusal()
+                && locate_failure(state, target, asked_at).await == PathVerdict::ServerDown
+        }
+    }
+}
+
 /// Returns true if another gateway reaches `target`, and doubts this gateway's paths then. A server
 /// that others have ejected is taken to be down without asking them.
 async fn reaches_by_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
