The question whether a server has ended goes on if its caller leaves

Found by reading the change before: others wait for the end of a check of a path, and one that is dropped with its caller would look like a server that is down.

--- a/crates/gateway/src/paths/path_check.rs
+++ b/crates/gateway/src/paths/path_check.rs
@@ -126,13 +126,23 @@
             keep_open(state, target, connection);
             false
         }
-        Err(error) => {
-            error.is_refusal()
-                && locate_failure(state, target, asked_at).await == PathVerdict::ServerDown
-        }
+        Err(error) => error.is_refusal() && is_down(state, target, asked_at).await,
     }
 }
 
+/// Returns true if a check since `asked_at` finds that `target` is down.
+async fn is_down(state: &Arc<GatewayState>, target: &SendTarget, asked_at: Instant) -> bool {
+    let (state, target) = (Arc::clone(state), target.clone());
+    let (sender, verdict) = async_channel::bounded(1);
+    // Goes on if the caller leaves meanwhile: others may wait for the end of the check.
+    pool::spawn(async move {
+        let verdict = locate_failure(&state, &target, asked_at).await;
+        // Fails if nobody waits any more.
+        let _ = sender.send(verdict).await;
+    });
+    verdict.recv().await == Ok(PathVerdict::ServerDown)
+}
+
 /// Returns true if another gateway reaches `target`, and doubts this gateway's paths then. A server
 /// that others have ejected is taken to be down without asking them.
 async fn reaches_by_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
