--- a/review/harness/base.rs
+++ b/review/harness/base.rs
@@ -541,10 +541,17 @@
 /// Ids of the processes that the case has started and not ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Returns true while the process `id` is a child of this one: the id of an ended one may be used again.
+fn is_child(id: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let parent = status.lines().find_map(|line| line.strip_prefix("PPid:"));
+    parent.is_some_and(|parent| parent.trim() == std::process::id().to_string())
+}
+
 /// Ends the case, and the processes that it has started, as one that could not run.
 pub fn give_up(problem: &str) -> ! {
     eprintln!("the case could not run: {problem}");
-    for id in STARTED.lock().unwrap().iter() {
+    for id in STARTED.lock().unwrap().iter().filter(|id| is_child(**id)) {
         let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
     }
     std::process::exit(2);
