An end without length or chunks is whole only if its server's process lives on

Cause: the end of the connection counted as the end of the answer, in three places. The kernel closes a killed process's connections properly, so that such an end proves nothing. Long plain bodies were checked by a connection, which another process at the address accepts too.

Change: forward/answer_end.rs decides for streams, plain answers and errors of any size, and prefills that don't parse. The server is asked for its report after the end (paths/life_check.rs); one question serves all answers that ended before it. Another process, or none, makes the answer a broken run and a crash, as a reset would. A server that leaves is asked too.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -125,6 +125,8 @@
 pub const USAGE_RECEIVED: u32 = 6035;
 /// Much of the network link was used in the last second.
 pub const LINK_LOADED: u32 = 6036;
+/// A server was asked whether its process lives on, since an answer ended with its connection.
+pub const LIFE_CHECKED: u32 = 6037;
 /// The process accepts requests.
 pub const GATEWAY_STARTED: u32 = 7001;
 /// A graceful shutdown starts.
--- /dev/null
+++ b/crates/gateway/src/forward/answer_end.rs
@@ -0,0 +1,73 @@
+//! Decides what the end of an answer was that states neither a length nor chunks.
+//!
+//! The system closes the connections of a process that was killed as properly as those of one that
+//! has finished, so that such an end proves nothing by itself.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::HeaderMap;
+use http::Response;
+use http::header;
+use hyper::body::Body;
+use umberglade_wire::client_connection::ResponseBody;
+
+use super::Call;
+use super::exchange::AttemptFailure;
+use crate::codec::PlatformCodec;
+use crate::paths::ProcessLife;
+use crate::paths::find_life;
+use crate::state::GatewayState;
+use crate::upstream::SendTarget;
+
+/// How an answer has failed.
+#[derive(Debug)]
+pub struct AnswerBreak {
+    pub failure: AttemptFailure,
+    pub problem: String,
+}
+
+/// Returns true if `response` states where its body ends, or has none.
+pub fn is_delimited(response: &Response<ResponseBody>) -> bool {
+    states_end(response.headers()) || response.body().is_end_stream()
+}
+
+/// A transfer encoding goes before a length, and only chunks as the last one state the end
+/// (RFC 9112, section 6.3).
+fn states_end(headers: &HeaderMap) -> bool {
+    match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+        Some(encodings) => {
+            let last = encodings.to_str().unwrap_or_default().rsplit(',').next();
+            last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+        }
+        None => headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
+/// Returns how an answer of `target` that has just ended is broken; `None` if its server had finished
+/// it. Unless the answer `is_delimited`, that must be shown by `deadline`: the same process lives on.
+pub async fn end_break<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    target: &SendTarget,
+    is_delimited: bool,
+    deadline: Instant,
+) -> Option<AnswerBreak> {
+    if is_delimited {
+        return None;
+    }
+    let life = find_life::<C>(state, target, deadline).await;
+    let outcome = life.map_or_else(|| "unknown".to_owned(), |life| life.to_string());
+    metrics::counter!("umberglade_undelimited_ends_total", "outcome" => outcome).increment(1);
+    let (failure, problem) = match life {
+        Some(ProcessLife::Alive) => return None,
+        Some(ProcessLife::Ended) => {
+            (AttemptFailure::Broken, "the server's process ended with its answer")
+        }
+        None => {
+            state.quarantines.record_undelimited_end(&call.suspects, target);
+            (AttemptFailure::Silent, "whether the server had finished is not known in time")
+        }
+    };
+    Some(AnswerBreak { failure, problem: problem.to_owned() })
+}
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use http::HeaderMap;
 use http::Response;
-use http::header;
 use strum::Display;
 use umberglade_wire::client_connection::BodyError;
 use umberglade_wire::client_connection::ResponseBody;
@@ -222,13 +220,6 @@
     Ok(OpenResponse { response, head, connection, permit, sent_at })
 }
 
-/// Returns true when the headers state where the body ends. A body that ends with its
-/// connection looks complete even if the server crashed, and so does not show that the server
-/// survived the request.
-pub fn is_delimited(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::CONTENT_LENGTH)
-}
-
 /// Records and logs an attempt, sent at `sent_at`, that failed before its first event.
 pub async fn record_failure(
     state: &Arc<GatewayState>,
--- a/crates/gateway/src/forward/long_response.rs
+++ b/crates/gateway/src/forward/long_response.rs
@@ -21,9 +21,10 @@
 use super::Call;
 use super::GatewayBody;
 use super::StreamBroken;
+use super::answer_end::AnswerBreak;
+use super::answer_end::end_break;
 use super::exchange;
 use super::exchange::AttemptFailure;
-use super::exchange::is_delimited;
 use super::plain_run;
 use super::response_body;
 use super::response_body::BodyFrame;
@@ -31,7 +32,6 @@
 use crate::load_guard::LoadGuard;
 use crate::model::ResponseHead;
 use crate::panics;
-use crate::paths::has_ended;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 use crate::upstream::SendTarget;
@@ -71,6 +71,8 @@
 pub struct LongResponse {
     pub head: ResponseHead,
     pub parts: Parts,
+    /// False if the end of the body does not show whether its server had finished.
+    pub is_delimited: bool,
     pub start: Bytes,
     pub body: ResponseBody,
     pub connection: ServerConnection,
@@ -102,7 +104,7 @@
         };
         let passing = async {
             // A panic drops the sender, which would end the body as if it were complete.
-            if panics::catch(pass(&state, &call, &target, long, &sender)).await != Ok(true) {
+            if panics::catch(pass::<C>(&state, &call, &target, long, &sender)).await != Ok(true) {
                 // Fails only if the caller has left.
                 let _ = sender.send(Err(StreamBroken)).await;
             }
@@ -113,7 +115,7 @@
 }
 
 /// Passes the body of `long` on; returns whether it was complete.
-async fn pass(
+async fn pass<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
@@ -123,14 +125,16 @@
     let pieces = pass_pieces(std::mem::take(&mut long.start), &mut long.body, sender);
     let passed = with_deadline(call.deadline, pieces).await;
     let (failure, problem) = match passed {
-        Some(Ok(())) if is_cut_off(state, call, target, &long.parts).await => {
-            (AttemptFailure::Broken, "the server ended within the body".to_owned())
-        }
         Some(Ok(())) => {
-            let LongResponse { head, parts, connection, load_guard, .. } = long;
-            drop(load_guard);
-            plain_run::record_whole(state, call, target, &parts, connection, &head);
-            return true;
+            match end_break::<C>(state, call, target, long.is_delimited, call.deadline).await {
+                Some(AnswerBreak { failure, problem }) => (failure, problem),
+                None => {
+                    let LongResponse { head, parts, connection, load_guard, .. } = long;
+                    drop(load_guard);
+                    plain_run::record_whole(state, call, target, &parts, connection, &head);
+                    return true;
+                }
+            }
         }
         Some(Err(error)) => (AttemptFailure::of_body(&error), error.to_string()),
         None => (AttemptFailure::Silent, "the body did not arrive in time".to_owned()),
@@ -139,20 +143,6 @@
     false
 }
 
-/// Returns true if a body has ended because its server's process has: without a length, its end looks
-/// the same.
-async fn is_cut_off(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    target: &SendTarget,
-    parts: &Parts,
-) -> bool {
-    if is_delimited(&parts.headers) {
-        return false;
-    }
-    with_deadline(call.deadline, has_ended(state, target)).await.unwrap_or(false)
-}
-
 async fn pass_pieces(
     start: Bytes,
     body: &mut ResponseBody,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards one caller's request to servers and responds to it.
 
 mod admit;
+mod answer_end;
 mod attempt_log;
 mod attempt_permit;
 mod attempt_set;
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -12,12 +12,14 @@
 
 use super::Call;
 use super::GatewayBody;
+use super::answer_end::AnswerBreak;
+use super::answer_end::end_break;
+use super::answer_end::is_delimited;
 use super::attempt_permit::AttemptPermit;
 use super::attempts::Attempts;
 use super::exchange;
 use super::exchange::AttemptFailure;
 use super::exchange::OpenResponse;
-use super::exchange::is_delimited;
 use super::long_response::BodyStart;
 use super::long_response::LongResponse;
 use super::long_response::pass_on;
@@ -225,18 +227,33 @@
     load_guard: LoadGuard,
 ) -> PlainOutcome {
     let OpenResponse { response, head, connection, sent_at, .. } = opened;
+    let is_delimited = is_delimited(&response);
     let (parts, mut body) = response.into_parts();
     let is_error = parts.status.is_server_error();
     let (failure, problem) = match with_deadline(call.deadline, read_start(&mut body)).await {
         Some(Ok(BodyStart::Whole(bytes))) => {
-            record_whole(state, call, target, &parts, connection, &head);
-            let mut response = Response::new(response_body::full(bytes));
-            *response.status_mut() = parts.status;
-            *response.headers_mut() = C::response_headers(&parts.headers);
-            return PlainOutcome::Responded(response);
+            match end_break::<C>(state, call, target, is_delimited, call.deadline).await {
+                Some(AnswerBreak { failure, problem }) => (failure, problem),
+                None => {
+                    record_whole(state, call, target, &parts, connection, &head);
+                    let mut response = Response::new(response_body::full(bytes));
+                    *response.status_mut() = parts.status;
+                    *response.headers_mut() = C::response_headers(&parts.headers);
+                    return PlainOutcome::Responded(response);
+                }
+            }
         }
         Some(Ok(BodyStart::Long(start))) if !is_error => {
-            let long = LongResponse { head, parts, start, body, connection, sent_at, load_guard };
+            let long = LongResponse {
+                head,
+                parts,
+                is_delimited,
+                start,
+                body,
+                connection,
+                sent_at,
+                load_guard,
+            };
             return PlainOutcome::Responded(pass_on::<C>(state, call, target, long));
         }
         Some(Ok(BodyStart::Long(_))) => {
@@ -262,10 +279,8 @@
 ) {
     let is_error = parts.status.is_server_error();
     state.record_outcome(target, if is_error { ServerOutcome::Erred } else { ServerOutcome::Fine });
-    if !is_error && is_delimited(&parts.headers) {
+    if !is_error {
         state.record_completion(&call.suspects, target);
-    } else if !is_error {
-        state.quarantines.record_undelimited_end(&call.suspects, target);
     }
     if !head.closes {
         state.pool.put(target, connection, head.keep_alive, Instant::now());
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -8,6 +8,9 @@
 use umberglade_wire::client_connection::read_whole;
 
 use super::Call;
+use super::answer_end::AnswerBreak;
+use super::answer_end::end_break;
+use super::answer_end::is_delimited;
 use super::attempt_permit::AttemptPermit;
 use super::cache_guard::CacheGuard;
 use super::exchange;
@@ -87,6 +90,7 @@
         exchange::exchange::<C>(state, call, &target, &attempt_spec, permit, timeout, patience)
             .await?;
     let status = opened.response.status();
+    let is_delimited = is_delimited(&opened.response);
     let read = async {
         let read = read_whole(opened.response.into_body(), MAX_HANDLE_BYTES).await;
         read.map_err(|error| (AttemptFailure::of_body(&error), error.to_string()))
@@ -111,7 +115,14 @@
     }
     let result = match C::prefill_result(&body) {
         Ok(result) => result,
-        Err(error) => return Err(fail(AttemptFailure::Garbled, &error.to_string()).await),
+        Err(error) => {
+            let until = started_at + timeout;
+            let broken = end_break::<C>(state, call, &target, is_delimited, until).await;
+            let garbled =
+                || AnswerBreak { failure: AttemptFailure::Garbled, problem: error.to_string() };
+            let AnswerBreak { failure, problem } = broken.unwrap_or_else(garbled);
+            return Err(fail(failure, &problem).await);
+        }
     };
     opened.permit.settle();
     let took = started_at.elapsed();
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -16,6 +16,7 @@
 use super::GatewayBody;
 use super::StreamBroken;
 use super::StreamEvent;
+use super::answer_end::AnswerBreak;
 use super::attempts::Attempts;
 use super::exchange::AttemptFailure;
 use super::kept_stream::KeptStream;
@@ -24,7 +25,6 @@
 use super::silence_log;
 use super::silent_stream;
 use super::silent_stream::SilenceEnd;
-use super::silent_stream::StreamBreak;
 use super::silent_stream::StreamPosition;
 use super::silent_stream::stream_break;
 use super::silent_stream::wait_or_replace;
@@ -231,7 +231,8 @@
                     SilenceEnd::Expired => return Ok(StreamStop::Expired),
                 },
             };
-            if let Some(StreamBreak { failure, problem }) = stream_break(&read, stream) {
+            let broken = stream_break::<C>(&self.state, &self.call, &read, stream).await;
+            if let Some(AnswerBreak { failure, problem }) = broken {
                 return Ok(StreamStop::Failed(failure, problem));
             }
             next = match read {
@@ -315,11 +316,7 @@
             balance.record_stream(prompt_tokens, tokens, duration);
         });
         self.state.record_outcome(&stream.target, ServerOutcome::Fine);
-        if stream.is_delimited {
-            self.state.record_completion(&self.call.suspects, &stream.target);
-        } else {
-            self.state.quarantines.record_undelimited_end(&self.call.suspects, &stream.target);
-        }
+        self.state.record_completion(&self.call.suspects, &stream.target);
         if let Some(connection) = stream.connection {
             let target = &stream.target;
             self.state.pool.put(target, connection, stream.keep_alive, Instant::now());
--- a/crates/gateway/src/forward/silent_stream.rs
+++ b/crates/gateway/src/forward/silent_stream.rs
@@ -2,6 +2,7 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use futures_lite::FutureExt;
@@ -10,6 +11,8 @@
 
 use super::Call;
 use super::StreamEvent;
+use super::answer_end::AnswerBreak;
+use super::answer_end::end_break;
 use super::attempts::Attempts;
 use super::exchange;
 use super::exchange::AttemptFailure;
@@ -25,6 +28,10 @@
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
+/// How long the end of a stream waits until it is known whether its server had finished. Callers
+/// leave after a gap of two seconds or more.
+const MAX_END_WAIT: Duration = Duration::from_millis(1200);
+
 /// The next event of a stream; `None` at its end.
 pub type ReadEvent = Result<Option<StreamEvent>, BodyError>;
 
@@ -85,7 +92,8 @@
             }
             Some(FirstToGoOn::Kept(read)) => read,
         };
-        if let Some(StreamBreak { failure, problem }) = stream_break(&read, stream) {
+        let broken = stream_break::<C>(state, call, &read, stream).await;
+        if let Some(AnswerBreak { failure, problem }) = broken {
             let recorded = async {
                 record_stop(state, call, stream, failure, &problem, last_event_at).await;
                 kept.end();
@@ -103,22 +111,24 @@
     SilenceEnd::WentOn(read)
 }
 
-/// How a server's stream has broken off.
-pub struct StreamBreak {
-    pub failure: AttemptFailure,
-    pub problem: String,
-}
-
 /// Returns how the server of `stream` has failed, if `read` shows that it has.
-pub fn stream_break(read: &ReadEvent, stream: &OpenStream) -> Option<StreamBreak> {
+pub async fn stream_break<C: PlatformCodec>(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    read: &ReadEvent,
+    stream: &OpenStream,
+) -> Option<AnswerBreak> {
     match read {
         Ok(Some(_)) => None,
-        Ok(None) if stream.reader.is_complete() => None,
-        Ok(None) => Some(StreamBreak {
+        Ok(None) if !stream.reader.is_complete() => Some(AnswerBreak {
             failure: AttemptFailure::Broken,
             problem: "ended within an event".to_owned(),
         }),
-        Err(error) => Some(StreamBreak {
+        Ok(None) => {
+            let until = (Instant::now() + MAX_END_WAIT).min(call.deadline);
+            end_break::<C>(state, call, &stream.target, stream.is_delimited, until).await
+        }
+        Err(error) => Some(AnswerBreak {
             failure: AttemptFailure::of_body(error),
             problem: error.to_string(),
         }),
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -14,6 +14,8 @@
 use super::EventReader;
 use super::GatewayBody;
 use super::StreamEvent;
+use super::answer_end::end_break;
+use super::answer_end::is_delimited;
 use super::attempt_permit::AttemptPermit;
 use super::exchange;
 use super::exchange::AttemptFailure;
@@ -52,7 +54,7 @@
     /// Returned to the pool when the stream completes; `None` if the server closes it.
     pub connection: Option<ServerConnection>,
     pub keep_alive: Option<Duration>,
-    /// False when the end of the stream cannot be distinguished from a crash of the server.
+    /// False if the end of the stream does not show whether its server had finished.
     pub is_delimited: bool,
     pub load_guard: LoadGuard,
 }
@@ -121,16 +123,23 @@
     };
     let status = opened.response.status();
     if !status.is_success() {
-        return match with_deadline(deadline, read_error_response::<C>(opened)).await {
-            Some(Ok(response)) => {
-                state.record_outcome(target, ServerOutcome::Erred);
-                OpenOutcome::Responded(response)
+        let is_delimited = is_delimited(&opened.response);
+        let response = match with_deadline(deadline, read_error_response::<C>(opened)).await {
+            Some(Ok(response)) => response,
+            Some(Err(error)) => {
+                return fail(AttemptFailure::of_body(&error), &error.to_string()).await;
             }
-            Some(Err(error)) => fail(AttemptFailure::of_body(&error), &error.to_string()).await,
-            None => fail(AttemptFailure::Silent, "no response body in time").await,
+            None => return fail(AttemptFailure::Silent, "no response body in time").await,
         };
+        let broken = end_break::<C>(state, call, target, is_delimited, deadline).await;
+        if let Some(broken) = broken {
+            return fail(broken.failure, &broken.problem).await;
+        }
+        state.record_outcome(target, ServerOutcome::Erred);
+        return OpenOutcome::Responded(response);
     }
     let OpenResponse { response, head, connection, .. } = opened;
+    let is_delimited = is_delimited(&response);
     let (parts, body) = response.into_parts();
     let mut reader = EventReader::new(body);
     let first = match with_deadline(deadline, reader.next_event()).await {
@@ -140,9 +149,15 @@
         }
         None => return fail(AttemptFailure::Silent, "no first event in time").await,
     };
-    let is_delimited = exchange::is_delimited(&parts.headers);
     if first.is_none() && !is_delimited {
-        return fail(AttemptFailure::Broken, "ended before its first event").await;
+        if attempt_spec.resume_after.is_none() {
+            return fail(AttemptFailure::Broken, "ended before its first event").await;
+        }
+        // The caller may have the last event already.
+        let broken = end_break::<C>(state, call, target, is_delimited, deadline).await;
+        if let Some(broken) = broken {
+            return fail(broken.failure, &broken.problem).await;
+        }
     }
     let first_event_at = Instant::now();
     let software = sent_version.confirm::<C>(state, target, connection.opened_at).await;
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -64,6 +64,24 @@
     ClaimExpired,
 }
 
+impl OrderError {
+    /// Returns true if another server than the intended one has answered.
+    pub fn is_of_another_server(&self) -> bool {
+        let misdirected = StatusCode::MISDIRECTED_REQUEST;
+        matches!(self, OrderError::Status { status, .. } if *status == misdirected)
+    }
+
+    /// Returns true if a complete answer has arrived, though not the wanted one.
+    pub fn is_answer(&self) -> bool {
+        matches!(self, OrderError::Status { .. } | OrderError::Report { .. })
+    }
+
+    /// Returns true if the server refuses connections.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, OrderError::Send { source, .. } if source.is_refusal())
+    }
+}
+
 /// Orders the engine at `target` to change to `stage`. `is_within_window` is checked last, just
 /// before the order is sent.
 ///
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -1,12 +1,17 @@
 //! Paths from this gateway to servers: direct ones, and tunnels through other gateways where a
 //! direct one is broken.
 
+mod life_check;
+mod life_checks;
 mod path_check;
 mod path_connector;
 mod path_recheck;
 mod staggered_race;
 
-pub use self::path_check::has_ended;
+pub use self::life_check::ProcessLife;
+pub use self::life_check::find_life;
+pub use self::life_checks::LifeChecks;
+pub use self::life_checks::LifeStep;
 pub use self::path_check::locate_failure;
 pub use self::path_check::request_check;
 pub use self::path_check::watch_silence;
--- a/crates/gateway/src/paths/path_check.rs
+++ b/crates/gateway/src/paths/path_check.rs
@@ -110,39 +110,6 @@
     }
 }
 
-/// Returns true if the process of `target` has ended: it refuses connections, and other gateways don't
-/// reach it either. A server that leaves is not asked, as it may end once it has responded.
-pub async fn has_ended(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
-    let asked_at = Instant::now();
-    let is_expected_to_run = state
-        .fleet()
-        .server(&target.server)
-        .is_some_and(|server| server.incarnation == target.incarnation && !server.entry.is_leaving);
-    if !is_expected_to_run {
-        return false;
-    }
-    match connect_directly(target.address).await {
-        Ok(connection) => {
-            keep_open(state, target, connection);
-            false
-        }
-        Err(error) => error.is_refusal() && is_down(state, target, asked_at).await,
-    }
-}
-
-/// Returns true if a check since `asked_at` finds that `target` is down.
-async fn is_down(state: &Arc<GatewayState>, target: &SendTarget, asked_at: Instant) -> bool {
-    let (state, target) = (Arc::clone(state), target.clone());
-    let (sender, verdict) = async_channel::bounded(1);
-    // Goes on if the caller leaves meanwhile: others may wait for the end of the check.
-    pool::spawn(async move {
-        let verdict = locate_failure(&state, &target, asked_at).await;
-        // Fails if nobody waits any more.
-        let _ = sender.send(verdict).await;
-    });
-    verdict.recv().await == Ok(PathVerdict::ServerDown)
-}
-
 /// Returns true if another gateway reaches `target`, and doubts this gateway's paths then. A server
 /// that others have ejected is taken to be down without asking them.
 async fn reaches_by_tunnel(state: &Arc<GatewayState>, target: &SendTarget) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,6 +37,7 @@
 use crate::model::ServiceName;
 use crate::model::StoreStamp;
 use crate::origins::OriginState;
+use crate::paths::LifeChecks;
 use crate::peers::UsageSource;
 use crate::quarantine::Quarantines;
 use crate::quota::QuotaPeers;
@@ -98,6 +99,10 @@
     pub capacity_changed: Event,
     /// Notified when a check of a path to a server has ended.
     pub path_checked: Event,
+    /// Questions to servers whether their processes live on.
+    pub life_checks: StateLock<LifeChecks>,
+    /// Notified when one of these questions has ended.
+    pub life_checked: Event,
     /// Notified when a path to a server is found to be broken.
     pub path_broken: Event,
     /// Which software versions began streams.
@@ -180,6 +185,8 @@
             registered: Event::new(),
             capacity_changed: Event::new(),
             path_checked: Event::new(),
+            life_checks: StateLock::default(),
+            life_checked: Event::new(),
             path_broken: Event::new(),
             origins: OriginState::default(),
             tunnel_slots: TunnelSlots::default(),
