A start believes in one software version only if the store names no other

Seen by callers: streams that were taken up after all entry machines had been killed around a release, joined from two software versions (ORDER).

Cause: the store held an announcement of versions only while some gateway had seen two side by side. A release that falls into the time in which no gateway runs is seen by nobody; each start took the one version that it saw for the only one there ever was.

Change: the announcement stays, with the one version, from the first one on (one gateway writes it; they spread by their number). It is shortened to the version that has been alone for a minute where it was removed before. A take-up goes on as of the only version only if the row names no other.

In service_versions the cases "one version" and "the first has ended long ago" now expect an announcement that is due: that none was is the fault. New cases beside them.

--- a/crates/gateway/src/cluster/service_versions.rs
+++ b/crates/gateway/src/cluster/service_versions.rs
@@ -28,9 +28,10 @@
 
 /// The software versions of one service.
 ///
-/// Before a gateway begins streams at a second version, it announces all versions of the service in
-/// the store. So a gateway that takes up a stream of which nobody knows the version, and finds no
-/// announcement there, knows that the service had one version only.
+/// The store holds an announcement of all versions at which streams began lately, from the first one
+/// on, and before a gateway begins streams at a second one. So a gateway that takes up a stream of
+/// which nobody knows the version, and finds just the one version announced that it knows, knows that
+/// the service had no other, also if all gateways have ended since.
 #[derive(Debug, Clone, Default)]
 pub struct ServiceVersions {
     known: SmallVec<[KnownVersion; 2]>,
@@ -96,14 +97,15 @@
 
     /// Returns true if the versions are to be announced in the store.
     pub fn is_announcement_due(&self) -> bool {
-        self.known.len() > 1 && self.known.iter().any(|one| !self.announced.contains(&one.software))
+        self.known.iter().any(|one| !self.announced.contains(&one.software))
     }
 
-    /// Returns true if versions are announced though there has been only one for twice as long as
-    /// any counts as recent, so that every gateway knows this.
+    /// Returns true if other versions are announced than the only one, though there has been only
+    /// that for twice as long as any counts as recent, so that every gateway knows this.
     pub fn is_announcement_over(&self, now: Instant) -> bool {
         let is_long = |since: Instant| now.saturating_duration_since(since) >= VERSION_RETENTION;
-        !self.announced.is_empty() && self.sole_since.is_some_and(is_long)
+        let names_others = self.announced.iter().any(|one| Some(*one) != self.sole());
+        names_others && self.sole_since.is_some_and(is_long)
     }
 
     /// Returns the versions that the store's announcement names.
--- a/crates/gateway/src/origins/announcement.rs
+++ b/crates/gateway/src/origins/announcement.rs
@@ -1,4 +1,5 @@
-//! Announces the versions of a service in the store before streams begin at a second one.
+//! Announces the versions of a service in the store: the first one, and others before streams begin at
+//! them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,8 +26,12 @@
 
 /// Delay after a failed call of the store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Interval at which announcements that are no longer needed are looked for.
-const REMOVAL_INTERVAL: Duration = Duration::from_secs(10);
+/// Interval at which announcements that name versions of long ago are looked for.
+const SHORTENING_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Time over which the gateways of a site spread their first announcements, by their number: one of
+/// them is enough, and a site of a thousand starts at once.
+const SPREAD_PER_GATEWAY: Duration = Duration::from_millis(10);
 
 /// Announces versions until the process stops.
 pub async fn run_announcements<C: PlatformCodec>(state: Arc<GatewayState>) {
@@ -34,8 +39,8 @@
         let due = state.origins.announcement_due.listen();
         if !announce_versions::<C>(&state).await {
             smol::Timer::after(RETRY_DELAY).await;
-        } else if with_deadline(Instant::now() + REMOVAL_INTERVAL, due).await.is_none() {
-            remove_announcements::<C>(&state).await;
+        } else if with_deadline(Instant::now() + SHORTENING_INTERVAL, due).await.is_none() {
+            shorten_announcements::<C>(&state).await;
         }
     }
 }
@@ -47,6 +52,10 @@
     if due.is_empty() {
         return true;
     }
+    if due.iter().all(|service| state.fleet().sole_version(service).is_some()) {
+        let spread = SPREAD_PER_GATEWAY * state.members() as u32;
+        smol::Timer::after(spread.mul_f64(fastrand::f64())).await;
+    }
     let Some(loaded) = load_rows::<C>(state).await else { return false };
     let mut is_complete = true;
     // Some are announced by other gateways, as the rows have shown.
@@ -108,8 +117,8 @@
     versions
 }
 
-/// Removes announcements of services that have had one version for long. One gateway does this.
-async fn remove_announcements<C: PlatformCodec>(state: &GatewayState) {
+/// Announces just the one version of services that have had it alone for long. One gateway does this.
+async fn shorten_announcements<C: PlatformCodec>(state: &GatewayState) {
     let now = Instant::now();
     let is_first = state.fleet().peers.rank(state.digest, now).peers_before == 0;
     let ended = state.fleet().ended_announcements(now);
@@ -121,11 +130,13 @@
     for service in ended {
         let key = announcement_key(&service);
         let Some(announcement) = loaded.announcements.get(&key) else { continue };
-        let removed = client.remove(StoreTable::Software, &key, announcement.stamp).await;
-        if removed.is_ok() {
-            state.fleet().set_announced_versions(&service, &[]);
+        let Some(sole) = state.fleet().sole_version(&service) else { continue };
+        let row = encode(&AnnouncementRow { versions: vec![sole] });
+        let written = client.claim(StoreTable::Software, &key, &row, announcement.stamp).await;
+        if matches!(written, Ok(Some(_))) {
+            state.fleet().set_announced_versions(&service, &[sole]);
         }
-        log_announcement(&service, 0, &removed.map(|is_removed| is_removed.then_some(())));
+        log_announcement(&service, 1, &written);
     }
 }
 
--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -44,7 +44,7 @@
     Gateway,
     /// A row of the store.
     Store,
-    /// The service has had no other version.
+    /// The service has had no other version lately, also while no gateway ran.
     SoleVersion,
     /// Nobody.
     Unknown,
@@ -96,10 +96,8 @@
     }
     // The store may have lost an announcement when it came back from a copy.
     let is_copied = state.store_eras.age().is_some_and(|age| age < VERSION_RETENTION);
-    if rows.is_announced(&call.service) || is_copied {
-        return (OriginSource::Unknown, None);
-    }
-    match state.fleet().sole_version(&call.service) {
+    let sole = state.fleet().sole_version(&call.service);
+    match sole.filter(|sole| !is_copied && !rows.announces_other(&call.service, *sole)) {
         Some(sole) => (OriginSource::SoleVersion, Some(sole)),
         None => (OriginSource::Unknown, None),
     }
--- a/crates/gateway/src/origins/software_rows.rs
+++ b/crates/gateway/src/origins/software_rows.rs
@@ -10,6 +10,7 @@
 use crate::codec::PlatformCodec;
 use crate::events;
 use crate::model::RowValue;
+use crate::model::SoftwareDigest;
 use crate::model::StoreRow;
 use crate::model::StoreStamp;
 use crate::model::StoreTable;
@@ -38,9 +39,10 @@
 }
 
 impl LoadedRows {
-    /// Returns true if several versions of `service` are announced.
-    pub fn is_announced(&self, service: &str) -> bool {
-        self.announcements.contains_key(&announcement_key(service))
+    /// Returns true if another version of `service` than `software` is announced.
+    pub fn announces_other(&self, service: &str, software: SoftwareDigest) -> bool {
+        let announcement = self.announcements.get(&announcement_key(service));
+        announcement.is_some_and(|one| one.row.versions.iter().any(|known| *known != software))
     }
 }
 
--- a/crates/gateway/tests/service_versions.rs
+++ b/crates/gateway/tests/service_versions.rs
@@ -51,14 +51,28 @@
     is_due: bool,
 }
 
-const VERSION_CASES: [VersionCase; 7] = [
+const VERSION_CASES: [VersionCase; 9] = [
     VersionCase {
         name: "one version",
         steps: &[Step::Joined(V1), Step::Passed(1)],
         sole: Some(V1),
         may_begin: [true, true],
+        is_due: true,
+    },
+    VersionCase {
+        name: "one version, announced",
+        steps: &[Step::Joined(V1), Step::Passed(1), Step::Announced(&[V1])],
+        sole: Some(V1),
+        may_begin: [true, true],
         is_due: false,
     },
+    VersionCase {
+        name: "another one is announced, whose servers this gateway never saw",
+        steps: &[Step::Joined(V2), Step::Passed(1), Step::Announced(&[V1])],
+        sole: Some(V2),
+        may_begin: [true, true],
+        is_due: true,
+    },
     VersionCase {
         name: "a second one appears",
         steps: &[Step::Joined(V1), Step::Passed(1), Step::Joined(V2)],
@@ -106,7 +120,7 @@
         ],
         sole: Some(V2),
         may_begin: [true, true],
-        is_due: false,
+        is_due: true,
     },
     VersionCase {
         name: "a version returns after its announcement may have been removed",
@@ -127,6 +141,36 @@
     },
 ];
 
+struct OverCase {
+    name: &'static str,
+    announced: &'static [SoftwareDigest],
+    /// For how long the second version has been the only one, in seconds.
+    alone_s: u64,
+    is_over: bool,
+}
+
+const OVER_CASES: [OverCase; 4] = [
+    OverCase { name: "both, for long", announced: &[V1, V2], alone_s: 61, is_over: true },
+    OverCase { name: "both, not for long", announced: &[V1, V2], alone_s: 59, is_over: false },
+    OverCase { name: "the only one", announced: &[V2], alone_s: 61, is_over: false },
+    OverCase { name: "none", announced: &[], alone_s: 61, is_over: false },
+];
+
+/// Prevents a version from being forgotten while callers still take up its streams, and from being
+/// remembered for ever.
+#[test]
+fn an_announcement_names_others_until_one_version_has_been_alone_for_long() {
+    for case in &OVER_CASES {
+        let mut versions = ServiceVersions::default();
+        let start = Instant::now();
+        versions.record_joined(V2, false);
+        versions.tick(start);
+        versions.set_announced(case.announced);
+        let now = start + Duration::from_secs(case.alone_s);
+        assert_eq!(versions.is_announcement_over(now), case.is_over, "{}", case.name);
+    }
+}
+
 /// Prevents streams from beginning at a second version before all gateways can know that there are
 /// two: one that takes up a stream of which nobody knows relies on it.
 #[test]
