How an answer broke is one type on all paths

Three places made the pair of a failure and its problem from a body's error by hand, beside the new AnswerBreak; the end of a long body nested two matches; the name of what a question found stood twice; and LifeChecks::end set what it then removed. Comments that spoke of removed announcements follow the code.

--- a/crates/gateway/src/cluster/fleet_versions.rs
+++ b/crates/gateway/src/cluster/fleet_versions.rs
@@ -43,7 +43,7 @@
         due.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Returns the services whose announcement is no longer needed.
+    /// Returns the services whose announcement names versions of long ago.
     pub fn ended_announcements(&self, now: Instant) -> Vec<ServiceName> {
         let ended = self.versions.iter().filter(|(_, one)| one.is_announcement_over(now));
         ended.map(|(service, _)| service.clone()).collect()
--- a/crates/gateway/src/cluster/service_versions.rs
+++ b/crates/gateway/src/cluster/service_versions.rs
@@ -131,7 +131,7 @@
     fn version_mut(&mut self, software: SoftwareDigest) -> &mut KnownVersion {
         let at = self.known.iter().position(|one| one.software == software);
         let at = at.unwrap_or_else(|| {
-            // Another gateway may have removed the announcement while there was one version.
+            // Another gateway may have shortened the announcement while there was one version.
             self.announced.clear();
             self.sole_since = None;
             self.known.push(KnownVersion {
--- a/crates/gateway/src/forward/answer_end.rs
+++ b/crates/gateway/src/forward/answer_end.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::header;
 use hyper::body::Body;
+use umberglade_wire::client_connection::BodyError;
 use umberglade_wire::client_connection::ResponseBody;
 
 use super::Call;
@@ -17,6 +18,7 @@
 use crate::codec::PlatformCodec;
 use crate::paths::ProcessLife;
 use crate::paths::find_life;
+use crate::paths::life_label;
 use crate::state::GatewayState;
 use crate::upstream::SendTarget;
 
@@ -27,6 +29,18 @@
     pub problem: String,
 }
 
+impl AnswerBreak {
+    /// Returns how an answer is broken whose body failed with `error`.
+    pub fn of_body(error: &BodyError) -> Self {
+        AnswerBreak { failure: AttemptFailure::of_body(error), problem: error.to_string() }
+    }
+
+    /// Returns how an answer is broken that was silent for too long.
+    pub fn silent(problem: &str) -> Self {
+        AnswerBreak { failure: AttemptFailure::Silent, problem: problem.to_owned() }
+    }
+}
+
 /// Returns true if `response` states where its body ends, or has none.
 pub fn is_delimited(response: &Response<ResponseBody>) -> bool {
     states_end(response.headers()) || response.body().is_end_stream()
@@ -57,7 +71,7 @@
         return None;
     }
     let life = find_life::<C>(state, target, deadline).await;
-    let outcome = life.map_or_else(|| "unknown".to_owned(), |life| life.to_string());
+    let outcome = life_label(life);
     metrics::counter!("umberglade_undelimited_ends_total", "outcome" => outcome).increment(1);
     let (failure, problem) = match life {
         Some(ProcessLife::Alive) => return None,
--- a/crates/gateway/src/forward/long_response.rs
+++ b/crates/gateway/src/forward/long_response.rs
@@ -24,7 +24,6 @@
 use super::answer_end::AnswerBreak;
 use super::answer_end::end_break;
 use super::exchange;
-use super::exchange::AttemptFailure;
 use super::plain_run;
 use super::response_body;
 use super::response_body::BodyFrame;
@@ -124,20 +123,16 @@
 ) -> bool {
     let pieces = pass_pieces(std::mem::take(&mut long.start), &mut long.body, sender);
     let passed = with_deadline(call.deadline, pieces).await;
-    let (failure, problem) = match passed {
-        Some(Ok(())) => {
-            match end_break::<C>(state, call, target, long.is_delimited, call.deadline).await {
-                Some(AnswerBreak { failure, problem }) => (failure, problem),
-                None => {
-                    let LongResponse { head, parts, connection, load_guard, .. } = long;
-                    drop(load_guard);
-                    plain_run::record_whole(state, call, target, &parts, connection, &head);
-                    return true;
-                }
-            }
-        }
-        Some(Err(error)) => (AttemptFailure::of_body(&error), error.to_string()),
-        None => (AttemptFailure::Silent, "the body did not arrive in time".to_owned()),
+    let broken = match passed {
+        Some(Ok(())) => end_break::<C>(state, call, target, long.is_delimited, call.deadline).await,
+        Some(Err(error)) => Some(AnswerBreak::of_body(&error)),
+        None => Some(AnswerBreak::silent("the body did not arrive in time")),
+    };
+    let Some(AnswerBreak { failure, problem }) = broken else {
+        let LongResponse { head, parts, connection, load_guard, .. } = long;
+        drop(load_guard);
+        plain_run::record_whole(state, call, target, &parts, connection, &head);
+        return true;
     };
     exchange::record_failure(state, call, target, failure, &problem, long.sent_at).await;
     false
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -230,10 +230,10 @@
     let is_delimited = is_delimited(&response);
     let (parts, mut body) = response.into_parts();
     let is_error = parts.status.is_server_error();
-    let (failure, problem) = match with_deadline(call.deadline, read_start(&mut body)).await {
+    let broken = match with_deadline(call.deadline, read_start(&mut body)).await {
         Some(Ok(BodyStart::Whole(bytes))) => {
             match end_break::<C>(state, call, target, is_delimited, call.deadline).await {
-                Some(AnswerBreak { failure, problem }) => (failure, problem),
+                Some(broken) => broken,
                 None => {
                     record_whole(state, call, target, &parts, connection, &head);
                     let mut response = Response::new(response_body::full(bytes));
@@ -256,12 +256,14 @@
             };
             return PlainOutcome::Responded(pass_on::<C>(state, call, target, long));
         }
-        Some(Ok(BodyStart::Long(_))) => {
-            (AttemptFailure::Garbled, format!("an error of more than {MAX_HELD_BYTES} bytes"))
-        }
-        Some(Err(error)) => (AttemptFailure::of_body(&error), error.to_string()),
-        None => (AttemptFailure::Silent, "the body did not arrive in time".to_owned()),
+        Some(Ok(BodyStart::Long(_))) => AnswerBreak {
+            failure: AttemptFailure::Garbled,
+            problem: format!("an error of more than {MAX_HELD_BYTES} bytes"),
+        },
+        Some(Err(error)) => AnswerBreak::of_body(&error),
+        None => AnswerBreak::silent("the body did not arrive in time"),
     };
+    let AnswerBreak { failure, problem } = broken;
     // Closes the connection: the server may still be sending.
     drop((body, connection));
     let failure = exchange::record_failure(state, call, target, failure, &problem, sent_at).await;
--- a/crates/gateway/src/forward/silent_stream.rs
+++ b/crates/gateway/src/forward/silent_stream.rs
@@ -128,10 +128,7 @@
             let until = (Instant::now() + MAX_END_WAIT).min(call.deadline);
             end_break::<C>(state, call, &stream.target, stream.is_delimited, until).await
         }
-        Err(error) => Some(AnswerBreak {
-            failure: AttemptFailure::of_body(error),
-            problem: error.to_string(),
-        }),
+        Err(error) => Some(AnswerBreak::of_body(error)),
     }
 }
 
--- a/crates/gateway/src/paths/life_check.rs
+++ b/crates/gateway/src/paths/life_check.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use strum::Display;
+use strum::IntoStaticStr;
 use umberglade_wire::pool;
 
 use super::LifeStep;
@@ -25,7 +25,7 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Whether the process that answered for an incarnation of a server lives on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum ProcessLife {
     Alive,
@@ -33,6 +33,11 @@
     Ended,
 }
 
+/// Returns the name of what a question has found, for logs and metrics.
+pub fn life_label(life: Option<ProcessLife>) -> &'static str {
+    life.map_or("unknown", ProcessLife::into)
+}
+
 /// Returns whether the process of `target` lives on now; `None` if that is not known at `deadline`.
 ///
 /// A server that is silent or resets connections may live: it is asked again.
@@ -95,8 +100,8 @@
         }
         Err(error) => (None, Some(error)),
     };
-    let outcome = life.map_or_else(|| "unknown".to_owned(), |life| life.to_string());
-    metrics::counter!("umberglade_life_checks_total", "outcome" => outcome.clone()).increment(1);
+    let outcome = life_label(life);
+    metrics::counter!("umberglade_life_checks_total", "outcome" => outcome).increment(1);
     tracing::info!(
         event = events::LIFE_CHECKED,
         server = %target.server,
--- a/crates/gateway/src/paths/life_checks.rs
+++ b/crates/gateway/src/paths/life_checks.rs
@@ -65,10 +65,10 @@
 
     /// Records what the question in progress has found; without `life` the next caller asks again.
     pub fn end(&mut self, incarnation: ServerIncarnation, life: Option<ProcessLife>) {
-        let Some(check) = self.checks.get_mut(&incarnation) else { return };
-        check.life = life;
         if life.is_none() {
             self.checks.remove(&incarnation);
+        } else if let Some(check) = self.checks.get_mut(&incarnation) {
+            check.life = life;
         }
     }
 }
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -10,6 +10,7 @@
 
 pub use self::life_check::ProcessLife;
 pub use self::life_check::find_life;
+pub use self::life_check::life_label;
 pub use self::life_checks::LifeChecks;
 pub use self::life_checks::LifeStep;
 pub use self::path_check::locate_failure;
--- a/crates/gateway/tests/service_versions.rs
+++ b/crates/gateway/tests/service_versions.rs
@@ -123,7 +123,7 @@
         is_due: true,
     },
     VersionCase {
-        name: "a version returns after its announcement may have been removed",
+        name: "a version returns after its announcement may have been shortened",
         steps: &[
             Step::Joined(V1),
             Step::Passed(1),
