Tests of callers that do not behave, failing: crowds at gateway and serve

These tests start the system's own processes with limits of 48 MB and 700 descriptors, and let small crowds come twice: bodies just short of their end, in pieces, whole, in large chunks and chunks of a byte, over the limit, heads without an end, connections that never speak, bytes behind requests, answers that nobody reads. They check life, VmHWM and unread bytes, descriptors, and one ordinary request beside and after; no times.

Crowds and bounds are fixed from here on: a crowd sends more than the stated memory, the bounds are the stated limits.

The gateway process of gateway_process.rs moves to tests/support, unchanged.

--- a/crates/umberglade/tests/support/mod.rs
+++ b/crates/umberglade/tests/support/mod.rs
@@ -2,6 +2,10 @@
 
 #![allow(dead_code)]
 
+pub mod crowd;
+pub mod crowd_check;
+pub mod gateway;
+pub mod process_use;
 mod tcp_proxy;
 
 use std::io::BufRead;
@@ -28,6 +32,8 @@
 #[allow(unused_imports)]
 pub use self::tcp_proxy::TcpProxy;
 
+use self::process_use::ProcessLimits;
+
 /// The `umberglade` binary under test.
 pub const UMBERGLADE: &str = env!("CARGO_BIN_EXE_umberglade");
 
@@ -73,6 +79,20 @@
         Process::wait_until_listening(child)
     }
 
+    /// Like [`Process::start`], on a machine with `limits`.
+    pub fn start_limited(args: &[&str], limits: ProcessLimits) -> Process {
+        let child = Command::new(UMBERGLADE)
+            .args(args)
+            .env("UMBERGLADE_LOG", "error")
+            .env("UMBERGLADE_MEMORY_MB", limits.memory_mb.to_string())
+            .env("UMBERGLADE_MAX_FDS", limits.max_fds.to_string())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("starting umberglade");
+        Process::wait_until_listening(child)
+    }
+
     fn wait_until_listening(mut child: Child) -> Process {
         let stdout = child.stdout.take().expect("piped stdout");
         let mut line = String::new();
