A body is sent in pieces, and an answer read in small ones

A request's body was copied as a whole into the HTTP client's write buffer (hyper flattens it, as the stream offers no vectored writes): 4 MB of body took 4 MB more for as long as its server took to read it. Reads of answers filled the client's buffer, which then doubles to 64 KB a connection: they now take 8 KB at most.

--- a/crates/gateway/src/forward/cache_guard.rs
+++ b/crates/gateway/src/forward/cache_guard.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use http::Method;
 use http::Request;
-use http_body_util::Full;
 use umberglade_wire::pool;
+use umberglade_wire::request_content::RequestContent;
 
 use crate::codec::PlatformCodec;
 use crate::events;
@@ -112,7 +112,7 @@
         .method(Method::DELETE)
         .uri(C::release_path(&source.handle))
         .header(http::header::HOST, target.address.to_string())
-        .body(Full::new(Bytes::new()))
+        .body(RequestContent::from(Bytes::new()))
         .expect("a request built from a valid path");
     let deadline = Instant::now() + RELEASE_TIMEOUT;
     let connector = PathConnector { state, request_id, deadline, patience: NO_PATIENCE };
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -9,7 +9,7 @@
 use http::Method;
 use http::Request;
 use http::Uri;
-use http_body_util::Full;
+use umberglade_wire::request_content::RequestContent;
 
 use super::QuotaCharge;
 use super::RequestProgress;
@@ -98,9 +98,9 @@
     pub fn upstream_request<C: PlatformCodec>(
         &self,
         attempt_spec: &AttemptSpec,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<RequestContent> {
         self.progress.reach(RequestStage::Sent);
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(RequestContent::from(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = C::upstream_headers(&self.headers, attempt_spec);
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -9,7 +9,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::client::conn::TrySendError;
 use snafu::OptionExt;
 use snafu::ResultExt;
@@ -17,6 +16,7 @@
 use umberglade_wire::client_connection::BodyError;
 use umberglade_wire::client_connection::ResponseBody;
 use umberglade_wire::client_connection::read_whole;
+use umberglade_wire::request_content::RequestContent;
 
 use crate::codec::CodecError;
 use crate::codec::PlatformCodec;
@@ -148,14 +148,14 @@
     method: Method,
     path: &str,
     body: Bytes,
-) -> Request<Full<Bytes>> {
+) -> Request<RequestContent> {
     Request::builder()
         .method(method)
         .uri(path)
         .header(http::header::HOST, target.address.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
         .header(C::TARGET_SERVER_HEADER, &*target.server)
-        .body(Full::new(body))
+        .body(RequestContent::from(body))
         .expect("a request built from valid parts")
 }
 
--- a/crates/gateway/src/upstream/sender.rs
+++ b/crates/gateway/src/upstream/sender.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use smol::net::TcpStream;
 use snafu::ResultExt;
 use umberglade_wire::client_connection::ResponseBody;
 use umberglade_wire::client_connection::is_malformed;
+use umberglade_wire::request_content::RequestContent;
 
 use super::ConnectionPool;
 use super::SendError;
@@ -66,7 +65,7 @@
 pub async fn send(
     pool: &ConnectionPool,
     target: &SendTarget,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestContent>,
 ) -> Result<(Response<ResponseBody>, ServerConnection), SendError> {
     send_with(&DirectConnector, pool, target, request, None).await
 }
@@ -77,7 +76,7 @@
     connector: &C,
     pool: &ConnectionPool,
     target: &SendTarget,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestContent>,
     deadline: Option<Instant>,
 ) -> Result<(Response<ResponseBody>, ServerConnection), SendError> {
     let peer = target.address;
--- a/crates/gateway/src/upstream/server_connection.rs
+++ b/crates/gateway/src/upstream/server_connection.rs
@@ -2,15 +2,14 @@
 
 use std::time::Instant;
 
-use bytes::Bytes;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::client::conn::TrySendError;
 use umberglade_wire::client_connection::ClientConnection;
 use umberglade_wire::client_connection::ResponseBody;
+use umberglade_wire::request_content::RequestContent;
 
 /// How a connection leads to its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,8 +41,8 @@
     /// Sends `request`. On failure the error contains it if nothing of it was written.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<ResponseBody>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<RequestContent>,
+    ) -> Result<Response<ResponseBody>, TrySendError<Request<RequestContent>>> {
         self.connection.send(request).await
     }
 
--- a/crates/gateway/tests/upstream_close.rs
+++ b/crates/gateway/tests/upstream_close.rs
@@ -8,11 +8,11 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::Full;
 use umberglade_gateway::upstream;
 use umberglade_gateway::upstream::ConnectionPool;
 use umberglade_gateway::upstream::SendTarget;
 use umberglade_wire::pool;
+use umberglade_wire::request_content::RequestContent;
 
 const TRIES: u64 = 300;
 /// Upper bound of the random time from the connection to its end, in microseconds.
@@ -43,7 +43,8 @@
             let target =
                 SendTarget { server: "s".into(), incarnation: 0, address, may_reuse: false };
             let request = Request::post("/once").header("host", "a").header("x-number", number);
-            let request = request.body(Full::new(Bytes::from("book"))).expect("a valid request");
+            let request =
+                request.body(RequestContent::from(Bytes::from("book"))).expect("a valid request");
             let error = upstream::send(&pool, &target, request).await.expect_err("no response");
             let received = receiver.recv().expect("the server's thread");
             assert!(!error.is_unsent() || received == 0, "{number}: {received} bytes, {error}");
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -12,7 +12,6 @@
 use http::Request;
 use http::Response;
 use http::header;
-use http_body_util::Full;
 use hyper::client::conn::TrySendError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -27,6 +26,7 @@
 use crate::error::DecodeSnafu;
 use crate::error::HttpSnafu;
 use crate::error::WireError;
+use crate::request_content::RequestContent;
 
 /// Maximum size of the body of a response that is held whole, in bytes: twice the largest object of
 /// the platform's store.
@@ -91,7 +91,7 @@
         let request = request
             .header(header::HOST, peer)
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
+            .body(RequestContent::from(body))
             .expect("a request built from a valid path");
         let sent = connection.send(request).await.map_err(TrySendError::into_error);
         sent.context(HttpSnafu { step, peer })
--- a/crates/wire/src/client_connection.rs
+++ b/crates/wire/src/client_connection.rs
@@ -13,7 +13,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Body;
@@ -30,6 +29,7 @@
 use crate::filtered_stream::FilteredStream;
 use crate::pool;
 use crate::read_allowance::ReadAllowance;
+use crate::request_content::RequestContent;
 
 /// Maximum size of the head of an answer, and of what is read of its body at once, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -38,7 +38,7 @@
 /// answers have been dropped, whatever the peer does.
 #[derive(Debug)]
 pub struct ClientConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestContent>,
     allowance: ReadAllowance,
     /// Drives the connection.
     task: Arc<Task<()>>,
@@ -64,8 +64,8 @@
     /// Sends `request`. On failure the error contains it if nothing of it was written.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<ResponseBody>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<RequestContent>,
+    ) -> Result<Response<ResponseBody>, TrySendError<Request<RequestContent>>> {
         self.allowance.renew();
         let response = self.sender.try_send_request(request).await?;
         self.allowance.renew();
--- a/crates/wire/src/keep_alive.rs
+++ b/crates/wire/src/keep_alive.rs
@@ -12,7 +12,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::client::conn::TrySendError;
@@ -28,6 +27,7 @@
 use crate::error::BodySnafu;
 use crate::error::HttpSnafu;
 use crate::error::WireError;
+use crate::request_content::RequestContent;
 
 /// The head and the complete body of a response.
 #[derive(Debug, Clone)]
@@ -126,13 +126,13 @@
         self.connection.take().filter(|connection| !connection.is_closed())
     }
 
-    fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+    fn request(&self, method: Method, path: &str, body: Bytes) -> Request<RequestContent> {
         Request::builder()
             .method(method)
             .uri(path)
             .header(http::header::HOST, &self.http.peer)
             .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
+            .body(RequestContent::from(body))
             .expect("a request built from a valid path")
     }
 }
@@ -166,7 +166,7 @@
     http: &HttpClient,
     open_connection: Option<ClientConnection>,
     step: &'static str,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestContent>,
 ) -> Result<(ClientConnection, BufferedResponse), WireError> {
     let peer = http.peer.as_str();
     let (connection, response) = receive_head(http, open_connection, step, request).await?;
@@ -180,7 +180,7 @@
     http: &HttpClient,
     open_connection: Option<ClientConnection>,
     step: &'static str,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestContent>,
 ) -> Result<(ClientConnection, Response<ResponseBody>), WireError> {
     let peer = http.peer.as_str();
     let mut connection = match open_connection {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 pub mod read_allowance;
 pub mod reply;
+pub mod request_content;
 pub mod server;
 
 pub use error::WireError;
--- a/crates/wire/src/read_allowance.rs
+++ b/crates/wire/src/read_allowance.rs
@@ -21,6 +21,9 @@
 /// extensions of chunks.
 const MAX_BYTES_WITHOUT_PROGRESS: usize = 256 * 1024;
 
+/// Bytes that are read at once. An HTTP client doubles its buffer of 8 KB when a read fills it.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// The peer has sent more bytes than any answer needs.
 #[derive(Debug, Clone, Copy, Snafu)]
 #[snafu(display("{MAX_BYTES_WITHOUT_PROGRESS} bytes were no part of an answer"))]
@@ -62,7 +65,7 @@
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let wanted = buffer.len().min(self.left());
+        let wanted = buffer.len().min(self.left()).min(MAX_READ_BYTES);
         if wanted == 0 && !buffer.is_empty() {
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, AllowanceSpent)));
         }
