--- a/crates/umberglade/src/main.rs
+++ b/crates/umberglade/src/main.rs
@@ -1,6 +1,7 @@
 //! `umberglade`: the daemon of an entry instance, the gateway of a platform instance, a one-process
 //! dev setup, load tools and the stand-ins used by tests. The work is done by the library crates.
 
+mod allocator;
 mod cli;
 mod dev;
 mod experiment;
@@ -20,6 +21,7 @@
 use crate::cli::StandinKind;
 
 fn main() -> ExitCode {
+    allocator::give_back_early();
     let cli: Cli = argh::from_env();
     let result = match cli.command {
         Command::Serve(args) => serve::run(args),
