One account of what a process holds for its callers

Cause: a limit on each request, none on all. limits.memoryMb and maxFds were read nowhere. A body was a list of frames that each kept its read buffer; each connection held room for the whole handler (47 KB) before its first byte.

Change: wire::memory. A MemoryBudget, sized from the settings (128 MB and 4,100 descriptors where they state none), admits connections and grants bytes before they are held: connections with their buffers and window, heads, bodies in one buffer of their size, requests that are served. eviction.rs, without network, names who makes room: who holds most and progresses least, by what its owner holds; a request that servers may be running only if its caller takes no answer or presses bytes behind it. A refused body is 503 with Retry-After, not run; serve answers 413 where it said 400 for a body over the limit. What is discarded after a refusal is bounded. Listeners limit the receive window; the handler is boxed per request; readiness and metrics are in the account.

Why it works: nothing of a caller is held that was not drawn, and what is drawn is at most half of the memory beyond 12 MB, a sixteenth more for a moment.

--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -24,6 +24,7 @@
 use umberglade_standin::platform::PlatformConfig;
 use umberglade_standin::platform::PlatformStandin;
 use umberglade_wire::engine::EngineRole;
+use umberglade_wire::memory::ProcessLimits;
 use umberglade_wire::platform::InstanceEntry;
 use umberglade_wire::platform::InstanceState;
 use umberglade_wire::pool;
@@ -119,6 +120,7 @@
             feed_wait: Duration::from_millis(500),
             heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
             record_retention: DEFAULT_RECORD_RETENTION,
+            limits: ProcessLimits::default(),
             platform_timeout: DEFAULT_PLATFORM_TIMEOUT,
             threads: 0,
         }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Uri;
+use umberglade_wire::memory::HeldBody;
 use umberglade_wire::request_content::RequestContent;
 
 use super::QuotaCharge;
@@ -34,7 +34,7 @@
     /// The caller's headers after [`PlatformCodec::set_caller_headers`], which sets the
     /// organisation and removes the key if organisations hold keys.
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: HeldBody,
     pub head: RequestHead,
     /// Digest of its organisation; 0 if there are none.
     pub organisation: OrganisationDigest,
@@ -71,7 +71,7 @@
     /// its body counts as the prompt's.
     pub fn prompt_shape(&self) -> PromptShape {
         self.head.prompt.unwrap_or(PromptShape {
-            prompt_tokens: self.body.len() as u32,
+            prompt_tokens: self.body.bytes.len() as u32,
             output_limit: 0,
             output_estimate: None,
         })
@@ -100,7 +100,7 @@
         attempt_spec: &AttemptSpec,
     ) -> Request<RequestContent> {
         self.progress.reach(RequestStage::Sent);
-        let mut request = Request::new(RequestContent::from(self.body.clone()));
+        let mut request = Request::new(RequestContent::from(self.body.bytes.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = C::upstream_headers(&self.headers, attempt_spec);
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -157,7 +157,7 @@
     patience: Patience<'_>,
 ) -> Result<OpenResponse, AttemptFailure> {
     let request = call.upstream_request::<C>(attempt_spec);
-    state.link_use.requests.add(call.body.len());
+    state.link_use.requests.add(call.body.bytes.len());
     let sent_at = Instant::now();
     if attempt_spec.purpose != AttemptPurpose::Prefill
         && let Some(charge) = &call.charge
--- a/crates/gateway/src/forward/reject.rs
+++ b/crates/gateway/src/forward/reject.rs
@@ -48,6 +48,8 @@
     NoServerOfVersion,
     /// The request takes up a stream, and which version began it is not known.
     VersionUnknown,
+    /// The memory for callers is full.
+    NoMemory,
     /// No server has capacity, and the admission queue is too long.
     NoRoom,
     /// The rate limits of the servers allow no request in time.
@@ -81,6 +83,7 @@
             | Rejection::NoServer
             | Rejection::NoServerOfVersion
             | Rejection::VersionUnknown
+            | Rejection::NoMemory
             | Rejection::NoRoom
             | Rejection::RateLimited
             | Rejection::NotRun
--- a/crates/gateway/src/ingress/connection_end.rs
+++ b/crates/gateway/src/ingress/connection_end.rs
@@ -19,6 +19,8 @@
     ResponseAborted,
     /// The connection was closed without an error.
     Closed,
+    /// The connection made room for others.
+    MadeRoom,
     /// The process ended.
     ProcessStopped,
     /// The connection's task ended early, as by a panic.
--- a/crates/gateway/src/ingress/connection_limits.rs
+++ b/crates/gateway/src/ingress/connection_limits.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use smol::net::TcpStream;
 use umberglade_wire::lingering_close;
+use umberglade_wire::memory::ConnectionShare;
 
 use super::head_stream::HeadProgress;
 use super::head_stream::HeadStage;
@@ -76,7 +77,11 @@
 
 /// Closes a connection after a time limit, if one has passed: rejects a head that had begun, and
 /// prevents a request that crosses the close from resetting the connection.
-pub async fn close_expired(mut stream: TcpStream, progress: &HeadProgress) {
+pub async fn close_expired(
+    mut stream: TcpStream,
+    share: &ConnectionShare,
+    progress: &HeadProgress,
+) {
     // Written after an unsent rest of the response before, it would be part of that one.
     if progress.is(HeadStage::HeadExpired) && progress.is_flushed() {
         let deadline = Instant::now() + REJECTION_TIMEOUT;
@@ -84,6 +89,6 @@
         let _ = with_deadline(deadline, stream.write_all(HEAD_TIMEOUT_RESPONSE)).await;
     }
     if progress.is(HeadStage::HeadExpired) || progress.is(HeadStage::IdleExpired) {
-        lingering_close::close(stream).await;
+        lingering_close::close(stream, share).await;
     }
 }
--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -23,10 +23,15 @@
 use umberglade_wire::caller_watch::wait_left;
 use umberglade_wire::filtered_stream::FilteredStream;
 use umberglade_wire::lingering_close;
+use umberglade_wire::memory::ConnectionShare;
+use umberglade_wire::memory::GuardedBody;
+use umberglade_wire::memory::MeteredStream;
 use umberglade_wire::ordered_body::FlushSignal;
 use umberglade_wire::ordered_body::OrderedBody;
 use umberglade_wire::ordered_body::TrackedStream;
 use umberglade_wire::pool;
+use umberglade_wire::receive_window;
+use umberglade_wire::server::address_owner;
 
 use super::accepted_request::ConnectionRequests;
 use super::accepted_request::RequestGuard;
@@ -59,12 +64,16 @@
 
 /// Accepts callers until the process stops.
 pub async fn serve_front<C: PlatformCodec>(listener: TcpListener, state: Arc<GatewayState>) {
+    receive_window::limit(&listener);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
+                // A refusal is counted and logged by the budget; the connection is closed unread.
+                let admitted = state.caller_memory.admit(address_owner(peer)).await;
+                let Ok(share) = admitted else { continue };
                 // Sends responses as soon as they are written; a failure only costs latency.
                 let _ = stream.set_nodelay(true);
-                pool::spawn(serve_connection::<C>(stream, Arc::clone(&state)));
+                pool::spawn(serve_connection::<C>(stream, share, Arc::clone(&state)));
             }
             Err(error) => {
                 tracing::warn!(event = events::ACCEPT_FAILED, %error, "accept failed");
@@ -74,19 +83,27 @@
     }
 }
 
-async fn serve_connection<C: PlatformCodec>(stream: TcpStream, state: Arc<GatewayState>) {
+async fn serve_connection<C: PlatformCodec>(
+    stream: TcpStream,
+    share: ConnectionShare,
+    state: Arc<GatewayState>,
+) {
     let signal = FlushSignal::default();
     // Declared before the connection, so dropped after its requests: reports them.
     let mut requests = ConnectionRequests::new(signal.clone());
-    let context = ConnectionContext::new(&state, &stream, signal, requests.tracker());
-    let tracked_stream = TrackedStream::new(stream.clone(), context.signal.clone());
+    let context = ConnectionContext::new(&state, &stream, &share, signal, requests.tracker());
+    let metered_stream = MeteredStream::new(stream.clone(), share.clone());
+    let tracked_stream = TrackedStream::new(metered_stream, context.signal.clone());
     let read_watch = ReadWatch::default();
     let watched_stream = FilteredStream::new(tracked_stream, read_watch.clone());
     let progress = HeadProgress::default();
     let head_stream = HeadStream::new(watched_stream, progress.clone());
     let head_capacity = connection_limits::head_capacity(&state);
     let service_context = context.clone();
-    let service = service_fn(move |request| handle_request::<C>(service_context.clone(), request));
+    let service = service_fn(move |request| {
+        // Boxed, so that an idle connection takes no room for it.
+        Box::pin(handle_request::<C>(service_context.clone(), request))
+    });
     let connection = http1::Builder::new()
         .timer(HeadTimer::new(Arc::clone(&state), progress.clone()))
         // The timer ends waits by the limits in force, whatever this value.
@@ -123,14 +140,23 @@
         ConnectionEnd::without_error(EndReason::ProcessStopped)
     };
     let caller_left = async {
-        wait_left(&stream, &read_watch).await;
+        wait_left(&stream, &read_watch, &share).await;
         ConnectionEnd::without_error(EndReason::CallerLeft)
     };
-    requests.record_end(served.or(caller_left).or(process_stopped).await);
+    let yielded = async {
+        share.wait_yielded().await;
+        ConnectionEnd::without_error(EndReason::MadeRoom)
+    };
+    let end = served.or(caller_left).or(process_stopped).or(yielded).await;
+    let has_yielded = end.reason == EndReason::MadeRoom;
+    requests.record_end(end);
+    if has_yielded {
+        return;
+    }
     if context.has_unread_body.load(Ordering::Acquire) {
-        lingering_close::close(stream).await;
+        lingering_close::close(stream, &share).await;
     } else {
-        connection_limits::close_expired(stream, &progress).await;
+        connection_limits::close_expired(stream, &share, &progress).await;
     }
 }
 
@@ -139,6 +165,7 @@
 struct ConnectionContext {
     state: Arc<GatewayState>,
     stream: TcpStream,
+    share: ConnectionShare,
     signal: FlushSignal,
     tracker: RequestTracker,
     /// True when the last request was rejected before its body was read.
@@ -149,11 +176,12 @@
     fn new(
         state: &Arc<GatewayState>,
         stream: &TcpStream,
+        share: &ConnectionShare,
         signal: FlushSignal,
         tracker: RequestTracker,
     ) -> Self {
-        let (state, stream) = (Arc::clone(state), stream.clone());
-        ConnectionContext { state, stream, signal, tracker, has_unread_body: Arc::default() }
+        let (state, stream, share) = (Arc::clone(state), stream.clone(), share.clone());
+        ConnectionContext { state, stream, share, signal, tracker, has_unread_body: Arc::default() }
     }
 }
 
@@ -167,19 +195,21 @@
 async fn handle_request<C: PlatformCodec>(
     context: ConnectionContext,
     request: Request<Incoming>,
-) -> Result<Response<AnswerBody<OrderedBody<GatewayBody>>>, CallAborted> {
-    let ConnectionContext { state, stream, signal, tracker, has_unread_body } = context;
+) -> Result<Response<GuardedBody<AnswerBody<OrderedBody<GatewayBody>>>>, CallAborted> {
+    let ConnectionContext { state, stream, share, signal, tracker, has_unread_body } = context;
+    let request_end = share.begin_request();
     let _in_flight = state.in_flight.enter_request();
     let mut guard = tracker.begin();
     let method = request.method().clone();
     let has_no_body = request.body().is_end_stream();
-    let outcome = match panics::catch(respond::<C>(&state, &stream, request, &mut guard)).await {
-        Ok(outcome) => outcome?,
-        Err(message) => reject_panicked(&guard, &message),
-    };
+    let outcome =
+        match panics::catch(respond::<C>(&state, &stream, &share, request, &mut guard)).await {
+            Ok(outcome) => outcome?,
+            Err(message) => reject_panicked(&guard, &message),
+        };
     let RequestOutcome { mut response, is_unread } = outcome;
     has_unread_body.store(is_unread, Ordering::Release);
-    if state.stop.has_elapsed(BALANCER_NOTICE_DELAY) {
+    if state.stop.has_elapsed(BALANCER_NOTICE_DELAY) || share.is_evicted() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     if is_unread && !has_no_body {
@@ -187,23 +217,26 @@
         guard.dismiss();
     }
     let response = response.map(|body| OrderedBody::new(body, signal));
-    Ok(AnswerBody::wrap(response, &method, guard))
+    let response = AnswerBody::wrap(response, &method, guard);
+    Ok(response.map(|body| request_end.attach(body)))
 }
 
 /// Reads and forwards `request`, unless its caller has left.
 async fn respond<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     stream: &TcpStream,
+    share: &ConnectionShare,
     request: Request<Incoming>,
     guard: &mut RequestGuard,
 ) -> Result<RequestOutcome, CallAborted> {
     if let Some(response) = connection_limits::reject_large_head(state, &request) {
         return Ok(RequestOutcome { response, is_unread: true });
     }
-    let outcome = match read_call::<C>(state, request, guard).await? {
+    let outcome = match read_call::<C>(state, share, request, guard).await? {
         ReadOutcome::Call(_) if is_closed_by_peer(stream) => return Err(CallAborted),
         ReadOutcome::Call(call) => {
-            let response = forward::forward::<C>(state, call).await;
+            // Boxed, so that a body that arrives takes no room for it.
+            let response = Box::pin(forward::forward::<C>(state, call)).await;
             RequestOutcome { response, is_unread: false }
         }
         ReadOutcome::Rejected(response) => RequestOutcome { response, is_unread: false },
--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -4,18 +4,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use snafu::Snafu;
+use umberglade_wire::memory;
+use umberglade_wire::memory::ConnectionShare;
+use umberglade_wire::memory::HeldBody;
+use umberglade_wire::memory::RequestBodyError;
 
 use super::accepted_request::RequestGuard;
 use super::find_route::CONFIG_UNSETTLED_RETRY_AFTER;
@@ -45,6 +45,8 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(400);
 /// `Retry-After` while no configuration is known yet: reading it takes a few calls of the store.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// `Retry-After` while the memory for callers is full: others make room within a second.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Timeout of a request when neither the caller nor the route states one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long a body may take to arrive where its request has no more time: prevents a connection
@@ -65,9 +67,10 @@
     RejectedUnread(Response<GatewayBody>),
 }
 
-/// Reads `request`, followed by `guard`, completely; rejects it where no route or limit allows it.
+/// Reads `request`, followed by `guard`, completely on a connection with `share`; rejects it where no route or limit allows it.
 pub async fn read_call<C: PlatformCodec>(
     state: &Arc<GatewayState>,
+    share: &ConnectionShare,
     request: Request<Incoming>,
     guard: &mut RequestGuard,
 ) -> Result<ReadOutcome, CallAborted> {
@@ -86,6 +89,9 @@
         }
     };
     let caller_identity = found.caller_identity();
+    if let Some(organisation) = &found.organisation {
+        share.set_organisation(organisation_digest(&organisation.name).into());
+    }
     let FoundRoute { table, route, organisation } = found;
     let organisation_digest =
         organisation.as_deref().map_or(0, |organisation| organisation_digest(&organisation.name));
@@ -104,22 +110,32 @@
     let time_limit =
         route.timeout.map_or(requested_timeout, |timeout| timeout.min(requested_timeout));
     let body_deadline = arrived + time_limit.max(MIN_BODY_TIMEOUT);
-    let body = match read_body(body, max_body_bytes, body_deadline).await? {
+    let body = match read_body(share, body, max_body_bytes, body_deadline).await? {
         BodyOutcome::Whole(body) => body,
         BodyOutcome::TooLarge => return reject_too_large(),
+        BodyOutcome::NoMemory => {
+            let after = Some(NO_MEMORY_RETRY_AFTER);
+            let response = reject_request(request_id, Rejection::NoMemory, after, table.version);
+            return Ok(ReadOutcome::RejectedUnread(response));
+        }
         BodyOutcome::Late => {
             let response =
                 reject_request(request_id, Rejection::ExpiredUnsent, None, table.version);
             return Ok(ReadOutcome::RejectedUnread(response));
         }
     };
+    if share.begin_serving().await.is_err() {
+        let after = Some(NO_MEMORY_RETRY_AFTER);
+        let response = reject_request(request_id, Rejection::NoMemory, after, table.version);
+        return Ok(ReadOutcome::Rejected(response));
+    }
     guard.progress().reach(RequestStage::Queued);
     let content = FingerprintParts {
         method: parts.method.as_str(),
         host: stated_host(&parts.headers, &parts.uri).unwrap_or_default(),
         target: parts.uri.path_and_query().map_or("/", |target| target.as_str()),
         credentials: credentials(&head.key),
-        body: &body,
+        body: &body.bytes,
     }
     .fingerprint();
     let suspects = CrashSuspects { content, parts: std::mem::take(&mut head.prompt_parts) };
@@ -231,23 +247,27 @@
 
 /// The outcome of reading a body.
 enum BodyOutcome {
-    Whole(Bytes),
+    Whole(HeldBody),
     TooLarge,
+    /// The memory for callers has no room for it.
+    NoMemory,
     /// It has not arrived completely by the deadline.
     Late,
 }
 
 /// Reads `body`, up to `limit` bytes, until `deadline`.
 async fn read_body(
+    share: &ConnectionShare,
     body: Incoming,
     limit: usize,
     deadline: Instant,
 ) -> Result<BodyOutcome, CallAborted> {
-    match with_deadline(deadline, Limited::new(body, limit).collect()).await {
+    match with_deadline(deadline, memory::read_body(share, body, limit)).await {
         None => Ok(BodyOutcome::Late),
-        Some(Ok(collected)) => Ok(BodyOutcome::Whole(collected.to_bytes())),
-        Some(Err(error)) if error.is::<LengthLimitError>() => Ok(BodyOutcome::TooLarge),
-        Some(Err(_)) => Err(CallAborted),
+        Some(Ok(body)) => Ok(BodyOutcome::Whole(body)),
+        Some(Err(RequestBodyError::TooLarge { .. })) => Ok(BodyOutcome::TooLarge),
+        Some(Err(RequestBodyError::NoMemory { .. })) => Ok(BodyOutcome::NoMemory),
+        Some(Err(RequestBodyError::Broken { .. })) => Err(CallAborted),
     }
 }
 
--- a/crates/gateway/src/ingress/ready_server.rs
+++ b/crates/gateway/src/ingress/ready_server.rs
@@ -52,7 +52,8 @@
     listener: TcpListener,
     state: Arc<GatewayState>,
 ) -> Infallible {
+    let budget = Arc::clone(&state.caller_memory);
     let handler = ReadyHandler::<C> { state, codec: std::marker::PhantomData };
-    server::serve(listener, Arc::new(handler)).await;
+    server::serve_within(listener, Arc::new(handler), budget).await;
     unreachable!("the accept loop has no end")
 }
--- a/crates/gateway/src/model/gateway_settings.rs
+++ b/crates/gateway/src/model/gateway_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use umberglade_wire::memory::ProcessLimits;
+
 use super::DomainKey;
 
 /// The settings of one gateway process.
@@ -25,6 +27,8 @@
     pub store: SocketAddr,
     /// Bandwidth of this instance's network link; `None` when it is not known.
     pub link_bytes_per_s: Option<f64>,
+    /// What this instance's machine allows the process.
+    pub limits: ProcessLimits,
     /// Time after its writing within which a configuration must be in force.
     pub config_bound: Duration,
     /// How long a draining server may still get new work after it has announced its departure.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -284,6 +284,9 @@
         metrics::gauge!("umberglade_broken_paths").set(state.fleet().paths.broken_count() as f64);
         metrics::gauge!("umberglade_tunnels_served").set(f64::from(state.tunnel_slots.used()));
         metrics::gauge!("umberglade_in_flight").set(f64::from(state.in_flight.requests()));
+        let memory = &state.caller_memory;
+        metrics::gauge!("umberglade_caller_memory_bytes").set(memory.held_bytes() as f64);
+        metrics::gauge!("umberglade_caller_connections").set(memory.connections() as f64);
         metrics::gauge!("umberglade_kept_connections").set(state.pool.len() as f64);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 
 use event_listener::Event;
 use metrics_exporter_prometheus::PrometheusHandle;
+use umberglade_wire::memory::MemoryBudget;
 
 use crate::cluster::BrokenRun;
 use crate::cluster::ConfigSources;
@@ -66,6 +67,8 @@
     /// Identifies this start of the process.
     pub process: ProcessId,
     pub metrics: Option<PrometheusHandle>,
+    /// What callers take of this process.
+    pub caller_memory: Arc<MemoryBudget>,
     pub pool: ConnectionPool,
     pub stop: StopSignal,
     pub in_flight: InFlightCount,
@@ -166,6 +169,7 @@
             process: fastrand::u64(..),
             store_eras: Arc::default(),
             shared_tables: SharedTables::new(digest, &settings),
+            caller_memory: MemoryBudget::new(settings.limits),
             settings,
             metrics,
             pool: ConnectionPool::default(),
--- a/crates/router/src/front/completion.rs
+++ b/crates/router/src/front/completion.rs
@@ -12,6 +12,7 @@
 use umberglade_wire::server::read_body;
 
 use super::bad_request;
+use super::reject_body;
 use super::unavailable;
 use crate::daemon::AdmissionGuard;
 use crate::daemon::Daemon;
@@ -44,8 +45,11 @@
         kind: CompletionKind,
     ) -> Result<Response<ReplyBody>, Response<ReplyBody>> {
         let organisation = self.authenticate(&request)?;
-        let body = read_body(request.into_body()).await.map_err(|text| bad_request(&text))?;
-        let parsed = parse_completion(&body, kind).map_err(|text| bad_request(&text))?;
+        let (head, body) = request.into_parts();
+        let body = read_body(&head, body).await.map_err(reject_body)?;
+        let parsed = parse_completion(&body.bytes, kind).map_err(|text| bad_request(&text))?;
+        // What is passed on has been copied from it.
+        drop(body);
         let (admitted, guard) = self.admit_completion(organisation, parsed, kind)?;
         Ok(self.serve(admitted, guard).await)
     }
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) use self::rejection::bad_request;
 pub(crate) use self::rejection::not_found;
 pub(crate) use self::rejection::reject;
+pub(crate) use self::rejection::reject_body;
 pub(crate) use self::rejection::unavailable;
 use crate::daemon::AdmissionGuard;
 use crate::daemon::Daemon;
--- a/crates/router/src/front/rejection.rs
+++ b/crates/router/src/front/rejection.rs
@@ -2,8 +2,10 @@
 
 use http::Response;
 use http::StatusCode;
+use umberglade_wire::memory::RequestBodyError;
 use umberglade_wire::reply;
 use umberglade_wire::reply::ReplyBody;
+use umberglade_wire::server::BodyRejection;
 
 use crate::events;
 
@@ -40,6 +42,22 @@
     reject(StatusCode::BAD_REQUEST, "invalid_request_error", message, None)
 }
 
+/// Returns the rejection of a request whose body was not read.
+pub(crate) fn reject_body(rejection: BodyRejection) -> Response<ReplyBody> {
+    let message = rejection.to_string();
+    match rejection {
+        BodyRejection::Unread { source: RequestBodyError::TooLarge { .. } } => {
+            reject(StatusCode::PAYLOAD_TOO_LARGE, "too_large", &message, None)
+        }
+        BodyRejection::Unread { source: RequestBodyError::NoMemory { .. } } => {
+            unavailable("no_memory", &message)
+        }
+        BodyRejection::Unread { source: RequestBodyError::Broken { .. } } | BodyRejection::Late => {
+            bad_request(&message)
+        }
+    }
+}
+
 /// Returns a 404 for an unknown route.
 pub(crate) fn not_found() -> Response<ReplyBody> {
     reply::rejection(StatusCode::NOT_FOUND, "not_found", "no such route", None)
--- a/crates/router/src/front/service.rs
+++ b/crates/router/src/front/service.rs
@@ -10,6 +10,7 @@
 
 use super::bad_request;
 use super::not_found;
+use super::reject_body;
 use super::unavailable;
 use crate::daemon::Daemon;
 use crate::pipeline::ServiceCall;
@@ -35,9 +36,9 @@
             (&Method::POST, ["v1", "services", service, "call"]) => {
                 let service = (*service).to_owned();
                 let idempotency_key = idempotency_key(&request)?;
-                let body =
-                    read_body(request.into_body()).await.map_err(|text| bad_request(&text))?;
-                let payload = serde_json::from_slice(&body)
+                let (head, body) = request.into_parts();
+                let body = read_body(&head, body).await.map_err(reject_body)?;
+                let payload = serde_json::from_slice(&body.bytes)
                     .map_err(|error| bad_request(&format!("request body: {error}")))?;
                 let _guard = self.admit(&preset)?;
                 let call = ServiceCall { organisation, service, idempotency_key, payload };
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -6,6 +6,7 @@
 use umberglade_wire::ids::DaemonId;
 use umberglade_wire::ids::DomainName;
 use umberglade_wire::ids::RegionName;
+use umberglade_wire::memory::ProcessLimits;
 
 /// How long a feed request is held open by default while nothing changes. A change ends the wait
 /// at once. The wait bounds how long a dead connection can go unnoticed and thus delay a change.
@@ -39,6 +40,8 @@
     /// How long idempotency records are kept.
     pub record_retention: Duration,
     pub platform_timeout: Duration,
+    /// What this instance's machine allows the process.
+    pub limits: ProcessLimits,
     /// Worker threads of the pool.
     pub threads: usize,
 }
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use umberglade_wire::memory::MemoryBudget;
 use umberglade_wire::pool;
 use umberglade_wire::server;
 
@@ -66,7 +67,8 @@
         interval: settings.heartbeat_interval,
     };
     pool::spawn(controller.run());
-    pool::spawn(server::serve(listener, Arc::new(daemon.clone())));
+    let budget = MemoryBudget::new(settings.limits);
+    pool::spawn(server::serve_within(listener, Arc::new(daemon.clone()), budget));
     tracing::info!(event = events::DAEMON_STARTED, %local, daemon = %settings.daemon_id, domain = %settings.domain, "daemon serving");
     Ok(StartedDaemon { daemon, local })
 }
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -97,7 +97,7 @@
 impl RequestHandler for PlainStandin {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
         let (parts, body) = request.into_parts();
-        let body = match read_body_or_reject(body).await {
+        let body = match read_body_or_reject(&parts, body).await {
             Ok(body) => body,
             Err(rejection) => return rejection,
         };
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -329,7 +329,7 @@
 impl RequestHandler for PlatformStandin {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
         let (parts, body) = request.into_parts();
-        let body = match read_body_or_reject(body).await {
+        let body = match read_body_or_reject(&parts, body).await {
             Ok(body) => body,
             Err(rejection) => return rejection,
         };
--- a/crates/umberglade/src/cli/serve.rs
+++ b/crates/umberglade/src/cli/serve.rs
@@ -35,6 +35,13 @@
     /// number of worker threads [UMBERGLADE_THREADS, default 1]
     #[argh(option)]
     pub threads: Option<usize>,
+    /// megabytes of memory that the process may take [UMBERGLADE_MEMORY_MB, default 128]
+    #[argh(option)]
+    pub memory_mb: Option<u32>,
+    /// descriptors that the process may open, 200 of them for files
+    /// [UMBERGLADE_MAX_FDS, default 4100]
+    #[argh(option)]
+    pub max_fds: Option<u32>,
     /// placement policy: affinity, least-loaded or round-robin
     /// [UMBERGLADE_PLACEMENT, default affinity]
     #[argh(option)]
--- a/crates/umberglade/src/serve.rs
+++ b/crates/umberglade/src/serve.rs
@@ -20,6 +20,7 @@
 use umberglade_router::settings::DaemonSettings;
 use umberglade_router::start;
 use umberglade_router::start::StartedDaemon;
+use umberglade_wire::memory::ProcessLimits;
 use umberglade_wire::pool;
 
 use crate::cli::ServeArgs;
@@ -101,6 +102,7 @@
         DEFAULT_THREADS,
         1..=256,
     )?;
+    let limits = limits(args)?;
     Ok(DaemonSettings {
         listen,
         platform,
@@ -127,10 +129,31 @@
         heartbeat_interval: Duration::from_millis(heartbeat_ms),
         record_retention: Duration::from_secs(retention_s),
         platform_timeout: DEFAULT_PLATFORM_TIMEOUT,
+        limits,
         threads,
     })
 }
 
+/// Returns the limits of this instance's machine.
+fn limits(args: &ServeArgs) -> Result<ProcessLimits, StartError> {
+    let default = ProcessLimits::default();
+    let memory_mb = setting::resolve_within(
+        "memory-mb",
+        "UMBERGLADE_MEMORY_MB",
+        args.memory_mb,
+        default.memory_mb,
+        32..=1_000_000,
+    )?;
+    let descriptors = setting::resolve_within(
+        "max-fds",
+        "UMBERGLADE_MAX_FDS",
+        args.max_fds,
+        default.descriptors,
+        256..=10_000_000,
+    )?;
+    Ok(ProcessLimits { memory_mb, descriptors })
+}
+
 /// Installs the Prometheus recorder that `/metrics` renders.
 pub fn install_metrics() -> Option<PrometheusHandle> {
     PrometheusBuilder::new().install_recorder().ok()
--- a/crates/umberglade/tests/gateway_process.rs
+++ b/crates/umberglade/tests/gateway_process.rs
@@ -273,7 +273,7 @@
 }
 
 /// The labels of the gateway's metrics, each with all allowed values.
-const LABELS: [(&str, &[&str]); 7] = [
+const LABELS: [(&str, &[&str]); 9] = [
     ("call", &["put", "claim", "remove", "store listing", "store feed", "store look"]),
     ("failure", &["unsent", "not_run", "misdirected", "silent", "broken", "garbled"]),
     ("outcome", &["whole", "caller_left", "expired", "broken"]),
@@ -304,8 +304,13 @@
             "closed",
             "process_stopped",
             "task_ended",
+            "made_room",
+            "no_memory",
+            "rate_limited",
         ],
     ),
+    ("bound", &["connections", "memory", "organisation", "evicted"]),
+    ("phase", &["connected", "receiving", "serving", "idle", "closing"]),
     ("table", &["configuration", "servers", "members", "duties", "quarantines"]),
 ];
 
