--- a/crates/umberglade/tests/misbehaving_callers.rs
+++ b/crates/umberglade/tests/misbehaving_callers.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use serde_json::json;
+use support::crowd::Crowd;
 use support::crowd::CrowdRequest;
 use support::crowd::chunks;
 use support::crowd_check::CrowdTarget;
@@ -287,3 +288,81 @@
     let target = GatewayTarget::start(ServerOptions::default(), "/safe/x");
     check_crowds(target, LIMITS, &requests);
 }
+
+/// Guards against bounds that a single request within the limits meets.
+#[test]
+fn gateway_serves_single_requests_within_the_limits() {
+    struct Case {
+        name: &'static str,
+        head: fn(usize) -> String,
+        body: Vec<u8>,
+        piece_bytes: usize,
+        status: u16,
+    }
+    let ended = |mut body: Vec<u8>| {
+        body.extend_from_slice(b"0\r\n\r\n");
+        body
+    };
+    let whole = || vec![b'b'; MAX_BODY_BYTES];
+    let extension = format!(";{}", "e".repeat(100));
+    let cases = [
+        Case {
+            name: "with a length, at once",
+            head: length_head,
+            body: whole(),
+            piece_bytes: MAX_BODY_BYTES,
+            status: 200,
+        },
+        Case {
+            name: "with a length, in pieces",
+            head: length_head,
+            body: whole(),
+            piece_bytes: 1000,
+            status: 200,
+        },
+        Case {
+            name: "in large chunks",
+            head: chunked_head,
+            body: ended(chunks(MAX_BODY_BYTES, 16 * 1024, "")),
+            piece_bytes: 16 * 1024,
+            status: 200,
+        },
+        Case {
+            name: "in chunks of a byte",
+            head: chunked_head,
+            body: ended(chunks(MAX_BODY_BYTES, 1, "")),
+            piece_bytes: 16 * 1024,
+            status: 200,
+        },
+        Case {
+            name: "in chunks with extensions",
+            head: chunked_head,
+            body: ended(chunks(MAX_BODY_BYTES, 16 * 1024, &extension)),
+            piece_bytes: 16 * 1024,
+            status: 200,
+        },
+        Case {
+            name: "over the limit, announced",
+            head: announced_head,
+            body: whole(),
+            piece_bytes: 16 * 1024,
+            status: 413,
+        },
+        Case {
+            name: "over the limit, in chunks",
+            head: chunked_head,
+            body: ended(chunks(OVERSIZED_BODY_BYTES, 16 * 1024, "")),
+            piece_bytes: 16 * 1024,
+            status: 413,
+        },
+    ];
+    let _turn = one_at_a_time();
+    let target = GatewayTarget::start(ServerOptions::default(), "/safe/x");
+    for (number, case) in cases.into_iter().enumerate() {
+        let Case { head, body, piece_bytes, .. } = case;
+        let request = CrowdRequest { head, body: body.into(), piece_bytes };
+        let mut caller = Crowd::send(target.front(), number..number + 1, &request);
+        let response = caller.whole_response();
+        assert_eq!(response.status(), Some(case.status), "{}: {}", case.name, response.text);
+    }
+}
--- a/crates/umberglade/tests/support/crowd.rs
+++ b/crates/umberglade/tests/support/crowd.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::Duration;
 
+use super::gateway::HANG_TIMEOUT;
+
 /// How long a member waits for its bytes to be taken, before it stops sending and stays connected.
 const SEND_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long the responses that have been sent may take to be read.
@@ -83,17 +85,23 @@
     pub fn responses(&mut self) -> Vec<CrowdResponse> {
         thread::scope(|scope| {
             let members = self.members.iter_mut();
-            let readers: Vec<_> = members.map(|member| scope.spawn(|| member.receive())).collect();
+            let read = |member: &mut Member| member.receive(READ_TIMEOUT);
+            let readers: Vec<_> = members.map(|member| scope.spawn(move || read(member))).collect();
             readers.into_iter().map(|reader| reader.join().expect("a reader")).collect()
         })
     }
+
+    /// Returns the response to a crowd of one, however long it takes.
+    pub fn whole_response(&mut self) -> CrowdResponse {
+        self.members[0].receive(HANG_TIMEOUT)
+    }
 }
 
 impl Member {
-    fn receive(&mut self) -> CrowdResponse {
+    fn receive(&mut self, timeout: Duration) -> CrowdResponse {
         let mut received = [0; 1024];
         let length = self.stream.as_mut().map_or(0, |stream| {
-            let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+            let _ = stream.set_read_timeout(Some(timeout));
             // A connection without a response, or one that was reset, has sent nothing.
             stream.read(&mut received).unwrap_or(0)
         });
--- a/crates/umberglade/tests/support/process_use.rs
+++ b/crates/umberglade/tests/support/process_use.rs
@@ -55,6 +55,7 @@
 
     /// Panics unless this is within `limits`: unread bytes count as memory.
     pub fn assert_within(&self, limits: ProcessLimits, when: &str) {
+        println!("{when}: {self:?}");
         let memory = self.peak_memory + self.unread_bytes;
         assert!(memory <= limits.memory_mb * MEGABYTE, "{when}: memory: {self:?}, {limits:?}");
         let sockets = limits.max_fds - FILE_DESCRIPTORS;
