Descriptors of tunnels and transfers follow the machine's limit

Callers' connections were bounded by maxFds, tunnels for other gateways (256, two sockets each) and connections that ask for a transfer (256) by constants: on a machine of few descriptors they could take the rest. Now a fifteenth and a twelfth of the sockets; at 4,100 descriptors the numbers stay.

Test: crowds of 600 at the listeners for readiness, metrics and other gateways, one after the other.

--- a/crates/gateway/src/peers/transfer_server.rs
+++ b/crates/gateway/src/peers/transfer_server.rs
@@ -12,6 +12,7 @@
 use futures_lite::AsyncWriteExt;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
+use umberglade_wire::memory::ProcessLimits;
 use umberglade_wire::pool;
 
 use super::PeerRegistry;
@@ -43,8 +44,11 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Number of bytes written at a time.
 const CHUNK_BYTES: usize = 32 * 1024;
-/// Maximum number of connections whose request has not been read.
+/// Maximum number of connections whose request has not been read, unless the process's sockets
+/// allow fewer.
 const MAX_CONNECTIONS: usize = 256;
+/// Part of the process's sockets that these may take.
+const SOCKETS_FRACTION: usize = 12;
 /// Bandwidth that a transfer should have, in bytes per second.
 const SEND_BYTES_PER_S: f64 = 600e3;
 /// Minimum and maximum number of simultaneous transfers.
@@ -57,6 +61,7 @@
 #[derive(Debug)]
 pub(super) struct SendSlots {
     max_sends: usize,
+    max_connections: usize,
     sends: AtomicUsize,
     connections: AtomicUsize,
 }
@@ -71,11 +76,13 @@
 }
 
 impl SendSlots {
-    fn new(link_bytes_per_s: Option<f64>) -> Self {
+    fn new(link_bytes_per_s: Option<f64>, limits: ProcessLimits) -> Self {
         let (min, max) = SEND_RANGE;
         let by_link = link_bytes_per_s.map_or(max, |link| (link / SEND_BYTES_PER_S) as usize);
         let max_sends = by_link.clamp(min, max);
-        SendSlots { max_sends, sends: AtomicUsize::new(0), connections: AtomicUsize::new(0) }
+        let max_connections = MAX_CONNECTIONS.min(limits.sockets() / SOCKETS_FRACTION);
+        let (sends, connections) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        SendSlots { max_sends, max_connections, sends, connections }
     }
 
     /// Returns the number of transfers that are being sent.
@@ -93,7 +100,7 @@
     }
 
     fn take_connection(&self) -> Option<SlotGuard<'_>> {
-        SendSlots::take(&self.connections, MAX_CONNECTIONS)
+        SendSlots::take(&self.connections, self.max_connections)
     }
 }
 
@@ -103,7 +110,7 @@
     registry: Arc<PeerRegistry>,
     listener: TcpListener,
 ) {
-    let slots = Arc::new(SendSlots::new(state.settings.link_bytes_per_s));
+    let slots = Arc::new(SendSlots::new(state.settings.link_bytes_per_s, state.settings.limits));
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -14,6 +14,7 @@
 use smol::net::TcpStream;
 use strum::Display;
 use umberglade_wire::caller_watch::wait_closed;
+use umberglade_wire::memory::ProcessLimits;
 
 use super::ConnectSign;
 use super::TunnelReply;
@@ -28,20 +29,30 @@
 use crate::timing::with_deadline;
 use crate::upstream::connect_tcp;
 
-/// Maximum number of tunnels that a gateway serves: two connections and 24 KB each.
+/// Maximum number of tunnels that a gateway serves, two connections and 24 KB each, unless its
+/// sockets allow fewer.
 const MAX_TUNNELS: u32 = 256;
+/// Part of the process's sockets that tunnels may be.
+const SOCKETS_FRACTION: usize = 15;
 /// Size of the buffer for bytes to the server, in bytes.
 const UPLOAD_BUFFER_BYTES: usize = 8 * 1024;
 /// Maximum time for which a tunnel stays open, whatever the gateway at its other end asks for.
 const MAX_LIFETIME: Duration = Duration::from_secs(300);
 
 /// The tunnels that this gateway serves.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TunnelSlots {
+    max: u32,
     used: AtomicU32,
 }
 
 impl TunnelSlots {
+    /// Returns the slots of a process with `limits`.
+    pub fn new(limits: ProcessLimits) -> Self {
+        let by_sockets = (limits.sockets() / SOCKETS_FRACTION) as u32;
+        TunnelSlots { max: MAX_TUNNELS.min(by_sockets), used: AtomicU32::new(0) }
+    }
+
     /// Returns the number of tunnels.
     pub fn used(&self) -> u32 {
         self.used.load(Ordering::Relaxed)
@@ -49,7 +60,7 @@
 
     fn take(&self) -> Option<TunnelSlot<'_>> {
         let slot = TunnelSlot { slots: self };
-        (self.used.fetch_add(1, Ordering::AcqRel) < MAX_TUNNELS).then_some(slot)
+        (self.used.fetch_add(1, Ordering::AcqRel) < self.max).then_some(slot)
     }
 }
 
--- a/crates/umberglade/tests/misbehaving_callers.rs
+++ b/crates/umberglade/tests/misbehaving_callers.rs
@@ -106,6 +106,8 @@
     agent: ureq::Agent,
     /// Path of the ordinary requests.
     ordinary_path: &'static str,
+    /// Where the crowd connects to.
+    crowd_address: SocketAddr,
 }
 
 impl GatewayTarget {
@@ -113,7 +115,8 @@
     fn start(options: ServerOptions, ordinary_path: &'static str) -> GatewayTarget {
         let site = CrowdSite::start(options);
         let gateway = site.start_gateway();
-        GatewayTarget { site, gateway, agent: agent(), ordinary_path }
+        let crowd_address = gateway.front.parse().expect("an address");
+        GatewayTarget { site, gateway, agent: agent(), ordinary_path, crowd_address }
     }
 }
 
@@ -123,7 +126,7 @@
     }
 
     fn front(&self) -> SocketAddr {
-        self.gateway.front.parse().expect("an address")
+        self.crowd_address
     }
 
     fn try_ordinary(&self, id: &str) -> Result<u16, ureq::Error> {
@@ -289,6 +292,23 @@
     check_crowds(target, LIMITS, &requests);
 }
 
+/// Guards against listeners beside the callers' that take all descriptors or memory.
+#[test]
+fn gateway_bears_crowds_at_its_other_listeners() {
+    type Listener = fn(&Gateway) -> &str;
+    const LISTENERS: [Listener; 3] =
+        [|gateway| &gateway.ready, |gateway| &gateway.metrics, |gateway| &gateway.peer];
+    let _turn = one_at_a_time();
+    for listener in LISTENERS {
+        let target = GatewayTarget::start(ServerOptions::default(), "/safe/x");
+        let crowd_address = listener(&target.gateway).parse().expect("an address");
+        let target = GatewayTarget { crowd_address, ..target };
+        let head = |_| "GET /metrics HTTP/1.1\r\nhost: x\r\nx-long: ".to_owned();
+        let request = CrowdRequest::at_once(head, vec![b'h'; UNFINISHED_HEAD_BYTES]);
+        check_crowds(target, LIMITS, &[(CONNECTION_CROWD, request)]);
+    }
+}
+
 /// Guards against bounds that a single request within the limits meets.
 #[test]
 fn gateway_serves_single_requests_within_the_limits() {
--- a/crates/umberglade/tests/misbehaving_daemon_callers.rs
+++ b/crates/umberglade/tests/misbehaving_daemon_callers.rs
@@ -13,6 +13,7 @@
 use support::Process;
 use support::SHORT_FOLLOW_ARGS;
 use support::Site;
+use support::crowd::Crowd;
 use support::crowd::CrowdRequest;
 use support::crowd::chunks;
 use support::crowd_check::CrowdTarget;
@@ -181,3 +182,67 @@
     let request = CrowdRequest::at_once(|_| String::new(), Vec::new());
     check_daemon(CONNECTION_CROWD, request);
 }
+
+/// Guards against bounds that a single request within the limits meets.
+#[test]
+fn daemon_serves_single_requests_within_the_limits() {
+    struct Case {
+        name: &'static str,
+        head: fn(usize) -> String,
+        body: Vec<u8>,
+        status: u16,
+    }
+    let chunked = |chunk| {
+        let mut framed = chunks_of(&padded(TINY_CHUNK_BODY_BYTES), chunk);
+        framed.extend_from_slice(b"0\r\n\r\n");
+        framed
+    };
+    let cases = [
+        Case {
+            name: "with a length",
+            head: length_head,
+            body: padded(MAX_BODY_BYTES).into_bytes(),
+            status: 200,
+        },
+        Case { name: "in chunks", head: chunked_head, body: chunked(4 * 1024), status: 200 },
+        Case { name: "in chunks of a byte", head: chunked_head, body: chunked(1), status: 200 },
+        Case {
+            name: "over the limit, announced",
+            head: announced_head,
+            body: vec![b'b'; MAX_BODY_BYTES],
+            status: 413,
+        },
+        Case {
+            name: "over the limit, in chunks",
+            head: chunked_head,
+            body: chunks(OVERSIZED_BODY_BYTES, 16 * 1024, ""),
+            status: 413,
+        },
+    ];
+    let _turn = one_at_a_time();
+    let target = DaemonTarget::start();
+    for (number, case) in cases.into_iter().enumerate() {
+        let request = CrowdRequest::at_once(case.head, case.body);
+        let mut caller = Crowd::send(target.front(), number..number + 1, &request);
+        let response = caller.whole_response();
+        assert_eq!(response.status(), Some(case.status), "{}: {}", case.name, response.text);
+    }
+}
+
+/// Returns the body of a short request, padded to `bytes` bytes.
+fn padded(bytes: usize) -> String {
+    let short = prompt("ordinary");
+    let padding = " ".repeat(bytes - short.len());
+    short + &padding
+}
+
+/// Returns `text` in chunks of `chunk` bytes, without the last chunk.
+fn chunks_of(text: &str, chunk: usize) -> Vec<u8> {
+    let mut framed = Vec::new();
+    for piece in text.as_bytes().chunks(chunk) {
+        framed.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        framed.extend_from_slice(piece);
+        framed.extend_from_slice(b"\r\n");
+    }
+    framed
+}
--- a/crates/umberglade/tests/support/gateway.rs
+++ b/crates/umberglade/tests/support/gateway.rs
@@ -27,6 +27,8 @@
     pub front: String,
     pub ready: String,
     pub metrics: String,
+    /// Address for other gateways.
+    pub peer: String,
     pub node_file: PathBuf,
 }
 
@@ -70,11 +72,12 @@
             .spawn()
             .expect("starting umberglade");
         let log = BufReader::new(child.stdout.take().expect("piped stdout"));
-        let (front, ready, metrics) = Default::default();
-        let mut gateway = Gateway { child, log, front, ready, metrics, node_file };
+        let (front, ready, metrics, peer) = Default::default();
+        let mut gateway = Gateway { child, log, front, ready, metrics, peer, node_file };
         let started = gateway.next_event(7001);
         gateway.front = started["front"].as_str().expect("an address").to_owned();
         gateway.ready = started["ready"].as_str().expect("an address").to_owned();
+        gateway.peer = started["peer"].as_str().expect("an address").to_owned();
         gateway.metrics = started["metrics"].as_str().expect("an address").to_owned();
         gateway
     }
--- a/crates/wire/src/memory/budget_limits.rs
+++ b/crates/wire/src/memory/budget_limits.rs
@@ -23,6 +23,13 @@
     pub descriptors: u32,
 }
 
+impl ProcessLimits {
+    /// Returns how many sockets and pipes the process may open.
+    pub fn sockets(&self) -> usize {
+        (self.descriptors as usize).saturating_sub(FILE_DESCRIPTORS)
+    }
+}
+
 impl Default for ProcessLimits {
     fn default() -> Self {
         ProcessLimits { memory_mb: DEFAULT_MEMORY_MB, descriptors: DEFAULT_DESCRIPTORS }
@@ -58,12 +65,11 @@
     fn from(limits: ProcessLimits) -> Self {
         let memory = limits.memory_mb as usize * MEGABYTE_BYTES;
         let bytes = memory.saturating_sub(OWN_BYTES) / 2;
-        let sockets = (limits.descriptors as usize).saturating_sub(FILE_DESCRIPTORS);
         BudgetLimits {
             bytes,
             large_bytes: bytes / 4 * 3,
             organisation_bytes: bytes / 2,
-            connections: (sockets / 3 * 2).max(MIN_CONNECTIONS),
+            connections: (limits.sockets() / 3 * 2).max(MIN_CONNECTIONS),
         }
     }
 }
