--- a/crates/gateway/src/ingress/front_server.rs
+++ b/crates/gateway/src/ingress/front_server.rs
@@ -26,6 +26,7 @@
 use umberglade_wire::memory::ConnectionShare;
 use umberglade_wire::memory::GuardedBody;
 use umberglade_wire::memory::MeteredStream;
+use umberglade_wire::memory::ReadAhead;
 use umberglade_wire::ordered_body::FlushSignal;
 use umberglade_wire::ordered_body::OrderedBody;
 use umberglade_wire::ordered_body::TrackedStream;
@@ -92,7 +93,8 @@
     // Declared before the connection, so dropped after its requests: reports them.
     let mut requests = ConnectionRequests::new(signal.clone());
     let context = ConnectionContext::new(&state, &stream, &share, signal, requests.tracker());
-    let metered_stream = MeteredStream::new(stream.clone(), share.clone());
+    let ahead = Arc::new(ReadAhead::default());
+    let metered_stream = MeteredStream::new(stream.clone(), share.clone(), Arc::clone(&ahead));
     let tracked_stream = TrackedStream::new(metered_stream, context.signal.clone());
     let read_watch = ReadWatch::default();
     let watched_stream = FilteredStream::new(tracked_stream, read_watch.clone());
@@ -140,7 +142,7 @@
         ConnectionEnd::without_error(EndReason::ProcessStopped)
     };
     let caller_left = async {
-        wait_left(&stream, &read_watch, &share).await;
+        wait_left(&stream, &read_watch, &ahead, &share).await;
         ConnectionEnd::without_error(EndReason::CallerLeft)
     };
     let yielded = async {
--- a/crates/wire/src/caller_watch.rs
+++ b/crates/wire/src/caller_watch.rs
@@ -20,6 +20,7 @@
 
 use crate::filtered_stream::ReadFilter;
 use crate::memory::ConnectionShare;
+use crate::memory::ReadAhead;
 
 /// Interval at which a connection is checked that is not read.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -34,12 +35,6 @@
     count.is_ok_and(|count| count > 0) && polled[0].revents().intersects(signs)
 }
 
-/// Returns how many bytes have arrived at `stream` and are not read.
-fn unread_bytes(stream: &TcpStream) -> usize {
-    // An error tells nothing of the peer: the next read finds out.
-    rustix::io::ioctl_fionread(stream).map_or(0, |bytes| bytes as usize)
-}
-
 /// Waits until the peer has closed its connection.
 pub async fn wait_closed(stream: &TcpStream) {
     while !is_closed_by_peer(stream) {
@@ -81,11 +76,16 @@
 }
 
 /// Waits until the caller at `stream` leaves while its HTTP server does not wait for its bytes: HTTP
-/// servers see that only while nothing lies unread behind a request. Records in `share` how much
-/// lies there.
+/// servers see that only while nothing lies unread behind a request. Reads `ahead` what lies there,
+/// as far as `share` can draw for it.
 ///
 /// Must be polled in the connection's task, after the connection.
-pub async fn wait_left(stream: &TcpStream, watch: &ReadWatch, share: &ConnectionShare) {
+pub async fn wait_left(
+    stream: &TcpStream,
+    watch: &ReadWatch,
+    ahead: &ReadAhead,
+    share: &ConnectionShare,
+) {
     let mut timer = pin!(None::<Timer>);
     std::future::poll_fn(|cx| {
         loop {
@@ -101,7 +101,7 @@
             if is_closed_by_peer(stream) {
                 return Poll::Ready(());
             }
-            share.record_behind(unread_bytes(stream));
+            ahead.fill(stream, share);
             timer.set(None);
         }
     })
--- a/crates/wire/src/memory/connection_share.rs
+++ b/crates/wire/src/memory/connection_share.rs
@@ -128,6 +128,11 @@
         self.holder().enter(HolderPhase::Closing);
     }
 
+    /// Returns true while a request is served.
+    pub(super) fn is_serving(&self) -> bool {
+        self.holder().phase() == HolderPhase::Serving
+    }
+
     /// Sets the organisation that the connection's requests belong to.
     pub fn set_organisation(&self, organisation: u64) {
         self.holder().set_organisation(organisation);
@@ -159,7 +164,7 @@
     }
 
     /// Records that `bytes` lie unread behind the request that is served.
-    pub(crate) fn record_behind(&self, bytes: usize) {
+    pub(super) fn record_behind(&self, bytes: usize) {
         self.holder().record_behind(bytes);
     }
 
--- a/crates/wire/src/memory/metered_stream.rs
+++ b/crates/wire/src/memory/metered_stream.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -12,6 +13,7 @@
 
 use super::connection_share::ConnectionShare;
 use super::connection_share::MemoryGrant;
+use super::read_ahead::ReadAhead;
 
 /// Bytes that are read at once. An HTTP server doubles its buffer of 8 KB when a read fills it.
 const MAX_READ_BYTES: usize = 8 * 1024 - 1;
@@ -40,13 +42,15 @@
 pub struct MeteredStream<S> {
     stream: S,
     share: ConnectionShare,
+    ahead: Arc<ReadAhead>,
     /// What the head that arrives takes beyond the connection's own share.
     head_grant: Option<MemoryGrant>,
 }
 
 impl<S> MeteredStream<S> {
-    pub fn new(stream: S, share: ConnectionShare) -> Self {
-        MeteredStream { stream, share, head_grant: None }
+    /// Wraps `stream`, of which `ahead` has bytes that were read before.
+    pub fn new(stream: S, share: ConnectionShare, ahead: Arc<ReadAhead>) -> Self {
+        MeteredStream { stream, share, ahead, head_grant: None }
     }
 
     /// Draws what a head of `unparsed` bytes takes.
@@ -75,7 +79,10 @@
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
         let wanted = buffer.len().min(MAX_READ_BYTES);
-        let count = ready!(Pin::new(&mut this.stream).poll_read(cx, &mut buffer[..wanted]))?;
+        let count = match this.ahead.take(&mut buffer[..wanted]) {
+            0 => ready!(Pin::new(&mut this.stream).poll_read(cx, &mut buffer[..wanted]))?,
+            count => count,
+        };
         if count > 0 {
             let unparsed = this.share.record_read(count);
             if let Err(refused) = this.draw_head(unparsed) {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -31,6 +31,7 @@
 use crate::memory::HeldBody;
 use crate::memory::MemoryBudget;
 use crate::memory::MeteredStream;
+use crate::memory::ReadAhead;
 use crate::memory::RequestBodyError;
 use crate::panics;
 use crate::pool;
@@ -132,7 +133,8 @@
         })
     });
     let watch = ReadWatch::default();
-    let metered_stream = MeteredStream::new(stream.clone(), share.clone());
+    let ahead = Arc::new(ReadAhead::default());
+    let metered_stream = MeteredStream::new(stream.clone(), share.clone(), Arc::clone(&ahead));
     let watched_stream = FilteredStream::new(metered_stream, watch.clone());
     let served = async {
         let _ = http1::Builder::new()
@@ -143,7 +145,7 @@
             .await;
     };
     let ended = async {
-        served.or(wait_left(&stream, &watch, &share)).await;
+        served.or(wait_left(&stream, &watch, &ahead, &share)).await;
         true
     };
     let yielded = async {
