--- a/crates/wire/src/memory/connection_share.rs
+++ b/crates/wire/src/memory/connection_share.rs
@@ -8,11 +8,11 @@
 
 use snafu::Snafu;
 
+use super::draw::BudgetBound;
+use super::draw::Draw;
 use super::eviction::HolderPhase;
 use super::holder::Holder;
-use super::memory_budget::BudgetBound;
 use super::memory_budget::CONNECTION_BYTES;
-use super::memory_budget::Draw;
 use super::memory_budget::MemoryBudget;
 use super::request_end::RequestEnd;
 use super::unwritten_bytes::UnwrittenBytes;
--- a/crates/wire/src/memory/memory_budget.rs
+++ b/crates/wire/src/memory/memory_budget.rs
@@ -1,6 +1,5 @@
 //! The account of what a process holds for its callers.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,59 +10,26 @@
 
 use event_listener::Event;
 use futures_lite::FutureExt;
-use strum::Display;
-use strum::IntoStaticStr;
 
+use super::account::Account;
+use super::account::YIELDING_CONNECTIONS_FRACTION;
 use super::budget_limits::BudgetLimits;
 use super::connection_share::ConnectionShare;
 use super::connection_share::MemoryFull;
-use super::eviction::first_to_yield;
+use super::draw::BudgetBound;
+use super::draw::Draw;
 use super::holder::Holder;
 
 /// What an open connection takes: its task, the HTTP server's buffers, and its receive window.
 pub(super) const CONNECTION_BYTES: usize = 24 * 1024;
 /// Part of the bytes that evicted connections may still hold while others take their place.
 const YIELDING_FRACTION: usize = 16;
-/// Part of the connections that evicted ones may still be.
-const YIELDING_CONNECTIONS_FRACTION: usize = 8;
 /// How long a draw waits until others have made room.
 const ROOM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which it is tried again if nobody has made room.
 const ROOM_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a new connection waits for others that make room.
 const SETTLING_TIMEOUT: Duration = Duration::from_millis(500);
-/// Interval of log lines about a full budget.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// The log event of a budget that is full.
-pub const MEMORY_FULL: u32 = 9003;
-
-/// Which bound of a budget is reached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum BudgetBound {
-    /// The number of connections.
-    Connections,
-    /// The bytes of all callers, or those of large draws.
-    Memory,
-    /// The bytes of one organisation.
-    Organisation,
-    /// The connection has been asked to make room.
-    Evicted,
-}
-
-/// How much is drawn, and what for.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Draw {
-    pub bytes: usize,
-    /// True for the bytes of a body that is not short.
-    pub is_large: bool,
-}
-
-impl Draw {
-    pub fn small(bytes: usize) -> Self {
-        Draw { bytes, is_large: false }
-    }
-}
 
 /// What all callers of a process hold together.
 #[derive(Debug)]
@@ -74,27 +40,6 @@
     released: Event,
 }
 
-/// Invariant: the sums are those of the holders' own counts.
-#[derive(Debug, Default)]
-struct Account {
-    bytes: usize,
-    large: usize,
-    /// Of `bytes`, what evicted connections have not given back yet.
-    yielding: usize,
-    /// Of `large`, the same.
-    yielding_large: usize,
-    holders: Vec<Arc<Holder>>,
-    tally: Tally,
-}
-
-/// What has happened since the last log line.
-#[derive(Debug, Default)]
-struct Tally {
-    logged_at: Option<Instant>,
-    evicted: u64,
-    refused: u64,
-}
-
 impl MemoryBudget {
     pub fn new(limits: impl Into<BudgetLimits>) -> Arc<Self> {
         let (account, released) = (Mutex::default(), Event::new());
@@ -245,13 +190,9 @@
         }
     }
 
-    /// Counts and logs that a draw or a connection is refused.
+    /// Records that a draw or a connection is refused.
     fn refuse(&self, account: &mut Account, bound: BudgetBound) -> MemoryFull {
-        let reason: &'static str = bound.into();
-        metrics::counter!("umberglade_caller_memory_refusals_total", "bound" => reason)
-            .increment(1);
-        account.tally.refused += 1;
-        account.log(bound, self.limits);
+        account.record_refusal(bound, self.limits);
         MemoryFull { bound }
     }
 }
@@ -262,99 +203,3 @@
     Bytes,
     Large,
 }
-
-impl Account {
-    /// Makes place for one more of `max` connections; returns false if none can be evicted.
-    fn make_place(&mut self, max: usize) -> bool {
-        let evicted = self.evicted();
-        let is_settling = evicted > max / YIELDING_CONNECTIONS_FRACTION;
-        let has_place = self.holders.len() - evicted < max;
-        !is_settling && (has_place || self.evict(|_| true, None).is_some())
-    }
-
-    /// Returns the number of connections that have been asked to make room.
-    fn evicted(&self) -> usize {
-        self.holders.iter().filter(|holder| holder.is_evicted()).count()
-    }
-
-    fn add(&mut self, holder: &Holder, draw: Draw) {
-        self.bytes += draw.bytes;
-        holder.bytes.fetch_add(draw.bytes, Ordering::Relaxed);
-        if draw.is_large {
-            self.large += draw.bytes;
-            holder.large.fetch_add(draw.bytes, Ordering::Relaxed);
-        }
-    }
-
-    fn subtract(&mut self, holder: &Holder, draw: Draw) {
-        self.bytes = self.bytes.saturating_sub(draw.bytes);
-        holder.bytes.fetch_sub(draw.bytes, Ordering::Relaxed);
-        let large = if draw.is_large { draw.bytes } else { 0 };
-        self.large = self.large.saturating_sub(large);
-        holder.large.fetch_sub(large, Ordering::Relaxed);
-        if holder.is_evicted() {
-            self.yielding = self.yielding.saturating_sub(draw.bytes);
-            self.yielding_large = self.yielding_large.saturating_sub(large);
-        }
-    }
-
-    /// Asks one connection to make room, of those that `helps` names; the one that asks for more
-    /// bytes is weighed with these. Returns it, or `None` if none may be evicted.
-    fn evict(
-        &mut self,
-        helps: impl Fn(&Holder) -> bool,
-        requester: Option<(&Arc<Holder>, usize)>,
-    ) -> Option<Arc<Holder>> {
-        let is_requester = |holder: &Arc<Holder>| {
-            requester.is_some_and(|(requester, _)| Arc::ptr_eq(requester, holder))
-        };
-        let candidates: Vec<&Arc<Holder>> = self
-            .holders
-            .iter()
-            .filter(|holder| !holder.is_evicted() && (helps(holder) || is_requester(holder)))
-            .collect();
-        let mut owner_bytes: HashMap<u64, usize> = HashMap::new();
-        for holder in &self.holders {
-            *owner_bytes.entry(holder.owner()).or_default() += holder.bytes.load(Ordering::Relaxed);
-        }
-        let uses = candidates.iter().map(|holder| {
-            let more_bytes = requester.filter(|_| is_requester(holder));
-            holder.current_use(more_bytes.map_or(0, |(_, bytes)| bytes))
-        });
-        let position = first_to_yield(uses, |owner| owner_bytes.get(&owner).copied().unwrap_or(0))?;
-        let evicted = Arc::clone(candidates[position]);
-        if !is_requester(&evicted) {
-            self.begin_eviction(&evicted);
-        }
-        Some(evicted)
-    }
-
-    fn begin_eviction(&mut self, holder: &Holder) {
-        self.yielding += holder.bytes.load(Ordering::Relaxed);
-        self.yielding_large += holder.large.load(Ordering::Relaxed);
-        self.tally.evicted += 1;
-        let phase: &'static str = holder.phase().into();
-        metrics::counter!("umberglade_caller_evictions_total", "phase" => phase).increment(1);
-        holder.evict();
-    }
-
-    /// Logs what has happened since the last line, unless that was a moment ago.
-    fn log(&mut self, bound: BudgetBound, limits: BudgetLimits) {
-        let now = Instant::now();
-        if self.tally.logged_at.is_some_and(|logged_at| now - logged_at < LOG_INTERVAL) {
-            return;
-        }
-        tracing::warn!(
-            event = MEMORY_FULL,
-            bound = %bound,
-            bytes = self.bytes,
-            max_bytes = limits.bytes,
-            connections = self.holders.len(),
-            max_connections = limits.connections,
-            evicted = self.tally.evicted,
-            refused = self.tally.refused,
-            "callers hold all that they may"
-        );
-        self.tally = Tally { logged_at: Some(now), ..Tally::default() };
-    }
-}
--- a/crates/wire/src/memory/mod.rs
+++ b/crates/wire/src/memory/mod.rs
@@ -7,8 +7,10 @@
 //! holds them. When the budget is full, [`eviction`] names who makes room: those that hold most
 //! and progress least.
 
+mod account;
 mod budget_limits;
 mod connection_share;
+mod draw;
 pub mod eviction;
 mod holder;
 mod memory_budget;
@@ -18,13 +20,13 @@
 mod request_end;
 mod unwritten_bytes;
 
+pub use self::account::MEMORY_FULL;
 pub use self::budget_limits::BudgetLimits;
 pub use self::budget_limits::ProcessLimits;
 pub use self::connection_share::ConnectionShare;
 pub use self::connection_share::MemoryFull;
 pub use self::connection_share::MemoryGrant;
-pub use self::memory_budget::BudgetBound;
-pub use self::memory_budget::MEMORY_FULL;
+pub use self::draw::BudgetBound;
 pub use self::memory_budget::MemoryBudget;
 pub use self::metered_stream::MeteredStream;
 pub use self::read_ahead::ReadAhead;
--- a/crates/wire/src/memory/request_body.rs
+++ b/crates/wire/src/memory/request_body.rs
@@ -9,7 +9,7 @@
 use super::connection_share::ConnectionShare;
 use super::connection_share::MemoryFull;
 use super::connection_share::MemoryGrant;
-use super::memory_budget::BudgetBound;
+use super::draw::BudgetBound;
 
 /// Size of a buffer that begins to be filled.
 const FIRST_CAPACITY: usize = 4 * 1024;
