Remove two accessors that nothing calls

The count of unparsed bytes was read by an earlier form of the eviction policy; it now goes by the bytes behind a request. No change of behaviour; fmt, clippy and the wire tests pass.

--- a/crates/wire/src/memory/connection_share.rs
+++ b/crates/wire/src/memory/connection_share.rs
@@ -152,11 +152,6 @@
         self.holder().record_read(bytes)
     }
 
-    /// Returns how many bytes of an unfinished head have been read.
-    pub fn unparsed_bytes(&self) -> usize {
-        self.holder().unparsed()
-    }
-
     /// Records that the caller has taken `bytes`; none if it takes none at present.
     pub(super) fn record_write(&self, bytes: usize) {
         self.holder().record_write(bytes == 0);
--- a/crates/wire/src/memory/holder.rs
+++ b/crates/wire/src/memory/holder.rs
@@ -104,11 +104,6 @@
         self.unparsed.store(0, Ordering::Relaxed);
     }
 
-    /// Returns how many bytes have been read since a head, or a piece of a body, was complete.
-    pub fn unparsed(&self) -> usize {
-        self.unparsed.load(Ordering::Relaxed)
-    }
-
     /// Records that `bytes` lie unread behind the request that is served.
     pub fn record_behind(&self, bytes: usize) {
         self.behind.store(bytes, Ordering::Relaxed);
