--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -111,7 +111,7 @@
     begin_record("review/6");
     let folder = temporary_folder();
     let (store, store_address) = Store::start();
-    let settings = Settings { folder, store: store_address, heartbeat_ms: 1200 };
+    let settings = Settings { folder, store: store_address, heartbeat_ms: 1200, memory_mb: 110 };
     let runs = Runs::default();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| give_up(&e.to_string()));
     let address = listener.local_addr().unwrap();
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -79,7 +79,7 @@
     begin_record("review/7");
     let folder = temporary_folder();
     let (store, store_address) = Store::start();
-    let settings = Settings { folder, store: store_address, heartbeat_ms: 1200 };
+    let settings = Settings { folder, store: store_address, heartbeat_ms: 1200, memory_mb: 110 };
     let site: Arc<Mutex<Site>> = Arc::default();
     store.put(
         "op",
--- /dev/null
+++ b/review/9/case.rs
@@ -0,0 +1,295 @@
+//! A part of prompts that crashes servers is never held back if it stands behind sixteen others.
+//!
+//! Three gateways in three zones and nine engines. All prompts share their first parts; each has a
+//! last part of its own. Beside sound streams, one request a second comes at one gateway after the
+//! other whose nineteenth part crashes each engine that begins to write an answer on it. No two are
+//! alike. An engine that has crashed is back after three seconds.
+//!
+//! `FATAL_AT=N` puts the part at another place, for comparison.
+
+#[path = "../harness-2/harness.rs"]
+mod harness;
+
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use harness::*;
+
+const MEMORY_MB: u64 = 110;
+const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+const ENGINES: usize = 9;
+const SLOTS: u32 = 16;
+const EVENTS: u64 = 20;
+const EVENT_INTERVAL_MS: u64 = 20;
+/// What an engine takes to read a prompt of 5,200 tokens.
+const PREFILL_MS: u64 = 94;
+const DOWN_MS: u64 = 3000;
+const TIMEOUT_MS: u64 = 14_000;
+/// Parts of a prompt, of 260 tokens each; the last is the request's own.
+const PARTS: usize = 20;
+const FATAL_PART: &str = "dead0bad";
+const SOUND_EVERY_MS: u64 = 150;
+const FATAL_EVERY_MS: u64 = 1000;
+const PLAYED_MS: u64 = 40_000;
+const STABLE_WINDOW_MS: u64 = 3000;
+/// BUDGET: this many crashes, and then at most this many requests.
+const KNOWN_CRASHES: usize = 5;
+const MAX_SENT: usize = 3;
+
+/// What the engines have seen of the part that crashes them.
+#[derive(Default)]
+struct Seen {
+    arrivals: Mutex<Vec<(u64, String)>>,
+    crashes: Mutex<Vec<u64>>,
+}
+
+struct Engine {
+    id: String,
+    address: SocketAddr,
+    down_until: AtomicU64,
+    connections: Mutex<Vec<TcpStream>>,
+    seen: Arc<Seen>,
+}
+
+impl Engine {
+    fn is_down(&self) -> bool {
+        now_ms() < self.down_until.load(Ordering::Acquire)
+    }
+
+    /// Listens while the engine is up.
+    fn run(self: Arc<Self>, first: TcpListener) {
+        let mut listener = Some(first);
+        loop {
+            if self.is_down() {
+                listener = None;
+                sleep_ms(20);
+                continue;
+            }
+            let open = listener.take().or_else(|| TcpListener::bind(self.address).ok());
+            let Some(open) = open else {
+                sleep_ms(20);
+                continue;
+            };
+            let _ = open.set_nonblocking(true);
+            match open.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    let _ = stream.set_nodelay(true);
+                    if let Ok(kept) = stream.try_clone() {
+                        self.connections.lock().unwrap().push(kept);
+                    }
+                    let engine = Arc::clone(&self);
+                    thread::spawn(move || engine.serve(Connection::new(stream)));
+                }
+                Err(_) => sleep_ms(1),
+            }
+            listener = Some(open);
+        }
+    }
+
+    fn crash(&self, id: &str) {
+        let now = now_ms();
+        self.down_until.store(now + DOWN_MS, Ordering::Release);
+        let connections = std::mem::take(&mut *self.connections.lock().unwrap());
+        for connection in connections {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        self.seen.crashes.lock().unwrap().push(now);
+        record(&format!("{} CRASHES as it begins to answer {id}", self.id));
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.read_request() {
+            let id = request.header("x-request-id").to_owned();
+            let is_target = [self.id.as_str(), ""].contains(&request.header("x-target-instance"));
+            let answered = if !is_target {
+                connection.answer(421, &[("X-Request-Id", &id), ("X-Instance-Id", &self.id)], b"")
+            } else if request.path() == "/healthz" {
+                connection.answer(200, &[("X-Instance-Id", &self.id)], b"")
+            } else if request.path() == "/v1/report" {
+                let report = "{\"stage\":\"decode\",\"models\":[{\"name\":\"m\",\"version\":1,\
+                              \"adapters\":[]}],\"busy\":false,\"sequence\":0,\"queueDepth\":0,\
+                              \"inFlight\":0,\"kvUsed\":0,\"kvTotal\":76702,\"kvHandles\":0}";
+                connection.answer(200, &[("Content-Type", "application/json")], report.as_bytes())
+            } else if id.is_empty() {
+                connection.answer(400, &[("X-Not-Executed", "1")], b"")
+            } else {
+                let is_fatal = is_fatal(request.header("x-prompt-prefix"));
+                self.stream(&mut connection, &id, is_fatal)
+            };
+            if answered.is_err() || self.is_down() {
+                return;
+            }
+        }
+    }
+
+    fn stream(&self, connection: &mut Connection, id: &str, is_fatal: bool) -> std::io::Result<()> {
+        if is_fatal {
+            self.seen.arrivals.lock().unwrap().push((now_ms(), id.to_owned()));
+            record(&format!("{} receives {id}", self.id));
+        }
+        sleep_ms(PREFILL_MS);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
+             X-Server-Signature: {}\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        connection.write(head.as_bytes())?;
+        if is_fatal {
+            self.crash(id);
+            return Ok(());
+        }
+        for number in 1..=EVENTS {
+            sleep_ms(EVENT_INTERVAL_MS);
+            let event = format!("id: {number}\ndata: token-{number}\n\n");
+            connection.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        }
+        connection.write(b"0\r\n\r\n")
+    }
+}
+
+/// Returns whether the part that crashes servers stands in `prefix`, not as the last.
+fn is_fatal(prefix: &str) -> bool {
+    let Some((shared, _)) = prefix.rsplit_once(',') else { return false };
+    shared.split(',').any(|part| part.split(':').next() == Some(FATAL_PART))
+}
+
+/// Returns the parts of a prompt. All share them but the last one, and `fatal` at `fatal_at`.
+fn prefix(last: u64, is_fatal: bool, fatal_at: usize) -> String {
+    let part = |number: usize| match number == fatal_at && is_fatal {
+        true => format!("{FATAL_PART}:260"),
+        false => format!("5c1e{number:04x}:260"),
+    };
+    let shared: Vec<String> = (1..PARTS).map(part).collect();
+    format!("{},{last:08x}:260", shared.join(","))
+}
+
+fn open_stream(front: SocketAddr, number: u64, is_fatal: bool, fatal_at: usize) -> Outcome {
+    let kind = if is_fatal { "fatal" } else { "sound" };
+    let id = format!("{kind}-{number:04}");
+    let prefix = prefix(0x1000_0000 + number, is_fatal, fatal_at);
+    let body = format!("brief {number}");
+    let text = format!(
+        "POST /brief/2f HTTP/1.1\r\nHost: brief.example\r\nX-Request-Id: {id}\r\nX-Model-Id: m\r\n\
+         X-Token-Usage: 5200,71\r\nX-Prompt-Prefix: {prefix}\r\nX-Timeout-Ms: {TIMEOUT_MS}\r\n\
+         Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let outcome = exchange(front, text.as_bytes(), Duration::from_millis(TIMEOUT_MS), |_| {});
+    record(&format!("client: {id}: {}", outcome.label()));
+    outcome
+}
+
+fn main() {
+    begin_record("review/9");
+    let fatal_at = std::env::var("FATAL_AT").ok().and_then(|at| at.parse().ok()).unwrap_or(PARTS - 1);
+    let folder = temporary_folder();
+    let (store, store_address) = Store::start();
+    let settings = Settings { folder, store: store_address, heartbeat_ms: 1200, memory_mb: MEMORY_MB };
+    store.put(
+        "op",
+        "config",
+        &format!(
+            "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"host\":\"brief.example\",\
+             \"prefix\":\"/brief/\",\"kind\":\"stream\",\"timeoutMs\":{TIMEOUT_MS},\
+             \"targetLatencyMs\":900,\"priority\":1,\"service\":\"brief\",\"maxAttempts\":2,\
+             \"sticky\":true,\"resumable\":false,\"targetGapMs\":300}}],\
+             \"services\":[{{\"name\":\"brief\",\"healthPath\":\"/healthz\",\"maxConnections\":160,\
+             \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":{SLOTS},\"kvTokens\":76702,\
+             \"tokenKvBytes\":18432,\"linkMbps\":2200000.0,\"stride\":50,\"handleTtlS\":0.5,\
+             \"switchS\":6.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\
+             \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
+             \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}"
+        ),
+    );
+    let seen: Arc<Seen> = Arc::default();
+    for number in 0..ENGINES {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| give_up(&e.to_string()));
+        let address = listener.local_addr().unwrap();
+        let id = format!("i-brief{number}");
+        let (down_until, connections) = (AtomicU64::new(0), Mutex::default());
+        let engine = Engine { id, address, down_until, connections, seen: Arc::clone(&seen) };
+        let engine = Arc::new(engine);
+        register(&store, &engine, ZONES[number % ZONES.len()]);
+        thread::spawn(move || engine.run(listener));
+    }
+    let gateways: Vec<Gateway> =
+        (0..3).map(|index| Gateway::start(&settings, index, ZONES[usize::from(index)])).collect();
+    let fronts: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.front).collect();
+    sleep_ms(4000);
+
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut sources = Vec::new();
+    for (is_fatal, every_ms) in [(false, SOUND_EVERY_MS), (true, FATAL_EVERY_MS)] {
+        let (fronts, is_over) = (fronts.clone(), Arc::clone(&is_over));
+        sources.push(thread::spawn(move || {
+            let mut clients = Vec::new();
+            for number in 0.. {
+                if is_over.load(Ordering::Acquire) {
+                    break;
+                }
+                let front = fronts[number as usize % fronts.len()];
+                let is_fatal = is_fatal && has_trouble();
+                let number = if every_ms == FATAL_EVERY_MS { 5000 + number } else { number };
+                clients.push(thread::spawn(move || open_stream(front, number, is_fatal, fatal_at)));
+                sleep_ms(every_ms);
+            }
+            let outcomes = clients.into_iter().filter_map(|client| client.join().ok());
+            let is_served = |outcome: &Outcome| match outcome {
+                Outcome::Answered(answer) => answer.status == 200 && answer.is_whole,
+                _ => false,
+            };
+            let served: Vec<bool> = outcomes.map(|outcome| is_served(&outcome)).collect();
+            (served.iter().filter(|is_served| **is_served).count(), served.len())
+        }));
+    }
+    sleep_ms(PLAYED_MS);
+    is_over.store(true, Ordering::Release);
+    let served: Vec<_> = sources.into_iter().filter_map(|source| source.join().ok()).collect();
+
+    let mut crashes = seen.crashes.lock().unwrap().clone();
+    crashes.sort_unstable();
+    let fifth = crashes.get(KNOWN_CRASHES - 1).copied();
+    let arrivals = seen.arrivals.lock().unwrap();
+    let is_late = |at: u64| fifth.is_some_and(|fifth| at > fifth + STABLE_WINDOW_MS);
+    let late = arrivals.iter().filter(|(at, _)| is_late(*at)).count();
+    let verdict = format!(
+        "BUDGET: {late} requests with the part that crashes servers reached servers later than {STABLE_WINDOW_MS} \
+         ms after the fifth crash (more than {MAX_SENT} break the rule); {} crashes in all; served: {served:?} of \
+         sound requests and of the others",
+        crashes.len()
+    );
+    finish(&settings, late > MAX_SENT, &verdict);
+}
+
+/// Renews the engine's row each 1.2 s while the engine is up.
+fn register(store: &Arc<Store>, engine: &Arc<Engine>, zone: &str) {
+    let registration = Registration {
+        id: engine.id.clone(),
+        service: "brief".to_owned(),
+        address: engine.address,
+        zone: zone.to_owned(),
+        slots: SLOTS,
+        stage: "decode".to_owned(),
+        software: "v1".to_owned(),
+    };
+    let (store, engine) = (Arc::clone(store), Arc::clone(engine));
+    store.put("servers", &registration.id, &registration.json("ready", 0));
+    thread::spawn(move || {
+        for sequence in 1.. {
+            sleep_ms(1200);
+            if !engine.is_down() {
+                store.put("servers", &registration.id, &registration.json("ready", sequence));
+            }
+        }
+    });
+}
--- a/review/harness-2/harness.rs
+++ b/review/harness-2/harness.rs
@@ -801,6 +801,7 @@
     pub folder: PathBuf,
     pub store: SocketAddr,
     pub heartbeat_ms: u64,
+    pub memory_mb: u64,
 }
 
 /// Returns a temporary folder.
@@ -838,7 +839,7 @@
              ip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"tampere\"\nzones:\n  {zone}: \"tampere\"\n\
              listen:\n  front: \"{front}\"\n  ready: \"{ready}\"\ninternalPorts:\n  - {internal}\n  \
              - {internal}\nseedNodes: []\nbootstrap: true\nlimits:\n  cpuShare: 0.25\n  cpuCores: 1\n  \
-             memoryMb: 110\n  maxFds: 4100\n  linkMbps: 1000.0\n  diskMb: 0\ndataDir: null\n\
+             memoryMb: {}\n  maxFds: 4100\n  linkMbps: 1000.0\n  diskMb: 0\ndataDir: null\n\
              discovery: \"platform\"\nentryMode: \"virtual_ip\"\nheartbeatMs: {}\nbounds:\n  \
              seedLagS: 3\n  reuseAfterS: 2\n  stableWindowMs: 3000\n  ackMs: 4000\n  catchUpS: 4\n  \
              drainMs: 2000\n  graceS: 8\n  lossSlackMs: 200\n  configApplyMs: 2000\n  \
@@ -847,7 +848,7 @@
              reuseWindowS: 3\n  fencingEnforced: false\n  leaseMs: 3000\n  thawMs: 300\nprovider:\n  \
              address: \"{}\"\n  form: \"table\"\n  writesPerS: 400\n  readsPerS: 2000\n  txMs: 5.0\n  \
              partWritesPerS: 200\n  rowBytes: 65536\n  across: false\n  historyS: 20\n",
-            settings.heartbeat_ms, settings.store
+            settings.memory_mb, settings.heartbeat_ms, settings.store
         );
         let file = settings.folder.join(format!("{name}.yaml"));
         if let Err(error) = fs::write(&file, text) {
@@ -892,6 +893,10 @@
         matches!(outcome, Outcome::Answered(answer) if answer.status == 200)
     }
 
+    pub fn id(&self) -> u32 {
+        self.pid as u32
+    }
+
     pub fn signal(&self, signal: i32) {
         record(&format!("signal {signal} to {}", self.name));
         unsafe {
