--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -3,7 +3,7 @@
 //! Three gateways in three zones and nine engines. All prompts share their first parts; each has a
 //! last part of its own. Beside sound streams, one request a second comes at one gateway after the
 //! other whose nineteenth part crashes each engine that begins to write an answer on it. No two are
-//! alike. An engine that has crashed is back after three seconds.
+//! alike. An engine that has crashed is back after three seconds, under a new id.
 //!
 //! `FATAL_AT=N` puts the part at another place, for comparison.
 
@@ -17,7 +17,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -28,8 +27,8 @@
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 const ENGINES: usize = 9;
 const SLOTS: u32 = 16;
-const EVENTS: u64 = 20;
-const EVENT_INTERVAL_MS: u64 = 20;
+const EVENTS: u64 = 71;
+const EVENT_INTERVAL_MS: u64 = 10;
 /// What an engine takes to read a prompt of 5,200 tokens.
 const PREFILL_MS: u64 = 94;
 const DOWN_MS: u64 = 3000;
@@ -37,7 +36,7 @@
 /// Parts of a prompt, of 260 tokens each; the last is the request's own.
 const PARTS: usize = 20;
 const FATAL_PART: &str = "dead0bad";
-const SOUND_EVERY_MS: u64 = 150;
+const SOUND_EVERY_MS: u64 = 55;
 const FATAL_EVERY_MS: u64 = 1000;
 const PLAYED_MS: u64 = 40_000;
 const STABLE_WINDOW_MS: u64 = 3000;
@@ -52,58 +51,46 @@
     crashes: Mutex<Vec<u64>>,
 }
 
+/// One incarnation of an engine.
 struct Engine {
     id: String,
-    address: SocketAddr,
-    down_until: AtomicU64,
+    is_down: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     seen: Arc<Seen>,
 }
 
 impl Engine {
     fn is_down(&self) -> bool {
-        now_ms() < self.down_until.load(Ordering::Acquire)
+        self.is_down.load(Ordering::Acquire)
     }
 
-    /// Listens while the engine is up.
-    fn run(self: Arc<Self>, first: TcpListener) {
-        let mut listener = Some(first);
-        loop {
-            if self.is_down() {
-                listener = None;
-                sleep_ms(20);
-                continue;
-            }
-            let open = listener.take().or_else(|| TcpListener::bind(self.address).ok());
-            let Some(open) = open else {
-                sleep_ms(20);
+    /// Listens until the engine crashes.
+    fn run(self: &Arc<Self>, listener: TcpListener) {
+        let _ = listener.set_nonblocking(true);
+        while !self.is_down() {
+            let Ok((stream, _)) = listener.accept() else {
+                sleep_ms(1);
                 continue;
             };
-            let _ = open.set_nonblocking(true);
-            match open.accept() {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nonblocking(false);
-                    let _ = stream.set_nodelay(true);
-                    if let Ok(kept) = stream.try_clone() {
-                        self.connections.lock().unwrap().push(kept);
-                    }
-                    let engine = Arc::clone(&self);
-                    thread::spawn(move || engine.serve(Connection::new(stream)));
-                }
-                Err(_) => sleep_ms(1),
+            let _ = stream.set_nonblocking(false);
+            let _ = stream.set_nodelay(true);
+            if let Ok(kept) = stream.try_clone() {
+                self.connections.lock().unwrap().push(kept);
             }
-            listener = Some(open);
+            let engine = Arc::clone(self);
+            thread::spawn(move || engine.serve(Connection::new(stream)));
         }
     }
 
     fn crash(&self, id: &str) {
-        let now = now_ms();
-        self.down_until.store(now + DOWN_MS, Ordering::Release);
+        if self.is_down.swap(true, Ordering::AcqRel) {
+            return;
+        }
         let connections = std::mem::take(&mut *self.connections.lock().unwrap());
         for connection in connections {
             let _ = connection.shutdown(Shutdown::Both);
         }
-        self.seen.crashes.lock().unwrap().push(now);
+        self.seen.crashes.lock().unwrap().push(now_ms());
         record(&format!("{} CRASHES as it begins to answer {id}", self.id));
     }
 
@@ -213,15 +200,10 @@
     );
     let seen: Arc<Seen> = Arc::default();
     for number in 0..ENGINES {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| give_up(&e.to_string()));
-        let address = listener.local_addr().unwrap();
-        let id = format!("i-brief{number}");
-        let (down_until, connections) = (AtomicU64::new(0), Mutex::default());
-        let engine = Engine { id, address, down_until, connections, seen: Arc::clone(&seen) };
-        let engine = Arc::new(engine);
-        register(&store, &engine, ZONES[number % ZONES.len()]);
-        thread::spawn(move || engine.run(listener));
+        let (store, seen) = (Arc::clone(&store), Arc::clone(&seen));
+        thread::spawn(move || run_engine(&store, &seen, number));
     }
+    sleep_ms(200);
     let gateways: Vec<Gateway> =
         (0..3).map(|index| Gateway::start(&settings, index, ZONES[usize::from(index)])).collect();
     let fronts: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.front).collect();
@@ -271,25 +253,38 @@
     finish(&settings, late > MAX_SENT, &verdict);
 }
 
-/// Renews the engine's row each 1.2 s while the engine is up.
-fn register(store: &Arc<Store>, engine: &Arc<Engine>, zone: &str) {
-    let registration = Registration {
-        id: engine.id.clone(),
-        service: "brief".to_owned(),
-        address: engine.address,
-        zone: zone.to_owned(),
-        slots: SLOTS,
-        stage: "decode".to_owned(),
-        software: "v1".to_owned(),
-    };
-    let (store, engine) = (Arc::clone(store), Arc::clone(engine));
-    store.put("servers", &registration.id, &registration.json("ready", 0));
-    thread::spawn(move || {
-        for sequence in 1.. {
-            sleep_ms(1200);
-            if !engine.is_down() {
-                store.put("servers", &registration.id, &registration.json("ready", sequence));
+/// Starts engine `number` again and again: each start is an incarnation with an id of its own.
+fn run_engine(store: &Arc<Store>, seen: &Arc<Seen>, number: usize) {
+    for start in 1.. {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| give_up(&e.to_string()));
+        let registration = Registration {
+            id: format!("i-brief{number}-{start}"),
+            service: "brief".to_owned(),
+            address: listener.local_addr().unwrap(),
+            zone: ZONES[number % ZONES.len()].to_owned(),
+            slots: SLOTS,
+            stage: "decode".to_owned(),
+            software: "v1".to_owned(),
+        };
+        let engine = Arc::new(Engine {
+            id: registration.id.clone(),
+            is_down: AtomicBool::new(false),
+            connections: Mutex::default(),
+            seen: Arc::clone(seen),
+        });
+        let served = Arc::clone(&engine);
+        let serving = thread::spawn(move || served.run(listener));
+        // Its row is renewed each 1.2 s while it is up, and has lapsed before it is back.
+        for sequence in 0.. {
+            store.put("servers", &registration.id, &registration.json("ready", sequence));
+            (0..60).take_while(|_| !engine.is_down()).for_each(|_| sleep_ms(20));
+            if engine.is_down() {
+                break;
             }
         }
-    });
+        let _ = serving.join();
+        sleep_ms(DOWN_MS / 2);
+        store.remove("servers", &registration.id);
+        sleep_ms(DOWN_MS / 2);
+    }
 }
