--- a/crates/gateway/src/forward/answer_end.rs
+++ b/crates/gateway/src/forward/answer_end.rs
@@ -58,19 +58,52 @@
     }
 }
 
-/// Returns how an answer of `target` that has just ended is broken; `None` if its server had finished
-/// it. Unless the answer `is_delimited`, that must be shown by `deadline`: the same process lives on.
+/// The end of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerEnd {
+    /// False if it does not show whether its server had finished.
+    pub is_delimited: bool,
+    pub ended_at: Instant,
+}
+
+impl AnswerEnd {
+    /// Returns the end of an answer that has just ended.
+    pub fn now(is_delimited: bool) -> Self {
+        AnswerEnd { is_delimited, ended_at: Instant::now() }
+    }
+}
+
+/// An end of which it is not known whether the server has survived it; recorded when dropped.
+struct UndecidedEnd<'a> {
+    state: &'a GatewayState,
+    call: &'a Call,
+    target: &'a SendTarget,
+    is_decided: bool,
+}
+
+impl Drop for UndecidedEnd<'_> {
+    fn drop(&mut self) {
+        if !self.is_decided {
+            self.state.quarantines.record_undelimited_end(&self.call.suspects, self.target);
+        }
+    }
+}
+
+/// Returns how an answer of `target` with `end` is broken; `None` if its server had finished it.
+/// Unless it is delimited, that must be shown by `deadline`: the same process lives on.
 pub async fn end_break<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
     target: &SendTarget,
-    is_delimited: bool,
+    end: AnswerEnd,
     deadline: Instant,
 ) -> Option<AnswerBreak> {
-    if is_delimited {
+    if end.is_delimited {
         return None;
     }
-    let life = find_life::<C>(state, target, deadline).await;
+    let mut undecided = UndecidedEnd { state, call, target, is_decided: false };
+    let life = find_life::<C>(state, target, end.ended_at, deadline).await;
+    undecided.is_decided = life.is_some();
     let outcome = life_label(life);
     metrics::counter!("umberglade_undelimited_ends_total", "outcome" => outcome).increment(1);
     let (failure, problem) = match life {
@@ -78,10 +111,7 @@
         Some(ProcessLife::Ended) => {
             (AttemptFailure::Broken, "the server's process ended with its answer")
         }
-        None => {
-            state.quarantines.record_undelimited_end(&call.suspects, target);
-            (AttemptFailure::Silent, "whether the server had finished is not known in time")
-        }
+        None => (AttemptFailure::Silent, "whether the server had finished is not known in time"),
     };
     Some(AnswerBreak { failure, problem: problem.to_owned() })
 }
--- a/crates/gateway/src/forward/long_response.rs
+++ b/crates/gateway/src/forward/long_response.rs
@@ -22,6 +22,7 @@
 use super::GatewayBody;
 use super::StreamBroken;
 use super::answer_end::AnswerBreak;
+use super::answer_end::AnswerEnd;
 use super::answer_end::end_break;
 use super::exchange;
 use super::plain_run;
@@ -124,7 +125,10 @@
     let pieces = pass_pieces(std::mem::take(&mut long.start), &mut long.body, sender);
     let passed = with_deadline(call.deadline, pieces).await;
     let broken = match passed {
-        Some(Ok(())) => end_break::<C>(state, call, target, long.is_delimited, call.deadline).await,
+        Some(Ok(())) => {
+            end_break::<C>(state, call, target, AnswerEnd::now(long.is_delimited), call.deadline)
+                .await
+        }
         Some(Err(error)) => Some(AnswerBreak::of_body(&error)),
         None => Some(AnswerBreak::silent("the body did not arrive in time")),
     };
--- a/crates/gateway/src/forward/plain_run.rs
+++ b/crates/gateway/src/forward/plain_run.rs
@@ -13,6 +13,7 @@
 use super::Call;
 use super::GatewayBody;
 use super::answer_end::AnswerBreak;
+use super::answer_end::AnswerEnd;
 use super::answer_end::end_break;
 use super::answer_end::is_delimited;
 use super::attempt_permit::AttemptPermit;
@@ -232,7 +233,9 @@
     let is_error = parts.status.is_server_error();
     let broken = match with_deadline(call.deadline, read_start(&mut body)).await {
         Some(Ok(BodyStart::Whole(bytes))) => {
-            match end_break::<C>(state, call, target, is_delimited, call.deadline).await {
+            match end_break::<C>(state, call, target, AnswerEnd::now(is_delimited), call.deadline)
+                .await
+            {
                 Some(broken) => broken,
                 None => {
                     record_whole(state, call, target, &parts, connection, &head);
--- a/crates/gateway/src/forward/prefill_step.rs
+++ b/crates/gateway/src/forward/prefill_step.rs
@@ -9,6 +9,7 @@
 
 use super::Call;
 use super::answer_end::AnswerBreak;
+use super::answer_end::AnswerEnd;
 use super::answer_end::end_break;
 use super::answer_end::is_delimited;
 use super::attempt_permit::AttemptPermit;
@@ -117,7 +118,8 @@
         Ok(result) => result,
         Err(error) => {
             let until = started_at + timeout;
-            let broken = end_break::<C>(state, call, &target, is_delimited, until).await;
+            let broken =
+                end_break::<C>(state, call, &target, AnswerEnd::now(is_delimited), until).await;
             let garbled =
                 || AnswerBreak { failure: AttemptFailure::Garbled, problem: error.to_string() };
             let AnswerBreak { failure, problem } = broken.unwrap_or_else(garbled);
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -26,7 +26,8 @@
 use super::silent_stream;
 use super::silent_stream::SilenceEnd;
 use super::silent_stream::StreamPosition;
-use super::silent_stream::stream_break;
+use super::silent_stream::StreamStep;
+use super::silent_stream::next_step;
 use super::silent_stream::wait_or_replace;
 use super::stream_open::OpenStream;
 use super::stream_opener::StreamOpener;
@@ -222,22 +223,22 @@
                 stream.load_guard.record_progress(tokens);
             }
             let until = (Instant::now() + stall_timeout).min(self.call.deadline);
-            let read = match with_deadline(until, stream.reader.next_event()).await {
-                Some(read) => read,
+            let step = next_step::<C>(&self.state, &self.call, stream);
+            let step = match with_deadline(until, step).await {
+                Some(step) => step,
                 None => match self.wait_while_silent(stream).await {
-                    SilenceEnd::WentOn(read) => read,
+                    SilenceEnd::WentOn(step) => step,
                     SilenceEnd::Replaced(next) => return Ok(StreamStop::Replaced(next)),
                     SilenceEnd::Failed(next) => return Ok(StreamStop::FailedSilent(next)),
                     SilenceEnd::Expired => return Ok(StreamStop::Expired),
                 },
             };
-            let broken = stream_break::<C>(&self.state, &self.call, &read, stream).await;
-            if let Some(AnswerBreak { failure, problem }) = broken {
-                return Ok(StreamStop::Failed(failure, problem));
-            }
-            next = match read {
-                Ok(Some(event)) => Some(event),
-                Ok(None) | Err(_) => return Ok(StreamStop::Ended),
+            next = match step {
+                StreamStep::Event(event) => Some(event),
+                StreamStep::Ended => return Ok(StreamStop::Ended),
+                StreamStep::Broken(AnswerBreak { failure, problem }) => {
+                    return Ok(StreamStop::Failed(failure, problem));
+                }
             };
         }
     }
--- a/crates/gateway/src/forward/silent_stream.rs
+++ b/crates/gateway/src/forward/silent_stream.rs
@@ -2,16 +2,15 @@
 
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
-use umberglade_wire::client_connection::BodyError;
 
 use super::Call;
 use super::StreamEvent;
 use super::answer_end::AnswerBreak;
+use super::answer_end::AnswerEnd;
 use super::answer_end::end_break;
 use super::attempts::Attempts;
 use super::exchange;
@@ -28,17 +27,20 @@
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
 
-/// How long the end of a stream waits until it is known whether its server had finished. Callers
-/// leave after a gap of two seconds or more.
-const MAX_END_WAIT: Duration = Duration::from_millis(1200);
-
-/// The next event of a stream; `None` at its end.
-pub type ReadEvent = Result<Option<StreamEvent>, BodyError>;
+/// What a stream's server has sent next.
+#[derive(Debug)]
+pub enum StreamStep {
+    Event(StreamEvent),
+    /// It had finished the stream.
+    Ended,
+    /// The stream has failed.
+    Broken(AnswerBreak),
+}
 
 /// How the silence of a stream's server ended.
 pub enum SilenceEnd {
-    /// It has sent an event, or the end of the stream.
-    WentOn(ReadEvent),
+    /// It has sent an event, or is known to have finished the stream.
+    WentOn(StreamStep),
     /// Another server has begun to go on with the stream.
     Replaced(Box<OpenStream>),
     /// It failed, which is recorded; another server has gone on if one may.
@@ -59,12 +61,13 @@
 /// Which server went on first.
 enum FirstToGoOn {
     /// The one that was silent.
-    Kept(ReadEvent),
+    Kept(StreamStep),
     Other(Opening),
 }
 
 /// Waits for the silent server of `stream` while another one is opened, where that is allowed.
-/// The first of them to send an event goes on with the stream.
+/// The first of them to send an event goes on with the stream. A server is also silent while it is
+/// not known whether it had finished a stream that has ended.
 pub async fn wait_or_replace<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
@@ -78,22 +81,21 @@
     silence_log::log_stall(call, &server, relayed, last_event_at.elapsed());
     let start = StreamStart::Continues { last_id, relayed };
     let tried_before = attempts.tried.len();
-    let read = {
+    let step = {
         let kept = KeptStream::open();
         let opener = StreamOpener::<C>::new(state, call, attempts, start, &kept);
         let mut opening = pin!(opener.open(None));
-        let kept_read = async { FirstToGoOn::Kept(stream.reader.next_event().await) };
+        let kept_step = async { FirstToGoOn::Kept(next_step::<C>(state, call, stream).await) };
         let replaced = async { FirstToGoOn::Other(opening.as_mut().await) };
-        let read = match with_deadline(call.deadline, kept_read.or(replaced)).await {
+        let step = match with_deadline(call.deadline, kept_step.or(replaced)).await {
             None => return SilenceEnd::Expired,
             Some(FirstToGoOn::Other(opening)) => {
                 let next = opening.into_stream();
                 return next.map_or(SilenceEnd::Failed(None), SilenceEnd::Replaced);
             }
-            Some(FirstToGoOn::Kept(read)) => read,
+            Some(FirstToGoOn::Kept(step)) => step,
         };
-        let broken = stream_break::<C>(state, call, &read, stream).await;
-        if let Some(AnswerBreak { failure, problem }) = broken {
+        if let StreamStep::Broken(AnswerBreak { failure, problem }) = step {
             let recorded = async {
                 record_stop(state, call, stream, failure, &problem, last_event_at).await;
                 kept.end();
@@ -101,35 +103,40 @@
             let ((), opening) = zip(recorded, opening).await;
             return SilenceEnd::Failed(opening.into_stream());
         }
-        read
+        step
     };
     // The other servers may go on with the stream when this one fails later.
     attempts.tried.truncate(tried_before);
     state.fleet().record_response(&server, stream.target.incarnation, Instant::now());
     let silence = last_event_at.elapsed();
     silence_log::log_recovery(call, &server, relayed, silence, attempts.count());
-    SilenceEnd::WentOn(read)
+    SilenceEnd::WentOn(step)
 }
 
-/// Returns how the server of `stream` has failed, if `read` shows that it has.
-pub async fn stream_break<C: PlatformCodec>(
+/// Waits for what the server of `stream` sends next. The end of a stream that is not delimited counts
+/// once it is known whether its server had finished: not before, however long that server is silent.
+///
+/// May be called again after it was dropped.
+pub async fn next_step<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     call: &Call,
-    read: &ReadEvent,
-    stream: &OpenStream,
-) -> Option<AnswerBreak> {
-    match read {
-        Ok(Some(_)) => None,
-        Ok(None) if !stream.reader.is_complete() => Some(AnswerBreak {
-            failure: AttemptFailure::Broken,
-            problem: "ended within an event".to_owned(),
-        }),
-        Ok(None) => {
-            let until = (Instant::now() + MAX_END_WAIT).min(call.deadline);
-            end_break::<C>(state, call, &stream.target, stream.is_delimited, until).await
+    stream: &mut OpenStream,
+) -> StreamStep {
+    match stream.reader.next_event().await {
+        Ok(Some(event)) => return StreamStep::Event(event),
+        Ok(None) if !stream.reader.is_complete() => {
+            return StreamStep::Broken(AnswerBreak {
+                failure: AttemptFailure::Broken,
+                problem: "ended within an event".to_owned(),
+            });
         }
-        Err(error) => Some(AnswerBreak::of_body(error)),
+        Ok(None) => {}
+        Err(error) => return StreamStep::Broken(AnswerBreak::of_body(&error)),
     }
+    let ended_at = *stream.ended_at.get_or_insert_with(Instant::now);
+    let end = AnswerEnd { is_delimited: stream.is_delimited, ended_at };
+    let broken = end_break::<C>(state, call, &stream.target, end, call.deadline).await;
+    broken.map_or(StreamStep::Ended, StreamStep::Broken)
 }
 
 /// Records that the server of `stream`, whose last event was relayed at `last_event_at`, has failed.
--- a/crates/gateway/src/forward/stream_open.rs
+++ b/crates/gateway/src/forward/stream_open.rs
@@ -14,6 +14,7 @@
 use super::EventReader;
 use super::GatewayBody;
 use super::StreamEvent;
+use super::answer_end::AnswerEnd;
 use super::answer_end::end_break;
 use super::answer_end::is_delimited;
 use super::attempt_permit::AttemptPermit;
@@ -56,6 +57,8 @@
     pub keep_alive: Option<Duration>,
     /// False if the end of the stream does not show whether its server had finished.
     pub is_delimited: bool,
+    /// When its end arrived, if it has.
+    pub ended_at: Option<Instant>,
     pub load_guard: LoadGuard,
 }
 
@@ -131,7 +134,8 @@
             }
             None => return fail(AttemptFailure::Silent, "no response body in time").await,
         };
-        let broken = end_break::<C>(state, call, target, is_delimited, deadline).await;
+        let broken =
+            end_break::<C>(state, call, target, AnswerEnd::now(is_delimited), deadline).await;
         if let Some(broken) = broken {
             return fail(broken.failure, &broken.problem).await;
         }
@@ -154,7 +158,8 @@
             return fail(AttemptFailure::Broken, "ended before its first event").await;
         }
         // The caller may have the last event already.
-        let broken = end_break::<C>(state, call, target, is_delimited, deadline).await;
+        let broken =
+            end_break::<C>(state, call, target, AnswerEnd::now(is_delimited), deadline).await;
         if let Some(broken) = broken {
             return fail(broken.failure, &broken.problem).await;
         }
@@ -178,6 +183,7 @@
         connection: (!head.closes).then_some(connection),
         keep_alive: head.keep_alive,
         is_delimited,
+        ended_at: None,
         load_guard,
     }))
 }
--- a/crates/gateway/src/paths/life_check.rs
+++ b/crates/gateway/src/paths/life_check.rs
@@ -38,15 +38,16 @@
     life.map_or("unknown", ProcessLife::into)
 }
 
-/// Returns whether the process of `target` lives on now; `None` if that is not known at `deadline`.
+/// Returns whether the process of `target` has lived on since `ended_at`; `None` if that is not known
+/// at `deadline`.
 ///
 /// A server that is silent or resets connections may live: it is asked again.
 pub async fn find_life<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     target: &SendTarget,
+    ended_at: Instant,
     deadline: Instant,
 ) -> Option<ProcessLife> {
-    let ended_at = Instant::now();
     let found = async {
         loop {
             let checked = state.life_checked.listen();
