--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -118,7 +118,7 @@
     /// has reached a server, this also consumes from the service's retry budget, which
     /// bounds the number of requests that arrive at servers.
     pub fn permit(&self, state: &Arc<GatewayState>, call: &Call) -> Option<AttemptPermit> {
-        if !self.is_within_route_limits(call) {
+        if !self.is_within_route_limits(call) || !self.may_begin(state, call) {
             return None;
         }
         if let Some(quarantine) = self.quarantine_status(state, call) {
@@ -141,7 +141,8 @@
         state: &Arc<GatewayState>,
         call: &Call,
     ) -> Option<AttemptPermit> {
-        if self.probe.is_some() || self.quarantine_status(state, call).is_some() {
+        let is_held = self.probe.is_some() || self.quarantine_status(state, call).is_some();
+        if is_held || !self.may_begin(state, call) {
             return None;
         }
         if std::mem::replace(&mut self.has_sent_prefill, true) {
@@ -156,6 +157,12 @@
         Some(AttemptPermit::first_prefill(state, &call.service))
     }
 
+    /// Returns false for a request that no server has run yet, and none may begin to run any more as
+    /// the process stops. One that may have run goes on for as long as the process lasts.
+    fn may_begin(&self, state: &GatewayState, call: &Call) -> bool {
+        self.may_have_run() || state.stop.may_begin(call.route.kind, call.deadline)
+    }
+
     /// Returns true when the route's limits allow another attempt.
     pub fn is_within_route_limits(&self, call: &Call) -> bool {
         if self.count == 0 {
--- a/crates/gateway/src/forward/capacity_wait.rs
+++ b/crates/gateway/src/forward/capacity_wait.rs
@@ -16,6 +16,7 @@
 use super::queue_turn::place_head;
 use super::reject::next_send_after;
 use super::reject::reject_call;
+use super::reject::reject_stopping;
 use super::stream_placement::PlacedStream;
 use crate::cluster::AdmissionQueue;
 use crate::cluster::FirstEventTime;
@@ -99,6 +100,9 @@
                 0,
             ));
         }
+        if !state.stop.may_begin(call.route.kind, call.deadline) {
+            return Err(reject_stopping(call, 0));
+        }
         let now = Instant::now();
         let (lets_others_pass, head_since) =
             state.service_queues.with_queue(&call.service, |queue| {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -46,11 +46,10 @@
 pub use self::response_body::StreamBroken;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::Response;
 
-use self::reject::reject_call;
+use self::reject::reject_stopping;
 use crate::codec::PlatformCodec;
 use crate::model::CallKind;
 use crate::state::GatewayState;
@@ -60,8 +59,8 @@
     state: &Arc<GatewayState>,
     call: Arc<Call>,
 ) -> Response<GatewayBody> {
-    if state.is_past_forwarding_cutoff() {
-        return reject_call(&call, Rejection::Stopping, Some(Duration::ZERO), 0);
+    if !state.stop.may_begin(call.route.kind, call.deadline) {
+        return reject_stopping(&call, 0);
     }
     state.record_request(&call.service);
     let attempts = match admit::admit::<C>(state, &call).await {
--- a/crates/gateway/src/forward/reject.rs
+++ b/crates/gateway/src/forward/reject.rs
@@ -129,6 +129,9 @@
     attempts: &Attempts,
     usual_delay: impl FnOnce() -> Duration,
 ) -> Response<GatewayBody> {
+    if !attempts.may_have_run() && !state.stop.may_begin(call.route.kind, call.deadline) {
+        return reject_stopping(call, attempts.count());
+    }
     let now = Instant::now();
     let is_expired = now >= call.deadline;
     let quarantine = state.quarantines.status_of(&call.suspects);
@@ -147,6 +150,12 @@
     reject_call(call, rejection, retry_after, attempts.count())
 }
 
+/// Rejects `call`, which no server has run after `sends` attempts, since the process ends before its
+/// time: another gateway can serve it at once.
+pub fn reject_stopping(call: &Call, sends: u32) -> Response<GatewayBody> {
+    reject_call(call, Rejection::Stopping, Some(Duration::ZERO), sends)
+}
+
 /// Returns the time until the rate limits allow this gateway to send `call` to a server that
 /// can respond to it: zero when one allows it now, `None` when there is no such server.
 pub(super) fn next_send_after(state: &GatewayState, call: &Call, now: Instant) -> Option<Duration> {
--- a/crates/gateway/src/forward/stream_run.rs
+++ b/crates/gateway/src/forward/stream_run.rs
@@ -37,7 +37,6 @@
 use crate::origins::find_version;
 use crate::origins::record_origin;
 use crate::state::GatewayState;
-use crate::stop::IDLE_CLOSE_DELAY;
 
 /// `Retry-After` of a request that takes up a stream of unknown version: gateways that know it may
 /// be reached by then.
@@ -49,10 +48,6 @@
     call: Arc<Call>,
     mut attempts: Attempts,
 ) -> Response<GatewayBody> {
-    // A stream that starts this late in a shutdown would be cut when the process ends.
-    if state.stop.has_elapsed(IDLE_CLOSE_DELAY) {
-        return reject_call(&call, Rejection::Stopping, Some(Duration::ZERO), 0);
-    }
     attempts.pinned_version = find_version::<C>(state, &call).await;
     let placed = match attempts.pinned_version {
         PinnedVersion::Unknown => {
--- a/crates/gateway/src/forward/version_wait.rs
+++ b/crates/gateway/src/forward/version_wait.rs
@@ -14,6 +14,7 @@
 use super::capacity_wait::capacity_retry_after;
 use super::capacity_wait::stream_deadline;
 use super::reject::reject_call;
+use super::reject::reject_stopping;
 use super::stream_placement::PlacedStream;
 use super::stream_placement::place_stream;
 use crate::cluster::PlacementError;
@@ -34,6 +35,9 @@
     let deadline = stream_deadline(state, call);
     loop {
         let wakeup = state.capacity_changed.listen();
+        if !state.stop.may_begin(call.route.kind, call.deadline) {
+            return Err(reject_stopping(call, 0));
+        }
         match place_stream(state, call, attempts, PlacementTurn::Ranked(0)) {
             Ok(placed) => return Ok(placed),
             Err(PlacementError::NoServer) => {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -34,7 +34,7 @@
 use crate::stop::END_REPORT_DELAY;
 use crate::stop::FLUSH_DELAY;
 use crate::stop::MIN_STOP_DURATION;
-use crate::stop::STOP_GRACE_MARGIN;
+use crate::stop::STREAM_CUTOFF_DELAY;
 use crate::table_followers::follow_tables;
 
 /// Number of ports that are tried if any free one is requested.
@@ -158,7 +158,11 @@
         in_flight = state.in_flight.requests(),
         "graceful stop started"
     );
-    let latest = started_at + state.settings.stop_grace.saturating_sub(STOP_GRACE_MARGIN);
+    // Requests that wait for a server may have to be rejected now.
+    state.capacity_changed.notify(usize::MAX);
+    let latest = state.stop.latest_end().unwrap_or(started_at);
+    smol::Timer::at((started_at + STREAM_CUTOFF_DELAY).min(latest)).await;
+    state.capacity_changed.notify(usize::MAX);
     smol::Timer::at((started_at + MIN_STOP_DURATION).min(latest)).await;
     loop {
         while state.in_flight.is_busy() && Instant::now() < latest {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,8 +46,6 @@
 use crate::service_queues::ServiceQueues;
 use crate::state_lock::StateLock;
 use crate::state_lock::StateRwLock;
-use crate::stop::FORWARDING_CUTOFF;
-use crate::stop::STOP_GRACE_MARGIN;
 use crate::stop::StopSignal;
 use crate::store::SharedTables;
 use crate::store::StoreEras;
@@ -171,10 +169,10 @@
             shared_tables: SharedTables::new(digest, &settings),
             caller_memory: MemoryBudget::new(settings.limits),
             tunnel_slots: TunnelSlots::new(settings.limits),
+            stop: StopSignal::new(settings.stop_grace),
             settings,
             metrics,
             pool: ConnectionPool::default(),
-            stop: StopSignal::default(),
             in_flight: InFlightCount::default(),
             link_use: LinkUse::default(),
             service_queues: ServiceQueues::default(),
@@ -378,13 +376,6 @@
         self.fleet().tunnel_offer(self.accepts_tunnels(), self.tunnel_slots.used())
     }
 
-    /// Returns true if the stop has lasted so long that the process's end might cut a request
-    /// forwarded now.
-    pub fn is_past_forwarding_cutoff(&self) -> bool {
-        let latest = self.settings.stop_grace.saturating_sub(STOP_GRACE_MARGIN);
-        self.stop.has_elapsed(latest.saturating_sub(FORWARDING_CUTOFF))
-    }
-
     /// Waits until a configuration, servers and the quarantined requests are known. The wait for
     /// the last ends [`QUARANTINE_READ_TIMEOUT`] after the start, so that an unreadable table does
     /// not delay callers.
