--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use http::Response;
+use http::StatusCode;
 use strum::Display;
 use umberglade_wire::client_connection::BodyError;
 use umberglade_wire::client_connection::ResponseBody;
@@ -48,6 +49,9 @@
     /// Like [`AttemptFailure::NotRun`], since the server is not the intended one or has another
     /// stage.
     Misdirected,
+    /// The status promises that the server has not run the request, which it does not state: it may
+    /// have run.
+    FalsePromise,
     /// No response arrived in time.
     Silent,
     /// The connection failed.
@@ -89,6 +93,7 @@
         match self {
             AttemptFailure::Unsent => ServerOutcome::Unreachable,
             AttemptFailure::NotRun => ServerOutcome::Refused,
+            AttemptFailure::FalsePromise => ServerOutcome::Erred,
             AttemptFailure::Misdirected => ServerOutcome::Misdirected,
             AttemptFailure::Unopened | AttemptFailure::Silent => ServerOutcome::Silent,
             AttemptFailure::Broken | AttemptFailure::Garbled => ServerOutcome::Failed,
@@ -195,7 +200,7 @@
         let failure = AttemptFailure::Garbled;
         return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
     }
-    let is_misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if !is_misdirected {
         state.record_flow_control(target, status, head.flow_control, sent_at);
     }
@@ -211,15 +216,32 @@
         let problem = format!("status {status}");
         return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
     }
-    // Servers sign only responses for callers; a prefill server's is for the gateway.
-    let needs_signature = attempt_spec.purpose != AttemptPurpose::Prefill;
-    if status.is_success() && needs_signature && !head.is_signed {
+    // A prefill server's response is for the gateway, and no run.
+    let is_for_caller = attempt_spec.purpose != AttemptPurpose::Prefill;
+    if is_for_caller && !call.route.is_retryable() && promises_not_run(status) {
+        let problem = format!("status {status} without the statement that it has not run");
+        let failure = AttemptFailure::FalsePromise;
+        return Err(record_failure(state, call, target, failure, &problem, sent_at).await);
+    }
+    // Servers sign only responses for callers.
+    if status.is_success() && is_for_caller && !head.is_signed {
         let failure = AttemptFailure::Garbled;
         return Err(record_failure(state, call, target, failure, "not signed", sent_at).await);
     }
     Ok(OpenResponse { response, head, connection, permit, sent_at })
 }
 
+/// Returns true for a status by which callers may repeat a request that may run only once. So is 421,
+/// which states by itself that the server has not run it.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+    )
+}
+
 /// Records and logs an attempt, sent at `sent_at`, that failed before its first event.
 pub async fn record_failure(
     state: &Arc<GatewayState>,
