--- a/crates/gateway/src/cluster/crash_detector.rs
+++ b/crates/gateway/src/cluster/crash_detector.rs
@@ -18,9 +18,13 @@
 use super::crash_record::SURVIVAL_TIME;
 use super::crash_record::Suspicion;
 use super::crash_records::CrashRecords;
+use super::ended_prompts::EndedPrompts;
 use super::known_crashes::KnownCrashes;
 use super::outcome_log::OutcomeLog;
 use super::outlived_breaks::OutlivedBreaks;
+use super::part_choice::MAX_FOLLOWED_PARTS;
+use super::part_choice::PartHistory;
+use super::part_choice::followed_parts;
 use super::quarantine::Quarantine;
 use super::recent_completions::RecentCompletions;
 use super::server_outage::ServerOutages;
@@ -60,6 +64,8 @@
     recent_parts: RecentCompletions,
     /// All crashes, whatever the servers ran.
     known_crashes: KnownCrashes,
+    /// Prompts of which not all parts have a record.
+    ended_prompts: EndedPrompts,
     outlived: OutlivedBreaks,
     survival: SurvivalWatch,
     pub(super) log: OutcomeLog,
@@ -98,21 +104,65 @@
             return SuspectChanges::new();
         }
         self.known_crashes.add(incarnation, now);
-        let has_survived = run.sent_events_for >= SURVIVAL_TIME;
+        let content = suspects.content;
         let mut changes = SuspectChanges::new();
-        for fingerprint in suspects.iter() {
-            // A part that crashes servers does so when its answer begins: another request did.
-            if has_survived && is_prompt_part(fingerprint) {
-                let change = self.record_survival(fingerprint, now);
-                changes.extend(change.map(|change| (fingerprint, change)));
-                continue;
+        let change = self.record_suspect(content, incarnation, run.duration, now);
+        changes.extend(change.map(|change| (content, change)));
+        // A part that crashes servers does so when its answer begins: another request did.
+        if run.sent_events_for >= SURVIVAL_TIME {
+            for part in suspects.parts.iter().rev() {
+                let change = self.record_survival(*part, now);
+                changes.extend(change.map(|change| (*part, change)));
             }
-            let change = self.record_suspect(fingerprint, incarnation, run.duration, now);
-            changes.extend(change.map(|change| (fingerprint, change)));
+            return changes;
+        }
+        for part in self.follow_parts(suspects, incarnation, now) {
+            let change = self.record_suspect(part, incarnation, run.duration, now);
+            changes.extend(change.map(|change| (part, change)));
         }
         changes
     }
 
+    /// Returns the parts of a prompt that are followed since its server has crashed, the most suspect
+    /// one first, and keeps the others of a long prompt for later crashes.
+    fn follow_parts(
+        &mut self,
+        suspects: &CrashSuspects,
+        incarnation: ServerIncarnation,
+        now: Instant,
+    ) -> Vec<RequestFingerprint> {
+        let parts = &suspects.parts;
+        if parts.len() <= MAX_FOLLOWED_PARTS {
+            return parts.iter().rev().copied().collect();
+        }
+        let answered_at = |part| self.recent_parts.last(part);
+        let counts = self.ended_prompts.count_crashes(parts, answered_at);
+        let history = |part: &RequestFingerprint| PartHistory {
+            part: *part,
+            crashes: self.crashes(*part).max(counts[part]),
+            answered_at: answered_at(*part),
+        };
+        let histories: Vec<PartHistory> = parts.iter().map(history).collect();
+        self.ended_prompts.add(incarnation, now, parts);
+        followed_parts(&histories)
+    }
+
+    /// Adds the crashes to the record of `part` that were seen here at prompts of which it was not
+    /// followed.
+    fn add_earlier_crashes(&mut self, part: RequestFingerprint) {
+        if !is_prompt_part(part) {
+            return;
+        }
+        let answered_at = self.recent_parts.last(part);
+        for (id, at) in self.ended_prompts.crashes_with(part, answered_at) {
+            let record = self.records.entry(part);
+            if record.record_peer_crash(id, at) {
+                record.has_local_crash = true;
+                self.log.push(part, AttemptOutcome::Crashed(id), at);
+            }
+        }
+    }
+
     /// Records that an attempt of `fingerprint` that was under way broke at a server incarnation
     /// after it had sent events for `run_duration`.
     pub fn record_crash(
@@ -159,6 +209,7 @@
             return None;
         }
         self.log.push(fingerprint, AttemptOutcome::Crashed(id), now);
+        self.add_earlier_crashes(fingerprint);
         self.evaluate_crash(fingerprint, now)
     }
 
@@ -213,8 +264,12 @@
         incarnation: ServerIncarnation,
         now: Instant,
     ) {
+        let is_long = suspects.parts.len() > MAX_FOLLOWED_PARTS;
         for fingerprint in suspects.iter() {
-            self.survival.add(incarnation, fingerprint, now);
+            // Of a long prompt, only what may be held back.
+            if !is_long || self.records.get(fingerprint).is_some() {
+                self.survival.add(incarnation, fingerprint, now);
+            }
         }
     }
 
@@ -246,6 +301,7 @@
         now: Instant,
     ) -> SuspectChanges {
         self.known_crashes.remove(incarnation, until);
+        self.ended_prompts.remove_crash(incarnation, until);
         let affected = self.records.remove_crash(incarnation, until);
         self.log.retain_crashes(|_, id| id != incarnation);
         let since = self.warm_up_start(now);
@@ -286,6 +342,7 @@
                     return None;
                 }
                 self.relay(update, at);
+                self.add_earlier_crashes(update.content);
                 self.evaluate_crash(update.content, now)
             }
             AttemptOutcome::Lived(lived_ms) => {
@@ -424,6 +481,29 @@
         })
     }
 
+    /// Returns those of `suspects` under which servers have crashed, or that are quarantined.
+    pub fn recorded_of(&self, suspects: &CrashSuspects) -> SmallVec<[RequestFingerprint; 2]> {
+        if self.records.len() == 0 {
+            return SmallVec::new();
+        }
+        suspects.iter().filter(|of| self.records.get(*of).is_some()).collect()
+    }
+
+    /// Returns those of `suspects` that are quarantined.
+    pub fn quarantined_of(&self, suspects: &CrashSuspects) -> SmallVec<[RequestFingerprint; 2]> {
+        if suspects.parts.len() <= MAX_FOLLOWED_PARTS {
+            let recorded = self.recorded_of(suspects);
+            return recorded.into_iter().filter(|of| self.is_quarantined(*of)).collect();
+        }
+        // Asked again and again while a request waits: there are few of these, and many parts.
+        let quarantined = self.records.quarantined().map(|(fingerprint, _)| fingerprint);
+        quarantined.filter(|of| suspects.contains(*of)).collect()
+    }
+
+    fn is_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
+        self.records.get(fingerprint).is_some_and(|record| record.quarantine.is_some())
+    }
+
     /// Returns true while a server incarnation is known to be down: an attempt of this gateway or
     /// of a peer broke at it, and it has not responded to this gateway since.
     pub fn is_down(&self, incarnation: ServerIncarnation, now: Instant) -> bool {
@@ -453,6 +533,7 @@
         self.records.retain(|record| record.is_live(now));
         self.outages.tick(now);
         self.known_crashes.tick(now);
+        self.ended_prompts.tick(now);
         self.outlived.tick(now);
         if !forgotten.is_empty() {
             self.records.refresh_explained();
--- a/crates/gateway/src/model/crash_suspects.rs
+++ b/crates/gateway/src/model/crash_suspects.rs
@@ -4,11 +4,11 @@
 
 use super::RequestFingerprint;
 
-/// Maximum number of parts of a prompt that are considered, of 8 bytes each. Callers may name any
-/// number.
-pub const MAX_PROMPT_PARTS: usize = 16;
+/// Maximum number of parts in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
 
-/// Digests of the parts of a prompt that other requests may share, in their order.
+/// Digests of the parts of a prompt that other requests may share, in their order, of 8 bytes each.
+/// Callers may name any number within the limit of their header.
 pub type PromptParts = SmallVec<[RequestFingerprint; 4]>;
 
 /// The low bits by which the digest of a part is told from that of a content. One content in 65,536
@@ -33,7 +33,7 @@
 pub struct CrashSuspects {
     /// Identical for all attempts of the same request.
     pub content: RequestFingerprint,
-    /// In the order of the prompt. Invariant: at most [`MAX_PROMPT_PARTS`].
+    /// In the order of the prompt.
     pub parts: PromptParts,
 }
 
@@ -43,9 +43,16 @@
         std::iter::once(self.content).chain(self.parts.iter().rev().copied())
     }
 
-    /// Returns the parts for logs.
+    /// Returns true if `fingerprint` is one of the suspects.
+    pub fn contains(&self, fingerprint: RequestFingerprint) -> bool {
+        self.content == fingerprint || self.parts.contains(&fingerprint)
+    }
+
+    /// Returns the parts for logs; of too many, the last ones behind the number of the others.
     pub fn parts_text(&self) -> String {
-        let parts = self.parts.iter().map(|part| format!("{part:016x}"));
-        parts.collect::<Vec<_>>().join(",")
+        let others = self.parts.len().saturating_sub(MAX_LOGGED_PARTS);
+        let count = (others > 0).then(|| format!("+{others}"));
+        let parts = self.parts[others..].iter().map(|part| format!("{part:016x}"));
+        count.into_iter().chain(parts).collect::<Vec<_>>().join(",")
     }
 }
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -39,7 +39,6 @@
 pub use self::config_id::ConfigId;
 pub use self::config_snapshot::encode_snapshot;
 pub use self::crash_suspects::CrashSuspects;
-pub use self::crash_suspects::MAX_PROMPT_PARTS;
 pub use self::crash_suspects::PromptParts;
 pub use self::crash_suspects::is_prompt_part;
 pub use self::crash_suspects::prompt_part;
--- a/crates/gateway/src/quarantine/quarantines.rs
+++ b/crates/gateway/src/quarantine/quarantines.rs
@@ -91,11 +91,13 @@
     /// changes what is quarantined.
     pub fn record_completion(&self, suspects: &CrashSuspects, target: &SendTarget) -> bool {
         let now = Instant::now();
+        let mut detector = self.detector();
         let mut changes = SuspectChanges::new();
         for fingerprint in suspects.iter() {
-            let change = self.detector().record_completion(fingerprint, target.incarnation, now);
+            let change = detector.record_completion(fingerprint, target.incarnation, now);
             changes.extend(change.map(|change| (fingerprint, change)));
         }
+        drop(detector);
         self.log_changes(changes, "own")
     }
 
@@ -181,7 +183,8 @@
         has_probe_server: impl FnOnce() -> bool,
     ) -> QuarantineVerdict {
         let now = Instant::now();
-        for fingerprint in suspects.iter() {
+        let recorded = self.detector().recorded_of(suspects);
+        for fingerprint in recorded {
             let change = self.detector().quarantine_if_suspect(fingerprint, now);
             self.log_change(fingerprint, change, "gateway");
         }
@@ -231,7 +234,8 @@
     fn quarantined(&self, suspects: &CrashSuspects) -> SmallVec<[QuarantineStatus; 1]> {
         let now = Instant::now();
         let detector = self.detector();
-        suspects.iter().filter_map(|fingerprint| detector.status(fingerprint, now)).collect()
+        let quarantined = detector.quarantined_of(suspects);
+        quarantined.iter().filter_map(|fingerprint| detector.status(*fingerprint, now)).collect()
     }
 
     /// Returns the outcomes for a report to peers.
--- a/crates/gateway/tests/part_suspicion.rs
+++ b/crates/gateway/tests/part_suspicion.rs
@@ -102,6 +102,8 @@
 const RESTART_PAUSE: Duration = Duration::from_millis(2500);
 const SOUND_PER_S: f64 = 8.0;
 const FATAL_PER_S: f64 = 2.0;
+/// Number of parts that are judged where not all of them are.
+const FEW_PARTS: usize = 16;
 /// Time from the arrival of a request at its server until its first event.
 const FIRST_EVENT_AFTER: Duration = Duration::from_millis(250);
 /// Time from the arrival of a fatal request at its server until that crashes.
@@ -114,6 +116,8 @@
 const MAX_LATE_ARRIVALS: usize = 3;
 /// Number of simulations of each case.
 const SEEDS: u64 = 8;
+/// The same where only some of the parts are judged, for comparison.
+const COMPARED_SEEDS: u64 = 2;
 /// Fraction of the sound requests that may be held back.
 const MAX_HELD: f64 = 0.05;
 
@@ -127,8 +131,32 @@
     has_survived: bool,
 }
 
+/// What of a request a gateway judges.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Judged {
+    /// Only its content.
+    Content,
+    /// Its parts too, of more than [`FEW_PARTS`] the first ones.
+    FirstParts,
+    /// The same, of more than [`FEW_PARTS`] as many drawn anew for each request.
+    DrawnParts,
+    AllParts,
+}
+
+/// Where the fatal part of a prompt stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FatalPlace {
+    First,
+    Last,
+}
+
 struct Case {
     name: &'static str,
+    /// Number of parts that all prompts share.
+    shared_parts: usize,
+    /// Number of further parts of each fatal prompt, which no other one has.
+    invented_parts: usize,
+    place: FatalPlace,
     /// Number of fatal parts.
     fatal_parts: u64,
     fatal_from: Duration,
@@ -163,7 +191,7 @@
 
 struct Simulation<'a> {
     case: &'a Case,
-    judges_parts: bool,
+    judged: Judged,
     started_at: Instant,
     now: Duration,
     gateways: Vec<CrashDetector>,
@@ -178,10 +206,10 @@
 }
 
 impl<'a> Simulation<'a> {
-    fn new(case: &'a Case, judges_parts: bool, seed: u64) -> Self {
+    fn new(case: &'a Case, judged: Judged, seed: u64) -> Self {
         Simulation {
             case,
-            judges_parts,
+            judged,
             started_at: Instant::now(),
             now: Duration::ZERO,
             gateways: (0..GATEWAYS).map(|_| CrashDetector::default()).collect(),
@@ -303,10 +331,7 @@
             Some(part) => format!("f{part}"),
             None => format!("b{}", self.draw.u32(..6)),
         };
-        let parts: PromptParts = match self.judges_parts {
-            true => [prompt_part("a0"), prompt_part(&second)].into_iter().collect(),
-            false => PromptParts::new(),
-        };
+        let parts = self.judged_parts(prompt_part(&second), is_fatal);
         let suspects = CrashSuspects { content: self.requests << 16, parts };
         let gateway = self.draw.usize(..GATEWAYS);
         let is_sound = !is_fatal;
@@ -326,6 +351,29 @@
         self.runs.push(Run { gateway, server, suspects, sent_at, fatal_part, has_survived: false });
     }
 
+    /// Returns the parts that are judged of a prompt with the part `own`.
+    fn judged_parts(&mut self, own: u64, is_fatal: bool) -> PromptParts {
+        let shared = (0..self.case.shared_parts).map(|part| prompt_part(&format!("a{part}")));
+        let invented = if is_fatal { self.case.invented_parts } else { 0 };
+        let request = self.requests;
+        let invented = (0..invented).map(|part| prompt_part(&format!("{request}-{part}")));
+        let mut parts: PromptParts = shared.chain(invented).collect();
+        match self.case.place {
+            FatalPlace::First if is_fatal => parts.insert(0, own),
+            _ => parts.push(own),
+        }
+        match self.judged {
+            Judged::Content => parts.clear(),
+            Judged::FirstParts => parts.truncate(FEW_PARTS),
+            Judged::DrawnParts => {
+                self.draw.shuffle(&mut parts);
+                parts.truncate(FEW_PARTS);
+            }
+            Judged::AllParts => {}
+        }
+        parts
+    }
+
     /// Decides as a gateway does, with a store in which each probe is claimed once.
     fn admits(&mut self, gateway: usize, suspects: &CrashSuspects) -> bool {
         let now = self.instant();
@@ -361,6 +409,9 @@
 fn fatal_parts_are_held_back_and_sound_ones_are_not() {
     let usual = Case {
         name: "one part",
+        shared_parts: 1,
+        invented_parts: 0,
+        place: FatalPlace::Last,
         fatal_parts: 1,
         fatal_from: Duration::from_secs(5),
         is_known_as_sound: false,
@@ -400,8 +451,8 @@
         let mut crashes = [0, 0];
         let mut held = 0;
         for seed in 0..SEEDS {
-            let outcome = Simulation::new(case, true, seed).run();
-            let before = Simulation::new(case, false, seed).run();
+            let outcome = Simulation::new(case, Judged::AllParts, seed).run();
+            let before = Simulation::new(case, Judged::Content, seed).run();
             crashes = [crashes[0] + outcome.crashes.len(), crashes[1] + before.crashes.len()];
             held += outcome.held;
             for part in 0..case.fatal_parts {
@@ -423,6 +474,97 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// The outcomes of all seeds of one case.
+#[derive(Debug, Default)]
+struct Total {
+    crashes: usize,
+    late: usize,
+    sound: usize,
+    held: usize,
+    /// Seeds with more late arrivals of a part, or more sound requests held back, than allowed.
+    violations: usize,
+}
+
+impl Total {
+    fn of(case: &Case, judged: Judged) -> Total {
+        let seeds = if judged == Judged::AllParts { SEEDS } else { COMPARED_SEEDS };
+        let mut total = Total::default();
+        for seed in 0..seeds {
+            let outcome = Simulation::new(case, judged, seed).run();
+            let late = (0..case.fatal_parts).map(|part| outcome.late_arrivals(part));
+            let most_late = late.clone().max().unwrap_or(0);
+            let is_held = outcome.held as f64 > outcome.sound as f64 * MAX_HELD;
+            total.crashes += outcome.crashes.len();
+            total.late += late.sum::<usize>();
+            total.sound += outcome.sound;
+            total.held += outcome.held;
+            total.violations += usize::from(most_late > MAX_LATE_ARRIVALS || is_held);
+        }
+        total
+    }
+}
+
+/// Prevents a part that crashes servers from being let through because its prompts have many other
+/// parts, shared or invented, wherever it stands. Also counts what happens where only some of the
+/// parts are judged.
+#[test]
+fn no_place_of_a_prompt_hides_a_fatal_part() {
+    let behind = Case {
+        name: "behind eighteen shared ones",
+        shared_parts: 18,
+        invented_parts: 0,
+        place: FatalPlace::Last,
+        fatal_parts: 1,
+        fatal_from: Duration::from_secs(5),
+        is_known_as_sound: false,
+        has_other_crashes: false,
+        power_loss_at: None,
+    };
+    let cases = [
+        Case { name: "before eighteen shared ones", place: FatalPlace::First, ..behind },
+        Case { name: "behind three hundred shared ones", shared_parts: 300, ..behind },
+        Case { name: "a cold start", fatal_from: Duration::ZERO, ..behind },
+        Case {
+            name: "a cold start, before forty shared ones",
+            shared_parts: 40,
+            place: FatalPlace::First,
+            fatal_from: Duration::ZERO,
+            ..behind
+        },
+        Case { name: "sound before", is_known_as_sound: true, ..behind },
+        Case { name: "three parts", fatal_parts: 3, ..behind },
+        Case { name: "other crashes", has_other_crashes: true, ..behind },
+        Case {
+            name: "a loss of power",
+            power_loss_at: Some(Duration::from_millis(4990)),
+            ..behind
+        },
+        Case { name: "among two thousand invented ones", invented_parts: 2000, ..behind },
+        Case {
+            name: "before two thousand invented ones",
+            invented_parts: 2000,
+            place: FatalPlace::First,
+            ..behind
+        },
+        behind,
+    ];
+    let mut violations = Vec::new();
+    for case in &cases {
+        for judged in [Judged::FirstParts, Judged::DrawnParts, Judged::AllParts] {
+            let total = Total::of(case, judged);
+            let Total { crashes, late, sound, held, .. } = total;
+            println!(
+                "{}, {judged:?}: {crashes} crashes, {late} late; {held} of {sound} sound ones held",
+                case.name
+            );
+            if judged == Judged::AllParts && total.violations > 0 {
+                violations.push(format!("{}: {total:?}", case.name));
+            }
+        }
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Prevents the digest of a part from being taken for that of a request.
 #[test]
 fn parts_are_told_from_requests() {
