--- a/crates/gateway/src/ingress/read_call.rs
+++ b/crates/gateway/src/ingress/read_call.rs
@@ -134,7 +134,7 @@
         method: parts.method.as_str(),
         host: stated_host(&parts.headers, &parts.uri).unwrap_or_default(),
         target: parts.uri.path_and_query().map_or("/", |target| target.as_str()),
-        credentials: credentials(&head.key),
+        caller: caller_bytes(organisation.as_deref(), &head.key),
         body: &body.bytes,
     }
     .fingerprint();
@@ -189,11 +189,15 @@
     uri.host().or_else(|| headers.get(header::HOST).and_then(|value| value.to_str().ok()))
 }
 
-/// Returns the credentials in the request, which are part of its fingerprint.
-fn credentials(key: &CallerKey) -> &[u8] {
-    match key {
-        CallerKey::Sent(digest) => digest.as_bytes(),
-        CallerKey::None | CallerKey::Malformed => &[],
+/// Returns what of a request's fingerprint tells who calls.
+///
+/// Servers are told the organisation and never see the key, so that requests under different keys of
+/// one organisation are the same to them.
+fn caller_bytes<'a>(organisation: Option<&'a Organisation>, key: &'a CallerKey) -> &'a [u8] {
+    match (organisation, key) {
+        (Some(organisation), _) => organisation.name.as_bytes(),
+        (None, CallerKey::Sent(digest)) => digest.as_bytes(),
+        (None, CallerKey::None | CallerKey::Malformed) => &[],
     }
 }
 
--- a/crates/gateway/src/model/request_fingerprint.rs
+++ b/crates/gateway/src/model/request_fingerprint.rs
@@ -10,8 +10,9 @@
     pub host: &'a str,
     /// Path and query.
     pub target: &'a str,
-    /// The caller's credentials, if the request has any.
-    pub credentials: &'a [u8],
+    /// Who calls: the name of the organisation, whichever of its keys the request names, or where none
+    /// is known the key's digest; empty without a key.
+    pub caller: &'a [u8],
     pub body: &'a [u8],
 }
 
@@ -23,7 +24,7 @@
             self.method.as_bytes(),
             self.host.as_bytes(),
             self.target.as_bytes(),
-            self.credentials,
+            self.caller,
             self.body,
         ];
         parts.iter().fold(0, |seed, part| umberglade_wire::digest_seeded(part, seed))
--- a/crates/gateway/tests/request_fingerprint.rs
+++ b/crates/gateway/tests/request_fingerprint.rs
@@ -6,7 +6,7 @@
     method: "POST",
     host: "site.example",
     target: "/files/7?page=1",
-    credentials: b"Bearer a",
+    caller: b"Bearer a",
     body: b"hello",
 };
 
@@ -38,8 +38,8 @@
             is_same: false,
         },
         FingerprintCase {
-            name: "credentials",
-            parts: FingerprintParts { credentials: b"Bearer b", ..BASE_PARTS },
+            name: "caller",
+            parts: FingerprintParts { caller: b"Bearer b", ..BASE_PARTS },
             is_same: false,
         },
         FingerprintCase {
@@ -49,7 +49,7 @@
         },
         FingerprintCase {
             name: "end of one part moved into the next",
-            parts: FingerprintParts { credentials: b"Bearer ", body: b"ahello", ..BASE_PARTS },
+            parts: FingerprintParts { caller: b"Bearer ", body: b"ahello", ..BASE_PARTS },
             is_same: false,
         },
     ];
