--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -112,8 +113,9 @@
     metrics::counter!("umberglade_tunnels_served_total").increment(1);
     let lifetime = Duration::from_millis(request.lifetime_ms).min(MAX_LIFETIME);
     let sent = &state.link_use.tunnels;
-    let upload = upload(stream.clone(), server_stream.clone(), sent);
-    let download = download(server_stream, stream, sent);
+    let has_write_failed = AtomicBool::new(false);
+    let upload = upload(stream.clone(), server_stream.clone(), sent, &has_write_failed);
+    let download = download(server_stream, stream, sent, &has_write_failed);
     let forwarded = with_deadline(started_at + lifetime, upload.or(download)).await;
     let end = forwarded.unwrap_or(TunnelEnd::Expired);
     tracing::info!(
@@ -154,14 +156,23 @@
     is_usable.then_some(server_state.entry.address)
 }
 
-/// Forwards bytes to the server.
-async fn upload(mut from: TcpStream, mut to: TcpStream, sent: &SentBytes) -> TunnelEnd {
+/// Forwards bytes to the server. Sets `has_write_failed` when the server's connection is found broken.
+async fn upload(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    sent: &SentBytes,
+    has_write_failed: &AtomicBool,
+) -> TunnelEnd {
     let mut buffer = [0; UPLOAD_BUFFER_BYTES];
     loop {
         match from.read(&mut buffer).await {
             Ok(count) if count > 0 => {
                 sent.add(count);
-                let written = async { to.write_all(&buffer[..count]).await.is_ok() };
+                let written = async {
+                    let is_written = to.write_all(&buffer[..count]).await.is_ok();
+                    has_write_failed.store(!is_written, Ordering::Release);
+                    is_written
+                };
                 let closed = async {
                     wait_closed(&from).await;
                     false
@@ -178,11 +189,23 @@
 }
 
 /// Forwards bytes of the server as chunks, as they arrive.
-async fn download(mut from: TcpStream, mut to: TcpStream, sent: &SentBytes) -> TunnelEnd {
+///
+/// The end of its bytes counts only while no write to it has failed: on Linux, a write that fails
+/// takes the error of the connection with it, and the next read finds a proper end. Prevents part of
+/// an answer from looking whole whose server reset the connection before it had read the request.
+async fn download(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    sent: &SentBytes,
+    has_write_failed: &AtomicBool,
+) -> TunnelEnd {
     let mut buffer = vec![0; CHUNK_HEAD_BYTES + MAX_CHUNK_BYTES];
     loop {
         let read = from.read(&mut buffer[CHUNK_HEAD_BYTES..]).await;
         let Ok(count) = read else { return TunnelEnd::ServerBroken };
+        if count == 0 && has_write_failed.load(Ordering::Acquire) {
+            return TunnelEnd::ServerBroken;
+        }
         buffer[..CHUNK_HEAD_BYTES].copy_from_slice(&(count as u16).to_le_bytes());
         sent.add(count);
         if to.write_all(&buffer[..CHUNK_HEAD_BYTES + count]).await.is_err() {
