--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -9,6 +9,7 @@
 use strum::Display;
 use umberglade_wire::client_connection::BodyError;
 use umberglade_wire::client_connection::ResponseBody;
+use umberglade_wire::client_connection::is_final;
 use umberglade_wire::pool;
 
 use super::Call;
@@ -194,7 +195,8 @@
     }
     let head = C::response_head(response.headers());
     let status = response.status();
-    if head.request_id != call.head.request_id || head.is_encoded {
+    let is_of_call = head.request_id == call.head.request_id;
+    if !is_of_call || head.is_encoded || !is_final(status) {
         state.fleet().record_malformed(&target.server, Instant::now());
         let problem = format!("status {status}, response to {:?}", head.request_id);
         let failure = AttemptFailure::Garbled;
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -20,11 +20,13 @@
 
 use crate::client_connection::ClientConnection;
 use crate::client_connection::ResponseBody;
+use crate::client_connection::is_final;
 use crate::client_connection::read_whole;
 use crate::error::BodySnafu;
 use crate::error::ConnectSnafu;
 use crate::error::DecodeSnafu;
 use crate::error::HttpSnafu;
+use crate::error::NoAnswerSnafu;
 use crate::error::WireError;
 use crate::request_content::RequestContent;
 
@@ -94,7 +96,12 @@
             .body(RequestContent::from(body))
             .expect("a request built from a valid path");
         let sent = connection.send(request).await.map_err(TrySendError::into_error);
-        sent.context(HttpSnafu { step, peer })
+        let response = sent.context(HttpSnafu { step, peer })?;
+        let status = response.status();
+        if !is_final(status) {
+            return NoAnswerSnafu { step, peer, status: status.as_u16() }.fail();
+        }
+        Ok(response)
     }
 
     /// Sends `body` as JSON and decodes the JSON body of a response with a 2xx status. Any other
--- a/crates/wire/src/client_connection.rs
+++ b/crates/wire/src/client_connection.rs
@@ -12,6 +12,7 @@
 use futures_lite::AsyncWrite;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -114,6 +115,14 @@
     }
 }
 
+/// Returns true for a status that an answer can have.
+///
+/// No interim one is final: the client has taken those before the answer, but for 101, as it never
+/// asks for another protocol.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns true when `error` shows bytes that are no answer, or no end of one, rather than a
 /// connection that broke.
 pub fn is_malformed(error: &hyper::Error) -> bool {
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -32,6 +32,9 @@
         /// Number of bytes of the body that had arrived.
         received: usize,
     },
+    /// The peer responded with a status that no answer has: below 200 or over 599.
+    #[snafu(display("{step}: {peer} answered {status}, which is no status of an answer"))]
+    NoAnswer { step: &'static str, peer: String, status: u16 },
     /// The response body was not the expected JSON.
     #[snafu(display("{step}: bad JSON from {peer}: {source}"))]
     Decode { step: &'static str, peer: String, source: serde_json::Error },
@@ -70,6 +73,7 @@
                 | WireError::Body { .. }
                 | WireError::Timeout { .. }
                 | WireError::Silent { .. }
+                | WireError::NoAnswer { .. }
                 | WireError::Decode { .. }
         )
     }
