--- a/crates/gateway/src/forward/event_reader.rs
+++ b/crates/gateway/src/forward/event_reader.rs
@@ -1,5 +1,6 @@
 //! Reads a streamed response event by event.
 
+use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
@@ -9,6 +10,9 @@
 
 use crate::upstream::answer_limits::MAX_EVENT_BYTES;
 
+/// Capacity of the buffer up to which it is kept for the next event, in bytes.
+const MAX_KEPT_CAPACITY: usize = 16 * 1024;
+
 /// One complete event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -64,10 +68,22 @@
     fn take(&mut self, end: usize) -> StreamEvent {
         self.searched = 0;
         self.comments = 0;
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = self.take_bytes(end);
         StreamEvent { id: event_id(&bytes), bytes }
     }
 
+    /// Returns the bytes up to `end`. They share no memory with the buffer: what is held for a caller
+    /// is as long as what it is sent.
+    fn take_bytes(&mut self, end: usize) -> Bytes {
+        let bytes = Bytes::copy_from_slice(&self.buffer[..end]);
+        if self.buffer.capacity() > MAX_KEPT_CAPACITY {
+            self.buffer = BytesMut::from(&self.buffer[end..]);
+        } else {
+            self.buffer.advance(end);
+        }
+        bytes
+    }
+
     /// Returns the number of bytes of the event that has not arrived completely.
     pub fn buffered(&self) -> usize {
         self.buffer.len()
--- a/crates/gateway/src/forward/long_response.rs
+++ b/crates/gateway/src/forward/long_response.rs
@@ -12,7 +12,6 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use hyper::body::Frame;
 use umberglade_wire::client_connection::BodyError;
 use umberglade_wire::client_connection::ResponseBody;
 use umberglade_wire::client_connection::TooLongSnafu;
@@ -39,9 +38,6 @@
 use crate::upstream::answer_limits::MAX_HELD_BYTES;
 use crate::upstream::answer_limits::MAX_PASSED_BYTES;
 
-/// Number of pieces held for a caller that reads slowly, before the server has to wait too.
-const MAX_BUFFERED_PIECES: usize = 1;
-
 /// The part of a body that has been read before any of it is passed on.
 pub enum BodyStart {
     Whole(Bytes),
@@ -87,7 +83,7 @@
     target: &SendTarget,
     long: LongResponse,
 ) -> Response<GatewayBody> {
-    let (sender, body) = response_body::streamed_with(MAX_BUFFERED_PIECES);
+    let (sender, body) = response_body::streamed();
     let mut response = Response::new(body);
     *response.status_mut() = long.parts.status;
     *response.headers_mut() = C::response_headers(&long.parts.headers);
@@ -153,7 +149,7 @@
         passed_bytes += piece.len();
         snafu::ensure!(passed_bytes <= MAX_PASSED_BYTES, TooLongSnafu { limit: MAX_PASSED_BYTES });
         // Fails when the caller has left, which ends this task too.
-        let _ = sender.send(Ok(Frame::data(piece))).await;
+        let _ = response_body::send_all(sender, piece).await;
         let Some(frame) = body.frame().await else { return Ok(()) };
         let frame = frame.map_err(|source| BodyError::Broken { source })?;
         piece = frame.into_data().unwrap_or_default();
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Response;
-use hyper::body::Frame;
 use strum::Display;
 use umberglade_wire::pool;
 
@@ -301,7 +300,7 @@
 
     async fn send(&self, bytes: Bytes) -> Result<(), RelayOutcome> {
         self.state.link_use.events.add(bytes.len());
-        let sent = self.sender.send(Ok(Frame::data(bytes))).await;
+        let sent = response_body::send_all(&self.sender, bytes).await;
         sent.map_err(|_| RelayOutcome::CallerLeft)
     }
 
--- a/crates/gateway/src/forward/response_body.rs
+++ b/crates/gateway/src/forward/response_body.rs
@@ -1,5 +1,8 @@
 //! Bodies of responses to callers.
 
+use async_channel::SendError;
+use async_channel::Sender;
+use bytes::Buf;
 use bytes::Bytes;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -23,17 +26,31 @@
     Either::Left(Full::new(body))
 }
 
+/// Number of frames held for a caller that reads slowly, before the server has to wait too.
+const MAX_HELD_FRAMES: usize = 1;
+/// Maximum size of a frame that [`send_all`] sends, in bytes.
+const MAX_FRAME_BYTES: usize = 16 * 1024;
+
 /// Returns a streamed body and the sender of its frames. Dropping the sender completes the
 /// body; sending [`StreamBroken`] aborts it.
-pub fn streamed() -> (async_channel::Sender<BodyFrame>, GatewayBody) {
-    streamed_with(MAX_BUFFERED_FRAMES)
-}
-
-/// Like [`streamed`], with at most `max_buffered` frames that the caller has not taken.
-pub fn streamed_with(max_buffered: usize) -> (async_channel::Sender<BodyFrame>, GatewayBody) {
-    let (sender, receiver) = async_channel::bounded(max_buffered);
+pub fn streamed() -> (Sender<BodyFrame>, GatewayBody) {
+    let (sender, receiver) = async_channel::bounded(MAX_HELD_FRAMES);
     (sender, Either::Right(StreamBody::new(receiver)))
 }
 
-/// Number of frames buffered for a slow caller before backpressure reaches the server.
-const MAX_BUFFERED_FRAMES: usize = 16;
+/// Sends `bytes` in frames of at most [`MAX_FRAME_BYTES`], none of which shares memory with a longer
+/// piece: so is bounded what is held for a caller that reads slowly. Fails if the body was dropped.
+pub async fn send_all(
+    sender: &Sender<BodyFrame>,
+    mut bytes: Bytes,
+) -> Result<(), SendError<BodyFrame>> {
+    if bytes.len() <= MAX_FRAME_BYTES {
+        return sender.send(Ok(Frame::data(bytes))).await;
+    }
+    while !bytes.is_empty() {
+        let piece = Bytes::copy_from_slice(&bytes[..bytes.len().min(MAX_FRAME_BYTES)]);
+        bytes.advance(piece.len());
+        sender.send(Ok(Frame::data(piece))).await?;
+    }
+    Ok(())
+}
--- a/crates/umberglade/tests/misbehaving_callers.rs
+++ b/crates/umberglade/tests/misbehaving_callers.rs
@@ -12,6 +12,7 @@
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 use support::crowd::Crowd;
@@ -25,11 +26,14 @@
 use support::gateway::agent;
 use support::gateway::settings_text;
 use support::process_use::ProcessLimits;
+use support::process_use::ProcessUse;
 use umberglade_platform_standin::DEFAULT_SERVERS;
+use umberglade_platform_standin::EndlessPart;
 use umberglade_platform_standin::ServerOptions;
 use umberglade_platform_standin::ServerStandin;
 use umberglade_platform_standin::Site;
 use umberglade_platform_standin::SiteConfig;
+use umberglade_platform_standin::Stage;
 use umberglade_wire::pool;
 
 /// Limits of the processes under test.
@@ -48,6 +52,12 @@
 const CONNECTION_CROWD: usize = 600;
 /// Bytes of an unfinished head, more than `maxHeaderBytes`.
 const UNFINISHED_HEAD_BYTES: usize = 60 * 1024;
+/// Members of a crowd with streams, fewer than the engines have slots.
+const STREAM_CROWD: usize = 60;
+/// Decode servers for such a crowd, of 16 slots each.
+const MANY_DECODERS: [&str; 6] = ["d-1", "d-2", "d-3", "d-4", "d-5", "d-6"];
+/// How long such a crowd stays: until all that lies between a server and a caller is full.
+const FILL_TIME: Duration = Duration::from_secs(4);
 /// Duration of a call at a slow server.
 const SLOW_CALL: Duration = Duration::from_millis(1500);
 
@@ -60,6 +70,15 @@
 impl CrowdSite {
     /// Starts a site whose plain servers are configured by `options`.
     fn start(options: ServerOptions) -> CrowdSite {
+        CrowdSite::start_with(options, &[])
+    }
+
+    /// Starts a site with [`MANY_DECODERS`] too.
+    fn start_with_many_engines() -> CrowdSite {
+        CrowdSite::start_with(ServerOptions::default(), &MANY_DECODERS)
+    }
+
+    fn start_with(options: ServerOptions, more_decoders: &'static [&str]) -> CrowdSite {
         let (sender, receiver) = mpsc::channel();
         thread::spawn(move || {
             pool::block_on(async move {
@@ -68,6 +87,9 @@
                 for (id, stage) in plain {
                     site.add_server(id, *stage, options.clone()).await;
                 }
+                for id in more_decoders {
+                    site.add_server(id, Stage::Decode, ServerOptions::default()).await;
+                }
                 configure(&site);
                 let servers = site.servers.iter().map(|(server, _)| Arc::clone(server)).collect();
                 let store = site.store_address.to_string();
@@ -113,7 +135,11 @@
 impl GatewayTarget {
     /// Starts a gateway before plain servers with `options`.
     fn start(options: ServerOptions, ordinary_path: &'static str) -> GatewayTarget {
-        let site = CrowdSite::start(options);
+        GatewayTarget::before(CrowdSite::start(options), ordinary_path)
+    }
+
+    /// Starts a gateway before `site`.
+    fn before(site: CrowdSite, ordinary_path: &'static str) -> GatewayTarget {
         let gateway = site.start_gateway();
         let crowd_address = gateway.front.parse().expect("an address");
         GatewayTarget { site, gateway, agent: agent(), ordinary_path, crowd_address }
@@ -280,6 +306,27 @@
     check_gateway_before(options, CONNECTION_CROWD, request);
 }
 
+/// Guards against events that are held for callers that do not read them, however long they are.
+#[test]
+fn gateway_bears_long_events_that_nobody_reads() {
+    let _turn = one_at_a_time();
+    let mut target = GatewayTarget::before(CrowdSite::start_with_many_engines(), "/safe/x");
+    let decoders = target.site.servers.iter().filter(|server| server.stage() == Stage::Decode);
+    decoders.for_each(|server| server.set_endless(Some(EndlessPart::LongEvents)));
+    let head = |number| empty_head(number).replacen("/safe/", "/stream/", 1);
+    let request = CrowdRequest::at_once(head, Vec::new());
+    let crowd = Crowd::send(target.front(), 0..STREAM_CROWD, &request);
+    let started_at = Instant::now();
+    while started_at.elapsed() < FILL_TIME {
+        let process_use = ProcessUse::read(target.process().id(), &[target.front()]);
+        process_use.assert_within(LIMITS, "beside the crowd");
+        thread::sleep(FILL_TIME / 10);
+    }
+    assert_eq!(target.try_ordinary("beside").ok(), Some(200), "beside the crowd");
+    drop(crowd);
+    check_crowds(target, LIMITS, &[(STREAM_CROWD, request)]);
+}
+
 /// Guards against bounds that hold for one kind of crowd only.
 #[test]
 fn gateway_bears_several_crowds_at_once() {
--- a/crates/wire/src/reply.rs
+++ b/crates/wire/src/reply.rs
@@ -21,7 +21,7 @@
 pub type ReplyBody = Either<Full<Bytes>, StreamBody<async_channel::Receiver<BodyChunk>>>;
 
 /// The number of chunks that a streamed body buffers before its sender has to wait.
-const STREAM_BUFFER_CHUNKS: usize = 64;
+const STREAM_BUFFER_CHUNKS: usize = 1;
 
 /// Returns a response with `status` and `value` serialised as JSON.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<ReplyBody> {
