The next process under a server's id is not taken for the one before

Its start is read now, whatever the stage, and a status that no answer has is no sign of life.

Failed before: undelimited_ends, "once, started again": 200 "piece 1;piece 2;piece 3;" of six pieces.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -1,5 +1,7 @@
 //! Interface between the gateway and a platform's names, formats and calls.
 
+use std::time::SystemTime;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use snafu::Snafu;
@@ -107,6 +109,9 @@
     /// Decodes an engine's report.
     fn engine_report(body: &[u8]) -> Result<EngineReport, CodecError>;
 
+    /// Returns the start time that a server of any stage states in its report, if it states one.
+    fn report_start(body: &[u8]) -> Option<SystemTime>;
+
     /// Returns the path (`POST`) and body of an order to an engine.
     fn order_request(order: &StageOrder) -> (String, Bytes);
 
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -12,5 +12,6 @@
 pub use self::leader_row::LeaderRow;
 pub use self::leader_row::is_claimable;
 pub use self::order::fetch_report;
+pub use self::order::fetch_start;
 pub use self::order::is_same_incarnation;
 pub use self::stage_controller::run_stage_controller;
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use http::Method;
@@ -15,6 +16,7 @@
 use snafu::Snafu;
 use umberglade_wire::client_connection::BodyError;
 use umberglade_wire::client_connection::ResponseBody;
+use umberglade_wire::client_connection::is_final;
 use umberglade_wire::client_connection::read_whole;
 use umberglade_wire::request_content::RequestContent;
 
@@ -73,7 +75,7 @@
 
     /// Returns true if a complete answer has arrived, though not the wanted one.
     pub fn is_answer(&self) -> bool {
-        matches!(self, OrderError::Status { .. } | OrderError::Report { .. })
+        matches!(self, OrderError::Status { status, .. } if is_final(*status))
     }
 
     /// Returns true if the server refuses connections.
@@ -98,7 +100,7 @@
 ) -> Result<(), OrderError> {
     let peer = target.address;
     let (report, mut connection) = fetch_report::<C>(state, &DirectConnector, target).await?;
-    snafu::ensure!(is_same_incarnation(target, &report), RestartedSnafu { peer });
+    snafu::ensure!(is_same_incarnation(target, report.started_at), RestartedSnafu { peer });
     snafu::ensure!(!report.is_changing, ChangingSnafu { peer });
     if report.stage == stage {
         return Ok(());
@@ -125,6 +127,28 @@
     connector: &impl Connect,
     target: &SendTarget,
 ) -> Result<(EngineReport, ServerConnection), OrderError> {
+    let (body, connection) = ask_report::<C>(state, connector, target).await?;
+    let report = C::engine_report(&body).context(ReportSnafu { peer: target.address })?;
+    Ok((report, connection))
+}
+
+/// Returns when the server at `target` states that it was started, whatever its stage, and the
+/// connection of `connector` on which it did; `None` if it states nothing of the kind.
+pub async fn fetch_start<C: PlatformCodec>(
+    state: &GatewayState,
+    connector: &impl Connect,
+    target: &SendTarget,
+) -> Result<(Option<SystemTime>, ServerConnection), OrderError> {
+    let (body, connection) = ask_report::<C>(state, connector, target).await?;
+    Ok((C::report_start(&body), connection))
+}
+
+/// Returns the body of the report of the server at `target`, and the connection on which it came.
+async fn ask_report<C: PlatformCodec>(
+    state: &GatewayState,
+    connector: &impl Connect,
+    target: &SendTarget,
+) -> Result<(Bytes, ServerConnection), OrderError> {
     let peer = target.address;
     let request = engine_request::<C>(target, Method::GET, C::REPORT_PATH, Bytes::new());
     let report_exchange = async {
@@ -132,15 +156,12 @@
         let (response, connection) = sent.context(SendSnafu { step: FETCH_REPORT, peer })?;
         Ok((read_body(response, FETCH_REPORT, peer).await?, connection))
     };
-    let (body, connection) = with_timeout(report_exchange, FETCH_REPORT, peer).await?;
-    let report = C::engine_report(&body).context(ReportSnafu { peer })?;
-    Ok((report, connection))
+    with_timeout(report_exchange, FETCH_REPORT, peer).await
 }
 
-/// Returns false if the engine has restarted since `target` was looked up.
-pub fn is_same_incarnation(target: &SendTarget, report: &EngineReport) -> bool {
-    report.started_at.is_none()
-        || server_incarnation(&target.server, report.started_at) == target.incarnation
+/// Returns false if the server, which states `started_at`, has restarted since `target` was looked up.
+pub fn is_same_incarnation(target: &SendTarget, started_at: Option<SystemTime>) -> bool {
+    started_at.is_none() || server_incarnation(&target.server, started_at) == target.incarnation
 }
 
 fn engine_request<C: PlatformCodec>(
--- a/crates/gateway/src/origins/restart_check.rs
+++ b/crates/gateway/src/origins/restart_check.rs
@@ -105,7 +105,7 @@
     // Boxed: the future is large, and every stream that opens contains it.
     let report = Box::pin(fetch_report::<C>(state, &connector, &target)).await;
     let (checked, outcome) = match &report {
-        Ok((report, _)) if is_same_incarnation(&target, report) => {
+        Ok((report, _)) if is_same_incarnation(&target, report.started_at) => {
             state.fleet().confirm_version(&target.server, target.incarnation, asked_at);
             (CheckedProcess::Same, "not started again".to_owned())
         }
--- a/crates/gateway/src/paths/life_check.rs
+++ b/crates/gateway/src/paths/life_check.rs
@@ -13,7 +13,7 @@
 use crate::cluster::PathVerdict;
 use crate::codec::PlatformCodec;
 use crate::events;
-use crate::leader::fetch_report;
+use crate::leader::fetch_start;
 use crate::leader::is_same_incarnation;
 use crate::state::GatewayState;
 use crate::timing::with_deadline;
@@ -76,17 +76,18 @@
 }
 
 /// Asks the process at the address of `target` for its report, which it answers without a slot. By
-/// the header that names `target`, another server rejects the question.
+/// the header that names `target`, another server rejects the question; by its start, a process that
+/// was started again under the same id is another one.
 async fn ask_life<C: PlatformCodec>(
     state: &Arc<GatewayState>,
     target: &SendTarget,
 ) -> Option<ProcessLife> {
     let asked_at = Instant::now();
     let connector = PathConnector::for_check(state, asked_at + ASK_TIMEOUT);
-    let report = Box::pin(fetch_report::<C>(state, &connector, target)).await;
-    let (life, problem) = match report {
-        Ok((report, connection)) => {
-            let is_same = is_same_incarnation(target, &report);
+    let start = Box::pin(fetch_start::<C>(state, &connector, target)).await;
+    let (life, problem) = match start {
+        Ok((started_at, connection)) => {
+            let is_same = is_same_incarnation(target, started_at);
             if is_same {
                 state.pool.put(target, connection, None, Instant::now());
             }
