Gateways whose registration takes long read the others' rows after it

No gateway heard another: what they keep together (quotas, retries, versions, crashes) each counted alone.

Cause: each read the registered gateways 0.5 s after its start, before any was registered, and then slept 30 s without listening for its own registration, after which the table is to be read again. It listens now.

--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -49,8 +49,8 @@
 /// A gateway that hears no other one for this long reads the tables for itself.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval between two reads of the registered gateways where there are few. One that registers
-/// later has read this one's row and reports to it, so that this one knows it immediately. A gateway
-/// that missed both the row and the reports of another one finds its row with the next read.
+/// later reads this one's row after that and reports to it, so that this one knows it immediately. A
+/// gateway that missed both the row and the reports of another one finds its row with the next read.
 const MEMBER_READ_INTERVAL: Duration = Duration::from_secs(30);
 /// Interval at which a gateway checks whether it still hears others.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
@@ -60,18 +60,22 @@
 pub(crate) async fn join_peers<C: PlatformCodec>(
     state: Arc<GatewayState>,
     registry: Arc<PeerRegistry>,
-    registered: EventListener,
+    mut registered: EventListener,
 ) {
-    with_deadline(Instant::now() + REGISTRATION_WAIT, registered).await;
+    let is_registered =
+        with_deadline(Instant::now() + REGISTRATION_WAIT, &mut registered).await.is_some();
+    // Where that takes longer, the others' rows are read again once it is done.
+    let registered = if is_registered { state.registered.listen() } else { registered };
     let mut client = StoreClient::<C>::new(&state);
     let first = client.read_first_rows(StoreTable::Members, FIRST_ROWS).await;
     let Ok(first) = first else { return follow_members::<C>(state, registry, None).await };
+    let known = KnownRows { through: first.through, registered };
     let members = member_records(&first);
     leave_tables_to_peers(&state, &members, first.has_more);
     if !first.has_more {
         let mut sink = MemberSink::new(Arc::clone(&state), Arc::clone(&registry));
         sink.apply_listing(first.rows, first.through);
-        return follow_members::<C>(state, registry, Some(first.through)).await;
+        return follow_members::<C>(state, registry, Some(known)).await;
     }
     registry.merge(members.clone());
     state.set_members(registry.len());
@@ -86,12 +90,20 @@
     follow_members::<C>(state, registry, None).await;
 }
 
-/// Follows the table of gateways until the process stops, from `position` on if its rows up to
-/// there are known.
+/// What the first read of the registered gateways has shown.
+struct KnownRows {
+    /// The rows up to here are known.
+    through: StoreStamp,
+    /// Resolves once this gateway's own row was written after that read.
+    registered: EventListener,
+}
+
+/// Follows the table of gateways until the process stops, from the rows in `known` on if there are
+/// any: these are not read again before [`MEMBER_READ_INTERVAL`] or this gateway's registration.
 async fn follow_members<C: PlatformCodec>(
     state: Arc<GatewayState>,
     registry: Arc<PeerRegistry>,
-    position: Option<StoreStamp>,
+    known: Option<KnownRows>,
 ) {
     let members = TableFollower {
         reader: TableReader::<C>::new(&state, StoreTable::Members),
@@ -101,10 +113,10 @@
         feed_wait: Duration::ZERO,
         min_interval: MEMBER_READ_INTERVAL,
         coordinator: None,
-        initial_position: position,
+        initial_position: known.as_ref().map(|known| known.through),
     };
-    if position.is_some() {
-        smol::Timer::after(MEMBER_READ_INTERVAL).await;
+    if let Some(KnownRows { registered, .. }) = known {
+        with_deadline(Instant::now() + MEMBER_READ_INTERVAL, registered).await;
     }
     members.run().await;
 }
