--- a/crates/gateway/tests/part_suspicion.rs
+++ b/crates/gateway/tests/part_suspicion.rs
@@ -400,6 +400,19 @@
     }
 }
 
+/// The case that the others vary.
+const ONE_PART: Case = Case {
+    name: "one part",
+    shared_parts: 1,
+    invented_parts: 0,
+    place: FatalPlace::Last,
+    fatal_parts: 1,
+    fatal_from: Duration::from_secs(5),
+    is_known_as_sound: false,
+    has_other_crashes: false,
+    power_loss_at: None,
+};
+
 /// Gateways see requests with fatal parts among sound ones that share their first part. Prevents
 /// more of them from reaching servers, and more than a few sound ones from being held back: while
 /// several parts are fatal, servers crash for other reasons or lose power, before anything was
@@ -407,17 +420,7 @@
 /// whole requests are judged.
 #[test]
 fn fatal_parts_are_held_back_and_sound_ones_are_not() {
-    let usual = Case {
-        name: "one part",
-        shared_parts: 1,
-        invented_parts: 0,
-        place: FatalPlace::Last,
-        fatal_parts: 1,
-        fatal_from: Duration::from_secs(5),
-        is_known_as_sound: false,
-        has_other_crashes: false,
-        power_loss_at: None,
-    };
+    let usual = ONE_PART;
     let cases = [
         Case { name: "three parts", fatal_parts: 3, ..usual },
         Case { name: "a cold start", fatal_from: Duration::ZERO, ..usual },
@@ -509,17 +512,7 @@
 /// parts are judged.
 #[test]
 fn no_place_of_a_prompt_hides_a_fatal_part() {
-    let behind = Case {
-        name: "behind eighteen shared ones",
-        shared_parts: 18,
-        invented_parts: 0,
-        place: FatalPlace::Last,
-        fatal_parts: 1,
-        fatal_from: Duration::from_secs(5),
-        is_known_as_sound: false,
-        has_other_crashes: false,
-        power_loss_at: None,
-    };
+    let behind = Case { name: "behind eighteen shared ones", shared_parts: 18, ..ONE_PART };
     let cases = [
         Case { name: "before eighteen shared ones", place: FatalPlace::First, ..behind },
         Case { name: "behind three hundred shared ones", shared_parts: 300, ..behind },
